--- /dev/null
+++ b/crates/filbertstack-control/src/lib.rs
@@ -0,0 +1,1 @@
+//! The replicated control state: declarations, placements, orders and claims.
--- /dev/null
+++ b/crates/filbertstack-core/src/selector.rs
@@ -0,0 +1,168 @@
+//! Selectors: requirements over labels, all of which must hold.
+
+use std::fmt;
+use std::str::FromStr;
+use std::sync::Arc;
+
+use crate::error::ValueError;
+use crate::labels::Labels;
+use crate::names::check_name;
+
+/// What a selector asks of one key.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Demand {
+    /// The value is one of these: `key=a` or `key in (a, b)`.
+    In(Vec<Arc<str>>),
+    /// The key is absent or has another value: `key!=a` or `key notin (a, b)`.
+    NotIn(Vec<Arc<str>>),
+    /// The key is present: `key`.
+    Present,
+    /// The key is absent: `!key`.
+    Absent,
+}
+
+/// One requirement of a selector.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Requirement {
+    /// The label key.
+    pub key: Arc<str>,
+    /// What is asked of its value.
+    pub demand: Demand,
+}
+
+impl Requirement {
+    /// Whether `labels` meet this requirement.
+    pub fn matches(&self, labels: &Labels) -> bool {
+        let value = labels.get(&self.key);
+        let among = |set: &[Arc<str>]| value.is_some_and(|v| set.iter().any(|s| s.as_ref() == v));
+        match &self.demand {
+            Demand::In(set) => among(set),
+            Demand::NotIn(set) => !among(set),
+            Demand::Present => value.is_some(),
+            Demand::Absent => value.is_none(),
+        }
+    }
+}
+
+/// Requirements that must all hold; an empty selector matches everything.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Selector {
+    requirements: Vec<Requirement>,
+}
+
+impl Selector {
+    /// Whether `labels` meet every requirement.
+    pub fn matches(&self, labels: &Labels) -> bool {
+        self.requirements
+            .iter()
+            .all(|requirement| requirement.matches(labels))
+    }
+
+    /// The requirements in the order they were written.
+    pub fn requirements(&self) -> &[Requirement] {
+        &self.requirements
+    }
+}
+
+impl FromStr for Selector {
+    type Err = ValueError;
+
+    fn from_str(text: &str) -> Result<Self, ValueError> {
+        let parts = split_outside_parentheses(text);
+        let requirements = parts
+            .into_iter()
+            .map(requirement)
+            .collect::<Result<_, _>>()?;
+        Ok(Self { requirements })
+    }
+}
+
+fn split_outside_parentheses(text: &str) -> Vec<&str> {
+    let mut depth = 0_u32;
+    let separators = |c: char| {
+        match c {
+            '(' => depth += 1,
+            ')' => depth = depth.saturating_sub(1),
+            _ => {}
+        }
+        c == ',' && depth == 0
+    };
+    text.split(separators)
+        .map(str::trim)
+        .filter(|part| !part.is_empty())
+        .collect()
+}
+
+fn requirement(text: &str) -> Result<Requirement, ValueError> {
+    let (key, demand) =
+        parse_requirement(text).ok_or_else(|| ValueError::Requirement { text: text.into() })?;
+    check_name(key)?;
+    Ok(Requirement {
+        key: key.into(),
+        demand,
+    })
+}
+
+fn parse_requirement(text: &str) -> Option<(&str, Demand)> {
+    if let Some((key, value)) = text.split_once("!=") {
+        return Some((key.trim(), Demand::NotIn(vec![value_of(value)?])));
+    }
+    if let Some((key, value)) = text.split_once('=') {
+        return Some((key.trim(), Demand::In(vec![value_of(value)?])));
+    }
+    if let Some(key) = text.strip_prefix('!') {
+        return Some((key.trim(), Demand::Absent));
+    }
+    let Some((head, list)) = text.split_once('(') else {
+        let lone = !text.contains(char::is_whitespace);
+        return lone.then_some((text, Demand::Present));
+    };
+    let set: Option<Vec<_>> = list.strip_suffix(')')?.split(',').map(value_of).collect();
+    let (key, verb) = head.trim().split_once(char::is_whitespace)?;
+    match verb.trim() {
+        "in" => Some((key, Demand::In(set?))),
+        "notin" => Some((key, Demand::NotIn(set?))),
+        _ => None,
+    }
+}
+
+fn value_of(text: &str) -> Option<Arc<str>> {
+    let text = text.trim();
+    check_name(text).ok()?;
+    Some(text.into())
+}
+
+impl fmt::Display for Selector {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for (i, requirement) in self.requirements.iter().enumerate() {
+            let comma = if i == 0 { "" } else { ", " };
+            write!(f, "{comma}{requirement}")?;
+        }
+        Ok(())
+    }
+}
+
+impl fmt::Display for Requirement {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let key = &self.key;
+        match &self.demand {
+            Demand::Present => write!(f, "{key}"),
+            Demand::Absent => write!(f, "!{key}"),
+            Demand::In(set) => write!(f, "{key} in ({})", set.join(", ")),
+            Demand::NotIn(set) => write!(f, "{key} notin ({})", set.join(", ")),
+        }
+    }
+}
+
+impl serde::Serialize for Selector {
+    fn serialize<S: serde::Serializer>(&self, s: S) -> Result<S::Ok, S::Error> {
+        s.collect_str(self)
+    }
+}
+
+impl<'de> serde::Deserialize<'de> for Selector {
+    fn deserialize<D: serde::Deserializer<'de>>(d: D) -> Result<Self, D::Error> {
+        let text = String::deserialize(d)?;
+        text.parse().map_err(serde::de::Error::custom)
+    }
+}
--- /dev/null
+++ b/crates/filbertstack-entry/src/lib.rs
@@ -0,0 +1,1 @@
+//! The entry: callers' and operators' HTTP, admission, routing and, with a disk, a voter.
--- /dev/null
+++ b/crates/filbertstack-policy/src/lib.rs
@@ -0,0 +1,1 @@
+//! Every decision under load, free of network, clock and thread.
--- /dev/null
+++ b/crates/filbertstack-telemetry/src/lib.rs
@@ -0,0 +1,1 @@
+//! Structured logs, metrics and traces.
--- /dev/null
+++ b/crates/filbertstack-weights/src/lib.rs
@@ -0,0 +1,1 @@
+//! Manifests, the chunk store and the verified transfer of weights.
--- /dev/null
+++ b/crates/filbertstack-wire/src/lib.rs
@@ -0,0 +1,1 @@
+//! Messages, framing and authenticated links between the system's own processes.
--- /dev/null
+++ b/src/main.rs
@@ -0,0 +1,3 @@
+//! The one binary: entry, agent, operators' client and demo.
+
+fn main() {}
