--- /dev/null
+++ b/crates/filbertstack-log/src/node/changes.rs
@@ -0,0 +1,75 @@
+//! Changes of membership, one at a time.
+
+use prost::Message as _;
+
+use crate::membership::Change;
+use crate::membership::ChangeError;
+use crate::membership::Membership;
+use crate::message::EntryKind;
+use crate::node::Accepted;
+use crate::node::Node;
+use crate::node::Refusal;
+use crate::node::Role;
+use crate::node::Ticket;
+
+impl Node {
+    pub(super) fn on_change(&mut self, ticket: Ticket, change: &Change) {
+        let result = self.check_change(change).map(|next| {
+            let data = next.encode_to_vec().into();
+            let place = self.append_own(EntryKind::Membership, data);
+            self.refresh_peers();
+            self.advance_commit();
+            Accepted::Appended(place)
+        });
+        self.answer(ticket, result);
+    }
+
+    fn check_change(&self, change: &Change) -> Result<Membership, Refusal> {
+        if self.full_until.is_some() {
+            return Err(Refusal::DiskFull);
+        }
+        let Role::Leader(leader) = &self.role else {
+            return Err(self.not_leader());
+        };
+        if leader.transfer.is_some() {
+            return Err(Refusal::Transferring);
+        }
+        let next = self.membership().after(change)?;
+        if self.config.safeguards.one_change {
+            self.check_order(leader.opened)?;
+        }
+        match change {
+            Change::Promote(_) if !self.config.safeguards.caught_up => {}
+            Change::Promote(node) => {
+                let held = leader.peers.get(node).map_or(0, |p| p.held);
+                let behind = self.commit.saturating_sub(held);
+                if behind > 0 {
+                    return Err(ChangeError::Behind {
+                        node: *node,
+                        behind,
+                    }
+                    .into());
+                }
+            }
+            Change::Remove(node) if self.leads(*node) => {
+                return Err(ChangeError::Leads { node: *node }.into());
+            }
+            Change::AddLearner(_) | Change::Remove(_) => {}
+        }
+        Ok(next)
+    }
+
+    /// Two memberships in force at once share a majority only if they differ by one member, and
+    /// only if the earlier one is committed: a leader that has not committed in its own term may
+    /// hold a change that the others never saw.
+    fn check_order(&self, opened: u64) -> Result<(), ChangeError> {
+        if self.commit < opened {
+            return Err(ChangeError::NewLeader);
+        }
+        let latest = self.members.last().map_or(0, |(at, _)| *at);
+        if latest > self.commit {
+            return Err(ChangeError::Pending);
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/filbertstack-log/src/node/election.rs
@@ -0,0 +1,184 @@
+//! Who leads: pre-votes, votes, and when a voter keeps silent.
+
+use std::collections::BTreeSet;
+
+use crate::ids::NodeId;
+use crate::ids::Position;
+use crate::message::AppendReply;
+use crate::message::Body;
+use crate::message::Vote;
+use crate::message::VoteReply;
+use crate::node::Node;
+use crate::node::Role;
+use crate::node::persist::Gate;
+
+impl Node {
+    /// Whether a leader was heard so lately that its lease may still run.
+    pub(super) fn heard_leader(&self) -> bool {
+        if !self.config.safeguards.sticky {
+            return false;
+        }
+        if matches!(self.role, Role::Leader(_)) {
+            return true;
+        }
+        let least = self.config.timing.election_min;
+        self.heard.is_some_and(|at| self.now < at + least)
+    }
+
+    /// Becomes a follower in `term`, of `leader` if one is known.
+    pub(super) fn follow(&mut self, term: u64, leader: Option<NodeId>) {
+        self.abandon_reads();
+        if term > self.hard.term {
+            self.hard.term = term;
+            self.hard.vote = 0;
+            self.hard_dirty = true;
+        }
+        self.role = Role::Follower;
+        self.leader = leader;
+        self.reset_election();
+    }
+
+    pub(super) fn start_election(&mut self) {
+        self.reset_election();
+        self.leader = None;
+        if !self.is_voter() || self.installing {
+            return;
+        }
+        if !self.config.safeguards.pre_vote {
+            self.campaign(false);
+            return;
+        }
+        // A voter cut off alone would raise its term again and again, and on its return force the
+        // leader of the others to step down. Asking first costs one round trip and no term.
+        let votes = BTreeSet::from([self.config.id]);
+        self.role = Role::PreCandidate { votes };
+        self.ask_votes(true, false);
+        self.count_pre_votes();
+    }
+
+    pub(super) fn campaign(&mut self, transfer: bool) {
+        self.follow(self.hard.term + 1, None);
+        self.hard.vote = self.config.id.0;
+        self.hard_dirty = true;
+        let votes = BTreeSet::new();
+        self.role = Role::Candidate { votes };
+        self.ask_votes(false, transfer);
+    }
+
+    fn ask_votes(&mut self, pre: bool, transfer: bool) {
+        let last = self.log.last();
+        let term = self.hard.term + u64::from(pre);
+        let vote = Vote {
+            last_index: last.index,
+            last_term: last.term,
+            pre,
+            transfer,
+        };
+        for member in self.membership().voters {
+            if member.id() != self.config.id {
+                self.send_at(member.id(), Gate::Hard, term, Body::Vote(vote));
+            }
+        }
+    }
+
+    pub(super) fn on_vote(&mut self, from: NodeId, term: u64, vote: Vote) {
+        let theirs = Position {
+            term: vote.last_term,
+            index: vote.last_index,
+        };
+        // A replica that belongs to no group yet holds nothing to compare with.
+        let fit = theirs >= self.log.last() && !self.members.is_empty();
+        let free = self.hard.vote == 0 || self.hard.vote == from.0;
+        let granted = if vote.pre {
+            fit && term > self.hard.term && !self.heard_leader()
+        } else {
+            fit && free && (vote.transfer || !self.heard_leader())
+        };
+        if granted && !vote.pre {
+            self.hard_dirty |= self.hard.vote != from.0;
+            self.hard.vote = from.0;
+            self.reset_election();
+        }
+        let term = if granted { term } else { self.hard.term };
+        let pre = vote.pre;
+        let reply = VoteReply { granted, pre };
+        self.send_at(from, Gate::Hard, term, Body::VoteReply(reply));
+    }
+
+    pub(super) fn on_vote_reply(&mut self, from: NodeId, term: u64, reply: VoteReply) {
+        if !reply.granted {
+            return;
+        }
+        match &mut self.role {
+            Role::PreCandidate { votes } if reply.pre && term == self.hard.term + 1 => {
+                votes.insert(from);
+                self.count_pre_votes();
+            }
+            Role::Candidate { votes } if !reply.pre && term == self.hard.term => {
+                votes.insert(from);
+                self.count_votes();
+            }
+            _ => {}
+        }
+    }
+
+    fn count_pre_votes(&mut self) {
+        let Role::PreCandidate { votes } = &self.role else {
+            return;
+        };
+        if self.majority(votes) {
+            self.campaign(false);
+        }
+    }
+
+    pub(super) fn count_votes(&mut self) {
+        let Role::Candidate { votes } = &self.role else {
+            return;
+        };
+        if self.majority(votes) {
+            self.become_leader();
+        }
+    }
+
+    /// The candidate's own vote counts once it is durable, as any other vote does.
+    pub(super) fn count_own_vote(&mut self) {
+        let own = self.config.id;
+        let sure = self.written >= self.hard_seq && !self.hard_dirty;
+        if let Role::Candidate { votes } = &mut self.role
+            && sure
+            && votes.insert(own)
+        {
+            self.count_votes();
+        }
+    }
+
+    fn majority(&self, votes: &BTreeSet<NodeId>) -> bool {
+        let membership = self.membership();
+        let counted = votes.iter().filter(|id| membership.is_voter(**id)).count();
+        counted >= membership.quorum()
+    }
+
+    /// Answers a message of an earlier term, so that a leader or candidate that was passed over
+    /// learns of it. Without it, a replica whose term ran ahead of its leader's is never led.
+    pub(super) fn answer_stale(&mut self, from: NodeId, body: &Body) {
+        let reply = match body {
+            Body::Append(_) | Body::Piece(_) => Body::AppendReply(AppendReply {
+                reject: true,
+                ..AppendReply::default()
+            }),
+            Body::Vote(vote) => Body::VoteReply(VoteReply {
+                granted: false,
+                pre: vote.pre,
+            }),
+            _ => return,
+        };
+        self.send(from, Gate::Hard, reply);
+    }
+
+    pub(super) fn on_campaign(&mut self) {
+        let leads = matches!(self.role, Role::Leader(_));
+        if self.is_voter() && !leads && !self.installing {
+            self.campaign(true);
+        }
+    }
+}
--- /dev/null
+++ b/crates/filbertstack-log/src/node/leader.rs
@@ -0,0 +1,381 @@
+//! How a leader replicates and commits.
+
+use std::collections::BTreeMap;
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use bytes::Bytes;
+
+use crate::ids::NodeId;
+use crate::message::Append;
+use crate::message::AppendReply;
+use crate::message::Body;
+use crate::message::EntryKind;
+use crate::node::Accepted;
+use crate::node::Node;
+use crate::node::Refusal;
+use crate::node::Role;
+use crate::node::Ticket;
+use crate::node::persist::Gate;
+use crate::node::reads::WaitingRead;
+use crate::node::snapshots::Outgoing;
+use crate::node::transfer::Transfer;
+
+/// How entries go to one follower.
+#[derive(Debug)]
+pub(super) enum Flow {
+    /// Not known where the logs agree: one message, then its answer.
+    Probe {
+        /// Whether the message is under way.
+        sent: bool,
+    },
+    /// Known: several messages under way; each one's last index.
+    Pipeline {
+        /// The last index of each message under way.
+        inflight: VecDeque<u64>,
+    },
+    /// Too far behind for entries.
+    Snapshot(Outgoing),
+}
+
+/// One follower as the leader knows it.
+#[derive(Debug)]
+pub(super) struct Peer {
+    /// The index up to which the follower durably holds this log.
+    pub(super) held: u64,
+    pub(super) next: u64,
+    pub(super) flow: Flow,
+    /// The latest heartbeat round that it confirmed.
+    pub(super) round: u64,
+    /// When something was last sent that wants an answer, or the last answer came.
+    pub(super) touched: Duration,
+    /// The commit index that it was last told.
+    pub(super) told: u64,
+}
+
+/// The state that only a leader has.
+#[derive(Debug)]
+pub(super) struct Leader {
+    pub(super) peers: BTreeMap<NodeId, Peer>,
+    /// The index of the entry that opened the term.
+    pub(super) opened: u64,
+    pub(super) round: u64,
+    /// When each round began, for those that no majority has confirmed.
+    pub(super) rounds: VecDeque<(u64, Duration)>,
+    /// The beginning of the latest round that a majority confirmed, or of the term.
+    pub(super) confirmed: Duration,
+    pub(super) lease_from: Option<Duration>,
+    pub(super) lease_void: bool,
+    /// Rounds up to this one renew no lease: the clock may have stood still since they began.
+    pub(super) doubtful: u64,
+    pub(super) heartbeat_at: Duration,
+    pub(super) reads: VecDeque<WaitingRead>,
+    pub(super) transfer: Option<Transfer>,
+}
+
+impl Node {
+    pub(super) fn become_leader(&mut self) {
+        self.leader = Some(self.config.id);
+        self.role = Role::Leader(Box::new(Leader {
+            peers: BTreeMap::new(),
+            opened: self.log.last().index + 1,
+            round: 0,
+            rounds: VecDeque::new(),
+            confirmed: self.now,
+            lease_from: None,
+            lease_void: false,
+            doubtful: 0,
+            heartbeat_at: self.now,
+            reads: VecDeque::new(),
+            transfer: None,
+        }));
+        self.append_own(EntryKind::Opening, Bytes::new());
+        self.refresh_peers();
+        self.start_round();
+        self.count_own_entries();
+    }
+
+    /// Brings the followers known in line with the membership.
+    pub(super) fn refresh_peers(&mut self) {
+        let membership = self.membership();
+        let own = self.config.id;
+        let next = self.log.last().index;
+        let touched = self.now;
+        let Role::Leader(leader) = &mut self.role else {
+            return;
+        };
+        let listed = |id: &NodeId| membership.members().any(|m| m.id() == *id);
+        leader.peers.retain(|id, _| listed(id));
+        for member in membership.members().filter(|m| m.id() != own) {
+            leader.peers.entry(member.id()).or_insert_with(|| Peer {
+                held: 0,
+                next,
+                flow: Flow::Probe { sent: false },
+                round: 0,
+                touched,
+                told: 0,
+            });
+        }
+    }
+
+    pub(super) fn on_propose(&mut self, ticket: Ticket, command: Bytes) {
+        let result = match self.refuse_command(&command) {
+            Some(refusal) => Err(refusal),
+            None => Ok(Accepted::Appended(
+                self.append_own(EntryKind::Command, command),
+            )),
+        };
+        self.answer(ticket, result);
+    }
+
+    fn refuse_command(&self, command: &Bytes) -> Option<Refusal> {
+        if self.full_until.is_some() {
+            return Some(Refusal::DiskFull);
+        }
+        let Role::Leader(leader) = &self.role else {
+            return Some(self.not_leader());
+        };
+        if leader.transfer.is_some() {
+            return Some(Refusal::Transferring);
+        }
+        let limits = self.config.limits;
+        if command.len() > limits.command_bytes {
+            return Some(Refusal::TooLong {
+                length: command.len(),
+                most: limits.command_bytes,
+            });
+        }
+        if self.members.last().is_some_and(|(_, m)| m.forming > 0) {
+            return Some(Refusal::Forming);
+        }
+        let waiting = self.log.cost_after(self.commit);
+        (waiting + command.len() > limits.uncommitted_bytes).then_some(Refusal::Busy)
+    }
+
+    /// What a leader does as time passes.
+    pub(super) fn lead_on(&mut self) {
+        let Role::Leader(leader) = &self.role else {
+            return;
+        };
+        // A leader that no majority answers cannot commit. Without stepping down it would keep
+        // its callers waiting and its followers from electing, for as long as it can only send.
+        let quiet = self.now >= leader.confirmed + self.config.timing.election_min;
+        if quiet && self.config.safeguards.check_quorum && !self.alone() {
+            self.follow(self.hard.term, None);
+            return;
+        }
+        let due = self.now >= leader.heartbeat_at;
+        self.expire_transfer();
+        if due {
+            self.start_round();
+            self.resend_quiet();
+        }
+    }
+
+    pub(super) fn alone(&self) -> bool {
+        let membership = self.membership();
+        membership.voters.len() == 1 && membership.is_voter(self.config.id)
+    }
+
+    /// Begins a heartbeat round: every follower is asked to confirm the leader.
+    pub(super) fn start_round(&mut self) {
+        let now = self.now;
+        let heartbeat = self.config.timing.heartbeat;
+        let Role::Leader(leader) = &mut self.role else {
+            return;
+        };
+        leader.round += 1;
+        leader.rounds.push_back((leader.round, now));
+        leader.heartbeat_at = now + heartbeat;
+        let round = leader.round;
+        let held: Vec<(NodeId, u64)> = leader.peers.iter().map(|(id, p)| (*id, p.held)).collect();
+        for (id, held) in held {
+            // The entry at `held` may be compacted; then only the leader is confirmed.
+            let prev_index = if self.log.term(held).is_some() {
+                held
+            } else {
+                0
+            };
+            let append = Append {
+                prev_index,
+                prev_term: self.log.term(prev_index).unwrap_or(0),
+                entries: Vec::new(),
+                commit: self.commit.min(held),
+                round,
+            };
+            self.send(id, Gate::Open, Body::Append(append));
+        }
+        self.confirm_rounds();
+    }
+
+    /// Sends again what was not answered for a while.
+    fn resend_quiet(&mut self) {
+        let now = self.now;
+        let wait = self.config.timing.resend;
+        let last = self.log.last().index;
+        let Role::Leader(leader) = &mut self.role else {
+            return;
+        };
+        for peer in leader.peers.values_mut() {
+            if now < peer.touched + wait || peer.held >= last {
+                continue;
+            }
+            peer.touched = now;
+            match &mut peer.flow {
+                Flow::Snapshot(outgoing) => outgoing.again(),
+                Flow::Probe { sent } => *sent = false,
+                Flow::Pipeline { .. } => peer.probe(),
+            }
+        }
+    }
+
+    /// Sends each follower what it lacks, as far as its flow allows.
+    pub(super) fn replicate(&mut self) {
+        let Role::Leader(leader) = &self.role else {
+            return;
+        };
+        let ids: Vec<NodeId> = leader.peers.keys().copied().collect();
+        for id in ids {
+            while self.feed(id) {}
+        }
+    }
+
+    /// Sends one message to a follower; false if there is nothing to send.
+    fn feed(&mut self, id: NodeId) -> bool {
+        let limits = self.config.limits;
+        let last = self.log.last().index;
+        let base = self.log.base().index;
+        let commit = self.commit;
+        let now = self.now;
+        let Role::Leader(leader) = &mut self.role else {
+            return false;
+        };
+        let Some(peer) = leader.peers.get_mut(&id) else {
+            return false;
+        };
+        let behind = peer.next <= base;
+        let news = peer.next <= last || peer.told < commit;
+        match &mut peer.flow {
+            Flow::Snapshot(_) => return self.feed_snapshot(id),
+            _ if behind => return self.begin_snapshot(id),
+            Flow::Probe { sent: true } => return false,
+            Flow::Pipeline { inflight } if inflight.len() >= limits.inflight || !news => {
+                return false;
+            }
+            Flow::Probe { sent } => {
+                *sent = true;
+                peer.touched = now;
+            }
+            Flow::Pipeline { inflight } => {
+                if inflight.is_empty() {
+                    peer.touched = now;
+                }
+            }
+        }
+        let prev_index = peer.next - 1;
+        let entries = self.log.slice(peer.next, limits.append_bytes);
+        peer.told = commit;
+        if let (Flow::Pipeline { inflight }, Some(end)) = (&mut peer.flow, entries.last()) {
+            inflight.push_back(end.index);
+            peer.next = end.index + 1;
+        }
+        let append = Append {
+            prev_index,
+            prev_term: self.log.term(prev_index).unwrap_or(0),
+            entries,
+            commit,
+            round: 0,
+        };
+        self.send(id, Gate::Open, Body::Append(append));
+        true
+    }
+
+    pub(super) fn on_append_reply(&mut self, from: NodeId, reply: AppendReply) {
+        let now = self.now;
+        let Role::Leader(leader) = &mut self.role else {
+            return;
+        };
+        let Some(peer) = leader.peers.get_mut(&from) else {
+            return;
+        };
+        peer.round = peer.round.max(reply.round);
+        if reply.reject {
+            peer.on_reject(reply);
+        } else {
+            // An answer to a heartbeat that tells nothing new must not put off sending again.
+            if reply.index > peer.held {
+                peer.touched = now;
+            }
+            peer.on_accept(reply.index);
+        }
+        self.confirm_rounds();
+        self.advance_commit();
+        self.hurry_transfer();
+    }
+
+    /// Counts what is durable here, as any voter's acknowledgement.
+    pub(super) fn count_own_entries(&mut self) {
+        self.advance_commit();
+    }
+
+    pub(super) fn advance_commit(&mut self) {
+        let Role::Leader(leader) = &self.role else {
+            return;
+        };
+        let own = self.config.id;
+        let held = |id: NodeId| match leader.peers.get(&id) {
+            Some(peer) => peer.held,
+            None if id == own => self.durable,
+            None => 0,
+        };
+        let membership = self.membership();
+        let reached = membership.reached(held).unwrap_or(0);
+        // An entry of an earlier term may be on a majority and still be replaced by the leader of
+        // a term between. Only an entry of the own term fixes all before it.
+        let own_term = self.log.term(reached) == Some(self.hard.term);
+        if reached > self.commit && (own_term || !self.config.safeguards.own_term) {
+            self.commit = reached;
+        }
+    }
+}
+
+impl Peer {
+    pub(super) fn probe(&mut self) {
+        self.next = self.held + 1;
+        self.flow = Flow::Probe { sent: false };
+    }
+
+    fn on_reject(&mut self, reply: AppendReply) {
+        let stale = reply.prev_index <= self.held;
+        match &self.flow {
+            Flow::Snapshot(_) => {}
+            _ if stale => {}
+            Flow::Probe { .. } if reply.prev_index + 1 != self.next => {}
+            Flow::Probe { .. } => {
+                self.next = (reply.index + 1).min(reply.prev_index).max(self.held + 1);
+                self.flow = Flow::Probe { sent: false };
+            }
+            Flow::Pipeline { .. } => self.probe(),
+        }
+    }
+
+    fn on_accept(&mut self, index: u64) {
+        self.held = self.held.max(index);
+        self.next = self.next.max(self.held + 1);
+        match &mut self.flow {
+            Flow::Pipeline { inflight } => {
+                while inflight.front().is_some_and(|end| *end <= index) {
+                    inflight.pop_front();
+                }
+            }
+            Flow::Snapshot(outgoing) if outgoing.index() > self.held => {}
+            Flow::Probe { .. } if index + 1 < self.next => {}
+            _ => {
+                self.flow = Flow::Pipeline {
+                    inflight: VecDeque::new(),
+                };
+                self.next = self.held + 1;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/filbertstack-log/src/node/reads.rs
@@ -0,0 +1,150 @@
+//! Linearizable reads: under the leader's lease, else by a heartbeat round.
+
+use std::time::Duration;
+
+use crate::ids::NodeId;
+use crate::node::Accepted;
+use crate::node::Node;
+use crate::node::Refusal;
+use crate::node::Role;
+use crate::node::Ticket;
+
+/// A read that waits until a majority confirms the leader.
+#[derive(Debug)]
+pub(super) struct WaitingRead {
+    ticket: Ticket,
+    index: u64,
+    round: u64,
+}
+
+impl Node {
+    pub(super) fn on_read(&mut self, ticket: Ticket) {
+        if let Some(refusal) = self.refuse_read() {
+            self.answer(ticket, Err(refusal));
+            return;
+        }
+        let index = self.read_index();
+        if self.lease_until().is_some_and(|until| self.now < until) {
+            self.answer(ticket, Ok(Accepted::Readable(index)));
+            return;
+        }
+        self.queue_read(ticket, index);
+    }
+
+    fn refuse_read(&self) -> Option<Refusal> {
+        let Role::Leader(leader) = &self.role else {
+            return Some(self.not_leader());
+        };
+        (leader.reads.len() >= self.config.limits.reads).then_some(Refusal::Busy)
+    }
+
+    /// What a read must see. A new leader does not know how far its predecessor committed before
+    /// its own first entry is committed; a read served earlier could miss an accepted change.
+    fn read_index(&self) -> u64 {
+        match &self.role {
+            Role::Leader(leader) if self.config.safeguards.opened_reads => {
+                self.commit.max(leader.opened)
+            }
+            _ => self.commit,
+        }
+    }
+
+    /// A round that began before the read came proves nothing about it: the read waits for the
+    /// next one, which is begun at once unless another read has begun it.
+    fn queue_read(&mut self, ticket: Ticket, index: u64) {
+        let Role::Leader(leader) = &mut self.role else {
+            return;
+        };
+        let round = leader.round + 1;
+        let begun = leader.reads.back().is_some_and(|r| r.round >= leader.round);
+        leader.reads.push_back(WaitingRead {
+            ticket,
+            index,
+            round,
+        });
+        if !begun {
+            self.start_round();
+        }
+    }
+
+    /// Counts which rounds a majority has confirmed, and what follows from it.
+    pub(super) fn confirm_rounds(&mut self) {
+        let own = self.config.id;
+        let membership = self.membership();
+        let now = self.now;
+        let from_send = self.config.safeguards.lease_from_send;
+        let Role::Leader(leader) = &mut self.role else {
+            return;
+        };
+        let seen = |id: NodeId| match leader.peers.get(&id) {
+            Some(peer) => peer.round,
+            None if id == own => leader.round,
+            None => 0,
+        };
+        let reached = membership.reached(seen).unwrap_or(0);
+        let mut news = false;
+        while leader.rounds.front().is_some_and(|(r, _)| *r <= reached) {
+            // What a majority promised counts from when they were asked. Counted from when their
+            // answers came, a leader frozen between the two would serve reads after it was
+            // replaced.
+            let (round, begun) = leader.rounds.pop_front().unwrap_or_default();
+            leader.confirmed = if from_send { begun } else { now };
+            if round > leader.doubtful {
+                leader.lease_from = Some(leader.confirmed);
+            }
+            news = true;
+        }
+        if news {
+            self.release_reads(reached);
+        }
+    }
+
+    fn release_reads(&mut self, reached: u64) {
+        let Role::Leader(leader) = &mut self.role else {
+            return;
+        };
+        let ready = leader.reads.iter().take_while(|r| r.round <= reached);
+        let ready = ready.count();
+        let ready: Vec<WaitingRead> = leader.reads.drain(..ready).collect();
+        let more = leader.reads.front().is_some_and(|r| r.round > leader.round);
+        for read in ready {
+            self.answer(read.ticket, Ok(Accepted::Readable(read.index)));
+        }
+        if more {
+            self.start_round();
+        }
+    }
+
+    pub(super) fn abandon_reads(&mut self) {
+        let refusal = Refusal::NotLeader { leader: None };
+        let Role::Leader(leader) = &mut self.role else {
+            return;
+        };
+        let waiting = std::mem::take(&mut leader.reads);
+        for read in waiting {
+            self.answer(read.ticket, Err(refusal.clone()));
+        }
+    }
+
+    /// Until when reads are served without asking.
+    pub(super) fn lease_until(&self) -> Option<Duration> {
+        let Role::Leader(leader) = &self.role else {
+            return None;
+        };
+        if leader.lease_void {
+            return None;
+        }
+        if self.alone() {
+            return Some(self.now + self.config.timing.lease);
+        }
+        leader.lease_from.map(|at| at + self.config.timing.lease)
+    }
+
+    /// The lease is measured by a clock that may have stood still: only a new round renews it.
+    pub(super) fn on_clock_doubt(&mut self) {
+        if let Role::Leader(leader) = &mut self.role {
+            leader.lease_from = None;
+            leader.doubtful = leader.round;
+        }
+    }
+}
--- /dev/null
+++ b/crates/filbertstack-log/src/node/transfer.rs
@@ -0,0 +1,88 @@
+//! A planned change of leader.
+
+use std::time::Duration;
+
+use crate::ids::NodeId;
+use crate::membership::ChangeError;
+use crate::message::Body;
+use crate::message::Campaign;
+use crate::node::Accepted;
+use crate::node::Node;
+use crate::node::Refusal;
+use crate::node::Role;
+use crate::node::Ticket;
+use crate::node::persist::Gate;
+
+/// A change of leader under way.
+#[derive(Debug)]
+pub(super) struct Transfer {
+    to: NodeId,
+    until: Duration,
+    sent: bool,
+}
+
+impl Node {
+    pub(super) fn on_transfer(&mut self, ticket: Ticket, to: Option<NodeId>) {
+        let result = self.begin_transfer(to);
+        self.answer(ticket, result.map(|()| Accepted::Transferring));
+        self.hurry_transfer();
+    }
+
+    fn begin_transfer(&mut self, to: Option<NodeId>) -> Result<(), Refusal> {
+        let membership = self.membership();
+        let until = self.now + self.config.timing.election_min;
+        let refusal = self.not_leader();
+        let Role::Leader(leader) = &mut self.role else {
+            return Err(refusal);
+        };
+        if leader.transfer.is_some() {
+            return Err(Refusal::Transferring);
+        }
+        let voters = leader
+            .peers
+            .iter()
+            .filter(|(id, _)| membership.is_voter(**id));
+        let best = voters.max_by_key(|(_, peer)| peer.held).map(|(id, _)| *id);
+        let to = to.or(best).ok_or(Refusal::NoOther)?;
+        if !membership.is_voter(to) || !leader.peers.contains_key(&to) {
+            return Err(ChangeError::Unknown { node: to }.into());
+        }
+        leader.transfer = Some(Transfer {
+            to,
+            until,
+            sent: false,
+        });
+        Ok(())
+    }
+
+    /// Bids the chosen voter to campaign once it holds the whole log.
+    pub(super) fn hurry_transfer(&mut self) {
+        let last = self.log.last().index;
+        let Role::Leader(leader) = &mut self.role else {
+            return;
+        };
+        let Some(transfer) = &mut leader.transfer else {
+            return;
+        };
+        let to = transfer.to;
+        let ready = leader.peers.get(&to).is_some_and(|p| p.held == last);
+        if transfer.sent || !ready {
+            return;
+        }
+        transfer.sent = true;
+        // Voters grant a vote to the one chosen although they heard this leader, at once or much
+        // later if the bid is delayed: from here on the lease holds nobody back.
+        leader.lease_void |= self.config.safeguards.transfer_lease;
+        self.send(to, Gate::Open, Body::Campaign(Campaign {}));
+    }
+
+    /// Gives up a transfer that did not come about, so that proposals are taken again.
+    pub(super) fn expire_transfer(&mut self) {
+        let now = self.now;
+        if let Role::Leader(leader) = &mut self.role
+            && leader.transfer.as_ref().is_some_and(|t| now >= t.until)
+        {
+            leader.transfer = None;
+        }
+    }
+}
--- /dev/null
+++ b/crates/filbertstack-log/src/replica/core.rs
@@ -0,0 +1,319 @@
+//! The thread that runs the protocol and the machine.
+
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
+use std::sync::mpsc::Receiver;
+use std::sync::mpsc::RecvTimeoutError;
+use std::sync::mpsc::Sender;
+use std::time::Duration;
+use std::time::Instant;
+use std::time::SystemTime;
+
+use rand::RngExt as _;
+
+use crate::config::Safeguards;
+use crate::ids::ClusterId;
+use crate::ids::NodeId;
+use crate::machine::Machine;
+use crate::membership::Membership;
+use crate::message::Entry;
+use crate::message::EntryKind;
+use crate::message::Snapshot;
+use crate::node::Accepted;
+use crate::node::Answer;
+use crate::node::Input;
+use crate::node::Memory;
+use crate::node::Node;
+use crate::node::NodeConfig;
+use crate::node::Output;
+use crate::node::RoleName;
+use crate::node::Write;
+use crate::replica::Event;
+use crate::replica::ReplicaSettings;
+use crate::replica::ReplicaStatus;
+use crate::replica::Shared;
+use crate::replica::StartError;
+use crate::replica::Transport;
+use crate::replica::waiters::Request;
+use crate::replica::waiters::Waiter;
+use crate::replica::waiters::Waiters;
+use crate::replica::waiters::Wanted;
+
+/// The most events that are taken before their results are sent and written: enough to share one
+/// sync among many, few enough that a heartbeat is never late for it.
+const BATCH: usize = 1_024;
+
+/// How far the system's clock may run ahead of the monotonic one between two looks. Beyond it the
+/// monotonic clock is taken to have stood still, as it does while a machine is suspended.
+const CLOCK_LEAP: Duration = Duration::from_millis(100);
+
+/// The protocol, its machine, and who waits.
+pub(super) struct Core<M: Machine, T: Transport> {
+    node: Node,
+    settings: ReplicaSettings,
+    machine: M,
+    transport: T,
+    writes: Sender<Write>,
+    waiters: Waiters<M::Outcome>,
+    shared: Arc<Shared>,
+    start: Instant,
+    looked: (Instant, SystemTime),
+    applied: u64,
+    snapshot_tried: u64,
+    snapshot_size: usize,
+    told: Membership,
+    led: bool,
+}
+
+impl<M: Machine, T: Transport> Core<M, T> {
+    pub(super) fn new(
+        id: NodeId,
+        settings: ReplicaSettings,
+        memory: Memory,
+        machine: M,
+        transport: T,
+        writes: Sender<Write>,
+    ) -> Self {
+        let config = NodeConfig {
+            id,
+            seed: rand::rng().random(),
+            timing: settings.timing,
+            limits: settings.limits,
+            safeguards: Safeguards::default(),
+        };
+        let node = Node::new(config, memory, Duration::ZERO);
+        let shared = Arc::new(Shared {
+            status: Mutex::new(ReplicaStatus {
+                id,
+                cluster: None,
+                node: node.status(),
+                applied: 0,
+                lease: None,
+                failed: None,
+            }),
+            messages: AtomicUsize::new(0),
+            requests: AtomicUsize::new(0),
+        });
+        Self {
+            node,
+            settings,
+            machine,
+            transport,
+            writes,
+            waiters: Waiters::default(),
+            shared,
+            start: Instant::now(),
+            looked: (Instant::now(), SystemTime::now()),
+            applied: 0,
+            snapshot_tried: 0,
+            snapshot_size: 0,
+            told: Membership::default(),
+            led: false,
+        }
+    }
+
+    /// Gives the machine its state back.
+    pub(super) fn begin(mut self) -> Result<(Self, Arc<Shared>), StartError> {
+        self.settle().map_err(|why| StartError::Restore { why })?;
+        let shared = Arc::clone(&self.shared);
+        Ok((self, shared))
+    }
+
+    pub(super) fn run(mut self, inbox: &Receiver<Event<M::Outcome>>) {
+        let failed = self.serve(inbox).err();
+        self.waiters.stopped();
+        let mut status = self.shared.status();
+        status.failed = failed;
+        status.node.role = RoleName::Follower;
+        status.lease = None;
+    }
+
+    fn serve(&mut self, inbox: &Receiver<Event<M::Outcome>>) -> Result<(), String> {
+        loop {
+            let wait = self.node.wake_at().saturating_sub(self.start.elapsed());
+            let first = match inbox.recv_timeout(wait) {
+                Ok(event) => Some(event),
+                Err(RecvTimeoutError::Timeout) => None,
+                Err(RecvTimeoutError::Disconnected) => return Ok(()),
+            };
+            self.watch_clock();
+            for event in first.into_iter().chain(inbox.try_iter().take(BATCH)) {
+                if !self.take(event)? {
+                    return Ok(());
+                }
+            }
+            self.step(Input::Tick);
+            self.settle()?;
+        }
+    }
+
+    fn watch_clock(&mut self) {
+        let (instant, wall) = self.looked;
+        self.looked = (Instant::now(), SystemTime::now());
+        let steady = self.looked.0.duration_since(instant);
+        let passed = self.looked.1.duration_since(wall).unwrap_or_default();
+        if passed > steady + CLOCK_LEAP {
+            self.step(Input::ClockDoubt);
+        }
+    }
+
+    fn step(&mut self, input: Input) {
+        self.node.step(self.start.elapsed(), input);
+    }
+
+    /// Takes one event; false if the replica is to stop.
+    fn take(&mut self, event: Event<M::Outcome>) -> Result<bool, String> {
+        match event {
+            Event::Message(message) => {
+                self.shared.messages.fetch_sub(1, Ordering::Relaxed);
+                self.step(Input::Message(message));
+            }
+            Event::Request(request) => {
+                self.shared.requests.fetch_sub(1, Ordering::Relaxed);
+                self.request(request);
+            }
+            Event::Disk(results) => results.into_iter().for_each(|r| self.step(r)),
+            Event::DiskFailed(error) => return Err(error.to_string()),
+            Event::Stop => return Ok(false),
+        }
+        Ok(true)
+    }
+
+    fn request(&mut self, request: Request<M::Outcome>) {
+        if !request.claim.take() {
+            return;
+        }
+        match request.wanted {
+            Wanted::Propose { command, reply } => {
+                let ticket = self.waiters.ask(Waiter::Command(reply));
+                self.step(Input::Propose { ticket, command });
+            }
+            Wanted::Read { reply } => {
+                let ticket = self.waiters.ask(Waiter::Index(reply));
+                self.step(Input::Read { ticket });
+            }
+            Wanted::Change { change, reply } => {
+                let ticket = self.waiters.ask(Waiter::Index(reply));
+                self.step(Input::Change { ticket, change });
+            }
+            Wanted::Transfer { to, reply } => {
+                let ticket = self.waiters.ask(Waiter::Done(reply));
+                self.step(Input::Transfer { ticket, to });
+            }
+            Wanted::Create {
+                mut member,
+                wanted,
+                state,
+                reply,
+            } => {
+                member.node = self.node.id().0;
+                let ticket = self.waiters.ask(Waiter::Done(reply));
+                let data = state.unwrap_or_else(|| self.machine.snapshot().into());
+                self.step(Input::Create {
+                    ticket,
+                    cluster: ClusterId(rand::rng().random()),
+                    membership: Membership::first(member, wanted),
+                    data,
+                });
+            }
+        }
+    }
+
+    /// Does what the node wants done.
+    fn settle(&mut self) -> Result<(), String> {
+        let output = self.node.output();
+        if let Some(broken) = &output.broken {
+            return Err(format!(
+                "{broken}; a voter's folder was restored or shared: see the log"
+            ));
+        }
+        self.perform(output)?;
+        self.consider_snapshot();
+        self.publish();
+        Ok(())
+    }
+
+    fn perform(&mut self, output: Output) -> Result<(), String> {
+        if let Some(write) = output.write {
+            let _ = self.writes.send(write);
+        }
+        for message in output.messages {
+            self.transport.send(message.recipient(), message);
+        }
+        for answer in output.answers {
+            self.answer(answer);
+        }
+        if let Some(snapshot) = output.restore {
+            self.restore(&snapshot)?;
+        }
+        for entry in output.committed {
+            self.apply(&entry);
+        }
+        self.waiters.reached(self.applied);
+        Ok(())
+    }
+
+    fn answer(&mut self, answer: Answer) {
+        let ticket = answer.ticket;
+        match answer.result {
+            Err(refusal) => self.waiters.refuse(ticket, refusal.into()),
+            Ok(Accepted::Appended(place)) => self.waiters.appended(ticket, place),
+            Ok(Accepted::Readable(index)) => self.waiters.readable(ticket, index),
+            Ok(Accepted::Transferring) => self.waiters.done(ticket),
+            Ok(Accepted::Creating) => self.waiters.creating(ticket),
+        }
+    }
+
+    fn restore(&mut self, snapshot: &Snapshot) -> Result<(), String> {
+        let restored = self.machine.restore(&snapshot.data);
+        restored.map_err(|e| e.to_string())?;
+        self.applied = snapshot.index;
+        self.snapshot_size = snapshot.data.len();
+        self.waiters.created();
+        Ok(())
+    }
+
+    fn apply(&mut self, entry: &Entry) {
+        let command = entry.kind() == EntryKind::Command;
+        let outcome = command.then(|| self.machine.apply(entry.index, &entry.data));
+        self.applied = entry.index;
+        self.waiters.applied(entry.position(), outcome);
+    }
+
+    /// Takes a snapshot once the log costs more than it: each byte is so written about twice.
+    fn consider_snapshot(&mut self) {
+        let latest = self.node.status().snapshot.max(self.snapshot_tried);
+        let most = self.settings.snapshot_bytes.max(self.snapshot_size);
+        if self.applied <= latest || self.node.cost_after(latest) < most {
+            return;
+        }
+        let data = self.machine.snapshot();
+        self.snapshot_tried = self.applied;
+        self.snapshot_size = data.len();
+        self.step(Input::Snapshot {
+            index: self.applied,
+            data: data.into(),
+        });
+    }
+
+    fn publish(&mut self) {
+        let node = self.node.status();
+        let leads = node.role == RoleName::Leader;
+        if self.led && !leads {
+            self.waiters.lost_leader();
+        }
+        self.led = leads;
+        if self.told != node.membership {
+            self.told = node.membership.clone();
+            self.transport.configure(&self.told);
+        }
+        let lease = node.lease.map(|until| self.start + until);
+        let mut status = self.shared.status();
+        status.cluster = Some(ClusterId(self.node.cluster())).filter(|c| c.0 != 0);
+        status.node = node;
+        status.applied = self.applied;
+        status.lease = lease;
+    }
+}
--- /dev/null
+++ b/crates/filbertstack-log/src/replica/waiters.rs
@@ -0,0 +1,199 @@
+//! Who waits for what.
+
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+use std::sync::mpsc::SyncSender;
+
+use bytes::Bytes;
+
+use crate::ids::NodeId;
+use crate::ids::Position;
+use crate::membership::Change;
+use crate::membership::Member;
+use crate::node::Ticket;
+use crate::replica::Applied;
+use crate::replica::Doubt;
+use crate::replica::ProposeError;
+
+/// Where an answer goes.
+pub(super) type Reply<T> = SyncSender<Result<T, ProposeError>>;
+
+/// Decides between a caller that gives up and the thread that takes its request up, so that a
+/// request given up on before that is certain not to run.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Claim(Arc<AtomicBool>);
+
+impl Claim {
+    /// True for the first of both.
+    pub(super) fn take(&self) -> bool {
+        !self.0.swap(true, Ordering::AcqRel)
+    }
+}
+
+/// A caller's request.
+pub(super) struct Request<T> {
+    pub(super) claim: Claim,
+    pub(super) wanted: Wanted<T>,
+}
+
+/// What a caller wants.
+pub(super) enum Wanted<T> {
+    Propose {
+        command: Bytes,
+        reply: Reply<Applied<T>>,
+    },
+    Read {
+        reply: Reply<u64>,
+    },
+    Change {
+        change: Change,
+        reply: Reply<u64>,
+    },
+    Transfer {
+        to: Option<NodeId>,
+        reply: Reply<()>,
+    },
+    Create {
+        member: Member,
+        wanted: u32,
+        state: Option<Bytes>,
+        reply: Reply<()>,
+    },
+}
+
+/// A caller that waits.
+pub(super) enum Waiter<T> {
+    Command(Reply<Applied<T>>),
+    Index(Reply<u64>),
+    Done(Reply<()>),
+}
+
+impl<T> Waiter<T> {
+    pub(super) fn fail(self, error: ProposeError) {
+        // A caller that went away needs no answer.
+        let _ = match self {
+            Self::Command(reply) => reply.try_send(Err(error)).is_ok(),
+            Self::Index(reply) => reply.try_send(Err(error)).is_ok(),
+            Self::Done(reply) => reply.try_send(Err(error)).is_ok(),
+        };
+    }
+}
+
+/// All who wait.
+pub(super) struct Waiters<T> {
+    next: u64,
+    asked: HashMap<Ticket, Waiter<T>>,
+    appended: BTreeMap<u64, (u64, Waiter<T>)>,
+    reads: BTreeMap<(u64, Ticket), Reply<u64>>,
+    creating: Vec<Reply<()>>,
+}
+
+impl<T> Default for Waiters<T> {
+    fn default() -> Self {
+        Self {
+            next: 0,
+            asked: HashMap::new(),
+            appended: BTreeMap::new(),
+            reads: BTreeMap::new(),
+            creating: Vec::new(),
+        }
+    }
+}
+
+impl<T> Waiters<T> {
+    pub(super) fn ask(&mut self, waiter: Waiter<T>) -> Ticket {
+        self.next += 1;
+        let ticket = Ticket(self.next);
+        self.asked.insert(ticket, waiter);
+        ticket
+    }
+
+    pub(super) fn refuse(&mut self, ticket: Ticket, error: ProposeError) {
+        if let Some(waiter) = self.asked.remove(&ticket) {
+            waiter.fail(error);
+        }
+    }
+
+    pub(super) fn appended(&mut self, ticket: Ticket, place: Position) {
+        if let Some(waiter) = self.asked.remove(&ticket) {
+            self.appended.insert(place.index, (place.term, waiter));
+        }
+    }
+
+    pub(super) fn readable(&mut self, ticket: Ticket, index: u64) {
+        if let Some(Waiter::Index(reply)) = self.asked.remove(&ticket) {
+            self.reads.insert((index, ticket), reply);
+        }
+    }
+
+    pub(super) fn done(&mut self, ticket: Ticket) {
+        if let Some(Waiter::Done(reply)) = self.asked.remove(&ticket) {
+            let _ = reply.try_send(Ok(()));
+        }
+    }
+
+    pub(super) fn creating(&mut self, ticket: Ticket) {
+        if let Some(Waiter::Done(reply)) = self.asked.remove(&ticket) {
+            self.creating.push(reply);
+        }
+    }
+
+    pub(super) fn created(&mut self) {
+        for reply in self.creating.drain(..) {
+            let _ = reply.try_send(Ok(()));
+        }
+    }
+
+    /// The entry at `place` is applied, with this outcome if it is a command.
+    pub(super) fn applied(&mut self, place: Position, outcome: Option<T>) {
+        let Some((term, waiter)) = self.appended.remove(&place.index) else {
+            return;
+        };
+        let index = place.index;
+        match (waiter, outcome) {
+            (waiter, _) if term != place.term => waiter.fail(ProposeError::Replaced),
+            (Waiter::Command(reply), Some(outcome)) => {
+                let _ = reply.try_send(Ok(Applied { index, outcome }));
+            }
+            (Waiter::Index(reply), _) => {
+                let _ = reply.try_send(Ok(index));
+            }
+            (waiter, _) => waiter.fail(ProposeError::Unknown(Doubt::LeaderLost)),
+        }
+    }
+
+    /// Everything up to `index` is applied.
+    pub(super) fn reached(&mut self, index: u64) {
+        while let Some(first) = self.reads.first_entry() {
+            if first.key().0 > index {
+                return;
+            }
+            let (at, _) = *first.key();
+            let _ = first.remove().try_send(Ok(at));
+        }
+    }
+
+    /// The replica leads no longer: what was appended may or may not be committed by another.
+    pub(super) fn lost_leader(&mut self) {
+        for (_, waiter) in std::mem::take(&mut self.appended).into_values() {
+            waiter.fail(ProposeError::Unknown(Doubt::LeaderLost));
+        }
+    }
+
+    pub(super) fn stopped(&mut self) {
+        let asked = std::mem::take(&mut self.asked).into_values();
+        let appended = std::mem::take(&mut self.appended).into_values();
+        for waiter in asked.chain(appended.map(|(_, w)| w)) {
+            waiter.fail(ProposeError::Unknown(Doubt::Stopped));
+        }
+        for reply in std::mem::take(&mut self.reads).into_values() {
+            let _ = reply.try_send(Err(ProposeError::Unknown(Doubt::Stopped)));
+        }
+        for reply in self.creating.drain(..) {
+            let _ = reply.try_send(Err(ProposeError::Unknown(Doubt::Stopped)));
+        }
+    }
+}
--- /dev/null
+++ b/crates/filbertstack-log/src/storage/files.rs
@@ -0,0 +1,284 @@
+//! The files of a data folder and what they hold.
+
+use std::io;
+
+use bytes::Bytes;
+use prost::Message as _;
+
+use crate::ids::NodeId;
+use crate::ids::Position;
+use crate::message::Entry;
+use crate::message::HardState;
+use crate::message::Snapshot;
+use crate::storage::disk::Disk;
+use crate::storage::disk::DiskFile;
+use crate::storage::error::StorageError;
+use crate::storage::frame;
+use crate::storage::frame::End;
+
+/// The version of what the files hold.
+const FORMAT: u32 = 1;
+const IDENTITY: &str = "identity";
+const SEGMENT: &str = "wal-";
+const SNAPSHOT: &str = "snapshot-";
+const TEMPORARY: &str = ".tmp";
+
+/// A segment of the log.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(super) struct Segment {
+    pub(super) number: u64,
+    /// The highest index in it.
+    pub(super) last: u64,
+}
+
+/// The first frame of a segment.
+#[derive(Clone, PartialEq, prost::Message)]
+pub(super) struct Header {
+    #[prost(uint32, tag = "1")]
+    pub(super) format: u32,
+    #[prost(fixed64, tag = "2")]
+    pub(super) node: u64,
+    #[prost(uint64, tag = "3")]
+    pub(super) number: u64,
+    #[prost(message, optional, tag = "4")]
+    pub(super) hard: Option<HardState>,
+    /// The place that the segment's first entry follows, unless it replaces earlier ones.
+    #[prost(message, optional, tag = "5")]
+    pub(super) last: Option<Place>,
+}
+
+/// Every later frame of a segment.
+#[derive(Clone, PartialEq, prost::Message)]
+pub(super) struct Record {
+    #[prost(message, optional, tag = "1")]
+    pub(super) hard: Option<HardState>,
+    /// The log starts anew after this place.
+    #[prost(message, optional, tag = "2")]
+    pub(super) reset: Option<Place>,
+    /// Each drops what the log holds from its index on.
+    #[prost(message, repeated, tag = "3")]
+    pub(super) entries: Vec<Entry>,
+    /// The last frame of a segment that another follows; its number is that of the other's first.
+    #[prost(bool, tag = "4")]
+    pub(super) closed: bool,
+}
+
+/// A [`Position`] on disk.
+#[derive(Clone, Copy, PartialEq, prost::Message)]
+pub(super) struct Place {
+    #[prost(uint64, tag = "1")]
+    term: u64,
+    #[prost(uint64, tag = "2")]
+    index: u64,
+}
+
+impl From<Position> for Place {
+    fn from(at: Position) -> Self {
+        Self {
+            term: at.term,
+            index: at.index,
+        }
+    }
+}
+
+impl From<Place> for Position {
+    fn from(at: Place) -> Self {
+        Self {
+            term: at.term,
+            index: at.index,
+        }
+    }
+}
+
+#[derive(Clone, PartialEq, prost::Message)]
+struct Identity {
+    #[prost(uint32, tag = "1")]
+    format: u32,
+    #[prost(fixed64, tag = "2")]
+    node: u64,
+}
+
+pub(super) fn encode(record: &Record) -> Vec<u8> {
+    record.encode_to_vec()
+}
+
+pub(super) fn header(node: NodeId, number: u64, hard: HardState, last: Position) -> Vec<u8> {
+    let header = Header {
+        format: FORMAT,
+        node: node.0,
+        number,
+        hard: Some(hard),
+        last: Some(last.into()),
+    };
+    header.encode_to_vec()
+}
+
+pub(super) fn segment_name(number: u64) -> String {
+    format!("{SEGMENT}{number:010}")
+}
+
+pub(super) fn snapshot_name(index: u64) -> String {
+    format!("{SNAPSHOT}{index:020}")
+}
+
+pub(super) fn io(action: &'static str, name: &str, source: io::Error) -> StorageError {
+    StorageError::Io {
+        action,
+        file: name.to_owned(),
+        source,
+    }
+}
+
+pub(super) fn full(action: &'static str) -> StorageError {
+    io(action, "the data folder", io::ErrorKind::StorageFull.into())
+}
+
+pub(super) fn damaged(name: &str, offset: usize, why: &'static str) -> StorageError {
+    StorageError::Damaged {
+        file: name.to_owned(),
+        offset: offset as u64,
+        why,
+    }
+}
+
+pub(super) fn check_format(name: &str, found: u32) -> Result<(), StorageError> {
+    if found == FORMAT {
+        return Ok(());
+    }
+    Err(StorageError::Format {
+        file: name.to_owned(),
+        found,
+        known: FORMAT,
+    })
+}
+
+fn names<D: Disk>(disk: &D) -> Result<Vec<String>, StorageError> {
+    disk.list().map_err(|e| io("list", "the data folder", e))
+}
+
+/// The numbers of the segments, in order.
+pub(super) fn segment_numbers<D: Disk>(disk: &D) -> Result<Vec<u64>, StorageError> {
+    let names = names(disk)?;
+    let numbers = names.iter().filter_map(|n| n.strip_prefix(SEGMENT));
+    let mut numbers: Vec<u64> = numbers.filter_map(|n| n.parse().ok()).collect();
+    numbers.sort_unstable();
+    Ok(numbers)
+}
+
+/// Writes a file so that it is there whole or not at all.
+pub(super) fn write_whole<D: Disk>(
+    disk: &D,
+    name: &str,
+    bytes: &[u8],
+) -> Result<D::File, StorageError> {
+    let temporary = format!("{name}{TEMPORARY}");
+    let write = || {
+        let mut file = disk.create(&temporary)?;
+        file.append(bytes)?;
+        file.sync()?;
+        disk.rename(&temporary, name)?;
+        disk.sync_names()?;
+        Ok(file)
+    };
+    write().map_err(|e| {
+        let _ = disk.remove(&temporary);
+        io("write", name, e)
+    })
+}
+
+/// Removes what a crash left half-written.
+pub(super) fn remove_temporary<D: Disk>(disk: &D) -> Result<(), StorageError> {
+    for name in names(disk)?.iter().filter(|n| n.ends_with(TEMPORARY)) {
+        disk.remove(name).map_err(|e| io("remove", name, e))?;
+    }
+    Ok(())
+}
+
+/// The one payload of a file of one frame.
+fn read_single<D: Disk>(disk: &D, name: &str) -> Result<Bytes, StorageError> {
+    let bytes = disk.read(name).map_err(|e| io("read", name, e))?;
+    let frames = frame::decode(&bytes);
+    match (frames.payloads.as_slice(), frames.end) {
+        ([payload], End::Whole) => Ok(Bytes::copy_from_slice(payload)),
+        _ => Err(damaged(name, frames.length, "it is not one whole record")),
+    }
+}
+
+/// The identity in the folder. A folder without any file of the log gets `fresh`.
+///
+/// The first segment is written before the identity. So an identity without a log is a log that
+/// was lost, and its memory with it; a log without an identity is a first start cut short, if it
+/// holds nothing yet.
+pub(super) fn identity<D: Disk>(disk: &D, fresh: NodeId) -> Result<NodeId, StorageError> {
+    let names = names(disk)?;
+    let numbers = segment_numbers(disk)?;
+    if names.iter().any(|n| n == IDENTITY) {
+        let payload = read_single(disk, IDENTITY)?;
+        let identity = Identity::decode(payload);
+        let identity = identity.map_err(|_| damaged(IDENTITY, 0, "it does not decode"))?;
+        check_format(IDENTITY, identity.format)?;
+        if numbers.is_empty() {
+            let file = segment_name(1);
+            return Err(StorageError::Missing { file });
+        }
+        return Ok(NodeId(identity.node));
+    }
+    let held = names.iter().any(|n| n.starts_with(SNAPSHOT));
+    if held || numbers.iter().any(|n| *n != 1) || used(disk, &numbers)? {
+        let file = IDENTITY.to_owned();
+        return Err(StorageError::Missing { file });
+    }
+    begin(disk, fresh)?;
+    Ok(fresh)
+}
+
+/// Whether the first segment holds more than its header.
+fn used<D: Disk>(disk: &D, numbers: &[u64]) -> Result<bool, StorageError> {
+    if numbers.is_empty() {
+        return Ok(false);
+    }
+    let name = segment_name(1);
+    let bytes = disk.read(&name).map_err(|e| io("read", &name, e))?;
+    Ok(frame::decode(&bytes).payloads.len() != 1)
+}
+
+fn begin<D: Disk>(disk: &D, fresh: NodeId) -> Result<(), StorageError> {
+    let none = HardState::default();
+    let header = header(fresh, 1, none, Position::default());
+    write_whole(disk, &segment_name(1), &frame::encode(0, &header))?;
+    let identity = Identity {
+        format: FORMAT,
+        node: fresh.0,
+    };
+    let bytes = frame::encode(0, &identity.encode_to_vec());
+    write_whole(disk, IDENTITY, &bytes)?;
+    Ok(())
+}
+
+/// The latest snapshot.
+pub(super) fn read_snapshot<D: Disk>(disk: &D) -> Result<Option<Snapshot>, StorageError> {
+    let names = names(disk)?;
+    let latest = names.iter().filter(|n| n.starts_with(SNAPSHOT)).max();
+    let Some(name) = latest else { return Ok(None) };
+    let snapshot = Snapshot::decode(read_single(disk, name)?);
+    let snapshot = snapshot.map_err(|_| damaged(name, 0, "it does not decode"))?;
+    Ok(Some(snapshot))
+}
+
+/// Writes a snapshot; it is durable on return.
+pub(super) fn keep_snapshot<D: Disk>(disk: &D, snapshot: &Snapshot) -> Result<(), StorageError> {
+    let bytes = frame::encode(snapshot.index, &snapshot.encode_to_vec());
+    write_whole(disk, &snapshot_name(snapshot.index), &bytes)?;
+    Ok(())
+}
+
+/// Removes all snapshots but `kept`.
+pub(super) fn drop_snapshots<D: Disk>(disk: &D, kept: &str) {
+    let names = disk.list().unwrap_or_default();
+    let old = names
+        .iter()
+        .filter(|n| n.starts_with(SNAPSHOT) && n.as_str() < kept);
+    for name in old {
+        let _ = disk.remove(name);
+    }
+}
--- /dev/null
+++ b/crates/filbertstack-log/src/storage/frame.rs
@@ -0,0 +1,128 @@
+//! Frames: the unit of one sync, each with checksums and a number.
+//!
+//! A frame is only written after the one before it is synced. So a frame that does not read and
+//! is followed by one that does was durable once, and is damage; one at the very end may be the
+//! trace of a crash, and was then never acknowledged.
+
+/// Opens every frame.
+const MAGIC: [u8; 4] = *b"FbLg";
+/// Magic, length, number, checksum of the payload, checksum of the header.
+const HEADER: usize = 24;
+/// What a disk writes whole or not at all, in bytes.
+const SECTOR: usize = 512;
+
+/// The payload as a frame with this number.
+pub fn encode(number: u64, payload: &[u8]) -> Vec<u8> {
+    let mut bytes = Vec::with_capacity(HEADER + payload.len());
+    bytes.extend_from_slice(&MAGIC);
+    let length = u32::try_from(payload.len()).unwrap_or(u32::MAX);
+    bytes.extend_from_slice(&length.to_le_bytes());
+    bytes.extend_from_slice(&number.to_le_bytes());
+    bytes.extend_from_slice(&crc32fast::hash(payload).to_le_bytes());
+    let crc = crc32fast::hash(&bytes);
+    bytes.extend_from_slice(&crc.to_le_bytes());
+    bytes.extend_from_slice(payload);
+    bytes
+}
+
+/// What a row of frames holds.
+#[derive(Debug, Default, PartialEq, Eq)]
+pub struct Frames<'a> {
+    /// The payloads, in order.
+    pub payloads: Vec<&'a [u8]>,
+    /// How many bytes the whole frames take.
+    pub length: usize,
+    /// The number of the first frame.
+    pub first: u64,
+    /// How the row ends.
+    pub end: End,
+}
+
+/// How a row of frames ends.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum End {
+    /// With its last frame.
+    #[default]
+    Whole,
+    /// With a frame that a crash cut off before it was synced.
+    Torn,
+    /// With damage, which says what is wrong.
+    Damaged(&'static str),
+}
+
+/// Reads a row of frames whose first may have any number.
+pub fn decode(bytes: &[u8]) -> Frames<'_> {
+    let mut frames = Frames::default();
+    while frames.length < bytes.len() {
+        let rest = &bytes[frames.length..];
+        let expected = frames.first + frames.payloads.len() as u64;
+        match read_one(rest) {
+            Some((number, payload)) if frames.payloads.is_empty() || number == expected => {
+                if frames.payloads.is_empty() {
+                    frames.first = number;
+                }
+                frames.payloads.push(payload);
+                frames.length += HEADER + payload.len();
+            }
+            Some(_) => {
+                frames.end = End::Damaged("a record is out of order");
+                break;
+            }
+            None => {
+                frames.end = judge(bytes, frames.length);
+                break;
+            }
+        }
+    }
+    frames
+}
+
+/// The number and payload of the frame at the start of `bytes`, if it reads.
+fn read_one(bytes: &[u8]) -> Option<(u64, &[u8])> {
+    let (number, length, crc) = read_header(bytes)?;
+    let payload = bytes.get(HEADER..HEADER.checked_add(length)?)?;
+    (crc32fast::hash(payload) == crc).then_some((number, payload))
+}
+
+fn read_header(bytes: &[u8]) -> Option<(u64, usize, u32)> {
+    let header = bytes.get(..HEADER)?;
+    let word = |at: usize| Some(u32::from_le_bytes(header.get(at..at + 4)?.try_into().ok()?));
+    let sound = header.starts_with(&MAGIC) && crc32fast::hash(&header[..20]) == word(20)?;
+    let number = u64::from_le_bytes(header[8..16].try_into().ok()?);
+    let length = usize::try_from(word(4)?).ok()?;
+    sound.then_some((number, length, word(16)?))
+}
+
+/// Whether the frame at `at`, which does not read, is the trace of a crash.
+///
+/// A crash leaves the frame cut short, or with whole sectors that never reached the disk and read
+/// as zeros. Anything else, such as a flipped bit, was written and synced and then changed.
+fn judge(bytes: &[u8], at: usize) -> End {
+    let later = (at + 1..bytes.len()).filter(|i| bytes[*i..].starts_with(&MAGIC));
+    if later.into_iter().any(|i| read_one(&bytes[i..]).is_some()) {
+        return End::Damaged("a record does not match its checksum, and sound ones follow");
+    }
+    let rest = &bytes[at..];
+    let end = match read_header(rest) {
+        None if rest.len() < HEADER => return End::Torn,
+        None => bytes.len(),
+        Some((_, length, _)) if rest.len() < HEADER + length => return End::Torn,
+        Some((_, length, _)) => at + HEADER + length,
+    };
+    if has_blank_sector(bytes, at, end) {
+        return End::Torn;
+    }
+    End::Damaged("the last record does not match its checksum")
+}
+
+fn has_blank_sector(bytes: &[u8], from: usize, to: usize) -> bool {
+    let mut start = from;
+    while start < to {
+        let end = to.min((start / SECTOR + 1) * SECTOR);
+        if bytes[start..end].iter().all(|b| *b == 0) {
+            return true;
+        }
+        start = end;
+    }
+    false
+}
--- /dev/null
+++ b/crates/filbertstack-log/src/storage/mod.rs
@@ -0,0 +1,305 @@
+//! What a replica must remember, in one data folder.
+//!
+//! The write-ahead log is a row of segments `wal-NNNNNNNNNN`, each a row of [frames](frame) with
+//! one sync a frame; `snapshot-NNNN...` holds the latest snapshot; `identity` the replica's
+//! [`NodeId`](crate::NodeId). Nothing is acknowledged before it is synced. On opening, the last
+//! segment is written anew and synced: after a sync that failed, the pages read back may be the
+//! kernel's and not the disk's.
+
+pub mod disk;
+mod error;
+mod files;
+pub mod frame;
+mod replay;
+
+use crate::ids::NodeId;
+use crate::ids::Position;
+use crate::message::Entry;
+use crate::message::HardState;
+use crate::message::Snapshot;
+use crate::node::Input;
+use crate::node::Memory;
+use crate::node::Write;
+use crate::storage::disk::Disk;
+use crate::storage::disk::DiskFile;
+use crate::storage::disk::is_full;
+pub use crate::storage::error::StorageError;
+use crate::storage::files::Record;
+use crate::storage::files::Segment;
+use crate::storage::files::segment_name;
+use crate::storage::files::snapshot_name;
+use crate::storage::replay::Replay;
+
+/// The size beyond which a segment is closed, in bytes. A start writes one segment anew, and
+/// space is given back by whole segments: this bounds both to some 100 ms of a small disk.
+pub const SEGMENT_BYTES: u64 = 4 << 20;
+
+/// The durable state of one replica.
+#[derive(Debug)]
+pub struct Storage<D: Disk> {
+    disk: D,
+    node: NodeId,
+    file: D::File,
+    size: u64,
+    frame: u64,
+    segments: Vec<Segment>,
+    hard: HardState,
+    last: Position,
+    snapshot: u64,
+    refused: u64,
+    segment_bytes: u64,
+}
+
+impl<D: Disk> Storage<D> {
+    /// Opens the folder and returns what it remembers. An empty folder takes the identity `fresh`.
+    ///
+    /// # Errors
+    /// [`StorageError`] if the folder cannot be used; nothing in it was changed then, but for
+    /// temporary files.
+    pub fn open(disk: D, fresh: NodeId) -> Result<(Self, Memory), StorageError> {
+        Self::open_sized(disk, fresh, SEGMENT_BYTES)
+    }
+
+    /// As [`Storage::open`], with another size of segments.
+    ///
+    /// # Errors
+    /// As [`Storage::open`].
+    pub fn open_sized(
+        disk: D,
+        fresh: NodeId,
+        segment_bytes: u64,
+    ) -> Result<(Self, Memory), StorageError> {
+        files::remove_temporary(&disk)?;
+        let node = files::identity(&disk, fresh)?;
+        let snapshot = files::read_snapshot(&disk)?;
+        let replay = Replay::read(&disk, node)?;
+        let hard = replay.hard;
+        let mut segments = replay.segments.clone();
+        let frame = replay.next_frame;
+        let tail = replay.tail.clone();
+        let written = replay.last();
+        let entries = replay.after(snapshot.as_ref())?;
+        let covered = snapshot
+            .as_ref()
+            .map(Snapshot::position)
+            .unwrap_or_default();
+        let last = entries.last().map_or(covered, Entry::position);
+        let number = segments.last().map_or(1, |s| s.number);
+        let file = files::write_whole(&disk, &segment_name(number), &tail)?;
+        if segments.is_empty() {
+            segments.push(Segment { number, last: 0 });
+        }
+        let mut storage = Self {
+            node,
+            file,
+            size: tail.len() as u64,
+            frame,
+            segments,
+            hard,
+            last,
+            snapshot: snapshot.as_ref().map_or(0, |s| s.index),
+            refused: 0,
+            segment_bytes,
+            disk,
+        };
+        // The log ends elsewhere on disk: a snapshot of a leader came in and the log was not reset.
+        if written != last && !storage.reset(last)? {
+            return Err(files::full("reset the log in"));
+        }
+        let memory = Memory {
+            hard,
+            snapshot,
+            entries,
+        };
+        Ok((storage, memory))
+    }
+
+    /// The replica's identity.
+    pub fn node(&self) -> NodeId {
+        self.node
+    }
+
+    /// Makes the writes durable, as many as possible with one sync, and returns what became of
+    /// them, for the node.
+    ///
+    /// # Errors
+    /// [`StorageError`] if it is not known what is durable now: the replica must stop. What is on
+    /// the disk is found out when it is opened again.
+    pub fn write(&mut self, writes: Vec<Write>) -> Result<Vec<Input>, StorageError> {
+        let mut results = Vec::new();
+        let mut batch = Batch::default();
+        for write in writes {
+            if write.epoch < self.refused {
+                continue;
+            }
+            batch.add(&write);
+            if let Some(snapshot) = &write.snapshot {
+                self.flush(&mut batch, &mut results)?;
+                if write.epoch >= self.refused {
+                    let kept = self.take_snapshot(snapshot, write.install)?;
+                    results.extend((!kept).then_some(Input::SnapshotLost { seq: write.seq }));
+                    results.push(Input::Written { seq: write.seq });
+                }
+            }
+        }
+        self.flush(&mut batch, &mut results)?;
+        Ok(results)
+    }
+
+    fn flush(&mut self, batch: &mut Batch, results: &mut Vec<Input>) -> Result<(), StorageError> {
+        let batch = std::mem::take(batch);
+        let Some((first, last)) = batch.span else {
+            return Ok(());
+        };
+        if batch.record == Record::default() {
+            return Ok(());
+        }
+        if self.append(&batch.record)? {
+            if !batch.snapshot {
+                results.push(Input::Written { seq: last });
+            }
+        } else {
+            self.refused = batch.epoch + 1;
+            results.push(Input::Refused { seq: first });
+        }
+        Ok(())
+    }
+
+    /// Keeps a snapshot; false if the disk has no space for it.
+    fn take_snapshot(&mut self, snapshot: &Snapshot, install: bool) -> Result<bool, StorageError> {
+        match files::keep_snapshot(&self.disk, snapshot) {
+            Err(StorageError::Io { source, .. }) if is_full(&source) => return Ok(false),
+            other => other?,
+        }
+        self.snapshot = snapshot.index;
+        // Without this record the snapshot counts on the next start, and until then the log.
+        if install && !self.reset(snapshot.position())? {
+            return Ok(false);
+        }
+        self.drop_covered();
+        Ok(true)
+    }
+
+    /// Starts the log anew after `place`; false if the disk has no space.
+    fn reset(&mut self, place: Position) -> Result<bool, StorageError> {
+        self.append(&Record {
+            reset: Some(place.into()),
+            ..Record::default()
+        })
+    }
+
+    /// Appends one record, durably; false if the disk has no space, and then no trace is left.
+    fn append(&mut self, record: &Record) -> Result<bool, StorageError> {
+        if !self.append_frame(record)? {
+            return Ok(false);
+        }
+        self.frame += 1;
+        self.note(record);
+        if self.size >= self.segment_bytes {
+            self.rotate()?;
+        }
+        Ok(true)
+    }
+
+    fn append_frame(&mut self, record: &Record) -> Result<bool, StorageError> {
+        let bytes = frame::encode(self.frame, &files::encode(record));
+        let name = segment_name(self.number());
+        if let Err(source) = self.file.append(&bytes) {
+            if !is_full(&source) {
+                return Err(files::io("append to", &name, source));
+            }
+            let cut = self
+                .file
+                .truncate(self.size)
+                .and_then(|()| self.file.sync());
+            cut.map_err(|e| files::io("cut", &name, e))?;
+            return Ok(false);
+        }
+        // After a failed sync the kernel may drop the pages and call the next one a success. Only
+        // the start after a stop finds out what is on the disk.
+        let synced = self.file.sync();
+        synced.map_err(|source| StorageError::Sync { file: name, source })?;
+        self.size += bytes.len() as u64;
+        Ok(true)
+    }
+
+    fn note(&mut self, record: &Record) {
+        self.hard = record.hard.unwrap_or(self.hard);
+        if let Some(reset) = record.reset {
+            self.last = reset.into();
+        }
+        let Some(entry) = record.entries.last() else {
+            return;
+        };
+        self.last = entry.position();
+        let most = record.entries.iter().map(|e| e.index).max().unwrap_or(0);
+        if let Some(segment) = self.segments.last_mut() {
+            segment.last = segment.last.max(most);
+        }
+    }
+
+    /// Begins the next segment. If there is no space for it, the present one grows on.
+    fn rotate(&mut self) -> Result<(), StorageError> {
+        let number = self.number() + 1;
+        let header = files::header(self.node, number, self.hard, self.last);
+        let bytes = frame::encode(self.frame, &header);
+        let file = match files::write_whole(&self.disk, &segment_name(number), &bytes) {
+            Err(StorageError::Io { source, .. }) if is_full(&source) => return Ok(()),
+            other => other?,
+        };
+        // Without a mark that another segment follows, a lost newest one would go unnoticed, and
+        // with it what was accepted last. Written after the next segment, it never claims one that
+        // a crash prevented. Without space for it only that notice is lost.
+        let close = Record {
+            closed: true,
+            ..Record::default()
+        };
+        self.append_frame(&close)?;
+        self.file = file;
+        self.frame += 1;
+        self.size = bytes.len() as u64;
+        let last = self.last.index;
+        self.segments.push(Segment { number, last });
+        self.drop_covered();
+        Ok(())
+    }
+
+    /// Gives back the space of segments and snapshots that the latest snapshot replaces. A file
+    /// that cannot be removed only takes space; the next call tries it again.
+    fn drop_covered(&mut self) {
+        while self.segments.len() > 1 && self.segments[0].last <= self.snapshot {
+            let name = segment_name(self.segments[0].number);
+            if self.disk.remove(&name).is_err() {
+                return;
+            }
+            self.segments.remove(0);
+        }
+        files::drop_snapshots(&self.disk, &snapshot_name(self.snapshot));
+    }
+
+    fn number(&self) -> u64 {
+        self.segments.last().map_or(1, |s| s.number)
+    }
+}
+
+/// Writes that share one sync.
+#[derive(Debug, Default)]
+struct Batch {
+    record: Record,
+    span: Option<(u64, u64)>,
+    epoch: u64,
+    snapshot: bool,
+}
+
+impl Batch {
+    fn add(&mut self, write: &Write) {
+        let first = self.span.map_or(write.seq, |(first, _)| first);
+        self.span = Some((first, write.seq));
+        self.epoch = write.epoch;
+        self.snapshot = write.snapshot.is_some();
+        if write.hard.is_some() {
+            self.record.hard = write.hard;
+        }
+        self.record.entries.extend_from_slice(&write.entries);
+    }
+}
--- /dev/null
+++ b/crates/filbertstack-log/tests/log/support/disk.rs
@@ -0,0 +1,232 @@
+//! A disk in memory that crashes, loses what was not synced, fills up and lies.
+
+use std::collections::BTreeMap;
+use std::io;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+
+use filbertstack_log::storage::disk::Disk;
+use filbertstack_log::storage::disk::DiskFile;
+use rand::RngExt as _;
+use rand_chacha::ChaCha8Rng;
+
+#[derive(Clone, Debug, Default)]
+struct Content {
+    now: Vec<u8>,
+    synced: Vec<u8>,
+}
+
+/// What the disk does wrong.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Wrong {
+    /// How many operations succeed before all fail, as in a crash of the process.
+    pub crash_after: Option<u32>,
+    /// How many bytes may still be written.
+    pub space: Option<usize>,
+    /// Syncs fail.
+    pub sync_fails: bool,
+    /// Syncs succeed and do nothing.
+    pub sync_lies: bool,
+}
+
+#[derive(Debug, Default)]
+struct Inner {
+    contents: Vec<Content>,
+    names: BTreeMap<String, usize>,
+    synced_names: BTreeMap<String, usize>,
+    wrong: Wrong,
+    syncs: u64,
+}
+
+/// The disk; clones are the same disk.
+#[derive(Clone, Debug, Default)]
+pub struct MemoryDisk(Arc<Mutex<Inner>>);
+
+/// A file of the disk.
+#[derive(Debug)]
+pub struct MemoryFile {
+    disk: MemoryDisk,
+    at: usize,
+}
+
+impl MemoryDisk {
+    fn inner(&self) -> MutexGuard<'_, Inner> {
+        self.0.lock().unwrap()
+    }
+
+    pub fn set_wrong(&self, wrong: Wrong) {
+        self.inner().wrong = wrong;
+    }
+
+    pub fn syncs(&self) -> u64 {
+        self.inner().syncs
+    }
+
+    /// Loses what was not synced, but for a random beginning of it, in which whole sectors may be
+    /// missing.
+    pub fn crash(&self, rng: &mut ChaCha8Rng) {
+        let mut inner = self.inner();
+        inner.wrong = Wrong::default();
+        inner.names = inner.synced_names.clone();
+        for content in &mut inner.contents {
+            let kept = content.synced.len();
+            let same = content.now.starts_with(&content.synced);
+            if !same || content.now.len() == kept {
+                content.now = content.synced.clone();
+                continue;
+            }
+            let length = rng.random_range(kept..=content.now.len());
+            content.now.truncate(length);
+            for at in kept..length {
+                let sector = at / 512;
+                if sector % 3 == 1 && sector * 512 >= kept && rng.random_bool(0.5) {
+                    let end = length.min((sector + 1) * 512);
+                    content.now[at..end].fill(0);
+                }
+            }
+            content.synced = content.now.clone();
+        }
+    }
+
+    /// All files, as a copy.
+    pub fn files(&self) -> BTreeMap<String, Vec<u8>> {
+        let inner = self.inner();
+        let read = |(n, at): (&String, &usize)| (n.clone(), inner.contents[*at].now.clone());
+        inner.names.iter().map(read).collect()
+    }
+
+    /// Replaces or adds a file, durably.
+    pub fn put(&self, name: &str, bytes: Vec<u8>) {
+        let mut inner = self.inner();
+        let at = inner.contents.len();
+        inner.contents.push(Content {
+            now: bytes.clone(),
+            synced: bytes,
+        });
+        inner.names.insert(name.into(), at);
+        inner.synced_names.insert(name.into(), at);
+    }
+
+    /// Removes a file, durably.
+    pub fn lose(&self, name: &str) {
+        let mut inner = self.inner();
+        inner.names.remove(name);
+        inner.synced_names.remove(name);
+    }
+}
+
+impl Inner {
+    fn operate(&mut self) -> io::Result<()> {
+        match &mut self.wrong.crash_after {
+            Some(0) => Err(io::Error::other("crashed")),
+            Some(left) => {
+                *left -= 1;
+                Ok(())
+            }
+            None => Ok(()),
+        }
+    }
+
+    fn find(&self, name: &str) -> io::Result<usize> {
+        let at = self.names.get(name).copied();
+        at.ok_or_else(|| io::ErrorKind::NotFound.into())
+    }
+}
+
+impl Disk for MemoryDisk {
+    type File = MemoryFile;
+
+    fn list(&self) -> io::Result<Vec<String>> {
+        Ok(self.inner().names.keys().cloned().collect())
+    }
+
+    fn read(&self, name: &str) -> io::Result<Vec<u8>> {
+        let inner = self.inner();
+        let at = inner.find(name)?;
+        Ok(inner.contents[at].now.clone())
+    }
+
+    fn create(&self, name: &str) -> io::Result<MemoryFile> {
+        let mut inner = self.inner();
+        inner.operate()?;
+        let at = inner.contents.len();
+        inner.contents.push(Content::default());
+        inner.names.insert(name.into(), at);
+        let disk = self.clone();
+        Ok(MemoryFile { disk, at })
+    }
+
+    fn rename(&self, from: &str, to: &str) -> io::Result<()> {
+        let mut inner = self.inner();
+        inner.operate()?;
+        let at = inner.find(from)?;
+        inner.names.remove(from);
+        inner.names.insert(to.into(), at);
+        Ok(())
+    }
+
+    fn remove(&self, name: &str) -> io::Result<()> {
+        let mut inner = self.inner();
+        inner.operate()?;
+        inner.names.remove(name);
+        Ok(())
+    }
+
+    fn sync_names(&self) -> io::Result<()> {
+        let mut inner = self.inner();
+        inner.operate()?;
+        if !inner.wrong.sync_lies {
+            inner.synced_names = inner.names.clone();
+        }
+        Ok(())
+    }
+}
+
+impl DiskFile for MemoryFile {
+    fn append(&mut self, bytes: &[u8]) -> io::Result<()> {
+        let mut inner = self.disk.inner();
+        if inner.operate().is_err() {
+            // A crash in the middle of a write leaves a part of it.
+            let part = &bytes[..bytes.len() / 2];
+            inner.contents[self.at].now.extend_from_slice(part);
+            return Err(io::Error::other("crashed"));
+        }
+        let fits = inner
+            .wrong
+            .space
+            .map_or(bytes.len(), |s| s.min(bytes.len()));
+        inner.contents[self.at]
+            .now
+            .extend_from_slice(&bytes[..fits]);
+        if let Some(space) = &mut inner.wrong.space {
+            *space -= fits;
+        }
+        if fits < bytes.len() {
+            return Err(io::ErrorKind::StorageFull.into());
+        }
+        Ok(())
+    }
+
+    fn sync(&mut self) -> io::Result<()> {
+        let mut inner = self.disk.inner();
+        inner.operate()?;
+        if inner.wrong.sync_fails {
+            return Err(io::Error::other("input/output error"));
+        }
+        inner.syncs += 1;
+        if !inner.wrong.sync_lies {
+            let content = &mut inner.contents[self.at];
+            content.synced = content.now.clone();
+        }
+        Ok(())
+    }
+
+    fn truncate(&mut self, length: u64) -> io::Result<()> {
+        let mut inner = self.disk.inner();
+        inner.operate()?;
+        let length = usize::try_from(length).unwrap();
+        inner.contents[self.at].now.truncate(length);
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/filbertstack-log/tests/log/support/mod.rs
@@ -0,0 +1,5 @@
+//! Fakes at the crate's interfaces: a machine, a disk, a network.
+
+pub mod disk;
+pub mod machine;
+pub mod network;
