Search the log for faults against an oracle, and show that the oracle sees them

Found by the search and mended: - A crash between the creation of a segment and the closing frame of the one before left a torn frame in an older segment, and the start was refused as damage (StartRefused after). The frames' numbers tell now. - A removal after which no majority answers is refused (NoQuorum): the group would have stood still for good.

Thirteen broken variants, each switched off alone, are noticed: votes and entries not durable, lying syncs, vote from an empty memory, early learner, two changes at once, read before the opening entry, lease from receipt, vote during a lease, lease after a transfer, earlier term committed by count, no pre-vote, no check-quorum. The scenarios pass with the protection on.

--- a/crates/filbertstack-log/src/config.rs
+++ b/crates/filbertstack-log/src/config.rs
@@ -104,6 +104,8 @@
     pub sticky: bool,
     /// A follower asks whether it would be elected before it raises its term.
     pub pre_vote: bool,
+    /// A replica that holds nothing of its group belongs to none, and grants no vote.
+    pub members_vote: bool,
     /// A leader that no majority answers steps down.
     pub check_quorum: bool,
     /// A learner becomes a voter only when it holds everything committed.
@@ -125,6 +127,7 @@
             lease_from_send: true,
             sticky: true,
             pre_vote: true,
+            members_vote: true,
             check_quorum: true,
             caught_up: true,
             one_change: true,
--- a/crates/filbertstack-log/src/membership.rs
+++ b/crates/filbertstack-log/src/membership.rs
@@ -88,6 +88,14 @@
         /// The leader.
         node: NodeId,
     },
+    /// Too few of the voters that there would be answer now.
+    #[error("only {answer} of the {voters} voters then would answer now; bring one back first")]
+    NoQuorum {
+        /// How many answer, this leader included.
+        answer: usize,
+        /// How many there would be.
+        voters: usize,
+    },
     /// The group would have too many voters.
     #[error("a group has at most {MAX_VOTERS} voters; remove one first")]
     TooMany,
--- a/crates/filbertstack-log/src/node/changes.rs
+++ b/crates/filbertstack-log/src/node/changes.rs
@@ -2,6 +2,7 @@
 
 use prost::Message as _;
 
+use crate::ids::NodeId;
 use crate::membership::Change;
 use crate::membership::ChangeError;
 use crate::membership::Membership;
@@ -11,6 +12,7 @@
 use crate::node::Refusal;
 use crate::node::Role;
 use crate::node::Ticket;
+use crate::node::leader::Leader;
 
 impl Node {
     pub(super) fn on_change(&mut self, ticket: Ticket, change: &Change) {
@@ -56,9 +58,26 @@
             }
             Change::AddLearner(_) | Change::Remove(_) => {}
         }
+        self.check_quorum(leader, &next)?;
         Ok(next)
     }
 
+    /// A change after which no majority answers could not be committed, nor taken back: the group
+    /// would stand still for good.
+    fn check_quorum(&self, leader: &Leader, next: &Membership) -> Result<(), ChangeError> {
+        let least = self.config.timing.election_min;
+        let answers = |node: NodeId| match leader.peers.get(&node) {
+            Some(peer) => self.now < peer.heard + least,
+            None => node == self.config.id,
+        };
+        let answer = next.voters.iter().filter(|m| answers(m.id())).count();
+        let voters = next.voters.len();
+        if answer < next.quorum() {
+            return Err(ChangeError::NoQuorum { answer, voters });
+        }
+        Ok(())
+    }
+
     /// Two memberships in force at once share a majority only if they differ by one member, and
     /// only if the earlier one is committed: a leader that has not committed in its own term may
     /// hold a change that the others never saw.
--- a/crates/filbertstack-log/src/node/election.rs
+++ b/crates/filbertstack-log/src/node/election.rs
@@ -87,7 +87,8 @@
             index: vote.last_index,
         };
         // A replica that belongs to no group yet holds nothing to compare with.
-        let fit = theirs >= self.log.last() && !self.members.is_empty();
+        let member = !self.members.is_empty() || !self.config.safeguards.members_vote;
+        let fit = theirs >= self.log.last() && member;
         let free = self.hard.vote == 0 || self.hard.vote == from.0;
         let granted = if vote.pre {
             fit && term > self.hard.term && !self.heard_leader()
--- a/crates/filbertstack-log/src/node/leader.rs
+++ b/crates/filbertstack-log/src/node/leader.rs
@@ -49,6 +49,8 @@
     pub(super) round: u64,
     /// When something was last sent that wants an answer, or the last answer came.
     pub(super) touched: Duration,
+    /// When it last answered.
+    pub(super) heard: Duration,
     /// The commit index that it was last told.
     pub(super) told: u64,
 }
@@ -113,6 +115,7 @@
                 flow: Flow::Probe { sent: false },
                 round: 0,
                 touched,
+                heard: Duration::ZERO,
                 told: 0,
             });
         }
@@ -298,6 +301,7 @@
         let Some(peer) = leader.peers.get_mut(&from) else {
             return;
         };
+        peer.heard = now;
         peer.round = peer.round.max(reply.round);
         if reply.reject {
             peer.on_reject(reply);
--- a/crates/filbertstack-log/src/node/mod.rs
+++ b/crates/filbertstack-log/src/node/mod.rs
@@ -335,7 +335,8 @@
             members.push((snapshot.index, snapshot.membership.clone()));
         }
         // A replica that holds nothing of its group has promised it nothing, and may join any.
-        if memory.snapshot.is_none() && memory.entries.is_empty() {
+        let empty = memory.snapshot.is_none() && memory.entries.is_empty();
+        if empty && config.safeguards.members_vote {
             hard.cluster = 0;
         }
         for entry in &memory.entries {
--- a/crates/filbertstack-log/src/storage/replay.rs
+++ b/crates/filbertstack-log/src/storage/replay.rs
@@ -43,8 +43,7 @@
             }
             let name = segment_name(*number);
             let bytes = disk.read(&name).map_err(|e| files::io("read", &name, e))?;
-            let newest = i + 1 == numbers.len();
-            replay.read_segment(&name, *number, node, bytes, newest)?;
+            replay.read_segment(&name, *number, node, bytes)?;
         }
         if replay.closed {
             let file = segment_name(numbers.last().map_or(1, |n| n + 1));
@@ -59,15 +58,12 @@
         number: u64,
         node: NodeId,
         mut bytes: Vec<u8>,
-        newest: bool,
     ) -> Result<(), StorageError> {
         let frames = frame::decode(&bytes);
-        match frames.end {
-            End::Damaged(why) => return Err(damaged(name, frames.length, why)),
-            End::Torn if !newest => {
-                return Err(damaged(name, frames.length, "a record is cut short"));
-            }
-            End::Torn | End::Whole => {}
+        // A crash cuts off the newest segment, or the closing frame of the one before. If more is
+        // missing there, the numbers of the frames show it.
+        if let End::Damaged(why) = frames.end {
+            return Err(damaged(name, frames.length, why));
         }
         let Some((head, records)) = frames.payloads.split_first() else {
             return Err(damaged(name, 0, "its header is missing"));
--- /dev/null
+++ b/crates/filbertstack-log/tests/log/broken.rs
@@ -0,0 +1,303 @@
+//! The checker notices a replica that lacks a protection.
+//!
+//! Each test switches one protection off, searches or plays a scenario until the oracle finds the
+//! violation that the protection prevents, and plays the same with the protection on. Without
+//! this, the search in `fuzz` could pass because it sees nothing.
+
+use std::time::Duration;
+
+use filbertstack_log::Safeguards;
+use proptest::strategy::Strategy as _;
+use proptest::strategy::ValueTree as _;
+use proptest::test_runner::Config;
+use proptest::test_runner::RngAlgorithm;
+use proptest::test_runner::TestRng;
+use proptest::test_runner::TestRunner;
+
+use crate::support::checker::Violation;
+use crate::support::steps::script;
+use crate::support::world::Variant;
+use crate::support::world::World;
+
+/// How many scripts a search tries.
+const TRIES: usize = 3_000;
+/// How many seeds a scenario is played with.
+const SEEDS: u64 = 40;
+
+fn without(switch: impl FnOnce(&mut Safeguards)) -> Variant {
+    let mut variant = Variant::default();
+    switch(&mut variant.safeguards);
+    variant
+}
+
+/// The wanted violation that a search finds first; other violations end their script alone.
+fn search(variant: Variant, wanted: fn(&Violation) -> bool) -> Option<Violation> {
+    let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &[9; 32]);
+    let mut runner = TestRunner::new_with_rng(Config::default(), rng);
+    (0..TRIES).find_map(|_| {
+        let (seed, voters, steps) = script().new_tree(&mut runner).unwrap().current();
+        let found = World::new(seed, voters, variant).play(&steps).err();
+        found.filter(wanted)
+    })
+}
+
+fn finds(variant: Variant, wanted: fn(&Violation) -> bool) {
+    assert_ne!(search(variant, wanted), None, "the broken replica passed");
+}
+
+/// Plays a scenario with several seeds and returns the first violation.
+fn play(scenario: fn(&mut World), voters: usize, variant: Variant) -> Option<Violation> {
+    (0..SEEDS).find_map(|seed| {
+        let mut world = World::new(seed, voters, variant);
+        scenario(&mut world);
+        world.checker.violation.clone()
+    })
+}
+
+fn catches(
+    scenario: fn(&mut World),
+    voters: usize,
+    broken: Variant,
+    wanted: fn(&Violation) -> bool,
+) {
+    let found = play(scenario, voters, broken);
+    assert!(found.as_ref().is_some_and(wanted), "found {found:?}");
+    assert_eq!(play(scenario, voters, Variant::default()), None);
+}
+
+fn ms(count: u64) -> Duration {
+    Duration::from_millis(count)
+}
+
+fn stale(violation: &Violation) -> bool {
+    matches!(violation, Violation::StaleRead { .. })
+}
+
+/// A voter answers before term and vote are on disk, and dies: it comes back in an earlier term,
+/// in which it may vote again.
+#[test]
+fn a_vote_that_is_not_durable_is_noticed() {
+    let back = |v: &Violation| {
+        matches!(
+            v,
+            Violation::VotedTwice { .. } | Violation::TermWentBack { .. }
+        )
+    };
+    finds(without(|s| s.durable_votes = false), back);
+}
+
+/// A follower acknowledges entries before they are on disk, and dies: what callers were told is
+/// committed is gone.
+#[test]
+fn an_entry_that_is_not_durable_is_noticed() {
+    let lost = |v: &Violation| matches!(v, Violation::Diverged { .. } | Violation::Broken(_));
+    finds(without(|s| s.durable_entries = false), lost);
+}
+
+/// The disk acknowledges a sync that it does not do.
+#[test]
+fn a_disk_that_does_not_sync_is_noticed() {
+    let lying = Variant {
+        lying_disks: true,
+        ..Variant::default()
+    };
+    let lost = |v: &Violation| {
+        matches!(
+            v,
+            Violation::TermWentBack { .. } | Violation::VotedTwice { .. }
+        )
+    };
+    finds(lying, lost);
+}
+
+/// A voter whose disk was lost comes back under its old identity and votes from an empty memory.
+#[test]
+fn a_vote_from_an_empty_memory_is_noticed() {
+    let mut forgetful = without(|s| s.members_vote = false);
+    forgetful.keeps_identity = true;
+    let unsafe_vote = |v: &Violation| {
+        matches!(
+            v,
+            Violation::VotedTwice { .. } | Violation::TwoLeaders { .. }
+        )
+    };
+    finds(forgetful, unsafe_vote);
+}
+
+/// A learner is made a voter before it holds everything: losing another voter right then would
+/// lose what was accepted.
+#[test]
+fn a_learner_that_counts_early_is_noticed() {
+    let early = |v: &Violation| matches!(v, Violation::EarlyVoter { .. });
+    finds(without(|s| s.caught_up = false), early);
+}
+
+/// Two changes of membership at once: two majorities that share nobody commit different entries.
+#[test]
+fn two_changes_at_once_are_noticed() {
+    let split = |v: &Violation| {
+        matches!(
+            v,
+            Violation::Diverged { .. } | Violation::Broken(_) | Violation::TwoLeaders { .. }
+        )
+    };
+    finds(without(|s| s.one_change = false), split);
+}
+
+/// A new leader serves a read before it knows how far its predecessor had committed.
+#[test]
+fn a_read_before_the_term_is_opened_is_noticed() {
+    finds(without(|s| s.opened_reads = false), stale);
+}
+
+/// A leader stands still with answers to its heartbeats in its sockets, is replaced meanwhile,
+/// and reads the answers when it wakes. They say nothing about now.
+#[test]
+fn a_lease_counted_from_receipt_is_noticed() {
+    fn scenario(world: &mut World) {
+        let old = world.elect(&[0, 1, 2]);
+        world.propose_at(old, None);
+        world.run(ms(600));
+        let round = world.status(old).lease;
+        world.run_until(60, |w| w.status(old).lease != round);
+        world.run(ms(170));
+        world.freeze(old, 7_000);
+        world.run(ms(100));
+        world.isolate(old);
+        let others: Vec<usize> = (0..3).filter(|at| *at != old).collect();
+        let new = world.elect(&others);
+        world.run(ms(300));
+        world.propose_at(new, None);
+        world.run(ms(300));
+        world.read_at(old);
+        world.run(ms(6_000));
+    }
+    catches(scenario, 3, without(|s| s.lease_from_send = false), stale);
+}
+
+/// A follower that cannot hear the leader campaigns; another, which hears it, grants its vote
+/// while the leader still serves reads under the lease that this very voter confirmed.
+#[test]
+fn a_vote_during_the_lease_is_noticed() {
+    fn scenario(world: &mut World) {
+        let old = world.elect(&[0, 1, 2]);
+        world.propose_at(old, None);
+        world.run(ms(600));
+        let others: Vec<usize> = (0..3).filter(|at| *at != old).collect();
+        let deaf = others[0];
+        world.cut(&[old], &[deaf]);
+        let term = world.status(old).term;
+        world.run_until(300, |w| {
+            w.status(deaf).term > term || !w.leaders().contains(&old)
+        });
+        world.cut(&others, &[old]);
+        if world.run_until(100, |w| w.leaders().contains(&deaf)) {
+            world.propose_at(deaf, None);
+            world.run(ms(200));
+            world.read_at(old);
+            world.run(ms(100));
+        }
+    }
+    catches(scenario, 3, without(|s| s.sticky = false), stale);
+}
+
+/// A leader that bade a voter to campaign hears nothing of the new leader, and goes on serving
+/// reads under a lease that its voters no longer respect.
+#[test]
+fn a_lease_after_a_transfer_is_noticed() {
+    fn scenario(world: &mut World) {
+        let old = world.elect(&[0, 1, 2]);
+        world.propose_at(old, None);
+        world.run(ms(600));
+        world.transfer_at(old);
+        let others: Vec<usize> = (0..3).filter(|at| *at != old).collect();
+        world.cut(&others, &[old]);
+        let new = world.elect(&others);
+        world.run(ms(150));
+        world.propose_at(new, None);
+        world.run(ms(150));
+        world.read_at(old);
+        world.run(ms(100));
+    }
+    catches(scenario, 3, without(|s| s.transfer_lease = false), stale);
+}
+
+/// An entry of an earlier term reaches a majority, is taken for committed, and is then replaced
+/// by the leader of a term between.
+#[test]
+fn an_entry_of_an_earlier_term_committed_by_count_is_noticed() {
+    fn scenario(world: &mut World) {
+        let all = [0, 1, 2, 3, 4];
+        let first = world.elect(&all);
+        world.propose_at(first, None);
+        world.run(ms(600));
+        // The entry reaches one other.
+        let rest: Vec<usize> = all.into_iter().filter(|at| *at != first).collect();
+        world.cut(&[first], &rest[1..]);
+        world.propose_at(first, None);
+        world.run(ms(150));
+        let contested = world.status(first).last;
+        let pair = [first, rest[0]];
+        // The others elect a leader, whose own entry at that index reaches nobody.
+        world.isolate(first);
+        world.isolate(rest[0]);
+        let between = world.elect(&rest[1..]);
+        world.isolate(between);
+        world.run(ms(100));
+        // One of the pair leads again and spreads the entry.
+        world.heal();
+        world.isolate(between);
+        let again = world.elect(&pair);
+        world.run_until(100, |w| w.status(again).commit >= contested);
+        // It and its peer vanish; the leader between comes back.
+        world.isolate(pair[0]);
+        world.isolate(pair[1]);
+        let late: Vec<usize> = rest[1..].to_vec();
+        world.heal();
+        world.cut(&pair, &late);
+        world.cut(&late, &pair);
+        world.elect(&late);
+        world.run(ms(1_000));
+    }
+    let replaced = |v: &Violation| matches!(v, Violation::Diverged { .. } | Violation::Broken(_));
+    catches(scenario, 5, without(|s| s.own_term = false), replaced);
+}
+
+/// The term of a group whose follower was cut off for long and comes back.
+fn term_after_return(variant: Variant) -> (u64, u64) {
+    let mut world = World::new(1, 3, variant);
+    let leader = world.elect(&[0, 1, 2]);
+    world.run(ms(500));
+    let before = world.status(leader).term;
+    world.isolate((leader + 1) % 3);
+    world.run(ms(20_000));
+    world.heal();
+    world.run(ms(5_000));
+    (before, world.status(leader).term)
+}
+
+/// A follower that was cut off comes back with a term raised many times, and makes the leader of
+/// the others step down.
+#[test]
+fn a_return_without_pre_vote_is_noticed() {
+    let (before, after) = term_after_return(without(|s| s.pre_vote = false));
+    assert!(after > before);
+    let (before, after) = term_after_return(Variant::default());
+    assert_eq!(after, before);
+}
+
+/// Whether a leader that was cut off for long still believes to lead.
+fn leads_alone(variant: Variant) -> bool {
+    let mut world = World::new(1, 3, variant);
+    let old = world.elect(&[0, 1, 2]);
+    world.isolate(old);
+    world.run(ms(10_000));
+    world.leaders().contains(&old)
+}
+
+/// A leader in a silent partition goes on taking proposals that can never be committed.
+#[test]
+fn a_leader_without_check_quorum_is_noticed() {
+    assert!(leads_alone(without(|s| s.check_quorum = false)));
+    assert!(!leads_alone(Variant::default()));
+}
--- /dev/null
+++ b/crates/filbertstack-log/tests/log/fuzz.rs
@@ -0,0 +1,54 @@
+//! The search for faults: random steps against the oracle.
+
+use proptest::test_runner::Config;
+use proptest::test_runner::RngAlgorithm;
+use proptest::test_runner::TestCaseError;
+use proptest::test_runner::TestRng;
+use proptest::test_runner::TestRunner;
+
+use crate::support::steps::script;
+use crate::support::world::Variant;
+use crate::support::world::World;
+
+/// Runs of 100 to 200 steps each in CI.
+const CASES: u32 = 200;
+
+fn number(variable: &str) -> Option<u32> {
+    std::env::var(variable).ok()?.parse().ok()
+}
+
+/// Callers propose, resend and read while processes die at any write, stand still, lose their
+/// disks and fill them up, links fail in one or both directions, and the membership changes.
+/// Nothing told to a caller may be lost, doubled or reverted, and no read may be stale.
+///
+/// `FILBERTSTACK_FUZZ_CASES` gives another number of runs, `FILBERTSTACK_FUZZ_SEED` another seed.
+#[test]
+fn nothing_accepted_is_lost_whatever_happens() {
+    let config = Config {
+        cases: number("FILBERTSTACK_FUZZ_CASES").unwrap_or(CASES),
+        failure_persistence: None,
+        max_shrink_iters: 2_000,
+        ..Config::default()
+    };
+    let seed = number("FILBERTSTACK_FUZZ_SEED").unwrap_or(4);
+    let mut bytes = [0; 32];
+    bytes[..4].copy_from_slice(&seed.to_le_bytes());
+    let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &bytes);
+    let mut runner = TestRunner::new_with_rng(config, rng);
+    let totals = std::cell::Cell::new((0, 0, 0, 0));
+    let run = runner.run(&script(), |(seed, voters, steps)| {
+        let mut world = World::new(seed, voters, Variant::default());
+        let played = world.play(&steps);
+        let (count, told, reads, terms) = totals.get();
+        totals.set((
+            count + steps.len(),
+            told + world.checker.told(),
+            reads + world.checker.reads,
+            terms + world.checker.terms_led(),
+        ));
+        played.map_err(|violation| TestCaseError::fail(format!("{violation:?}")))
+    });
+    let (count, told, reads, terms) = totals.get();
+    println!("{count} steps, {told} requests told, {reads} reads, {terms} terms led");
+    run.unwrap();
+}
--- a/crates/filbertstack-log/tests/log/main.rs
+++ b/crates/filbertstack-log/tests/log/main.rs
@@ -1,5 +1,7 @@
 //! The suite of the replicated log: storage, protocol, replicas, and the search for faults.
 
+mod broken;
+mod fuzz;
 mod replica;
 mod storage;
 mod support;
--- /dev/null
+++ b/crates/filbertstack-log/tests/log/support/checker.rs
@@ -0,0 +1,194 @@
+//! The oracle: what was committed, who led, who voted, and what callers were told.
+
+use std::collections::BTreeMap;
+use std::hash::DefaultHasher;
+use std::hash::Hash as _;
+use std::hash::Hasher as _;
+
+use filbertstack_log::Body;
+use filbertstack_log::Entry;
+use filbertstack_log::EntryKind;
+use filbertstack_log::Membership;
+use filbertstack_log::Message;
+use filbertstack_log::NodeId;
+
+use crate::support::machine::Put;
+use crate::support::machine::State;
+
+/// What must never happen.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Violation {
+    /// Two replicas led in one term.
+    TwoLeaders { term: u64 },
+    /// Two replicas committed different entries at one index.
+    Diverged { index: u64 },
+    /// Two replicas' states differ after the same index.
+    StateDiffers { index: u64 },
+    /// A caller's request has another outcome than the one told.
+    ToldOtherwise { request: u64 },
+    /// A read did not see what was told before it began.
+    StaleRead { seen: u64, floor: u64 },
+    /// A replica voted for two candidates in one term.
+    VotedTwice { term: u64 },
+    /// A replica came back with a lower term than it had told.
+    TermWentBack { told: u64, found: u64 },
+    /// A learner became a voter without everything committed.
+    EarlyVoter { held: u64, commit: u64 },
+    /// A replica found the protocol broken.
+    Broken(String),
+    /// A replica's start was refused.
+    StartRefused(String),
+    /// The group does not come back when all faults end.
+    NoProgress,
+}
+
+/// What is known of all replicas together.
+#[derive(Debug, Default)]
+pub struct Checker {
+    committed: Vec<Entry>,
+    state: State,
+    digests: Vec<u64>,
+    leaders: BTreeMap<u64, NodeId>,
+    terms: BTreeMap<NodeId, u64>,
+    votes: BTreeMap<(NodeId, u64), u64>,
+    told: BTreeMap<u64, u64>,
+    floor: u64,
+    pub membership: Membership,
+    pub violation: Option<Violation>,
+    pub reads: u64,
+}
+
+/// The index of the first entry: the snapshot with which a group is created stands before it.
+const FIRST: u64 = 2;
+
+pub fn digest(state: &State) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    state.done.hash(&mut hasher);
+    state.keys.hash(&mut hasher);
+    hasher.finish()
+}
+
+impl Checker {
+    pub fn found(&mut self, violation: Violation) {
+        self.violation.get_or_insert(violation);
+    }
+
+    pub fn last(&self) -> u64 {
+        FIRST - 1 + self.committed.len() as u64
+    }
+
+    pub fn told(&self) -> usize {
+        self.told.len()
+    }
+
+    pub fn led(&mut self, term: u64, node: NodeId) {
+        if *self.leaders.entry(term).or_insert(node) != node {
+            self.found(Violation::TwoLeaders { term });
+        }
+    }
+
+    pub fn terms_led(&self) -> usize {
+        self.leaders.len()
+    }
+
+    /// A replica applies an entry, which leads to `state`.
+    pub fn committed(&mut self, entry: &Entry, state: &State) {
+        let index = entry.index;
+        let at = usize::try_from(index - FIRST).unwrap();
+        if at < self.committed.len() {
+            if self.committed[at] != *entry {
+                self.found(Violation::Diverged { index });
+            }
+            return;
+        }
+        if at > self.committed.len() {
+            self.found(Violation::Diverged { index });
+            return;
+        }
+        self.committed.push(entry.clone());
+        if entry.kind() == EntryKind::Command {
+            self.state.put(index, Put::decode(&entry.data));
+        }
+        if let Some(membership) = entry.membership() {
+            self.membership = membership;
+        }
+        self.digests.push(digest(&self.state));
+        if *state != self.state {
+            self.found(Violation::StateDiffers { index });
+        }
+    }
+
+    /// A replica's state after `index`, as restored or at the end.
+    pub fn state(&mut self, index: u64, state: &State) {
+        let expected = match index.checked_sub(FIRST) {
+            None => Some(digest(&State::default())),
+            Some(at) => self.digests.get(usize::try_from(at).unwrap()).copied(),
+        };
+        if expected != Some(digest(state)) {
+            self.found(Violation::StateDiffers { index });
+        }
+    }
+
+    /// A caller is told that its request was first applied at `outcome`, by an entry at `index`.
+    pub fn tell(&mut self, request: u64, outcome: u64, index: u64) {
+        if *self.told.entry(request).or_insert(outcome) != outcome {
+            self.found(Violation::ToldOtherwise { request });
+        }
+        self.floor = self.floor.max(index);
+    }
+
+    /// A read begins: it must see at least this.
+    pub fn floor(&self) -> u64 {
+        self.floor
+    }
+
+    /// A read that began at `floor` ends, having seen everything up to `seen`.
+    pub fn read(&mut self, floor: u64, seen: u64) {
+        self.reads += 1;
+        if seen < floor {
+            self.found(Violation::StaleRead { seen, floor });
+        }
+        self.floor = self.floor.max(seen);
+    }
+
+    pub fn sent(&mut self, message: &Message) {
+        let from = message.sender();
+        match &message.body {
+            Some(Body::Vote(vote)) if vote.pre => return,
+            Some(Body::VoteReply(reply)) if reply.pre => return,
+            Some(Body::VoteReply(reply)) if reply.granted => {
+                self.voted(from, message.term, message.to);
+            }
+            Some(Body::Vote(_)) => self.voted(from, message.term, message.from),
+            _ => {}
+        }
+        let told = self.terms.entry(from).or_default();
+        *told = message.term.max(*told);
+    }
+
+    fn voted(&mut self, voter: NodeId, term: u64, candidate: u64) {
+        let first = self.votes.entry((voter, term)).or_insert(candidate);
+        if *first != candidate {
+            self.found(Violation::VotedTwice { term });
+        }
+    }
+
+    pub fn restarted(&mut self, node: NodeId, found: u64) {
+        let told = self.terms.get(&node).copied().unwrap_or(0);
+        if found < told {
+            self.found(Violation::TermWentBack { told, found });
+        }
+    }
+
+    /// Everything told to callers is in the state that all replicas hold at the end.
+    pub fn check_told(&mut self) {
+        let lost = self
+            .told
+            .iter()
+            .find(|(r, o)| self.state.done.get(r) != Some(o));
+        if let Some((request, _)) = lost {
+            let request = *request;
+            self.found(Violation::ToldOtherwise { request });
+        }
+    }
+}
--- a/crates/filbertstack-log/tests/log/support/mod.rs
+++ b/crates/filbertstack-log/tests/log/support/mod.rs
@@ -1,5 +1,8 @@
 //! Fakes at the crate's interfaces: a machine, a disk, a network.
 
+pub mod checker;
 pub mod disk;
 pub mod machine;
 pub mod network;
+pub mod steps;
+pub mod world;
