Replace lost voters, form groups once, let a blocked group elect its learner

Formation is a pure decision: only the first listed creates, and only when no other has a group.

Ruled out: entries sent to learners only once committed (a learner under load would never hold everything). A learner now campaigns after four election timeouts without a leader and hands over.

--- a/crates/filbertstack-log/src/node/election.rs
+++ b/crates/filbertstack-log/src/node/election.rs
@@ -12,6 +12,10 @@
 use crate::node::Role;
 use crate::node::persist::Gate;
 
+/// How many of the longest election timeouts a learner waits before it campaigns: long enough for
+/// any voter that can win to have won.
+const LAST_RESORT: u32 = 4;
+
 impl Node {
     /// Whether a leader was heard so lately that its lease may still run.
     pub(super) fn heard_leader(&self) -> bool {
@@ -41,7 +45,7 @@
     pub(super) fn start_election(&mut self) {
         self.reset_election();
         self.leader = None;
-        if !self.is_voter() || self.installing {
+        if !self.may_campaign() || self.installing {
             return;
         }
         if !self.config.safeguards.pre_vote {
@@ -56,6 +60,20 @@
         self.count_pre_votes();
     }
 
+    /// Voters campaign, and learners as the last resort.
+    ///
+    /// A leader that dies for good may leave its last entries on a learner alone, while one of the
+    /// voters holds a promotion of that learner that was never committed. That voter then needs
+    /// the learner's vote, which its shorter log does not get, and no other voter can win: the
+    /// group would stand still though a majority lives. The learner, elected by the voters, brings
+    /// its entries to them and passes the leadership on.
+    fn may_campaign(&self) -> bool {
+        let membership = self.membership();
+        let patience = self.config.timing.election_max * LAST_RESORT;
+        let silent = self.now >= self.heard.unwrap_or_default() + patience;
+        membership.is_voter(self.config.id) || (silent && membership.is_learner(self.config.id))
+    }
+
     pub(super) fn campaign(&mut self, transfer: bool) {
         self.follow(self.hard.term + 1, None);
         self.hard.vote = self.config.id.0;
@@ -74,7 +92,7 @@
             pre,
             transfer,
         };
-        for member in self.membership().voters {
+        for member in &self.membership().voters {
             if member.id() != self.config.id {
                 self.send_at(member.id(), Gate::Hard, term, Body::Vote(vote));
             }
--- a/crates/filbertstack-log/src/node/leader.rs
+++ b/crates/filbertstack-log/src/node/leader.rs
@@ -168,7 +168,11 @@
             return;
         }
         let due = self.now >= leader.heartbeat_at;
+        let opened = self.commit >= leader.opened;
         self.expire_transfer();
+        if opened && !self.is_voter() {
+            self.hand_over();
+        }
         if due {
             self.start_round();
             self.resend_quiet();
--- a/crates/filbertstack-log/src/node/persist.rs
+++ b/crates/filbertstack-log/src/node/persist.rs
@@ -1,5 +1,7 @@
 //! What is written, and which messages wait for it.
 
+use std::sync::Arc;
+
 use bytes::Bytes;
 
 use crate::ids::NodeId;
@@ -192,7 +194,8 @@
 
     pub(super) fn push_entry(&mut self, entry: Entry) {
         let membership = entry.membership();
-        self.members.extend(membership.map(|m| (entry.index, m)));
+        self.members
+            .extend(membership.map(|m| (entry.index, Arc::new(m))));
         self.log.push(entry);
     }
 
--- a/crates/filbertstack-log/src/node/snapshots.rs
+++ b/crates/filbertstack-log/src/node/snapshots.rs
@@ -1,5 +1,7 @@
 //! Snapshots: kept here, sent to followers far behind, and taken from a leader.
 
+use std::sync::Arc;
+
 use bytes::Bytes;
 use prost::Message as _;
 
@@ -128,7 +130,9 @@
         let snapshot = Snapshot {
             index,
             term,
-            membership: members.map(|(_, m)| m.clone()).unwrap_or_default(),
+            membership: members
+                .map(|(_, m)| Membership::clone(m))
+                .unwrap_or_default(),
             cluster: self.hard.cluster,
             data,
         };
@@ -179,7 +183,7 @@
         let index = snapshot.index;
         self.installing = false;
         self.log = Entries::new(snapshot.position(), Vec::new());
-        self.members = vec![(index, snapshot.membership.clone())];
+        self.members = vec![(index, Arc::new(snapshot.membership.clone()))];
         self.commit = index;
         self.handed = index;
         self.durable = index;
--- a/crates/filbertstack-log/src/node/transfer.rs
+++ b/crates/filbertstack-log/src/node/transfer.rs
@@ -28,6 +28,13 @@
         self.hurry_transfer();
     }
 
+    /// A learner that had to lead passes the leadership to a voter.
+    pub(super) fn hand_over(&mut self) {
+        if self.begin_transfer(None).is_ok() {
+            self.hurry_transfer();
+        }
+    }
+
     fn begin_transfer(&mut self, to: Option<NodeId>) -> Result<(), Refusal> {
         let membership = self.membership();
         let until = self.now + self.config.timing.election_min;
--- a/crates/filbertstack-log/src/replica/core.rs
+++ b/crates/filbertstack-log/src/replica/core.rs
@@ -63,7 +63,7 @@
     applied: u64,
     snapshot_tried: u64,
     snapshot_size: usize,
-    told: Membership,
+    told: Arc<Membership>,
     led: bool,
 }
 
@@ -109,7 +109,7 @@
             applied: 0,
             snapshot_tried: 0,
             snapshot_size: 0,
-            told: Membership::default(),
+            told: Arc::default(),
             led: false,
         }
     }
@@ -306,7 +306,7 @@
         }
         self.led = leads;
         if self.told != node.membership {
-            self.told = node.membership.clone();
+            self.told = Arc::clone(&node.membership);
             self.transport.configure(&self.told);
         }
         let lease = node.lease.map(|until| self.start + until);
--- /dev/null
+++ b/crates/filbertstack-log/tests/log/formation.rs
@@ -0,0 +1,104 @@
+//! How a group comes to be, and that an empty folder never makes a second one.
+
+use filbertstack_log::Announcement;
+use filbertstack_log::Change;
+use filbertstack_log::ClusterId;
+use filbertstack_log::Formation;
+use filbertstack_log::Member;
+use filbertstack_log::Membership;
+use filbertstack_log::NodeId;
+use filbertstack_log::ProposeError;
+use filbertstack_log::Refusal;
+
+use crate::support::machine::Put;
+use crate::support::network::Group;
+use crate::support::network::quick;
+use crate::support::network::soon;
+
+fn listed() -> Vec<String> {
+    ["a", "b", "c"].map(String::from).to_vec()
+}
+
+fn announced(name: &str, cluster: Option<u64>) -> Announcement {
+    Announcement {
+        name: name.into(),
+        address: format!("{name}:1"),
+        node: NodeId(u64::from(name.as_bytes()[0])),
+        cluster: cluster.map(ClusterId),
+    }
+}
+
+/// The first listed creates, once it has heard that none of the others has a group.
+#[test]
+fn the_first_listed_creates_once_all_are_heard() {
+    let heard = [announced("b", None)];
+    let waits = Formation::decide("a", &listed(), &heard);
+    let missing = vec!["c".to_owned()];
+    assert_eq!(waits, Formation::Wait { missing });
+    let heard = [announced("b", None), announced("c", None)];
+    assert_eq!(Formation::decide("a", &listed(), &heard), Formation::Create);
+    assert_eq!(Formation::decide("b", &listed(), &heard), Formation::Join);
+}
+
+/// The first listed lost its disk and starts with an empty folder. If it created a group again,
+/// there would be two, and what the first accepted would seem reverted.
+#[test]
+fn a_first_replica_that_lost_its_disk_joins() {
+    let heard = [announced("b", Some(9)), announced("c", None)];
+    assert_eq!(Formation::decide("a", &listed(), &heard), Formation::Join);
+    let unheard = [announced("c", None)];
+    let decided = Formation::decide("a", &listed(), &unheard);
+    assert!(matches!(decided, Formation::Wait { .. }));
+}
+
+/// The leader of a forming group adds and promotes the listed replicas one by one.
+#[test]
+fn a_group_forms_one_change_at_a_time() {
+    let heard = [
+        announced("c", None),
+        announced("x", None),
+        announced("b", None),
+    ];
+    let member = |name: &str| Member {
+        node: u64::from(name.as_bytes()[0]),
+        name: name.into(),
+        address: format!("{name}:1"),
+    };
+    let mut now = Membership::first(member("a"), 3);
+    let mut changes = Vec::new();
+    while let Some(change) = Formation::next(&now, &listed(), &heard) {
+        now = now.after(&change).unwrap();
+        changes.push(change);
+    }
+    let expected = [
+        Change::AddLearner(member("c")),
+        Change::Promote(NodeId(99)),
+        Change::AddLearner(member("b")),
+        Change::Promote(NodeId(98)),
+    ];
+    assert_eq!(changes, expected);
+    assert_eq!(now.forming, 0);
+}
+
+/// A group that has not yet had all its first voters refuses commands: an accepted one would be
+/// on a single disk. It does not create itself a second time.
+#[test]
+fn a_forming_group_takes_no_command() {
+    let mut group = Group::form(1, quick());
+    let at = group.add_slot();
+    let replica = group.slots[at].replica.clone().unwrap();
+    let member = group.slots[at].member();
+    replica.create(member.clone(), 3, None, soon()).unwrap();
+    let again = replica.create(member, 3, None, soon());
+    assert_eq!(again, Err(ProposeError::Refused(Refusal::Grouped)));
+    let put = Put {
+        request: 1,
+        key: 1,
+        value: 1,
+    };
+    let refused = crate::support::network::wait_for("refusal", || {
+        let error = replica.propose(put.encode(), soon()).unwrap_err();
+        (error == ProposeError::Refused(Refusal::Forming)).then_some(error)
+    });
+    assert!(refused.is_certain());
+}
--- a/crates/filbertstack-log/tests/log/main.rs
+++ b/crates/filbertstack-log/tests/log/main.rs
@@ -1,6 +1,8 @@
 //! The suite of the replicated log: storage, protocol, replicas, and the search for faults.
 
 mod broken;
+mod formation;
+mod found;
 mod fuzz;
 mod replica;
 mod storage;
--- a/crates/filbertstack-log/tests/log/storage.rs
+++ b/crates/filbertstack-log/tests/log/storage.rs
@@ -14,12 +14,15 @@
 use filbertstack_log::storage::Storage;
 use filbertstack_log::storage::StorageError;
 use filbertstack_log::storage::disk::Folder;
+use filbertstack_log::storage::frame;
 use rand::SeedableRng as _;
 use rand_chacha::ChaCha8Rng;
 
 use crate::support::disk::MemoryDisk;
 use crate::support::disk::Wrong;
 
+/// The header of a frame, in bytes.
+const HEADER: usize = 24;
 const NODE: NodeId = NodeId(7);
 
 fn entry(index: u64, term: u64) -> Entry {
@@ -123,6 +126,25 @@
     }
 }
 
+/// The process dies while it closes a segment whose successor is there already. The closing frame
+/// may be cut short; if a record before it were missing too, the start must be refused.
+#[test]
+fn a_torn_closing_frame_is_no_damage() {
+    let disk = filled();
+    let name = "wal-0000000001";
+    let whole = disk.files()[name].clone();
+    let closing = {
+        let frames = frame::decode(&whole);
+        frames.length - frames.payloads.last().unwrap().len() - HEADER
+    };
+    for length in closing..whole.len() {
+        disk.put(name, whole[..length].to_vec());
+        assert_eq!(open(&disk).unwrap().1.entries.len(), 10, "cut at {length}");
+    }
+    disk.put(name, whole[..closing - 1].to_vec());
+    assert!(refusal(&disk).contains("records before it are missing"));
+}
+
 /// A sector of the frame that was being written never reached the disk and reads as zeros.
 #[test]
 fn a_blank_sector_at_the_end_is_cut() {
--- a/crates/filbertstack-log/tests/log/support/mod.rs
+++ b/crates/filbertstack-log/tests/log/support/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod checker;
 pub mod disk;
+pub mod events;
 pub mod machine;
 pub mod network;
 pub mod steps;
--- a/crates/filbertstack-log/tests/log/support/network.rs
+++ b/crates/filbertstack-log/tests/log/support/network.rs
@@ -177,6 +177,20 @@
         replica.stop(Duration::ZERO);
     }
 
+    /// Replaces a slot's disk by an empty one; its replica starts anew.
+    pub fn lose_disk(&mut self, at: usize) {
+        if self.slots[at].replica.is_some() {
+            self.kill(at);
+        }
+        self.slots[at].disk.replace();
+        self.start(at);
+    }
+
+    /// Removes a member.
+    pub fn remove(&self, node: NodeId) {
+        self.on_leader(|leader| leader.remove(node, soon()).ok());
+    }
+
     /// Adds the replica of a slot as a learner and makes it a voter.
     pub fn join(&self, at: usize) {
         let member = self.slots[at].member();
