Give way when the disk hangs, and let members move

A leader whose write neither ends nor fails went on with heartbeats for ever while its callers waited (a_leader_whose_disk_hangs_gives_way: it led at 6 s before, it stops after one election timeout of 2 s now). A promotion waits for a moment in which the learner holds everything; an instance may get another address.

--- a/crates/filbertstack-log/benches/measure.rs
+++ b/crates/filbertstack-log/benches/measure.rs
@@ -23,6 +23,10 @@
 use crate::group::COMMAND;
 use crate::group::Group;
 
+/// How long a group is watched at rest.
+const REST: Duration = Duration::from_secs(10);
+/// The clock ticks in a second that the system counts processor time by.
+const TICKS: f64 = 100.0;
 /// Syncs of the measurement of the disk.
 const SYNCS: u32 = 500;
 /// Proposals of one measurement of commits.
@@ -31,9 +35,33 @@
 fn main() {
     disk();
     commits();
+    rest();
     recovery();
 }
 
+/// What the processor does for a group at rest, in one process with all its replicas.
+fn rest() {
+    println!("\n| voters | share of a core at rest, each |");
+    println!("|---|---|");
+    for voters in [3, 5] {
+        let group = Group::form(voters);
+        let before = processor();
+        std::thread::sleep(REST);
+        let used = processor() - before;
+        let each = used / REST.as_secs_f64() / f64::from(u32::try_from(voters).unwrap());
+        println!("| {voters} | {:.2} % |", each * 100.0);
+        drop(group);
+    }
+}
+
+/// The processor time that this process has used, in seconds.
+fn processor() -> f64 {
+    let stat = fs::read_to_string("/proc/self/stat").unwrap_or_default();
+    let after_name = stat.rsplit(')').next().unwrap_or_default();
+    let ticks = after_name.split_whitespace().skip(11).take(2);
+    ticks.filter_map(|t| t.parse::<f64>().ok()).sum::<f64>() / TICKS
+}
+
 /// The time of the disk alone, without which the others tell little.
 fn disk() {
     use filbertstack_log::storage::disk::Disk as _;
@@ -50,20 +78,24 @@
 }
 
 fn commits() {
-    println!("| voters | callers | commits/s | p50 | p99 |");
-    println!("|---|---|---|---|---|");
+    println!("| voters | callers | commits/s | p50 | p99 | processor per commit and voter |");
+    println!("|---|---|---|---|---|---|");
     for voters in [1, 3, 5] {
         let group = Group::form(voters);
         for callers in [1, 16, 64, 256] {
             let rounds = PROPOSALS / callers as u64;
+            let before = processor();
             let start = Instant::now();
             let mut spans = group.propose(callers, rounds);
             let whole = start.elapsed().as_secs_f64();
+            let used = processor() - before;
+            let counted = f64::from(u32::try_from(spans.len() * voters).unwrap());
+            let each = Duration::from_secs_f64(used / counted);
             spans.sort_unstable();
             let at = |part: usize| spans[(spans.len() - 1) * part / 100];
             let rate = f64::from(u32::try_from(spans.len()).unwrap()) / whole;
             println!(
-                "| {voters} | {callers} | {rate:.0} | {:.2?} | {:.2?} |",
+                "| {voters} | {callers} | {rate:.0} | {:.2?} | {:.2?} | {each:.1?} |",
                 at(50),
                 at(99)
             );
--- a/crates/filbertstack-log/src/membership.rs
+++ b/crates/filbertstack-log/src/membership.rs
@@ -51,6 +51,8 @@
     Promote(NodeId),
     /// Removes a voter or a learner.
     Remove(NodeId),
+    /// Gives a member another name or address.
+    Move(Member),
 }
 
 /// Why a change of membership is refused; nothing was changed.
@@ -149,6 +151,7 @@
             Change::AddLearner(member) => next.add(member)?,
             Change::Promote(node) => next.promote(*node)?,
             Change::Remove(node) => next.remove(*node)?,
+            Change::Move(member) => next.relocate(member)?,
         }
         Ok(next)
     }
@@ -179,6 +182,14 @@
         Ok(())
     }
 
+    fn relocate(&mut self, member: &Member) -> Result<(), ChangeError> {
+        let mut all = self.voters.iter_mut().chain(&mut self.learners);
+        let found = all.find(|m| m.node == member.node);
+        let node = member.id();
+        *found.ok_or(ChangeError::Unknown { node })? = member.clone();
+        Ok(())
+    }
+
     fn remove(&mut self, node: NodeId) -> Result<(), ChangeError> {
         let before = self.members().count();
         self.voters.retain(|m| m.node != node.0);
--- a/crates/filbertstack-log/src/node/changes.rs
+++ b/crates/filbertstack-log/src/node/changes.rs
@@ -56,7 +56,7 @@
             Change::Remove(node) if self.leads(*node) => {
                 return Err(ChangeError::Leads { node: *node }.into());
             }
-            Change::AddLearner(_) | Change::Remove(_) => {}
+            Change::AddLearner(_) | Change::Remove(_) | Change::Move(_) => {}
         }
         self.check_quorum(leader, &next)?;
         Ok(next)
--- a/crates/filbertstack-log/src/node/election.rs
+++ b/crates/filbertstack-log/src/node/election.rs
@@ -45,7 +45,7 @@
     pub(super) fn start_election(&mut self) {
         self.reset_election();
         self.leader = None;
-        if !self.may_campaign() || self.installing {
+        if !self.may_campaign() || self.installing || self.disk_hangs() {
             return;
         }
         if !self.config.safeguards.pre_vote {
--- a/crates/filbertstack-log/src/node/leader.rs
+++ b/crates/filbertstack-log/src/node/leader.rs
@@ -167,7 +167,8 @@
         // A leader that no majority answers cannot commit. Without stepping down it would keep
         // its callers waiting and its followers from electing, for as long as it can only send.
         let quiet = self.now >= leader.confirmed + self.config.timing.election_min;
-        if quiet && self.config.safeguards.check_quorum && !self.alone() {
+        let deposed = quiet && self.config.safeguards.check_quorum && !self.alone();
+        if deposed || self.disk_hangs() {
             self.follow(self.hard.term, None);
             return;
         }
--- a/crates/filbertstack-log/src/node/persist.rs
+++ b/crates/filbertstack-log/src/node/persist.rs
@@ -1,6 +1,7 @@
 //! What is written, and which messages wait for it.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::Bytes;
 
@@ -28,6 +29,7 @@
 #[derive(Debug)]
 pub(super) struct Pending {
     pub(super) seq: u64,
+    pub(super) issued: Duration,
     pub(super) last: Option<Position>,
     pub(super) snapshot: Option<Snapshot>,
     pub(super) install: bool,
@@ -54,6 +56,7 @@
         self.unsaved = self.log.last().index + 1;
         self.pending.push_back(Pending {
             seq,
+            issued: self.now,
             last: entries.last().map(Entry::position),
             snapshot: snapshot.clone(),
             install,
@@ -162,6 +165,14 @@
         self.full_until = Some(self.now + self.config.timing.resend);
     }
 
+    /// Whether a write has been under way for so long that the disk is taken to hang. A leader on
+    /// such a disk could send heartbeats for ever and never tell a caller that it committed.
+    pub(super) fn disk_hangs(&self) -> bool {
+        let most = self.config.timing.election_max;
+        let oldest = self.pending.front();
+        oldest.is_some_and(|p| self.now >= p.issued + most)
+    }
+
     /// Tries whether the disk takes term and vote again.
     pub(super) fn try_disk(&mut self) {
         self.full_until = Some(self.now + self.config.timing.resend);
--- a/crates/filbertstack-log/src/replica/mod.rs
+++ b/crates/filbertstack-log/src/replica/mod.rs
@@ -27,6 +27,7 @@
 use crate::ids::NodeId;
 use crate::machine::Machine;
 use crate::membership::Change;
+use crate::membership::ChangeError;
 use crate::membership::Member;
 use crate::membership::Membership;
 use crate::message::Message;
@@ -222,12 +223,33 @@
         self.change(Change::AddLearner(member), deadline)
     }
 
-    /// Makes a learner a voter, if it holds everything committed.
+    /// Makes a learner a voter as soon as it holds everything committed. Under load it does so
+    /// only from time to time; that is waited for.
     ///
     /// # Errors
     /// As for [`Replica::propose`].
     pub fn promote(&self, node: NodeId, deadline: Instant) -> Result<u64, ProposeError> {
-        self.change(Change::Promote(node), deadline)
+        loop {
+            let result = self.change(Change::Promote(node), deadline);
+            let behind = matches!(
+                result,
+                Err(ProposeError::Refused(Refusal::Change(
+                    ChangeError::Behind { .. }
+                )))
+            );
+            if !behind || Instant::now() + POLL >= deadline {
+                return result;
+            }
+            thread::sleep(POLL);
+        }
+    }
+
+    /// Tells the group that a member is reached at another address.
+    ///
+    /// # Errors
+    /// As for [`Replica::propose`].
+    pub fn move_member(&self, member: Member, deadline: Instant) -> Result<u64, ProposeError> {
+        self.change(Change::Move(member), deadline)
     }
 
     /// Removes a member that does not lead.
@@ -297,7 +319,7 @@
         let until = Instant::now() + patience;
         if self.leads() && self.transfer_leader(None, until).is_ok() {
             while self.leads() && Instant::now() < until {
-                thread::sleep(STOP_POLL);
+                thread::sleep(POLL);
             }
         }
         self.halt();
@@ -366,8 +388,8 @@
     }
 }
 
-/// How often a replica that stops looks whether another leads.
-const STOP_POLL: Duration = Duration::from_millis(5);
+/// How often it is looked whether another leads, or a learner has caught up.
+const POLL: Duration = Duration::from_millis(5);
 
 fn spawn(name: &str, work: impl FnOnce() + Send + 'static) -> Result<JoinHandle<()>, StartError> {
     let builder = thread::Builder::new().name(name.into());
--- a/crates/filbertstack-log/tests/log/node.rs
+++ b/crates/filbertstack-log/tests/log/node.rs
@@ -278,6 +278,56 @@
     assert!(propose(&mut node, 1_000).is_ok());
 }
 
+/// The leader's disk hangs: no write ends and none fails. Its heartbeats would keep the others from
+/// electing while its callers wait; it gives way, and does not campaign while the disk hangs.
+#[test]
+fn a_leader_whose_disk_hangs_gives_way() {
+    let mut node = leader();
+    let ticket = Ticket(1);
+    let command = Bytes::from_static(&[0; 8]);
+    node.step(ms(3_040), Input::Propose { ticket, command });
+    let hung = node.output().write.unwrap();
+    let mut at = 3_040;
+    while node.status().role == RoleName::Leader {
+        at += 100;
+        assert!(at < 6_000, "it still leads");
+        node.step(ms(at), heard(at));
+        node.step(ms(at), Input::Tick);
+        node.output();
+    }
+    assert_eq!(at, 5_040);
+    node.step(ms(20_000), Input::Tick);
+    assert_eq!(node.status().role, RoleName::Follower);
+    node.step(ms(20_000), Input::Written { seq: hung.seq });
+    node.step(ms(25_000), Input::Tick);
+    assert_eq!(node.status().role, RoleName::PreCandidate);
+}
+
+/// The other voter confirms every round until `at`.
+fn heard(at: u64) -> Input {
+    let reply = AppendReply {
+        index: 2,
+        prev_index: 1,
+        round: at,
+        reject: false,
+    };
+    message(OTHER, 5, Body::AppendReply(reply))
+}
+
+/// A voter's instance gets another address; who counts stays the same.
+#[test]
+fn a_member_may_move() {
+    let mut node = leader();
+    let mut moved = member(OTHER);
+    moved.address = "entry-30:1".into();
+    let ticket = Ticket(9);
+    let change = Change::Move(moved.clone());
+    turn(&mut node, ms(3_050), Input::Change { ticket, change });
+    let membership = node.membership();
+    assert_eq!(membership.voters.len(), 3);
+    assert!(membership.voters.contains(&moved));
+}
+
 /// An operator would remove a voter although only one of the two left answers: the group could
 /// neither commit that nor anything after it.
 #[test]
