--- a/crates/filbertstack-log/tests/log/support/events.rs
+++ b/crates/filbertstack-log/tests/log/support/events.rs
@@ -16,8 +16,8 @@
 use crate::support::checker::Violation;
 use crate::support::disk::Wrong;
 use crate::support::machine::Put;
+use crate::support::running::Asked;
 use crate::support::steps::Step;
-use crate::support::world::Asked;
 use crate::support::world::Slot;
 use crate::support::world::World;
 
--- a/crates/filbertstack-log/tests/log/support/mod.rs
+++ b/crates/filbertstack-log/tests/log/support/mod.rs
@@ -5,5 +5,6 @@
 pub mod events;
 pub mod machine;
 pub mod network;
+pub mod running;
 pub mod steps;
 pub mod world;
--- a/crates/filbertstack-log/tests/log/support/world.rs
+++ b/crates/filbertstack-log/tests/log/support/world.rs
@@ -9,8 +9,6 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use filbertstack_log::Accepted;
-use filbertstack_log::Answer;
 use filbertstack_log::ClusterId;
 use filbertstack_log::EntryKind;
 use filbertstack_log::Input;
@@ -25,9 +23,7 @@
 use filbertstack_log::NodeStatus;
 use filbertstack_log::RoleName;
 use filbertstack_log::Safeguards;
-use filbertstack_log::Ticket;
 use filbertstack_log::Timing;
-use filbertstack_log::Write;
 use filbertstack_log::storage::Storage;
 use filbertstack_log::storage::StorageError;
 use rand::RngExt as _;
@@ -39,6 +35,8 @@
 use crate::support::checker::Violation;
 use crate::support::disk::MemoryDisk;
 use crate::support::machine::Map;
+use crate::support::running::Asked;
+use crate::support::running::Running;
 
 /// The grain of time.
 const SLICE: Duration = Duration::from_millis(10);
@@ -62,30 +60,6 @@
     pub lying_disks: bool,
 }
 
-/// A running replica.
-pub(super) struct Running {
-    pub(super) node: Node,
-    pub(super) storage: Storage<MemoryDisk>,
-    pub(super) map: Map,
-    pub(super) applied: u64,
-    pub(super) boot: Duration,
-    pub(super) queue: VecDeque<Write>,
-    pub(super) disk_until: Duration,
-    pub(super) tickets: BTreeMap<Ticket, Asked>,
-    pub(super) appended: BTreeMap<u64, (u64, u64)>,
-    pub(super) reads: Vec<(u64, u64)>,
-    pub(super) led: bool,
-}
-
-/// What a ticket stands for.
-pub(super) enum Asked {
-    Put(u64),
-    /// With what the read must see.
-    Read(u64),
-    Promote(NodeId),
-    Other,
-}
-
 pub(super) struct Slot {
     pub(super) id: NodeId,
     pub(super) disk: MemoryDisk,
@@ -501,36 +475,6 @@
     }
 }
 
-impl Running {
-    fn answer(&mut self, answer: Answer, checker: &mut Checker, durable: &BTreeMap<NodeId, u64>) {
-        let asked = self.tickets.remove(&answer.ticket);
-        match (asked, answer.result) {
-            (Some(Asked::Put(request)), Ok(Accepted::Appended(place))) => {
-                self.appended.insert(place.index, (place.term, request));
-            }
-            (Some(Asked::Read(floor)), Ok(Accepted::Readable(index))) => {
-                self.reads.push((floor, index));
-            }
-            (Some(Asked::Promote(node)), Ok(_)) => {
-                let commit = self.node.status().commit;
-                if let Some(held) = durable.get(&node).copied()
-                    && held < commit
-                {
-                    checker.found(Violation::EarlyVoter { held, commit });
-                }
-            }
-            _ => {}
-        }
-    }
-
-    fn finish_reads(&mut self, checker: &mut Checker) {
-        let applied = self.applied;
-        for (floor, index) in self.reads.extract_if(.., |(_, index)| *index <= applied) {
-            checker.read(floor, index);
-        }
-    }
-}
-
 impl Slot {
     pub fn member(&self) -> Member {
         Member {
