--- a/crates/filbertstack-log/src/node/changes.rs
+++ b/crates/filbertstack-log/src/node/changes.rs
@@ -27,7 +27,7 @@
     }
 
     fn check_change(&self, change: &Change) -> Result<Membership, Refusal> {
-        if self.full_until.is_some() {
+        if self.disk.full_until.is_some() {
             return Err(Refusal::DiskFull);
         }
         let Role::Leader(leader) = &self.role else {
--- a/crates/filbertstack-log/src/node/election.rs
+++ b/crates/filbertstack-log/src/node/election.rs
@@ -35,7 +35,7 @@
         if term > self.hard.term {
             self.hard.term = term;
             self.hard.vote = 0;
-            self.hard_dirty = true;
+            self.disk.hard_dirty = true;
         }
         self.role = Role::Follower;
         self.leader = leader;
@@ -77,7 +77,7 @@
     pub(super) fn campaign(&mut self, transfer: bool) {
         self.follow(self.hard.term + 1, None);
         self.hard.vote = self.config.id.0;
-        self.hard_dirty = true;
+        self.disk.hard_dirty = true;
         let votes = BTreeSet::new();
         self.role = Role::Candidate { votes };
         self.ask_votes(false, transfer);
@@ -114,7 +114,7 @@
             fit && free && (vote.transfer || !self.heard_leader())
         };
         if granted && !vote.pre {
-            self.hard_dirty |= self.hard.vote != from.0;
+            self.disk.hard_dirty |= self.hard.vote != from.0;
             self.hard.vote = from.0;
             self.reset_election();
         }
@@ -162,7 +162,7 @@
     /// The candidate's own vote counts once it is durable, as any other vote does.
     pub(super) fn count_own_vote(&mut self) {
         let own = self.config.id;
-        let sure = self.written >= self.hard_seq && !self.hard_dirty;
+        let sure = self.disk.written >= self.disk.hard_seq && !self.disk.hard_dirty;
         if let Role::Candidate { votes } = &mut self.role
             && sure
             && votes.insert(own)
--- a/crates/filbertstack-log/src/node/leader.rs
+++ b/crates/filbertstack-log/src/node/leader.rs
@@ -11,6 +11,7 @@
 use crate::message::Append;
 use crate::message::AppendReply;
 use crate::message::Body;
+use crate::message::Entry;
 use crate::message::EntryKind;
 use crate::node::Accepted;
 use crate::node::Node;
@@ -136,7 +137,7 @@
     }
 
     fn refuse_command(&self, command: &Bytes) -> Option<Refusal> {
-        if self.full_until.is_some() {
+        if self.disk.full_until.is_some() {
             return Some(Refusal::DiskFull);
         }
         let Role::Leader(leader) = &self.role else {
@@ -256,42 +257,27 @@
     /// Sends one message to a follower; false if there is nothing to send.
     fn feed(&mut self, id: NodeId) -> bool {
         let limits = self.config.limits;
-        let last = self.log.last().index;
-        let base = self.log.base().index;
-        let commit = self.commit;
-        let now = self.now;
+        let (last, base) = (self.log.last().index, self.log.base().index);
+        let (commit, now) = (self.commit, self.now);
         let Role::Leader(leader) = &mut self.role else {
             return false;
         };
         let Some(peer) = leader.peers.get_mut(&id) else {
             return false;
         };
-        let behind = peer.next <= base;
+        if matches!(peer.flow, Flow::Snapshot(_)) {
+            return self.feed_snapshot(id);
+        }
+        if peer.next <= base {
+            return self.begin_snapshot(id);
+        }
         let news = peer.next <= last || peer.told < commit;
-        match &mut peer.flow {
-            Flow::Snapshot(_) => return self.feed_snapshot(id),
-            _ if behind => return self.begin_snapshot(id),
-            Flow::Probe { sent: true } => return false,
-            Flow::Pipeline { inflight } if inflight.len() >= limits.inflight || !news => {
-                return false;
-            }
-            Flow::Probe { sent } => {
-                *sent = true;
-                peer.touched = now;
-            }
-            Flow::Pipeline { inflight } => {
-                if inflight.is_empty() {
-                    peer.touched = now;
-                }
-            }
+        if !peer.may_send(news, limits.inflight, now) {
+            return false;
         }
         let prev_index = peer.next - 1;
         let entries = self.log.slice(peer.next, limits.append_bytes);
-        peer.told = commit;
-        if let (Flow::Pipeline { inflight }, Some(end)) = (&mut peer.flow, entries.last()) {
-            inflight.push_back(end.index);
-            peer.next = end.index + 1;
-        }
+        peer.note_sent(entries.last(), commit);
         let append = Append {
             prev_index,
             prev_term: self.log.term(prev_index).unwrap_or(0),
@@ -364,6 +350,32 @@
 }
 
 impl Peer {
+    /// Whether the flow takes one more message; if so, it counts as sent.
+    fn may_send(&mut self, news: bool, most: usize, now: Duration) -> bool {
+        match &mut self.flow {
+            Flow::Probe { sent: false } => {
+                self.flow = Flow::Probe { sent: true };
+                self.touched = now;
+                true
+            }
+            Flow::Pipeline { inflight } if inflight.len() < most && news => {
+                if inflight.is_empty() {
+                    self.touched = now;
+                }
+                true
+            }
+            _ => false,
+        }
+    }
+
+    fn note_sent(&mut self, end: Option<&Entry>, commit: u64) {
+        self.told = commit;
+        if let (Flow::Pipeline { inflight }, Some(end)) = (&mut self.flow, end) {
+            inflight.push_back(end.index);
+            self.next = end.index + 1;
+        }
+    }
+
     pub(super) fn probe(&mut self) {
         self.next = self.held + 1;
         self.flow = Flow::Probe { sent: false };
--- a/crates/filbertstack-log/src/node/mod.rs
+++ b/crates/filbertstack-log/src/node/mod.rs
@@ -15,7 +15,6 @@
 mod transfer;
 
 use std::collections::BTreeSet;
-use std::collections::VecDeque;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -44,7 +43,7 @@
 pub use crate::node::io::Write;
 use crate::node::leader::Leader;
 use crate::node::persist::Gate;
-use crate::node::persist::Pending;
+use crate::node::persist::Work;
 use crate::node::snapshots::Incoming;
 
 #[derive(Debug)]
@@ -75,18 +74,8 @@
     snapshot: Option<Snapshot>,
     incoming: Option<Incoming>,
     installing: bool,
-    pending: VecDeque<Pending>,
-    held: VecDeque<(u64, Message)>,
-    outbox: Vec<(Gate, Message)>,
+    disk: Work,
     output: Output,
-    unsaved: u64,
-    hard_dirty: bool,
-    snapshot_dirty: Option<(Snapshot, bool)>,
-    hard_seq: u64,
-    next_seq: u64,
-    written: u64,
-    epoch: u64,
-    full_until: Option<Duration>,
 }
 
 impl Node {
@@ -135,18 +124,8 @@
             snapshot: memory.snapshot,
             incoming: None,
             installing: false,
-            pending: VecDeque::new(),
-            held: VecDeque::new(),
-            outbox: Vec::new(),
+            disk: Work::after(last),
             output,
-            unsaved: last + 1,
-            hard_dirty: false,
-            snapshot_dirty: None,
-            hard_seq: 0,
-            next_seq: 1,
-            written: 0,
-            epoch: 0,
-            full_until: None,
         };
         node.reset_election();
         node
@@ -190,7 +169,7 @@
 
     /// When the node next has something to do unless an input comes before.
     pub fn wake_at(&self) -> Duration {
-        if let Some(until) = self.full_until {
+        if let Some(until) = self.disk.full_until {
             return until;
         }
         match &self.role {
@@ -243,15 +222,15 @@
             snapshot: self.snapshot.as_ref().map_or(0, |s| s.index),
             membership: self.membership(),
             lease: self.lease_until(),
-            full: self.full_until.is_some(),
+            full: self.disk.full_until.is_some(),
         }
     }
 
     fn on_tick(&mut self) {
-        if self.full_until.is_some_and(|until| self.now >= until) {
+        if self.disk.full_until.is_some_and(|until| self.now >= until) {
             self.try_disk();
         }
-        if self.full_until.is_some() {
+        if self.disk.full_until.is_some() {
             return;
         }
         if matches!(self.role, Role::Leader(_)) {
@@ -263,7 +242,7 @@
 
     fn on_message(&mut self, message: Message) {
         let strange = message.to != self.config.id.0 || message.from == self.config.id.0;
-        if strange || self.full_until.is_some() || !self.same_cluster(&message) {
+        if strange || self.disk.full_until.is_some() || !self.same_cluster(&message) {
             return;
         }
         let from = message.sender();
@@ -291,7 +270,7 @@
         let leads = matches!(message.body, Some(Body::Append(_) | Body::Piece(_)));
         if self.hard.cluster == 0 && leads {
             self.hard.cluster = message.cluster;
-            self.hard_dirty = true;
+            self.disk.hard_dirty = true;
         }
         message.cluster != 0 && message.cluster == self.hard.cluster
     }
@@ -320,7 +299,7 @@
             term,
             body: Some(body),
         };
-        self.outbox.push((gate, message));
+        self.disk.outbox.push((gate, message));
     }
 
     fn answer(&mut self, ticket: Ticket, result: Result<Accepted, Refusal>) {
--- a/crates/filbertstack-log/src/node/persist.rs
+++ b/crates/filbertstack-log/src/node/persist.rs
@@ -1,5 +1,6 @@
 //! What is written, and which messages wait for it.
 
+use std::collections::VecDeque;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -9,6 +10,7 @@
 use crate::ids::Position;
 use crate::message::Entry;
 use crate::message::EntryKind;
+use crate::message::Message;
 use crate::message::Snapshot;
 use crate::node::Node;
 use crate::node::Role;
@@ -35,26 +37,58 @@
     pub(super) install: bool,
 }
 
+/// What the disk has still to do, and what waits for it.
+#[derive(Debug, Default)]
+pub(super) struct Work {
+    pub(super) pending: VecDeque<Pending>,
+    /// Messages by the write that they wait for.
+    pub(super) held: VecDeque<(u64, Message)>,
+    /// Messages since the last output.
+    pub(super) outbox: Vec<(Gate, Message)>,
+    /// The first index that no write holds.
+    pub(super) unsaved: u64,
+    pub(super) hard_dirty: bool,
+    /// A snapshot to write, and whether it comes from the leader.
+    pub(super) snapshot_dirty: Option<(Snapshot, bool)>,
+    /// The last write that holds term and vote.
+    pub(super) hard_seq: u64,
+    pub(super) issued: u64,
+    pub(super) written: u64,
+    pub(super) epoch: u64,
+    /// The disk refuses writes; when it is tried again.
+    pub(super) full_until: Option<Duration>,
+}
+
+impl Work {
+    /// Nothing to do: the log up to `last` was read from the disk.
+    pub(super) fn after(last: u64) -> Self {
+        Self {
+            unsaved: last + 1,
+            ..Self::default()
+        }
+    }
+}
+
 impl Node {
     pub(super) fn issue_write(&mut self) {
-        if self.full_until.is_some() && !self.hard_dirty {
+        if self.disk.full_until.is_some() && !self.disk.hard_dirty {
             return;
         }
         let entries = self.unsaved_entries();
-        let snapshot = self.snapshot_dirty.take();
-        if !self.hard_dirty && entries.is_empty() && snapshot.is_none() {
+        let snapshot = self.disk.snapshot_dirty.take();
+        if !self.disk.hard_dirty && entries.is_empty() && snapshot.is_none() {
             return;
         }
-        let seq = self.next_seq;
-        self.next_seq += 1;
-        let hard = self.hard_dirty.then_some(self.hard);
-        if self.hard_dirty {
-            self.hard_seq = seq;
-            self.hard_dirty = false;
+        self.disk.issued += 1;
+        let seq = self.disk.issued;
+        let hard = self.disk.hard_dirty.then_some(self.hard);
+        if self.disk.hard_dirty {
+            self.disk.hard_seq = seq;
+            self.disk.hard_dirty = false;
         }
         let (snapshot, install) = snapshot.map_or((None, false), |(s, i)| (Some(s), i));
-        self.unsaved = self.log.last().index + 1;
-        self.pending.push_back(Pending {
+        self.disk.unsaved = self.log.last().index + 1;
+        self.disk.pending.push_back(Pending {
             seq,
             issued: self.now,
             last: entries.last().map(Entry::position),
@@ -63,7 +97,7 @@
         });
         self.output.write = Some(Write {
             seq,
-            epoch: self.epoch,
+            epoch: self.disk.epoch,
             hard,
             entries,
             snapshot,
@@ -72,26 +106,26 @@
     }
 
     fn unsaved_entries(&self) -> Vec<Entry> {
-        if self.unsaved > self.log.last().index {
+        if self.disk.unsaved > self.log.last().index {
             return Vec::new();
         }
-        self.log.slice(self.unsaved, usize::MAX)
+        self.log.slice(self.disk.unsaved, usize::MAX)
     }
 
     pub(super) fn release_messages(&mut self) {
-        if self.full_until.is_some() {
-            self.outbox.clear();
+        if self.disk.full_until.is_some() {
+            self.disk.outbox.clear();
             return;
         }
         let guards = self.config.safeguards;
-        for (gate, message) in std::mem::take(&mut self.outbox) {
+        for (gate, message) in std::mem::take(&mut self.disk.outbox) {
             let after = match gate {
-                Gate::Hard if guards.durable_votes => self.hard_seq,
-                Gate::Entries if guards.durable_entries => self.next_seq - 1,
+                Gate::Hard if guards.durable_votes => self.disk.hard_seq,
+                Gate::Entries if guards.durable_entries => self.disk.issued,
                 _ => 0,
             };
-            if after > self.written {
-                self.held.push_back((after, message));
+            if after > self.disk.written {
+                self.disk.held.push_back((after, message));
             } else {
                 self.output.messages.push(message);
             }
@@ -99,15 +133,18 @@
     }
 
     pub(super) fn on_written(&mut self, seq: u64) {
-        self.written = self.written.max(seq);
-        while self.pending.front().is_some_and(|p| p.seq <= seq) {
-            if let Some(done) = self.pending.pop_front() {
+        self.disk.written = self.disk.written.max(seq);
+        while self.disk.pending.front().is_some_and(|p| p.seq <= seq) {
+            if let Some(done) = self.disk.pending.pop_front() {
                 self.settle(done);
             }
         }
         self.release_held(seq);
-        if self.full_until.is_some() && self.written >= self.hard_seq && !self.hard_dirty {
-            self.full_until = None;
+        if self.disk.full_until.is_some()
+            && self.disk.written >= self.disk.hard_seq
+            && !self.disk.hard_dirty
+        {
+            self.disk.full_until = None;
             self.heard = Some(self.now);
             self.reset_election();
         }
@@ -117,11 +154,11 @@
 
     /// Releases what waited, in the order in which it was said.
     fn release_held(&mut self, seq: u64) {
-        for (after, message) in std::mem::take(&mut self.held) {
+        for (after, message) in std::mem::take(&mut self.disk.held) {
             if after <= seq {
                 self.output.messages.push(message);
             } else {
-                self.held.push_back((after, message));
+                self.disk.held.push_back((after, message));
             }
         }
     }
@@ -147,44 +184,44 @@
     /// relied on. Until a write succeeds the replica is silent, as if it were down: it neither
     /// votes, acknowledges nor leads, and refuses proposals as not run.
     pub(super) fn on_refused(&mut self, seq: u64) {
-        if !self.pending.iter().any(|p| p.seq == seq) {
+        if !self.disk.pending.iter().any(|p| p.seq == seq) {
             return;
         }
-        self.epoch += 1;
-        self.pending.clear();
-        self.held.clear();
-        self.outbox.clear();
-        self.snapshot_dirty = None;
+        self.disk.epoch += 1;
+        self.disk.pending.clear();
+        self.disk.held.clear();
+        self.disk.outbox.clear();
+        self.disk.snapshot_dirty = None;
         self.installing = false;
         self.incoming = None;
         self.drop_from(self.durable + 1);
         self.commit = self.commit.min(self.log.last().index);
         self.follow(self.hard.term, None);
-        self.hard_dirty = false;
-        self.hard_seq = u64::MAX;
-        self.full_until = Some(self.now + self.config.timing.resend);
+        self.disk.hard_dirty = false;
+        self.disk.hard_seq = u64::MAX;
+        self.disk.full_until = Some(self.now + self.config.timing.resend);
     }
 
     /// Whether a write has been under way for so long that the disk is taken to hang. A leader on
     /// such a disk could send heartbeats for ever and never tell a caller that it committed.
     pub(super) fn disk_hangs(&self) -> bool {
         let most = self.config.timing.election_max;
-        let oldest = self.pending.front();
+        let oldest = self.disk.pending.front();
         oldest.is_some_and(|p| self.now >= p.issued + most)
     }
 
     /// Tries whether the disk takes term and vote again.
     pub(super) fn try_disk(&mut self) {
-        self.full_until = Some(self.now + self.config.timing.resend);
-        if self.pending.is_empty() {
-            self.hard_dirty = true;
+        self.disk.full_until = Some(self.now + self.config.timing.resend);
+        if self.disk.pending.is_empty() {
+            self.disk.hard_dirty = true;
         }
     }
 
     /// Drops the log from `index` on.
     pub(super) fn drop_from(&mut self, index: u64) {
         self.log.truncate(index);
-        self.unsaved = self.unsaved.min(index);
+        self.disk.unsaved = self.disk.unsaved.min(index);
         self.durable = self.durable.min(index.saturating_sub(1));
         let base = self.log.base().index;
         self.members.retain(|(at, _)| *at < index || *at <= base);
--- a/crates/filbertstack-log/src/node/snapshots.rs
+++ b/crates/filbertstack-log/src/node/snapshots.rs
@@ -119,7 +119,8 @@
     /// Keeps the machine's state after `index`.
     pub(super) fn on_snapshot(&mut self, index: u64, data: Bytes) {
         let latest = self.snapshot.as_ref().map_or(0, |s| s.index);
-        let busy = self.installing || self.snapshot_dirty.is_some() || self.full_until.is_some();
+        let busy =
+            self.installing || self.disk.snapshot_dirty.is_some() || self.disk.full_until.is_some();
         let Some(term) = self.log.term(index) else {
             return;
         };
@@ -136,7 +137,7 @@
             cluster: self.hard.cluster,
             data,
         };
-        self.snapshot_dirty = Some((snapshot, false));
+        self.disk.snapshot_dirty = Some((snapshot, false));
     }
 
     /// Creates a group: its first entry is a snapshot, as if a leader of term 1 had sent it.
@@ -148,13 +149,13 @@
         data: Bytes,
     ) {
         let fresh = self.members.is_empty() && self.hard.cluster == 0 && !self.installing;
-        if !fresh || self.full_until.is_some() {
+        if !fresh || self.disk.full_until.is_some() {
             self.answer(ticket, Err(Refusal::Grouped));
             return;
         }
         self.hard.cluster = cluster.0;
         self.hard.term = self.hard.term.max(1);
-        self.hard_dirty = true;
+        self.disk.hard_dirty = true;
         self.installing = true;
         let first = Snapshot {
             index: 1,
@@ -163,7 +164,7 @@
             cluster: cluster.0,
             data,
         };
-        self.snapshot_dirty = Some((first, true));
+        self.disk.snapshot_dirty = Some((first, true));
         self.answer(ticket, Ok(Accepted::Creating));
     }
 
@@ -187,7 +188,7 @@
         self.commit = index;
         self.handed = index;
         self.durable = index;
-        self.unsaved = index + 1;
+        self.disk.unsaved = index + 1;
         self.snapshot = Some(snapshot.clone());
         self.output.restore = Some(snapshot);
         if let Some(leader) = self.leader {
@@ -196,7 +197,7 @@
     }
 
     pub(super) fn on_snapshot_lost(&mut self, seq: u64) {
-        let lost = self.pending.iter_mut().find(|p| p.seq == seq);
+        let lost = self.disk.pending.iter_mut().find(|p| p.seq == seq);
         if let Some(lost) = lost
             && lost.snapshot.take().is_some()
             && lost.install
@@ -234,7 +235,7 @@
             self.incoming = Some(incoming);
         } else if let Some(snapshot) = incoming.decode() {
             self.installing = true;
-            self.snapshot_dirty = Some((snapshot, true));
+            self.disk.snapshot_dirty = Some((snapshot, true));
         }
     }
 
--- a/crates/filbertstack-log/src/replica/core.rs
+++ b/crates/filbertstack-log/src/replica/core.rs
@@ -1,8 +1,6 @@
 //! The thread that runs the protocol and the machine.
 
 use std::sync::Arc;
-use std::sync::Mutex;
-use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 use std::sync::mpsc::Receiver;
 use std::sync::mpsc::RecvTimeoutError;
@@ -11,12 +9,14 @@
 use std::time::Instant;
 use std::time::SystemTime;
 
+use bytes::Bytes;
 use rand::RngExt as _;
 
 use crate::config::Safeguards;
 use crate::ids::ClusterId;
 use crate::ids::NodeId;
 use crate::machine::Machine;
+use crate::membership::Member;
 use crate::membership::Membership;
 use crate::message::Entry;
 use crate::message::EntryKind;
@@ -29,10 +29,10 @@
 use crate::node::NodeConfig;
 use crate::node::Output;
 use crate::node::RoleName;
+use crate::node::Ticket;
 use crate::node::Write;
 use crate::replica::Event;
 use crate::replica::ReplicaSettings;
-use crate::replica::ReplicaStatus;
 use crate::replica::Shared;
 use crate::replica::StartError;
 use crate::replica::Transport;
@@ -85,18 +85,7 @@
             safeguards: Safeguards::default(),
         };
         let node = Node::new(config, memory, Duration::ZERO);
-        let shared = Arc::new(Shared {
-            status: Mutex::new(ReplicaStatus {
-                id,
-                cluster: None,
-                node: node.status(),
-                applied: 0,
-                lease: None,
-                failed: None,
-            }),
-            messages: AtomicUsize::new(0),
-            requests: AtomicUsize::new(0),
-        });
+        let shared = Arc::new(Shared::new(&node));
         Self {
             node,
             settings,
@@ -208,24 +197,28 @@
                 let _ = reply.try_send(Ok(sealed.into()));
             }
             Wanted::Create {
-                mut member,
+                member,
                 wanted,
                 state,
                 reply,
             } => {
-                member.node = self.node.id().0;
                 let ticket = self.waiters.ask(Waiter::Done(reply));
-                let data = state.unwrap_or_else(|| self.machine.snapshot().into());
-                self.step(Input::Create {
-                    ticket,
-                    cluster: ClusterId(rand::rng().random()),
-                    membership: Membership::first(member, wanted),
-                    data,
-                });
+                self.create(ticket, member, wanted, state);
             }
         }
     }
 
+    fn create(&mut self, ticket: Ticket, mut member: Member, wanted: u32, state: Option<Bytes>) {
+        member.node = self.node.id().0;
+        let data = state.unwrap_or_else(|| self.machine.snapshot().into());
+        self.step(Input::Create {
+            ticket,
+            cluster: ClusterId(rand::rng().random()),
+            membership: Membership::first(member, wanted),
+            data,
+        });
+    }
+
     /// Does what the node wants done.
     fn settle(&mut self) -> Result<(), String> {
         let output = self.node.output();
--- a/crates/filbertstack-log/src/replica/mod.rs
+++ b/crates/filbertstack-log/src/replica/mod.rs
@@ -32,6 +32,7 @@
 use crate::membership::Membership;
 use crate::message::Message;
 use crate::node::Input;
+use crate::node::Node;
 use crate::node::NodeStatus;
 use crate::node::Refusal;
 use crate::node::RoleName;
@@ -136,6 +137,22 @@
 }
 
 impl Shared {
+    fn new(node: &Node) -> Self {
+        let status = ReplicaStatus {
+            id: node.id(),
+            cluster: None,
+            node: node.status(),
+            applied: 0,
+            lease: None,
+            failed: None,
+        };
+        Self {
+            status: Mutex::new(status),
+            messages: AtomicUsize::new(0),
+            requests: AtomicUsize::new(0),
+        }
+    }
+
     fn status(&self) -> MutexGuard<'_, ReplicaStatus> {
         self.status.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/crates/filbertstack-log/src/storage/mod.rs
+++ b/crates/filbertstack-log/src/storage/mod.rs
@@ -72,42 +72,32 @@
         files::remove_temporary(&disk)?;
         let node = files::identity(&disk, fresh)?;
         let snapshot = files::read_snapshot(&disk)?;
-        let replay = Replay::read(&disk, node)?;
-        let hard = replay.hard;
-        let mut segments = replay.segments.clone();
-        let frame = replay.next_frame;
-        let tail = replay.tail.clone();
+        let mut replay = Replay::read(&disk, node)?;
         let written = replay.last();
-        let entries = replay.after(snapshot.as_ref())?;
-        let covered = snapshot
-            .as_ref()
-            .map(Snapshot::position)
-            .unwrap_or_default();
-        let last = entries.last().map_or(covered, Entry::position);
-        let number = segments.last().map_or(1, |s| s.number);
-        let file = files::write_whole(&disk, &segment_name(number), &tail)?;
-        if segments.is_empty() {
-            segments.push(Segment { number, last: 0 });
-        }
+        let entries = replay.take_after(snapshot.as_ref())?;
+        let file = files::write_whole(&disk, &replay.newest(), &replay.tail)?;
+        let covered = snapshot.as_ref().map(Snapshot::position);
         let mut storage = Self {
+            disk,
             node,
             file,
-            size: tail.len() as u64,
-            frame,
-            segments,
-            hard,
-            last,
-            snapshot: snapshot.as_ref().map_or(0, |s| s.index),
+            size: replay.tail.len() as u64,
+            frame: replay.next_frame,
+            segments: replay.segments.clone(),
+            hard: replay.hard,
+            last: written,
+            snapshot: covered.map_or(0, |place| place.index),
             refused: 0,
             segment_bytes,
-            disk,
         };
+        let last = entries.last().map(Entry::position).or(covered);
+        storage.last = last.unwrap_or_default();
         // The log ends elsewhere on disk: a snapshot of a leader came in and the log was not reset.
-        if written != last && !storage.reset(last)? {
+        if written != storage.last && !storage.reset(storage.last)? {
             return Err(files::full("reset the log in"));
         }
         let memory = Memory {
-            hard,
+            hard: storage.hard,
             snapshot,
             entries,
         };
--- a/crates/filbertstack-log/src/storage/replay.rs
+++ b/crates/filbertstack-log/src/storage/replay.rs
@@ -143,21 +143,29 @@
         Ok(())
     }
 
+    /// The name of the segment that is written to.
+    pub(super) fn newest(&self) -> String {
+        segment_name(self.segments.last().map_or(1, |s| s.number))
+    }
+
     pub(super) fn last(&self) -> Position {
         self.entries.last().map_or(self.base, Entry::position)
     }
 
-    /// The entries that follow the snapshot.
+    /// Takes the entries that follow the snapshot.
     ///
     /// A log that does not hold the snapshot's last entry is older than the snapshot, or another
     /// leader's: the crash came after the snapshot and before the log was reset.
-    pub(super) fn after(self, snapshot: Option<&Snapshot>) -> Result<Vec<Entry>, StorageError> {
+    pub(super) fn take_after(
+        &mut self,
+        snapshot: Option<&Snapshot>,
+    ) -> Result<Vec<Entry>, StorageError> {
         let place = snapshot.map(Snapshot::position).unwrap_or_default();
         if place.index < self.base.index {
             let index = self.base.index;
             return Err(StorageError::NoSnapshot { index });
         }
-        let mut entries = self.entries;
+        let mut entries = std::mem::take(&mut self.entries);
         let holds = |e: &Entry| e.position() == place;
         if place == self.base || entries.iter().any(holds) {
             entries.retain(|e| e.index > place.index);
