Stand-ins: engine and origin over loopback, thin

The thin path needs an engine that loads weights from a directory and streams answers, and an origin that serves ranges.

- The engine's answer is a pure function of the weights read, the prompt and the token's index.
- tiny_http cannot close one connection within an answer, nor tell that a caller hung up; a byte pipe before it can.
A malformed chunk as the mark of a cut was ruled out: callers would see a protocol error where a crash gives an end of the connection.
- tiny_http leaves Nagle's algorithm on.
Accepted sockets inherit TCP_NODELAY from the listening one, so it is set there (front::set_nodelay); any other tiny_http server that streams small writes needs the same.

--- /dev/null
+++ b/crates/filbertstack-standins/src/engine/shape.rs
@@ -0,0 +1,131 @@
+//! The two forms of an answer: a text completion and a chat message.
+
+use serde::Serialize;
+
+/// Which form an answer takes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Shape {
+    /// `text_completion`
+    Text,
+    /// `chat.completion`
+    Chat,
+}
+
+/// The tokens that a request took.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+pub struct Usage {
+    /// The prompt's, counted in words.
+    #[serde(rename = "prompt_tokens")]
+    pub prompt: usize,
+    /// The answer's.
+    #[serde(rename = "completion_tokens")]
+    pub answer: usize,
+    /// Both.
+    #[serde(rename = "total_tokens")]
+    pub total: usize,
+}
+
+/// One answer or event.
+#[derive(Clone, Debug, Serialize)]
+pub struct Body<'a> {
+    id: &'a str,
+    object: &'static str,
+    created: u64,
+    model: &'a str,
+    choices: Vec<Choice<'a>>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    usage: Option<Usage>,
+}
+
+#[derive(Clone, Debug, Serialize)]
+struct Choice<'a> {
+    index: u32,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    text: Option<&'a str>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    message: Option<Content<'a>>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    delta: Option<Content<'a>>,
+    finish_reason: Option<&'static str>,
+}
+
+#[derive(Clone, Debug, Default, Serialize)]
+struct Content<'a> {
+    #[serde(skip_serializing_if = "Option::is_none")]
+    role: Option<&'static str>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    content: Option<&'a str>,
+}
+
+/// Every answer ends because it has its `max_tokens`.
+const FINISH: &str = "length";
+
+impl Shape {
+    fn body<'a>(self, id: &'a str, model: &'a str, part: bool, choice: Choice<'a>) -> Body<'a> {
+        let object = match (self, part) {
+            (Self::Text, _) => "text_completion",
+            (Self::Chat, false) => "chat.completion",
+            (Self::Chat, true) => "chat.completion.chunk",
+        };
+        Body {
+            id,
+            object,
+            // Left at zero, so that two runs of a request give the same bytes.
+            created: 0,
+            model,
+            choices: vec![choice],
+            usage: None,
+        }
+    }
+
+    /// A whole answer.
+    pub fn whole<'a>(self, id: &'a str, model: &'a str, text: &'a str, usage: Usage) -> Body<'a> {
+        let message = Content {
+            role: Some("assistant"),
+            content: Some(text),
+        };
+        let chat = self == Self::Chat;
+        let choice = Choice {
+            index: 0,
+            text: (!chat).then_some(text),
+            message: chat.then_some(message),
+            delta: None,
+            finish_reason: Some(FINISH),
+        };
+        let mut body = self.body(id, model, false, choice);
+        body.usage = Some(usage);
+        body
+    }
+
+    /// The event of one token.
+    pub fn token<'a>(self, id: &'a str, model: &'a str, text: &'a str) -> Body<'a> {
+        let delta = Content {
+            role: None,
+            content: Some(text),
+        };
+        let chat = self == Self::Chat;
+        let choice = Choice {
+            index: 0,
+            text: (!chat).then_some(text),
+            message: None,
+            delta: chat.then_some(delta),
+            finish_reason: None,
+        };
+        self.body(id, model, true, choice)
+    }
+
+    /// The event behind the last token.
+    pub fn last<'a>(self, id: &'a str, model: &'a str, usage: Option<Usage>) -> Body<'a> {
+        let chat = self == Self::Chat;
+        let choice = Choice {
+            index: 0,
+            text: (!chat).then_some(""),
+            message: None,
+            delta: chat.then(Content::default),
+            finish_reason: Some(FINISH),
+        };
+        let mut body = self.body(id, model, true, choice);
+        body.usage = usage;
+        body
+    }
+}
--- a/crates/filbertstack-standins/src/lib.rs
+++ b/crates/filbertstack-standins/src/lib.rs
@@ -1,1 +1,21 @@
 //! Small stand-ins for engines, origins, weight stores and plain services, for the demo and tests.
+//!
+//! Each stand-in is a guard: `start` binds a loopback address and serves from threads of its own,
+//! dropping it stops them and closes every connection. [`engine::Engine`] speaks the OpenAI HTTP
+//! API, [`origin::Origin`] serves files by HTTP ranges. What an engine answers is a pure function
+//! of the weights that it read, the prompt and the token's index ([`answer`]), so that a caller
+//! can check every answer byte for byte.
+
+pub mod answer;
+pub mod engine;
+pub mod error;
+pub mod front;
+pub mod http;
+pub mod origin;
+pub mod runs;
+
+pub use engine::Engine;
+pub use engine::EngineConfig;
+pub use error::StandinError;
+pub use origin::Origin;
+pub use origin::OriginConfig;
