Stand-ins: rate-limited origin and store, plain service, processes of their own

The origin shares one token bucket among all connections, serves ranges with ETag, If-Match and If-Range, and corrupts, shifts, cuts, stalls or refuses the next so many answers. The store is the same with PUT.

A wall-clock lower bound as proof of the rate was ruled out; a link of a byte a second with a burst of one piece shows it by the counts.

--- /dev/null
+++ b/crates/filbertstack-standins/src/files.rs
@@ -0,0 +1,415 @@
+//! What an origin and a weight store share: files served by ranges, uploads, a common rate limit,
+//! counts and faults.
+
+use std::collections::BTreeMap;
+use std::fs;
+use std::fs::File;
+use std::io;
+use std::io::Read;
+use std::io::Seek;
+use std::io::SeekFrom;
+use std::io::Write;
+use std::ops::Range;
+use std::path::Component;
+use std::path::Path;
+use std::path::PathBuf;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
+use std::time::UNIX_EPOCH;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::bucket::Bucket;
+use crate::http::Call;
+use crate::http::Handler;
+use crate::http::RawWriter;
+use crate::http::Reply;
+
+/// The largest piece sent between two looks at the bucket.
+const MAX_PIECE: u64 = 64 * 1024;
+
+/// The smallest piece, so that a slow link is not all overhead.
+const MIN_PIECE: u64 = 1024;
+
+/// Pieces in a second at the least, so that connections share the link evenly.
+const PIECES: u64 = 50;
+
+/// The most paths that are counted each.
+const MAX_PATHS: usize = 100_000;
+
+/// How often a stalled answer looks whether its caller is still there.
+const LOOK: Duration = Duration::from_millis(20);
+
+/// A rate in bytes a second that all connections share.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Rate {
+    /// Bytes a second.
+    pub bytes: u64,
+    /// Bytes that may go out at once after a pause.
+    pub burst: u64,
+}
+
+/// What a file server does wrong, each to the next so many answers.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct FileFaults {
+    /// One byte in the middle is flipped.
+    pub corrupt: u32,
+    /// The bytes of another range come under the right header.
+    pub shift: u32,
+    /// The connection ends half way.
+    pub cut: u32,
+    /// Nothing more comes after half of it; the connection stays open.
+    pub stall: u32,
+    /// The answer is 503.
+    pub refuse: u32,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Fault {
+    Corrupt,
+    Shift,
+    Cut,
+    Stall,
+    Refuse,
+}
+
+impl FileFaults {
+    /// The fault of the next answer, which is used up by this.
+    fn draw(&mut self) -> Option<Fault> {
+        let kinds = [
+            (&mut self.corrupt, Fault::Corrupt),
+            (&mut self.shift, Fault::Shift),
+            (&mut self.cut, Fault::Cut),
+            (&mut self.stall, Fault::Stall),
+            (&mut self.refuse, Fault::Refuse),
+        ];
+        let (left, fault) = kinds.into_iter().find(|(left, _)| **left > 0)?;
+        *left -= 1;
+        Some(fault)
+    }
+}
+
+/// What was sent of one path.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PathStats {
+    /// Answers begun.
+    pub requests: u64,
+    /// Body bytes sent.
+    pub bytes: u64,
+}
+
+/// What was sent in all; the answer to `GET /stats`.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct FileStats {
+    /// Answers begun.
+    pub requests: u64,
+    /// Body bytes sent.
+    pub bytes: u64,
+    /// Body bytes taken by uploads.
+    pub uploaded: u64,
+    /// By path.
+    pub paths: BTreeMap<String, PathStats>,
+}
+
+/// The files of a directory.
+pub struct Files {
+    dir: PathBuf,
+    uploads: bool,
+    piece: u64,
+    begin: Instant,
+    bucket: Option<Mutex<Bucket>>,
+    stats: Mutex<FileStats>,
+    faults: Mutex<FileFaults>,
+    parts: AtomicU64,
+}
+
+impl Files {
+    /// Serves `dir`; takes uploads too if `uploads` is set.
+    pub fn new(dir: PathBuf, uploads: bool, rate: Option<Rate>, faults: FileFaults) -> Self {
+        let piece = rate.map_or(MAX_PIECE, |rate| rate.bytes / PIECES);
+        let bucket = rate.map(|rate| Mutex::new(Bucket::new(rate.bytes, rate.burst)));
+        Self {
+            dir,
+            uploads,
+            piece: piece.clamp(MIN_PIECE, MAX_PIECE),
+            begin: Instant::now(),
+            bucket,
+            stats: Mutex::default(),
+            faults: Mutex::new(faults),
+            parts: AtomicU64::new(0),
+        }
+    }
+
+    /// What was sent so far.
+    pub fn stats(&self) -> FileStats {
+        let stats = self.stats.lock().unwrap_or_else(PoisonError::into_inner);
+        stats.clone()
+    }
+
+    /// Sets what goes wrong from now on.
+    pub fn set_faults(&self, faults: FileFaults) {
+        *self.faults.lock().unwrap_or_else(PoisonError::into_inner) = faults;
+    }
+
+    fn draw_fault(&self) -> Option<Fault> {
+        let mut faults = self.faults.lock().unwrap_or_else(PoisonError::into_inner);
+        faults.draw()
+    }
+
+    /// Waits until `bytes` may pass.
+    fn throttle(&self, bytes: u64) {
+        let Some(bucket) = &self.bucket else { return };
+        let wait = {
+            let mut bucket = bucket.lock().unwrap_or_else(PoisonError::into_inner);
+            bucket.take(self.begin.elapsed(), bytes)
+        };
+        thread::sleep(wait);
+    }
+
+    fn count(&self, path: &str, requests: u64, bytes: u64) {
+        let mut stats = self.stats.lock().unwrap_or_else(PoisonError::into_inner);
+        stats.requests += requests;
+        stats.bytes += bytes;
+        let known = stats.paths.contains_key(path);
+        if known || stats.paths.len() < MAX_PATHS {
+            let entry = stats.paths.entry(path.to_owned()).or_default();
+            entry.requests += requests;
+            entry.bytes += bytes;
+        }
+    }
+
+    /// Finds what a GET asks for.
+    fn open(&self, call: &Call) -> Result<Part, Reply> {
+        let missing = || Reply::error(404, "not_found", "no such file");
+        let path = resolve(&self.dir, call.path()).ok_or_else(missing)?;
+        let file = File::open(path).map_err(|_| missing())?;
+        let meta = file.metadata().map_err(|_| missing())?;
+        if !meta.is_file() {
+            return Err(missing());
+        }
+        let part = Part {
+            length: meta.len(),
+            tag: etag(&meta),
+            file,
+            range: 0..meta.len(),
+            whole: true,
+        };
+        part.narrow(call)
+    }
+
+    fn get(&self, call: Call) {
+        let fault = self.draw_fault();
+        if fault == Some(Fault::Refuse) {
+            let refusal = Reply::text(503, "refused by an injected fault");
+            return call.reply(refusal.with("Retry-After", "1"));
+        }
+        match self.open(&call) {
+            Err(refusal) => call.reply(refusal),
+            // An error means that the caller is gone.
+            Ok(part) => drop(self.send(call, part, fault)),
+        }
+    }
+
+    /// Sends a range piece by piece at the common rate.
+    fn send(&self, call: Call, mut part: Part, fault: Option<Fault>) -> io::Result<()> {
+        let path = call.path().to_owned();
+        self.count(&path, 1, 0);
+        let range = part.range.clone();
+        let length = usize::try_from(range.end - range.start).unwrap_or(usize::MAX);
+        let status = if part.whole { 200 } else { 206 };
+        let mut writer = call.raw(status, length, &part.headers())?;
+        let middle = range.start + (range.end - range.start) / 2;
+        let ends_early = matches!(fault, Some(Fault::Cut | Fault::Stall));
+        let end = if ends_early { middle } else { range.end };
+        let mut at = range.start;
+        while at < end {
+            let length = self.piece.min(end - at);
+            let mut bytes = part.read(at, length, fault == Some(Fault::Shift))?;
+            if fault == Some(Fault::Corrupt) && (at..at + length).contains(&middle) {
+                flip(&mut bytes, middle - at);
+            }
+            self.throttle(length);
+            // Counted first, so that no reader holds a byte that is not in the counts yet.
+            self.count(&path, 0, length);
+            writer.write_all(&bytes)?;
+            writer.flush()?;
+            at += length;
+        }
+        if fault == Some(Fault::Stall) {
+            wait_until_gone(&writer);
+        }
+        Ok(())
+    }
+
+    /// Takes an upload into a temporary file and renames it, so that no reader sees a part.
+    fn put(&self, call: &mut Call) -> Reply {
+        let Some(path) = resolve(&self.dir, call.path()) else {
+            return Reply::error(400, "invalid_request_error", "not a path of a file");
+        };
+        let number = self.parts.fetch_add(1, Ordering::Relaxed);
+        let temporary = self.dir.join(format!(".upload-{number}"));
+        match self.store(call, &path, &temporary) {
+            Ok(()) => Reply::text(201, "stored"),
+            Err(error) => {
+                // Nothing is left of it if the file was never made.
+                let _ = fs::remove_file(&temporary);
+                Reply::error(500, "io_error", error.to_string())
+            }
+        }
+    }
+
+    fn store(&self, call: &mut Call, path: &Path, temporary: &Path) -> io::Result<()> {
+        if let Some(parent) = path.parent() {
+            fs::create_dir_all(parent)?;
+        }
+        let mut file = File::create(temporary)?;
+        let expected: Option<u64> = call.header("Content-Length").and_then(|n| n.parse().ok());
+        let mut taken = 0;
+        let mut piece = vec![0; usize::try_from(self.piece).unwrap_or(1024)];
+        let mut reader = call.reader();
+        loop {
+            let read = reader.read(&mut piece)?;
+            if read == 0 {
+                break;
+            }
+            self.throttle(read as u64);
+            file.write_all(&piece[..read])?;
+            taken += read as u64;
+        }
+        if expected.is_some_and(|expected| expected != taken) {
+            return Err(io::ErrorKind::UnexpectedEof.into());
+        }
+        fs::rename(temporary, path)?;
+        let mut stats = self.stats.lock().unwrap_or_else(PoisonError::into_inner);
+        stats.uploaded += taken;
+        Ok(())
+    }
+}
+
+impl Handler for Files {
+    fn handle(&self, mut call: Call) {
+        let path = call.path().to_owned();
+        match (call.method(), path.as_str()) {
+            ("GET", "/stats") => call.reply(Reply::json(200, &self.stats())),
+            ("POST", "/admin/faults") => {
+                let set = call.json().map(|faults| {
+                    self.set_faults(faults);
+                    Reply::json(200, &faults)
+                });
+                call.reply(set.unwrap_or_else(|refusal| refusal));
+            }
+            ("GET", _) => self.get(call),
+            ("PUT", _) if self.uploads => {
+                let reply = self.put(&mut call);
+                call.reply(reply);
+            }
+            _ => call.reply(Reply::error(405, "not_allowed", "GET a file")),
+        }
+    }
+}
+
+fn wait_until_gone(writer: &RawWriter) {
+    while !writer.gone() {
+        thread::sleep(LOOK);
+    }
+}
+
+fn flip(bytes: &mut [u8], at: u64) {
+    let at = usize::try_from(at).unwrap_or(0);
+    if let Some(byte) = bytes.get_mut(at) {
+        *byte ^= 0xff;
+    }
+}
+
+/// A range of an open file, which stays the same while a rename puts another version in its place.
+struct Part {
+    file: File,
+    length: u64,
+    tag: String,
+    range: Range<u64>,
+    whole: bool,
+}
+
+impl Part {
+    /// Narrows to the range that the call asks for.
+    fn narrow(mut self, call: &Call) -> Result<Self, Reply> {
+        if call.header("If-Match").is_some_and(|tag| tag != self.tag) {
+            return Err(Reply::text(412, "the file has changed").with("ETag", self.tag));
+        }
+        let fresh = call.header("If-Range").is_none_or(|tag| tag == self.tag);
+        let Some(asked) = call.header("Range").filter(|_| fresh) else {
+            return Ok(self);
+        };
+        let Some(range) = parse_range(asked, self.length) else {
+            let refusal = Reply::text(416, "the range is not in the file");
+            return Err(refusal.with("Content-Range", format!("bytes */{}", self.length)));
+        };
+        self.range = range;
+        self.whole = false;
+        Ok(self)
+    }
+
+    /// Reads `length` bytes at `at`, or those one further on if `shifted`.
+    fn read(&mut self, at: u64, length: u64, shifted: bool) -> io::Result<Vec<u8>> {
+        let mut bytes = vec![0; usize::try_from(length).unwrap_or(0)];
+        if !shifted {
+            self.file.seek(SeekFrom::Start(at))?;
+            self.file.read_exact(&mut bytes)?;
+            return Ok(bytes);
+        }
+        self.file.seek(SeekFrom::Start(at + 1))?;
+        // Past the end of the file there are zeros.
+        (&self.file).chain(io::repeat(0)).read_exact(&mut bytes)?;
+        Ok(bytes)
+    }
+
+    fn headers(&self) -> Vec<(&'static str, String)> {
+        let mut headers = vec![
+            ("ETag", self.tag.clone()),
+            ("Accept-Ranges", "bytes".to_owned()),
+        ];
+        if !self.whole {
+            let (first, last) = (self.range.start, self.range.end - 1);
+            let value = format!("bytes {first}-{last}/{}", self.length);
+            headers.push(("Content-Range", value));
+        }
+        headers
+    }
+}
+
+/// Changes with the file's length and time of change, as common servers have it.
+fn etag(meta: &fs::Metadata) -> String {
+    let changed = meta.modified().ok();
+    let since = changed.and_then(|time| time.duration_since(UNIX_EPOCH).ok());
+    let nanos = since.unwrap_or_default().as_nanos();
+    format!("\"{nanos:x}-{:x}\"", meta.len())
+}
+
+/// The file that a URL's path names, if it stays below `dir`.
+fn resolve(dir: &Path, url: &str) -> Option<PathBuf> {
+    let below = Path::new(url.trim_start_matches('/'));
+    let plain = |part| matches!(part, Component::Normal(_));
+    let within = !url.contains('%') && below.components().all(plain);
+    within.then(|| dir.join(below))
+}
+
+/// Reads `bytes=a-b`, `bytes=a-` or `bytes=-n`; `None` if it is not within `length`.
+pub fn parse_range(text: &str, length: u64) -> Option<Range<u64>> {
+    let (first, last) = text.strip_prefix("bytes=")?.split_once('-')?;
+    let range = match (first, last) {
+        ("", tail) => length.saturating_sub(tail.parse().ok()?)..length,
+        (first, "") => first.parse().ok()?..length,
+        (first, last) => {
+            let end: u64 = last.parse().ok()?;
+            first.parse().ok()?..end.saturating_add(1).min(length)
+        }
+    };
+    (range.start < range.end).then_some(range)
+}
--- a/crates/filbertstack-standins/src/lib.rs
+++ b/crates/filbertstack-standins/src/lib.rs
@@ -7,15 +7,27 @@
 //! can check every answer byte for byte.
 
 pub mod answer;
+pub mod bucket;
 pub mod engine;
 pub mod error;
+pub mod files;
 pub mod front;
 pub mod http;
 pub mod origin;
+pub mod process;
 pub mod runs;
+pub mod service;
+pub mod store;
 
 pub use engine::Engine;
 pub use engine::EngineConfig;
 pub use error::StandinError;
+pub use files::FileFaults;
+pub use files::FileStats;
+pub use files::Rate;
 pub use origin::Origin;
 pub use origin::OriginConfig;
+pub use runs::Runs;
+pub use service::Service;
+pub use service::ServiceConfig;
+pub use store::Store;
--- a/crates/filbertstack-standins/tests/common/mod.rs
+++ b/crates/filbertstack-standins/tests/common/mod.rs
@@ -87,3 +87,19 @@
     }
     Answer(request.call().unwrap())
 }
+
+pub fn put(addr: &SocketAddr, path: &str, body: &[u8]) -> Answer {
+    let request = agent().put(format!("http://{addr}{path}"));
+    Answer(request.send(body).unwrap())
+}
+
+/// Polls until `done`; the bound only ends a test that would hang.
+pub fn wait_until(what: &str, mut done: impl FnMut() -> bool) {
+    for _ in 0..6_000 {
+        if done() {
+            return;
+        }
+        std::thread::sleep(std::time::Duration::from_millis(5));
+    }
+    panic!("never came: {what}");
+}
