Telemetry: logs by spdlog-rs, metrics by opentelemetry, spans for each hop

Settings come from [telemetry], with every problem by file and line. Logs are text or JSON lines with role and instance. Metrics are typed instruments in one place, read as Prometheus text.

--- /dev/null
+++ b/crates/filbertstack-telemetry/src/error.rs
@@ -0,0 +1,41 @@
+//! What can go wrong while telemetry starts.
+
+use std::io;
+use std::path::PathBuf;
+
+use thiserror::Error;
+
+/// Telemetry that cannot start.
+#[derive(Debug, Error)]
+pub enum TelemetryError {
+    /// The log file cannot be opened.
+    #[error("cannot open the log file {path}: {source}; correct 'log-file' in [telemetry]")]
+    LogFile {
+        /// The path.
+        path: PathBuf,
+        /// The cause.
+        source: Box<spdlog::Error>,
+    },
+    /// The logger cannot be built.
+    #[error("cannot build the logger: {0}; use an instance name of letters, digits and '-'")]
+    Logger(#[source] Box<spdlog::Error>),
+    /// The trace file cannot be opened.
+    #[error("cannot open the trace file {path}: {source}; correct 'trace-file' in [telemetry]")]
+    TraceFile {
+        /// The path.
+        path: PathBuf,
+        /// The cause.
+        source: io::Error,
+    },
+    /// The exporter refuses its endpoint.
+    #[error("cannot send traces to {endpoint}: {cause}; correct 'trace-endpoint' in [telemetry]")]
+    Endpoint {
+        /// The endpoint.
+        endpoint: String,
+        /// The cause.
+        cause: String,
+    },
+    /// The metrics reader cannot be built.
+    #[error("cannot build the metrics reader: {0}; report this as a defect")]
+    Metrics(String),
+}
--- /dev/null
+++ b/crates/filbertstack-telemetry/src/logs.rs
@@ -0,0 +1,229 @@
+//! Logs: lines for people or JSON, each with the process's role and instance.
+//!
+//! [`Logs::make_default`] makes the logger the one that the macros of `spdlog` write to. Lines
+//! about one request go through a [`RequestLog`], which adds the request's fields.
+
+use std::fmt;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::UNIX_EPOCH;
+
+use serde::Serialize;
+use serde::Serializer;
+use serde::ser::SerializeMap;
+use spdlog::Level;
+use spdlog::LevelFilter;
+use spdlog::Logger;
+use spdlog::Record;
+use spdlog::StringBuf;
+use spdlog::formatter::Formatter;
+use spdlog::formatter::FormatterContext;
+use spdlog::formatter::PatternFormatter;
+use spdlog::formatter::pattern;
+use spdlog::kv::KeyValues;
+use spdlog::sink::FileSink;
+use spdlog::sink::Sink;
+use spdlog::sink::StdStream;
+use spdlog::sink::StdStreamSink;
+use spdlog::terminal_style::StyleMode;
+
+use crate::error::TelemetryError;
+use crate::identity::Identity;
+use crate::settings::LogFormat;
+use crate::settings::TelemetrySettings;
+
+/// How long a line may stay in the buffer of a log file.
+const FLUSH_PERIOD: Duration = Duration::from_secs(1);
+
+/// The process's logger; dropping it flushes.
+pub struct Logs {
+    logger: Arc<Logger>,
+}
+
+impl Logs {
+    /// Opens the log that the settings name.
+    ///
+    /// # Errors
+    /// [`TelemetryError::LogFile`] and [`TelemetryError::Logger`].
+    pub fn start(
+        settings: &TelemetrySettings,
+        identity: &Identity,
+    ) -> Result<Self, TelemetryError> {
+        let sink = open_sink(settings)?;
+        match settings.format {
+            LogFormat::Json => sink.set_formatter(Box::new(JsonLines::new(identity))),
+            LogFormat::Text => sink.set_formatter(Box::new(text_lines())),
+        }
+        let failed = |e| TelemetryError::Logger(Box::new(e));
+        let logger = Logger::builder()
+            .name(format!("{} {}", identity.role, identity.instance))
+            .level_filter(LevelFilter::MoreSevereEqual(settings.level))
+            .flush_level_filter(LevelFilter::MoreSevereEqual(Level::Warn))
+            .sink(sink)
+            .build_arc()
+            .map_err(failed)?;
+        logger.set_flush_period(Some(FLUSH_PERIOD));
+        Ok(Self { logger })
+    }
+
+    /// Makes it the logger that the macros of `spdlog` write to.
+    pub fn make_default(&self) {
+        spdlog::set_default_logger(self.logger.clone());
+    }
+
+    /// The logger, for `info!(logger: ...)`.
+    pub fn logger(&self) -> &Arc<Logger> {
+        &self.logger
+    }
+}
+
+impl Drop for Logs {
+    fn drop(&mut self) {
+        self.logger.set_flush_period(None);
+        self.logger.flush();
+    }
+}
+
+fn open_sink(settings: &TelemetrySettings) -> Result<Arc<dyn Sink>, TelemetryError> {
+    let Some(path) = &settings.log_file else {
+        let sink = StdStreamSink::builder()
+            .std_stream(StdStream::Stderr)
+            .style_mode(StyleMode::Never)
+            .build_arc();
+        return Ok(sink.map_err(|e| TelemetryError::Logger(Box::new(e)))?);
+    };
+    let sink = FileSink::builder().path(path).truncate(false).build_arc();
+    Ok(sink.map_err(|e| TelemetryError::LogFile {
+        path: path.clone(),
+        source: Box::new(e),
+    })?)
+}
+
+fn text_lines() -> impl Formatter {
+    PatternFormatter::new(pattern!(
+        "{date} {time}.{millisecond} {tz_offset} {level} {logger} {payload} {kv}{eol}"
+    ))
+}
+
+/// Formats records as JSON objects, one a line.
+#[derive(Clone)]
+struct JsonLines {
+    role: &'static str,
+    instance: Arc<str>,
+}
+
+impl JsonLines {
+    fn new(identity: &Identity) -> Self {
+        Self {
+            role: identity.role.as_str(),
+            instance: identity.instance.clone(),
+        }
+    }
+}
+
+#[derive(Serialize)]
+struct Line<'a> {
+    /// Milliseconds since 1970, UTC.
+    timestamp: u128,
+    level: &'static str,
+    role: &'static str,
+    instance: &'a str,
+    message: &'a str,
+    fields: Fields<'a>,
+}
+
+struct Fields<'a>(KeyValues<'a>);
+
+impl Serialize for Fields<'_> {
+    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        let mut map = serializer.serialize_map(Some(self.0.len()))?;
+        for (key, value) in self.0.iter() {
+            map.serialize_entry(key.as_str(), &value)?;
+        }
+        map.end()
+    }
+}
+
+impl Formatter for JsonLines {
+    fn format(
+        &self,
+        record: &Record,
+        dest: &mut StringBuf,
+        _: &mut FormatterContext,
+    ) -> spdlog::Result<()> {
+        let since = record.time().duration_since(UNIX_EPOCH);
+        let line = Line {
+            timestamp: since.unwrap_or_default().as_millis(),
+            level: record.level().as_str(),
+            role: self.role,
+            instance: &self.instance,
+            message: record.payload(),
+            fields: Fields(record.key_values()),
+        };
+        let json = serde_json::to_string(&line);
+        let json = json.map_err(|e| spdlog::Error::SerializeRecord(e.into()))?;
+        let written = fmt::Write::write_fmt(dest, format_args!("{json}\n"));
+        written.map_err(spdlog::Error::FormatRecord)
+    }
+}
+
+/// Logs lines about one request, each with its fields.
+#[derive(Clone, Debug)]
+pub struct RequestLog {
+    logger: Arc<Logger>,
+    /// The request's id.
+    pub request: Arc<str>,
+    /// The caller's organisation; empty before it is known.
+    pub organisation: Arc<str>,
+    /// The trace's id; empty if the request is not traced.
+    pub trace: Arc<str>,
+}
+
+impl RequestLog {
+    /// Logs through the default logger.
+    pub fn new(request: impl Into<Arc<str>>) -> Self {
+        Self::with_logger(spdlog::default_logger(), request)
+    }
+
+    /// Logs through `logger`.
+    pub fn with_logger(logger: Arc<Logger>, request: impl Into<Arc<str>>) -> Self {
+        Self {
+            logger,
+            request: request.into(),
+            organisation: "".into(),
+            trace: "".into(),
+        }
+    }
+
+    /// Logs `message` with the request's fields.
+    pub fn log(&self, level: Level, message: &str) {
+        let (request, organisation) = (self.request.as_ref(), self.organisation.as_ref());
+        let trace = self.trace.as_ref();
+        spdlog::log!(
+            logger: self.logger,
+            level,
+            "{message}",
+            kv: { request, organisation, trace }
+        );
+    }
+
+    /// Logs for operators who look into a request.
+    pub fn debug(&self, message: &str) {
+        self.log(Level::Debug, message);
+    }
+
+    /// Logs what is worth a line each time.
+    pub fn info(&self, message: &str) {
+        self.log(Level::Info, message);
+    }
+
+    /// Logs what went wrong and was dealt with.
+    pub fn warn(&self, message: &str) {
+        self.log(Level::Warn, message);
+    }
+
+    /// Logs what went wrong for the caller.
+    pub fn error(&self, message: &str) {
+        self.log(Level::Error, message);
+    }
+}
--- /dev/null
+++ b/crates/filbertstack-telemetry/src/settings.rs
@@ -0,0 +1,201 @@
+//! The `[telemetry]` section of a settings file.
+
+use std::fmt;
+use std::path::Path;
+use std::path::PathBuf;
+use std::str::FromStr;
+
+use filbertstack_core::ValueError;
+use filbertstack_core::ini::Document;
+use filbertstack_core::ini::Problems;
+use filbertstack_core::ini::Section;
+use spdlog::Level;
+use thiserror::Error;
+
+/// The form of a log line.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum LogFormat {
+    /// For people.
+    #[default]
+    Text,
+    /// One JSON object a line.
+    Json,
+}
+
+impl FromStr for LogFormat {
+    type Err = ValueError;
+
+    fn from_str(text: &str) -> Result<Self, ValueError> {
+        match text {
+            "text" => Ok(Self::Text),
+            "json" => Ok(Self::Json),
+            _ => Err(ValueError::Choice {
+                text: text.into(),
+                allowed: "text or json",
+            }),
+        }
+    }
+}
+
+/// A value of `[telemetry]` that does not read.
+#[derive(Clone, Debug, PartialEq, Eq, Error)]
+pub enum SettingError {
+    /// A share that is no number from 0 to 1.
+    #[error("'{0}' is not a share of requests: write a number from 0 to 1, such as 0.05")]
+    Sample(String),
+    /// An endpoint that is no plain HTTP URL.
+    #[error(
+        "'{0}' is not an endpoint: write http://ADDRESS:PORT of a collector, without TLS, \
+         such as http://127.0.0.1:4318"
+    )]
+    Endpoint(String),
+    /// A file in a directory that is not there.
+    #[error("the directory of '{0}' does not exist: create it or correct the path")]
+    Directory(String),
+}
+
+/// The share of requests that are traced, from 0 to 1.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Sample(f64);
+
+impl Sample {
+    /// Every request.
+    pub const ALL: Self = Self(1.0);
+
+    /// The share.
+    pub const fn share(self) -> f64 {
+        self.0
+    }
+}
+
+impl FromStr for Sample {
+    type Err = SettingError;
+
+    fn from_str(text: &str) -> Result<Self, SettingError> {
+        let share: Option<f64> = text.parse().ok();
+        let fits = share.filter(|share| (0.0..=1.0).contains(share));
+        fits.map(Self)
+            .ok_or_else(|| SettingError::Sample(text.into()))
+    }
+}
+
+/// The URL that spans are sent to.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Endpoint(String);
+
+/// The path that OTLP over HTTP gives traces.
+const TRACES_PATH: &str = "/v1/traces";
+
+impl Endpoint {
+    /// The URL with its path.
+    pub fn as_str(&self) -> &str {
+        &self.0
+    }
+}
+
+impl fmt::Display for Endpoint {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.0)
+    }
+}
+
+impl FromStr for Endpoint {
+    type Err = SettingError;
+
+    fn from_str(text: &str) -> Result<Self, SettingError> {
+        let wrong = || SettingError::Endpoint(text.into());
+        let uri: http::Uri = text.parse().map_err(|_| wrong())?;
+        if uri.scheme_str() != Some("http") || uri.host().is_none() {
+            return Err(wrong());
+        }
+        if uri.path() == "/" {
+            return Ok(Self(format!("{}{TRACES_PATH}", text.trim_end_matches('/'))));
+        }
+        Ok(Self(text.to_owned()))
+    }
+}
+
+/// What `[telemetry]` sets; every key may be left out.
+#[derive(Clone, Debug, PartialEq)]
+pub struct TelemetrySettings {
+    /// `log-level`: the least level that is logged.
+    pub level: Level,
+    /// `log-format`
+    pub format: LogFormat,
+    /// `log-file`: the file that logs are appended to; standard error without it.
+    pub log_file: Option<PathBuf>,
+    /// `trace-file`: the file that spans are appended to, one JSON object a line.
+    pub trace_file: Option<PathBuf>,
+    /// `trace-endpoint`: the collector that spans are sent to by OTLP over HTTP.
+    pub endpoint: Option<Endpoint>,
+    /// `trace-sample`: the share of requests that are traced when the caller does not say.
+    pub sample: Sample,
+}
+
+impl Default for TelemetrySettings {
+    fn default() -> Self {
+        Self {
+            level: Level::Info,
+            format: LogFormat::default(),
+            log_file: None,
+            trace_file: None,
+            endpoint: None,
+            sample: Sample::ALL,
+        }
+    }
+}
+
+impl TelemetrySettings {
+    /// Takes `[telemetry]` out of a document; the defaults if it is not there.
+    pub fn take(document: &mut Document, problems: &mut Problems) -> Self {
+        let section = document.take("telemetry");
+        section.map_or_else(Self::default, |section| Self::read(section, problems))
+    }
+
+    /// Reads the section and reports every problem in it.
+    pub fn read(mut section: Section, problems: &mut Problems) -> Self {
+        let defaults = Self::default();
+        let level = section.read_with("log-level", problems, parse_level);
+        let format = section.read("log-format", problems);
+        let log_file = section.read_with("log-file", problems, parse_file);
+        let trace_file = section.read_with("trace-file", problems, parse_file);
+        let endpoint = section.read("trace-endpoint", problems);
+        let sample = section.read("trace-sample", problems);
+        if trace_file.is_some() && endpoint.is_some() {
+            let what = "[telemetry] has both trace-file and trace-endpoint: keep one of them";
+            problems.0.push(section.problem(section.line, what));
+        }
+        section.finish(problems);
+        Self {
+            level: level.unwrap_or(defaults.level),
+            format: format.unwrap_or_default(),
+            log_file,
+            trace_file,
+            endpoint,
+            sample: sample.unwrap_or(defaults.sample),
+        }
+    }
+}
+
+fn parse_level(text: &str) -> Result<Level, ValueError> {
+    match text {
+        "error" => Ok(Level::Error),
+        "warn" => Ok(Level::Warn),
+        "info" => Ok(Level::Info),
+        "debug" => Ok(Level::Debug),
+        "trace" => Ok(Level::Trace),
+        _ => Err(ValueError::Choice {
+            text: text.into(),
+            allowed: "error, warn, info, debug or trace",
+        }),
+    }
+}
+
+fn parse_file(text: &str) -> Result<PathBuf, SettingError> {
+    let path = Path::new(text);
+    let parent = path.parent().filter(|dir| !dir.as_os_str().is_empty());
+    if parent.is_some_and(|dir| !dir.is_dir()) {
+        return Err(SettingError::Directory(text.into()));
+    }
+    Ok(path.into())
+}
--- /dev/null
+++ b/crates/filbertstack-telemetry/tests/metrics.rs
@@ -0,0 +1,42 @@
+//! Metrics as Prometheus text.
+
+use std::time::Duration;
+
+use filbertstack_telemetry::Identity;
+use filbertstack_telemetry::Metrics;
+use filbertstack_telemetry::Role;
+use filbertstack_telemetry::metrics::instrument::MAX_VALUES;
+
+fn metrics() -> Metrics {
+    Metrics::new(&Identity::new(Role::Entry, "van-a-1")).unwrap()
+}
+
+#[test]
+fn what_was_measured_is_rendered() {
+    let metrics = metrics();
+    metrics.entry.requests.add("ran", 2);
+    metrics.entry.requests.add("not-run", 1);
+    metrics.entry.queued.set(4);
+    metrics.entry.queued.set(3);
+    metrics.agent.gate.add("old-fence", 1);
+    metrics.weights.fetched.add("peer", 1 << 20);
+    metrics.control.sync.record(Duration::from_millis(3));
+    metrics.control.sync.record(Duration::from_millis(60));
+    insta::assert_snapshot!(metrics.render());
+}
+
+// A caller makes up a new organisation's name for each request. The text must stay bounded: the
+// first names are kept and all others share one line.
+#[test]
+fn labels_from_callers_are_bounded() {
+    let metrics = metrics();
+    for n in 0..10 * MAX_VALUES {
+        metrics.entry.organisations.add(&format!("org-{n}"), 1);
+    }
+    let text = metrics.render();
+    let line = |line: &&str| line.starts_with("filbertstack_entry_organisation_requests_total{");
+    assert_eq!(text.lines().filter(line).count(), MAX_VALUES + 1);
+    let others = "filbertstack_entry_organisation_requests_total{organisation=\"other\"}";
+    assert!(text.contains(&format!("{others} {}", 9 * MAX_VALUES)));
+    assert!(text.contains("organisation=\"org-0\"} 1"));
+}
--- /dev/null
+++ b/crates/filbertstack-telemetry/tests/settings.rs
@@ -0,0 +1,56 @@
+//! The `[telemetry]` section.
+
+use std::path::Path;
+
+use filbertstack_core::ini::Document;
+use filbertstack_core::ini::Problems;
+use filbertstack_telemetry::TelemetrySettings;
+use filbertstack_telemetry::settings::LogFormat;
+use spdlog::Level;
+
+fn read(text: &str) -> (TelemetrySettings, Problems) {
+    let mut document = Document::parse("entry.ini", text).unwrap();
+    let mut problems = Problems::default();
+    let settings = TelemetrySettings::take(&mut document, &mut problems);
+    (settings, problems)
+}
+
+#[test]
+fn every_key_is_read() {
+    let (settings, problems) = read(
+        "[telemetry]\nlog-level = debug\nlog-format = json\nlog-file = entry.log\n\
+         trace-endpoint = http://127.0.0.1:4318\ntrace-sample = 0.05\n",
+    );
+    assert_eq!(problems, Problems::default());
+    assert_eq!(settings.level, Level::Debug);
+    assert_eq!(settings.format, LogFormat::Json);
+    assert_eq!(settings.log_file.as_deref(), Some(Path::new("entry.log")));
+    let endpoint = settings.endpoint.unwrap();
+    assert_eq!(endpoint.as_str(), "http://127.0.0.1:4318/v1/traces");
+    assert!((settings.sample.share() - 0.05).abs() < f64::EPSILON);
+}
+
+#[test]
+fn without_a_section_there_are_defaults() {
+    let (settings, problems) = read("");
+    assert_eq!(problems, Problems::default());
+    assert_eq!(settings, TelemetrySettings::default());
+}
+
+#[test]
+fn every_problem_has_its_line_and_remedy() {
+    let (_, problems) = read(
+        "[telemetry]\nlog-level = loud\nlog-format = xml\nlog-file = no/such/dir/x.log\n\
+         trace-file = spans.jsonl\ntrace-endpoint = http://127.0.0.1:4318/x\n\
+         trace-sample = 5\ncolour = red\n",
+    );
+    insta::assert_snapshot!(problems.into_result(()).unwrap_err());
+}
+
+#[test]
+fn endpoints_that_cannot_work_are_refused() {
+    for text in ["https://collector:4318", "collector:4318", "http://", "/v1"] {
+        let (_, problems) = read(&format!("[telemetry]\ntrace-endpoint = {text}\n"));
+        assert_eq!(problems.0.len(), 1, "{text}");
+    }
+}
