Add links: authenticated frames, numbered replies, heartbeats

Cause: entries and agents need many calls on one connection, and answers that can't mix, repeat or end early unseen. Ruled out: one connection a call (a handshake per request), TLS (its keys and certificates are a later matter; frames are authenticated, not secret). Before: no transport. After: 10 tests over loopback pass, among them a replayed frame, forged bytes at every offset, doubled, skipped and foreign replies, a silent far end, a reader that takes nothing. Conclusion: a call ends whole, refused (certainly not run) or unknown.

--- /dev/null
+++ b/crates/filbertstack-wire/src/error.rs
@@ -0,0 +1,58 @@
+//! What can go wrong on a link.
+
+use std::io;
+use std::net::SocketAddr;
+
+use thiserror::Error;
+
+/// A failure of a link or of a call on it.
+///
+/// Whether the far end acted is unknown after [`WireError::Lost`], [`WireError::Timeout`] and
+/// [`WireError::Overflow`]; the others say that it did not.
+#[derive(Debug, Error)]
+pub enum WireError {
+    /// No connection could be made.
+    #[error("no link to {addr}: {source}; check that the process runs and the address is right")]
+    Connect {
+        /// Where the link should have led.
+        addr: SocketAddr,
+        /// What the system said.
+        source: io::Error,
+    },
+    /// The far end failed the handshake.
+    #[error("the far end is not who it should be ({0}); check that both ends have the same key")]
+    Handshake(&'static str),
+    /// The link was closed before the call's last reply.
+    #[error("the link was lost before the last reply; the outcome is unknown")]
+    Lost,
+    /// No reply came in time.
+    #[error("no reply within the deadline; the outcome is unknown")]
+    Timeout,
+    /// Replies came faster than they were taken.
+    #[error("replies came faster than they were read; read them faster or ask for less")]
+    Overflow,
+    /// The far end refused the call and did not act on it.
+    #[error("refused: {text}")]
+    Refused {
+        /// The reason and remedy, from the far end.
+        text: String,
+        /// When to come back, in milliseconds; zero if there is no point.
+        after: u64,
+    },
+    /// A frame broke the protocol or its authentication.
+    #[error("a frame broke the protocol ({0}); both ends must run the same release")]
+    Protocol(&'static str),
+    /// The socket failed.
+    #[error("the socket failed: {0}")]
+    Io(#[from] io::Error),
+}
+
+impl WireError {
+    /// Whether the far end certainly did not act on the call.
+    pub const fn not_run(&self) -> bool {
+        matches!(
+            self,
+            Self::Connect { .. } | Self::Handshake(_) | Self::Refused { .. }
+        )
+    }
+}
--- /dev/null
+++ b/crates/filbertstack-wire/src/frame.rs
@@ -0,0 +1,111 @@
+//! Frames: length, authentication tag, message.
+
+use bytes::Bytes;
+use bytes::BytesMut;
+use prost::Message;
+use tokio_util::codec::Decoder;
+use tokio_util::codec::Encoder;
+use tokio_util::codec::LengthDelimitedCodec;
+
+use crate::error::WireError;
+use crate::keys::Key;
+use crate::messages::Frame;
+
+/// The largest frame, in bytes: a piece of a chunk and its head fit four times over.
+pub const MAX_FRAME: usize = 1 << 20;
+
+/// The length of the authentication tag, in bytes.
+pub const TAG_LEN: usize = 16;
+
+/// The codec that both ends use.
+pub fn codec() -> LengthDelimitedCodec {
+    LengthDelimitedCodec::builder()
+        .max_frame_length(MAX_FRAME)
+        .new_codec()
+}
+
+/// Seals the frames of one direction.
+///
+/// A frame replayed, reordered or altered on the way would make an old order look new. The tag
+/// covers the frame's number on the connection, which never repeats, so the opener rejects it.
+#[derive(Debug)]
+pub struct Sealer {
+    key: Key,
+    number: u64,
+    codec: LengthDelimitedCodec,
+}
+
+impl Sealer {
+    /// A sealer that starts at frame zero.
+    pub fn new(key: Key) -> Self {
+        Self {
+            key,
+            number: 0,
+            codec: codec(),
+        }
+    }
+
+    /// Appends `frame`, sealed, to `out`.
+    ///
+    /// # Errors
+    /// [`WireError::Protocol`] if the frame is over [`MAX_FRAME`].
+    pub fn seal(&mut self, frame: &Frame, out: &mut BytesMut) -> Result<(), WireError> {
+        let body = frame.encode_to_vec();
+        let tag = self.key.mac(&[&self.number.to_le_bytes(), &body]);
+        self.number += 1;
+        let mut sealed = BytesMut::with_capacity(TAG_LEN + body.len());
+        sealed.extend_from_slice(&tag.as_bytes()[..TAG_LEN]);
+        sealed.extend_from_slice(&body);
+        let oversized = |_| WireError::Protocol("a frame over the size limit");
+        self.codec.encode(sealed.freeze(), out).map_err(oversized)
+    }
+}
+
+/// Opens the frames of the other direction.
+#[derive(Debug)]
+pub struct Opener {
+    key: Key,
+    number: u64,
+    codec: LengthDelimitedCodec,
+}
+
+impl Opener {
+    /// An opener that starts at frame zero.
+    pub fn new(key: Key) -> Self {
+        Self {
+            key,
+            number: 0,
+            codec: codec(),
+        }
+    }
+
+    /// Takes the next whole frame out of `input`, if there is one.
+    ///
+    /// # Errors
+    /// [`WireError::Protocol`] if its size, tag or message is wrong.
+    pub fn open(&mut self, input: &mut BytesMut) -> Result<Option<Frame>, WireError> {
+        let oversized = |_| WireError::Protocol("a frame over the size limit");
+        let Some(sealed) = self.codec.decode(input).map_err(oversized)? else {
+            return Ok(None);
+        };
+        if sealed.len() < TAG_LEN {
+            return Err(WireError::Protocol("a frame without its tag"));
+        }
+        let mut sealed: Bytes = sealed.freeze();
+        let tag = sealed.split_to(TAG_LEN);
+        let expected = self.key.mac(&[&self.number.to_le_bytes(), &sealed]);
+        self.number += 1;
+        if !same(&expected.as_bytes()[..TAG_LEN], &tag) {
+            return Err(WireError::Protocol("a frame with a wrong tag"));
+        }
+        let frame = Frame::decode(sealed);
+        frame
+            .map(Some)
+            .map_err(|_| WireError::Protocol("a frame that does not decode"))
+    }
+}
+
+/// Compares in a time that does not depend on where the two differ.
+pub(crate) fn same(a: &[u8], b: &[u8]) -> bool {
+    a.len() == b.len() && a.iter().zip(b).fold(0, |acc, (x, y)| acc | (x ^ y)) == 0
+}
--- /dev/null
+++ b/crates/filbertstack-wire/src/outbox.rs
@@ -0,0 +1,95 @@
+//! Frames that wait for the socket, bounded by bytes.
+
+use std::collections::VecDeque;
+use std::sync::Condvar;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+use std::time::Duration;
+use std::time::Instant;
+
+use prost::Message;
+
+use crate::error::WireError;
+use crate::messages::Frame;
+
+/// How many bytes may wait: a frozen far end must not grow this process without bound.
+const MAX_WAITING: usize = 8 << 20;
+
+#[derive(Debug, Default)]
+struct Queue {
+    frames: VecDeque<Frame>,
+    bytes: usize,
+    closed: bool,
+}
+
+/// The frames of one link that wait for the socket.
+#[derive(Debug, Default)]
+pub(crate) struct Outbox {
+    queue: Mutex<Queue>,
+    changed: Condvar,
+}
+
+impl Outbox {
+    /// Adds a frame, and waits while the queue is full.
+    pub(crate) fn push(&self, frame: Frame) -> Result<(), WireError> {
+        let size = frame.encoded_len();
+        let mut queue = self.queue.lock().unwrap_or_else(PoisonError::into_inner);
+        while queue.bytes > MAX_WAITING && !queue.closed {
+            queue = self
+                .changed
+                .wait(queue)
+                .unwrap_or_else(PoisonError::into_inner);
+        }
+        if queue.closed {
+            return Err(WireError::Lost);
+        }
+        queue.bytes += size;
+        queue.frames.push_back(frame);
+        self.changed.notify_all();
+        Ok(())
+    }
+
+    /// Adds a frame unless the queue is full; such a frame is dropped.
+    pub(crate) fn offer(&self, frame: Frame) -> Result<(), WireError> {
+        let size = frame.encoded_len();
+        let mut queue = self.queue.lock().unwrap_or_else(PoisonError::into_inner);
+        if queue.closed {
+            return Err(WireError::Lost);
+        }
+        if queue.bytes > MAX_WAITING {
+            return Err(WireError::Overflow);
+        }
+        queue.bytes += size;
+        queue.frames.push_back(frame);
+        self.changed.notify_all();
+        Ok(())
+    }
+
+    /// Takes what waits, after up to `wait`; `None` once closed.
+    pub(crate) fn take(&self, wait: Duration) -> Option<Vec<Frame>> {
+        let until = Instant::now() + wait;
+        let mut queue = self.queue.lock().unwrap_or_else(PoisonError::into_inner);
+        while queue.frames.is_empty() && !queue.closed {
+            let left = until.saturating_duration_since(Instant::now());
+            if left.is_zero() {
+                return Some(Vec::new());
+            }
+            let waited = self.changed.wait_timeout(queue, left);
+            queue = waited.unwrap_or_else(PoisonError::into_inner).0;
+        }
+        if queue.closed {
+            return None;
+        }
+        queue.bytes = 0;
+        self.changed.notify_all();
+        Some(queue.frames.drain(..).collect())
+    }
+
+    /// Ends every wait; what has not been taken is dropped.
+    pub(crate) fn close(&self) {
+        let mut queue = self.queue.lock().unwrap_or_else(PoisonError::into_inner);
+        queue.closed = true;
+        queue.frames.clear();
+        self.changed.notify_all();
+    }
+}
--- /dev/null
+++ b/crates/filbertstack-wire/tests/links.rs
@@ -0,0 +1,377 @@
+//! Links over loopback: calls, cancellation, keys, forged and oversized frames, silence.
+
+use std::io::Read;
+use std::io::Write;
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::net::TcpStream;
+use std::sync::Arc;
+use std::sync::mpsc::Sender;
+use std::sync::mpsc::channel;
+use std::time::Duration;
+use std::time::Instant;
+
+use bytes::Bytes;
+use bytes::BytesMut;
+use filbertstack_wire::Dialer;
+use filbertstack_wire::Handler;
+use filbertstack_wire::Key;
+use filbertstack_wire::Keyring;
+use filbertstack_wire::Listener;
+use filbertstack_wire::Remote;
+use filbertstack_wire::Responder;
+use filbertstack_wire::Role;
+use filbertstack_wire::WireError;
+use filbertstack_wire::frame::Opener;
+use filbertstack_wire::frame::Sealer;
+use filbertstack_wire::handshake;
+use filbertstack_wire::link::Link;
+use filbertstack_wire::messages::Ask;
+use filbertstack_wire::messages::Call;
+use filbertstack_wire::messages::Empty;
+use filbertstack_wire::messages::Frame;
+use filbertstack_wire::messages::Item;
+use filbertstack_wire::messages::Payload;
+use filbertstack_wire::messages::Reply;
+use filbertstack_wire::stream::payload;
+
+const PATIENCE: Duration = Duration::from_secs(20);
+
+fn keys(text: &str) -> Keyring {
+    let key = Key::of(text).expect("long enough");
+    Keyring {
+        peer: Some(key),
+        agent: None,
+    }
+}
+
+fn good_keys() -> Keyring {
+    keys("a key of the peers")
+}
+
+struct Silent;
+
+impl Handler for Silent {
+    fn handle(&self, _: &Remote, _: Ask, responder: Responder) {
+        responder.refuse("nothing is served here", 0);
+    }
+}
+
+/// Answers `Propose` by its own payload, thrice; passes every other call to the test.
+struct Echo {
+    calls: Sender<(Ask, Responder)>,
+}
+
+impl Handler for Echo {
+    fn handle(&self, _: &Remote, ask: Ask, mut responder: Responder) {
+        match ask {
+            Ask::Propose(Payload { body }) => {
+                responder
+                    .send(payload(body.clone()))
+                    .expect("the link stands");
+                responder
+                    .send(payload(body.clone()))
+                    .expect("the link stands");
+                responder.finish(payload(body)).expect("the link stands");
+            }
+            ask => self.calls.send((ask, responder)).expect("the test waits"),
+        }
+    }
+}
+
+fn serve(keys: Keyring) -> (Listener, std::sync::mpsc::Receiver<(Ask, Responder)>) {
+    let socket = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let (calls, received) = channel();
+    let listener = Listener::start(socket, "server", keys, Arc::new(Echo { calls }));
+    (listener.expect("starts"), received)
+}
+
+fn dialer(keys: Keyring) -> Dialer {
+    Dialer::new("caller", keys, Arc::new(Silent))
+}
+
+fn propose(text: &str) -> Ask {
+    Ask::Propose(Payload {
+        body: Bytes::copy_from_slice(text.as_bytes()),
+    })
+}
+
+#[test]
+fn replies_come_in_order_and_end() {
+    let (listener, _calls) = serve(good_keys());
+    let dialer = dialer(good_keys());
+    let link = dialer.link(listener.addr(), Role::Peer).expect("connects");
+    assert_eq!(link.remote().name.as_ref(), "server");
+    let mut replies = link.call(propose("hello")).expect("sent");
+    let deadline = Instant::now() + PATIENCE;
+    for _ in 0..3 {
+        assert_eq!(
+            replies.next(deadline).expect("a reply"),
+            Some(payload("hello"))
+        );
+    }
+    assert_eq!(replies.next(deadline).expect("the end"), None);
+}
+
+#[test]
+fn calls_on_one_link_do_not_mix() {
+    let (listener, _calls) = serve(good_keys());
+    let dialer = Arc::new(dialer(good_keys()));
+    let addr = listener.addr();
+    let threads: Vec<_> = (0..16)
+        .map(|n| {
+            let dialer = dialer.clone();
+            std::thread::spawn(move || {
+                for i in 0..50 {
+                    let text = format!("{n}/{i}");
+                    let told = dialer.ask(addr, Role::Peer, propose(&text), PATIENCE);
+                    assert_eq!(told.expect("a reply"), payload(text));
+                }
+            })
+        })
+        .collect();
+    for thread in threads {
+        thread.join().expect("every reply was its own");
+    }
+}
+
+#[test]
+fn a_dropped_call_is_cancelled_at_the_far_end() {
+    let (listener, calls) = serve(good_keys());
+    let dialer = dialer(good_keys());
+    let link = dialer.link(listener.addr(), Role::Peer).expect("connects");
+    let replies = link.call(Ask::Term(Empty {})).expect("sent");
+    let (_, responder) = calls.recv_timeout(PATIENCE).expect("the call arrives");
+    assert!(!responder.is_cancelled());
+    drop(replies);
+    let until = Instant::now() + PATIENCE;
+    while !responder.is_cancelled() && Instant::now() < until {
+        std::thread::yield_now();
+    }
+    assert!(responder.is_cancelled());
+}
+
+#[test]
+fn a_dropped_responder_leaves_the_outcome_unknown() {
+    let (listener, calls) = serve(good_keys());
+    let dialer = dialer(good_keys());
+    let link = dialer.link(listener.addr(), Role::Peer).expect("connects");
+    let mut replies = link.call(Ask::Term(Empty {})).expect("sent");
+    drop(calls.recv_timeout(PATIENCE).expect("the call arrives"));
+    let error = replies
+        .next(Instant::now() + PATIENCE)
+        .expect_err("no reply");
+    assert!(!error.not_run(), "{error}");
+}
+
+#[test]
+fn a_wrong_key_opens_no_link() {
+    let (listener, _calls) = serve(good_keys());
+    let wrong = dialer(keys("another key entirely"));
+    let error = wrong
+        .link(listener.addr(), Role::Peer)
+        .expect_err("refused");
+    assert!(matches!(error, WireError::Handshake(_)), "{error}");
+    let lacking = dialer(Keyring::default());
+    let error = lacking
+        .link(listener.addr(), Role::Agent)
+        .expect_err("no key");
+    assert!(matches!(error, WireError::Handshake(_)), "{error}");
+}
+
+/// Passes bytes between a caller and `to`; the first frame behind the handshake goes twice.
+fn replaying_proxy(to: SocketAddr) -> SocketAddr {
+    let socket = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let addr = socket.local_addr().expect("bound");
+    std::thread::spawn(move || {
+        let (mut caller, _) = socket.accept().expect("the caller connects");
+        let mut server = TcpStream::connect(to).expect("the server listens");
+        let mut back = server.try_clone().expect("cloned");
+        let mut out = caller.try_clone().expect("cloned");
+        std::thread::spawn(move || std::io::copy(&mut back, &mut out));
+        for copies in [1, 1, 2] {
+            let mut head = [0; 4];
+            caller.read_exact(&mut head).expect("a frame's length");
+            let mut body = vec![0; u32::from_be_bytes(head) as usize];
+            caller.read_exact(&mut body).expect("a frame");
+            for _ in 0..copies {
+                let _ = server.write_all(&[&head[..], &body].concat());
+            }
+        }
+        let _ = std::io::copy(&mut caller, &mut server);
+    });
+    addr
+}
+
+// The caller sees its order arrive once and the link close.
+// Someone on the path records a sealed order and sends it again on the same connection. Without a
+// number under the tag the replay would be taken as a second order.
+#[test]
+fn a_replayed_frame_closes_the_link_and_changes_nothing() {
+    let (listener, calls) = serve(good_keys());
+    let proxy = replaying_proxy(listener.addr());
+    let dialer = dialer(good_keys());
+    let link = dialer.link(proxy, Role::Peer).expect("connects");
+    let mut replies = link.call(Ask::Term(Empty {})).expect("sent");
+    let (_, responder) = calls.recv_timeout(PATIENCE).expect("the call arrives");
+    let error = replies
+        .next(Instant::now() + PATIENCE)
+        .expect_err("the link closes");
+    assert!(matches!(error, WireError::Lost), "{error}");
+    drop(responder);
+    drop(listener);
+    assert!(
+        calls.recv_timeout(PATIENCE).is_err(),
+        "the replay reached the handler"
+    );
+}
+
+#[test]
+fn forged_and_oversized_frames_do_not_open() {
+    let key = Key::of("a key of one direction").expect("long enough");
+    let frame = Frame {
+        item: Some(Item::Ping(Empty {})),
+        ..Frame::default()
+    };
+    let mut sealed = BytesMut::new();
+    Sealer::new(key.clone())
+        .seal(&frame, &mut sealed)
+        .expect("small");
+    assert_eq!(
+        Opener::new(key.clone())
+            .open(&mut sealed.clone())
+            .expect("opens"),
+        Some(frame)
+    );
+
+    for at in 4..sealed.len() {
+        let mut forged = sealed.clone();
+        forged[at] ^= 1;
+        Opener::new(key.clone())
+            .open(&mut forged)
+            .expect_err("forged");
+    }
+    let mut huge = BytesMut::from(&u32::MAX.to_be_bytes()[..]);
+    Opener::new(key).open(&mut huge).expect_err("oversized");
+}
+
+/// A far end that completes the handshake and then answers as the test says.
+fn scripted(script: impl FnOnce(handshake::Session) + Send + 'static) -> SocketAddr {
+    let socket = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let addr = socket.local_addr().expect("bound");
+    std::thread::spawn(move || {
+        let (connection, _) = socket.accept().expect("the caller connects");
+        script(handshake::accept(connection, "server", &good_keys()).expect("the same key"));
+    });
+    addr
+}
+
+fn reply(stream: u64, seq: u32, last: bool, text: &str) -> Frame {
+    let told = Reply {
+        tell: Some(payload(text.to_owned())),
+    };
+    Frame {
+        stream,
+        seq,
+        last,
+        item: Some(Item::Reply(told)),
+    }
+}
+
+fn first_call(session: &mut handshake::Session) -> (u64, Call) {
+    let mut buffer = [0; 4096];
+    loop {
+        let frame = session.opener.open(&mut session.input).expect("sealed");
+        let frame = frame.unwrap_or_default();
+        if let Some(Item::Call(call)) = frame.item {
+            return (frame.stream, call);
+        }
+        let n = session.socket.read(&mut buffer).expect("the caller writes");
+        session.input.extend_from_slice(&buffer[..n]);
+    }
+}
+
+// The caller sees its call break off instead of an answer with a piece doubled or swapped.
+// The far end sends reply 0, then 0 again (or 2); a frame for a call that nobody made comes
+// between. Without the numbers the second piece would be joined to the answer.
+#[test]
+fn doubled_skipped_and_foreign_replies_are_no_answer() {
+    for wrong in [0, 2] {
+        let addr = scripted(move |mut session| {
+            let (stream, _) = first_call(&mut session);
+            let mut out = BytesMut::new();
+            for frame in [
+                reply(stream, 0, false, "one"),
+                reply(stream + 7, 0, true, "foreign"),
+                reply(stream, wrong, true, "two"),
+            ] {
+                session.sealer.seal(&frame, &mut out).expect("small");
+            }
+            session.socket.write_all(&out).expect("the caller reads");
+            let _ = session.socket.read(&mut [0; 64]);
+        });
+        let dialer = dialer(good_keys());
+        let link = dialer.link(addr, Role::Peer).expect("connects");
+        let mut replies = link.call(Ask::Term(Empty {})).expect("sent");
+        let deadline = Instant::now() + PATIENCE;
+        assert_eq!(
+            replies.next(deadline).expect("the first"),
+            Some(payload("one"))
+        );
+        let error = replies.next(deadline).expect_err("out of turn");
+        assert!(matches!(error, WireError::Protocol(_)), "{error}");
+    }
+}
+
+// The caller sees its call end as lost long before its own deadline.
+// The far end freezes behind a working TCP connection: no frame, no reset. Heartbeats are missed,
+// the link is closed, and every call on it ends as unknown.
+#[test]
+fn a_silent_far_end_is_found() {
+    let (release, held) = channel::<()>();
+    let addr = scripted(move |session| {
+        let _session = session;
+        let _ = held.recv();
+    });
+    let dialer = dialer(good_keys());
+    let link: Link = dialer.link(addr, Role::Peer).expect("connects");
+    let mut replies = link.call(Ask::Term(Empty {})).expect("sent");
+    let error = replies
+        .next(Instant::now() + Duration::from_secs(3600))
+        .expect_err("silent");
+    assert!(matches!(error, WireError::Lost), "{error}");
+    assert!(link.is_closed());
+    drop(release);
+}
+
+// The caller that does not read sees its call end as overflowed, and the link goes on.
+// The far end sends 30 MiB to a call whose replies nobody takes. Without the bound they would pile
+// up in this process for as long as the far end sends.
+#[test]
+fn a_call_that_nobody_reads_is_given_up() {
+    let (written, all_written) = channel();
+    let addr = scripted(move |mut session| {
+        let (stream, _) = first_call(&mut session);
+        let piece = "x".repeat(512 << 10);
+        for seq in 0..60 {
+            let mut out = BytesMut::new();
+            let frame = reply(stream, seq, false, &piece);
+            session.sealer.seal(&frame, &mut out).expect("fits");
+            session.socket.write_all(&out).expect("the link goes on");
+        }
+        written.send(()).expect("the test waits");
+        let _ = session.socket.read(&mut [0; 64]);
+    });
+    let dialer = dialer(good_keys());
+    let link = dialer.link(addr, Role::Peer).expect("connects");
+    let mut replies = link.call(Ask::Term(Empty {})).expect("sent");
+    all_written.recv_timeout(PATIENCE).expect("30 MiB pass");
+    let deadline = Instant::now() + PATIENCE;
+    let error = loop {
+        match replies.next(deadline) {
+            Ok(reply) => assert!(reply.is_some(), "the call ended as if whole"),
+            Err(error) => break error,
+        }
+    };
+    assert!(matches!(error, WireError::Overflow), "{error}");
+}
