--- a/crates/filbertstack-core/src/error.rs
+++ b/crates/filbertstack-core/src/error.rs
@@ -53,6 +53,12 @@
         /// The text.
         text: String,
     },
+    /// An address does not read.
+    #[error("'{text}' is not an address: write IP:port, such as 10.0.0.1:9080")]
+    Address {
+        /// The text.
+        text: String,
+    },
     /// A value is none of those allowed.
     #[error("'{text}' is none of the values allowed here: use {allowed}")]
     Choice {
--- a/crates/filbertstack-core/src/ini.rs
+++ b/crates/filbertstack-core/src/ini.rs
@@ -86,6 +86,11 @@
         }
     }
 
+    /// Whether the section has `key`.
+    pub fn has(&self, key: &str) -> bool {
+        self.entries.iter().any(|entry| entry.key == key)
+    }
+
     /// Takes the text of `key` with its line, if it is there.
     pub fn take(&mut self, key: &str) -> Option<(String, usize)> {
         let entry = self
@@ -130,7 +135,7 @@
         key: &str,
         problems: &mut Problems,
     ) -> Option<T> {
-        if !self.entries.iter().any(|entry| entry.key == key) {
+        if !self.has(key) {
             let what = format!("[{}] lacks the key '{key}': add it", self.header());
             problems.0.push(self.problem(self.line, what));
         }
--- a/crates/filbertstack-core/src/lib.rs
+++ b/crates/filbertstack-core/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod labels;
 pub mod names;
 pub mod selector;
+pub mod settings;
 pub mod time;
 
 pub use declare::Declarations;
