--- /dev/null
+++ b/crates/filbertstack-weights/src/fetch.rs
@@ -0,0 +1,141 @@
+//! Fetching one chunk from one source, verified before it is stored.
+
+mod http;
+
+use std::error::Error;
+use std::fmt;
+
+use bytes::Bytes;
+use thiserror::Error as ThisError;
+
+use filbertstack_core::Digest;
+use filbertstack_core::Millis;
+
+use crate::manifest::Want;
+use crate::store::Put;
+use crate::store::Store;
+use crate::store::StoreError;
+
+pub use http::HttpConfig;
+pub use http::HttpError;
+pub use http::HttpSource;
+
+/// What a failed fetch says of its source; the copier decides by it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Fault {
+    /// It has no free slot now.
+    Busy {
+        /// When to ask again.
+        after: Millis,
+    },
+    /// It does not hold the chunk.
+    Missing,
+    /// It was too slow or stood still.
+    Stalled,
+    /// It cannot be reached or broke off.
+    Down,
+    /// It serves another version of the file.
+    Stale,
+    /// It answered with another range or length than asked for.
+    Wrong,
+    /// It sent bytes that are not the chunk.
+    Corrupt,
+}
+
+/// An error of a source, which says what kind of fault it is.
+pub trait SourceError: Error + Send + Sync + 'static {
+    /// The kind of fault.
+    fn fault(&self) -> Fault;
+}
+
+/// Where chunks come from: a peer, the weight store or the origin.
+///
+/// A source need not verify what it gives; [`fetch_into`] does.
+pub trait Source: Send + Sync {
+    /// What goes wrong.
+    type Error: SourceError;
+
+    /// Fetches the bytes of one chunk; blocks until they are there or a limit of the source is
+    /// reached. A source must bound its own wait.
+    ///
+    /// # Errors
+    /// What the source's kind of link reports.
+    fn fetch(&self, want: &Want) -> Result<Bytes, Self::Error>;
+}
+
+/// A fetch that brought no chunk into the store.
+#[derive(Debug, ThisError)]
+pub enum FetchError {
+    /// The source failed.
+    #[error("{error}")]
+    Source {
+        /// The kind of fault.
+        fault: Fault,
+        /// The source's error.
+        error: Box<dyn Error + Send + Sync>,
+    },
+    /// The source sent other bytes.
+    #[error("the source sent other bytes for chunk {digest}: it is marked, another is asked")]
+    Corrupt {
+        /// The chunk.
+        digest: Digest,
+    },
+    /// The store did not take the chunk.
+    #[error(transparent)]
+    Store(StoreError),
+}
+
+impl FetchError {
+    /// The source's fault; `None` if the fault is this instance's own.
+    pub fn fault(&self) -> Option<Fault> {
+        match self {
+            Self::Source { fault, .. } => Some(*fault),
+            Self::Corrupt { .. } => Some(Fault::Corrupt),
+            Self::Store(_) => None,
+        }
+    }
+}
+
+/// Fetches one chunk and stores it if it is what the manifest names.
+///
+/// # Errors
+/// Why the chunk is not in the store.
+pub fn fetch_into<S: Source + ?Sized>(
+    source: &S,
+    want: &Want,
+    store: &Store,
+) -> Result<Put, FetchError> {
+    if store.has(want.chunk.digest) {
+        return Ok(Put::Held);
+    }
+    let fetched = source.fetch(want);
+    let bytes = fetched.map_err(|error| FetchError::Source {
+        fault: error.fault(),
+        error: Box::new(error),
+    })?;
+    match store.put(want.chunk.digest, bytes) {
+        Err(StoreError::Corrupt { digest }) => Err(FetchError::Corrupt { digest }),
+        put => put.map_err(FetchError::Store),
+    }
+}
+
+/// Any source, for collections of several kinds.
+pub trait AnySource: Send + Sync {
+    /// Fetches one chunk and stores it if it is what the manifest names.
+    ///
+    /// # Errors
+    /// Why the chunk is not in the store.
+    fn fetch_into(&self, want: &Want, store: &Store) -> Result<Put, FetchError>;
+}
+
+impl<S: Source> AnySource for S {
+    fn fetch_into(&self, want: &Want, store: &Store) -> Result<Put, FetchError> {
+        fetch_into(self, want, store)
+    }
+}
+
+impl fmt::Debug for dyn AnySource {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("AnySource")
+    }
+}
--- /dev/null
+++ b/crates/filbertstack-weights/src/fetch/http.rs
@@ -0,0 +1,367 @@
+//! Ranges over HTTP: the origin and the weight store, which speak the same protocol.
+//!
+//! `GET <base>/<file>` with `Range: bytes=first-last` must be answered by 206 with the same
+//! `Content-Range`, the file's size in the manifest, and exactly that many bytes.
+
+use std::io;
+use std::io::Read;
+use std::time::Duration;
+use std::time::Instant;
+
+use bytes::Bytes;
+use thiserror::Error;
+use ureq::Agent;
+use ureq::Body;
+use ureq::http::HeaderName;
+use ureq::http::Response;
+use ureq::http::StatusCode;
+use ureq::http::header;
+
+use filbertstack_core::Digest;
+use filbertstack_core::Millis;
+
+use crate::fetch::Fault;
+use crate::fetch::Source;
+use crate::fetch::SourceError;
+use crate::manifest::MAX_MANIFEST;
+use crate::manifest::Manifest;
+use crate::manifest::ManifestError;
+use crate::manifest::Want;
+
+/// The header by which a server may say which version a file belongs to.
+const VERSION: HeaderName = HeaderName::from_static("x-weights-version");
+
+/// The longest `Retry-After` that is believed.
+const MAX_RETRY: Millis = Millis::secs(60);
+
+/// The wait after a 429 or 503 that names none.
+const DEFAULT_RETRY: Millis = Millis::secs(1);
+
+/// The bytes read at once.
+const READ: usize = 8 << 10;
+
+/// The limits of an HTTP source.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct HttpConfig {
+    /// The longest wait for a connection, for the head of an answer and for any one read.
+    pub idle: Duration,
+    /// The span over which progress is judged.
+    pub window: Duration,
+    /// The fewest bytes that must come in each window.
+    pub progress: u64,
+}
+
+impl Default for HttpConfig {
+    /// 64 KiB in 2 s: a sixtieth of a 2 MiB/s share, far under any link that helps a copy, and
+    /// far over a sender that drips bytes to hold a slot.
+    fn default() -> Self {
+        Self {
+            idle: Duration::from_secs(2),
+            window: Duration::from_secs(2),
+            progress: 64 << 10,
+        }
+    }
+}
+
+/// What goes wrong with a range.
+#[derive(Debug, Error)]
+pub enum HttpError {
+    /// No connection, or it broke.
+    #[error("{url} cannot be fetched ({error}): check that the server runs and is reachable")]
+    Down {
+        /// The URL.
+        url: String,
+        /// What the client said.
+        error: Box<ureq::Error>,
+    },
+    /// Nothing came, or too little.
+    #[error("{url} sent {got} of {size} bytes and then too few in {window:?}: it is left for now")]
+    Stalled {
+        /// The URL.
+        url: String,
+        /// The bytes that came.
+        got: u64,
+        /// The bytes asked for.
+        size: u64,
+        /// The span in which too few came.
+        window: Duration,
+    },
+    /// The server has no room for the request now.
+    #[error("{url} asks to come back after {after}")]
+    Busy {
+        /// The URL.
+        url: String,
+        /// The wait it asks for.
+        after: Millis,
+    },
+    /// There is no such file.
+    #[error("{url} does not exist: publish the version there, or correct the base URL")]
+    Missing {
+        /// The URL.
+        url: String,
+    },
+    /// The answer is no answer to a range request.
+    #[error("{url} answered {status} to a range request: use a server that supports ranges")]
+    Status {
+        /// The URL.
+        url: String,
+        /// The status.
+        status: StatusCode,
+    },
+    /// The answer is for another range.
+    #[error("{url} sent '{got}' when asked for '{wanted}': use a server that supports ranges")]
+    Range {
+        /// The URL.
+        url: String,
+        /// The range asked for.
+        wanted: String,
+        /// The range of the answer.
+        got: String,
+    },
+    /// The body is shorter or longer than the range.
+    #[error("{url} sent {got} bytes for a range of {size}: the file is being changed or cut")]
+    Length {
+        /// The URL.
+        url: String,
+        /// The bytes that came, or one more than asked for.
+        got: u64,
+        /// The bytes asked for.
+        size: u64,
+    },
+    /// The file is of another version.
+    #[error("{url} serves another version than {wanted}: publish under a path that never changes")]
+    Stale {
+        /// The URL.
+        url: String,
+        /// The version asked for.
+        wanted: Digest,
+    },
+    /// The manifest at the URL is not the one asked for.
+    #[error(transparent)]
+    Manifest(#[from] ManifestError),
+}
+
+impl SourceError for HttpError {
+    fn fault(&self) -> Fault {
+        match self {
+            Self::Down { .. } => Fault::Down,
+            Self::Stalled { .. } => Fault::Stalled,
+            Self::Busy { after, .. } => Fault::Busy { after: *after },
+            Self::Missing { .. } => Fault::Missing,
+            Self::Status { .. } | Self::Range { .. } | Self::Length { .. } => Fault::Wrong,
+            Self::Stale { .. } => Fault::Stale,
+            Self::Manifest(_) => Fault::Corrupt,
+        }
+    }
+}
+
+/// A server of ranges.
+#[derive(Clone, Debug)]
+pub struct HttpSource {
+    base: String,
+    config: HttpConfig,
+    agent: Agent,
+}
+
+impl HttpSource {
+    /// The source whose files lie under `base`, such as `http://10.0.0.9:9000/draft/v3`.
+    pub fn new(base: &str, config: HttpConfig) -> Self {
+        let idle = Some(config.idle);
+        let agent = Agent::config_builder()
+            .http_status_as_error(false)
+            .max_redirects(0)
+            .timeout_connect(idle)
+            .timeout_recv_response(idle)
+            .timeout_per_read(idle)
+            .build()
+            .new_agent();
+        let base = base.trim_end_matches('/').to_owned();
+        Self {
+            base,
+            config,
+            agent,
+        }
+    }
+
+    /// Fetches the manifest `root` from `<base>/<file>`.
+    ///
+    /// # Errors
+    /// What the server did wrong, or that the file is no such manifest.
+    pub fn manifest(&self, file: &str, root: Digest) -> Result<Manifest, HttpError> {
+        let url = format!("{}/{file}", self.base);
+        let mut response = self.call(&url, None)?;
+        check_status(&url, &response, StatusCode::OK)?;
+        let bytes = self.read(&url, &mut response, MAX_MANIFEST as u64)?;
+        Ok(Manifest::decode(root, &bytes)?)
+    }
+
+    fn call(&self, url: &str, range: Option<&str>) -> Result<Response<Body>, HttpError> {
+        let mut request = self.agent.get(url);
+        if let Some(range) = range {
+            request = request.header(header::RANGE, range);
+        }
+        request
+            .call()
+            .map_err(|error| self.failed(url, 0, 0, error))
+    }
+
+    fn failed(&self, url: &str, got: u64, size: u64, error: ureq::Error) -> HttpError {
+        let url = url.to_owned();
+        match error {
+            ureq::Error::Timeout(_) => HttpError::Stalled {
+                url,
+                got,
+                size,
+                window: self.config.idle,
+            },
+            error => HttpError::Down {
+                url,
+                error: Box::new(error),
+            },
+        }
+    }
+
+    /// Reads up to `limit` bytes and one more, as long as enough come in each window.
+    fn read(
+        &self,
+        url: &str,
+        response: &mut Response<Body>,
+        limit: u64,
+    ) -> Result<Vec<u8>, HttpError> {
+        let mut reader = response.body_mut().as_reader().take(limit + 1);
+        let mut bytes = Vec::new();
+        let mut part = [0; READ];
+        let mut window = Window::new(self.config);
+        loop {
+            let got = bytes.len() as u64;
+            let count = match reader.read(&mut part) {
+                Ok(0) => return Ok(bytes),
+                Ok(count) => count,
+                Err(error) if is_cut(&error) => return Ok(bytes),
+                Err(error) => return Err(self.failed(url, got, limit, error.into())),
+            };
+            bytes.extend_from_slice(&part[..count]);
+            if window.is_stalled(count as u64) {
+                return Err(HttpError::Stalled {
+                    url: url.to_owned(),
+                    got: bytes.len() as u64,
+                    size: limit,
+                    window: self.config.window,
+                });
+            }
+        }
+    }
+}
+
+impl Source for HttpSource {
+    type Error = HttpError;
+
+    fn fetch(&self, want: &Want) -> Result<Bytes, HttpError> {
+        let url = format!("{}/{}", self.base, want.file.name);
+        let range = format!("bytes={}-{}", want.offset, want.last());
+        let mut response = self.call(&url, Some(&range))?;
+        check_status(&url, &response, StatusCode::PARTIAL_CONTENT)?;
+        check_version(&url, &response, want)?;
+        check_range(&url, &response, want)?;
+        let size = u64::from(want.chunk.size);
+        let bytes = self.read(&url, &mut response, size)?;
+        let got = bytes.len() as u64;
+        if got == size {
+            return Ok(bytes.into());
+        }
+        Err(HttpError::Length { url, got, size })
+    }
+}
+
+/// Whether the body ended before its announced length: the caller sees the length.
+fn is_cut(error: &io::Error) -> bool {
+    error.kind() == io::ErrorKind::UnexpectedEof
+}
+
+fn text<'r>(response: &'r Response<Body>, name: &HeaderName) -> Option<&'r str> {
+    response.headers().get(name)?.to_str().ok()
+}
+
+fn check_status(url: &str, response: &Response<Body>, wanted: StatusCode) -> Result<(), HttpError> {
+    let status = response.status();
+    let url = url.to_owned();
+    match status {
+        _ if status == wanted => Ok(()),
+        StatusCode::NOT_FOUND | StatusCode::GONE => Err(HttpError::Missing { url }),
+        StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE => {
+            let after = retry_after(response);
+            Err(HttpError::Busy { url, after })
+        }
+        _ => Err(HttpError::Status { url, status }),
+    }
+}
+
+fn retry_after(response: &Response<Body>) -> Millis {
+    let secs = text(response, &header::RETRY_AFTER).and_then(|text| text.parse().ok());
+    secs.map_or(DEFAULT_RETRY, |secs: u32| {
+        Millis::secs(secs.into()).min(MAX_RETRY)
+    })
+}
+
+fn check_version(url: &str, response: &Response<Body>, want: &Want) -> Result<(), HttpError> {
+    let version = text(response, &VERSION);
+    if version.is_none_or(|version| version == want.version.to_string()) {
+        return Ok(());
+    }
+    Err(stale(url, want))
+}
+
+fn stale(url: &str, want: &Want) -> HttpError {
+    HttpError::Stale {
+        url: url.to_owned(),
+        wanted: want.version,
+    }
+}
+
+fn check_range(url: &str, response: &Response<Body>, want: &Want) -> Result<(), HttpError> {
+    let got = text(response, &header::CONTENT_RANGE).unwrap_or("no range");
+    let range = format!("bytes {}-{}/", want.offset, want.last());
+    let Some(total) = got.strip_prefix(&range) else {
+        return Err(HttpError::Range {
+            url: url.to_owned(),
+            wanted: range,
+            got: got.chars().take(80).collect(),
+        });
+    };
+    // The right range of a file of another size is a range of another version.
+    if total == "*" || total == want.file.size.to_string() {
+        return Ok(());
+    }
+    Err(stale(url, want))
+}
+
+/// Judges progress window by window.
+///
+/// A sender at 1 byte/s never lets a read time out, yet holds a chunk for weeks: the symptom is a
+/// copy that stands still with all links up. A floor on each window's bytes ends it in one window.
+struct Window {
+    config: HttpConfig,
+    start: Instant,
+    bytes: u64,
+}
+
+impl Window {
+    fn new(config: HttpConfig) -> Self {
+        Self {
+            config,
+            start: Instant::now(),
+            bytes: 0,
+        }
+    }
+
+    fn is_stalled(&mut self, count: u64) -> bool {
+        self.bytes += count;
+        if self.start.elapsed() < self.config.window {
+            return false;
+        }
+        let stalled = self.bytes < self.config.progress;
+        self.start = Instant::now();
+        self.bytes = 0;
+        stalled
+    }
+}
--- /dev/null
+++ b/crates/filbertstack-weights/src/manifest/check.rs
@@ -0,0 +1,92 @@
+//! The checks of a manifest, the same for one made here and one that came over a link.
+
+use super::Chunk;
+use super::File;
+use super::MAX_CHUNK;
+use super::MAX_CHUNKS;
+use super::MAX_FILE_NAME;
+use super::MAX_FILES;
+use super::ManifestError;
+use super::Place;
+
+/// Checks that `name` stays below the version's folder and can stand in a URL as it is.
+///
+/// # Errors
+/// [`ManifestError::Name`] says what a name looks like.
+pub fn check_file_name(name: &str) -> Result<(), ManifestError> {
+    let fits = name.len() <= MAX_FILE_NAME;
+    // A part of `..` or an empty one would let a manifest write outside of its folder.
+    if fits && name.split('/').all(is_part) {
+        return Ok(());
+    }
+    Err(ManifestError::Name {
+        name: name.chars().take(MAX_FILE_NAME).collect(),
+    })
+}
+
+fn is_part(part: &str) -> bool {
+    let allowed =
+        |c: char| c.is_ascii_alphanumeric() || matches!(c, '.' | '_' | '-' | '+' | '=' | '@');
+    !part.is_empty() && !part.starts_with('.') && part.chars().all(allowed)
+}
+
+pub(super) fn files(files: &[File]) -> Result<(), ManifestError> {
+    if files.len() > MAX_FILES {
+        return Err(ManifestError::Files);
+    }
+    for file in files {
+        check_file_name(&file.name)?;
+    }
+    if files.windows(2).any(|pair| pair[0].name >= pair[1].name) {
+        return Err(ManifestError::Malformed {
+            what: "its files are not in order",
+        });
+    }
+    // `a` as a file and `a/b` in a folder of that name cannot both be written.
+    if files.iter().any(|file| is_below_file(file, files)) {
+        return Err(ManifestError::Malformed {
+            what: "a file is also a folder",
+        });
+    }
+    Ok(())
+}
+
+fn is_below_file(file: &File, files: &[File]) -> bool {
+    let mut folders = file.name.match_indices('/').map(|(at, _)| &file.name[..at]);
+    let is_file = |folder: &str| files.binary_search_by(|f| (*f.name).cmp(folder)).is_ok();
+    folders.any(is_file)
+}
+
+pub(super) fn places(files: &[File], chunks: &[Chunk]) -> Result<Vec<Place>, ManifestError> {
+    if chunks.len() > MAX_CHUNKS {
+        return Err(ManifestError::Chunks);
+    }
+    if chunks.is_empty() {
+        return Err(ManifestError::Empty);
+    }
+    let misfit = ManifestError::Malformed {
+        what: "its chunks do not fit its files",
+    };
+    let mut places = Vec::with_capacity(chunks.len());
+    let mut rest = chunks.iter();
+    for (at, file) in files.iter().enumerate() {
+        let mut offset = 0;
+        while offset < file.size {
+            let Some(chunk) = rest.next() else {
+                return Err(misfit);
+            };
+            if chunk.size == 0 || chunk.size > MAX_CHUNK {
+                return Err(ManifestError::ChunkSize { size: chunk.size });
+            }
+            places.push(Place { file: at, offset });
+            offset += u64::from(chunk.size);
+        }
+        if offset != file.size {
+            return Err(misfit);
+        }
+    }
+    if rest.next().is_some() {
+        return Err(misfit);
+    }
+    Ok(places)
+}
--- /dev/null
+++ b/crates/filbertstack-weights/src/store/disk.rs
@@ -0,0 +1,113 @@
+//! Chunks as files: written to a temporary name, synced, renamed.
+
+use std::fs;
+use std::fs::File;
+use std::io;
+use std::io::Read;
+use std::io::Write;
+use std::path::Path;
+use std::path::PathBuf;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+
+use bytes::Bytes;
+
+use filbertstack_core::Digest;
+
+use crate::manifest::Chunk;
+use crate::manifest::MAX_CHUNK;
+
+const CHUNKS: &str = "chunks";
+const PARTS: &str = "parts";
+
+/// The chunk files below one folder.
+#[derive(Debug)]
+pub(super) struct Disk {
+    chunks: PathBuf,
+    parts: PathBuf,
+    writes: AtomicU64,
+}
+
+impl Disk {
+    /// Opens the folder, drops half-written files and lists the chunks, the oldest first.
+    pub(super) fn open(dir: &Path) -> io::Result<(Self, Vec<Chunk>)> {
+        let chunks = dir.join(CHUNKS);
+        let parts = dir.join(PARTS);
+        if parts.exists() {
+            fs::remove_dir_all(&parts)?;
+        }
+        fs::create_dir_all(&parts)?;
+        fs::create_dir_all(&chunks)?;
+        let found = list(&chunks)?;
+        let writes = AtomicU64::new(0);
+        let disk = Self {
+            chunks,
+            parts,
+            writes,
+        };
+        Ok((disk, found))
+    }
+
+    fn path(&self, digest: Digest) -> PathBuf {
+        self.chunks.join(digest.to_string())
+    }
+
+    /// Writes a chunk so that a crash leaves it whole or not at all.
+    pub(super) fn write(&self, digest: Digest, bytes: &[u8]) -> io::Result<()> {
+        let number = self.writes.fetch_add(1, Ordering::Relaxed);
+        let part = self.parts.join(number.to_string());
+        let written = write_synced(&part, bytes).and_then(|()| self.publish(&part, digest));
+        if written.is_err() {
+            let _ = fs::remove_file(&part);
+        }
+        written
+    }
+
+    fn publish(&self, part: &Path, digest: Digest) -> io::Result<()> {
+        fs::rename(part, self.path(digest))?;
+        File::open(&self.chunks)?.sync_all()
+    }
+
+    /// The bytes of a chunk as they are now; `None` if there is no such file.
+    pub(super) fn read(&self, digest: Digest) -> io::Result<Option<Bytes>> {
+        let file = match File::open(self.path(digest)) {
+            Ok(file) => file,
+            Err(error) if error.kind() == io::ErrorKind::NotFound => return Ok(None),
+            Err(error) => return Err(error),
+        };
+        // A file that grew must not fill the memory; one byte more is enough to fail the digest.
+        let mut bytes = Vec::new();
+        file.take(u64::from(MAX_CHUNK) + 1)
+            .read_to_end(&mut bytes)?;
+        Ok(Some(bytes.into()))
+    }
+
+    /// Removes a chunk; one that is gone already is as good as removed.
+    pub(super) fn remove(&self, digest: Digest) {
+        let _ = fs::remove_file(self.path(digest));
+    }
+}
+
+fn write_synced(path: &Path, bytes: &[u8]) -> io::Result<()> {
+    let mut file = File::create(path)?;
+    file.write_all(bytes)?;
+    file.sync_all()
+}
+
+fn list(dir: &Path) -> io::Result<Vec<Chunk>> {
+    let mut found = Vec::new();
+    for entry in fs::read_dir(dir)? {
+        let entry = entry?;
+        let Some(Ok(digest)) = entry.file_name().to_str().map(str::parse) else {
+            continue;
+        };
+        let meta = entry.metadata()?;
+        if let Ok(size @ 1..=MAX_CHUNK) = u32::try_from(meta.len()) {
+            found.push((meta.modified()?, Chunk { digest, size }));
+        } else {
+            fs::remove_file(entry.path())?;
+        }
+    }
+    found.sort_by_key(|(modified, chunk)| (*modified, chunk.digest));
+    Ok(found.into_iter().map(|(_, chunk)| chunk).collect())
+}
--- /dev/null
+++ b/crates/filbertstack-weights/src/store/shelf.rs
@@ -0,0 +1,172 @@
+//! What the store holds, in the order of use, and what is pinned: no bytes, no disk.
+
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+
+use filbertstack_core::Digest;
+
+use crate::manifest::Chunk;
+use crate::store::StoreError;
+use crate::store::Usage;
+
+/// The index of a store.
+#[derive(Debug)]
+pub(super) struct Shelf {
+    held: HashMap<Digest, Held>,
+    /// The held chunks by their last use, the oldest first.
+    order: BTreeMap<u64, Digest>,
+    pins: HashMap<Digest, Pinned>,
+    clock: u64,
+    usage: Usage,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Held {
+    size: u32,
+    used: u64,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Pinned {
+    size: u32,
+    count: u32,
+}
+
+impl Shelf {
+    pub(super) fn new(limit: u64) -> Self {
+        Self {
+            held: HashMap::new(),
+            order: BTreeMap::new(),
+            pins: HashMap::new(),
+            clock: 0,
+            usage: Usage {
+                limit,
+                ..Usage::default()
+            },
+        }
+    }
+
+    pub(super) fn usage(&self) -> Usage {
+        Usage {
+            chunks: self.held.len(),
+            ..self.usage
+        }
+    }
+
+    pub(super) fn holds(&self, digest: Digest) -> bool {
+        self.held.contains_key(&digest)
+    }
+
+    /// Marks a chunk as just used; false if it is not held.
+    pub(super) fn touch(&mut self, digest: Digest) -> bool {
+        let Some(held) = self.held.get_mut(&digest) else {
+            return false;
+        };
+        self.clock += 1;
+        self.order.remove(&held.used);
+        held.used = self.clock;
+        self.order.insert(self.clock, digest);
+        true
+    }
+
+    pub(super) fn add(&mut self, chunk: Chunk) {
+        if self.touch(chunk.digest) {
+            return;
+        }
+        self.clock += 1;
+        let held = Held {
+            size: chunk.size,
+            used: self.clock,
+        };
+        self.held.insert(chunk.digest, held);
+        self.order.insert(self.clock, chunk.digest);
+        self.usage.bytes += u64::from(chunk.size);
+    }
+
+    pub(super) fn remove(&mut self, digest: Digest) {
+        if let Some(held) = self.held.remove(&digest) {
+            self.order.remove(&held.used);
+            self.usage.bytes -= u64::from(held.size);
+        }
+    }
+
+    pub(super) fn rotten(&mut self, digest: Digest) {
+        if self.holds(digest) {
+            self.usage.rotten += 1;
+        }
+        self.remove(digest);
+    }
+
+    /// Checks that a new chunk fits beside all pinned ones, for those have their room reserved.
+    pub(super) fn room(&self, digest: Digest, size: u32) -> Result<(), StoreError> {
+        let reserved = self.pins.contains_key(&digest);
+        let needed = u64::from(size);
+        if reserved || self.usage.pinned + needed <= self.usage.limit {
+            return Ok(());
+        }
+        Err(self.full(needed))
+    }
+
+    /// Takes out the least recently used unpinned chunks until `needed` more bytes fit.
+    pub(super) fn evict(&mut self, needed: u64) -> Vec<Digest> {
+        let mut evicted = Vec::new();
+        let mut over = (self.usage.bytes + needed).saturating_sub(self.usage.limit);
+        for &digest in self.order.values() {
+            if over == 0 {
+                break;
+            }
+            if !self.pins.contains_key(&digest) {
+                over = over.saturating_sub(u64::from(self.held[&digest].size));
+                evicted.push(digest);
+            }
+        }
+        for &digest in &evicted {
+            self.remove(digest);
+        }
+        self.usage.evicted += evicted.len() as u64;
+        evicted
+    }
+
+    pub(super) fn pin(&mut self, chunks: &[Chunk]) -> Result<(), StoreError> {
+        for chunk in chunks {
+            self.pin_one(*chunk);
+        }
+        if self.usage.pinned <= self.usage.limit {
+            return Ok(());
+        }
+        let before = self.usage.pinned;
+        self.unpin(chunks);
+        Err(self.full(before - self.usage.pinned))
+    }
+
+    fn pin_one(&mut self, chunk: Chunk) {
+        let size = chunk.size;
+        let pinned = self.pins.entry(chunk.digest);
+        let pinned = pinned.or_insert(Pinned { size, count: 0 });
+        if pinned.count == 0 {
+            self.usage.pinned += u64::from(size);
+        }
+        pinned.count += 1;
+    }
+
+    pub(super) fn unpin(&mut self, chunks: &[Chunk]) {
+        for chunk in chunks {
+            let Some(pinned) = self.pins.get_mut(&chunk.digest) else {
+                continue;
+            };
+            pinned.count -= 1;
+            if pinned.count == 0 {
+                self.usage.pinned -= u64::from(pinned.size);
+                self.pins.remove(&chunk.digest);
+            }
+        }
+    }
+
+    fn full(&self, needed: u64) -> StoreError {
+        StoreError::Full {
+            needed,
+            pinned: self.usage.pinned,
+            limit: self.usage.limit,
+        }
+    }
+}
--- /dev/null
+++ b/crates/filbertstack-weights/src/version.rs
@@ -0,0 +1,306 @@
+//! A version's life on an instance, as a typestate.
+//!
+//! `Absent -> Fetching -> Verified -> Loading -> Serving -> Draining -> Absent`. A [`Verified`]
+//! version can only come from reading every chunk under its one root digest, and a [`Serving`]
+//! one only from a verified one whose engine reported the same digest. Nothing of it outlives the
+//! process: an agent that is killed between verifying and loading starts at [`Absent`] again.
+
+use std::fs;
+use std::fs::File;
+use std::io::Write;
+use std::marker::PhantomData;
+use std::path::Path;
+use std::path::PathBuf;
+use std::sync::Arc;
+
+use thiserror::Error;
+
+use filbertstack_core::Digest;
+
+use crate::manifest::Manifest;
+use crate::store::Pin;
+use crate::store::Store;
+use crate::store::StoreError;
+
+/// Nothing of the version is wanted yet beyond its room in the store.
+#[derive(Debug)]
+pub struct Absent;
+
+/// Its chunks are on their way.
+#[derive(Debug)]
+pub struct Fetching;
+
+/// Every chunk was read and verified.
+#[derive(Debug)]
+pub struct Verified;
+
+/// The engine has the order to load it.
+#[derive(Debug)]
+pub struct Loading;
+
+/// The engine answers from it.
+#[derive(Debug)]
+pub struct Serving;
+
+/// It finishes what it began and takes nothing new.
+#[derive(Debug)]
+pub struct Draining;
+
+/// A step that could not be taken.
+#[derive(Debug, Error)]
+pub enum VersionError {
+    /// Chunks are missing or were found damaged.
+    #[error("version {version} lacks {} of its chunks: fetch them and verify again", missing.len())]
+    Missing {
+        /// The version.
+        version: Digest,
+        /// The places of the chunks in the manifest.
+        missing: Vec<u32>,
+    },
+    /// The engine reports another version than the one ordered.
+    #[error("the engine was to load {wanted} and reports {got}: order it again or restart it")]
+    Mismatch {
+        /// The version ordered.
+        wanted: Digest,
+        /// The version reported.
+        got: Digest,
+    },
+    /// The store failed.
+    #[error(transparent)]
+    Store(#[from] StoreError),
+    /// The files for the engine could not be written.
+    #[error("{path} cannot be written ({error}): check the folder's space and permissions")]
+    Write {
+        /// The path.
+        path: PathBuf,
+        /// What the system said.
+        error: std::io::Error,
+    },
+}
+
+/// A step that failed, with the version in the state it is in now.
+#[derive(Debug)]
+pub struct Refused<S> {
+    /// The version.
+    pub version: Version<S>,
+    /// Why.
+    pub error: VersionError,
+}
+
+/// A version on this instance, in state `S`; its chunks stay pinned while it exists.
+#[derive(Debug)]
+pub struct Version<S> {
+    held: Box<Held>,
+    state: PhantomData<S>,
+}
+
+#[derive(Debug)]
+struct Held {
+    manifest: Arc<Manifest>,
+    store: Arc<Store>,
+    _pin: Pin,
+}
+
+impl<S> Version<S> {
+    /// The digest that names it.
+    pub fn root(&self) -> Digest {
+        self.held.manifest.root()
+    }
+
+    /// Its manifest.
+    pub fn manifest(&self) -> &Arc<Manifest> {
+        &self.held.manifest
+    }
+
+    fn to<T>(self) -> Version<T> {
+        Version {
+            held: self.held,
+            state: PhantomData,
+        }
+    }
+}
+
+impl Version<Absent> {
+    /// Declares a version: its chunks are pinned from here on.
+    ///
+    /// # Errors
+    /// [`StoreError::Full`] if it does not fit beside what is declared already.
+    pub fn declare(manifest: Arc<Manifest>, store: Arc<Store>) -> Result<Self, StoreError> {
+        let pin = store.pin(&manifest)?;
+        let held = Box::new(Held {
+            manifest,
+            store,
+            _pin: pin,
+        });
+        Ok(Self {
+            held,
+            state: PhantomData,
+        })
+    }
+
+    /// Begins to fetch.
+    pub fn fetch(self) -> Version<Fetching> {
+        self.to()
+    }
+}
+
+impl Version<Fetching> {
+    /// The places of the chunks that the store does not hold, as far as known unread.
+    pub fn missing(&self) -> Vec<u32> {
+        let held = &self.held;
+        let lacks = |chunk: Digest| !held.store.has(chunk);
+        let wants = held.manifest.wants();
+        wants
+            .filter(|want| lacks(want.chunk.digest))
+            .map(|want| want.index)
+            .collect()
+    }
+
+    /// Reads and verifies every chunk.
+    ///
+    /// # Errors
+    /// The version still fetching, with what is missing; a damaged chunk was dropped and is
+    /// missing from now on.
+    pub fn verify(self) -> Result<Version<Verified>, Refused<Fetching>> {
+        let missing = unreadable(&self.held);
+        if missing.is_empty() {
+            return Ok(self.to());
+        }
+        let version = self.root();
+        let error = VersionError::Missing { version, missing };
+        Err(Refused {
+            version: self,
+            error,
+        })
+    }
+}
+
+fn unreadable(held: &Held) -> Vec<u32> {
+    let reads = |digest| matches!(held.store.get(digest), Ok(Some(_)));
+    let wants = held.manifest.wants();
+    wants
+        .filter(|want| !reads(want.chunk.digest))
+        .map(|want| want.index)
+        .collect()
+}
+
+impl Version<Verified> {
+    /// Writes the version's files below `dir/<root>` for an engine that loads from a folder.
+    ///
+    /// Each chunk is verified once more as it is read. The folder appears under its name only
+    /// when it is whole, so that an engine never finds half of it.
+    ///
+    /// # Errors
+    /// [`VersionError::Missing`] if a chunk was damaged since: go back with
+    /// [`Version::refetch`]; [`VersionError::Write`].
+    pub fn write_to(&self, dir: &Path) -> Result<PathBuf, VersionError> {
+        let whole = dir.join(self.root().to_string());
+        let part = dir.join(format!(".{}.part", self.root()));
+        let written = self.write_files(&part);
+        if written.is_err() {
+            let _ = fs::remove_dir_all(&part);
+        }
+        written?;
+        let failed = |error| write_error(&whole, error);
+        if whole.exists() {
+            fs::remove_dir_all(&whole).map_err(failed)?;
+        }
+        fs::rename(&part, &whole).map_err(failed)?;
+        Ok(whole)
+    }
+
+    fn write_files(&self, part: &Path) -> Result<(), VersionError> {
+        if part.exists() {
+            fs::remove_dir_all(part).map_err(|error| write_error(part, error))?;
+        }
+        let mut wants = self.held.manifest.wants().peekable();
+        for file in self.held.manifest.files() {
+            let path = part.join(&*file.name);
+            let failed = |error| write_error(&path, error);
+            let folder = path.parent().unwrap_or(part);
+            fs::create_dir_all(folder).map_err(failed)?;
+            let mut out = File::create(&path).map_err(failed)?;
+            while let Some(want) = wants.next_if(|want| want.file.name == file.name) {
+                let bytes = self.read(want.index, want.chunk.digest)?;
+                out.write_all(&bytes).map_err(failed)?;
+            }
+            out.sync_all().map_err(failed)?;
+        }
+        Ok(())
+    }
+
+    fn read(&self, index: u32, digest: Digest) -> Result<bytes::Bytes, VersionError> {
+        let missing = || VersionError::Missing {
+            version: self.root(),
+            missing: vec![index],
+        };
+        match self.held.store.get(digest) {
+            Ok(Some(bytes)) => Ok(bytes),
+            Ok(None) | Err(StoreError::Rotten { .. }) => Err(missing()),
+            Err(error) => Err(error.into()),
+        }
+    }
+
+    /// Goes back to fetching, after a chunk was found damaged.
+    pub fn refetch(self) -> Version<Fetching> {
+        self.to()
+    }
+
+    /// Gives the engine the order to load.
+    pub fn load(self) -> Version<Loading> {
+        self.to()
+    }
+}
+
+fn write_error(path: &Path, error: std::io::Error) -> VersionError {
+    let path = path.to_owned();
+    VersionError::Write { path, error }
+}
+
+impl Version<Loading> {
+    /// Takes the engine's report that it has loaded `reported`.
+    ///
+    /// # Errors
+    /// The version verified but not loaded, if the engine reports another digest.
+    pub fn serve(self, reported: Digest) -> Result<Version<Serving>, Refused<Verified>> {
+        let wanted = self.root();
+        if reported == wanted {
+            return Ok(self.to());
+        }
+        let error = VersionError::Mismatch {
+            wanted,
+            got: reported,
+        };
+        let version = self.fail();
+        Err(Refused { version, error })
+    }
+
+    /// The engine failed to load, or took too long.
+    pub fn fail(self) -> Version<Verified> {
+        self.to()
+    }
+}
+
+impl Version<Serving> {
+    /// Whether a request routed for `version` may be answered from this one.
+    pub fn answers(&self, version: Digest) -> bool {
+        self.root() == version
+    }
+
+    /// The engine reports another version or was restarted: it no longer answers from this one.
+    pub fn lose(self) -> Version<Verified> {
+        self.to()
+    }
+
+    /// Takes nothing new from here on.
+    pub fn drain(self) -> Version<Draining> {
+        self.to()
+    }
+}
+
+impl Version<Draining> {
+    /// The last request has ended: the engine may unload, the chunks are unpinned on drop.
+    pub fn end(self) -> Version<Absent> {
+        self.to()
+    }
+}
--- /dev/null
+++ b/crates/filbertstack-weights/tests/http.rs
@@ -0,0 +1,120 @@
+//! The origin over HTTP: what it does wrong has a kind, and nothing of it is stored.
+
+mod support;
+
+use std::fs;
+use std::time::Duration;
+
+use filbertstack_weights::Manifest;
+use filbertstack_weights::Store;
+use filbertstack_weights::fetch::Fault;
+use filbertstack_weights::fetch::FetchError;
+use filbertstack_weights::fetch::HttpConfig;
+use filbertstack_weights::fetch::HttpSource;
+use filbertstack_weights::fetch::fetch_into;
+use filbertstack_weights::manifest::Want;
+
+use support::Sample;
+use support::origin::Answer;
+use support::origin::Origin;
+use support::sample;
+
+const QUICK: HttpConfig = HttpConfig {
+    idle: Duration::from_millis(300),
+    window: Duration::from_millis(100),
+    progress: 50,
+};
+
+/// Waits so long for one read that only the floor on progress can end a fetch.
+const PATIENT: HttpConfig = HttpConfig {
+    idle: Duration::from_secs(60),
+    ..QUICK
+};
+
+/// The third chunk of the second file: neither the first nor the last range of it.
+fn want(sample: &Sample) -> Want {
+    sample.manifest.want(7).unwrap()
+}
+
+fn fetch(config: HttpConfig, answer: Answer) -> (Result<(), FetchError>, Store) {
+    let sample = sample(1);
+    let file = fs::read(sample.dir.path().join("layers/0.bin")).unwrap();
+    let origin = Origin::start(file, answer);
+    let source = HttpSource::new(&origin.base(), config);
+    let store = Store::memory(10_000);
+    let fetched = fetch_into(&source, &want(&sample), &store).map(|_| ());
+    (fetched, store)
+}
+
+#[test]
+fn a_good_range_is_stored() {
+    let (fetched, store) = fetch(HttpConfig::default(), Answer::Good);
+    fetched.unwrap();
+    assert!(store.has(want(&sample(1)).chunk.digest));
+}
+
+// The origin answers wrongly in each of the ways it can. The copier is told the kind of fault and
+// turns elsewhere; no byte of the answer reaches the store.
+#[test]
+fn each_wrong_answer_is_told_apart() {
+    let after = filbertstack_core::Millis::secs(7);
+    let cases = [
+        (Answer::Whole, Fault::Wrong),
+        (Answer::Shifted, Fault::Wrong),
+        (Answer::Cut, Fault::Wrong),
+        (Answer::Longer, Fault::Stale),
+        (Answer::OtherVersion, Fault::Stale),
+        (Answer::Corrupt, Fault::Corrupt),
+        (Answer::Busy, Fault::Busy { after }),
+        (Answer::Missing, Fault::Missing),
+    ];
+    for (answer, fault) in cases {
+        let (fetched, store) = fetch(HttpConfig::default(), answer);
+        let error = fetched.unwrap_err();
+        assert_eq!(error.fault(), Some(fault), "{answer:?}: {error}");
+        assert_eq!(store.usage().bytes, 0);
+    }
+}
+
+// The origin keeps the connection and sends a byte each 20 ms. Every single read succeeds, so that
+// only a floor on progress ends it; the whole chunk would take 80 s.
+#[test]
+fn a_dripping_origin_is_a_stall() {
+    let dir = tempfile::tempdir().unwrap();
+    fs::write(dir.path().join("model.bin"), vec![7; 4096]).unwrap();
+    let manifest = Manifest::of_dir(dir.path(), 4096).unwrap();
+    let origin = Origin::start(vec![7; 4096], Answer::Drip);
+    let source = HttpSource::new(&origin.base(), PATIENT);
+    let want = manifest.want(0).unwrap();
+    let error = fetch_into(&source, &want, &Store::memory(10_000)).unwrap_err();
+    assert_eq!(error.fault(), Some(Fault::Stalled), "{error}");
+}
+
+#[test]
+fn a_silent_origin_is_a_stall() {
+    let (fetched, _) = fetch(QUICK, Answer::Silent);
+    let error = fetched.unwrap_err();
+    assert_eq!(error.fault(), Some(Fault::Stalled), "{error}");
+}
+
+#[test]
+fn an_origin_that_is_not_there_is_down() {
+    let sample = sample(1);
+    let addr = {
+        let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+        listener.local_addr().unwrap()
+    };
+    let source = HttpSource::new(&format!("http://{addr}"), HttpConfig::default());
+    let error = fetch_into(&source, &want(&sample), &Store::memory(1000)).unwrap_err();
+    assert_eq!(error.fault(), Some(Fault::Down), "{error}");
+}
+
+#[test]
+fn a_manifest_comes_by_its_digest() {
+    let (one, two) = (sample(1), sample(2));
+    let origin = Origin::start(one.manifest.encode().to_vec(), Answer::Whole);
+    let source = HttpSource::new(&origin.base(), HttpConfig::default());
+    let fetched = source.manifest("manifest", one.manifest.root()).unwrap();
+    assert_eq!(fetched, *one.manifest);
+    assert!(source.manifest("manifest", two.manifest.root()).is_err());
+}
--- /dev/null
+++ b/crates/filbertstack-weights/tests/manifest.rs
@@ -0,0 +1,153 @@
+//! Manifests: made from folders, encoded, and refused when they break a bound.
+
+mod support;
+
+use std::fs;
+use std::os::unix::fs::symlink;
+use std::sync::Arc;
+
+use filbertstack_core::Digest;
+use filbertstack_weights::Manifest;
+use filbertstack_weights::manifest::Chunk;
+use filbertstack_weights::manifest::File;
+use filbertstack_weights::manifest::MAX_CHUNKS;
+use filbertstack_weights::manifest::ManifestError;
+
+use support::CHUNK;
+use support::sample;
+
+fn file(name: &str, size: u64) -> File {
+    let name = Arc::from(name);
+    File { name, size }
+}
+
+fn chunk(size: u32) -> Chunk {
+    let digest = Digest::of(b"chunk");
+    Chunk { digest, size }
+}
+
+#[test]
+fn a_folder_and_its_encoding_give_one_manifest() {
+    let sample = sample(1);
+    let names: Vec<_> = sample.manifest.files().iter().map(|f| &*f.name).collect();
+    assert_eq!(names, ["config.json", "layers/0.bin"]);
+    assert_eq!(sample.manifest.size(), 800);
+    // 300 and 500 bytes in chunks of 64 that span no files.
+    assert_eq!(sample.manifest.chunks().len(), 5 + 8);
+    let encoded = sample.manifest.encode();
+    assert_eq!(Digest::of(&encoded), sample.manifest.root());
+    let decoded = Manifest::decode(sample.manifest.root(), &encoded).unwrap();
+    assert_eq!(decoded, *sample.manifest);
+    let again = Manifest::of_dir(sample.dir.path(), CHUNK).unwrap();
+    assert_eq!(again.root(), sample.manifest.root());
+}
+
+#[test]
+fn each_want_names_the_bytes_of_its_chunk() {
+    let sample = sample(1);
+    for (want, bytes) in sample.manifest.wants().zip(&sample.bytes) {
+        let held = fs::read(sample.dir.path().join(&*want.file.name)).unwrap();
+        assert_eq!(held[want.range()], bytes[..]);
+        assert_eq!(want.chunk.digest, Digest::of(bytes));
+    }
+    assert_eq!(sample.manifest.wants().count(), sample.bytes.len());
+}
+
+#[test]
+fn another_versions_bytes_are_refused() {
+    let (one, two) = (sample(1), sample(2));
+    let error = Manifest::decode(one.manifest.root(), &two.manifest.encode()).unwrap_err();
+    assert!(matches!(error, ManifestError::Digest { .. }), "{error}");
+}
+
+// A manifest from a hostile origin names files outside of the version's folder. If one were
+// taken, writing the version for the engine would overwrite files of the machine.
+#[test]
+fn names_that_leave_the_folder_are_refused() {
+    let names = [
+        "../up",
+        "a/../../up",
+        "/etc/passwd",
+        "a//b",
+        "",
+        ".hidden",
+        "a/.b",
+        "a b",
+        "a\\b",
+        "a/",
+        "a\0b",
+        "é",
+    ];
+    for name in names {
+        let error = Manifest::new(vec![file(name, 1)], vec![chunk(1)]).unwrap_err();
+        assert!(
+            matches!(error, ManifestError::Name { .. }),
+            "{name}: {error}"
+        );
+    }
+    let long = "a".repeat(256);
+    assert!(Manifest::new(vec![file(&long, 1)], vec![chunk(1)]).is_err());
+}
+
+#[test]
+fn files_in_wrong_order_or_twice_are_refused() {
+    let two = vec![chunk(1), chunk(1)];
+    for names in [["b", "a"], ["a", "a"]] {
+        let files = names.map(|name| file(name, 1)).to_vec();
+        assert!(Manifest::new(files, two.clone()).is_err());
+    }
+    let nested = ["a", "a-b", "a/c"].map(|name| file(name, 1)).to_vec();
+    assert!(Manifest::new(nested, vec![chunk(1); 3]).is_err());
+}
+
+#[test]
+fn chunks_that_do_not_fit_the_files_are_refused() {
+    for sizes in [&[10][..], &[4, 4], &[4, 5, 1], &[9, 0], &[]] {
+        let chunks = sizes.iter().copied().map(chunk).collect();
+        assert!(
+            Manifest::new(vec![file("a", 9)], chunks).is_err(),
+            "{sizes:?}"
+        );
+    }
+    let many = MAX_CHUNKS + 1;
+    let error = Manifest::new(vec![file("a", many as u64)], vec![chunk(1); many]).unwrap_err();
+    assert!(matches!(error, ManifestError::Chunks), "{error}");
+}
+
+#[test]
+fn the_largest_manifest_fits_its_bound() {
+    let chunks = vec![chunk(64 << 20); MAX_CHUNKS];
+    let size = (MAX_CHUNKS as u64) << 26;
+    let manifest = Manifest::new(vec![file("a", size)], chunks).unwrap();
+    let decoded = Manifest::decode(manifest.root(), &manifest.encode()).unwrap();
+    assert_eq!(decoded.root(), manifest.root());
+}
+
+#[test]
+fn damaged_encodings_are_refused() {
+    let sample = sample(1);
+    let mut encoded = sample.manifest.encode().to_vec();
+    // An unknown field more: the same manifest under a second name.
+    encoded.extend_from_slice(&[0x78, 1]);
+    let error = Manifest::decode(Digest::of(&encoded), &encoded).unwrap_err();
+    assert!(matches!(error, ManifestError::Malformed { .. }), "{error}");
+    encoded.truncate(40);
+    assert!(Manifest::decode(Digest::of(&encoded), &encoded).is_err());
+}
+
+#[test]
+fn folders_that_make_no_version_are_refused() {
+    let dir = tempfile::tempdir().unwrap();
+    let empty = Manifest::of_dir(dir.path(), CHUNK).unwrap_err();
+    assert!(matches!(empty, ManifestError::Empty), "{empty}");
+    fs::write(dir.path().join(".cache"), b"x").unwrap();
+    fs::write(dir.path().join("a"), b"x").unwrap();
+    assert_eq!(
+        Manifest::of_dir(dir.path(), CHUNK).unwrap().files().len(),
+        1
+    );
+    assert!(Manifest::of_dir(dir.path(), 0).is_err());
+    symlink(dir.path(), dir.path().join("loop")).unwrap();
+    let looped = Manifest::of_dir(dir.path(), CHUNK).unwrap_err();
+    assert!(matches!(looped, ManifestError::Kind { .. }), "{looped}");
+}
--- /dev/null
+++ b/crates/filbertstack-weights/tests/store.rs
@@ -0,0 +1,149 @@
+//! The chunk store: verification, eviction, pins, rot on disk and restarts.
+
+mod support;
+
+use std::fs;
+use std::path::PathBuf;
+use std::sync::Arc;
+
+use bytes::Bytes;
+
+use filbertstack_core::Digest;
+use filbertstack_weights::Store;
+use filbertstack_weights::store::Put;
+use filbertstack_weights::store::StoreError;
+
+use support::Sample;
+use support::peer::flip;
+use support::sample;
+
+fn fill(store: &Store, sample: &Sample) {
+    for (want, bytes) in sample.manifest.wants().zip(&sample.bytes) {
+        store.put(want.chunk.digest, bytes.clone()).unwrap();
+    }
+}
+
+fn chunk_path(dir: &tempfile::TempDir, digest: Digest) -> PathBuf {
+    dir.path().join("chunks").join(digest.to_string())
+}
+
+#[test]
+fn bytes_of_another_chunk_are_not_stored() {
+    let store = Store::memory(1000);
+    let digest = Digest::of(b"right");
+    let error = store.put(digest, Bytes::from_static(b"wrong")).unwrap_err();
+    assert!(matches!(error, StoreError::Corrupt { .. }), "{error}");
+    assert!(store.get(digest).unwrap().is_none());
+    assert_eq!(store.put(digest, "right".into()).unwrap(), Put::Stored);
+    assert_eq!(store.put(digest, "right".into()).unwrap(), Put::Held);
+    assert_eq!(store.get(digest).unwrap().unwrap(), "right");
+}
+
+// A disk flips a bit of a stored chunk. Peers would get it, verify it and blame this instance;
+// the engine would load it. The store finds it on the next read, drops it and takes a good one.
+#[test]
+fn rot_on_disk_is_found_and_never_served() {
+    let dir = tempfile::tempdir().unwrap();
+    let store = Store::open(dir.path(), 1000).unwrap();
+    let bytes = Bytes::from_static(b"weights");
+    let digest = Digest::of(&bytes);
+    store.put(digest, bytes.clone()).unwrap();
+    fs::write(chunk_path(&dir, digest), flip(&bytes)).unwrap();
+    let error = store.get(digest).unwrap_err();
+    assert!(matches!(error, StoreError::Rotten { .. }), "{error}");
+    assert!(!store.has(digest) && store.get(digest).unwrap().is_none());
+    assert_eq!(store.usage().rotten, 1);
+    assert_eq!(store.put(digest, bytes.clone()).unwrap(), Put::Stored);
+    assert_eq!(store.get(digest).unwrap().unwrap(), bytes);
+}
+
+#[test]
+fn a_chunk_file_that_vanished_is_missing() {
+    let dir = tempfile::tempdir().unwrap();
+    let store = Store::open(dir.path(), 1000).unwrap();
+    let digest = Digest::of(b"weights");
+    store.put(digest, "weights".into()).unwrap();
+    fs::remove_file(chunk_path(&dir, digest)).unwrap();
+    assert!(store.get(digest).unwrap().is_none());
+    assert!(!store.has(digest));
+}
+
+#[test]
+fn the_least_recently_used_chunk_goes_first() {
+    let store = Store::memory(10);
+    let digests = ["aaaa", "bbbb", "cccc"].map(|text| (Digest::of(text.as_bytes()), text));
+    store.put(digests[0].0, digests[0].1.into()).unwrap();
+    store.put(digests[1].0, digests[1].1.into()).unwrap();
+    store.get(digests[0].0).unwrap();
+    store.put(digests[2].0, digests[2].1.into()).unwrap();
+    assert_eq!(
+        digests.map(|(digest, _)| store.has(digest)),
+        [true, false, true]
+    );
+    assert_eq!(store.usage().evicted, 1);
+    assert!(store.usage().bytes <= 10);
+}
+
+// A second version arrives at a full store while the first is served. Without pins the copy of
+// the second would evict the first's chunks: peers and a restarting engine would find holes.
+#[test]
+fn declared_chunks_are_never_evicted() {
+    let (one, two) = (sample(1), sample(2));
+    let store = Arc::new(Store::memory(900));
+    let pin = store.pin(&one.manifest).unwrap();
+    fill(&store, &one);
+    let refused = store.pin(&two.manifest).unwrap_err();
+    assert!(matches!(refused, StoreError::Full { .. }), "{refused}");
+    let own = two.manifest.want(12).unwrap().chunk;
+    store.put(own.digest, two.bytes[12].clone()).unwrap();
+    let next = two.manifest.want(6).unwrap().chunk;
+    store.put(next.digest, two.bytes[6].clone()).unwrap();
+    assert!(
+        one.manifest
+            .chunks()
+            .iter()
+            .all(|chunk| store.has(chunk.digest))
+    );
+    assert!(store.usage().bytes <= 900);
+    drop(pin);
+    let _pin = store.pin(&two.manifest).unwrap();
+    fill(&store, &two);
+    assert!(
+        two.manifest
+            .chunks()
+            .iter()
+            .all(|chunk| store.has(chunk.digest))
+    );
+    assert!(store.usage().bytes <= 900);
+}
+
+#[test]
+fn a_chunk_of_two_versions_is_held_once() {
+    let (one, two) = (sample(1), sample(2));
+    let store = Arc::new(Store::memory(1300));
+    let first = store.pin(&one.manifest).unwrap();
+    let _second = store.pin(&two.manifest).unwrap();
+    assert_eq!(store.usage().pinned, 300 + 2 * 500);
+    fill(&store, &one);
+    fill(&store, &two);
+    assert_eq!(store.usage().bytes, 300 + 2 * 500);
+    drop(first);
+    assert_eq!(store.usage().pinned, 800);
+}
+
+#[test]
+fn a_restart_keeps_good_chunks_and_drops_half_written_ones() {
+    let dir = tempfile::tempdir().unwrap();
+    let one = sample(1);
+    fill(&Store::open(dir.path(), 10_000).unwrap(), &one);
+    fs::write(dir.path().join("parts/77"), b"half a chunk").unwrap();
+    fs::write(dir.path().join("chunks/note"), b"no digest").unwrap();
+    let store = Store::open(dir.path(), 10_000).unwrap();
+    for (want, bytes) in one.manifest.wants().zip(&one.bytes) {
+        assert_eq!(store.get(want.chunk.digest).unwrap().as_ref(), Some(bytes));
+    }
+    assert_eq!(fs::read_dir(dir.path().join("parts")).unwrap().count(), 0);
+    // A smaller limit after the restart evicts at once.
+    let small = Store::open(dir.path(), 100).unwrap();
+    assert!(small.usage().bytes <= 100);
+}
--- /dev/null
+++ b/crates/filbertstack-weights/tests/support/peer.rs
@@ -0,0 +1,80 @@
+//! A peer in memory, with the faults a peer can have.
+
+use std::sync::Mutex;
+
+use bytes::Bytes;
+use thiserror::Error;
+
+use filbertstack_weights::Source;
+use filbertstack_weights::fetch::Fault;
+use filbertstack_weights::fetch::SourceError;
+use filbertstack_weights::manifest::Want;
+
+/// How the peer answers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Mood {
+    /// With the chunk.
+    Good,
+    /// With a byte of the chunk flipped.
+    Corrupt,
+    /// With an error of this kind.
+    Fails(Fault),
+}
+
+/// A peer that holds all chunks of a version.
+pub struct MemoryPeer {
+    chunks: Vec<Bytes>,
+    pub mood: Mutex<Mood>,
+    pub asked: Mutex<Vec<u32>>,
+}
+
+#[derive(Debug, Error)]
+#[error("the peer failed: {0:?}")]
+pub struct PeerError(pub Fault);
+
+impl SourceError for PeerError {
+    fn fault(&self) -> Fault {
+        self.0
+    }
+}
+
+impl MemoryPeer {
+    pub fn new(chunks: &[Bytes]) -> Self {
+        Self {
+            chunks: chunks.to_vec(),
+            mood: Mutex::new(Mood::Good),
+            asked: Mutex::default(),
+        }
+    }
+
+    pub fn with(chunks: &[Bytes], mood: Mood) -> Self {
+        let peer = Self::new(chunks);
+        *peer.mood.lock().unwrap() = mood;
+        peer
+    }
+
+    pub fn count(&self) -> usize {
+        self.asked.lock().unwrap().len()
+    }
+}
+
+impl Source for MemoryPeer {
+    type Error = PeerError;
+
+    fn fetch(&self, want: &Want) -> Result<Bytes, PeerError> {
+        self.asked.lock().unwrap().push(want.index);
+        let chunk = self.chunks[want.index as usize].clone();
+        match *self.mood.lock().unwrap() {
+            Mood::Good => Ok(chunk),
+            Mood::Corrupt => Ok(flip(&chunk)),
+            Mood::Fails(fault) => Err(PeerError(fault)),
+        }
+    }
+}
+
+/// `bytes` with one bit of the first byte flipped.
+pub fn flip(bytes: &[u8]) -> Bytes {
+    let mut bytes = bytes.to_vec();
+    bytes[0] ^= 1;
+    bytes.into()
+}
--- /dev/null
+++ b/crates/filbertstack-weights/tests/version.rs
@@ -0,0 +1,78 @@
+//! The typestate: nothing is loaded or served that was not verified under one digest.
+
+mod support;
+
+use std::fs;
+use std::sync::Arc;
+
+use filbertstack_core::Digest;
+use filbertstack_weights::Store;
+use filbertstack_weights::version::Version;
+use filbertstack_weights::version::VersionError;
+
+use support::Sample;
+use support::peer::flip;
+use support::sample;
+
+fn fill(store: &Store, sample: &Sample, count: usize) {
+    for (want, bytes) in sample.manifest.wants().zip(&sample.bytes).take(count) {
+        store.put(want.chunk.digest, bytes.clone()).unwrap();
+    }
+}
+
+#[test]
+fn a_version_with_a_hole_is_not_verified() {
+    let sample = sample(1);
+    let store = Arc::new(Store::memory(10_000));
+    fill(&store, &sample, 12);
+    let version = Version::declare(sample.manifest.clone(), store.clone()).unwrap();
+    let fetching = version.fetch();
+    assert_eq!(fetching.missing(), [12]);
+    let refused = fetching.verify().unwrap_err();
+    assert!(matches!(refused.error, VersionError::Missing { ref missing, .. } if *missing == [12]));
+    fill(&store, &sample, 13);
+    assert!(refused.version.verify().is_ok());
+}
+
+// A chunk rots on disk after it was verified on arrival, before the engine gets it. The version
+// must not become verified by what was once true: each chunk is read again.
+#[test]
+fn rot_before_loading_leads_back_to_fetching() {
+    let dir = tempfile::tempdir().unwrap();
+    let sample = sample(1);
+    let store = Arc::new(Store::open(dir.path(), 10_000).unwrap());
+    fill(&store, &sample, 13);
+    let version = Version::declare(sample.manifest.clone(), store.clone()).unwrap();
+    let verified = version.fetch().verify().unwrap();
+    let chunk = sample.manifest.chunks()[3].digest;
+    let path = dir.path().join("chunks").join(chunk.to_string());
+    fs::write(path, flip(&sample.bytes[3])).unwrap();
+    let out = tempfile::tempdir().unwrap();
+    let error = verified.write_to(out.path()).unwrap_err();
+    assert!(matches!(error, VersionError::Missing { ref missing, .. } if *missing == [3]));
+    assert_eq!(fs::read_dir(out.path()).unwrap().count(), 0);
+    let fetching = verified.refetch();
+    assert_eq!(fetching.missing(), [3]);
+    fill(&store, &sample, 13);
+    let written = fetching.verify().unwrap().write_to(out.path()).unwrap();
+    let file = fs::read(written.join("layers/0.bin")).unwrap();
+    assert_eq!(
+        file,
+        fs::read(sample.dir.path().join("layers/0.bin")).unwrap()
+    );
+}
+
+#[test]
+fn an_engine_that_reports_another_version_does_not_serve() {
+    let sample = sample(1);
+    let root = sample.manifest.root();
+    let store = Arc::new(Store::memory(10_000));
+    fill(&store, &sample, 13);
+    let version = Version::declare(sample.manifest.clone(), store).unwrap();
+    let loading = version.fetch().verify().unwrap().load();
+    let refused = loading.serve(Digest::of(b"other")).unwrap_err();
+    assert!(matches!(refused.error, VersionError::Mismatch { .. }));
+    let serving = refused.version.load().serve(root).unwrap();
+    assert!(serving.answers(root) && !serving.answers(Digest::of(b"other")));
+    assert_eq!(serving.drain().end().root(), root);
+}
