Add the agent: gate, keeper of versions, chunks for peers, announcements

Cause: the last hop is the only place where a stale order or a request for another version can be refused for certain. Ruled out: orders sent by the leader to each agent (a link from one process to every agent); agents ask for their whole desired state instead, so a lost reply is mended by the next. Before: none. Conclusion: copies are still fetched one way; the planned copier replaces it.

--- /dev/null
+++ b/crates/filbertstack-agent/src/serve.rs
@@ -0,0 +1,218 @@
+//! The calls that arrive on the agent's links: requests for the target, chunks for peers.
+
+use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::thread;
+
+use filbertstack_core::Digest;
+use filbertstack_weights::Store;
+use filbertstack_wire::Handler;
+use filbertstack_wire::Remote;
+use filbertstack_wire::Responder;
+use filbertstack_wire::WireError;
+use filbertstack_wire::link::STACK;
+use filbertstack_wire::messages::Ask;
+use filbertstack_wire::messages::Digested;
+use filbertstack_wire::messages::Dispatch;
+use filbertstack_wire::messages::Head;
+use filbertstack_wire::messages::Header;
+use filbertstack_wire::messages::Payload;
+use filbertstack_wire::messages::Tell;
+use filbertstack_wire::messages::TermReport;
+use filbertstack_wire::stream::payload;
+
+use crate::gate::Closed;
+use crate::gate::Gate;
+use crate::keeper::Desk;
+use crate::target::Answer;
+use crate::target::Target;
+use crate::target::TargetError;
+use crate::target::is_hop_header;
+
+/// The size of a piece of a chunk, in bytes: small enough that a request's frame never waits long
+/// behind it, large enough that its head costs nothing.
+const PIECE: usize = 256 << 10;
+
+/// When an entry may come back to a full or closed target, in milliseconds: about one answer.
+const COME_BACK: u64 = 200;
+
+const READ_BUFFER: usize = 16 << 10;
+
+/// Takes the calls that arrive on the agent's links.
+#[derive(Debug)]
+pub struct Calls {
+    /// What may reach the target.
+    pub gate: Gate,
+    /// The target.
+    pub target: Target,
+    /// Chunks for peers.
+    pub store: Arc<Store>,
+    /// Manifests for peers.
+    pub desk: Arc<Desk>,
+    /// The highest term accepted.
+    pub term: Arc<AtomicU64>,
+}
+
+impl Handler for Calls {
+    fn handle(&self, _: &Remote, ask: Ask, responder: Responder) {
+        match ask {
+            Ask::Dispatch(dispatch) => self.dispatch(dispatch, responder),
+            Ask::Chunk(Digested { digest }) => self.chunk(&digest, responder),
+            Ask::Manifest(Digested { digest }) => self.manifest(&digest, responder),
+            Ask::Have(Digested { digest }) => self.have(&digest, responder),
+            Ask::Term(_) => {
+                let term = self.term.load(Ordering::Relaxed);
+                let _ = responder.finish(Tell::Term(TermReport { term }));
+            }
+            _ => responder.refuse("an agent does not serve this call: ask an entry", 0),
+        }
+    }
+}
+
+impl Calls {
+    fn dispatch(&self, dispatch: Dispatch, responder: Responder) {
+        let version = Digest::from_slice(&dispatch.digest);
+        if version.is_none() && !dispatch.digest.is_empty() {
+            return responder.refuse("a version that is no digest: route the request again", 0);
+        }
+        let pass = match self.gate.pass(version) {
+            Ok(pass) => pass,
+            Err(closed) => {
+                let after = if closed == Closed::Leaving {
+                    0
+                } else {
+                    COME_BACK
+                };
+                return responder.refuse(&closed.to_string(), after);
+            }
+        };
+        let target = self.target.clone();
+        let builder = thread::Builder::new()
+            .name("dispatch".into())
+            .stack_size(STACK);
+        // A thread that can't be started drops the responder, and the entry hears "unknown";
+        // nothing ran, but saying so needs the responder, which is gone with the closure.
+        let _ = builder.spawn(move || {
+            let _pass = pass;
+            pass_on(&target, &dispatch, responder);
+        });
+    }
+
+    fn chunk(&self, digest: &[u8], responder: Responder) {
+        let held = Digest::from_slice(digest).filter(|digest| self.store.has(*digest));
+        let Some(digest) = held else {
+            return responder.refuse("this agent does not hold the chunk: ask another", 0);
+        };
+        let store = self.store.clone();
+        let builder = thread::Builder::new()
+            .name("chunk".into())
+            .stack_size(STACK);
+        let _ = builder.spawn(move || match store.get(digest) {
+            Ok(Some(bytes)) => send_pieces(&bytes, responder),
+            Ok(None) => responder.refuse("the chunk was evicted: ask another", 0),
+            Err(error) => responder.refuse(&error.to_string(), 0),
+        });
+    }
+
+    fn manifest(&self, digest: &[u8], responder: Responder) {
+        let manifest = Digest::from_slice(digest).and_then(|root| self.desk.manifest(root));
+        match manifest {
+            Some(manifest) => send_pieces(&manifest.encode(), responder),
+            None => responder.refuse("this agent does not know the version: ask another", 0),
+        }
+    }
+
+    fn have(&self, digest: &[u8], responder: Responder) {
+        let manifest = Digest::from_slice(digest).and_then(|root| self.desk.manifest(root));
+        let Some(manifest) = manifest else {
+            return responder.refuse("this agent does not know the version: ask another", 0);
+        };
+        let mut bits = vec![0_u8; manifest.chunks().len().div_ceil(8)];
+        for (index, chunk) in manifest.chunks().iter().enumerate() {
+            if self.store.has(chunk.digest) {
+                bits[index / 8] |= 1 << (index % 8);
+            }
+        }
+        let _ = responder.finish(payload(bits));
+    }
+}
+
+fn send_pieces(bytes: &bytes::Bytes, mut responder: Responder) {
+    let mut pieces = bytes.chunks(PIECE).peekable();
+    while let Some(piece) = pieces.next() {
+        let tell = Tell::Piece(Payload {
+            body: bytes.slice_ref(piece),
+        });
+        if pieces.peek().is_none() {
+            let _ = responder.finish(tell);
+            return;
+        }
+        if responder.is_cancelled() || responder.send(tell).is_err() {
+            return;
+        }
+    }
+}
+
+/// Passes one request to the target and its answer back, frame by frame.
+fn pass_on(target: &Target, dispatch: &Dispatch, mut responder: Responder) {
+    if responder.is_cancelled() {
+        return responder.refuse("the caller left before the request began", 0);
+    }
+    let response = match target.dispatch(dispatch) {
+        Ok(response) => response,
+        Err(error @ TargetError::Unreached(_)) => {
+            return responder.refuse(&error.to_string(), COME_BACK);
+        }
+        Err(error) => return responder.fail(&error.to_string()),
+    };
+    let head = head_of(&response, dispatch);
+    if responder.send(Tell::Head(head)).is_err() {
+        return;
+    }
+    if let Err(error) = pass_body(Answer::new(response), &mut responder) {
+        return responder.fail(&error.to_string());
+    }
+    // The end is a frame of its own: an answer without it is not whole.
+    let _ = responder.finish(Tell::Piece(Payload::default()));
+}
+
+fn head_of(response: &ureq::http::Response<ureq::Body>, dispatch: &Dispatch) -> Head {
+    let headers = response.headers().iter();
+    let headers = headers.filter(|(name, _)| !is_hop_header(name.as_str()));
+    let headers = headers.filter_map(|(name, value)| {
+        let value = value.to_str().ok()?.to_owned();
+        Some(Header {
+            name: name.as_str().into(),
+            value,
+        })
+    });
+    Head {
+        status: response.status().as_u16().into(),
+        headers: headers.collect(),
+        attempt: dispatch.attempt,
+        digest: dispatch.digest.clone(),
+    }
+}
+
+fn pass_body(mut answer: Answer, responder: &mut Responder) -> Result<(), TargetError> {
+    let mut buffer = vec![0; READ_BUFFER];
+    loop {
+        let n = answer.read(&mut buffer)?;
+        if n == 0 {
+            return Ok(());
+        }
+        let body = bytes::Bytes::copy_from_slice(&buffer[..n]);
+        let sent = responder.send(Tell::Piece(Payload { body }));
+        if sent.is_err() || responder.is_cancelled() {
+            return Err(TargetError::Broken(cancelled(&sent)));
+        }
+    }
+}
+
+fn cancelled(sent: &Result<(), WireError>) -> String {
+    match sent {
+        Ok(()) => "the caller left".into(),
+        Err(error) => error.to_string(),
+    }
+}
--- a/crates/filbertstack-wire/src/messages.rs
+++ b/crates/filbertstack-wire/src/messages.rs
@@ -345,6 +345,21 @@
     /// Whether bytes from the origin weigh more than time.
     #[prost(bool, tag = "8")]
     pub frugal: bool,
+    /// What to do with it.
+    #[prost(enumeration = "Duty", tag = "9")]
+    pub duty: i32,
+}
+
+/// What a target is to do with a version.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, prost::Enumeration)]
+#[repr(i32)]
+pub enum Duty {
+    /// Fetch it, load it and answer from it.
+    Serve = 0,
+    /// Take no new requests for it, finish those in progress, then unload it.
+    Drain = 1,
+    /// Fetch and verify it, and load nothing.
+    Fetch = 2,
 }
 
 /// A request for a target.
