Control state: declarations by compare-and-set, claims, orders, catalogue

Cause: the log needs a machine to apply.

Ruled out: merging keys of a section (the result would hang on history); replacing the whole set (a file that lacks a section would remove what others declared); instances' liveness in the log (2,000 heartbeats); manifests' bytes in the log (they are named by digest and verified wherever they lie).

The core gains declarations as canonical text, and whether two selectors can meet.

--- a/crates/filbertstack-control/src/lib.rs
+++ b/crates/filbertstack-control/src/lib.rs
@@ -1,1 +1,38 @@
-//! The replicated control state: declarations, placements, orders and claims.
+//! The replicated control state: declarations, published versions, instances, orders and claims.
+//!
+//! [`ControlState`] is a deterministic state machine. The replicated log hands it the bytes of a
+//! [`command::Command`] and gets an [`outcome::Outcome`]; the same log gives the same state and
+//! the same outcomes on every replica, also when a replica started from a snapshot.
+//!
+//! ```
+//! use filbertstack_control::ControlState;
+//! use filbertstack_control::command::Body;
+//! use filbertstack_control::command::Command;
+//! use filbertstack_control::command::Lead;
+//! use filbertstack_control::outcome::Reply;
+//!
+//! let mut state = ControlState::default();
+//! let lead = Lead { term: 1, leader: "van-a-1".into() };
+//! let command = Command::new(1_000, Body::Lead(lead));
+//! let outcome = state.apply(1, &command.to_bytes());
+//! assert!(matches!(outcome.reply, Some(Reply::Done(done)) if done.changed));
+//! assert_eq!(state.clock(), 1_000);
+//! ```
+
+pub mod catalogue;
+pub mod claims;
+pub mod command;
+pub mod declared;
+pub mod limits;
+pub mod orders;
+pub mod outcome;
+pub mod register;
+mod requests;
+mod snapshot;
+pub mod state;
+pub mod validate;
+pub mod view;
+
+pub use limits::Limits;
+pub use snapshot::RestoreError;
+pub use state::ControlState;
--- /dev/null
+++ b/crates/filbertstack-control/src/snapshot.rs
@@ -0,0 +1,525 @@
+//! Snapshots of the control state: canonical bytes, and a reader that trusts none of them.
+//!
+//! Every table is written in the order of its keys, so equal states give equal bytes. The reader
+//! builds the state and writes it again: bytes that differ come from no state of this version.
+
+use std::sync::Arc;
+
+use filbertstack_core::Declarations;
+use filbertstack_core::Digest;
+use prost::Message;
+use thiserror::Error;
+
+use crate::claims::Ledger;
+use crate::claims::Row;
+use crate::claims::Stage;
+use crate::command::Answer;
+use crate::command::Desired;
+use crate::command::Instance;
+use crate::command::Object;
+use crate::command::Publish;
+use crate::command::Register as Rows;
+use crate::limits::Limits;
+use crate::orders::Fence;
+use crate::orders::Order;
+use crate::outcome::Change;
+use crate::outcome::Outcome;
+use crate::requests::Remembered;
+use crate::requests::RequestKey;
+use crate::state::ControlState;
+
+/// The version of the snapshot's format.
+const FORMAT: u32 = 1;
+
+/// Why a snapshot was not taken over.
+#[derive(Clone, Debug, PartialEq, Eq, Error)]
+pub enum RestoreError {
+    /// The bytes do not decode.
+    #[error("the snapshot does not decode ({what}): fetch it again from another voter")]
+    Decode {
+        /// What the decoder said.
+        what: String,
+    },
+    /// The format is another one.
+    #[error("the snapshot has format {found}, this program reads format {FORMAT}: update it")]
+    Format {
+        /// The format found.
+        found: u32,
+    },
+    /// A part holds what no state could have written.
+    #[error("the snapshot's {part} are damaged: fetch it again from another voter")]
+    Damaged {
+        /// The part.
+        part: &'static str,
+    },
+}
+
+const fn damaged(part: &'static str) -> RestoreError {
+    RestoreError::Damaged { part }
+}
+
+#[derive(Clone, PartialEq, Message)]
+struct Snapshot {
+    #[prost(uint32, tag = "1")]
+    format: u32,
+    #[prost(uint64, tag = "2")]
+    clock: u64,
+    #[prost(uint64, tag = "3")]
+    index: u64,
+    #[prost(message, optional, tag = "4")]
+    limits: Option<LimitsRow>,
+    #[prost(message, optional, tag = "5")]
+    declared: Option<DeclaredPart>,
+    #[prost(uint64, tag = "6")]
+    request_mark: u64,
+    #[prost(message, repeated, tag = "7")]
+    requests: Vec<RequestRow>,
+    #[prost(message, repeated, tag = "8")]
+    versions: Vec<Publish>,
+    #[prost(message, repeated, tag = "9")]
+    instances: Vec<Instance>,
+    #[prost(message, optional, tag = "10")]
+    orders: Option<OrdersPart>,
+    #[prost(uint64, tag = "11")]
+    ordinal: u64,
+    #[prost(message, repeated, tag = "12")]
+    ledgers: Vec<LedgerRow>,
+    #[prost(message, repeated, tag = "13")]
+    claims: Vec<ClaimRow>,
+}
+
+#[derive(Clone, PartialEq, Message)]
+struct LimitsRow {
+    #[prost(uint64, tag = "1")]
+    requests: u64,
+    #[prost(uint64, tag = "2")]
+    request_age: u64,
+    #[prost(uint64, tag = "3")]
+    claims: u64,
+    #[prost(uint64, tag = "4")]
+    org_claims: u64,
+    #[prost(uint64, tag = "5")]
+    answers: u64,
+}
+
+#[derive(Clone, PartialEq, Message)]
+struct DeclaredPart {
+    #[prost(string, tag = "1")]
+    text: String,
+    #[prost(uint64, tag = "2")]
+    revision: u64,
+    #[prost(uint64, tag = "3")]
+    floor: u64,
+    #[prost(message, repeated, tag = "4")]
+    written: Vec<ObjectRow>,
+    #[prost(message, repeated, tag = "5")]
+    removed: Vec<ObjectRow>,
+    #[prost(message, repeated, tag = "6")]
+    history: Vec<Change>,
+}
+
+#[derive(Clone, PartialEq, Message)]
+struct ObjectRow {
+    #[prost(message, required, tag = "1")]
+    object: Object,
+    #[prost(uint64, tag = "2")]
+    revision: u64,
+}
+
+#[derive(Clone, PartialEq, Message)]
+struct RequestRow {
+    #[prost(string, tag = "1")]
+    operator: String,
+    #[prost(string, tag = "2")]
+    request: String,
+    #[prost(bytes = "vec", tag = "3")]
+    body: Vec<u8>,
+    #[prost(message, required, tag = "4")]
+    outcome: Outcome,
+    #[prost(uint64, tag = "5")]
+    at: u64,
+    #[prost(uint64, optional, tag = "6")]
+    issued: Option<u64>,
+}
+
+#[derive(Clone, PartialEq, Message)]
+struct OrdersPart {
+    #[prost(uint64, tag = "1")]
+    term: u64,
+    #[prost(string, tag = "2")]
+    leader: String,
+    #[prost(uint64, tag = "3")]
+    sequence: u64,
+    #[prost(message, repeated, tag = "4")]
+    targets: Vec<OrderRow>,
+}
+
+#[derive(Clone, PartialEq, Message)]
+struct OrderRow {
+    #[prost(message, required, tag = "1")]
+    desired: Desired,
+    #[prost(uint64, tag = "2")]
+    term: u64,
+    #[prost(uint64, tag = "3")]
+    sequence: u64,
+}
+
+#[derive(Clone, PartialEq, Message)]
+struct LedgerRow {
+    #[prost(string, tag = "1")]
+    organisation: String,
+    #[prost(uint64, tag = "2")]
+    mark: u64,
+}
+
+#[derive(Clone, PartialEq, Message)]
+struct ClaimRow {
+    #[prost(bytes = "vec", tag = "1")]
+    key: Vec<u8>,
+    /// The place of the organisation among the ledgers.
+    #[prost(uint32, tag = "2")]
+    ledger: u32,
+    #[prost(bytes = "vec", tag = "3")]
+    body: Vec<u8>,
+    #[prost(uint64, optional, tag = "4")]
+    issued: Option<u64>,
+    #[prost(uint64, tag = "5")]
+    entry: u64,
+    #[prost(uint64, tag = "6")]
+    attempt: u64,
+    #[prost(uint64, tag = "7")]
+    fence: u64,
+    #[prost(uint64, tag = "8")]
+    until: u64,
+    #[prost(uint64, tag = "9")]
+    life: u64,
+    #[prost(uint64, tag = "10")]
+    expires: u64,
+    #[prost(uint64, tag = "11")]
+    kept: u64,
+    #[prost(enumeration = "StageTag", tag = "12")]
+    stage: i32,
+    #[prost(message, optional, tag = "13")]
+    answer: Option<Answer>,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, prost::Enumeration)]
+#[repr(i32)]
+enum StageTag {
+    Open = 0,
+    Ran = 1,
+    Unknown = 2,
+    Released = 3,
+}
+
+/// Writes `state`.
+pub(crate) fn write(state: &ControlState) -> Vec<u8> {
+    let snapshot = Snapshot {
+        format: FORMAT,
+        clock: state.clock,
+        index: state.index,
+        limits: Some(limits_row(&state.limits)),
+        declared: Some(declared_part(state)),
+        request_mark: state.requests.mark,
+        requests: request_rows(state),
+        versions: version_rows(state),
+        instances: instance_rows(state),
+        orders: Some(orders_part(state)),
+        ordinal: state.claims.ordinal,
+        ledgers: ledger_rows(state),
+        claims: claim_rows(state),
+    };
+    snapshot.encode_to_vec()
+}
+
+fn limits_row(limits: &Limits) -> LimitsRow {
+    LimitsRow {
+        requests: limits.requests as u64,
+        request_age: limits.request_age,
+        claims: limits.claims as u64,
+        org_claims: limits.org_claims as u64,
+        answers: limits.answers as u64,
+    }
+}
+
+fn declared_part(state: &ControlState) -> DeclaredPart {
+    let declared = &state.declared;
+    let row = |(object, revision): (&Object, &u64)| ObjectRow {
+        object: object.clone(),
+        revision: *revision,
+    };
+    DeclaredPart {
+        text: declared.current.to_string(),
+        revision: declared.revision,
+        floor: declared.floor,
+        written: declared.written.iter().map(row).collect(),
+        removed: declared.removed.iter().map(row).collect(),
+        history: declared.history.iter().cloned().collect(),
+    }
+}
+
+/// The requests in the order they were decided, which is the order they are forgotten in.
+fn request_rows(state: &ControlState) -> Vec<RequestRow> {
+    let requests = &state.requests;
+    let rows = requests.order.iter();
+    let rows = rows.filter_map(|key| requests.rows.get(key).map(|row| (key, row)));
+    rows.map(|(key, row)| RequestRow {
+        operator: key.operator.clone(),
+        request: key.request.clone(),
+        body: row.body.to_vec(),
+        outcome: row.outcome.clone(),
+        at: row.at,
+        issued: row.issued,
+    })
+    .collect()
+}
+
+fn version_rows(state: &ControlState) -> Vec<Publish> {
+    let rows = state.catalogue.iter();
+    rows.map(|(root, version)| Publish {
+        root: root.to_vec(),
+        model: version.model.to_string(),
+        weights: version.weights,
+        manifest: version.manifest,
+        chunks: version.chunks,
+        operator: version.operator.clone(),
+    })
+    .collect()
+}
+
+fn instance_rows(state: &ControlState) -> Vec<Instance> {
+    let rows = state.register.iter();
+    rows.map(|(name, facts)| Instance {
+        name: name.to_string(),
+        labels: facts.labels.to_string(),
+        memory: facts.memory,
+    })
+    .collect()
+}
+
+fn orders_part(state: &ControlState) -> OrdersPart {
+    let orders = &state.orders;
+    let targets = orders.targets.iter().map(|(name, order)| OrderRow {
+        desired: Desired {
+            target: name.to_string(),
+            holds: order.holds.clone(),
+        },
+        term: order.fence.term,
+        sequence: order.fence.sequence,
+    });
+    OrdersPart {
+        term: orders.term,
+        leader: orders.leader.clone(),
+        sequence: orders.sequence,
+        targets: targets.collect(),
+    }
+}
+
+fn ledger_rows(state: &ControlState) -> Vec<LedgerRow> {
+    let ledgers = state.claims.ledgers.iter();
+    ledgers
+        .map(|(organisation, ledger)| LedgerRow {
+            organisation: organisation.to_string(),
+            mark: ledger.mark,
+        })
+        .collect()
+}
+
+fn claim_rows(state: &ControlState) -> Vec<ClaimRow> {
+    let names: Vec<_> = state.claims.ledgers.keys().collect();
+    let place = |row: &Row| names.binary_search(&&row.organisation).unwrap_or(0);
+    let rows = state.claims.rows.iter();
+    rows.map(|(key, row)| claim_row(key, row, place(row)))
+        .collect()
+}
+
+fn claim_row(key: &[u8], row: &Row, place: usize) -> ClaimRow {
+    let (stage, answer) = match &row.stage {
+        Stage::Open => (StageTag::Open, None),
+        Stage::Ran(answer) => (StageTag::Ran, Some(answer.as_ref().clone())),
+        Stage::Unknown => (StageTag::Unknown, None),
+        Stage::Released => (StageTag::Released, None),
+    };
+    ClaimRow {
+        key: key.to_vec(),
+        ledger: u32::try_from(place).unwrap_or(u32::MAX),
+        body: row.body.to_vec(),
+        issued: row.issued,
+        entry: row.entry,
+        attempt: row.attempt,
+        fence: row.fence,
+        until: row.until,
+        life: row.life,
+        expires: row.expires,
+        kept: row.kept,
+        stage: stage as i32,
+        answer,
+    }
+}
+
+/// Reads a state.
+pub(crate) fn read(bytes: &[u8]) -> Result<ControlState, RestoreError> {
+    let snapshot = Snapshot::decode(bytes).map_err(|error| RestoreError::Decode {
+        what: error.to_string(),
+    })?;
+    if snapshot.format != FORMAT {
+        return Err(RestoreError::Format {
+            found: snapshot.format,
+        });
+    }
+    let limits = snapshot.limits.clone().ok_or(damaged("limits"))?;
+    let mut state = ControlState::with_limits(read_limits(&limits)?);
+    state.clock = snapshot.clock;
+    state.index = snapshot.index;
+    read_declared(
+        &mut state,
+        snapshot.declared.ok_or(damaged("declarations"))?,
+    )?;
+    state.requests.mark = snapshot.request_mark;
+    read_requests(&mut state, snapshot.requests)?;
+    read_versions(&mut state, snapshot.versions)?;
+    read_instances(&mut state, snapshot.instances)?;
+    read_orders(&mut state, snapshot.orders.ok_or(damaged("orders"))?)?;
+    state.claims.ordinal = snapshot.ordinal;
+    read_claims(&mut state, &snapshot.ledgers, snapshot.claims)?;
+    if write(&state) != bytes {
+        return Err(damaged("bytes"));
+    }
+    Ok(state)
+}
+
+fn read_limits(row: &LimitsRow) -> Result<Limits, RestoreError> {
+    let size = |value: u64| usize::try_from(value).map_err(|_| damaged("limits"));
+    Ok(Limits {
+        requests: size(row.requests)?,
+        request_age: row.request_age,
+        claims: size(row.claims)?,
+        org_claims: size(row.org_claims)?,
+        answers: size(row.answers)?,
+    })
+}
+
+fn read_declared(state: &mut ControlState, part: DeclaredPart) -> Result<(), RestoreError> {
+    let current = Declarations::parse("snapshot", &part.text);
+    let rows = |rows: Vec<ObjectRow>| rows.into_iter().map(|row| (row.object, row.revision));
+    let declared = &mut state.declared;
+    declared.current = current.map_err(|_| damaged("declarations"))?;
+    declared.revision = part.revision;
+    declared.floor = part.floor;
+    declared.written = rows(part.written).collect();
+    declared.removed = rows(part.removed).collect();
+    declared.history = part.history.into();
+    let all = declared.written.values().chain(declared.removed.values());
+    if all.into_iter().any(|revision| *revision > part.revision) {
+        return Err(damaged("declarations"));
+    }
+    Ok(())
+}
+
+fn read_requests(state: &mut ControlState, rows: Vec<RequestRow>) -> Result<(), RestoreError> {
+    for row in rows {
+        let key = RequestKey {
+            operator: row.operator,
+            request: row.request,
+        };
+        let remembered = Remembered {
+            body: Digest::from_slice(&row.body).ok_or(damaged("requests"))?,
+            outcome: row.outcome,
+            at: row.at,
+            issued: row.issued,
+        };
+        state.requests.order.push_back(key.clone());
+        state.requests.rows.insert(key, remembered);
+    }
+    Ok(())
+}
+
+fn read_versions(state: &mut ControlState, rows: Vec<Publish>) -> Result<(), RestoreError> {
+    for row in rows {
+        let added = state.catalogue.publish(row);
+        added.map_err(|_| damaged("versions"))?;
+    }
+    Ok(())
+}
+
+fn read_instances(state: &mut ControlState, rows: Vec<Instance>) -> Result<(), RestoreError> {
+    let rows = Rows {
+        instances: rows,
+        gone: Vec::new(),
+    };
+    let added = state.register.update(&rows);
+    added.map(|_| ()).map_err(|_| damaged("instances"))
+}
+
+fn read_orders(state: &mut ControlState, part: OrdersPart) -> Result<(), RestoreError> {
+    let orders = &mut state.orders;
+    orders.term = part.term;
+    orders.leader = part.leader;
+    orders.sequence = part.sequence;
+    for row in part.targets {
+        let target = row.desired.target.parse().map_err(|_| damaged("orders"))?;
+        let fence = Fence {
+            term: row.term,
+            sequence: row.sequence,
+        };
+        if fence.term > part.term || fence.sequence > part.sequence {
+            return Err(damaged("orders"));
+        }
+        let holds = row.desired.holds;
+        orders.targets.insert(target, Order { fence, holds });
+    }
+    Ok(())
+}
+
+fn read_claims(
+    state: &mut ControlState,
+    ledgers: &[LedgerRow],
+    rows: Vec<ClaimRow>,
+) -> Result<(), RestoreError> {
+    let mut names: Vec<Arc<str>> = Vec::new();
+    for row in ledgers {
+        let name = state.claims.organisation(&row.organisation);
+        let ledger = Ledger {
+            mark: row.mark,
+            ..Ledger::default()
+        };
+        state.claims.ledgers.insert(name.clone(), ledger);
+        names.push(name);
+    }
+    for row in rows {
+        let organisation = names.get(row.ledger as usize).cloned();
+        let organisation = organisation.ok_or(damaged("claims"))?;
+        let key = row.key.as_slice().try_into();
+        let key = key.map_err(|_| damaged("claims"))?;
+        let row = read_claim(organisation, row)?;
+        if row.fence > state.claims.ordinal || row.kept > state.claims.ordinal {
+            return Err(damaged("claims"));
+        }
+        state.claims.put_in(key, row);
+    }
+    Ok(())
+}
+
+fn read_claim(organisation: Arc<str>, row: ClaimRow) -> Result<Row, RestoreError> {
+    let body = row.body.as_slice().try_into();
+    let stage = match (row.stage(), row.answer) {
+        (StageTag::Open, None) => Stage::Open,
+        (StageTag::Ran, Some(answer)) => Stage::Ran(Box::new(answer)),
+        (StageTag::Unknown, None) => Stage::Unknown,
+        (StageTag::Released, None) => Stage::Released,
+        _ => return Err(damaged("claims")),
+    };
+    Ok(Row {
+        organisation,
+        body: body.map_err(|_| damaged("claims"))?,
+        issued: row.issued,
+        entry: row.entry,
+        attempt: row.attempt,
+        fence: row.fence,
+        until: row.until,
+        life: row.life,
+        expires: row.expires,
+        stage,
+        kept: row.kept,
+    })
+}
--- a/crates/filbertstack-core/src/lib.rs
+++ b/crates/filbertstack-core/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod ini;
 pub mod labels;
 pub mod names;
+pub mod render;
 pub mod selector;
 pub mod time;
 
--- a/crates/filbertstack-core/src/selector.rs
+++ b/crates/filbertstack-core/src/selector.rs
@@ -21,6 +21,19 @@
     Absent,
 }
 
+impl Demand {
+    /// Whether the value of the key, `None` if it is absent, meets this demand.
+    pub fn allows(&self, value: Option<&str>) -> bool {
+        let among = |set: &[Arc<str>]| value.is_some_and(|v| set.iter().any(|s| s.as_ref() == v));
+        match self {
+            Self::In(set) => among(set),
+            Self::NotIn(set) => !among(set),
+            Self::Present => value.is_some(),
+            Self::Absent => value.is_none(),
+        }
+    }
+}
+
 /// One requirement of a selector.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Requirement {
@@ -33,14 +46,7 @@
 impl Requirement {
     /// Whether `labels` meet this requirement.
     pub fn matches(&self, labels: &Labels) -> bool {
-        let value = labels.get(&self.key);
-        let among = |set: &[Arc<str>]| value.is_some_and(|v| set.iter().any(|s| s.as_ref() == v));
-        match &self.demand {
-            Demand::In(set) => among(set),
-            Demand::NotIn(set) => !among(set),
-            Demand::Present => value.is_some(),
-            Demand::Absent => value.is_none(),
-        }
+        self.demand.allows(labels.get(&self.key))
     }
 }
 
@@ -58,12 +64,41 @@
             .all(|requirement| requirement.matches(labels))
     }
 
+    /// Whether some set of labels could meet both selectors.
+    pub fn overlaps(&self, other: &Self) -> bool {
+        let both = || self.requirements.iter().chain(&other.requirements);
+        both().all(|requirement| {
+            let same_key = both().filter(|one| one.key == requirement.key);
+            let demands: Vec<_> = same_key.map(|one| &one.demand).collect();
+            satisfiable(&demands)
+        })
+    }
+
+    /// Whether some set of labels could meet the selector; `a=x, a=y` meets none.
+    pub fn is_satisfiable(&self) -> bool {
+        self.overlaps(&Self::default())
+    }
+
     /// The requirements in the order they were written.
     pub fn requirements(&self) -> &[Requirement] {
         &self.requirements
     }
 }
 
+/// Whether one value, or the absence of any, meets all demands on one key.
+fn satisfiable(demands: &[&Demand]) -> bool {
+    let meets = |value: Option<&str>| demands.iter().all(|demand| demand.allows(value));
+    let named = demands.iter().filter_map(|demand| match demand {
+        Demand::In(set) => Some(set),
+        _ => None,
+    });
+    let bound = |demand: &&Demand| matches!(demand, Demand::In(_) | Demand::Absent);
+    // Without `In` there are more values than any number of `NotIn` can rule out.
+    let free = !demands.iter().any(bound);
+    let mut values = named.flatten();
+    free || meets(None) || values.any(|value| meets(Some(value)))
+}
+
 impl FromStr for Selector {
     type Err = ValueError;
 
--- a/crates/filbertstack-core/src/time.rs
+++ b/crates/filbertstack-core/src/time.rs
@@ -114,3 +114,16 @@
     };
     number.checked_mul(1 << shift).ok_or_else(wrong)
 }
+
+/// Writes a size as [`parse_size`] reads it, in the largest unit that keeps it whole.
+pub fn render_size(bytes: u64) -> String {
+    const UNITS: [(u32, &str); 4] = [(40, "TiB"), (30, "GiB"), (20, "MiB"), (10, "KiB")];
+    let whole = |shift: u32| bytes > 0 && bytes.trailing_zeros() >= shift;
+    UNITS
+        .into_iter()
+        .find(|(shift, _)| whole(*shift))
+        .map_or_else(
+            || format!("{bytes}B"),
+            |(shift, unit)| format!("{}{unit}", bytes >> shift),
+        )
+}
