--- /dev/null
+++ b/crates/filbertstack-policy/src/admission.rs
@@ -0,0 +1,295 @@
+//! Who is served, who waits, who is refused, and when to come back.
+//!
+//! *Load pattern*: a burst of ten times the load in one second, or three times the load for
+//! hours. Without bounds the queue grows until every answer comes after its deadline: the
+//! engines are full and nobody is served. Here a request waits only if, at the measured pace, its
+//! answer can be whole by its deadline; otherwise it is refused at once with a time to return.
+//! What becomes hopeless while it waits is refused at that moment.
+
+use std::collections::BTreeMap;
+
+use rand::RngExt;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use slotmap::new_key_type;
+use thiserror::Error;
+
+use filbertstack_core::Millis;
+use filbertstack_core::names::OrgName;
+
+use crate::fair::Fair;
+use crate::fair::Item;
+use crate::units::millis;
+use crate::units::secs;
+
+new_key_type! {
+    /// One request from its offer to its final answer.
+    pub struct TicketKey;
+}
+
+/// The requests of one organisation that may wait: at an entry that ends 30 requests a second
+/// they are four seconds' worth, and deadlines bound the wait before that.
+const ORG_QUEUE: usize = 128;
+
+/// The requests that may wait in all, for the memory that their bodies take: at 16 KiB each,
+/// 16 MiB of a node's 128 MB.
+const QUEUE: usize = 1024;
+
+/// How much of the time left the estimated wait may fill. Estimates follow the pace by about a
+/// second and the queue is shared with what comes after: at twice the estimate the answer still
+/// arrives in time.
+const WAIT_SHARE: f64 = 0.5;
+
+/// What is allowed for a request's own time against the mean pace: full batches step a quarter
+/// slower than half-full ones.
+const SERVICE_MARGIN: f64 = 1.25;
+
+/// The soonest that a refused caller is told to come back.
+const SOONEST: Millis = Millis(200);
+
+/// The latest. Longer, and a caller refused in a burst would stay away long after its end.
+const LATEST: Millis = Millis::secs(30);
+
+/// The pace of a group before any answer was measured: a place that gives 50 tokens a second.
+const FIRST_PACE: f64 = 50.0;
+
+/// The bounds of the queues.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Bounds {
+    /// The requests of one organisation that may wait.
+    pub org: usize,
+    /// The requests that may wait in all.
+    pub total: usize,
+}
+
+impl Default for Bounds {
+    fn default() -> Self {
+        Self {
+            org: ORG_QUEUE,
+            total: QUEUE,
+        }
+    }
+}
+
+/// What the group's targets can do now.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Supply {
+    /// The requests that may be in flight.
+    pub room: f64,
+    /// The work a second of one of them, if measured.
+    pub pace: Option<f64>,
+    /// The share of the room that long requests may hold.
+    pub long: f64,
+}
+
+impl Supply {
+    fn pace(&self) -> f64 {
+        self.pace.unwrap_or(FIRST_PACE).max(0.01)
+    }
+
+    fn rate(&self, long: bool) -> f64 {
+        let share = if long { self.long } else { 1.0 };
+        (self.room * share).max(0.1) * self.pace()
+    }
+
+    /// The time that work takes once it is sent.
+    pub fn takes(&self, work: f64) -> Millis {
+        millis(work / self.pace())
+    }
+}
+
+/// Why a request is refused without having run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
+pub enum Reason {
+    /// The organisation's queue is full.
+    #[error("the organisation's queue is full: send less at once, or come back when told")]
+    OrgQueue,
+    /// The queue is full.
+    #[error("the queue is full: come back when told")]
+    Queue,
+    /// The answer could not be whole by the deadline.
+    #[error("the answer would miss its deadline: come back when told, or allow more time")]
+    Deadline,
+    /// No target takes work.
+    #[error("no target takes work: come back when told; operators see the targets with 'status'")]
+    NoTarget,
+    /// Targets refused it, and no attempt is left.
+    #[error("the targets tried did not run it: come back when told")]
+    NotRun,
+}
+
+/// A refusal: the request did not run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
+#[error("{reason} (in {retry_after})")]
+pub struct Refusal {
+    /// Why.
+    pub reason: Reason,
+    /// When the caller should come back, from now; spread, so that those refused together do not
+    /// come back together.
+    pub retry_after: Millis,
+}
+
+/// The queue before one group of targets.
+#[derive(Debug)]
+pub struct Admission {
+    fair: Fair,
+    bounds: Bounds,
+    booked: BTreeMap<OrgName, Millis>,
+    rng: ChaCha8Rng,
+}
+
+impl Admission {
+    /// An empty queue; `seed` rules the spread of return times.
+    pub fn new(bounds: Bounds, seed: u64) -> Self {
+        Self {
+            fair: Fair::default(),
+            bounds,
+            booked: BTreeMap::new(),
+            rng: ChaCha8Rng::seed_from_u64(seed),
+        }
+    }
+
+    /// Sets an organisation's weight; one is the usual.
+    pub fn set_weight(&mut self, org: &OrgName, weight: f64) {
+        self.fair.set_weight(org, weight);
+    }
+
+    /// The requests that wait.
+    pub fn len(&self) -> usize {
+        self.fair.len()
+    }
+
+    /// Whether none waits.
+    pub fn is_empty(&self) -> bool {
+        self.fair.is_empty()
+    }
+
+    /// The organisation's requests that wait.
+    pub fn queued(&self, org: &OrgName) -> usize {
+        self.fair.queued(org)
+    }
+
+    /// Lets the request wait, or refuses it at once.
+    ///
+    /// # Errors
+    /// The refusal, if the queue is full or the deadline out of reach.
+    pub fn offer(&mut self, now: Millis, item: Item, supply: &Supply) -> Result<(), Refusal> {
+        if self.fair.queued(&item.org) >= self.bounds.org {
+            return Err(self.refuse(now, &item, supply, Reason::OrgQueue));
+        }
+        let wait = self.wait(&item, supply);
+        let takes = supply.takes(item.work * SERVICE_MARGIN);
+        let left = item.deadline.since(now);
+        let spare = left.since(takes);
+        if takes > left || wait > stretch(spare, WAIT_SHARE) {
+            return Err(self.refuse(now, &item, supply, Reason::Deadline));
+        }
+        self.fair.push(item);
+        Ok(())
+    }
+
+    /// Takes the excess over the bound in all from the organisation with the longest queue, so
+    /// that a flood of one never closes the queue to the others.
+    pub fn trim(&mut self, now: Millis, supply: &Supply) -> Option<(TicketKey, Refusal)> {
+        if self.fair.len() <= self.bounds.total {
+            return None;
+        }
+        let last = self.fair.last_of_longest()?.clone();
+        self.fair.remove(&last.org, last.ticket);
+        let refusal = self.refuse(now, &last, supply, Reason::Queue);
+        Some((last.ticket, refusal))
+    }
+
+    /// Puts a request back to the front after an attempt that did not run.
+    pub fn put_back(&mut self, item: Item) {
+        self.fair.push_front(item);
+    }
+
+    /// The request that is served next, long ones only if `long_ok`.
+    pub fn peek(&self, long_ok: bool) -> Option<&Item> {
+        self.fair.peek(long_ok)
+    }
+
+    /// Takes the request that [`Self::peek`] shows, and charges its organisation.
+    pub fn take(&mut self, long_ok: bool) -> Option<Item> {
+        self.fair.take(long_ok)
+    }
+
+    /// Corrects what an organisation was charged, once the work is known.
+    pub fn correct(&mut self, org: &OrgName, charged: f64, actual: f64) {
+        self.fair.correct(org, charged, actual);
+    }
+
+    /// Takes out a request whose caller left.
+    pub fn cancel(&mut self, org: &OrgName, ticket: TicketKey) -> bool {
+        self.fair.remove(org, ticket).is_some()
+    }
+
+    /// Refuses what can no longer make its deadline, as after a loss of targets.
+    pub fn expire(&mut self, now: Millis, supply: &Supply) -> Vec<(TicketKey, Refusal)> {
+        let lost = self.unreachable(now, supply);
+        lost.into_iter()
+            .map(|item| {
+                self.fair.remove(&item.org, item.ticket);
+                let refusal = self.refuse(now, &item, supply, Reason::Deadline);
+                (item.ticket, refusal)
+            })
+            .collect()
+    }
+
+    fn unreachable(&self, now: Millis, supply: &Supply) -> Vec<Item> {
+        let mut lost = Vec::new();
+        let mut ahead: BTreeMap<(&OrgName, bool), f64> = BTreeMap::new();
+        for item in self.fair.waiting() {
+            let before = ahead.entry((&item.org, item.long)).or_default();
+            let share = self.fair.share(&item.org, item.priority);
+            let wait = millis(*before / (supply.rate(item.long) * share));
+            if now + wait + supply.takes(item.work) > item.deadline {
+                lost.push(item.clone());
+            } else {
+                *before += item.work;
+            }
+        }
+        lost
+    }
+
+    /// The time that a new request is expected to wait.
+    pub fn wait(&self, item: &Item, supply: &Supply) -> Millis {
+        let ahead = self.fair.ahead(item);
+        let share = self.fair.share(&item.org, item.priority);
+        millis(ahead / (supply.rate(item.long) * share))
+    }
+
+    /// A refusal whose time to return is a place after everyone refused before.
+    ///
+    /// Callers refused within one second would all come back within one second if each were told
+    /// the present wait. So each refusal books its organisation's capacity for the request's
+    /// work, and the next is told a later time.
+    pub fn refuse(&mut self, now: Millis, item: &Item, supply: &Supply, reason: Reason) -> Refusal {
+        let share = self.fair.share(&item.org, item.priority);
+        let takes = millis(item.work / (supply.rate(item.long) * share));
+        let free = now + self.wait(item, supply) + SOONEST;
+        let booked = self.booked.entry(item.org.clone()).or_default();
+        let place = (*booked).max(free);
+        *booked = (place + takes).min(now + LATEST);
+        let retry_after = self.spread(place.since(now));
+        Refusal {
+            reason,
+            retry_after,
+        }
+    }
+
+    /// Half as much again at random; those beyond the latest time spread over its second half.
+    fn spread(&mut self, span: Millis) -> Millis {
+        let factor = self.rng.random_range(1.0..1.5);
+        let later = stretch(span, factor);
+        if later < LATEST {
+            return later.max(SOONEST);
+        }
+        stretch(LATEST, self.rng.random_range(0.5..1.0))
+    }
+}
+
+fn stretch(span: Millis, factor: f64) -> Millis {
+    millis(secs(span) * factor)
+}
--- /dev/null
+++ b/crates/filbertstack-policy/src/flow.rs
@@ -0,0 +1,566 @@
+//! The requests of one entry: admission, the choice of a target and retries as one.
+//!
+//! The owner keeps a `Flow` under a mutex and passes in the time. After every command, and at
+//! the latest every [`TICK`] while requests are open, it calls [`Flow::poll`] and hands each
+//! [`Event`] to the thread that waits for its ticket. Every offer that is not refused gets
+//! exactly one end: [`Ended`] other than [`Ended::Again`] and [`Ended::Late`] from
+//! [`Flow::finish`], an [`Event::Refuse`], or the owner's own [`Flow::cancel`].
+//!
+//! ```
+//! use filbertstack_core::Millis;
+//! use filbertstack_core::declare::Priority;
+//! use filbertstack_policy::cost::Cost;
+//! use filbertstack_policy::flow::Ended;
+//! use filbertstack_policy::flow::Event;
+//! use filbertstack_policy::flow::Flow;
+//! use filbertstack_policy::flow::Offer;
+//! use filbertstack_policy::flow::Settings;
+//! use filbertstack_policy::retry::Outcome;
+//! use filbertstack_policy::route::Kind;
+//! use filbertstack_policy::route::Need;
+//! use filbertstack_policy::target::TargetInfo;
+//!
+//! # fn main() -> Result<(), Box<dyn std::error::Error>> {
+//! let mut flow = Flow::new(Settings::new("entry-1".parse()?, "van-a".parse()?, 7));
+//! let now = Millis::ZERO;
+//! let info = TargetInfo { name: "engine-1".parse()?, zone: "van-a".parse()?, slots: Some(32) };
+//! let target = flow.router_mut().target_up(now, info, false);
+//! let group = flow.add_group(Kind::Engines);
+//! flow.router_mut().set_candidates(group, &[target]);
+//!
+//! let cost = Cost { prompt: 400, output: 100 };
+//! let ticket = flow.offer(now, Offer {
+//!     group,
+//!     org: "brewery".parse()?,
+//!     priority: Priority::Normal,
+//!     deadline: now + Millis::secs(30),
+//!     need: Need { cost, ..Need::default() },
+//! })?;
+//! let events = flow.poll(now);
+//! let Event::Send { attempt, .. } = events[0] else { panic!("there is room") };
+//! flow.first_token(now + Millis(40), attempt);
+//! let ended = flow.finish(now + Millis(900), attempt, Outcome::Ran { cost });
+//! assert_eq!(ended, Ended::Whole);
+//! # let _ = ticket;
+//! # Ok(())
+//! # }
+//! ```
+
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use slotmap::SecondaryMap;
+use slotmap::SlotMap;
+
+use filbertstack_core::Millis;
+use filbertstack_core::declare::Priority;
+use filbertstack_core::names::InstanceName;
+use filbertstack_core::names::OrgName;
+use filbertstack_core::names::ZoneName;
+
+use crate::admission::Admission;
+use crate::admission::Bounds;
+use crate::admission::Reason;
+use crate::admission::Refusal;
+use crate::admission::Supply;
+use crate::admission::TicketKey;
+use crate::fair::Item;
+use crate::retry::Attempted;
+use crate::retry::Budget;
+use crate::retry::Decision;
+use crate::retry::Outcome;
+use crate::retry::decide;
+use crate::route::AttemptKey;
+use crate::route::GroupKey;
+use crate::route::Kind;
+use crate::route::LONG_SHARE;
+use crate::route::Need;
+use crate::route::Router;
+use crate::route::TargetKey;
+
+/// How often [`Flow::poll`] is called at least while requests are open: three engine steps, so
+/// that hopeless requests, hedges and overdue tokens are seen at once for any caller.
+pub const TICK: Millis = Millis(20);
+
+/// The percentile of first tokens after which an idempotent request is hedged: one in twenty
+/// would be, half of what the budget of retries can pay.
+const HEDGE_AT: usize = 95;
+
+/// What a flow is built with.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// The entry's name, by which its subset of targets is chosen.
+    pub name: InstanceName,
+    /// The entry's availability zone.
+    pub zone: ZoneName,
+    /// The seed of random choices.
+    pub seed: u64,
+    /// The bounds of the queue before each group.
+    pub bounds: Bounds,
+}
+
+impl Settings {
+    /// Settings with the usual bounds.
+    pub fn new(name: InstanceName, zone: ZoneName, seed: u64) -> Self {
+        Self {
+            name,
+            zone,
+            seed,
+            bounds: Bounds::default(),
+        }
+    }
+}
+
+/// A request that asks to be served.
+#[derive(Clone, Debug)]
+pub struct Offer {
+    /// The targets that it may go to.
+    pub group: GroupKey,
+    /// Whose it is.
+    pub org: OrgName,
+    /// Its priority.
+    pub priority: Priority,
+    /// When its answer has to be whole.
+    pub deadline: Millis,
+    /// What the choice of a target rests on.
+    pub need: Need,
+}
+
+/// What happens to a request that waits.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Event {
+    /// Send it to the target now.
+    Send {
+        /// The request.
+        ticket: TicketKey,
+        /// This sending of it.
+        attempt: AttemptKey,
+        /// Where to.
+        target: TargetKey,
+    },
+    /// It is refused: its end.
+    Refuse {
+        /// The request.
+        ticket: TicketKey,
+        /// Why, and when to come back.
+        refusal: Refusal,
+    },
+}
+
+/// What the end of an attempt means for its request.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Ended {
+    /// The answer is whole: the request's end. Attempts still open elsewhere are to be withdrawn;
+    /// they are given by [`Flow::first_token`].
+    Whole,
+    /// It waits to be sent again; an event follows.
+    Again,
+    /// Another attempt is still open: nothing to do.
+    Open,
+    /// It did not run: the request's end.
+    Refused(Refusal),
+    /// Whether it ran is not known: the request's end.
+    Unknown,
+    /// The request had ended before: the attempt's answer must not reach the caller.
+    Late,
+}
+
+#[derive(Debug)]
+struct Ticket {
+    group: GroupKey,
+    org: OrgName,
+    priority: Priority,
+    deadline: Millis,
+    need: Need,
+    attempts: u32,
+    open: Vec<AttemptKey>,
+    answered: bool,
+    hedged: bool,
+    unsure: bool,
+    charged: f64,
+    due: Option<Millis>,
+}
+
+/// The requests of one entry.
+#[derive(Debug)]
+pub struct Flow {
+    settings: Settings,
+    router: Router,
+    queues: SecondaryMap<GroupKey, Admission>,
+    tickets: SlotMap<TicketKey, Ticket>,
+    owners: SecondaryMap<AttemptKey, TicketKey>,
+    budget: Budget,
+    rng: ChaCha8Rng,
+    events: Vec<Event>,
+    swept: Millis,
+}
+
+impl Flow {
+    /// A flow without targets.
+    pub fn new(settings: Settings) -> Self {
+        let router = Router::new(settings.name.clone(), settings.zone.clone(), settings.seed);
+        Self {
+            rng: ChaCha8Rng::seed_from_u64(settings.seed),
+            settings,
+            router,
+            queues: SecondaryMap::new(),
+            tickets: SlotMap::with_key(),
+            owners: SecondaryMap::new(),
+            budget: Budget::default(),
+            events: Vec::new(),
+            swept: Millis::ZERO,
+        }
+    }
+
+    /// The router, to read.
+    pub fn router(&self) -> &Router {
+        &self.router
+    }
+
+    /// The router, to tell it of targets, candidates, load and caches.
+    pub fn router_mut(&mut self) -> &mut Router {
+        &mut self.router
+    }
+
+    /// The queue before a group, to read.
+    pub fn queue(&self, group: GroupKey) -> Option<&Admission> {
+        self.queues.get(group)
+    }
+
+    /// The requests that have not ended.
+    pub fn open(&self) -> usize {
+        self.tickets.len()
+    }
+
+    /// Adds a group of targets with an empty queue before it.
+    pub fn add_group(&mut self, kind: Kind) -> GroupKey {
+        let group = self.router.add_group(kind);
+        let queue = Admission::new(self.settings.bounds, self.settings.seed);
+        self.queues.insert(group, queue);
+        group
+    }
+
+    /// Sets an organisation's weight before a group; one is the usual.
+    pub fn set_weight(&mut self, group: GroupKey, org: &OrgName, weight: f64) {
+        if let Some(queue) = self.queues.get_mut(group) {
+            queue.set_weight(org, weight);
+        }
+    }
+
+    /// Takes a request in, or refuses it at once. [`Self::poll`] says when to send it.
+    ///
+    /// # Errors
+    /// The refusal: the request did not run and will not.
+    pub fn offer(&mut self, now: Millis, offer: Offer) -> Result<TicketKey, Refusal> {
+        let ticket = self.tickets.insert(Ticket {
+            group: offer.group,
+            org: offer.org,
+            priority: offer.priority,
+            deadline: offer.deadline,
+            need: offer.need,
+            attempts: 0,
+            open: Vec::new(),
+            answered: false,
+            hedged: false,
+            unsure: false,
+            charged: 0.0,
+            due: None,
+        });
+        let admitted = self.admit(now, ticket);
+        if admitted.is_err() {
+            self.tickets.remove(ticket);
+        }
+        admitted.map(|()| ticket)
+    }
+
+    fn admit(&mut self, now: Millis, ticket: TicketKey) -> Result<(), Refusal> {
+        let group = self.tickets[ticket].group;
+        let item = self.item(ticket);
+        let supply = self.supply(now, group);
+        let Some(queue) = self.queues.get_mut(group) else {
+            return Err(no_group());
+        };
+        if !self.router.has_target(now, group) {
+            return Err(queue.refuse(now, &item, &supply, Reason::NoTarget));
+        }
+        queue.offer(now, item, &supply)?;
+        if let Some((ticket, refusal)) = queue.trim(now, &supply) {
+            self.end_refused(ticket, refusal);
+        }
+        Ok(())
+    }
+
+    fn item(&self, key: TicketKey) -> Item {
+        let ticket = &self.tickets[key];
+        Item {
+            ticket: key,
+            org: ticket.org.clone(),
+            priority: ticket.priority,
+            work: ticket.need.cost.work(),
+            long: self.router.is_long(ticket.group, ticket.need.cost),
+            deadline: ticket.deadline,
+        }
+    }
+
+    fn supply(&self, now: Millis, group: GroupKey) -> Supply {
+        Supply {
+            room: self.router.room(now, group),
+            pace: self.router.pace(group),
+            long: LONG_SHARE,
+        }
+    }
+
+    /// What is to be done now: requests to send and requests that are refused.
+    pub fn poll(&mut self, now: Millis) -> Vec<Event> {
+        self.wake_delayed(now);
+        if now.since(self.swept) >= TICK {
+            self.swept = now;
+            self.router.sweep(now);
+            self.expire(now);
+            self.hedge(now);
+        }
+        let groups: Vec<_> = self.queues.keys().collect();
+        for group in groups {
+            self.pump(now, group);
+        }
+        std::mem::take(&mut self.events)
+    }
+
+    /// When [`Self::poll`] has to be called again at the latest; `None` while nothing is open.
+    pub fn wake(&self) -> Option<Millis> {
+        (!self.tickets.is_empty()).then_some(self.swept + TICK)
+    }
+
+    fn pump(&mut self, now: Millis, group: GroupKey) {
+        loop {
+            let long_ok = self.router.long_room(now, group);
+            let Some(queue) = self.queues.get(group) else {
+                return;
+            };
+            let Some(ticket) = queue.peek(long_ok).map(|item| item.ticket) else {
+                return;
+            };
+            let need = &self.tickets[ticket].need;
+            let Some(target) = self.router.choose(now, group, need) else {
+                return;
+            };
+            let taken = self.queues[group].take(long_ok);
+            self.tickets[ticket].charged = taken.map_or(0.0, |item| item.work);
+            self.send(now, ticket, target);
+        }
+    }
+
+    fn send(&mut self, now: Millis, key: TicketKey, target: TargetKey) {
+        let ticket = &mut self.tickets[key];
+        if ticket.attempts == 0 {
+            self.budget.earn();
+        }
+        ticket.attempts += 1;
+        let attempt = self.router.started(now, ticket.group, target, &ticket.need);
+        ticket.need.tried.push(target);
+        ticket.open.push(attempt);
+        self.owners.insert(attempt, key);
+        self.events.push(Event::Send {
+            ticket: key,
+            attempt,
+            target,
+        });
+    }
+
+    fn expire(&mut self, now: Millis) {
+        let groups: Vec<_> = self.queues.keys().collect();
+        for group in groups {
+            let supply = self.supply(now, group);
+            let lost = self.queues[group].expire(now, &supply);
+            for (ticket, refusal) in lost {
+                self.end_refused(ticket, refusal);
+            }
+        }
+    }
+
+    fn end_refused(&mut self, ticket: TicketKey, refusal: Refusal) {
+        self.tickets.remove(ticket);
+        self.events.push(Event::Refuse { ticket, refusal });
+    }
+
+    fn wake_delayed(&mut self, now: Millis) {
+        let due: Vec<_> = self
+            .tickets
+            .iter()
+            .filter(|(_, ticket)| ticket.due.is_some_and(|due| due <= now))
+            .map(|(key, _)| key)
+            .collect();
+        for key in due {
+            self.tickets[key].due = None;
+            let item = self.item(key);
+            let group = self.tickets[key].group;
+            if let Some(queue) = self.queues.get_mut(group) {
+                queue.put_back(item);
+            }
+        }
+    }
+
+    /// Sends idempotent requests a second time whose first token is later than nearly all others.
+    ///
+    /// Only while nobody waits: in an overload every first token is late, and hedges would double
+    /// the load that makes them so.
+    fn hedge(&mut self, now: Millis) {
+        let late: Vec<_> = self
+            .tickets
+            .iter()
+            .filter(|(_, ticket)| self.may_hedge(now, ticket))
+            .map(|(key, _)| key)
+            .collect();
+        for key in late {
+            let ticket = &self.tickets[key];
+            let target = self.router.choose(now, ticket.group, &ticket.need);
+            let fresh = target.filter(|target| !ticket.need.tried.contains(target));
+            if let Some(target) = fresh
+                && self.budget.spend_spare()
+            {
+                self.tickets[key].hedged = true;
+                self.send(now, key, target);
+            }
+        }
+    }
+
+    fn may_hedge(&self, now: Millis, ticket: &Ticket) -> bool {
+        let [attempt] = ticket.open[..] else {
+            return false;
+        };
+        let idle = self
+            .queues
+            .get(ticket.group)
+            .is_some_and(Admission::is_empty);
+        if !ticket.need.idempotent || ticket.hedged || ticket.answered || !idle {
+            return false;
+        }
+        let usual = self.router.first_quantile(ticket.group, HEDGE_AT);
+        let waited = self.router.unanswered(now, attempt);
+        matches!((waited, usual), (Some(waited), Some(usual)) if waited > usual)
+    }
+
+    /// Notes an attempt's first token or byte. The attempts returned lost the race: they are to
+    /// be withdrawn from their targets, and nothing of them may reach the caller.
+    pub fn first_token(&mut self, now: Millis, attempt: AttemptKey) -> Vec<AttemptKey> {
+        self.router.first_token(now, attempt);
+        let Some(key) = self.owners.get(attempt).copied() else {
+            return Vec::new();
+        };
+        let Some(ticket) = self.tickets.get_mut(key) else {
+            return Vec::new();
+        };
+        ticket.answered = true;
+        let lost = std::mem::replace(&mut ticket.open, vec![attempt]);
+        let lost: Vec<_> = lost.into_iter().filter(|open| *open != attempt).collect();
+        for attempt in &lost {
+            self.withdraw(now, *attempt);
+        }
+        lost
+    }
+
+    fn withdraw(&mut self, now: Millis, attempt: AttemptKey) {
+        self.owners.remove(attempt);
+        self.router.cancelled(now, attempt);
+    }
+
+    /// Ends an attempt and says what that means for its request.
+    pub fn finish(&mut self, now: Millis, attempt: AttemptKey, outcome: Outcome) -> Ended {
+        self.router.finished(now, attempt, outcome);
+        let Some(key) = self.owners.remove(attempt) else {
+            return Ended::Late;
+        };
+        let Some(ticket) = self.tickets.get_mut(key) else {
+            return Ended::Late;
+        };
+        ticket.open.retain(|open| *open != attempt);
+        match outcome {
+            Outcome::Ran { cost } => self.end_whole(now, key, cost.work()),
+            Outcome::Unknown => {
+                ticket.unsure = true;
+                self.end_without(now, key, outcome)
+            }
+            Outcome::NotRun(_) => self.end_without(now, key, outcome),
+        }
+    }
+
+    fn end_whole(&mut self, now: Millis, key: TicketKey, work: f64) -> Ended {
+        let Some(ticket) = self.tickets.remove(key) else {
+            return Ended::Late;
+        };
+        for attempt in &ticket.open {
+            self.withdraw(now, *attempt);
+        }
+        if let Some(queue) = self.queues.get_mut(ticket.group) {
+            queue.correct(&ticket.org, ticket.charged, work);
+        }
+        Ended::Whole
+    }
+
+    fn end_without(&mut self, now: Millis, key: TicketKey, outcome: Outcome) -> Ended {
+        let ticket = &self.tickets[key];
+        if !ticket.open.is_empty() {
+            return Ended::Open;
+        }
+        let supply = self.supply(now, ticket.group);
+        let attempted = Attempted {
+            outcome,
+            attempts: ticket.attempts,
+            idempotent: ticket.need.idempotent,
+            answered: ticket.answered,
+            left: ticket.deadline.since(now),
+            takes: supply.takes(ticket.need.cost.work()),
+        };
+        match decide(&mut self.budget, &mut self.rng, &attempted) {
+            Decision::Again { after } => self.again(now, key, after, outcome),
+            Decision::GiveUp => self.give_up(now, key, &supply),
+        }
+    }
+
+    fn again(&mut self, now: Millis, key: TicketKey, after: Millis, outcome: Outcome) -> Ended {
+        let ticket = &mut self.tickets[key];
+        ticket.due = Some(now + after);
+        if matches!(outcome, Outcome::NotRun(_))
+            && let Some(queue) = self.queues.get_mut(ticket.group)
+        {
+            queue.correct(&ticket.org, ticket.charged, 0.0);
+        }
+        Ended::Again
+    }
+
+    fn give_up(&mut self, now: Millis, key: TicketKey, supply: &Supply) -> Ended {
+        let item = self.item(key);
+        let Some(ticket) = self.tickets.remove(key) else {
+            return Ended::Late;
+        };
+        if ticket.unsure {
+            return Ended::Unknown;
+        }
+        let Some(queue) = self.queues.get_mut(ticket.group) else {
+            return Ended::Refused(no_group());
+        };
+        queue.correct(&ticket.org, ticket.charged, 0.0);
+        Ended::Refused(queue.refuse(now, &item, supply, Reason::NotRun))
+    }
+
+    /// Ends a request whose caller left; the attempts returned are to be withdrawn.
+    pub fn cancel(&mut self, now: Millis, key: TicketKey) -> Vec<AttemptKey> {
+        let Some(ticket) = self.tickets.remove(key) else {
+            return Vec::new();
+        };
+        if let Some(queue) = self.queues.get_mut(ticket.group) {
+            queue.cancel(&ticket.org, key);
+        }
+        for attempt in &ticket.open {
+            self.withdraw(now, *attempt);
+        }
+        ticket.open
+    }
+}
+
+/// The caller's rule was withdrawn between the choice of its group and the offer.
+fn no_group() -> Refusal {
+    Refusal {
+        reason: Reason::NoTarget,
+        retry_after: Millis::secs(1),
+    }
+}
--- a/crates/filbertstack-policy/src/lib.rs
+++ b/crates/filbertstack-policy/src/lib.rs
@@ -1,1 +1,26 @@
 //! Every decision under load, free of network, clock and thread.
+//!
+//! Time, randomness (as a seed) and what was observed are passed in; decisions come back. A
+//! process that carries requests owns one [`flow::Flow`], which joins admission, the choice of a
+//! target and retries, so that tests and the entry run the same code:
+//!
+//! - [`admission`]: who is served next, who waits, who is refused and when to come back;
+//! - [`limit`]: how much may be in flight at a target;
+//! - [`route`]: which target gets a request;
+//! - [`outlier`]: which targets get none for a while;
+//! - [`retry`]: what may be tried again or twice at once.
+
+pub mod admission;
+pub mod cost;
+pub mod fair;
+pub mod flow;
+pub mod limit;
+pub mod outlier;
+pub mod prefix;
+pub mod retry;
+pub mod route;
+pub mod subset;
+pub mod target;
+pub mod window;
+
+mod units;
--- /dev/null
+++ b/crates/filbertstack-policy/src/outlier.rs
@@ -0,0 +1,96 @@
+//! Which targets get no work for a while.
+//!
+//! *Load pattern*: one target among many is slow or fails. Without ejection each request that
+//! lands there misses its deadline, and as the target answers late its own signals come late. An
+//! ejected target returns by one probe, so that a caller or two pay for the test and not all.
+
+use filbertstack_core::Millis;
+
+/// Failures in a row that eject: one or two are a restarting process's usual loss.
+const FAILURES: u32 = 3;
+
+/// The shortest ejection: about three times the longest answer that an engine gives to short
+/// requests, so that the probe meets another state than the one ejected.
+const FIRST_SPAN: Millis = Millis::secs(10);
+
+/// The longest ejection. Doubling stops here, or a target mended after hours would stay out.
+const LONGEST_SPAN: Millis = Millis::secs(160);
+
+/// At most this share of a group's targets is out: if more look bad, the cause is likely the load
+/// or the entry itself, and sending everything to the few left would fell those too.
+pub const MOST_OUT: f64 = 0.5;
+
+/// Whether a target gets work.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Health {
+    /// It gets work.
+    #[default]
+    Well,
+    /// It gets none until then, and one probe after that.
+    Ejected {
+        /// The end of the ejection.
+        until: Millis,
+    },
+    /// One probe is on its way.
+    Probed,
+}
+
+/// One target's record of failures and ejections.
+#[derive(Clone, Debug, Default)]
+pub struct Outlier {
+    health: Health,
+    failures: u32,
+    ejections: u32,
+}
+
+impl Outlier {
+    /// Whether the target gets work.
+    pub fn health(&self) -> Health {
+        self.health
+    }
+
+    /// Whether the target is out: ejected or awaiting its probe's answer.
+    pub fn is_out(&self) -> bool {
+        self.health != Health::Well
+    }
+
+    /// Whether a probe is due.
+    pub fn probe_due(&self, now: Millis) -> bool {
+        matches!(self.health, Health::Ejected { until } if until <= now)
+    }
+
+    /// Counts a failure; `true` if the target should be ejected for it.
+    pub fn fail(&mut self) -> bool {
+        self.failures = self.failures.saturating_add(1);
+        self.failures >= FAILURES
+    }
+
+    /// Counts a good answer.
+    pub fn succeed(&mut self) {
+        self.failures = 0;
+    }
+
+    /// Ejects the target, for twice as long as the last time.
+    pub fn eject(&mut self, now: Millis) {
+        let span = FIRST_SPAN.0 << self.ejections.min(8);
+        let until = now + Millis(span.min(LONGEST_SPAN.0));
+        self.ejections = self.ejections.saturating_add(1);
+        self.health = Health::Ejected { until };
+    }
+
+    /// Notes that a probe was sent.
+    pub fn probe(&mut self) {
+        self.health = Health::Probed;
+    }
+
+    /// Notes that the probe was withdrawn before it told anything: another may go at once.
+    pub fn withdraw(&mut self, now: Millis) {
+        self.health = Health::Ejected { until: now };
+    }
+
+    /// Takes the target back after a good probe. The count of ejections stays for the next one.
+    pub fn readmit(&mut self) {
+        self.health = Health::Well;
+        self.failures = 0;
+    }
+}
--- /dev/null
+++ b/crates/filbertstack-policy/src/route.rs
@@ -0,0 +1,693 @@
+//! Which target gets a request.
+//!
+//! *Load pattern*: work of very unequal length, targets of unequal speed, load reports that lag
+//! by a second, and other entries that choose at the same time. Round robin keeps sending to a
+//! slow target until it holds most of the work; always taking the least loaded sends every
+//! entry's next requests to the one target whose report looks best. Two choices at random among
+//! those with room avoid both: own in-flight counts are exact, and a late report only tilts.
+
+use rand::RngExt;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use slotmap::SlotMap;
+use slotmap::new_key_type;
+
+use filbertstack_core::Millis;
+use filbertstack_core::names::InstanceName;
+use filbertstack_core::names::ZoneName;
+
+use crate::cost::Cost;
+use crate::limit::Sample;
+use crate::outlier::MOST_OUT;
+use crate::prefix::CacheEvent;
+use crate::retry::NotRun;
+use crate::retry::Outcome;
+use crate::subset;
+use crate::subset::Candidate;
+use crate::target::LoadReport;
+use crate::target::Target;
+use crate::target::TargetInfo;
+use crate::units::count;
+use crate::units::millis;
+use crate::units::secs;
+use crate::window::Floor;
+use crate::window::Mean;
+use crate::window::Window;
+
+new_key_type! {
+    /// A target at this entry.
+    pub struct TargetKey;
+    /// A set of targets that requests of one kind may go to.
+    pub struct GroupKey;
+    /// One request at one target.
+    pub struct AttemptKey;
+}
+
+/// What the zone weighs: a target in another zone is taken if it is a tenth less full. The way
+/// there costs 1 to 3 ms, which a tenth less of a batch brings back.
+const AWAY: f64 = 0.1;
+
+/// What a wholly cached prompt weighs: a quarter of a target's room. A hot prefix fills its
+/// targets by a quarter more than the others and then goes to further ones, which cache it too.
+const CACHED: f64 = 0.25;
+
+/// A request is long beyond this many times the mean. In a mix with one in twenty 50 times longer
+/// the mean is 3.5 short requests, so that the 50 are long and the usual spread is not.
+const LONG: f64 = 4.0;
+
+/// The share of a group's room that long requests may hold. They keep a place fifty times as
+/// long: once they hold all, short ones wait for seconds. A quarter for the short alone suffices,
+/// as a place that short requests use is free again within a second.
+pub const LONG_SHARE: f64 = 0.75;
+
+/// The queueing at an engine that is accepted for a full batch: about three requests waiting at
+/// an engine with 32 places of one second each.
+const QUEUE_GOAL: Millis = Millis(100);
+
+/// Prompt tokens that an engine reads in a second at least; what longer prompts take is no
+/// queueing.
+const PREFILL: f64 = 10_000.0;
+
+/// A plain service's latency beyond this many times its long mean counts as queueing.
+const SERVICE_SLACK: f64 = 3.0;
+
+/// A target this many times slower than the median of its group is an outlier. Prompts cached
+/// or not and batches full or not make up to three times.
+const SLOW: f64 = 4.0;
+
+/// The fewest answers that a target is judged slow by.
+const JUDGED: u32 = 3;
+
+/// The fewest judged targets that make a median.
+const MEDIAN_OF: usize = 3;
+
+/// How long a due probe waits for an idempotent request, before any request may be the probe.
+const PROBE_PATIENCE: Millis = Millis::secs(5);
+
+/// The weight of an answer in a group's long-term means.
+const LASTING: f64 = 1.0 / 64.0;
+
+/// What a group's targets are.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Kind {
+    /// Model engines: the first token's time tells of the queue.
+    Engines,
+    /// Plain services: the answer's time against its own mean tells.
+    Service,
+}
+
+/// What a choice of target rests on.
+#[derive(Clone, Debug, Default)]
+pub struct Need {
+    /// What the request is expected to cost.
+    pub cost: Cost,
+    /// Hashes of the prompt's leading blocks, each covering all before it.
+    pub prefix: Vec<u64>,
+    /// Whether it may run twice.
+    pub idempotent: bool,
+    /// The targets that already had it.
+    pub tried: Vec<TargetKey>,
+}
+
+#[derive(Debug)]
+struct Group {
+    kind: Kind,
+    members: Vec<TargetKey>,
+    floor: Floor,
+    firsts: Window,
+    latency: Mean,
+    work: Mean,
+    elapsed: Mean,
+    long: u32,
+}
+
+impl Group {
+    fn new(kind: Kind) -> Self {
+        Self {
+            kind,
+            members: Vec::new(),
+            floor: Floor::default(),
+            firsts: Window::default(),
+            latency: Mean::default(),
+            work: Mean::default(),
+            elapsed: Mean::default(),
+            long: 0,
+        }
+    }
+
+    fn goal(&self) -> Millis {
+        match self.kind {
+            Kind::Engines => QUEUE_GOAL,
+            Kind::Service => {
+                let mean = self.latency.get(1).unwrap_or_default();
+                QUEUE_GOAL.max(millis(mean * SERVICE_SLACK))
+            }
+        }
+    }
+}
+
+/// What an attempt is for, beside its request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Role {
+    Usual,
+    /// Its answer decides whether the target comes back.
+    Probe,
+}
+
+#[derive(Debug)]
+struct Attempt {
+    target: TargetKey,
+    group: GroupKey,
+    cost: Cost,
+    prefix: Vec<u64>,
+    sent: Millis,
+    first: Option<Millis>,
+    role: Role,
+    full: bool,
+    long: bool,
+    overdue: bool,
+}
+
+impl Attempt {
+    fn is_probe(&self) -> bool {
+        self.role == Role::Probe
+    }
+}
+
+/// The targets of one entry and what is in flight there.
+#[derive(Debug)]
+pub struct Router {
+    name: InstanceName,
+    zone: ZoneName,
+    sharers: f64,
+    targets: SlotMap<TargetKey, Target>,
+    groups: SlotMap<GroupKey, Group>,
+    attempts: SlotMap<AttemptKey, Attempt>,
+    rng: ChaCha8Rng,
+}
+
+impl Router {
+    /// The router of the entry `name` in `zone`; `seed` rules its random choices.
+    pub fn new(name: InstanceName, zone: ZoneName, seed: u64) -> Self {
+        let seed = subset::mix(seed ^ subset::hash(name.as_str()));
+        Self {
+            name,
+            zone,
+            sharers: 1.0,
+            targets: SlotMap::with_key(),
+            groups: SlotMap::with_key(),
+            attempts: SlotMap::with_key(),
+            rng: ChaCha8Rng::seed_from_u64(seed),
+        }
+    }
+
+    /// Sets how many entries use one target in the mean: the first limit is a target's slots
+    /// shared among them.
+    pub fn set_sharers(&mut self, sharers: u32) {
+        self.sharers = f64::from(sharers.max(1));
+    }
+
+    /// Adds a target; `new` if it came up just now and must start slowly.
+    pub fn target_up(&mut self, now: Millis, info: TargetInfo, new: bool) -> TargetKey {
+        let target = Target::new(now, info, self.sharers, new);
+        self.targets.insert(target)
+    }
+
+    /// Gives the target no new work from now on.
+    pub fn target_leaving(&mut self, key: TargetKey) {
+        if let Some(target) = self.targets.get_mut(key) {
+            target.leaving = true;
+        }
+    }
+
+    /// Forgets the target; attempts there still have to be finished.
+    pub fn target_gone(&mut self, key: TargetKey) {
+        self.targets.remove(key);
+        for (_, group) in &mut self.groups {
+            group.members.retain(|member| *member != key);
+        }
+    }
+
+    /// Adds a group without targets.
+    pub fn add_group(&mut self, kind: Kind) -> GroupKey {
+        self.groups.insert(Group::new(kind))
+    }
+
+    /// Removes a group; its attempts still have to be finished.
+    pub fn remove_group(&mut self, group: GroupKey) {
+        self.groups.remove(group);
+    }
+
+    /// Sets the targets that a group's requests may go to; the entry uses its subset of them.
+    pub fn set_candidates(&mut self, group: GroupKey, candidates: &[TargetKey]) {
+        let targets = &self.targets;
+        let known: Vec<_> = candidates
+            .iter()
+            .filter_map(|key| targets.get(*key).map(|target| (*key, &target.info)))
+            .map(|(key, info)| Candidate {
+                key,
+                name: &info.name,
+                zone: &info.zone,
+            })
+            .collect();
+        let members = subset::choose(&self.name, &self.zone, &known);
+        if let Some(group) = self.groups.get_mut(group) {
+            group.members = members;
+        }
+    }
+
+    /// Learns from a target's load report, which came just now.
+    pub fn observe_load(&mut self, now: Millis, key: TargetKey, report: LoadReport) {
+        if let Some(target) = self.targets.get_mut(key) {
+            target.observe_load(now, report);
+        }
+    }
+
+    /// Learns from a target's cache event.
+    pub fn observe_cache(&mut self, now: Millis, key: TargetKey, event: &CacheEvent) {
+        if let Some(target) = self.targets.get_mut(key) {
+            target.hints.observe(now, event);
+        }
+    }
+
+    /// The target as this entry sees it.
+    pub fn target(&self, key: TargetKey) -> Option<&Target> {
+        self.targets.get(key)
+    }
+
+    /// The targets of the group that this entry uses.
+    pub fn members(&self, group: GroupKey) -> &[TargetKey] {
+        self.groups.get(group).map_or(&[], |group| &group.members)
+    }
+
+    /// What may be in flight in the group: the sum of the limits of targets that take work.
+    pub fn room(&self, now: Millis, group: GroupKey) -> f64 {
+        let takes = |target: &&Target| target.takes_work();
+        let members = self.members(group).iter();
+        let targets = members.filter_map(|key| self.targets.get(*key));
+        targets
+            .filter(takes)
+            .map(|target| target.allowed(now))
+            .sum()
+    }
+
+    /// The work that one place of the group's targets does in a second; `None` until measured.
+    pub fn pace(&self, group: GroupKey) -> Option<f64> {
+        let group = self.groups.get(group)?;
+        let elapsed = group.elapsed.get(1)?;
+        Some(group.work.get(1)? / elapsed.max(0.001))
+    }
+
+    /// The time below which `percent` of the group's first tokens came.
+    pub fn first_quantile(&self, group: GroupKey, percent: usize) -> Option<Millis> {
+        self.groups.get(group)?.firsts.quantile(percent)
+    }
+
+    /// Whether a request of this cost is long in its group.
+    pub fn is_long(&self, group: GroupKey, cost: Cost) -> bool {
+        let mean = self.groups.get(group).and_then(|group| group.work.get(1));
+        mean.is_some_and(|mean| cost.work() > mean * LONG)
+    }
+
+    /// Whether another long request may be sent. One may always be, so that none starves.
+    pub fn long_room(&self, now: Millis, group: GroupKey) -> bool {
+        let held = self.groups.get(group).map_or(0, |group| group.long);
+        held == 0 || f64::from(held) + 1.0 <= self.room(now, group) * LONG_SHARE
+    }
+
+    /// Chooses a target with room; `None` if there is none now.
+    pub fn choose(&mut self, now: Millis, group: GroupKey, need: &Need) -> Option<TargetKey> {
+        if let Some(due) = self.probe_due(now, group, need) {
+            return Some(due);
+        }
+        let free = self.free(now, group, need);
+        let picks = self.picks(now, &free, need);
+        picks
+            .into_iter()
+            .map(|key| (self.score(now, key, need), key))
+            .min_by(|(a, _), (b, _)| a.total_cmp(b))
+            .map(|(_, key)| key)
+    }
+
+    /// The targets with room. One that had the request before is taken only if no other works.
+    fn free(&self, now: Millis, group: GroupKey, need: &Need) -> Vec<TargetKey> {
+        let works = |key: &TargetKey| self.targets.get(*key).is_some_and(Target::takes_work);
+        let untried = |key: &TargetKey| !need.tried.contains(key);
+        let members = self.members(group);
+        let other = members.iter().any(|key| works(key) && untried(key));
+        let members = members.iter().copied();
+        members
+            .filter(|key| self.is_free(now, *key) && (untried(key) || !other))
+            .collect()
+    }
+
+    /// Whether any target of the group takes work or waits for its probe.
+    pub fn has_target(&self, now: Millis, group: GroupKey) -> bool {
+        self.members(group).iter().any(|key| {
+            let target = self.targets.get(*key);
+            target.is_some_and(|t| t.takes_work() || !t.leaving && t.outlier.probe_due(now))
+        })
+    }
+
+    /// The target of an attempt.
+    pub fn target_of(&self, attempt: AttemptKey) -> Option<TargetKey> {
+        self.attempts.get(attempt).map(|attempt| attempt.target)
+    }
+
+    /// How long an attempt has waited for its first token; `None` once that came.
+    pub fn unanswered(&self, now: Millis, attempt: AttemptKey) -> Option<Millis> {
+        let attempt = self.attempts.get(attempt)?;
+        attempt.first.is_none().then_some(now.since(attempt.sent))
+    }
+
+    /// Two at random, and the one that holds most of the prefix.
+    fn picks(&mut self, now: Millis, free: &[TargetKey], need: &Need) -> Vec<TargetKey> {
+        if free.is_empty() {
+            return Vec::new();
+        }
+        let mut picks: Vec<_> = (0..2)
+            .map(|_| free[self.rng.random_range(0..free.len())])
+            .collect();
+        let held = |key: &TargetKey| self.held(now, *key, need);
+        let best = free.iter().max_by_key(|key| held(key));
+        picks.extend(best.filter(|key| held(key) > 0));
+        picks
+    }
+
+    fn probe_due(&self, now: Millis, group: GroupKey, need: &Need) -> Option<TargetKey> {
+        if self.is_long(group, need.cost) {
+            return None;
+        }
+        let patience = if need.idempotent {
+            Millis::ZERO
+        } else {
+            PROBE_PATIENCE
+        };
+        let then = now.since(patience);
+        let due = |key: &TargetKey| {
+            let target = self.targets.get(*key);
+            target.is_some_and(|target| !target.leaving && target.outlier.probe_due(then))
+        };
+        let mut members = self.members(group).iter().copied();
+        members.find(|key| due(key) && !need.tried.contains(key))
+    }
+
+    fn is_free(&self, now: Millis, key: TargetKey) -> bool {
+        let target = self.targets.get(key);
+        target.is_some_and(|target| target.takes_work() && target.has_room(now))
+    }
+
+    fn held(&self, now: Millis, key: TargetKey, need: &Need) -> usize {
+        let target = self.targets.get(key);
+        target.map_or(0, |target| target.hints.held(now, &need.prefix))
+    }
+
+    /// How bad a choice the target is.
+    fn score(&self, now: Millis, key: TargetKey, need: &Need) -> f64 {
+        let Some(target) = self.targets.get(key) else {
+            return f64::INFINITY;
+        };
+        let away = if target.info.zone == self.zone {
+            0.0
+        } else {
+            AWAY
+        };
+        let cached = if need.prefix.is_empty() {
+            0.0
+        } else {
+            CACHED * count(self.held(now, key, need)) / count(need.prefix.len())
+        };
+        target.fullness(now) + away - cached
+    }
+
+    /// Notes that the request was sent to `key`, which [`Self::choose`] gave.
+    pub fn started(
+        &mut self,
+        now: Millis,
+        group: GroupKey,
+        key: TargetKey,
+        need: &Need,
+    ) -> AttemptKey {
+        let long = self.is_long(group, need.cost);
+        let mut attempt = Attempt {
+            target: key,
+            group,
+            cost: need.cost,
+            prefix: need.prefix.clone(),
+            sent: now,
+            first: None,
+            full: false,
+            long,
+            role: Role::Usual,
+            overdue: false,
+        };
+        if let Some(target) = self.targets.get_mut(key) {
+            target.in_flight += 1;
+            attempt.full = !target.has_room(now);
+            if target.outlier.is_out() {
+                attempt.role = Role::Probe;
+                target.outlier.probe();
+            }
+        }
+        if let Some(group) = self.groups.get_mut(group) {
+            group.long += u32::from(long);
+        }
+        self.attempts.insert(attempt)
+    }
+
+    /// Notes that the first token or byte came.
+    pub fn first_token(&mut self, now: Millis, key: AttemptKey) {
+        let Some(attempt) = self.attempts.get_mut(key) else {
+            return;
+        };
+        if attempt.first.is_some() {
+            return;
+        }
+        attempt.first = Some(now);
+        let first = now.since(attempt.sent);
+        let (target, group) = (attempt.target, attempt.group);
+        if let Some(group) = self.groups.get_mut(group) {
+            group.firsts.add(first);
+            group.floor.add(now, first);
+            group.latency.add(secs(first), LASTING);
+        }
+        self.learn_first(now, key, first);
+        self.judge(now, group, target, key);
+    }
+
+    /// Ends an attempt with its outcome.
+    pub fn finished(&mut self, now: Millis, key: AttemptKey, outcome: Outcome) {
+        if matches!(outcome, Outcome::Ran { .. }) {
+            self.first_token(now, key);
+        }
+        let Some(attempt) = self.end(key) else {
+            return;
+        };
+        match outcome {
+            Outcome::Ran { cost } => self.learn_end(now, &attempt, cost),
+            Outcome::NotRun(reason) => self.learn_refusal(now, &attempt, reason),
+            Outcome::Unknown => self.learn_failure(now, &attempt),
+        }
+    }
+
+    /// Ends an attempt that was withdrawn and tells nothing of its target.
+    pub fn cancelled(&mut self, now: Millis, key: AttemptKey) {
+        let Some(attempt) = self.end(key) else {
+            return;
+        };
+        if let Some(target) = self.targets.get_mut(attempt.target)
+            && attempt.is_probe()
+            && target.outlier.is_out()
+        {
+            target.outlier.withdraw(now);
+        }
+    }
+
+    /// Takes attempts whose first token is overdue as slow ones, without waiting for their end.
+    ///
+    /// A target that is twenty times slower tells so twenty times later: what it holds is
+    /// evidence as soon as the usual time has passed.
+    pub fn sweep(&mut self, now: Millis) {
+        let late: Vec<_> = self
+            .attempts
+            .iter()
+            .filter(|(_, attempt)| attempt.first.is_none() && !attempt.overdue)
+            .filter(|(_, attempt)| now.since(attempt.sent) > self.overdue_after(attempt))
+            .map(|(key, attempt)| (key, attempt.target, attempt.group, attempt.sent))
+            .collect();
+        for (key, target, group, sent) in late {
+            self.attempts[key].overdue = true;
+            self.learn_first(now, key, now.since(sent));
+            self.judge(now, group, target, key);
+        }
+    }
+
+    fn overdue_after(&self, attempt: &Attempt) -> Millis {
+        let group = self.groups.get(attempt.group);
+        let goal = group.map_or(QUEUE_GOAL, Group::goal);
+        let median = group.and_then(|group| group.firsts.quantile(50));
+        let usual = median.unwrap_or(Millis::secs(1));
+        goal + millis(secs(usual) * SLOW) + prefill(attempt.cost)
+    }
+
+    fn learn_first(&mut self, now: Millis, key: AttemptKey, first: Millis) {
+        let attempt = &self.attempts[key];
+        let Some(group) = self.groups.get(attempt.group) else {
+            return;
+        };
+        let Some(target) = self.targets.get_mut(attempt.target) else {
+            return;
+        };
+        let unloaded = group.floor.least().unwrap_or(first) + prefill(attempt.cost);
+        let sample = Sample {
+            sent: attempt.sent,
+            queued: first.since(unloaded),
+            goal: group.goal(),
+            full: attempt.full,
+        };
+        target.limit.observe(now, sample);
+        target.note_first(first);
+    }
+
+    fn learn_end(&mut self, now: Millis, attempt: &Attempt, cost: Cost) {
+        let elapsed = secs(now.since(attempt.sent));
+        if let Some(group) = self.groups.get_mut(attempt.group) {
+            group.work.add(cost.work(), LASTING);
+            group.elapsed.add(elapsed, LASTING);
+        }
+        let Some(target) = self.targets.get_mut(attempt.target) else {
+            return;
+        };
+        target.outlier.succeed();
+        for block in &attempt.prefix {
+            target.hints.store(now, *block);
+        }
+        let streamed = secs(now.since(attempt.first.unwrap_or(now)));
+        if cost.output > 1 {
+            target.note_between(streamed / f64::from(cost.output - 1));
+        }
+        self.judge_end(now, attempt);
+    }
+
+    fn learn_refusal(&mut self, now: Millis, attempt: &Attempt, reason: NotRun) {
+        match reason {
+            NotRun::Unreachable => self.learn_failure(now, attempt),
+            NotRun::Leaving => self.target_leaving(attempt.target),
+            NotRun::Full | NotRun::Absent => {
+                if let Some(target) = self.targets.get_mut(attempt.target) {
+                    target.limit.fail(now, attempt.sent);
+                }
+            }
+        }
+        self.reopen(now, attempt);
+    }
+
+    /// A refusal tells nothing of a probed target's speed: the next request probes again.
+    fn reopen(&mut self, now: Millis, attempt: &Attempt) {
+        if let Some(target) = self.targets.get_mut(attempt.target)
+            && attempt.is_probe()
+            && target.outlier.health() == crate::outlier::Health::Probed
+        {
+            target.outlier.eject(now);
+        }
+    }
+
+    fn learn_failure(&mut self, now: Millis, attempt: &Attempt) {
+        let can_eject = self.can_eject(attempt.group);
+        let Some(target) = self.targets.get_mut(attempt.target) else {
+            return;
+        };
+        target.limit.fail(now, attempt.sent);
+        let bad = target.outlier.fail();
+        if attempt.is_probe() || (bad && can_eject && !target.outlier.is_out()) {
+            target.outlier.eject(now);
+        }
+    }
+
+    /// Ejects the target if its first tokens come too late, or takes it back after its probe.
+    fn judge(&mut self, now: Millis, group: GroupKey, key: TargetKey, attempt: AttemptKey) {
+        let probe = self.attempts[attempt].is_probe();
+        if probe && self.attempts[attempt].overdue {
+            self.eject(now, key);
+            return;
+        }
+        let slack = self.groups.get(group).map_or(QUEUE_GOAL, Group::goal);
+        let slow = self.is_slow(group, key, secs(slack), |target| &target.first);
+        if !probe && slow && self.can_eject(group) {
+            self.eject_once(now, key);
+        }
+    }
+
+    /// Judges by the pace of the stream, which shows a slow target whose queue is empty.
+    fn judge_end(&mut self, now: Millis, attempt: &Attempt) {
+        let slow = self.is_slow(attempt.group, attempt.target, 0.0, |target| &target.between);
+        let can_eject = self.can_eject(attempt.group);
+        let Some(target) = self.targets.get_mut(attempt.target) else {
+            return;
+        };
+        let out = target.outlier.is_out();
+        match (attempt.is_probe() && out, slow) {
+            (true, false) if !attempt.overdue => target.readmit(now),
+            (true, _) => target.outlier.eject(now),
+            (false, true) if can_eject && !out => target.outlier.eject(now),
+            (false, _) => {}
+        }
+    }
+
+    fn eject(&mut self, now: Millis, key: TargetKey) {
+        if let Some(target) = self.targets.get_mut(key) {
+            target.outlier.eject(now);
+        }
+    }
+
+    fn eject_once(&mut self, now: Millis, key: TargetKey) {
+        let out = self.targets.get(key).is_some_and(Target::is_out);
+        if !out {
+            self.eject(now, key);
+        }
+    }
+
+    /// Whether the target's mean lies beyond its peers', a queue of `slack` seconds allowed for.
+    fn is_slow(
+        &self,
+        group: GroupKey,
+        key: TargetKey,
+        slack: f64,
+        mean: fn(&Target) -> &Mean,
+    ) -> bool {
+        let Some(own) = self.targets.get(key).and_then(|t| mean(t).get(JUDGED)) else {
+            return false;
+        };
+        let others = self.members(group).iter().filter(|member| **member != key);
+        let targets = others.filter_map(|member| self.targets.get(*member));
+        let mut means: Vec<f64> = targets.filter_map(|t| mean(t).get(JUDGED)).collect();
+        if means.len() < MEDIAN_OF {
+            return false;
+        }
+        means.sort_by(f64::total_cmp);
+        own > means[means.len() / 2] * SLOW + slack
+    }
+
+    /// Whether one more of the group's targets may be out.
+    pub fn can_eject(&self, group: GroupKey) -> bool {
+        let members = self.members(group);
+        let is_out = |key: &&TargetKey| self.targets.get(**key).is_some_and(Target::is_out);
+        let out = members.iter().filter(is_out).count() + 1;
+        count(out) <= count(members.len()) * MOST_OUT
+    }
+
+    fn end(&mut self, key: AttemptKey) -> Option<Attempt> {
+        let attempt = self.attempts.remove(key)?;
+        if let Some(target) = self.targets.get_mut(attempt.target) {
+            target.in_flight -= 1;
+        }
+        if let Some(group) = self.groups.get_mut(attempt.group) {
+            group.long -= u32::from(attempt.long);
+        }
+        Some(attempt)
+    }
+}
+
+fn prefill(cost: Cost) -> Millis {
+    millis(f64::from(cost.prompt) / PREFILL)
+}
