--- a/crates/filbertstack-core/src/lib.rs
+++ b/crates/filbertstack-core/src/lib.rs
@@ -10,7 +10,9 @@
 pub mod ini;
 pub mod labels;
 pub mod names;
+pub mod render;
 pub mod selector;
+pub mod settings;
 pub mod time;
 
 pub use declare::Declarations;
