Telemetry: relative paths are relative to the settings file's folder

The settings of all processes resolve paths so; without it a log file would depend on the working directory of whoever starts the process.

--- a/crates/filbertstack-telemetry/src/settings.rs
+++ b/crates/filbertstack-telemetry/src/settings.rs
@@ -146,19 +146,23 @@
 }
 
 impl TelemetrySettings {
-    /// Takes `[telemetry]` out of a document; the defaults if it is not there.
-    pub fn take(document: &mut Document, problems: &mut Problems) -> Self {
+    /// Takes `[telemetry]` out of a document; the defaults if it is not there. Relative paths are
+    /// relative to `folder`.
+    pub fn take(document: &mut Document, folder: &Path, problems: &mut Problems) -> Self {
         let section = document.take("telemetry");
-        section.map_or_else(Self::default, |section| Self::read(section, problems))
+        section.map_or_else(Self::default, |section| {
+            Self::read(section, folder, problems)
+        })
     }
 
     /// Reads the section and reports every problem in it.
-    pub fn read(mut section: Section, problems: &mut Problems) -> Self {
+    pub fn read(mut section: Section, folder: &Path, problems: &mut Problems) -> Self {
         let defaults = Self::default();
+        let file = |text: &str| parse_file(folder, text);
         let level = section.read_with("log-level", problems, parse_level);
         let format = section.read("log-format", problems);
-        let log_file = section.read_with("log-file", problems, parse_file);
-        let trace_file = section.read_with("trace-file", problems, parse_file);
+        let log_file = section.read_with("log-file", problems, file);
+        let trace_file = section.read_with("trace-file", problems, file);
         let endpoint = section.read("trace-endpoint", problems);
         let sample = section.read("trace-sample", problems);
         if trace_file.is_some() && endpoint.is_some() {
@@ -191,11 +195,11 @@
     }
 }
 
-fn parse_file(text: &str) -> Result<PathBuf, SettingError> {
-    let path = Path::new(text);
+fn parse_file(folder: &Path, text: &str) -> Result<PathBuf, SettingError> {
+    let path = folder.join(text);
     let parent = path.parent().filter(|dir| !dir.as_os_str().is_empty());
     if parent.is_some_and(|dir| !dir.is_dir()) {
         return Err(SettingError::Directory(text.into()));
     }
-    Ok(path.into())
+    Ok(path)
 }
