--- a/crates/filbertstack-agent/src/serve.rs
+++ b/crates/filbertstack-agent/src/serve.rs
@@ -13,6 +13,7 @@
 use filbertstack_wire::WireError;
 use filbertstack_wire::link::STACK;
 use filbertstack_wire::messages::Ask;
+use filbertstack_wire::messages::Cause;
 use filbertstack_wire::messages::Digested;
 use filbertstack_wire::messages::Dispatch;
 use filbertstack_wire::messages::Head;
@@ -162,7 +163,7 @@
     let response = match target.dispatch(dispatch) {
         Ok(response) => response,
         Err(error @ TargetError::Unreached(_)) => {
-            return responder.refuse(&error.to_string(), COME_BACK);
+            return responder.refuse_as(Cause::Unreachable, &error.to_string(), COME_BACK);
         }
         Err(error) => return responder.fail(&error.to_string()),
     };
--- a/crates/filbertstack-control/src/catalogue.rs
+++ b/crates/filbertstack-control/src/catalogue.rs
@@ -1,12 +1,14 @@
 //! The catalogue: the published versions of models, by manifest digest.
 
 use std::collections::BTreeMap;
+use std::sync::Arc;
 
 use filbertstack_core::Digest;
 use filbertstack_core::names::ModelName;
 
 use crate::command::Publish;
 use crate::limits::MAX_ID;
+use crate::limits::MAX_URL;
 use crate::limits::MAX_VERSIONS;
 use crate::outcome::Fault;
 use crate::outcome::Reason;
@@ -24,6 +26,10 @@
     pub chunks: u32,
     /// Who published it.
     pub operator: String,
+    /// The URL below which the origin has the files and the manifest.
+    pub origin: Arc<str>,
+    /// The same at the weight store; empty if it has none.
+    pub store: Arc<str>,
 }
 
 /// The published versions.
@@ -53,13 +59,32 @@
         self.versions.is_empty()
     }
 
-    /// Adds a version; `Ok(false)` if the same facts stand already.
+    /// The version under `root` as it was published.
+    pub fn published(&self, root: &Digest) -> Option<Publish> {
+        let version = self.versions.get(root)?;
+        Some(Publish {
+            root: root.to_vec(),
+            model: version.model.to_string(),
+            weights: version.weights,
+            manifest: version.manifest,
+            chunks: version.chunks,
+            operator: version.operator.clone(),
+            origin: version.origin.to_string(),
+            store: version.store.to_string(),
+        })
+    }
+
+    /// Adds a version, or changes where its files lie; `Ok(false)` if all that stands already.
     pub(crate) fn publish(&mut self, publish: Publish) -> Result<bool, Reason> {
         let (root, version) = read(publish)?;
-        match self.versions.get(&root) {
-            Some(known) if same_facts(known, &version) => return Ok(false),
-            Some(_) => return Err(differs(&root)),
-            None => {}
+        if let Some(known) = self.versions.get_mut(&root) {
+            if !same_facts(known, &version) {
+                return Err(differs(&root));
+            }
+            let moved = (&known.origin, &known.store) != (&version.origin, &version.store);
+            known.origin = version.origin;
+            known.store = version.store;
+            return Ok(moved);
         }
         if self.versions.len() >= MAX_VERSIONS {
             return Err(Reason::new(
@@ -94,10 +119,22 @@
         manifest: publish.manifest,
         chunks: publish.chunks,
         operator: publish.operator,
+        origin: read_url("origin", publish.origin)?,
+        store: read_url("store", publish.store)?,
     };
     Ok((root, version))
 }
 
+fn read_url(what: &str, url: String) -> Result<Arc<str>, Reason> {
+    let http = url.is_empty() || url.starts_with("http://");
+    let plain = url.len() <= MAX_URL && url.bytes().all(|byte| byte.is_ascii_graphic());
+    if http && plain {
+        return Ok(url.into());
+    }
+    let text = format!("{what}: give an http:// URL of at most {MAX_URL} bytes");
+    Err(Reason::malformed(text))
+}
+
 /// The first publisher's name stays; who else publishes the same bytes changes nothing.
 fn same_facts(a: &Version, b: &Version) -> bool {
     (&a.model, a.weights, a.manifest, a.chunks) == (&b.model, b.weights, b.manifest, b.chunks)
--- a/crates/filbertstack-control/src/command.rs
+++ b/crates/filbertstack-control/src/command.rs
@@ -163,6 +163,12 @@
     /// Who published it.
     #[prost(string, tag = "6")]
     pub operator: String,
+    /// The URL below which the origin has the files and the manifest.
+    #[prost(string, tag = "7")]
+    pub origin: String,
+    /// The same at the weight store; empty if it has none.
+    #[prost(string, tag = "8")]
+    pub store: String,
 }
 
 /// Takes a version out of the catalogue.
@@ -256,6 +262,8 @@
     Serve = 0,
     /// Finish the requests in progress, take no new ones, then unload it.
     Drain = 1,
+    /// Fetch and verify it, and load nothing.
+    Fetch = 2,
 }
 
 /// A claim of an idempotency key.
--- a/crates/filbertstack-control/src/limits.rs
+++ b/crates/filbertstack-control/src/limits.rs
@@ -42,6 +42,9 @@
 /// The longest identifier or key, in bytes.
 pub const MAX_ID: usize = 255;
 
+/// The longest URL of a version's files, in bytes.
+pub const MAX_URL: usize = 1024;
+
 /// The most reasons that one refusal carries; the last says how many were left out.
 pub const MAX_REASONS: usize = 64;
 
--- a/crates/filbertstack-control/src/snapshot.rs
+++ b/crates/filbertstack-control/src/snapshot.rs
@@ -275,16 +275,9 @@
 }
 
 fn version_rows(state: &ControlState) -> Vec<Publish> {
-    let rows = state.catalogue.iter();
-    rows.map(|(root, version)| Publish {
-        root: root.to_vec(),
-        model: version.model.to_string(),
-        weights: version.weights,
-        manifest: version.manifest,
-        chunks: version.chunks,
-        operator: version.operator.clone(),
-    })
-    .collect()
+    let catalogue = &state.catalogue;
+    let roots = catalogue.iter().map(|(root, _)| root);
+    roots.filter_map(|root| catalogue.published(root)).collect()
 }
 
 fn instance_rows(state: &ControlState) -> Vec<Instance> {
--- a/crates/filbertstack-control/tests/common/mod.rs
+++ b/crates/filbertstack-control/tests/common/mod.rs
@@ -30,6 +30,7 @@
         manifest: 1000,
         chunks: 10,
         operator: "ann".into(),
+        ..Publish::default()
     })
 }
 
--- a/crates/filbertstack-entry/src/lib.rs
+++ b/crates/filbertstack-entry/src/lib.rs
@@ -1,4 +1,30 @@
 //! The entry: callers' and operators' HTTP, admission, routing and, with a disk, a voter.
+//!
+//! [`Entry::start`] runs one entry from its [`Settings`]. Decisions come from
+//! `filbertstack_policy`, the control state from `filbertstack_control` through the replicated
+//! log; this crate joins them with sockets, threads and clocks.
 
+pub mod answer;
+pub mod attempt;
+pub mod call;
+pub mod claims;
+pub mod follow;
 pub mod guard;
 pub mod http;
+pub mod lead;
+pub mod ledger;
+pub mod links;
+pub mod machine;
+pub mod members;
+pub mod operators;
+pub mod process;
+pub mod prompt;
+pub mod question;
+pub mod settings;
+pub mod table;
+pub mod traffic;
+pub mod view;
+pub mod voter;
+
+pub use process::Entry;
+pub use settings::Settings;
--- /dev/null
+++ b/crates/filbertstack-entry/src/links.rs
@@ -0,0 +1,222 @@
+//! The calls that arrive on an entry's links, from entries and agents.
+
+use std::sync::Arc;
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
+
+use filbertstack_control::view::TargetOrder;
+use filbertstack_core::Digest;
+use filbertstack_wire::Handler;
+use filbertstack_wire::Remote;
+use filbertstack_wire::Responder;
+use filbertstack_wire::Role;
+use filbertstack_wire::link::STACK;
+use filbertstack_wire::messages::Announce;
+use filbertstack_wire::messages::Ask;
+use filbertstack_wire::messages::Assignment;
+use filbertstack_wire::messages::Fence;
+use filbertstack_wire::messages::Orders;
+use filbertstack_wire::messages::Payload;
+use filbertstack_wire::messages::Stage;
+use filbertstack_wire::messages::Tell;
+use filbertstack_wire::messages::TermReport;
+use filbertstack_wire::messages::Watch;
+use filbertstack_wire::stream::payload;
+use prost::Message;
+
+use crate::ledger::Ledger;
+use crate::ledger::ProposeError;
+use crate::machine::Control;
+use crate::members::Member;
+use crate::members::Members;
+use crate::question::Asked;
+use crate::question::Envelope;
+use crate::question::Question;
+use crate::view::Reached;
+use crate::view::View;
+use crate::view::Views;
+use crate::view::update_since;
+use crate::voter::Voter;
+
+/// How long a proposal that another entry passes on may take.
+const PROPOSE_TIMEOUT: Duration = Duration::from_secs(8);
+
+/// The longest a question for updates may be held.
+const MAX_HOLD: u64 = 10_000;
+
+/// How many upstreams a target is told.
+const UPSTREAMS: usize = 3;
+
+/// What the calls need.
+pub struct Links {
+    /// The voter, if this entry is one.
+    pub voter: Option<Arc<Voter>>,
+    /// The control state, if this entry is a voter.
+    pub control: Control,
+    /// What this entry follows.
+    pub views: Arc<Views>,
+    /// The targets.
+    pub members: Arc<Members>,
+    /// Whom to ask.
+    pub ledger: Arc<Ledger>,
+}
+
+/// Hands calls to [`Links`] once there is one: links may come while the entry still starts.
+#[derive(Clone, Default)]
+pub struct LateLinks(Arc<std::sync::OnceLock<Arc<Links>>>);
+
+impl LateLinks {
+    /// Takes calls from here on.
+    pub fn set(&self, links: Arc<Links>) {
+        let _ = self.0.set(links);
+    }
+}
+
+impl Handler for LateLinks {
+    fn handle(&self, remote: &Remote, ask: Ask, responder: Responder) {
+        match self.0.get() {
+            Some(links) => links.take(remote.role, ask, responder),
+            None => responder.refuse("the entry is starting: come back", 500),
+        }
+    }
+}
+
+impl Links {
+    fn take(self: &Arc<Self>, role: Role, ask: Ask, responder: Responder) {
+        match (role, ask) {
+            (Role::Agent, Ask::Announce(announce)) => self.announce(&announce, responder),
+            (_, Ask::Term(_)) => {
+                let term = self.term();
+                let _ = responder.finish(Tell::Term(TermReport { term }));
+            }
+            (Role::Peer, Ask::Log(Payload { body })) => {
+                if let (Some(voter), Ok(envelope)) = (&self.voter, Envelope::decode(body)) {
+                    voter.deliver(envelope);
+                }
+            }
+            (Role::Peer, Ask::Propose(Payload { body })) => {
+                self.apart(responder, move |links, responder| links.propose(&body, responder));
+            }
+            (Role::Peer, Ask::Watch(watch)) => {
+                self.apart(responder, move |links, responder| links.watch(&watch, responder));
+            }
+            (Role::Peer, Ask::Query(Payload { body })) => {
+                self.apart(responder, move |links, responder| links.query(body, responder));
+            }
+            _ => responder.refuse("this call is not served in this role", 0),
+        }
+    }
+
+    /// Runs what may block on a thread of its own.
+    fn apart(
+        self: &Arc<Self>,
+        responder: Responder,
+        body: impl FnOnce(&Self, Responder) + Send + 'static,
+    ) {
+        let links = self.clone();
+        let builder = thread::Builder::new().name("link-call".into()).stack_size(STACK);
+        let _ = builder.spawn(move || body(&links, responder));
+    }
+
+    fn term(&self) -> u64 {
+        let own = self.voter.as_ref().map_or(0, |voter| voter.status().node.term);
+        own.max(self.views.get().term())
+    }
+
+    fn announce(&self, announce: &Announce, responder: Responder) {
+        let Some(member) = Member::of(announce) else {
+            return responder.refuse("the announcement does not read: run the same release", 0);
+        };
+        self.members.announce(member.clone());
+        let view = self.views.get();
+        let orders = self.orders_for(&view, &member);
+        let _ = responder.finish(Tell::Orders(orders));
+    }
+
+    fn orders_for(&self, view: &View, member: &Member) -> Orders {
+        let order = view.order(&member.name);
+        let fence = order.map(|order| Fence { term: order.term, sequence: order.sequence });
+        Orders {
+            fence,
+            serve: order.map(|order| self.assignments(view, member, order)).unwrap_or_default(),
+            revision: view.revision(),
+            voters: self.ledger.voters().iter().map(ToString::to_string).collect(),
+            entries: Vec::new(),
+        }
+    }
+
+    fn assignments(&self, view: &View, member: &Member, order: &TargetOrder) -> Vec<Assignment> {
+        let live = self.members.live();
+        let holds = order.holds.iter();
+        holds
+            .filter_map(|hold| {
+                let version = Digest::from_slice(&hold.version)?;
+                let published = view.version(version)?;
+                let deployment = view.declared().deployments.get(hold.deployment.as_str())?;
+                Some(Assignment {
+                    deployment: hold.deployment.clone(),
+                    model: hold.model.clone(),
+                    digest: hold.version.clone(),
+                    upstreams: upstreams(&live, member, version),
+                    origin: published.origin.clone(),
+                    store: published.store.clone(),
+                    tokens: Vec::new(),
+                    frugal: deployment.weigh == filbertstack_core::declare::Weigh::Origin,
+                    duty: hold.duty,
+                })
+            })
+            .collect()
+    }
+
+    fn propose(&self, command: &[u8], responder: Responder) {
+        let Some(voter) = &self.voter else {
+            return responder.refuse("not a voter: ask one", 0);
+        };
+        match voter.propose(command, Instant::now() + PROPOSE_TIMEOUT) {
+            Ok(outcome) => {
+                let _ = responder.finish(payload(outcome.to_bytes()));
+            }
+            Err(ProposeError::NotRun(text)) => responder.refuse(&text, 100),
+            Err(ProposeError::Unknown(text)) => responder.fail(&text),
+        }
+    }
+
+    fn watch(&self, watch: &Watch, responder: Responder) {
+        let Some(voter) = &self.voter else {
+            return responder.refuse("not a voter: ask one", 0);
+        };
+        let reached = Reached { revision: watch.since, sequence: watch.sequence };
+        let hold = Duration::from_millis(watch.wait.min(MAX_HOLD));
+        let term = self.views.get().term();
+        self.views.wait_beyond(reached, term, hold);
+        let mut update = update_since(&self.control.read(), reached);
+        update.voters = voter.voters().iter().map(ToString::to_string).collect();
+        let _ = responder.finish(payload(update.encode_to_vec()));
+    }
+
+    fn query(&self, question: bytes::Bytes, responder: Responder) {
+        let asked = Question::decode(question).ok().and_then(|question| question.asked);
+        match (asked, &self.voter) {
+            (Some(Asked::Standing(_)), Some(voter)) => {
+                let _ = responder.finish(payload(voter.standing().encode_to_vec()));
+            }
+            (Some(Asked::Standing(_)), None) => responder.refuse("not a voter", 0),
+            _ => responder.refuse("a question of a later release: upgrade this end", 0),
+        }
+    }
+}
+
+/// The agents that a target may fetch a version from: those nearest to it in the order of names
+/// among all that hold or fetch it, so that load spreads and copies chain.
+fn upstreams(live: &[Member], member: &Member, version: Digest) -> Vec<String> {
+    let holds = |other: &&Member| {
+        other.held.iter().any(|held| {
+            held.version == version && held.stage >= Stage::Fetching && held.stage != Stage::Failed
+        })
+    };
+    let mut before: Vec<&Member> =
+        live.iter().filter(holds).filter(|other| other.name < member.name).collect();
+    before.reverse();
+    before.iter().take(UPSTREAMS).map(|other| other.addr.to_string()).collect()
+}
--- /dev/null
+++ b/crates/filbertstack-entry/src/operators.rs
@@ -0,0 +1,278 @@
+//! What operators ask over HTTP: apply, publish, declarations, status.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use filbertstack_control::command::Apply;
+use filbertstack_control::command::Body;
+use filbertstack_control::command::Kind;
+use filbertstack_control::command::Object;
+use filbertstack_control::command::Publish;
+use filbertstack_control::outcome::Outcome;
+use filbertstack_control::outcome::Reply;
+use filbertstack_core::Digest;
+use filbertstack_core::names::OrgName;
+use serde::Deserialize;
+use serde::Serialize;
+use serde_json::Value;
+use serde_json::json;
+use tiny_http::Method;
+use tiny_http::Request;
+
+use crate::call::bearer;
+use crate::guard::Guard;
+use crate::http;
+use crate::http::Refusal;
+use crate::ledger::Ledger;
+use crate::ledger::ProposeError;
+use crate::members::Held;
+use crate::members::Member;
+use crate::members::Members;
+use crate::settings::Callers;
+use crate::view::View;
+use crate::view::Views;
+
+/// Where operators' paths begin.
+pub const PREFIX: &str = "/operator/";
+
+/// How long a change may take to commit: an election and a round.
+const PROPOSE_TIMEOUT: Duration = Duration::from_secs(8);
+
+/// An `apply` as the client sends it.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ApplyRequest {
+    /// The client's own identifier, the same in every resend.
+    pub request: String,
+    /// The revision that the operator saw.
+    pub expected: Option<u64>,
+    /// When the client made the request, in Unix milliseconds, the same in every resend.
+    pub issued: u64,
+    /// The sections, as INI.
+    pub text: String,
+    /// Objects to remove, as `kind name`.
+    #[serde(default)]
+    pub removals: Vec<String>,
+}
+
+/// A `publish` as the client sends it.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct PublishRequest {
+    /// The manifest's digest.
+    pub root: Digest,
+    /// The model's name.
+    pub model: String,
+    /// The size of the weights in bytes.
+    pub weights: u64,
+    /// The size of the manifest in bytes.
+    pub manifest: u64,
+    /// The number of chunks.
+    pub chunks: u32,
+    /// The URL of the files at the origin.
+    pub origin: String,
+    /// The URL of the files at the weight store; empty if there is none.
+    #[serde(default)]
+    pub store: String,
+}
+
+/// Answers operators.
+#[derive(Debug)]
+pub struct Operators {
+    /// Who may.
+    pub operators: Callers,
+    /// Where changes go.
+    pub ledger: Arc<Ledger>,
+    /// What is declared.
+    pub views: Arc<Views>,
+    /// What runs.
+    pub members: Arc<Members>,
+    /// The largest body, in bytes.
+    pub max_body: usize,
+}
+
+impl Operators {
+    /// Answers one request below [`PREFIX`].
+    pub fn answer(&self, mut request: Request, guard: &Guard) {
+        let answered = self.route(&mut request, guard);
+        let _ = match answered {
+            Ok((status, value)) => http::respond_json(request, status, &value),
+            Err(refusal) => http::refuse(request, &refusal),
+        };
+    }
+
+    fn route(&self, request: &mut Request, guard: &Guard) -> Result<(u16, Value), Refusal> {
+        let operator = self.authenticate(request)?;
+        let path = request.url().split('?').next().unwrap_or_default().to_owned();
+        let what = path.strip_prefix(PREFIX).unwrap_or_default();
+        match (request.method().clone(), what) {
+            (Method::Post, "apply") => {
+                let wanted = self.read(request, guard)?;
+                self.apply(&operator, wanted)
+            }
+            (Method::Post, "publish") => {
+                let wanted = self.read(request, guard)?;
+                self.publish(&operator, wanted)
+            }
+            (Method::Get, "declarations") => {
+                let view = self.views.get();
+                Ok((200, json!({ "revision": view.revision(), "declared": view.declared() })))
+            }
+            (Method::Get, "status") => Ok((200, status(&self.views.get(), &self.members))),
+            _ => Err(Refusal::not_run(404, "operators have no such path: see the guide")),
+        }
+    }
+
+    fn authenticate(&self, request: &Request) -> Result<OrgName, Refusal> {
+        let secret = bearer(request);
+        let operator = secret.and_then(|secret| self.operators.find(secret));
+        let text = "no known operator's key: send 'Authorization: Bearer KEY' with yours";
+        operator.cloned().ok_or_else(|| Refusal::not_run(401, text))
+    }
+
+    fn read<T: for<'de> Deserialize<'de>>(
+        &self,
+        request: &mut Request,
+        guard: &Guard,
+    ) -> Result<T, Refusal> {
+        let body = http::read_body(request, guard, self.max_body)?;
+        let read = serde_json::from_slice(&body);
+        read.map_err(|error| Refusal::not_run(400, format!("the body does not read: {error}")))
+    }
+
+    fn apply(&self, operator: &OrgName, wanted: ApplyRequest) -> Result<(u16, Value), Refusal> {
+        let removals: Result<Vec<Object>, Refusal> =
+            wanted.removals.iter().map(|text| parse_object(text)).collect();
+        let body = Body::Apply(Apply {
+            request: wanted.request,
+            operator: operator.to_string(),
+            expected: wanted.expected,
+            issued: wanted.issued,
+            text: wanted.text,
+            removals: removals?,
+        });
+        self.propose(body)
+    }
+
+    fn publish(&self, operator: &OrgName, wanted: PublishRequest) -> Result<(u16, Value), Refusal> {
+        let body = Body::Publish(Publish {
+            root: wanted.root.to_vec(),
+            model: wanted.model,
+            weights: wanted.weights,
+            manifest: wanted.manifest,
+            chunks: wanted.chunks,
+            operator: operator.to_string(),
+            origin: wanted.origin,
+            store: wanted.store,
+        });
+        self.propose(body)
+    }
+
+    fn propose(&self, body: Body) -> Result<(u16, Value), Refusal> {
+        match self.ledger.propose(body, PROPOSE_TIMEOUT) {
+            Ok(outcome) => Ok(outcome_json(outcome)),
+            Err(ProposeError::NotRun(text)) => {
+                Err(Refusal::not_run(503, format!("not run: {text}")).after_ms(1000))
+            }
+            Err(ProposeError::Unknown(text)) => {
+                let text = format!("{text}: send it again under the same request id");
+                Err(Refusal::unknown(504, text))
+            }
+        }
+    }
+}
+
+fn parse_object(text: &str) -> Result<Object, Refusal> {
+    let kind_of = |kind| match kind {
+        "deployment" => Some(Kind::Deployment),
+        "pool" => Some(Kind::Pool),
+        "rule" => Some(Kind::Rule),
+        _ => None,
+    };
+    let split = text.split_once(' ').and_then(|(kind, name)| Some((kind_of(kind)?, name)));
+    let wrong = || {
+        let text = format!("'{text}' is nothing to remove: write 'deployment NAME', 'pool NAME' or \
+                            'rule NAME'");
+        Refusal::not_run(400, text)
+    };
+    split.map(|(kind, name)| Object::new(kind, name)).ok_or_else(wrong)
+}
+
+/// An outcome as operators see it, with its HTTP status.
+fn outcome_json(outcome: Outcome) -> (u16, Value) {
+    match outcome.reply {
+        Some(Reply::Accepted(accepted)) => {
+            let warnings: Vec<String> =
+                accepted.warnings.iter().map(ToString::to_string).collect();
+            let Accepted { revision, changed } =
+                Accepted { revision: accepted.revision, changed: accepted.changed };
+            (200, json!({ "accepted": { "revision": revision, "changed": changed, "warnings": warnings } }))
+        }
+        Some(Reply::Conflict(conflict)) => {
+            let won = conflict.won.map(|won| {
+                json!({ "revision": won.revision, "operator": won.operator, "request": won.request })
+            });
+            (409, json!({ "conflict": { "current": conflict.current, "won": won } }))
+        }
+        Some(Reply::Rejected(rejected)) => {
+            let reasons: Vec<String> = rejected.reasons.iter().map(ToString::to_string).collect();
+            (422, json!({ "rejected": { "reasons": reasons } }))
+        }
+        Some(Reply::Done(done)) => (200, json!({ "done": { "changed": done.changed } })),
+        other => (500, json!({ "error": { "message": format!("unexpected: {other:?}") } })),
+    }
+}
+
+struct Accepted {
+    revision: u64,
+    changed: bool,
+}
+
+/// What is declared, what runs, and the difference.
+fn status(view: &View, members: &Members) -> Value {
+    let live = members.live();
+    let deployments: Vec<Value> = view
+        .declared()
+        .deployments
+        .iter()
+        .map(|(name, declared)| {
+            let serving = live.iter().filter(|m| m.serving(name.as_str()) == Some(declared.version));
+            let names: Vec<&str> = serving.map(|member| member.name.as_str()).collect();
+            json!({
+                "deployment": name,
+                "version": declared.version,
+                "declared": declared.replicas,
+                "serving": names.len(),
+                "met": names.len() >= declared.replicas as usize,
+            })
+        })
+        .collect();
+    let lost: Vec<String> = members.lost().iter().map(|m| m.name.to_string()).collect();
+    json!({
+        "revision": view.revision(),
+        "term": view.term(),
+        "deployments": deployments,
+        "targets": live.iter().map(target).collect::<Vec<_>>(),
+        "lost": lost,
+    })
+}
+
+fn target(member: &Member) -> Value {
+    json!({
+        "name": member.name,
+        "zone": member.zone,
+        "leaving": member.leaving,
+        "service": member.service,
+        "held": member.held.iter().map(held).collect::<Vec<_>>(),
+    })
+}
+
+fn held(held: &Held) -> Value {
+    json!({
+        "deployment": held.deployment,
+        "version": held.version,
+        "stage": format!("{:?}", held.stage).to_lowercase(),
+        "chunks": held.chunks,
+        "trouble": held.trouble,
+    })
+}
--- /dev/null
+++ b/crates/filbertstack-entry/src/question.rs
@@ -0,0 +1,82 @@
+//! Questions between entries: prost messages inside `Ask::Query`.
+
+use filbertstack_wire::messages::Ask;
+use filbertstack_wire::messages::Payload;
+use prost::Message;
+
+/// A message of the log's consensus, with where its sender is reached.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct Envelope {
+    /// The sender's address for links.
+    #[prost(string, tag = "1")]
+    pub from: String,
+    /// The message in the log's encoding.
+    #[prost(bytes = "bytes", tag = "2")]
+    pub message: bytes::Bytes,
+}
+
+/// A question.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct Question {
+    /// What is asked.
+    #[prost(oneof = "Asked", tags = "1, 2, 3")]
+    pub asked: Option<Asked>,
+}
+
+/// What is asked.
+#[derive(Clone, PartialEq, Eq, prost::Oneof)]
+pub enum Asked {
+    /// Who the far end is among the voters; answered by [`Standing`].
+    #[prost(message, tag = "1")]
+    Standing(Nothing),
+    /// Whether a revision is in force everywhere; answered by [`InForce`].
+    #[prost(uint64, tag = "2")]
+    InForce(u64),
+    /// The control state and what runs, as an operator sees it; answered by JSON.
+    #[prost(message, tag = "3")]
+    Status(Nothing),
+}
+
+/// No fields.
+#[derive(Clone, Copy, PartialEq, Eq, Message)]
+pub struct Nothing {}
+
+/// Who a voter is.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct Standing {
+    /// Its instance name.
+    #[prost(string, tag = "1")]
+    pub name: String,
+    /// Its address for links.
+    #[prost(string, tag = "2")]
+    pub address: String,
+    /// Its identity in the log.
+    #[prost(uint64, tag = "3")]
+    pub node: u64,
+    /// The group that it belongs to; zero if none.
+    #[prost(uint64, tag = "4")]
+    pub cluster: u64,
+    /// The address of the leader it knows; empty if none.
+    #[prost(string, tag = "5")]
+    pub leader: String,
+    /// Its term.
+    #[prost(uint64, tag = "6")]
+    pub term: u64,
+}
+
+/// How far a revision is in force.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct InForce {
+    /// The followers that have it or whose config lease has run out.
+    #[prost(uint32, tag = "1")]
+    pub done: u32,
+    /// The names of those still to confirm, the first few.
+    #[prost(string, repeated, tag = "2")]
+    pub waiting: Vec<String>,
+}
+
+/// The call that asks `asked`.
+pub fn ask(asked: Asked) -> Ask {
+    let question = Question { asked: Some(asked) };
+    Ask::Query(Payload { body: question.encode_to_vec().into() })
+}
--- /dev/null
+++ b/crates/filbertstack-entry/src/table.rs
@@ -0,0 +1,294 @@
+//! The routing table: which rule takes a request, and which targets may answer it.
+//!
+//! It is built anew when the declarations or the targets change; a request reads one table from
+//! its start to its end.
+
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use filbertstack_core::Digest;
+use filbertstack_core::Labels;
+use filbertstack_core::Millis;
+use filbertstack_core::declare::Deployment;
+use filbertstack_core::declare::Priority;
+use filbertstack_core::declare::Route;
+use filbertstack_core::declare::Rule;
+use filbertstack_core::names::DeploymentName;
+use filbertstack_core::names::InstanceName;
+use filbertstack_core::names::ModelName;
+use filbertstack_core::names::RuleName;
+use filbertstack_policy::flow::Flow;
+use filbertstack_policy::route::GroupKey;
+use filbertstack_policy::route::Kind;
+use filbertstack_policy::route::TargetKey;
+use filbertstack_policy::target::TargetInfo;
+
+use crate::members::Member;
+use crate::view::View;
+
+/// A target as requests see it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Place {
+    /// Its instance name.
+    pub name: InstanceName,
+    /// Where links to its agent lead.
+    pub addr: SocketAddr,
+    /// The version that it answers from; `None` for a plain service.
+    pub version: Option<Digest>,
+}
+
+/// What a rule says of the requests that it takes.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Chosen {
+    /// The rule.
+    pub rule: RuleName,
+    /// The targets' group.
+    pub group: GroupKey,
+    /// What the targets are.
+    pub kind: Kind,
+    /// Whether a request may run twice.
+    pub idempotent: bool,
+    /// The longest a caller waits for the end of the answer.
+    pub timeout: Millis,
+    /// The priority at admission.
+    pub priority: Priority,
+}
+
+/// A request as rules see it.
+#[derive(Clone, Debug)]
+pub struct Asked<'a> {
+    /// `organisation`, `model` and `method`.
+    pub labels: Labels,
+    /// The path.
+    pub path: &'a str,
+    /// The model, if it asks for one.
+    pub model: Option<&'a ModelName>,
+}
+
+/// Why no rule takes a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum NoRoute {
+    /// No rule matches.
+    #[error("no rule takes this request: check its path, model and key, or declare a rule")]
+    Rule,
+    /// Rules match, but none leads to the model.
+    #[error("no deployment that a rule selects has this model: see GET /v1/models")]
+    Model,
+}
+
+/// The key of a group: a rule and, for models, one of them.
+type GroupName = (RuleName, Option<ModelName>);
+
+#[derive(Debug)]
+struct TableRule {
+    name: RuleName,
+    rule: Rule,
+    groups: HashMap<Option<ModelName>, GroupKey>,
+}
+
+/// The routing table.
+#[derive(Debug, Default)]
+pub struct Table {
+    rules: Vec<TableRule>,
+    places: HashMap<(GroupKey, TargetKey), Place>,
+    models: Vec<ModelName>,
+}
+
+impl Table {
+    /// The rule that takes a request, and the group of targets that may answer.
+    ///
+    /// # Errors
+    /// [`NoRoute`] says why there is none.
+    pub fn find(&self, asked: &Asked<'_>) -> Result<Chosen, NoRoute> {
+        let mut none = NoRoute::Rule;
+        for TableRule { name, rule, groups } in &self.rules {
+            let matches =
+                asked.path.starts_with(rule.path.as_ref()) && rule.requests.matches(&asked.labels);
+            if !matches {
+                continue;
+            }
+            let kind = kind_of(rule);
+            let model = if kind == Kind::Engines { asked.model.cloned() } else { None };
+            if kind == Kind::Engines && model.is_none() {
+                continue;
+            }
+            let Some(group) = groups.get(&model) else {
+                none = NoRoute::Model;
+                continue;
+            };
+            return Ok(Chosen {
+                rule: name.clone(),
+                group: *group,
+                kind,
+                idempotent: rule.idempotent,
+                timeout: rule.timeout,
+                priority: rule.priority,
+            });
+        }
+        Err(none)
+    }
+
+    /// The target of a group.
+    pub fn place(&self, group: GroupKey, target: TargetKey) -> Option<&Place> {
+        self.places.get(&(group, target))
+    }
+
+    /// The models declared.
+    pub fn models(&self) -> &[ModelName] {
+        &self.models
+    }
+}
+
+fn kind_of(rule: &Rule) -> Kind {
+    match rule.route {
+        Route::Models { .. } => Kind::Engines,
+        Route::Service { .. } => Kind::Service,
+    }
+}
+
+/// Builds tables, and keeps the router's targets and groups in step with them.
+#[derive(Debug, Default)]
+pub struct Builder {
+    targets: BTreeMap<InstanceName, Known>,
+    groups: HashMap<GroupName, GroupKey>,
+}
+
+#[derive(Debug)]
+struct Known {
+    key: TargetKey,
+    incarnation: u64,
+}
+
+impl Builder {
+    /// Builds the table for `view` and the live `members`.
+    pub fn build(&mut self, now: Millis, view: &View, members: &[Member], flow: &mut Flow) -> Table {
+        self.sync_targets(now, members, flow);
+        let mut table = Table::default();
+        let mut groups = HashMap::new();
+        let declared = view.declared();
+        for (name, rule) in declared.ordered_rules() {
+            let mut own = HashMap::new();
+            for model in self.models_of(rule, &declared.deployments) {
+                let group_name = (name.clone(), model.clone());
+                let old = self.groups.remove(&group_name);
+                let group = old.unwrap_or_else(|| flow.add_group(kind_of(rule)));
+                self.fill(group, rule, model.as_ref(), view, members, flow, &mut table);
+                groups.insert(group_name, group);
+                own.insert(model, group);
+            }
+            let rule = TableRule { name: name.clone(), rule: rule.clone(), groups: own };
+            table.rules.push(rule);
+        }
+        for (_, group) in self.groups.drain() {
+            flow.router_mut().set_candidates(group, &[]);
+        }
+        self.groups = groups;
+        table.models = declared.deployments.values().map(|d| d.model.clone()).collect();
+        table.models.sort();
+        table.models.dedup();
+        table
+    }
+
+    fn sync_targets(&mut self, now: Millis, members: &[Member], flow: &mut Flow) {
+        let router = flow.router_mut();
+        let first = self.targets.is_empty();
+        self.targets.retain(|name, known| {
+            let stays = members
+                .iter()
+                .any(|member| member.name == *name && member.incarnation == known.incarnation);
+            if !stays {
+                router.target_gone(known.key);
+            }
+            stays
+        });
+        for member in members {
+            if let Some(known) = self.targets.get(&member.name) {
+                if member.leaving {
+                    router.target_leaving(known.key);
+                }
+                continue;
+            }
+            if member.leaving {
+                continue;
+            }
+            let info = TargetInfo {
+                name: member.name.clone(),
+                zone: member.zone.clone(),
+                slots: Some(member.slots),
+            };
+            let key = router.target_up(now, info, !first);
+            let known = Known { key, incarnation: member.incarnation };
+            self.targets.insert(member.name.clone(), known);
+        }
+    }
+
+    /// The models that a rule leads to; one `None` for a plain service.
+    fn models_of(
+        &self,
+        rule: &Rule,
+        deployments: &BTreeMap<DeploymentName, Deployment>,
+    ) -> Vec<Option<ModelName>> {
+        let Route::Models { deployments: selector, .. } = &rule.route else {
+            return vec![None];
+        };
+        let selected = deployments.values().filter(|d| selector.matches(&d.labels));
+        let mut models: Vec<_> = selected.map(|d| Some(d.model.clone())).collect();
+        models.sort();
+        models.dedup();
+        models
+    }
+
+    #[expect(clippy::too_many_arguments, reason = "the parts of one table, borrowed apart")]
+    fn fill(
+        &self,
+        group: GroupKey,
+        rule: &Rule,
+        model: Option<&ModelName>,
+        view: &View,
+        members: &[Member],
+        flow: &mut Flow,
+        table: &mut Table,
+    ) {
+        let mut candidates = Vec::new();
+        for member in members.iter().filter(|member| !member.leaving) {
+            let Some(known) = self.targets.get(&member.name) else {
+                continue;
+            };
+            let Some(version) = answers(rule, model, view, member) else {
+                continue;
+            };
+            let place = Place { name: member.name.clone(), addr: member.addr, version };
+            table.places.insert((group, known.key), place);
+            candidates.push(known.key);
+        }
+        flow.router_mut().set_candidates(group, &candidates);
+    }
+}
+
+/// Whether `member` may answer requests of `rule` for `model`, and from which version.
+fn answers(
+    rule: &Rule,
+    model: Option<&ModelName>,
+    view: &View,
+    member: &Member,
+) -> Option<Option<Digest>> {
+    match &rule.route {
+        Route::Service { instances } => {
+            (member.service && instances.matches(&member.labels)).then_some(None)
+        }
+        Route::Models { deployments, instances } => {
+            if !instances.matches(&member.labels) {
+                return None;
+            }
+            let declared = view.declared().deployments.iter();
+            let mut selected = declared
+                .filter(|(_, d)| Some(&d.model) == model && deployments.matches(&d.labels));
+            selected.find_map(|(name, _)| member.serving(name.as_str())).map(Some)
+        }
+    }
+}
+
+/// A table shared by an entry's threads.
+pub type SharedTable = Arc<Table>;
--- a/crates/filbertstack-wire/src/error.rs
+++ b/crates/filbertstack-wire/src/error.rs
@@ -5,6 +5,8 @@
 
 use thiserror::Error;
 
+use crate::messages::Cause;
+
 /// A failure of a link or of a call on it.
 ///
 /// Whether the far end acted is unknown after [`WireError::Lost`], [`WireError::Timeout`] and
@@ -38,6 +40,8 @@
         text: String,
         /// When to come back, in milliseconds; zero if there is no point.
         after: u64,
+        /// What kind of refusal it is.
+        cause: Cause,
     },
     /// A frame broke the protocol or its authentication.
     #[error("a frame broke the protocol ({0}); both ends must run the same release")]
--- a/crates/filbertstack-wire/src/link.rs
+++ b/crates/filbertstack-wire/src/link.rs
@@ -365,13 +365,15 @@
         let Some(inbox) = lock(&self.shared.inboxes).remove(&stream) else {
             return;
         };
+        let cause = fault.cause();
         let Fault {
             text,
             after,
             not_run,
+            ..
         } = fault;
         let error = if not_run {
-            WireError::Refused { text, after }
+            WireError::Refused { text, after, cause }
         } else {
             WireError::Lost
         };
--- a/crates/filbertstack-wire/src/messages.rs
+++ b/crates/filbertstack-wire/src/messages.rs
@@ -92,6 +92,23 @@
     /// Whether the call certainly had no effect.
     #[prost(bool, tag = "3")]
     pub not_run: bool,
+    /// What kind of refusal it is.
+    #[prost(enumeration = "Cause", tag = "4")]
+    pub cause: i32,
+}
+
+/// What kind of refusal a [`Fault`] is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, prost::Enumeration)]
+#[repr(i32)]
+pub enum Cause {
+    /// The far end does not serve the call.
+    Absent = 0,
+    /// The far end has no room now.
+    Full = 1,
+    /// The far end is leaving.
+    Leaving = 2,
+    /// What stands behind the far end can't be reached.
+    Unreachable = 3,
 }
 
 /// A request.
@@ -190,9 +207,12 @@
 /// A follower's question for what changed.
 #[derive(Clone, PartialEq, Eq, Message)]
 pub struct Watch {
-    /// The log index that the follower has applied.
+    /// The revision of the declarations that the follower has.
     #[prost(uint64, tag = "1")]
     pub since: u64,
+    /// The sequence of the orders that the follower has.
+    #[prost(uint64, tag = "4")]
+    pub sequence: u64,
     /// The follower's instance name, whose config lease this renews.
     #[prost(string, tag = "2")]
     pub follower: String,
--- a/crates/filbertstack-wire/src/stream.rs
+++ b/crates/filbertstack-wire/src/stream.rs
@@ -14,6 +14,7 @@
 use crate::link::Link;
 use crate::link::Shared;
 use crate::messages::Call;
+use crate::messages::Cause;
 use crate::messages::Empty;
 use crate::messages::Fault;
 use crate::messages::Frame;
@@ -208,10 +209,17 @@
     /// Refuses the call: it certainly had no effect. `after` is when to come back, in
     /// milliseconds.
     pub fn refuse(self, text: &str, after: u64) {
+        self.refuse_as(Cause::Absent, text, after);
+    }
+
+    /// Refuses the call for a reason that the caller can act on.
+    pub fn refuse_as(self, cause: Cause, text: &str, after: u64) {
+        let (text, cause) = (text.into(), cause.into());
         self.fault(Fault {
-            text: text.into(),
+            text,
             after,
             not_run: true,
+            cause,
         });
     }
 
@@ -219,8 +227,7 @@
     pub fn fail(self, text: &str) {
         self.fault(Fault {
             text: text.into(),
-            after: 0,
-            not_run: false,
+            ..Fault::default()
         });
     }
 
@@ -268,8 +275,7 @@
             let text = "the far end dropped the call".into();
             let fault = Fault {
                 text,
-                after: 0,
-                not_run: false,
+                ..Fault::default()
             };
             let frame = Frame {
                 item: Some(Item::Fault(fault)),
