Placement: spread, least movement and rolling changes as one pure decision

decide() takes the fleet as reported, the declared wants and the standing orders, and gives the whole desired state of every target. Nothing else is remembered but failed loads, so a new leader goes on.

--- a/crates/filbertstack-policy/src/lib.rs
+++ b/crates/filbertstack-policy/src/lib.rs
@@ -9,6 +9,8 @@
 //! - [`route`]: which target gets a request;
 //! - [`outlier`]: which targets get none for a while;
 //! - [`retry`]: what may be tried again or twice at once.
+//!
+//! The leader of the replicated log decides with [`placement`] which instances hold which models.
 
 pub mod admission;
 pub mod cost;
@@ -16,6 +18,7 @@
 pub mod flow;
 pub mod limit;
 pub mod outlier;
+pub mod placement;
 pub mod prefix;
 pub mod retry;
 pub mod route;
--- /dev/null
+++ b/crates/filbertstack-policy/src/placement.rs
@@ -0,0 +1,46 @@
+//! Placement: which instances hold which deployments, and how the fleet gets there.
+//!
+//! All of it is pure. The leader gathers a [`Fleet`] from agents' reports, takes the declared
+//! [`Want`]s and the [`Standing`] orders out of the replicated state, and calls [`decide`]. What
+//! comes back is the whole desired state of every target; the leader commits what differs.
+//! Nothing else is remembered but the [`LoadFaults`], so a new leader goes on where the old one
+//! stopped.
+//!
+//! The load pattern this answers: instances come and go all day (34 fail, 530 restart), a zone is
+//! lost now and then, versions change several times a day. Placed anew each time, every change
+//! would copy weights to hundreds of instances; placed once and left alone, a lost zone would
+//! leave everything in the zones that remained.
+
+mod decide;
+mod faults;
+mod fleet;
+mod place;
+mod roll;
+mod status;
+
+pub use decide::Decision;
+pub use decide::decide;
+pub use faults::LoadFaults;
+pub use faults::Verdict;
+pub use fleet::Assignment;
+pub use fleet::Duty;
+pub use fleet::Fleet;
+pub use fleet::Health;
+pub use fleet::Holding;
+pub use fleet::Member;
+pub use fleet::Stage;
+pub use fleet::Standing;
+pub use fleet::Want;
+pub use fleet::wants;
+pub use place::HOLD_DOWN;
+pub use place::MOVE_AFTER;
+pub use place::Placement;
+pub use place::SETTLE;
+pub use place::Shortfall;
+pub use roll::surge_of;
+pub use status::DRIFT_AFTER;
+pub use status::DeploymentStatus;
+pub use status::Difference;
+pub use status::Why;
+pub use status::drifted;
+pub use status::status;
