Load tool: callers that check every answer byte for byte

Answers are exact, wrong, truncated, not run, unknown or errors; times count from when a request was due. Bounded in count and time.

--- a/crates/filbertstack-standins/src/lib.rs
+++ b/crates/filbertstack-standins/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod files;
 pub mod front;
 pub mod http;
+pub mod load;
 pub mod origin;
 pub mod process;
 pub mod runs;
--- /dev/null
+++ b/crates/filbertstack-standins/src/load/call.rs
@@ -0,0 +1,287 @@
+//! One call: sent to an entry, read as it comes, judged at its end.
+
+use std::io::BufRead;
+use std::io::BufReader;
+use std::io::ErrorKind;
+use std::net::SocketAddr;
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
+
+use ureq::Agent;
+use ureq::Body;
+use ureq::http;
+
+use crate::load::check;
+use crate::load::check::Class;
+use crate::load::check::Expected;
+use crate::load::check::Received;
+use crate::load::config::LoadConfig;
+use crate::load::directory::Directory;
+use crate::load::plan::Request;
+use crate::load::sse;
+use crate::load::sse::Line;
+
+/// The longest that a caller waits because it was told to come back later.
+const MAX_WAIT: Duration = Duration::from_secs(30);
+
+/// Connections that the callers keep open to one entry.
+const IDLE_CONNECTIONS: usize = 256;
+
+/// What came of one request, all attempts included.
+#[derive(Clone, Debug, Default)]
+pub struct CallResult {
+    /// What the caller received.
+    pub class: Option<Class>,
+    /// Attempts made.
+    pub attempts: u64,
+    /// Entries that could not be connected to.
+    pub unreached: u64,
+    /// Refusals as not run without a time to come back.
+    pub no_return_time: u64,
+    /// From when it was due to its end.
+    pub total: Duration,
+    /// From when it was due to the first token.
+    pub first: Option<Duration>,
+    /// Between tokens.
+    pub gaps: Vec<Duration>,
+    /// Tokens or bytes of the answer.
+    pub received: usize,
+    /// What a class other than exact is about.
+    pub detail: Option<String>,
+}
+
+/// One attempt's outcome.
+struct Attempt {
+    class: Class,
+    after: Option<Duration>,
+    first: Option<Instant>,
+    gaps: Vec<Duration>,
+    received: usize,
+    detail: Option<String>,
+}
+
+impl Attempt {
+    fn failed(class: Class, detail: impl Into<String>) -> Self {
+        Self {
+            class,
+            after: None,
+            first: None,
+            gaps: Vec::new(),
+            received: 0,
+            detail: Some(detail.into()),
+        }
+    }
+}
+
+/// What the callers share.
+pub struct Caller {
+    config: LoadConfig,
+    agent: Agent,
+}
+
+impl Caller {
+    pub fn new(config: &LoadConfig) -> Self {
+        let agent = Agent::config_builder()
+            .http_status_as_error(false)
+            .max_redirects(0)
+            .max_idle_connections(4 * IDLE_CONNECTIONS)
+            .max_idle_connections_per_host(IDLE_CONNECTIONS)
+            .build()
+            .new_agent();
+        Self {
+            config: config.clone(),
+            agent,
+        }
+    }
+
+    /// Makes a request and, if the settings say so, makes it again after "not run".
+    pub fn perform(&self, request: &Request, directory: &Directory, due: Instant) -> CallResult {
+        let mut result = CallResult::default();
+        loop {
+            result.attempts += 1;
+            let attempt = self.reach(request, directory, due, &mut result.unreached);
+            let again = attempt.class == Class::NotRun
+                && result.attempts <= u64::from(self.config.retries)
+                && due.elapsed() < self.config.deadline;
+            if attempt.class == Class::NotRun && attempt.after.is_none() {
+                result.no_return_time += 1;
+            }
+            if again {
+                thread::sleep(attempt.after.unwrap_or_default().min(MAX_WAIT));
+                continue;
+            }
+            result.class = Some(attempt.class);
+            result.total = due.elapsed();
+            result.first = attempt.first.map(|at| at.saturating_duration_since(due));
+            result.gaps = attempt.gaps;
+            result.received = attempt.received;
+            result.detail = attempt.detail;
+            return result;
+        }
+    }
+
+    /// Tries one entry after the other until one can be connected to.
+    fn reach(
+        &self,
+        request: &Request,
+        directory: &Directory,
+        due: Instant,
+        unreached: &mut u64,
+    ) -> Attempt {
+        let addrs = directory.addrs();
+        // Callers do not all take the first.
+        let start = spread(&request.id) % addrs.len().max(1);
+        for step in 0..addrs.len() {
+            let addr = addrs[(start + step) % addrs.len()];
+            match self.attempt(request, addr, due) {
+                Ok(attempt) => return attempt,
+                Err(Unreached) => *unreached += 1,
+            }
+        }
+        Attempt::failed(Class::Error, "no entry could be connected to")
+    }
+
+    fn attempt(
+        &self,
+        request: &Request,
+        addr: SocketAddr,
+        due: Instant,
+    ) -> Result<Attempt, Unreached> {
+        let left = self.config.deadline.saturating_sub(due.elapsed());
+        match self.send(request, addr, left.max(Duration::from_millis(1))) {
+            Ok(response) => Ok(self.receive(request, response)),
+            Err(error) if is_unreached(&error) => Err(Unreached),
+            Err(error) => Ok(Attempt::failed(Class::Unknown, error.to_string())),
+        }
+    }
+
+    fn send(
+        &self,
+        request: &Request,
+        addr: SocketAddr,
+        left: Duration,
+    ) -> Result<http::Response<Body>, ureq::Error> {
+        let key = &self.config.organisations[request.organisation].key;
+        let mut builder = http::Request::builder()
+            .method(request.method)
+            .uri(format!("http://{addr}{}", request.path))
+            .header("Authorization", format!("Bearer {key}"))
+            .header("x-request-id", &request.id);
+        if let Some(key) = &request.key {
+            builder = builder.header("Idempotency-Key", key);
+        }
+        if !request.body.is_empty() {
+            builder = builder.header("Content-Type", "application/json");
+        }
+        let message = builder.body(request.body.clone())?;
+        let message = self
+            .agent
+            .configure_request(message)
+            .timeout_global(Some(left))
+            .build();
+        self.agent.run(message)
+    }
+
+    fn receive(&self, request: &Request, response: http::Response<Body>) -> Attempt {
+        let header = |name| header(&response, name);
+        if response.status().as_u16() != 200 {
+            let outcome = header("x-filbertstack-outcome");
+            let after = header("Retry-After").and_then(|text| text.parse().ok());
+            let class = check::judge_refusal(outcome.as_deref());
+            let status = response.status();
+            let text = response.into_body().read_to_string().unwrap_or_default();
+            let mut attempt = Attempt::failed(class, format!("{status}: {text}"));
+            attempt.after = after.map(Duration::from_secs);
+            return attempt;
+        }
+        let version = header("x-filbertstack-version");
+        let streamed = matches!(request.expected, Expected::Answer { stream: true, .. });
+        let mut attempt = Attempt::failed(Class::Unknown, "");
+        let mut received = if streamed {
+            read_stream(response, &mut attempt)
+        } else {
+            read_whole(response, &request.expected, &mut attempt)
+        };
+        received.version = version;
+        attempt.class = check::judge(&request.expected, &self.config.versions, &received);
+        if attempt.class == Class::Exact {
+            attempt.detail = None;
+        } else if attempt.detail.as_deref() == Some("") {
+            attempt.detail = Some(format!("the answer of {:?}", received.version));
+        }
+        attempt
+    }
+}
+
+struct Unreached;
+
+/// Whether nothing of the request can have been sent.
+fn is_unreached(error: &ureq::Error) -> bool {
+    match error {
+        ureq::Error::ConnectionFailed | ureq::Error::Timeout(ureq::Timeout::Connect) => true,
+        ureq::Error::Io(error) => error.kind() == ErrorKind::ConnectionRefused,
+        _ => false,
+    }
+}
+
+fn header(response: &http::Response<Body>, name: &str) -> Option<String> {
+    let value = response.headers().get(name)?;
+    Some(value.to_str().ok()?.to_owned())
+}
+
+/// A small hash that spreads callers over entries.
+fn spread(text: &str) -> usize {
+    let hash = blake3::hash(text.as_bytes());
+    usize::from(u16::from_le_bytes([hash.as_bytes()[0], hash.as_bytes()[1]]))
+}
+
+/// Reads a stream event by event; its end is the last event and the end of the body.
+fn read_stream(response: http::Response<Body>, attempt: &mut Attempt) -> Received {
+    let mut received = Received::default();
+    let mut last: Option<Instant> = None;
+    for line in BufReader::new(response.into_body().into_reader()).lines() {
+        let line = match line {
+            Ok(line) => line,
+            Err(error) => {
+                attempt.detail = Some(format!("after {} tokens: {error}", attempt.received));
+                received.whole = false;
+                return received;
+            }
+        };
+        match sse::read_line(&line) {
+            Line::Text(text) if !text.is_empty() => {
+                let now = Instant::now();
+                attempt.first.get_or_insert(now);
+                attempt.gaps.extend(last.map(|last| now - last));
+                last = Some(now);
+                attempt.received += 1;
+                received.bytes.extend_from_slice(text.as_bytes());
+            }
+            Line::Done => received.whole = true,
+            Line::Unreadable => attempt.detail = Some(line),
+            Line::Text(_) | Line::Other => {}
+        }
+    }
+    received
+}
+
+fn read_whole(
+    response: http::Response<Body>,
+    expected: &Expected,
+    attempt: &mut Attempt,
+) -> Received {
+    let mut received = Received::default();
+    match response.into_body().read_to_vec() {
+        Err(error) => attempt.detail = Some(error.to_string()),
+        Ok(bytes) => {
+            received.whole = true;
+            attempt.received = bytes.len();
+            received.bytes = match expected {
+                Expected::Bytes(_) => bytes,
+                Expected::Answer { .. } => sse::text(&bytes).unwrap_or_default().into_bytes(),
+            };
+        }
+    }
+    received
+}
