Front: a thread for every connection before the next is opened

Cause: tiny_http's pool counts a thread as idle until it has run, although another connection is queued for it already. Of several connections opened at once, one may wait until some other connection ends; its caller hears nothing (seen as one lookup of 40 that hung to its deadline of 30 s). Any server on that library is open to it, however its connections come in.

Now the front opens the library's connections one after the other, each with a request of its own that must be answered first. Keeping the pool's threads busy with idle connections was ruled out: a thread that has ended its connection counts as idle for 5 s, and the race is back.

--- a/crates/filbertstack-standins/src/front.rs
+++ b/crates/filbertstack-standins/src/front.rs
@@ -4,10 +4,18 @@
 //! `tiny_http` keeps a connection open when an answer's writer is dropped half way, so that a cut
 //! would look like a stall. The front owns both sockets, so that a cut is a real end of the
 //! connection. A caller that closes its sending side counts as gone.
+//!
+//! The front also opens the library's connections one after the other, each with a [`HELLO`] that
+//! is answered before the next is opened. The library's pool counts a thread as idle until it has
+//! run, although another connection may be queued for it already; of two connections opened at
+//! once, one may then wait until some other connection ends, and its caller hears nothing. With
+//! one opening at a time, every idle thread counted is really idle.
 
 use std::collections::HashMap;
 use std::io;
 use std::io::BufReader;
+use std::io::Read;
+use std::io::Write;
 use std::net::Shutdown;
 use std::net::SocketAddr;
 use std::net::TcpListener;
@@ -19,10 +27,20 @@
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
 use std::thread;
+use std::time::Duration;
 
 /// Large enough for an origin to fill a loopback link.
 const BUFFER: usize = 64 * 1024;
 
+/// The path of the request that shows that a connection has a thread.
+pub const HELLO: &str = "/.hello";
+
+/// How long the library may take to answer [`HELLO`].
+const HELLO_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// The longest answer to [`HELLO`], in bytes.
+const MAX_HELLO: usize = 4096;
+
 /// One caller's connection.
 #[derive(Debug)]
 pub struct Pipe {
@@ -105,6 +123,7 @@
         caller.set_nodelay(true)?;
         let server = TcpStream::connect(server)?;
         server.set_nodelay(true)?;
+        await_thread(&server)?;
         let peer = server.local_addr()?;
         let pipe = Arc::new(Pipe {
             caller,
@@ -117,7 +136,7 @@
         let pipes = self.clone();
         thread::spawn(move || {
             pipe.forward_down();
-            pipes.remove(peer);
+            pipes.remove(peer, &pipe);
         });
         Ok(())
     }
@@ -132,10 +151,32 @@
         open.insert(peer, pipe);
     }
 
-    fn remove(&self, peer: SocketAddr) {
+    /// Removes `pipe`, unless another has come to its address meanwhile.
+    fn remove(&self, peer: SocketAddr, pipe: &Arc<Pipe>) {
         let mut open = self.open.lock().unwrap_or_else(PoisonError::into_inner);
-        open.remove(&peer);
+        if open
+            .get(&peer)
+            .is_some_and(|found| Arc::ptr_eq(found, pipe))
+        {
+            open.remove(&peer);
+        }
+    }
+}
+
+/// Waits until the library has a thread for the connection.
+fn await_thread(mut server: &TcpStream) -> io::Result<()> {
+    server.set_read_timeout(Some(HELLO_TIMEOUT))?;
+    write!(server, "GET {HELLO} HTTP/1.1\r\nHost: front\r\n\r\n")?;
+    let mut head = Vec::new();
+    let mut byte = [0];
+    while !head.ends_with(b"\r\n\r\n") {
+        server.read_exact(&mut byte)?;
+        head.push(byte[0]);
+        if head.len() > MAX_HELLO {
+            return Err(io::ErrorKind::InvalidData.into());
+        }
     }
+    server.set_read_timeout(None)
 }
 
 /// Turns Nagle's algorithm off for every connection that `listener` accepts.
--- a/crates/filbertstack-standins/src/http.rs
+++ b/crates/filbertstack-standins/src/http.rs
@@ -110,6 +110,11 @@
 
 fn dispatch(server: &Server, pipes: &Arc<Pipes>, handler: &Arc<dyn Handler>) {
     for request in server.incoming_requests() {
+        if request.url() == front::HELLO {
+            // The front that asked is gone if this fails.
+            let _ = request.respond(Response::empty(StatusCode(204)));
+            continue;
+        }
         let peer = request.remote_addr().copied();
         let Some(pipe) = peer.and_then(|peer| pipes.get(peer)) else {
             // The pipe was cut before its request was taken up.
--- a/crates/filbertstack-standins/src/load/report.rs
+++ b/crates/filbertstack-standins/src/load/report.rs
@@ -19,19 +19,19 @@
 /// The most examples of what was not exact.
 const MAX_EXAMPLES: usize = 10;
 
-/// Times in milliseconds.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+/// Times in microseconds: whole numbers, so that a report reads back as it was written.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Percentiles {
     /// The number of times.
     pub count: u64,
     /// Half are at most this.
-    pub p50_ms: f64,
+    pub p50_us: u64,
     /// 95 in 100 are at most this.
-    pub p95_ms: f64,
+    pub p95_us: u64,
     /// 99 in 100 are at most this.
-    pub p99_ms: f64,
+    pub p99_us: u64,
     /// All are at most this.
-    pub max_ms: f64,
+    pub max_us: u64,
 }
 
 /// The counts of one organisation.
@@ -48,7 +48,7 @@
 }
 
 /// What the callers received.
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LoadReport {
     /// Requests made.
     pub sent: u64,
@@ -74,8 +74,8 @@
     pub overrun: u64,
     /// Tokens of streams that were exact.
     pub tokens: u64,
-    /// The time of the run in seconds.
-    pub seconds: f64,
+    /// The time of the run in milliseconds.
+    pub spent_ms: u64,
     /// From due to the end, of exact answers.
     pub total: Percentiles,
     /// From due to the first token, of exact streams.
@@ -109,21 +109,17 @@
         let Some(histogram) = &self.0 else {
             return Percentiles::default();
         };
-        let at = |quantile| millis(histogram.value_at_quantile(quantile));
+        let at = |quantile| histogram.value_at_quantile(quantile);
         Percentiles {
             count: histogram.len(),
-            p50_ms: at(0.5),
-            p95_ms: at(0.95),
-            p99_ms: at(0.99),
-            max_ms: millis(histogram.max()),
+            p50_us: at(0.5),
+            p95_us: at(0.95),
+            p99_us: at(0.99),
+            max_us: histogram.max(),
         }
     }
 }
 
-fn millis(micros: u64) -> f64 {
-    Duration::from_micros(micros).as_secs_f64() * 1e3
-}
-
 /// Sums up as results come in.
 #[derive(Default)]
 pub struct Tally {
@@ -193,7 +189,7 @@
     pub fn report(&self, spent: Duration, overrun: u64) -> LoadReport {
         LoadReport {
             overrun,
-            seconds: spent.as_secs_f64(),
+            spent_ms: u64::try_from(spent.as_millis()).unwrap_or(u64::MAX),
             total: self.total.percentiles(),
             first_token: self.first.percentiles(),
             token_gap: self.gap.percentiles(),
