Place by the policy; fetch a version before the old one is drained

Cause: the leader placed by name order alone, and an engine that holds one version at a time could neither load the new one beside the old nor be told to fetch it first. Ruled out: draining first (the instance answers nothing for as long as its link takes for a copy); counting an engine's memory as full (then a second deployment would be planned onto it and never load). Conclusion: Duty::Fetch, and Member::single for engines of one version.

--- a/crates/filbertstack-agent/src/keeper.rs
+++ b/crates/filbertstack-agent/src/keeper.rs
@@ -468,7 +468,12 @@
     }
 
     fn copy(&self) -> Copy {
-        let stage = self.held.as_ref().map_or(Stage::Absent, Held::stage);
+        let stage = match &self.held {
+            None => Stage::Absent,
+            // The leader counts failed loads, and moves the version elsewhere after a few.
+            Some(Held::Verified(_)) if self.failures > 0 => Stage::Failed,
+            Some(held) => held.stage(),
+        };
         let chunks = match &self.held {
             Some(Held::Fetching(_, copying)) => copying.held(),
             Some(Held::Verified(version)) => count(version),
--- a/crates/filbertstack-entry/src/lead.rs
+++ b/crates/filbertstack-entry/src/lead.rs
@@ -1,11 +1,11 @@
 //! The leader's duties: it decides what each target is to hold, and orders it through the log.
 
-use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::Duration;
+use std::time::Instant;
 
 use filbertstack_control::ControlState;
 use filbertstack_control::command::Body;
@@ -16,10 +16,17 @@
 use filbertstack_control::command::Lead;
 use filbertstack_control::command::Orders;
 use filbertstack_control::command::Register;
+use filbertstack_core::Digest;
 use filbertstack_core::names::InstanceName;
+use filbertstack_policy::placement;
+use filbertstack_policy::placement::Assignment;
+use filbertstack_policy::placement::LoadFaults;
+use filbertstack_policy::placement::Standing;
 use spdlog::info;
 use spdlog::warn;
 
+use crate::fleet::CLOCK_START;
+use crate::fleet::Watcher;
 use crate::ledger::Ledger;
 use crate::machine::Control;
 use crate::members::Member;
@@ -32,12 +39,6 @@
 /// How long a command of the leader may take.
 const PROPOSE_TIMEOUT: Duration = Duration::from_secs(3);
 
-/// How long a new leader waits before its first orders.
-///
-/// It knows only the targets that have announced themselves to it since it began; ordering at
-/// once would take the others for gone and move what they hold.
-const SETTLE: Duration = Duration::from_secs(5);
-
 /// The leader's duties, run on every voter and idle on those that do not lead.
 pub struct Leader {
     /// The voter.
@@ -56,7 +57,7 @@
     /// Runs until stopped.
     pub fn run(&self) {
         let mut led = None;
-        let mut since = std::time::Instant::now();
+        let mut round = Round::new();
         while !self.stopped.load(Ordering::Relaxed) {
             thread::sleep(TICK);
             let Some(term) = self.voter.leads() else {
@@ -64,17 +65,14 @@
                 continue;
             };
             if led != Some(term) {
-                since = std::time::Instant::now();
                 if !self.begin(term) {
                     continue;
                 }
                 led = Some(term);
+                round = Round::new();
             }
             self.register();
-            let fresh = self.control.read().orders().iter().next().is_none();
-            if fresh || since.elapsed() >= SETTLE {
-                self.order(term);
-            }
+            self.order(term, &mut round);
         }
     }
 
@@ -115,10 +113,23 @@
         }
     }
 
-    fn order(&self, term: u64) {
+    /// Orders what differs from the standing orders.
+    fn order(&self, term: u64, round: &mut Round) {
         let live = self.members.live();
+        let now = CLOCK_START + round.began.elapsed().into();
         let state = self.control.read();
-        let targets = changed_orders(&state, &live);
+        let fleet = round
+            .watcher
+            .observe(now, &live, state.register(), chunks(&state));
+        round.faults.observe(&fleet, now);
+        let wants = placement::wants(state.declared().current(), weights(&state));
+        let decision = placement::decide(&fleet, &wants, &standing(&state), &round.faults, now);
+        let none = Vec::new();
+        let targets: Vec<Desired> = decision
+            .changed
+            .iter()
+            .map(|name| desired(&state, name, decision.orders.get(name).unwrap_or(&none)))
+            .collect();
         drop(state);
         if targets.is_empty() {
             return;
@@ -132,6 +143,23 @@
     }
 }
 
+/// What a leader remembers from round to round; a new leader begins anew.
+struct Round {
+    began: Instant,
+    watcher: Watcher,
+    faults: LoadFaults,
+}
+
+impl Round {
+    fn new() -> Self {
+        Self {
+            began: Instant::now(),
+            watcher: Watcher::default(),
+            faults: LoadFaults::default(),
+        }
+    }
+}
+
 fn is_news(state: &ControlState, member: &Member) -> bool {
     let known = state.register().get(&member.name);
     known.is_none_or(|facts| facts.labels != member.labels || facts.memory != member.memory)
@@ -145,58 +173,70 @@
     }
 }
 
-/// The orders that differ from those that stand.
-fn changed_orders(state: &ControlState, live: &[Member]) -> Vec<Desired> {
-    let mut wanted: BTreeMap<&InstanceName, Vec<Hold>> = BTreeMap::new();
-    for member in live
-        .iter()
-        .filter(|member| !member.service && !member.leaving)
-    {
-        wanted.insert(&member.name, Vec::new());
-    }
-    let declared = state.declared().current();
-    for (name, deployment) in &declared.deployments {
-        let pools = declared
-            .pools
-            .values()
-            .filter(|pool| deployment.pools.matches(&pool.labels));
-        let pools: Vec<_> = pools.collect();
-        let fits = |member: &&Member| {
-            member.memory >= deployment.memory
-                && pools
-                    .iter()
-                    .any(|pool| pool.instances.matches(&member.labels))
-        };
-        let hold = Hold {
-            deployment: name.to_string(),
-            model: deployment.model.to_string(),
-            version: deployment.version.to_vec(),
-            duty: Duty::Serve.into(),
-        };
-        let holds_now = |member: &Member| {
-            let order = state.orders().get(&member.name);
-            order.is_some_and(|order| order.holds.iter().any(|h| h.deployment == hold.deployment))
-        };
-        let free = live.iter().filter(fits);
-        let mut free: Vec<&Member> = free
-            .filter(|m| wanted.get(&m.name).is_some_and(Vec::is_empty))
-            .collect();
-        free.sort_by_key(|member| (!holds_now(member), member.name.clone()));
-        for member in free.into_iter().take(deployment.replicas as usize) {
-            if let Some(holds) = wanted.get_mut(&member.name) {
-                holds.push(hold.clone());
-            }
-        }
-    }
-    let differs = |(name, holds): &(&InstanceName, Vec<Hold>)| {
-        let standing = state.orders().get(name).map(|order| order.holds.as_slice());
-        standing.unwrap_or_default() != holds.as_slice()
-    };
-    let wanted = wanted.into_iter().filter(differs);
-    wanted
-        .map(|(name, holds)| Desired {
-            target: name.to_string(),
-            holds,
+/// The standing orders as placement reads them.
+pub fn standing(state: &ControlState) -> Standing {
+    let orders = state.orders().iter();
+    orders
+        .map(|(name, order)| {
+            let mut holds: Vec<_> = order.holds.iter().filter_map(assignment).collect();
+            holds.sort();
+            (name.clone(), holds)
         })
         .collect()
 }
+
+fn assignment(hold: &Hold) -> Option<Assignment> {
+    Some(Assignment {
+        deployment: hold.deployment.parse().ok()?,
+        version: Digest::from_slice(&hold.version)?,
+        duty: match hold.duty() {
+            Duty::Serve => placement::Duty::Serve,
+            Duty::Drain => placement::Duty::Drain,
+            Duty::Fetch => placement::Duty::Fetch,
+        },
+    })
+}
+
+fn desired(state: &ControlState, target: &InstanceName, holds: &[Assignment]) -> Desired {
+    let model = |assignment: &Assignment| {
+        let version = state.catalogue().get(&assignment.version);
+        version
+            .map(|version| version.model.to_string())
+            .unwrap_or_default()
+    };
+    let holds = holds.iter().map(|assignment| Hold {
+        deployment: assignment.deployment.to_string(),
+        model: model(assignment),
+        version: assignment.version.to_vec(),
+        duty: match assignment.duty {
+            placement::Duty::Serve => Duty::Serve,
+            placement::Duty::Drain => Duty::Drain,
+            placement::Duty::Fetch => Duty::Fetch,
+        }
+        .into(),
+    });
+    Desired {
+        target: target.to_string(),
+        holds: holds.collect(),
+    }
+}
+
+/// The sizes of published versions, as placement asks for them.
+pub fn weights(state: &ControlState) -> impl Fn(&Digest) -> u64 {
+    |version| {
+        state
+            .catalogue()
+            .get(version)
+            .map_or(0, |facts| facts.weights)
+    }
+}
+
+/// The chunks of published versions.
+pub fn chunks(state: &ControlState) -> impl Fn(&Digest) -> u32 {
+    |version| {
+        state
+            .catalogue()
+            .get(version)
+            .map_or(0, |facts| facts.chunks)
+    }
+}
--- a/crates/filbertstack-entry/src/lib.rs
+++ b/crates/filbertstack-entry/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod attempt;
 pub mod call;
 pub mod claims;
+pub mod fleet;
 pub mod follow;
 pub mod guard;
 pub mod http;
--- a/crates/filbertstack-policy/src/placement/fleet.rs
+++ b/crates/filbertstack-policy/src/placement/fleet.rs
@@ -70,6 +70,8 @@
     pub health: Health,
     /// The versions on it.
     pub holds: BTreeMap<Digest, Holding>,
+    /// Whether its engine holds one version at a time, however much memory is left.
+    pub single: bool,
 }
 
 impl Member {
@@ -83,6 +85,16 @@
             memory,
             health,
             holds: BTreeMap::new(),
+            single: false,
+        }
+    }
+
+    /// What a version that needs `memory` bytes takes of the memory here.
+    pub(super) fn takes(&self, memory: u64) -> u64 {
+        if self.single {
+            self.memory.max(memory)
+        } else {
+            memory
         }
     }
 
@@ -112,6 +124,8 @@
     Serve,
     /// Finish the requests in progress, then unload it.
     Drain,
+    /// Fetch and verify it, and load nothing: it is to follow another version there.
+    Fetch,
 }
 
 /// One version that a target shall hold.
--- a/crates/filbertstack-policy/src/placement/place.rs
+++ b/crates/filbertstack-policy/src/placement/place.rs
@@ -239,7 +239,10 @@
             Health::Leaving => false,
         };
         let barred = self.round.faults.is_barred(name, &want.version, now);
-        present && !barred && want.admits(&member.labels) && self.slots[slot].free >= want.memory
+        present
+            && !barred
+            && want.admits(&member.labels)
+            && self.slots[slot].free >= member.takes(want.memory)
     }
 
     fn may_join(&self, slot: usize, want: &Want, need: Need) -> bool {
@@ -251,7 +254,7 @@
         };
         let settled = matches!(member.health, Health::Up(since) if now.since(since) >= least);
         settled
-            && self.slots[slot].free >= want.memory
+            && self.slots[slot].free >= member.takes(want.memory)
             && want.admits(&member.labels)
             && !self.round.faults.is_barred(name, &want.version, now)
     }
@@ -280,7 +283,7 @@
 
     fn take(&mut self, slot: usize, want: &Want, seats: &mut Seats) {
         let member = self.slots[slot].member;
-        self.slots[slot].free -= want.memory;
+        self.slots[slot].free -= member.takes(want.memory);
         self.slots[slot].load += 1;
         seats.taken.insert(slot);
         *seats.zones.entry(member.zone.clone()).or_default() += 1;
@@ -289,7 +292,7 @@
 
     fn give_back(&mut self, slot: usize, want: &Want, seats: &mut Seats) {
         let member = self.slots[slot].member;
-        self.slots[slot].free += want.memory;
+        self.slots[slot].free += member.takes(want.memory);
         self.slots[slot].load -= 1;
         seats.taken.remove(&slot);
         if let Some(count) = seats.zones.get_mut(&member.zone) {
--- a/crates/filbertstack-policy/src/placement/roll.rs
+++ b/crates/filbertstack-policy/src/placement/roll.rs
@@ -36,7 +36,8 @@
     let swaps = |(name, assignments): (&InstanceName, &Vec<Assignment>)| {
         let member = fleet.get(name)?;
         let old = assignments.iter().any(|a| is_old(a, want, member));
-        let fits = memory_used(member, Some(&want.version)) + want.memory <= member.memory;
+        let used = memory_used(member, Some(&want.version));
+        let fits = used + member.takes(want.memory) <= member.memory;
         (old && !fits && !takes_memory(member, &want.version)).then_some(())
     };
     let needed = standing.iter().filter_map(swaps).count();
@@ -64,7 +65,7 @@
     let others = others.map(|(_, holding)| holding);
     others
         .filter(|holding| holding.stage.takes_memory())
-        .map(|holding| holding.memory)
+        .map(|holding| member.takes(holding.memory))
         .sum()
 }
 
@@ -146,6 +147,8 @@
                     self.put(name, one.clone());
                 }
             }
+            // Whether a version is to be fetched ahead is decided anew each time.
+            (Duty::Fetch, _) => {}
             (Duty::Serve, None) => self.drain_one(name, member, &one.deployment, one.version),
             (Duty::Serve, Some(want)) => {
                 let placed = self.is_placed(want, name);
@@ -185,7 +188,7 @@
         });
         let new = orders.insert(assignment);
         if new && !takes_memory(member, &want.version) {
-            *self.used.entry(name).or_default() += want.memory;
+            *self.used.entry(name).or_default() += member.takes(want.memory);
         }
     }
 
@@ -204,13 +207,27 @@
                 }
                 let used = self.used.get(name).copied().unwrap_or(0);
                 let there = takes_memory(member, &want.version);
-                if there || used + want.memory <= member.memory {
+                if there || used + member.takes(want.memory) <= member.memory {
                     self.serve(name, member, want);
+                } else if !self.is_ordered(want, name) {
+                    // Its chunks come while the old version still answers: the swap then takes
+                    // as long as a load, not as long as a copy.
+                    self.put(
+                        name,
+                        assignment(&want.deployment, want.version, Duty::Fetch),
+                    );
                 }
             }
         }
     }
 
+    /// Whether the declared version is to be served there.
+    fn is_ordered(&self, want: &Want, name: &InstanceName) -> bool {
+        let serve = assignment(&want.deployment, want.version, Duty::Serve);
+        let orders = self.orders.get(name);
+        orders.is_some_and(|orders| orders.contains(&serve))
+    }
+
     /// Drains what shall leave, as long as enough instances answer.
     fn drain(&mut self) {
         let leaving = std::mem::take(&mut self.leaving);
@@ -267,25 +284,27 @@
 
     /// Whether draining the old version would not let the declared one in yet.
     fn is_pointless(&self, want: &Want, one: &Leaving) -> bool {
-        let new = assignment(&want.deployment, want.version, Duty::Serve);
-        let orders = self.orders.get(one.name);
-        let ordered = orders.is_some_and(|orders| orders.contains(&new));
+        let ordered = self.is_ordered(want, one.name);
         let loaded = takes_memory(one.member, &one.version);
         loaded && self.is_placed(want, one.name) && !ordered && !self.swap_helps(want, one)
     }
 
-    /// Whether the declared version fits once the old one is gone.
+    /// Whether the declared version can be loaded once the old one is gone: its chunks are there and
+    /// it fits.
     fn swap_helps(&self, want: &Want, one: &Leaving) -> bool {
         let held = one.member.holds.get(&one.version);
         let freed = held
             .filter(|h| h.stage.takes_memory())
-            .map_or(0, |h| h.memory);
+            .map_or(0, |h| one.member.takes(h.memory));
+        let wanted = one.member.takes(want.memory);
+        let fetched = one.member.share(&want.version) == 100;
         let used = self.used.get(one.name).copied().unwrap_or(0);
         let waits = self
             .round
             .faults
             .verdict(one.name, &want.version, self.round.now);
-        used.saturating_sub(freed) + want.memory <= one.member.memory && waits == Verdict::Fine
+        let fits = used.saturating_sub(freed) + wanted <= one.member.memory;
+        fetched && fits && waits == Verdict::Fine
     }
 
     fn drain_one(
@@ -303,15 +322,20 @@
     /// A change that waits for a spare instance while nothing is on its way waits for ever.
     fn note_blocked(&mut self, want: &Want, leaving: &[Leaving], alive: usize) {
         let waits = |one: &&Leaving| {
-            let fits = self.used.get(one.name).copied().unwrap_or(0) + want.memory;
+            let used = self.used.get(one.name).copied().unwrap_or(0);
+            let needed = used + one.member.takes(want.memory);
             self.is_placed(want, one.name)
                 && one.member.serves(&one.version)
-                && fits > one.member.memory
+                && needed > one.member.memory
                 && !takes_memory(one.member, &want.version)
         };
-        let moving = self.orders.iter().any(|(name, orders)| {
-            let ordered = orders.contains(&assignment(&want.deployment, want.version, Duty::Serve));
-            ordered && !self.serves_new(want, name, orders)
+        let moving = self.orders.iter().any(|(name, _)| {
+            let serves = self
+                .round
+                .fleet
+                .get(*name)
+                .is_some_and(|m| m.serves(&want.version));
+            self.is_ordered(want, name) && !serves
         });
         if alive <= want.replicas && !moving && leaving.iter().any(|one| waits(&one)) {
             self.blocked.insert(want.deployment.clone());
--- a/crates/filbertstack-policy/tests/placement_common/mod.rs
+++ b/crates/filbertstack-policy/tests/placement_common/mod.rs
@@ -29,6 +29,9 @@
 pub const START: Millis = Millis::secs(100_000);
 pub const ROUND: Millis = Millis::secs(1);
 
+/// The hundredths of a version that a target fetches in one step.
+const FETCHED_A_STEP: u8 = 20;
+
 pub fn name(n: usize) -> InstanceName {
     format!("i{n:04}").parse().expect("a name")
 }
@@ -152,7 +155,14 @@
     pub fn is_settled(&self) -> bool {
         let holds = |name: &InstanceName, one: &Assignment| {
             let member = self.fleet.get(name);
-            member.is_none_or(|m| m.serves(&one.version) && one.duty == Duty::Serve)
+            member.is_none_or(|m| match one.duty {
+                Duty::Serve => m.serves(&one.version),
+                Duty::Fetch => {
+                    let held = m.holds.get(&one.version);
+                    held.is_some_and(|held| held.stage == Stage::Chunks(100))
+                }
+                Duty::Drain => false,
+            })
         };
         let mut orders = self.standing.iter();
         let followed = orders.all(|(name, all)| all.iter().all(|one| holds(name, one)));
@@ -209,14 +219,34 @@
             .iter()
             .any(|a| a.version == *v && a.duty == Duty::Serve)
     };
-    member.holds.retain(|version, _| serve(version));
+    let fetch = |v: &Digest| {
+        orders
+            .iter()
+            .any(|a| a.version == *v && a.duty == Duty::Fetch)
+    };
+    member
+        .holds
+        .retain(|version, _| serve(version) || fetch(version));
+    for order in orders.iter().filter(|a| a.duty == Duty::Fetch) {
+        let percent = match member.holds.get(&order.version).map(|held| held.stage) {
+            Some(Stage::Chunks(percent)) => (percent + FETCHED_A_STEP).min(100),
+            Some(_) => 100,
+            None => 0,
+        };
+        let fetched = Holding {
+            stage: Stage::Chunks(percent),
+            since: now,
+            memory: 0,
+        };
+        member.holds.insert(order.version, fetched);
+    }
     for order in orders.iter().filter(|a| a.duty == Duty::Serve) {
         let known = member
             .holds
             .get(&order.version)
             .map(|holding| holding.stage);
         let stage = match known {
-            None => Stage::Loading,
+            None | Some(Stage::Chunks(_)) => Stage::Loading,
             Some(Stage::Loading) => Stage::Serving,
             Some(_) => continue,
         };
--- a/crates/filbertstack-policy/tests/placement_roll.rs
+++ b/crates/filbertstack-policy/tests/placement_roll.rs
@@ -410,3 +410,38 @@
     let after = DRIFT_AFTER.0 / 1000 + 1;
     assert_eq!(seen, [after, 2 * after]);
 }
+
+/// Engines that hold one version at a time, with memory for two: an instance keeps answering
+/// from the old version until the new one's chunks are all there, so that a swap costs a load and
+/// not a copy. Drained first, it would answer nothing for as long as its link takes for a copy.
+#[test]
+fn single_engines_fetch_before_they_swap() {
+    let mut rng = rng(5);
+    let mut all = fleet(12, 3, 64 * GIB);
+    for member in all.values_mut() {
+        member.single = true;
+    }
+    let mut world = World::new(all, vec![want("d", 1, 10, 6 * GIB)]);
+    world.settle(&mut rng, 100).expect("settles");
+    world.declare(vec![want("d", 2, 10, 6 * GIB)]);
+    let (mut drained, mut least) = (0, usize::MAX);
+    for _ in 0..200 {
+        let before = world.standing.clone();
+        let decision = world.decide();
+        for name in &decision.changed {
+            let is_drain = |a: &&Assignment| a.duty == Duty::Drain;
+            let new_drains = decision.orders[name].iter().filter(is_drain);
+            let fresh = new_drains.filter(|a| !before[name].contains(a)).count();
+            let placed = decision.placement[&world.wants[0].deployment].contains(name);
+            let held = world.fleet[name].holds.get(&version(2));
+            let there = held.is_some_and(|held| held.stage == Stage::Chunks(100));
+            assert!(fresh == 0 || !placed || there, "{name} drained unfetched");
+            drained += fresh;
+        }
+        world.round(&mut rng);
+        least = least.min(world.alive(&world.wants[0]));
+    }
+    let serving = world.serving(&world.wants[0]).len();
+    // Ten swaps, and the spare instance that stood in for them in the end.
+    assert_eq!((drained, least, serving), (11, 10, 10));
+}
