Show why a deployment is not as declared

Cause: status said only how many targets serve; an operator had to guess why. Ruled out: a question to the leader alone (status must answer while there is none). Before: counts. After: each reason with its remedy, from any entry. Conclusion: the same pure placement decides and explains.

--- a/crates/filbertstack-entry/src/lead.rs
+++ b/crates/filbertstack-entry/src/lead.rs
@@ -31,6 +31,8 @@
 use crate::machine::Control;
 use crate::members::Member;
 use crate::members::Members;
+use crate::view::View;
+use crate::view::Views;
 use crate::voter::Voter;
 
 /// How often the leader compares what is declared with what is ordered and what runs.
@@ -45,6 +47,8 @@
     pub voter: Arc<Voter>,
     /// The control state.
     pub control: Control,
+    /// The orders that stand.
+    pub views: Arc<Views>,
     /// What runs.
     pub members: Arc<Members>,
     /// Where orders go.
@@ -117,13 +121,14 @@
     fn order(&self, term: u64, round: &mut Round) {
         let live = self.members.live();
         let now = CLOCK_START + round.began.elapsed().into();
+        let view = self.views.get();
         let state = self.control.read();
         let fleet = round
             .watcher
             .observe(now, &live, state.register(), chunks(&state));
         round.faults.observe(&fleet, now);
-        let wants = placement::wants(state.declared().current(), weights(&state));
-        let decision = placement::decide(&fleet, &wants, &standing(&state), &round.faults, now);
+        let wants = placement::wants(view.declared(), weights(&state));
+        let decision = placement::decide(&fleet, &wants, &standing(&view), &round.faults, now);
         let none = Vec::new();
         let targets: Vec<Desired> = decision
             .changed
@@ -174,8 +179,8 @@
 }
 
 /// The standing orders as placement reads them.
-pub fn standing(state: &ControlState) -> Standing {
-    let orders = state.orders().iter();
+pub fn standing(view: &View) -> Standing {
+    let orders = view.orders().iter();
     orders
         .map(|(name, order)| {
             let mut holds: Vec<_> = order.holds.iter().filter_map(assignment).collect();
--- a/crates/filbertstack-entry/src/operators.rs
+++ b/crates/filbertstack-entry/src/operators.rs
@@ -10,9 +10,13 @@
 use filbertstack_control::command::Publish;
 use filbertstack_control::outcome::Outcome;
 use filbertstack_control::outcome::Reply;
+use filbertstack_control::register::Register;
 use filbertstack_core::Digest;
 use filbertstack_core::names::InstanceName;
 use filbertstack_core::names::OrgName;
+use filbertstack_policy::placement;
+use filbertstack_policy::placement::DeploymentStatus;
+use filbertstack_policy::placement::LoadFaults;
 use filbertstack_wire::Dialer;
 use filbertstack_wire::Role;
 use filbertstack_wire::messages::Ask;
@@ -25,9 +29,12 @@
 use tiny_http::Request;
 
 use crate::call::bearer;
+use crate::fleet::CLOCK_START;
+use crate::fleet::Watcher;
 use crate::guard::Guard;
 use crate::http;
 use crate::http::Refusal;
+use crate::lead::standing;
 use crate::ledger::Ledger;
 use crate::ledger::ProposeError;
 use crate::members::Held;
@@ -259,13 +266,9 @@
     match outcome.reply {
         Some(Reply::Accepted(accepted)) => {
             let warnings: Vec<String> = accepted.warnings.iter().map(ToString::to_string).collect();
-            let Accepted { revision, changed } = Accepted {
-                revision: accepted.revision,
-                changed: accepted.changed,
-            };
             (
                 200,
-                json!({ "accepted": { "revision": revision, "changed": changed, "warnings": warnings } }),
+                json!({ "accepted": { "revision": accepted.revision, "changed": accepted.changed, "warnings": warnings } }),
             )
         }
         Some(Reply::Conflict(conflict)) => {
@@ -289,42 +292,45 @@
     }
 }
 
-struct Accepted {
-    revision: u64,
-    changed: bool,
-}
-
 /// What is declared, what runs, and the difference.
 fn status(view: &View, members: &Members) -> Value {
     let live = members.live();
-    let deployments: Vec<Value> = view
-        .declared()
-        .deployments
-        .iter()
-        .map(|(name, declared)| {
-            let serving = live
-                .iter()
-                .filter(|m| m.serving(name.as_str()) == Some(declared.version));
-            let names: Vec<&str> = serving.map(|member| member.name.as_str()).collect();
-            json!({
-                "deployment": name,
-                "version": declared.version,
-                "declared": declared.replicas,
-                "serving": names.len(),
-                "met": names.len() >= declared.replicas as usize,
-            })
-        })
-        .collect();
     let lost: Vec<String> = members.lost().iter().map(|m| m.name.to_string()).collect();
     json!({
         "revision": view.revision(),
         "term": view.term(),
-        "deployments": deployments,
+        "deployments": deployments(view, &live),
         "targets": live.iter().map(target).collect::<Vec<_>>(),
         "lost": lost,
     })
 }
 
+/// Each deployment as placement sees it from here.
+fn deployments(view: &View, live: &[Member]) -> Vec<Value> {
+    let now = CLOCK_START;
+    let chunks = |version: &Digest| view.version(*version).map_or(0, |facts| facts.chunks);
+    let weights = |version: &Digest| view.version(*version).map_or(0, |facts| facts.weights);
+    let fleet = Watcher::default().observe(now, live, &Register::default(), chunks);
+    let wants = placement::wants(view.declared(), weights);
+    let faults = LoadFaults::default();
+    let decision = placement::decide(&fleet, &wants, &standing(view), &faults, now);
+    let all = placement::status(&fleet, &wants, &decision, &faults, now);
+    all.iter().map(deployment).collect()
+}
+
+fn deployment(status: &DeploymentStatus) -> Value {
+    let why: Vec<String> = status.why.iter().map(ToString::to_string).collect();
+    json!({
+        "deployment": status.deployment,
+        "version": status.version,
+        "declared": status.difference.declared,
+        "serving": status.difference.serving,
+        "older": status.difference.older,
+        "met": status.is_met(),
+        "why": why,
+    })
+}
+
 fn target(member: &Member) -> Value {
     json!({
         "name": member.name,
--- a/crates/filbertstack-entry/src/process.rs
+++ b/crates/filbertstack-entry/src/process.rs
@@ -235,6 +235,7 @@
             let leader = Leader {
                 voter: voter.clone(),
                 control: control.clone(),
+                views: self.views.clone(),
                 members: self.members.clone(),
                 ledger: self.operators.ledger.clone(),
                 stopped: self.stopped.clone(),
--- a/crates/filbertstack-policy/src/placement/status.rs
+++ b/crates/filbertstack-policy/src/placement/status.rs
@@ -48,6 +48,32 @@
     OtherVersion(InstanceName),
 }
 
+impl std::fmt::Display for Why {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self {
+            Self::NoRoom { missing } => {
+                write!(
+                    f,
+                    "no room for {missing}: add instances to its pools or free some"
+                )
+            }
+            Self::NoSpare => {
+                write!(
+                    f,
+                    "a change of version needs a spare instance: add one or lower replicas"
+                )
+            }
+            Self::Away(name) => write!(f, "{name} does not answer: see to its agent"),
+            Self::Fetching(name) => write!(f, "{name} fetches the version"),
+            Self::Loading(name) => write!(f, "{name} loads the version"),
+            Self::Failed(name) => {
+                write!(f, "{name} could not load the version: see its engine's log")
+            }
+            Self::OtherVersion(name) => write!(f, "{name} answers from another version"),
+        }
+    }
+}
+
 /// Declared against observed.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Difference {
--- a/src/cmd/status.rs
+++ b/src/cmd/status.rs
@@ -30,6 +30,9 @@
             one["serving"],
             one["declared"],
         );
+        for why in list(&one["why"]) {
+            let _ = writeln!(text, "  {}", plain(why));
+        }
     }
     for one in list(&status["targets"]) {
         let leaving = if one["leaving"] == true {
