Add the demo: the whole system as threads of one process

Cause: a newcomer needs one command that shows the system at work. Ruled out: a script that starts processes (settings and ports to explain). Before: none.

--- a/src/cmd/demo.rs
+++ b/src/cmd/demo.rs
@@ -1,8 +1,25 @@
 //! `filbertstack demo`.
 
 use super::Failure;
+use crate::demo;
+use crate::demo::Plan;
 use crate::flags;
 
-pub fn run(_: &flags::Demo) -> Result<(), Failure> {
-    Err("not yet".into())
+const DEFAULT_TARGETS: u32 = 24;
+const DEFAULT_REQUESTS: u32 = 500;
+
+pub fn run(flags: &flags::Demo) -> Result<(), Failure> {
+    let plan = Plan {
+        targets: flags.targets.unwrap_or(DEFAULT_TARGETS),
+        requests: flags.requests.unwrap_or(DEFAULT_REQUESTS),
+    };
+    let report = demo::run(plan, |line| eprintln!("{line}"))?;
+    println!("{report}");
+    if flags.json {
+        println!("{}", serde_json::to_string(&report)?);
+    }
+    if report.is_clean() {
+        return Ok(());
+    }
+    Err("some requests did not get their own whole answer".into())
 }
--- a/src/main.rs
+++ b/src/main.rs
@@ -2,6 +2,7 @@
 
 mod client;
 mod cmd;
+mod demo;
 mod flags;
 
 use std::process::ExitCode;
