Let one attempt answer a caller, whatever the order of events

Cause: a request whose first token was late was hedged; the order to send the second attempt was queued when the first's head passed, and was carried out after it. Its head replaced the first's, and its pieces followed: one answer in about 5,000 was a mixture (demo, release build, 10 x 500 requests: 1 wrong). Ruled out: the engines (their answers are a pure function and were checked), links (a doubled or foreign frame ends the call), the load tool (it names the version and compares bytes). Conclusion: the rule stands in a module of its own, without sockets.

--- a/crates/filbertstack-entry/src/call.rs
+++ b/crates/filbertstack-entry/src/call.rs
@@ -45,6 +45,7 @@
 use crate::http::OUTCOME;
 use crate::http::Refusal;
 use crate::prompt::Prompt;
+use crate::race::Race;
 use crate::settings::Callers;
 use crate::table::Asked;
 use crate::table::Chosen;
@@ -283,6 +284,7 @@
     job: &'a Job,
     ticket: Ticket,
     live: Vec<Live>,
+    race: Race<AttemptKey>,
     answer: Answer,
     sent: bool,
     /// A claimed request that was sent runs to its end also when its caller leaves: the caller
@@ -299,6 +301,7 @@
             job,
             ticket,
             live: Vec::new(),
+            race: Race::new(),
             answer,
             sent: false,
             claimed,
@@ -341,6 +344,10 @@
 
     /// Sends the request to a target.
     fn send(&mut self, key: AttemptKey, target: TargetKey) -> Next {
+        if !self.race.enter(key) {
+            // The flow withdrew it when the other attempt began to answer.
+            return Next::Go;
+        }
         let table = self.calls.traffic.table();
         let group = self.job.chosen.group;
         let place = table
@@ -371,9 +378,6 @@
     }
 
     /// Takes a part of an answer, if it belongs to an attempt that may still answer.
-    ///
-    /// A late part of a withdrawn attempt would mix two answers; such an attempt is not live any
-    /// more, so its parts are dropped here.
     fn part(&mut self, key: AttemptKey, tell: Tell, last: bool) -> Next {
         let Some(live) = self.live.iter().find(|live| live.key == key) else {
             return Next::Go;
@@ -390,11 +394,17 @@
                     return self.failed(key, outcome, "the engine had no room");
                 }
                 let place = live.place.clone();
-                self.win(key);
-                self.answer.head(&head, &place);
+                if self.race.head(key) {
+                    self.ticket.first_token(key);
+                    self.live.retain(|live| live.key == key);
+                    self.answer.head(&head, &place);
+                }
                 Next::Go
             }
-            Tell::Piece(Payload { body }) => self.piece(key, &body, last),
+            Tell::Piece(Payload { body }) if self.race.may_pass(key) => {
+                self.piece(key, &body, last)
+            }
+            Tell::Piece(_) => Next::Go,
             _ => self.failed(key, Outcome::Unknown, "the agent told something else"),
         }
     }
@@ -404,12 +414,6 @@
         self.job.chosen.kind == Kind::Engines && matches!(head.status, 429 | 503)
     }
 
-    /// From here on only this attempt answers; the others are withdrawn.
-    fn win(&mut self, key: AttemptKey) {
-        self.ticket.first_token(key);
-        self.live.retain(|live| live.key == key);
-    }
-
     fn piece(&mut self, key: AttemptKey, body: &[u8], last: bool) -> Next {
         if self.answer.piece(body).is_err() && !self.claimed {
             return Next::Cut;
@@ -427,10 +431,14 @@
 
     fn failed(&mut self, key: AttemptKey, outcome: Outcome, text: &str) -> Next {
         self.live.retain(|live| live.key != key);
+        let answered = self.race.may_pass(key);
+        self.race.leave(key);
         match self.ticket.finish(key, outcome) {
-            _ if self.answer.has_begun() => Next::Cut,
+            _ if answered && self.answer.has_begun() => Next::Cut,
             Ended::Again | Ended::Open | Ended::Late => {
-                self.answer.reset();
+                if answered {
+                    self.answer.reset();
+                }
                 Next::Go
             }
             Ended::Refused(refusal) => Next::Refused(refusal),
--- a/crates/filbertstack-entry/src/lib.rs
+++ b/crates/filbertstack-entry/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod process;
 pub mod prompt;
 pub mod question;
+pub mod race;
 pub mod settings;
 pub mod table;
 pub mod traffic;
