Weights: the copier, a decision core and the threads that run it

The core maps the chunks of all wanted versions to one set of indices, so that a chunk of two versions is fetched once; a grant tries the weight store, then the origin, and waits for a store that is only busy.

Ruled out: a copier for each version (the same chunk would be requested twice).

--- a/crates/filbertstack-policy/src/spread.rs
+++ b/crates/filbertstack-policy/src/spread.rs
@@ -20,6 +20,7 @@
 //! docs/design/weights.md weighs the ways and gives the figures.
 
 pub mod chunks;
+pub mod pace;
 pub mod plan;
 pub mod pull;
 pub mod serve;
--- a/crates/filbertstack-policy/src/spread/pull.rs
+++ b/crates/filbertstack-policy/src/spread/pull.rs
@@ -190,6 +190,20 @@
         self.held.remove(chunk);
     }
 
+    /// Forgets all of `chunk`, so that its index can name another; false while it is in flight.
+    pub fn clear(&mut self, chunk: ChunkIndex) -> bool {
+        if self.coming.contains(chunk) {
+            return false;
+        }
+        self.unwant(chunk);
+        self.lose(chunk);
+        let keys: Vec<_> = self.neighbours.keys().collect();
+        for key in keys {
+            self.retract(key, chunk);
+        }
+        true
+    }
+
     /// Adds an upstream, which has announced nothing yet.
     pub fn join(&mut self, seat: Seat) -> NeighbourKey {
         let view = ChunkSet::new(self.held.len());
--- /dev/null
+++ b/crates/filbertstack-weights/src/copy/core.rs
@@ -0,0 +1,318 @@
+//! The decisions of the copier; time is passed in.
+
+use std::collections::HashMap;
+use std::collections::VecDeque;
+use std::sync::Arc;
+
+use filbertstack_core::Digest;
+use filbertstack_core::Millis;
+use filbertstack_policy::spread::chunks::ChunkIndex;
+use filbertstack_policy::spread::chunks::ChunkSet;
+use filbertstack_policy::spread::pull::Fault;
+use filbertstack_policy::spread::pull::FlightKey;
+use filbertstack_policy::spread::pull::NeighbourKey;
+use filbertstack_policy::spread::pull::Pull;
+use filbertstack_policy::spread::pull::PullConfig;
+use filbertstack_policy::spread::pull::Seat;
+use filbertstack_policy::spread::pull::Upstream;
+
+use crate::copy::CopyEvent;
+use crate::copy::Progress;
+use crate::copy::catalogue::Catalogue;
+use crate::fetch::AnySource;
+use crate::fetch::FetchError;
+use crate::manifest::Manifest;
+use crate::manifest::Want;
+use crate::store::Store;
+
+/// One fetch to make.
+#[derive(Debug)]
+pub struct Job {
+    /// Names it in [`Core::done`].
+    pub flight: FlightKey,
+    /// What to fetch.
+    pub want: Want,
+    /// From where.
+    pub source: Arc<dyn AnySource>,
+    index: ChunkIndex,
+    from: Upstream,
+}
+
+/// The sources that a grant allows, the first to be tried first.
+#[derive(Debug)]
+struct Grant {
+    root: Digest,
+    sources: VecDeque<Arc<dyn AnySource>>,
+}
+
+/// The decisions of one agent's copier.
+#[derive(Debug)]
+pub struct Core {
+    store: Arc<Store>,
+    pull: Pull,
+    catalogue: Catalogue,
+    peers: HashMap<NeighbourKey, Arc<dyn AnySource>>,
+    grants: HashMap<ChunkIndex, Grant>,
+    /// Granted chunks whose source asked to come back later, and when.
+    later: Vec<(Millis, ChunkIndex)>,
+    /// Indices of forgotten chunks that are still in flight.
+    leaving: Vec<ChunkIndex>,
+    worn: Vec<NeighbourKey>,
+}
+
+impl Core {
+    /// A copier that wants nothing yet; `seed` is to differ between agents.
+    pub fn new(store: Arc<Store>, config: PullConfig, seed: u64) -> Self {
+        Self {
+            store,
+            pull: Pull::new(config, seed),
+            catalogue: Catalogue::default(),
+            peers: HashMap::new(),
+            grants: HashMap::new(),
+            later: Vec::new(),
+            leaving: Vec::new(),
+            worn: Vec::new(),
+        }
+    }
+
+    /// Copies a version from now on, beside those wanted already. What the store holds of it is
+    /// not fetched.
+    pub fn want(&mut self, manifest: Arc<Manifest>) -> Vec<CopyEvent> {
+        let chunks: Vec<_> = manifest.chunks().iter().map(|chunk| chunk.digest).collect();
+        let Some(entry) = self.catalogue.add(manifest) else {
+            return Vec::new();
+        };
+        let indices = entry.indices.clone();
+        self.pull.grow(self.catalogue.len());
+        for (index, chunk) in indices.into_iter().zip(chunks) {
+            self.pull.want(index);
+            if self.store.has(chunk) {
+                self.pull.hold(index);
+            }
+        }
+        self.completed()
+    }
+
+    /// Copies a version no more; chunks that another version wants are still fetched.
+    pub fn forget(&mut self, root: Digest) {
+        let unused = self.catalogue.remove(root);
+        for &index in &unused {
+            self.grants.remove(&index);
+            self.pull.unwant(index);
+        }
+        self.leaving.extend(unused);
+        self.reclaim();
+    }
+
+    /// Frees the indices of forgotten chunks once nothing is in flight for them.
+    fn reclaim(&mut self) {
+        let leaving = std::mem::take(&mut self.leaving);
+        for index in leaving {
+            if self.pull.clear(index) {
+                self.catalogue.release(index);
+            } else {
+                self.leaving.push(index);
+            }
+        }
+    }
+
+    /// Adds an upstream.
+    pub fn add_peer(&mut self, source: Arc<dyn AnySource>, seat: Seat) -> NeighbourKey {
+        let key = self.pull.join(seat);
+        self.peers.insert(key, source);
+        key
+    }
+
+    /// Removes an upstream; what it was to send is requested elsewhere.
+    pub fn remove_peer(&mut self, key: NeighbourKey) {
+        self.pull.leave(key);
+        self.peers.remove(&key);
+        self.worn.retain(|worn| *worn != key);
+        self.reclaim();
+    }
+
+    /// Takes note of the chunks of a version that an upstream holds; those of a version that is
+    /// not wanted are passed over.
+    pub fn announce(&mut self, key: NeighbourKey, root: Digest, held: &ChunkSet) {
+        let Some(entry) = self.catalogue.version(root) else {
+            return;
+        };
+        let indices = held.iter().filter_map(|at| entry.indices.get(at as usize));
+        for &index in indices {
+            self.pull.announce(key, index);
+        }
+    }
+
+    /// Takes note of the mesh clock in a peer's message.
+    pub fn hear(&mut self, clock: Millis, now: Millis) {
+        self.pull.hear(clock, now);
+    }
+
+    /// The mesh clock for this agent's messages.
+    pub fn clock(&self, now: Millis) -> Millis {
+        self.pull.clock(now)
+    }
+
+    /// Takes a grant of the leader: `chunk` of the version `root` may be fetched from `sources`,
+    /// the weight store before the origin.
+    pub fn grant(&mut self, root: Digest, chunk: Digest, sources: Vec<Arc<dyn AnySource>>) {
+        if let Some(index) = self.catalogue.index_of(chunk) {
+            let sources = sources.into();
+            self.grants.insert(index, Grant { root, sources });
+            self.pull.import(index);
+        }
+    }
+
+    /// Takes note that chunks of a version were found damaged or gone.
+    pub fn lost(&mut self, root: Digest, places: &[u32]) {
+        for (_, entry) in self.catalogue.versions().filter(|(key, _)| **key == root) {
+            entry.complete = false;
+            let lost = places
+                .iter()
+                .filter_map(|at| entry.indices.get(*at as usize));
+            lost.for_each(|&index| self.pull.lose(index));
+        }
+    }
+
+    /// The next fetch to make, in flight from now on.
+    pub fn next(&mut self, now: Millis) -> Option<Job> {
+        loop {
+            let request = self.pull.next(now)?;
+            let (source, root) = match request.from {
+                Upstream::Neighbour(key) => (self.peers.get(&key).cloned(), None),
+                Upstream::Import => {
+                    let grant = self.grants.get(&request.chunk);
+                    let source = grant.and_then(|grant| grant.sources.front().cloned());
+                    (source, grant.map(|grant| grant.root))
+                }
+            };
+            let want = self.catalogue.want(request.chunk, root).cloned();
+            if let (Some(source), Some(want)) = (source, want) {
+                return Some(Job {
+                    flight: request.flight,
+                    want,
+                    source,
+                    index: request.chunk,
+                    from: request.from,
+                });
+            }
+            self.pull.failed(request.flight, Fault::Missing, now);
+        }
+    }
+
+    /// Takes what came of a fetch; what the agent is to do.
+    pub fn done(
+        &mut self,
+        job: &Job,
+        result: Result<(), FetchError>,
+        now: Millis,
+    ) -> Vec<CopyEvent> {
+        let mut events = match result {
+            Ok(()) => self.landed(job, now),
+            Err(error) => self.failed(job, &error, now),
+        };
+        self.reclaim();
+        events.extend(self.worn_out());
+        events
+    }
+
+    fn landed(&mut self, job: &Job, now: Millis) -> Vec<CopyEvent> {
+        let chunk = job.want.chunk.digest;
+        // A fetch that was given up, or whose version was forgotten, may end all the same: the
+        // index can name another chunk by then.
+        if !self.pull.landed(job.flight, now) || self.catalogue.index_of(chunk) != Some(job.index) {
+            return Vec::new();
+        }
+        let granted = job.from == Upstream::Import;
+        if granted {
+            self.grants.remove(&job.index);
+        }
+        let mut events = vec![CopyEvent::Landed { chunk, granted }];
+        events.extend(self.completed());
+        events
+    }
+
+    fn failed(&mut self, job: &Job, error: &FetchError, now: Millis) -> Vec<CopyEvent> {
+        let chunk = job.want.chunk.digest;
+        let Some(fault) = error.fault() else {
+            // The fault is this instance's own: the source is not marked.
+            let after = Millis::secs(1);
+            self.pull.failed(job.flight, Fault::Busy { after }, now);
+            return vec![CopyEvent::StoreFailed { chunk }];
+        };
+        self.pull.failed(job.flight, fault, now);
+        if job.from != Upstream::Import {
+            return Vec::new();
+        }
+        let Some(grant) = self.grants.get_mut(&job.index) else {
+            return Vec::new();
+        };
+        if let Fault::Busy { after } = fault {
+            // A rate-limited store has the chunk all the same; the origin's link is dearer.
+            self.later.push((now + after, job.index));
+            return Vec::new();
+        }
+        grant.sources.pop_front();
+        if grant.sources.is_empty() {
+            self.grants.remove(&job.index);
+            return vec![CopyEvent::GrantFailed { chunk, fault }];
+        }
+        self.pull.import(job.index);
+        Vec::new()
+    }
+
+    fn completed(&mut self) -> Vec<CopyEvent> {
+        let held = self.pull.held();
+        let mut events = Vec::new();
+        for (&root, entry) in self.catalogue.versions() {
+            let all = entry.indices.iter().all(|&index| held.contains(index));
+            if all && !entry.complete {
+                entry.complete = true;
+                events.push(CopyEvent::Complete { root });
+            }
+        }
+        events
+    }
+
+    fn worn_out(&mut self) -> Vec<CopyEvent> {
+        let worn = self.pull.worn();
+        let new = worn.iter().filter(|key| !self.worn.contains(key));
+        let events = new.map(|&peer| CopyEvent::Worn { peer }).collect();
+        self.worn = worn;
+        events
+    }
+
+    /// Gives up what takes too long and asks for what nobody has.
+    pub fn tick(&mut self, now: Millis) -> Vec<CopyEvent> {
+        self.pull.expire(now);
+        for (_, index) in self.later.extract_if(.., |(due, _)| *due <= now) {
+            self.pull.import(index);
+        }
+        let mut events = self.worn_out();
+        let orphan = self.pull.escalate(now);
+        let want = orphan.and_then(|index| self.catalogue.want(index, None));
+        events.extend(want.map(|want| CopyEvent::Escalate {
+            chunk: want.chunk.digest,
+        }));
+        events
+    }
+
+    /// The chunks of a version in the store, to announce; `None` if it is not wanted.
+    pub fn holding(&self, root: Digest) -> Option<ChunkSet> {
+        let entry = self.catalogue.version(root)?;
+        let mut set = ChunkSet::new(entry.indices.len());
+        for (at, &index) in (0..).zip(&entry.indices) {
+            if self.pull.held().contains(index) {
+                set.insert(at);
+            }
+        }
+        Some(set)
+    }
+
+    /// How far the copy of a version is; `None` if it is not wanted.
+    pub fn progress(&self, root: Digest) -> Option<Progress> {
+        let set = self.holding(root)?;
+        let (held, total) = (set.count(), set.len());
+        Some(Progress { held, total })
+    }
+}
--- /dev/null
+++ b/crates/filbertstack-weights/src/copy/pool.rs
@@ -0,0 +1,220 @@
+//! The threads that make the fetches which [`Core`] decides on.
+
+use std::sync::Arc;
+use std::sync::Condvar;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::sync::mpsc::Sender;
+use std::thread;
+use std::thread::JoinHandle;
+use std::time::Duration;
+use std::time::Instant;
+
+use filbertstack_core::Digest;
+use filbertstack_core::Millis;
+use filbertstack_policy::spread::chunks::ChunkSet;
+use filbertstack_policy::spread::pace::Bucket;
+use filbertstack_policy::spread::pull::NeighbourKey;
+use filbertstack_policy::spread::pull::PullConfig;
+use filbertstack_policy::spread::pull::Seat;
+
+use crate::copy::CopyEvent;
+use crate::copy::Core;
+use crate::copy::Job;
+use crate::copy::Progress;
+use crate::fetch::AnySource;
+use crate::manifest::Manifest;
+use crate::store::Store;
+
+/// How often threads without work look for what has become late.
+const TICK: Duration = Duration::from_millis(20);
+
+/// The figures of a copier.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct CopyConfig {
+    /// The limits of its requests; a thread is started for each slot.
+    pub pull: PullConfig,
+    /// A number that differs between agents.
+    pub seed: u64,
+    /// What may be fetched at first, in bytes a second.
+    pub rate: u64,
+}
+
+/// The copier of an agent; dropping it ends its threads after the fetches they are in.
+#[derive(Debug)]
+pub struct Copier {
+    shared: Arc<Shared>,
+    threads: Vec<JoinHandle<()>>,
+}
+
+#[derive(Debug)]
+struct Shared {
+    store: Arc<Store>,
+    state: Mutex<State>,
+    wake: Condvar,
+    start: Instant,
+}
+
+#[derive(Debug)]
+struct State {
+    core: Core,
+    bucket: Bucket,
+    events: Sender<CopyEvent>,
+    stop: bool,
+}
+
+impl Copier {
+    /// Starts the threads; what the agent is to know comes through `events`.
+    pub fn start(store: Arc<Store>, config: CopyConfig, events: Sender<CopyEvent>) -> Self {
+        let state = State {
+            core: Core::new(store.clone(), config.pull, config.seed),
+            bucket: Bucket::new(config.rate),
+            events,
+            stop: false,
+        };
+        let shared = Arc::new(Shared {
+            store,
+            state: Mutex::new(state),
+            wake: Condvar::new(),
+            start: Instant::now(),
+        });
+        let start = |_| {
+            let shared = shared.clone();
+            thread::spawn(move || shared.work())
+        };
+        let threads = (0..config.pull.slots).map(start).collect();
+        Self { shared, threads }
+    }
+
+    /// See [`Core::want`].
+    pub fn want(&self, manifest: Arc<Manifest>) {
+        let mut state = self.shared.lock();
+        let events = state.core.want(manifest);
+        state.send(events);
+        self.shared.wake.notify_all();
+    }
+
+    /// See [`Core::forget`].
+    pub fn forget(&self, root: Digest) {
+        self.shared.lock().core.forget(root);
+    }
+
+    /// See [`Core::add_peer`].
+    pub fn add_peer(&self, source: Arc<dyn AnySource>, seat: Seat) -> NeighbourKey {
+        self.shared.lock().core.add_peer(source, seat)
+    }
+
+    /// See [`Core::remove_peer`].
+    pub fn remove_peer(&self, key: NeighbourKey) {
+        self.shared.lock().core.remove_peer(key);
+        self.shared.wake.notify_all();
+    }
+
+    /// See [`Core::announce`].
+    pub fn announce(&self, key: NeighbourKey, root: Digest, held: &ChunkSet) {
+        self.shared.lock().core.announce(key, root, held);
+        self.shared.wake.notify_all();
+    }
+
+    /// See [`Core::grant`].
+    pub fn grant(&self, root: Digest, chunk: Digest, sources: Vec<Arc<dyn AnySource>>) {
+        self.shared.lock().core.grant(root, chunk, sources);
+        self.shared.wake.notify_all();
+    }
+
+    /// See [`Core::lost`].
+    pub fn lost(&self, root: Digest, places: &[u32]) {
+        self.shared.lock().core.lost(root, places);
+        self.shared.wake.notify_all();
+    }
+
+    /// Takes note of the mesh clock in a peer's message.
+    pub fn hear(&self, clock: Millis) {
+        let now = self.shared.now();
+        self.shared.lock().core.hear(clock, now);
+    }
+
+    /// Changes what may be fetched, in bytes a second.
+    pub fn set_rate(&self, rate: u64) {
+        self.shared.lock().bucket.set_rate(rate);
+    }
+
+    /// The mesh clock for this agent's messages.
+    pub fn clock(&self) -> Millis {
+        let now = self.shared.now();
+        self.shared.lock().core.clock(now)
+    }
+
+    /// See [`Core::holding`].
+    pub fn holding(&self, root: Digest) -> Option<ChunkSet> {
+        self.shared.lock().core.holding(root)
+    }
+
+    /// See [`Core::progress`].
+    pub fn progress(&self, root: Digest) -> Option<Progress> {
+        self.shared.lock().core.progress(root)
+    }
+}
+
+impl Drop for Copier {
+    fn drop(&mut self) {
+        self.shared.lock().stop = true;
+        self.shared.wake.notify_all();
+        for thread in self.threads.drain(..) {
+            // A thread that panicked has said so on standard error.
+            let _ = thread.join();
+        }
+    }
+}
+
+impl State {
+    fn send(&self, events: Vec<CopyEvent>) {
+        for event in events {
+            // Nobody listens any more: the agent is stopping.
+            let _ = self.events.send(event);
+        }
+    }
+}
+
+impl Shared {
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn now(&self) -> Millis {
+        self.start.elapsed().into()
+    }
+
+    fn work(&self) {
+        while let Some((job, wait)) = self.next() {
+            thread::sleep(wait.into());
+            let result = job.source.fetch_into(&job.want, &self.store).map(|_| ());
+            let now = self.now();
+            let mut state = self.lock();
+            let events = state.core.done(&job, result, now);
+            state.send(events);
+            self.wake.notify_all();
+        }
+    }
+
+    /// Waits for the next fetch and how long to hold it back; `None` at the end.
+    fn next(&self) -> Option<(Job, Millis)> {
+        let mut state = self.lock();
+        loop {
+            if state.stop {
+                return None;
+            }
+            let now = self.now();
+            let events = state.core.tick(now);
+            state.send(events);
+            if let Some(job) = state.core.next(now) {
+                let size = u64::from(job.want.chunk.size);
+                let wait = state.bucket.take(size, now);
+                return Some((job, wait));
+            }
+            let waited = self.wake.wait_timeout(state, TICK);
+            state = waited.unwrap_or_else(PoisonError::into_inner).0;
+        }
+    }
+}
--- a/crates/filbertstack-weights/src/fetch.rs
+++ b/crates/filbertstack-weights/src/fetch.rs
@@ -9,39 +9,18 @@
 use thiserror::Error as ThisError;
 
 use filbertstack_core::Digest;
-use filbertstack_core::Millis;
 
 use crate::manifest::Want;
 use crate::store::Put;
 use crate::store::Store;
 use crate::store::StoreError;
 
+pub use filbertstack_policy::spread::pull::Fault;
+
 pub use http::HttpConfig;
 pub use http::HttpError;
 pub use http::HttpSource;
 
-/// What a failed fetch says of its source; the copier decides by it.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Fault {
-    /// It has no free slot now.
-    Busy {
-        /// When to ask again.
-        after: Millis,
-    },
-    /// It does not hold the chunk.
-    Missing,
-    /// It was too slow or stood still.
-    Stalled,
-    /// It cannot be reached or broke off.
-    Down,
-    /// It serves another version of the file.
-    Stale,
-    /// It answered with another range or length than asked for.
-    Wrong,
-    /// It sent bytes that are not the chunk.
-    Corrupt,
-}
-
 /// An error of a source, which says what kind of fault it is.
 pub trait SourceError: Error + Send + Sync + 'static {
     /// The kind of fault.
--- a/crates/filbertstack-weights/src/lib.rs
+++ b/crates/filbertstack-weights/src/lib.rs
@@ -2,7 +2,7 @@
 //!
 //! A version is an immutable [`Manifest`], named by its root digest. Chunks come from a
 //! [`Source`] (a peer, the weight store or the origin), are verified against the manifest and
-//! kept in a [`Store`] by digest. A [`version::Version`] walks its life cycle as a typestate, so
+//! kept in a [`Store`] by digest; the [`Copier`] drives that. A [`version::Version`] walks its life cycle as a typestate, so
 //! that nothing is loaded or served that was not verified whole under one digest.
 //!
 //! ```
@@ -27,11 +27,13 @@
 //! assert!(serving.answers(manifest.root()));
 //! ```
 
+pub mod copy;
 pub mod fetch;
 pub mod manifest;
 pub mod store;
 pub mod version;
 
+pub use copy::Copier;
 pub use fetch::Source;
 pub use manifest::Manifest;
 pub use store::Store;
--- /dev/null
+++ b/crates/filbertstack-weights/tests/copy.rs
@@ -0,0 +1,368 @@
+//! The copier among peers, store and origin that fail in each of their ways.
+
+mod support;
+
+use std::sync::Arc;
+use std::sync::mpsc::Receiver;
+use std::sync::mpsc::channel;
+use std::time::Duration;
+
+use filbertstack_core::Millis;
+use filbertstack_core::declare::Weigh;
+use filbertstack_policy::spread::chunks::ChunkSet;
+use filbertstack_policy::spread::plan::Plan;
+use filbertstack_policy::spread::plan::PlanConfig;
+use filbertstack_policy::spread::plan::Target;
+use filbertstack_policy::spread::pull::Near;
+use filbertstack_policy::spread::pull::PullConfig;
+use filbertstack_policy::spread::pull::Seat;
+use filbertstack_policy::spread::tokens::Grant;
+use filbertstack_policy::spread::tokens::TokenConfig;
+use filbertstack_policy::spread::tokens::Tokens;
+use filbertstack_weights::Store;
+use filbertstack_weights::copy::Copier;
+use filbertstack_weights::copy::CopyConfig;
+use filbertstack_weights::copy::CopyEvent;
+use filbertstack_weights::copy::Core;
+use filbertstack_weights::fetch::AnySource;
+use filbertstack_weights::fetch::Fault;
+
+use support::Sample;
+use support::peer::MemoryPeer;
+use support::peer::Mood;
+use support::peer::StorePeer;
+use support::sample;
+
+/// No test waits this long unless it fails.
+const LONG: Duration = Duration::from_secs(30);
+
+fn seat(place: u32, places: u32) -> Seat {
+    let near = Near::Zone;
+    Seat {
+        near,
+        place,
+        places,
+    }
+}
+
+fn core() -> (Core, Arc<Store>) {
+    let store = Arc::new(Store::memory(100_000));
+    (Core::new(store.clone(), PullConfig::default(), 1), store)
+}
+
+fn join(core: &mut Core, sample: &Sample, peer: &Arc<MemoryPeer>, place: u32) {
+    let key = core.add_peer(peer.clone(), seat(place, 2));
+    let all = ChunkSet::full(sample.bytes.len());
+    core.announce(key, sample.manifest.root(), &all);
+}
+
+/// Makes the fetches one after the other, a turn each, for two minutes.
+fn drive(core: &mut Core, store: &Store) -> Vec<CopyEvent> {
+    let turn = PullConfig::default().turn;
+    let mut events = Vec::new();
+    let mut now = Millis::ZERO;
+    while now < Millis::secs(120) {
+        events.extend(core.tick(now));
+        let job = core.next(now);
+        now = now + turn;
+        if let Some(job) = job {
+            let result = job.source.fetch_into(&job.want, store).map(|_| ());
+            events.extend(core.done(&job, result, now));
+        }
+    }
+    events
+}
+
+fn completes(events: &[CopyEvent], sample: &Sample) -> usize {
+    let root = sample.manifest.root();
+    events
+        .iter()
+        .filter(|event| **event == CopyEvent::Complete { root })
+        .count()
+}
+
+#[test]
+fn a_version_comes_from_two_peers_each_chunk_once() {
+    let sample = sample(1);
+    let (mut core, store) = core();
+    let peers = [(); 2].map(|()| Arc::new(MemoryPeer::new(&sample.bytes)));
+    core.want(sample.manifest.clone());
+    (0..)
+        .zip(&peers)
+        .for_each(|(place, peer)| join(&mut core, &sample, peer, place));
+    let events = drive(&mut core, &store);
+    assert_eq!(completes(&events, &sample), 1);
+    assert_eq!(peers[0].count() + peers[1].count(), sample.bytes.len());
+    // They take turns.
+    assert!(peers.iter().all(|peer| peer.count() >= 6));
+}
+
+// One of two upstreams fails, in each way an upstream can. The copy completes from the other, what
+// the bad one sent is not stored, and after a few faults the leader is asked for another upstream.
+#[test]
+fn a_bad_peer_costs_its_turns_only() {
+    let moods = [
+        Mood::Corrupt,
+        Mood::Fails(Fault::Down),
+        Mood::Fails(Fault::Stalled),
+        Mood::Fails(Fault::Stale),
+        Mood::Fails(Fault::Wrong),
+        Mood::Fails(Fault::Missing),
+    ];
+    for mood in moods {
+        let sample = sample(1);
+        let (mut core, store) = core();
+        let bad = Arc::new(MemoryPeer::with(&sample.bytes, mood));
+        let good = Arc::new(MemoryPeer::new(&sample.bytes));
+        core.want(sample.manifest.clone());
+        join(&mut core, &sample, &bad, 0);
+        join(&mut core, &sample, &good, 1);
+        let events = drive(&mut core, &store);
+        assert_eq!(completes(&events, &sample), 1, "{mood:?}");
+        assert_eq!(good.count(), sample.bytes.len(), "{mood:?}");
+        assert!(bad.count() <= 13, "{mood:?}: asked {} times", bad.count());
+    }
+}
+
+#[test]
+fn an_upstream_that_keeps_failing_is_reported_once() {
+    let sample = sample(1);
+    let (mut core, store) = core();
+    let bad = Arc::new(MemoryPeer::with(&sample.bytes, Mood::Fails(Fault::Down)));
+    core.want(sample.manifest.clone());
+    join(&mut core, &sample, &bad, 0);
+    let events = drive(&mut core, &store);
+    let worn = events
+        .iter()
+        .filter(|event| matches!(event, CopyEvent::Worn { .. }));
+    assert_eq!(worn.count(), 1);
+    // Its rests grow, so that two minutes hold few requests; the leader is asked meanwhile.
+    assert!(bad.count() < 15, "asked {} times", bad.count());
+    assert!(
+        events
+            .iter()
+            .any(|event| matches!(event, CopyEvent::Escalate { .. }))
+    );
+}
+
+// A second version is published while the first is being copied, then the second is rolled back.
+// Chunks of both are fetched once, and a chunk of the one version is never taken for the other's.
+#[test]
+fn a_chunk_of_two_versions_is_fetched_once() {
+    let (one, two) = (sample(1), sample(2));
+    let (mut core, store) = core();
+    let peers = [&one, &two].map(|sample| Arc::new(MemoryPeer::new(&sample.bytes)));
+    core.want(one.manifest.clone());
+    join(&mut core, &one, &peers[0], 0);
+    let job = core.next(Millis::ZERO).unwrap();
+    core.want(two.manifest.clone());
+    join(&mut core, &two, &peers[1], 1);
+    let result = job.source.fetch_into(&job.want, &store).map(|_| ());
+    core.done(&job, result, Millis::ZERO);
+    let events = drive(&mut core, &store);
+    assert_eq!((completes(&events, &one), completes(&events, &two)), (1, 1));
+    // Five chunks are common to both.
+    assert_eq!(peers[0].count() + peers[1].count(), 13 + 13 - 5);
+}
+
+// The version is replaced in the middle of a copy, with a transfer under way. The transfer ends
+// after its version is forgotten and its index could name a chunk of the next one.
+#[test]
+fn a_version_that_changes_in_the_middle_leaves_nothing_behind() {
+    let (one, two) = (sample(1), sample(2));
+    let (mut core, store) = core();
+    let first = Arc::new(MemoryPeer::new(&one.bytes));
+    let second = Arc::new(MemoryPeer::new(&two.bytes));
+    core.want(one.manifest.clone());
+    join(&mut core, &one, &first, 0);
+    let jobs: Vec<_> = std::iter::from_fn(|| core.next(Millis::ZERO)).collect();
+    core.forget(one.manifest.root());
+    core.want(two.manifest.clone());
+    join(&mut core, &two, &second, 1);
+    for job in jobs {
+        let result = job.source.fetch_into(&job.want, &store).map(|_| ());
+        core.done(&job, result, Millis::ZERO);
+    }
+    assert!(core.progress(one.manifest.root()).is_none());
+    let events = drive(&mut core, &store);
+    assert_eq!((completes(&events, &one), completes(&events, &two)), (0, 1));
+    assert!(
+        two.manifest
+            .chunks()
+            .iter()
+            .all(|chunk| store.has(chunk.digest))
+    );
+}
+
+// A grant names the weight store, then the origin. The store sends rot, lacks the chunk, stalls or
+// serves an old version: the origin is asked. A store that is only busy is asked again.
+#[test]
+fn a_grant_falls_back_to_the_origin() {
+    let faults = [
+        (Mood::Corrupt, 1),
+        (Mood::Fails(Fault::Missing), 1),
+        (Mood::Fails(Fault::Stalled), 1),
+        (Mood::Fails(Fault::Stale), 1),
+        (
+            Mood::Fails(Fault::Busy {
+                after: Millis::secs(5),
+            }),
+            0,
+        ),
+    ];
+    for (mood, asked) in faults {
+        let sample = sample(1);
+        let (mut core, store) = core();
+        let weights = Arc::new(MemoryPeer::with(&sample.bytes, mood));
+        let origin = Arc::new(MemoryPeer::new(&sample.bytes));
+        core.want(sample.manifest.clone());
+        let sources: Vec<Arc<dyn AnySource>> = vec![weights.clone(), origin.clone()];
+        let chunk = sample.manifest.chunks()[4].digest;
+        core.grant(sample.manifest.root(), chunk, sources);
+        drive(&mut core, &store);
+        assert_eq!(origin.count(), asked, "{mood:?}");
+        assert_eq!(store.has(chunk), asked == 1);
+    }
+}
+
+#[test]
+fn a_grant_whose_sources_all_fail_goes_back_to_the_leader() {
+    let sample = sample(1);
+    let (mut core, store) = core();
+    let origin = Arc::new(MemoryPeer::with(&sample.bytes, Mood::Corrupt));
+    core.want(sample.manifest.clone());
+    let chunk = sample.manifest.chunks()[4].digest;
+    core.grant(sample.manifest.root(), chunk, vec![origin.clone()]);
+    let events = drive(&mut core, &store);
+    let fault = Fault::Corrupt;
+    assert!(events.contains(&CopyEvent::GrantFailed { chunk, fault }));
+    assert_eq!(origin.count(), 1);
+}
+
+#[test]
+fn chunks_in_the_store_are_not_fetched_again() {
+    let sample = sample(1);
+    let dir = tempfile::tempdir().unwrap();
+    let store = Store::open(dir.path(), 100_000).unwrap();
+    for (chunk, bytes) in sample.manifest.chunks().iter().zip(&sample.bytes).take(10) {
+        store.put(chunk.digest, bytes.clone()).unwrap();
+    }
+    drop(store);
+    let store = Arc::new(Store::open(dir.path(), 100_000).unwrap());
+    let mut core = Core::new(store.clone(), PullConfig::default(), 1);
+    let peer = Arc::new(MemoryPeer::new(&sample.bytes));
+    core.want(sample.manifest.clone());
+    join(&mut core, &sample, &peer, 0);
+    let events = drive(&mut core, &store);
+    assert_eq!(completes(&events, &sample), 1);
+    assert_eq!(peer.count(), 3);
+}
+
+/// One agent of the eleven: its threads, and what they report.
+struct Agent {
+    copier: Copier,
+    store: Arc<Store>,
+    events: Receiver<CopyEvent>,
+}
+
+fn agent(seed: u64) -> Agent {
+    let store = Arc::new(Store::memory(100_000));
+    let (sender, events) = channel();
+    let config = CopyConfig {
+        pull: PullConfig::default(),
+        seed,
+        rate: 1 << 30,
+    };
+    let copier = Copier::start(store.clone(), config, sender);
+    Agent {
+        copier,
+        store,
+        events,
+    }
+}
+
+// Eleven agents want one version at the same moment and none has a chunk of it. Without grants
+// each would pull it all from the origin: eleven copies. With them it is one.
+#[test]
+fn eleven_agents_pull_one_copy_from_the_origin() {
+    let sample = sample(1);
+    let root = sample.manifest.root();
+    let origin = Arc::new(MemoryPeer::new(&sample.bytes));
+    let agents: Vec<_> = (0..11).map(agent).collect();
+    let mut plan = Plan::new(PlanConfig::default());
+    let mut tokens = Tokens::new(TokenConfig::of(Weigh::Origin));
+    let target = |at: usize| Target {
+        name: format!("t{at}").parse().unwrap(),
+        zone: "van-a".parse().unwrap(),
+        region: "van".parse().unwrap(),
+    };
+    let keys: Vec<_> = (0..11).map(|at| plan.join(target(at))).collect();
+    for &key in &keys {
+        tokens.join(key, &"van".parse().unwrap());
+    }
+    tokens.publish(sample.manifest.chunks().iter().map(|chunk| chunk.digest));
+    let at = |key| keys.iter().position(|other| *other == key).unwrap();
+    let mut downs = vec![Vec::new(); 11];
+    for (down, agent) in agents.iter().enumerate() {
+        agent.copier.want(sample.manifest.clone());
+        for link in plan.upstreams(keys[down]) {
+            let up = at(link.target);
+            let source = Arc::new(StorePeer(agents[up].store.clone()));
+            downs[up].push((down, agent.copier.add_peer(source, link.seat)));
+        }
+    }
+    let send = |grants: Vec<Grant>| {
+        for grant in grants {
+            let copier = &agents[at(grant.to)].copier;
+            copier.grant(root, grant.chunk, vec![origin.clone()]);
+        }
+    };
+    let mut complete = 0;
+    send(tokens.grant(Millis::ZERO));
+    while complete < 11 {
+        for (up, agent) in agents.iter().enumerate() {
+            let Ok(event) = agent.events.recv_timeout(Duration::from_millis(1)) else {
+                continue;
+            };
+            match event {
+                CopyEvent::Landed { chunk, granted } => {
+                    if granted {
+                        tokens.landed(chunk, keys[up], Millis::ZERO);
+                        send(tokens.grant(Millis::ZERO));
+                    }
+                    let held = agent.copier.holding(root).unwrap();
+                    for &(down, key) in &downs[up] {
+                        agents[down].copier.announce(key, root, &held);
+                    }
+                }
+                CopyEvent::Complete { .. } => complete += 1,
+                other => panic!("agent {up}: {other:?}"),
+            }
+        }
+    }
+    assert_eq!(origin.count(), sample.bytes.len());
+    for agent in &agents {
+        let missing = |chunk: &&filbertstack_weights::manifest::Chunk| {
+            agent.store.get(chunk.digest).unwrap().is_none()
+        };
+        assert_eq!(sample.manifest.chunks().iter().filter(missing).count(), 0);
+    }
+}
+
+#[test]
+fn a_copier_on_threads_completes_and_ends() {
+    let sample = sample(1);
+    let agent = agent(1);
+    agent.copier.want(sample.manifest.clone());
+    let peer = Arc::new(MemoryPeer::new(&sample.bytes));
+    let key = agent.copier.add_peer(peer, seat(0, 1));
+    let all = ChunkSet::full(sample.bytes.len());
+    agent.copier.announce(key, sample.manifest.root(), &all);
+    let root = sample.manifest.root();
+    let complete = CopyEvent::Complete { root };
+    while agent.events.recv_timeout(LONG).unwrap() != complete {}
+    let progress = agent.copier.progress(root).unwrap();
+    assert_eq!((progress.held, progress.total), (13, 13));
+    drop(agent.copier);
+    assert!(agent.events.recv_timeout(LONG).is_err());
+}
--- a/crates/filbertstack-weights/tests/support/peer.rs
+++ b/crates/filbertstack-weights/tests/support/peer.rs
@@ -1,11 +1,13 @@
 //! A peer in memory, with the faults a peer can have.
 
+use std::sync::Arc;
 use std::sync::Mutex;
 
 use bytes::Bytes;
 use thiserror::Error;
 
 use filbertstack_weights::Source;
+use filbertstack_weights::Store;
 use filbertstack_weights::fetch::Fault;
 use filbertstack_weights::fetch::SourceError;
 use filbertstack_weights::manifest::Want;
@@ -78,3 +80,15 @@
     bytes[0] ^= 1;
     bytes.into()
 }
+
+/// A peer that serves from its store.
+pub struct StorePeer(pub Arc<Store>);
+
+impl Source for StorePeer {
+    type Error = PeerError;
+
+    fn fetch(&self, want: &Want) -> Result<Bytes, PeerError> {
+        let held = self.0.get(want.chunk.digest);
+        held.ok().flatten().ok_or(PeerError(Fault::Missing))
+    }
+}
