--- a/crates/filbertstack-weights/src/copy/uploads.rs
+++ b/crates/filbertstack-weights/src/copy/uploads.rs
@@ -72,6 +72,11 @@
         }
     }
 
+    /// How many wait for a slot.
+    pub fn waiting(&self) -> usize {
+        self.lock().asks.len()
+    }
+
     fn lock(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- /dev/null
+++ b/crates/filbertstack-weights/tests/lifecycle.rs
@@ -0,0 +1,377 @@
+//! The agent's states under random faults, against an oracle.
+//!
+//! The oracle knows which chunk files are intact, because the harness makes every fault itself,
+//! and which state each version must be in. `FILBERTSTACK_FUZZ_CASES` runs more cases.
+
+mod support;
+
+use std::collections::BTreeMap;
+use std::fs;
+use std::sync::Arc;
+use std::sync::atomic::AtomicU32;
+use std::sync::atomic::Ordering;
+
+use proptest::prelude::*;
+use proptest::test_runner::Config;
+use proptest::test_runner::RngSeed;
+use proptest::test_runner::TestRunner;
+use proptest_state_machine::ReferenceStateMachine;
+use proptest_state_machine::StateMachineTest;
+use tempfile::TempDir;
+
+use filbertstack_core::Digest;
+use filbertstack_core::Millis;
+use filbertstack_policy::spread::chunks::ChunkSet;
+use filbertstack_policy::spread::pull::Fault;
+use filbertstack_policy::spread::pull::Near;
+use filbertstack_policy::spread::pull::PullConfig;
+use filbertstack_policy::spread::pull::Seat;
+use filbertstack_weights::Store;
+use filbertstack_weights::copy::Core;
+use filbertstack_weights::version::Draining;
+use filbertstack_weights::version::Fetching;
+use filbertstack_weights::version::Loading;
+use filbertstack_weights::version::Serving;
+use filbertstack_weights::version::Verified;
+use filbertstack_weights::version::Version;
+
+use support::Sample;
+use support::peer::MemoryPeer;
+use support::peer::Mood;
+use support::peer::flip;
+use support::sample;
+
+const VERSIONS: usize = 2;
+
+/// Room for both versions, whose first file is common, and no more.
+const LIMIT: u64 = 300 + 500 + 500;
+
+/// The cases of a run that is given none.
+const CASES: u32 = 48;
+
+static SERVED: AtomicU32 = AtomicU32::new(0);
+static REFUSED: AtomicU32 = AtomicU32::new(0);
+
+#[derive(Clone, Debug)]
+enum Step {
+    Declare(usize),
+    Forget(usize),
+    Fetch(usize, Mood),
+    Rot(usize, usize),
+    Verify(usize),
+    Load(usize),
+    Report(usize, usize),
+    Fail(usize),
+    Lose(usize),
+    Drain(usize),
+    Restart,
+}
+
+/// The generator needs no state: every step may come in every state.
+#[derive(Clone, Debug)]
+struct Any;
+
+impl ReferenceStateMachine for Any {
+    type State = Any;
+    type Transition = Step;
+
+    fn init_state() -> BoxedStrategy<Any> {
+        Just(Any).boxed()
+    }
+
+    fn transitions(_: &Any) -> BoxedStrategy<Step> {
+        let version = 0..VERSIONS;
+        let mood = prop_oneof![
+            6 => Just(Mood::Good),
+            1 => Just(Mood::Corrupt),
+            1 => Just(Mood::Fails(Fault::Down)),
+        ];
+        prop_oneof![
+            6 => version.clone().prop_map(Step::Declare),
+            1 => version.clone().prop_map(Step::Forget),
+            12 => (5..30_usize, mood).prop_map(|(count, mood)| Step::Fetch(count, mood)),
+            1 => (version.clone(), 0..13_usize).prop_map(|(v, at)| Step::Rot(v, at)),
+            12 => version.clone().prop_map(Step::Verify),
+            12 => version.clone().prop_map(Step::Load),
+            8 => version.clone().prop_map(|v| Step::Report(v, v)),
+            2 => (version.clone(), 0..=VERSIONS).prop_map(|(v, r)| Step::Report(v, r)),
+            1 => version.clone().prop_map(Step::Fail),
+            1 => version.clone().prop_map(Step::Lose),
+            1 => version.prop_map(Step::Drain),
+            1 => Just(Step::Restart),
+        ]
+        .boxed()
+    }
+
+    fn apply(state: Any, _: &Step) -> Any {
+        state
+    }
+}
+
+/// A version in whichever state it is.
+enum Slot {
+    Fetching(Version<Fetching>),
+    Verified(Version<Verified>),
+    Loading(Version<Loading>),
+    Serving(Version<Serving>),
+    Draining(Version<Draining>),
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Phase {
+    Absent,
+    Fetching,
+    Verified,
+    Loading,
+    Serving,
+    Draining,
+}
+
+struct Agent {
+    dir: TempDir,
+    samples: Vec<Sample>,
+    store: Arc<Store>,
+    core: Core,
+    slots: Vec<Option<Slot>>,
+    now: Millis,
+    /// The chunks on disk, and whether their bytes are right.
+    intact: BTreeMap<Digest, bool>,
+    expected: [Phase; VERSIONS],
+}
+
+impl StateMachineTest for Agent {
+    type SystemUnderTest = Agent;
+    type Reference = Any;
+
+    fn init_test(_: &Any) -> Agent {
+        let dir = tempfile::tempdir().unwrap();
+        let store = Arc::new(Store::open(dir.path(), LIMIT).unwrap());
+        Agent {
+            dir,
+            samples: vec![sample(1), sample(2)],
+            core: Core::new(store.clone(), PullConfig::default(), 1),
+            store,
+            slots: vec![None, None],
+            now: Millis::ZERO,
+            intact: BTreeMap::new(),
+            expected: [Phase::Absent; VERSIONS],
+        }
+    }
+
+    fn apply(mut agent: Agent, _: &Any, step: Step) -> Agent {
+        agent.take(step);
+        agent
+    }
+
+    fn check_invariants(agent: &Agent, _: &Any) {
+        for (at, slot) in agent.slots.iter().enumerate() {
+            assert_eq!(phase(slot.as_ref()), agent.expected[at]);
+            if let Some(Slot::Serving(version)) = slot {
+                let roots = agent.samples.iter().map(|sample| sample.manifest.root());
+                let answered: Vec<_> = roots.filter(|root| version.answers(*root)).collect();
+                assert_eq!(answered, [agent.samples[at].manifest.root()]);
+            }
+        }
+        assert!(agent.store.usage().bytes <= LIMIT);
+    }
+}
+
+impl Agent {
+    fn take(&mut self, step: Step) {
+        match step {
+            Step::Declare(at) => self.declare(at),
+            Step::Forget(at) => self.forget(at),
+            Step::Fetch(count, mood) => self.fetch(count, mood),
+            Step::Rot(at, chunk) => self.rot(at, chunk),
+            Step::Verify(at) => self.verify(at),
+            Step::Restart => self.restart(),
+            step => self.turn(&step),
+        }
+    }
+
+    fn declare(&mut self, at: usize) {
+        if self.slots[at].is_some() {
+            return;
+        }
+        let manifest = self.samples[at].manifest.clone();
+        let version = Version::declare(manifest.clone(), self.store.clone()).unwrap();
+        self.slots[at] = Some(Slot::Fetching(version.fetch()));
+        self.core.want(manifest);
+        self.expected[at] = Phase::Fetching;
+    }
+
+    fn forget(&mut self, at: usize) {
+        self.slots[at] = None;
+        self.core.forget(self.samples[at].manifest.root());
+        self.expected[at] = Phase::Absent;
+    }
+
+    /// Makes some fetches from peers that hold everything and fare by `mood`.
+    fn fetch(&mut self, count: usize, mood: Mood) {
+        let keys: Vec<_> = (0..VERSIONS)
+            .map(|at| {
+                let sample = &self.samples[at];
+                let peer = Arc::new(MemoryPeer::with(&sample.bytes, mood));
+                let (near, place, places) = (Near::Zone, 0, 1);
+                let seat = Seat {
+                    near,
+                    place,
+                    places,
+                };
+                let key = self.core.add_peer(peer, seat);
+                let all = ChunkSet::full(sample.bytes.len());
+                self.core.announce(key, sample.manifest.root(), &all);
+                key
+            })
+            .collect();
+        for _ in 0..count {
+            self.now = self.now + Millis::secs(1);
+            self.core.tick(self.now);
+            let Some(job) = self.core.next(self.now) else {
+                break;
+            };
+            let digest = job.want.chunk.digest;
+            let result = job.source.fetch_into(&job.want, &self.store).map(|_| ());
+            if result.is_ok() {
+                // A chunk that the store holds already keeps the bytes it has.
+                self.intact.entry(digest).or_insert(true);
+            }
+            self.core.done(&job, result, self.now);
+        }
+        for key in keys {
+            self.core.remove_peer(key);
+        }
+    }
+
+    fn rot(&mut self, at: usize, chunk: usize) {
+        let digest = self.samples[at].manifest.chunks()[chunk].digest;
+        if let Some(intact) = self.intact.get_mut(&digest) {
+            let path = self.dir.path().join("chunks").join(digest.to_string());
+            fs::write(path, flip(&self.samples[at].bytes[chunk])).unwrap();
+            *intact = false;
+        }
+    }
+
+    fn verify(&mut self, at: usize) {
+        let Some(Slot::Fetching(version)) =
+            self.slots[at].take_if(|s| matches!(s, Slot::Fetching(_)))
+        else {
+            return;
+        };
+        let chunks = self.samples[at].manifest.chunks();
+        let whole = chunks
+            .iter()
+            .all(|chunk| self.intact.get(&chunk.digest) == Some(&true));
+        match version.verify() {
+            Ok(version) => {
+                assert!(whole, "verified with a chunk missing or damaged");
+                self.slots[at] = Some(Slot::Verified(version));
+                self.expected[at] = Phase::Verified;
+            }
+            Err(refused) => {
+                assert!(!whole, "refused a whole version");
+                let missing = refused.version.missing();
+                self.core.lost(refused.version.root(), &missing);
+                for at in missing.iter().map(|at| *at as usize) {
+                    self.intact.remove(&chunks[at].digest);
+                }
+                self.slots[at] = Some(Slot::Fetching(refused.version));
+                REFUSED.fetch_add(1, Ordering::Relaxed);
+            }
+        }
+    }
+
+    /// The steps of the engine, in whatever state the version is.
+    fn turn(&mut self, step: &Step) {
+        let (Step::Load(at)
+        | Step::Report(at, _)
+        | Step::Fail(at)
+        | Step::Lose(at)
+        | Step::Drain(at)) = *step
+        else {
+            return;
+        };
+        let before = self.expected[at];
+        let slot = self.slots[at].take();
+        let root = |of: usize| self.samples.get(of).map(|sample| sample.manifest.root());
+        self.slots[at] = match (slot, step) {
+            (Some(Slot::Verified(version)), Step::Load(_)) => Some(Slot::Loading(version.load())),
+            (Some(Slot::Loading(version)), Step::Report(_, of)) => {
+                let reported = root(*of).unwrap_or(Digest::of(b"another"));
+                match version.serve(reported) {
+                    Ok(version) => Some(Slot::Serving(version)),
+                    Err(refused) => Some(Slot::Verified(refused.version)),
+                }
+            }
+            (Some(Slot::Loading(version)), Step::Fail(_)) => Some(Slot::Verified(version.fail())),
+            (Some(Slot::Serving(version)), Step::Lose(_)) => Some(Slot::Verified(version.lose())),
+            (Some(Slot::Serving(version)), Step::Drain(_)) => Some(Slot::Draining(version.drain())),
+            (Some(Slot::Draining(version)), Step::Drain(_)) => {
+                Some(Slot::Fetching(version.end().fetch()))
+            }
+            (slot, _) => slot,
+        };
+        self.expected[at] = match (before, step) {
+            (Phase::Verified, Step::Load(_)) => Phase::Loading,
+            (Phase::Loading, Step::Report(at, of)) if at == of => Phase::Serving,
+            (Phase::Loading, Step::Report(..) | Step::Fail(_))
+            | (Phase::Serving, Step::Lose(_)) => Phase::Verified,
+            (Phase::Serving, Step::Drain(_)) => Phase::Draining,
+            (Phase::Draining, Step::Drain(_)) => Phase::Fetching,
+            (phase, _) => phase,
+        };
+        if before != Phase::Serving && self.expected[at] == Phase::Serving {
+            SERVED.fetch_add(1, Ordering::Relaxed);
+        }
+    }
+
+    /// The process is killed, at whatever point, and starts anew on the same disk.
+    fn restart(&mut self) {
+        self.slots = vec![None, None];
+        self.expected = [Phase::Absent; VERSIONS];
+        self.store = Arc::new(Store::open(self.dir.path(), LIMIT).unwrap());
+        self.core = Core::new(self.store.clone(), PullConfig::default(), 1);
+    }
+}
+
+fn phase(slot: Option<&Slot>) -> Phase {
+    match slot {
+        None => Phase::Absent,
+        Some(Slot::Fetching(_)) => Phase::Fetching,
+        Some(Slot::Verified(_)) => Phase::Verified,
+        Some(Slot::Loading(_)) => Phase::Loading,
+        Some(Slot::Serving(_)) => Phase::Serving,
+        Some(Slot::Draining(_)) => Phase::Draining,
+    }
+}
+
+// Versions are declared, fetched from peers that corrupt and break off, damaged on disk, loaded by
+// engines that report the wrong version, forgotten and restarted in any order. None ever serves,
+// loads or counts as verified unless each of its chunks is intact at that moment.
+#[test]
+fn nothing_serves_that_is_not_whole_under_one_digest() {
+    let cases = std::env::var("FILBERTSTACK_FUZZ_CASES");
+    let cases = cases.map_or(CASES, |cases| cases.parse().expect("a number of cases"));
+    let config = Config {
+        cases,
+        rng_seed: RngSeed::Fixed(20_261_202),
+        failure_persistence: None,
+        ..Config::default()
+    };
+    let mut runner = TestRunner::new(config.clone());
+    let steps = Any::sequential_strategy(60..160);
+    let run = |(state, steps, seen)| {
+        Agent::test_sequential(config.clone(), state, steps, seen);
+        Ok(())
+    };
+    runner.run(&steps, run).unwrap();
+    let (served, refused) = (
+        SERVED.load(Ordering::Relaxed),
+        REFUSED.load(Ordering::Relaxed),
+    );
+    println!("{cases} cases: {served} times served, {refused} verifications refused");
+    assert!(
+        served >= cases / 4 && refused >= cases,
+        "the cases reach too little"
+    );
+}
--- /dev/null
+++ b/crates/filbertstack-weights/tests/uploads.rs
@@ -0,0 +1,56 @@
+//! Upload slots: who is served, and that a slot always comes back.
+
+use std::sync::mpsc::channel;
+use std::thread;
+use std::time::Duration;
+
+use filbertstack_core::Millis;
+use filbertstack_policy::spread::serve::Ask;
+use filbertstack_weights::copy::Uploads;
+
+const LONG: Duration = Duration::from_secs(30);
+
+fn ask(held: u32) -> Ask {
+    Ask {
+        chunk: 0,
+        import: false,
+        held,
+        served: Millis::ZERO,
+        copies: 1,
+    }
+}
+
+#[test]
+fn a_full_house_refuses_and_a_dropped_slot_is_free() {
+    let uploads = Uploads::new(1);
+    let slot = uploads.enter(ask(0), Duration::ZERO).unwrap();
+    assert!(uploads.enter(ask(0), Duration::ZERO).is_none());
+    drop(slot);
+    assert!(uploads.enter(ask(0), Duration::ZERO).is_some());
+}
+
+// Two wait for one slot. The one with fewer chunks gets it, though the other came first.
+#[test]
+fn the_one_with_the_fewest_chunks_goes_first() {
+    let uploads = Uploads::new(1);
+    let slot = uploads.enter(ask(0), Duration::ZERO).unwrap();
+    let (sender, served) = channel();
+    let mut threads = Vec::new();
+    for (before, held) in [200, 3].into_iter().enumerate() {
+        let (own, sender) = (uploads.clone(), sender.clone());
+        threads.push(thread::spawn(move || {
+            let slot = own.enter(ask(held), LONG).unwrap();
+            sender.send(held).unwrap();
+            drop(slot);
+        }));
+        while uploads.waiting() == before {
+            thread::yield_now();
+        }
+    }
+    drop(slot);
+    assert_eq!(served.recv_timeout(LONG).unwrap(), 3);
+    assert_eq!(served.recv_timeout(LONG).unwrap(), 200);
+    for thread in threads {
+        thread.join().unwrap();
+    }
+}
