Spread: scenarios on the round model, and a grant that is asked for again

An agent that asks for a landed chunk is sent to its holder; it is brought in again only if agents still ask a lease later. A target that lets a grant run out gets the next ones last.

--- a/crates/filbertstack-policy/src/spread/tokens.rs
+++ b/crates/filbertstack-policy/src/spread/tokens.rs
@@ -23,6 +23,9 @@
 use region::Import;
 use region::Region;
 
+/// The agents that are sent to one that brought a chunk in: each passes it on in turn.
+const SENT: u32 = 2;
+
 /// The limits of the grants.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct TokenConfig {
@@ -39,11 +42,11 @@
     ///
     /// Four grants are two transfers on the origin's link, which is twice an instance's, and as
     /// many on their way. 10 s are a hundred times the time of a chunk of 4 MiB at 320 Mbit/s.
-    /// Who weighs origin bytes waits six times as long before a chunk is pulled a second time.
+    /// Who weighs origin bytes waits three times as long before a chunk is pulled a second time.
     pub fn of(weigh: Weigh) -> Self {
         let lease = match weigh {
             Weigh::Time => Millis::secs(10),
-            Weigh::Origin => Millis::secs(60),
+            Weigh::Origin => Millis::secs(30),
         };
         Self {
             weigh,
@@ -51,14 +54,6 @@
             lease,
         }
     }
-
-    /// The requests for a chunk that has landed before it is brought in again.
-    fn asks(self) -> u32 {
-        match self.weigh {
-            Weigh::Time => 2,
-            Weigh::Origin => 4,
-        }
-    }
 }
 
 /// Where a grant lets its holder get the chunk.
@@ -265,20 +260,28 @@
     }
 
     /// Answers an agent that finds a chunk nowhere.
+    ///
+    /// The first that ask for a chunk that has landed are sent to the instance that holds it. It
+    /// is brought in again only if agents still ask a lease later, for a hundred agents that ask
+    /// at once say no more than one.
     pub fn ask(&mut self, chunk: Digest, by: TargetKey, now: Millis) -> Answer {
         let home = self.homes.get(&by).cloned();
         let (Some(home), true) = (home, self.chunks.contains_key(&chunk)) else {
             return Answer::Unknown;
         };
         let lease = self.config.lease;
-        let asks = self.config.asks();
-        match self.region(&home).ask(chunk) {
+        match self.region(&home).ask(chunk, now) {
             Import::Queued => Answer::Wait { after: lease },
             Import::Granted { until, .. } => Answer::Wait {
                 after: until.since(now).max(Millis(1)),
             },
-            Import::Landed { by: holder, asked } if holder != by && asked < asks => {
-                Answer::Ask(holder)
+            Import::Landed { by: holder, asked } if holder != by => {
+                let (first, count) = asked.unwrap_or((now, 0));
+                match ((first + lease).since(now), count) {
+                    (Millis::ZERO, _) => self.grant_again(&home, chunk, by, now),
+                    (_, ..=SENT) => Answer::Ask(holder),
+                    (after, _) => Answer::Wait { after },
+                }
             }
             Import::Landed { .. } | Import::Lost => self.grant_again(&home, chunk, by, now),
         }
--- a/crates/filbertstack-policy/src/spread/tokens/region.rs
+++ b/crates/filbertstack-policy/src/spread/tokens/region.rs
@@ -33,8 +33,8 @@
     Landed {
         /// The target.
         by: TargetKey,
-        /// How often it was asked for since.
-        asked: u32,
+        /// When it was first asked for since, and how often.
+        asked: Option<(Millis, u32)>,
     },
     /// The target that had brought it in is gone; others may have got it from there.
     Lost,
@@ -125,10 +125,22 @@
             .map(|(&chunk, _)| chunk)
             .collect();
         for chunk in late {
+            self.mark_slow(chunk);
             self.requeue(chunk);
         }
     }
 
+    /// Whoever let a grant run out gets the next ones last: it would hold up those too.
+    fn mark_slow(&mut self, chunk: Digest) {
+        let Some(&Import::Granted { to, .. }) = self.imports.get(&chunk) else {
+            return;
+        };
+        let mut members = self.members.iter_mut();
+        if let Some(member) = members.find(|member| Some(member.key) == to) {
+            member.slow = true;
+        }
+    }
+
     /// The chunk goes to the head: others that came later have been passed on already.
     fn requeue(&mut self, chunk: Digest) {
         self.end_grant(chunk);
@@ -209,7 +221,8 @@
         }
         self.end_grant(chunk);
         self.queue.retain(|&queued| queued != chunk);
-        self.imports.insert(chunk, Import::Landed { by, asked: 0 });
+        self.imports
+            .insert(chunk, Import::Landed { by, asked: None });
     }
 
     fn compare(&mut self, by: TargetKey, took: u64) {
@@ -232,10 +245,11 @@
     }
 
     /// Counts a request for the chunk; how far it has come.
-    pub(super) fn ask(&mut self, chunk: Digest) -> Import {
+    pub(super) fn ask(&mut self, chunk: Digest, now: Millis) -> Import {
         let import = self.imports.entry(chunk).or_insert(Import::Queued);
         if let Import::Landed { asked, .. } = import {
-            *asked += 1;
+            let (first, count) = asked.unwrap_or((now, 0));
+            *asked = Some((first, count + 1));
         }
         *import
     }
--- a/crates/filbertstack-policy/tests/spread_model/mesh.rs
+++ b/crates/filbertstack-policy/tests/spread_model/mesh.rs
@@ -22,6 +22,7 @@
 
 use super::Faults;
 use super::Outcome;
+use super::SLOW;
 use super::Setting;
 use super::count;
 use super::node::Node;
@@ -115,6 +116,8 @@
     Lead(u64),
     /// These targets are lost.
     Lose(Vec<usize>),
+    /// One in so many targets takes so many rounds for a transfer from now on.
+    Crawl(usize, u64),
 }
 
 /// A run of the mesh.
@@ -213,7 +216,7 @@
         if setting.faults == Faults::Mixed {
             let slow = world.pick();
             for at in slow {
-                world.nodes[at].slow = true;
+                world.nodes[at].slow = SLOW;
             }
         }
         world
@@ -241,7 +244,7 @@
     }
 
     pub fn is_done(&self, slow: bool) -> bool {
-        let due = |node: &&Node| node.alive && (slow || !node.slow);
+        let due = |node: &&Node| node.alive && (slow || node.slow == 1);
         let mut due = self.nodes.iter().filter(due);
         due.all(|node| node.pull.is_complete())
     }
@@ -280,7 +283,7 @@
 fn tokens(weigh: Weigh) -> TokenConfig {
     let lease = match weigh {
         Weigh::Time => Millis(30 * ROUND.0),
-        Weigh::Origin => Millis(180 * ROUND.0),
+        Weigh::Origin => Millis(90 * ROUND.0),
     };
     TokenConfig {
         lease,
--- a/crates/filbertstack-policy/tests/spread_model/mesh/links.rs
+++ b/crates/filbertstack-policy/tests/spread_model/mesh/links.rs
@@ -3,7 +3,6 @@
 use std::collections::VecDeque;
 
 use crate::spread_model::Faults;
-use crate::spread_model::SLOW;
 use crate::spread_model::mesh::World;
 use crate::spread_model::node::Link;
 use crate::spread_model::node::ROUND;
@@ -23,7 +22,7 @@
                 shared: self.setting.shared,
                 ..Link::default()
             };
-            if self.nodes[at].slow {
+            if self.nodes[at].slow > 1 {
                 let transfers = self.transfers.iter();
                 link.received = transfers.clone().filter(|t| t.to == at).count();
                 link.sent = transfers.filter(|t| t.from == Some(at)).count();
@@ -48,12 +47,8 @@
     }
 
     pub(super) fn begin(&mut self, from: Option<usize>, waiting: &Waiting) {
-        let slow = |at: usize| self.nodes[at].slow;
-        let rounds = if slow(waiting.to) || from.is_some_and(slow) {
-            SLOW
-        } else {
-            1
-        };
+        let ends = from.into_iter().chain([waiting.to]);
+        let rounds = ends.map(|at| self.nodes[at].slow).max().unwrap_or(1);
         if let Some(from) = from {
             let now = self.now(from);
             self.regions += u64::from(self.nodes[from].region != self.nodes[waiting.to].region);
@@ -93,7 +88,7 @@
             self.now(at)
         };
         let node = &mut self.nodes[at];
-        let slow = node.slow;
+        let slow = node.slow > 1;
         if !node.alive || !node.link.can_receive(spare || slow) {
             return false;
         }
--- a/crates/filbertstack-policy/tests/spread_model/mesh/targets.rs
+++ b/crates/filbertstack-policy/tests/spread_model/mesh/targets.rs
@@ -31,7 +31,8 @@
 
     pub(super) fn join(&mut self) {
         let at = self.nodes.len();
-        let area = at % (self.mesh.regions * self.mesh.zones);
+        let areas = self.mesh.regions * self.mesh.zones;
+        let area = self.rng.random_range(0..areas);
         let (region, zone) = (area / self.mesh.zones, area);
         let target = Target {
             name: format!("t{at}").parse().unwrap(),
@@ -55,7 +56,7 @@
             region,
             zone,
             skew,
-            slow: false,
+            slow: 1,
             alive: true,
             ups: BTreeMap::new(),
             downs: Vec::new(),
@@ -165,6 +166,11 @@
             }
             Event::Publish(range) => self.publish(range.clone()),
             Event::Retire(range) => self.retire(range.clone()),
+            Event::Crawl(each, rounds) => {
+                for node in self.nodes.iter_mut().step_by(*each) {
+                    node.slow = *rounds;
+                }
+            }
             Event::Lead(rounds) => self.leaderless = *rounds,
             Event::Lose(targets) => targets.iter().for_each(|&at| self.lose(at)),
         }
--- a/crates/filbertstack-policy/tests/spread_model/node.rs
+++ b/crates/filbertstack-policy/tests/spread_model/node.rs
@@ -19,7 +19,8 @@
     pub zone: usize,
     /// How far its clock is ahead of the others'.
     pub skew: Millis,
-    pub slow: bool,
+    /// The rounds of a transfer: one at full speed.
+    pub slow: u64,
     pub alive: bool,
     /// Its upstreams, as it knows them.
     pub ups: BTreeMap<NeighbourKey, usize>,
