--- a/crates/filbertstack-policy/src/spread/pace.rs
+++ b/crates/filbertstack-policy/src/spread/pace.rs
@@ -61,8 +61,9 @@
 /// The weight of the newest latency in the base: one in sixteen.
 const SMOOTH: u64 = 16;
 
-/// A difference below this is no sign of a full queue, whatever its share: clocks are that coarse.
-const GRAIN: Millis = Millis(2);
+/// A difference below this is not acted on, whatever its share: an engine's step takes 7 ms, so
+/// that callers do not see less.
+const GRAIN: Millis = Millis(5);
 
 /// The limit on weights at one instance.
 #[derive(Clone, Copy, Debug)]
--- /dev/null
+++ b/crates/filbertstack-policy/tests/spread_agent.rs
@@ -0,0 +1,250 @@
+//! The decisions of one agent: sets of chunks, turns, what to pull, whom to serve.
+
+use std::collections::BTreeSet;
+
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+
+use filbertstack_core::Millis;
+use filbertstack_policy::spread::chunks::ChunkSet;
+use filbertstack_policy::spread::pull::Fault;
+use filbertstack_policy::spread::pull::Near;
+use filbertstack_policy::spread::pull::NeighbourKey;
+use filbertstack_policy::spread::pull::Pull;
+use filbertstack_policy::spread::pull::PullConfig;
+use filbertstack_policy::spread::pull::Request;
+use filbertstack_policy::spread::pull::Seat;
+use filbertstack_policy::spread::pull::Turns;
+use filbertstack_policy::spread::pull::Upstream;
+use filbertstack_policy::spread::serve::Ask;
+use filbertstack_policy::spread::serve::choose;
+
+const CONFIG: PullConfig = PullConfig {
+    slots: 2,
+    stall: Millis::secs(30),
+    double: Millis::secs(3),
+    patience: Millis::secs(5),
+    turn: Millis(50),
+};
+
+fn seat(near: Near, place: u32, places: u32) -> Seat {
+    Seat {
+        near,
+        place,
+        places,
+    }
+}
+
+fn pull(chunks: u32) -> Pull {
+    let mut pull = Pull::new(CONFIG, 1);
+    pull.grow(chunks as usize);
+    (0..chunks).for_each(|chunk| pull.want(chunk));
+    pull
+}
+
+fn peer(pull: &mut Pull, seat: Seat, chunks: &[u32]) -> NeighbourKey {
+    let key = pull.join(seat);
+    for &chunk in chunks {
+        pull.announce(key, chunk);
+    }
+    key
+}
+
+fn from(request: Option<Request>) -> Option<(Upstream, u32)> {
+    request.map(|request| (request.from, request.chunk))
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        rng_seed: RngSeed::Fixed(7),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn a_set_behaves_as_a_set(len in 0..200_usize, steps in prop::collection::vec((any::<bool>(), 0..220_u32), 0..120)) {
+        let mut set = ChunkSet::new(len);
+        let mut oracle = BTreeSet::new();
+        for (add, chunk) in steps {
+            let inside = (chunk as usize) < len;
+            if add {
+                prop_assert_eq!(set.insert(chunk), inside && oracle.insert(chunk));
+            } else {
+                prop_assert_eq!(set.remove(chunk), oracle.remove(&chunk));
+            }
+        }
+        prop_assert_eq!(set.iter().collect::<BTreeSet<_>>(), oracle.clone());
+        prop_assert_eq!(set.count(), oracle.len());
+        prop_assert_eq!(ChunkSet::from_bytes(len, &set.to_bytes()).unwrap(), set);
+    }
+
+    #[test]
+    fn bytes_of_any_kind_make_a_set_or_an_error(len in 0..200_usize, bytes in prop::collection::vec(any::<u8>(), 0..30)) {
+        if let Ok(set) = ChunkSet::from_bytes(len, &bytes) {
+            prop_assert!(set.iter().all(|chunk| (chunk as usize) < len));
+            prop_assert_eq!(set.to_bytes(), bytes);
+        }
+    }
+}
+
+#[test]
+fn the_fastest_mesh_clock_leads() {
+    let mut turns = Turns::new(Millis(50));
+    assert_eq!(turns.turn(Millis(149)), 2);
+    turns.hear(Millis(420), Millis(100));
+    assert_eq!(turns.clock(Millis(110)), Millis(430));
+    turns.hear(Millis(200), Millis(120));
+    assert_eq!(turns.turn(Millis(110)), 8);
+}
+
+#[test]
+fn upstreams_take_turns_and_the_near_come_first() {
+    let mut pull = pull(3);
+    let all = [0, 1, 2];
+    let far = peer(&mut pull, seat(Near::Region, 0, 2), &all);
+    let near = [0, 1].map(|place| peer(&mut pull, seat(Near::Zone, place, 2), &all));
+    let mut asked = |now| {
+        let request = pull.next(now).unwrap();
+        pull.failed(request.flight, Fault::Busy { after: Millis(1) }, now);
+        request.from
+    };
+    assert_eq!(asked(Millis(0)), Upstream::Neighbour(near[0]));
+    assert_eq!(asked(Millis(50)), Upstream::Neighbour(near[1]));
+    // Both near ones were refused within this turn: the far one is asked.
+    assert_eq!(asked(Millis(100)), Upstream::Neighbour(near[0]));
+    assert_eq!(asked(Millis(100)), Upstream::Neighbour(near[1]));
+    assert_eq!(asked(Millis(100)), Upstream::Neighbour(far));
+}
+
+#[test]
+fn the_rarest_chunk_goes_first_and_none_twice() {
+    let mut pull = pull(3);
+    let one = peer(&mut pull, seat(Near::Zone, 0, 2), &[0, 1, 2]);
+    let two = peer(&mut pull, seat(Near::Zone, 1, 2), &[0, 1]);
+    let first = pull.next(Millis::ZERO).unwrap();
+    assert_eq!((first.from, first.chunk), (Upstream::Neighbour(one), 2));
+    let second = pull.next(Millis::ZERO).unwrap();
+    assert_eq!(second.from, Upstream::Neighbour(two));
+    assert!(pull.landed(first.flight, Millis(10)) && pull.landed(second.flight, Millis(10)));
+    let third = pull.next(Millis(50)).unwrap();
+    assert_ne!(third.chunk, second.chunk);
+    pull.landed(third.flight, Millis(60));
+    assert!(pull.is_complete() && pull.next(Millis(100)).is_none());
+}
+
+// An upstream sends a corrupted chunk. It is not asked for that chunk again, and rests a while;
+// the chunk comes from another. One that goes on so is to be replaced.
+#[test]
+fn a_corrupting_upstream_rests_longer_each_time() {
+    let mut pull = pull(8);
+    let bad = peer(&mut pull, seat(Near::Zone, 0, 1), &[0, 1, 2, 3, 4, 5, 6, 7]);
+    let mut now = Millis::ZERO;
+    let mut asked = Vec::new();
+    let mut rests = Vec::new();
+    for _ in 0..4 {
+        let since = now;
+        let request = loop {
+            match pull.next(now) {
+                Some(request) => break request,
+                None => now = now + Millis(100),
+            }
+        };
+        rests.push(now.since(since));
+        asked.push(request.chunk);
+        pull.failed(request.flight, Fault::Corrupt, now);
+    }
+    assert_eq!(rests, [0, 500, 1000, 2000].map(Millis));
+    assert_eq!(asked.iter().collect::<BTreeSet<_>>().len(), 4);
+    assert_eq!(pull.worn(), [bad]);
+}
+
+// The last chunk is in flight from an upstream that all but stands still. It is requested a second
+// time elsewhere, once, and whichever copy comes second is dropped.
+#[test]
+fn a_late_last_chunk_is_requested_twice() {
+    let mut pull = pull(1);
+    let slow = peer(&mut pull, seat(Near::Zone, 0, 2), &[0]);
+    let first = pull.next(Millis::ZERO).unwrap();
+    let other = peer(&mut pull, seat(Near::Zone, 1, 2), &[0]);
+    assert_eq!(first.from, Upstream::Neighbour(slow));
+    assert_eq!(pull.next(Millis::secs(3)), None);
+    let second = pull.next(Millis::secs(4)).unwrap();
+    assert_eq!(from(Some(second)), Some((Upstream::Neighbour(other), 0)));
+    assert!(pull.landed(second.flight, Millis::secs(5)));
+    assert!(!pull.landed(first.flight, Millis::secs(6)));
+}
+
+#[test]
+fn what_takes_too_long_is_requested_elsewhere() {
+    let mut pull = pull(1);
+    let stuck = peer(&mut pull, seat(Near::Zone, 0, 1), &[0]);
+    let flight = pull.next(Millis::ZERO).unwrap().flight;
+    assert!(pull.expire(Millis::secs(30)).is_empty());
+    assert_eq!(pull.expire(Millis::secs(31)), [flight]);
+    pull.leave(stuck);
+    let other = peer(&mut pull, seat(Near::Zone, 0, 1), &[0]);
+    let next = pull.next(Millis::secs(31));
+    assert_eq!(from(next), Some((Upstream::Neighbour(other), 0)));
+}
+
+#[test]
+fn a_slow_upstream_is_asked_last() {
+    let mut pull = pull(12);
+    let all: Vec<_> = (0..12).collect();
+    let keys = [0, 1, 2].map(|place| peer(&mut pull, seat(Near::Zone, place, 3), &all));
+    for turn in 0..6 {
+        let now = Millis(50 * turn);
+        let request = pull.next(now).unwrap();
+        let slow = request.from == Upstream::Neighbour(keys[0]);
+        pull.landed(request.flight, now + Millis(if slow { 400 } else { 40 }));
+    }
+    let next = pull.next(Millis(50 * 6)).unwrap();
+    assert_eq!(next.from, Upstream::Neighbour(keys[1]));
+}
+
+#[test]
+fn a_chunk_that_nobody_has_is_reported_and_a_grant_fetches_it() {
+    let mut pull = pull(2);
+    assert!(pull.next(Millis::secs(1)).is_none());
+    assert_eq!(pull.escalate(Millis::secs(5)), None);
+    let chunk = pull.escalate(Millis::secs(6)).unwrap();
+    assert_eq!(pull.escalate(Millis::secs(7)), None);
+    pull.import(chunk);
+    assert_eq!(
+        from(pull.next(Millis::secs(7))),
+        Some((Upstream::Import, chunk))
+    );
+}
+
+#[test]
+fn an_upstream_that_leaves_takes_its_transfers_along() {
+    let mut pull = pull(1);
+    let gone = peer(&mut pull, seat(Near::Zone, 0, 2), &[0]);
+    let other = peer(&mut pull, seat(Near::Zone, 1, 2), &[0]);
+    let request = pull.next(Millis::ZERO).unwrap();
+    pull.leave(gone);
+    assert_eq!(pull.copies(0), 1);
+    assert!(!pull.landed(request.flight, Millis(10)));
+    assert_eq!(
+        from(pull.next(Millis(10))),
+        Some((Upstream::Neighbour(other), 0))
+    );
+}
+
+#[test]
+fn regions_then_laggards_then_rare_chunks_then_turns_are_served() {
+    let ask = |import, held, copies, served| Ask {
+        chunk: 0,
+        import,
+        held,
+        copies,
+        served: Millis(served),
+    };
+    let plain = ask(false, 5, 3, 10);
+    assert_eq!(choose(&[]), None);
+    assert_eq!(choose(&[plain, ask(true, 9, 9, 99)]), Some(1));
+    assert_eq!(choose(&[plain, ask(false, 4, 9, 99)]), Some(1));
+    assert_eq!(choose(&[plain, ask(false, 5, 2, 99)]), Some(1));
+    assert_eq!(choose(&[plain, ask(false, 5, 3, 9)]), Some(1));
+    assert_eq!(choose(&[plain, plain]), Some(0));
+}
