--- a/crates/filbertstack-log/src/replica/core.rs
+++ b/crates/filbertstack-log/src/replica/core.rs
@@ -50,6 +50,25 @@
 /// monotonic clock is taken to have stood still, as it does while a machine is suspended.
 const CLOCK_LEAP: Duration = Duration::from_millis(100);
 
+/// What is told when the machine panics. The next start applies the same command again.
+const PANICKED: &str = "the machine panicked at a command; run a version that applies it";
+
+/// Tells at the end of the thread, however it comes about, that the replica leads no longer. If a
+/// panic of the machine left the status as it was, callers would go on being sent here.
+struct Ending {
+    shared: Arc<Shared>,
+    failed: Option<String>,
+}
+
+impl Drop for Ending {
+    fn drop(&mut self) {
+        let mut status = self.shared.status();
+        status.failed = self.failed.take();
+        status.node.role = RoleName::Follower;
+        status.lease = None;
+    }
+}
+
 /// The protocol, its machine, and who waits.
 pub(super) struct Core<M: Machine, T: Transport> {
     node: Node,
@@ -112,12 +131,12 @@
     }
 
     pub(super) fn run(mut self, inbox: &Receiver<Event<M::Outcome>>) {
-        let failed = self.serve(inbox).err();
+        let mut ending = Ending {
+            shared: Arc::clone(&self.shared),
+            failed: Some(PANICKED.to_owned()),
+        };
+        ending.failed = self.serve(inbox).err();
         self.waiters.stopped();
-        let mut status = self.shared.status();
-        status.failed = failed;
-        status.node.role = RoleName::Follower;
-        status.lease = None;
     }
 
     fn serve(&mut self, inbox: &Receiver<Event<M::Outcome>>) -> Result<(), String> {
--- a/crates/filbertstack-log/tests/log/replica.rs
+++ b/crates/filbertstack-log/tests/log/replica.rs
@@ -6,8 +6,10 @@
 use filbertstack_log::Doubt;
 use filbertstack_log::ProposeError;
 use filbertstack_log::Refusal;
+use filbertstack_log::RoleName;
 
 use crate::support::disk::Wrong;
+use crate::support::machine::POISON;
 use crate::support::machine::Put;
 use crate::support::network::Group;
 use crate::support::network::quick;
@@ -200,6 +202,25 @@
     group.settled(3);
 }
 
+/// The machine panics at a command. The caller learns that the outcome is unknown, and the replica
+/// says that it has stopped; otherwise callers would go on being sent to a dead leader.
+#[test]
+fn a_panic_of_the_machine_is_told() {
+    let group = Group::form(1, quick());
+    group.put(1);
+    let replica = group.slots[0].replica.clone().unwrap();
+    let put = Put {
+        request: 2,
+        key: POISON,
+        value: 1,
+    };
+    let ended = replica.propose(put.encode(), soon());
+    assert_eq!(ended, Err(ProposeError::Unknown(Doubt::Stopped)));
+    let why = wait_for("stop", || replica.status().failed);
+    assert!(why.contains("panicked"));
+    assert_ne!(replica.status().node.role, RoleName::Leader);
+}
+
 /// Reads at the leader see what was accepted before, with and without a lease; elsewhere they are
 /// refused with the leader's name.
 #[test]
--- a/crates/filbertstack-log/tests/log/support/machine.rs
+++ b/crates/filbertstack-log/tests/log/support/machine.rs
@@ -31,6 +31,9 @@
     }
 }
 
+/// The key at which the machine panics.
+pub const POISON: u64 = u64::MAX;
+
 /// What the commands built.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct State {
@@ -70,6 +73,11 @@
     type RestoreError = NotMap;
 
     fn apply(&mut self, index: u64, command: &[u8]) -> u64 {
+        assert_ne!(
+            Put::decode(command).key,
+            POISON,
+            "this machine fails at this command"
+        );
         self.0.lock().unwrap().put(index, Put::decode(command))
     }
 
