--- a/crates/filbertstack-entry/src/ledger.rs
+++ b/crates/filbertstack-entry/src/ledger.rs
@@ -66,6 +66,14 @@
         self.lock().clone()
     }
 
+    /// The address of the leader, as far as this entry knows it.
+    pub fn leader(&self) -> Option<String> {
+        match &self.voter {
+            Some(voter) => Some(voter.standing().leader).filter(|leader| !leader.is_empty()),
+            None => self.voters().first().map(ToString::to_string),
+        }
+    }
+
     /// Takes the voters' addresses from a voter's update.
     pub fn set_voters(&self, voters: &[SocketAddr]) {
         let mut known = self.lock();
--- a/crates/filbertstack-entry/src/operators.rs
+++ b/crates/filbertstack-entry/src/operators.rs
@@ -155,7 +155,11 @@
                     json!({ "revision": view.revision(), "declared": view.declared() }),
                 ))
             }
-            (Method::Get, "status") => Ok((200, status(&self.views.get(), &self.members))),
+            (Method::Get, "status") => {
+                let mut status = status(&self.views.get(), &self.members);
+                status["leader"] = json!(self.ledger.leader());
+                Ok((200, status))
+            }
             _ => Err(Refusal::not_run(
                 404,
                 "operators have no such path: see the guide",
--- /dev/null
+++ b/tests/system/control.rs
@@ -0,0 +1,196 @@
+//! Declarations survive what happens to the voters.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+use std::time::Instant;
+use std::time::SystemTime;
+use std::time::UNIX_EPOCH;
+
+use serde_json::Value;
+use serde_json::json;
+
+use crate::support::PATIENCE;
+use crate::support::Process;
+use crate::support::System;
+use crate::support::declarations;
+use crate::support::operate_json;
+
+/// How many changes are applied.
+const CHANGES: usize = 500;
+
+/// How many pools they write, over and over.
+const POOLS: usize = 20;
+
+fn apply(entries: &[SocketAddr], n: usize) -> u64 {
+    let now = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .expect("after 1970");
+    let text = format!(
+        "[pool p{}]\nlabels = n=v{n}\ninstances = zone=zone-1\n",
+        n % POOLS
+    );
+    let body = json!({
+        "request": format!("change-{n}"), "issued": u64::try_from(now.as_millis()).expect("fits"),
+        "expected": null, "text": text,
+    });
+    let outcome = operate_json(entries, "apply", &body);
+    outcome["accepted"]["revision"]
+        .as_u64()
+        .unwrap_or_else(|| panic!("change {n}: {outcome}"))
+}
+
+/// The pools' labels and the revision, as an entry has them.
+fn pools(addr: SocketAddr) -> Result<(u64, BTreeMap<String, String>), String> {
+    let all = declarations(addr)?;
+    let pools = all["declared"]["pools"].as_object().ok_or("no pools")?;
+    let label = |pool: &Value| pool["labels"]["n"].as_str().unwrap_or_default().to_owned();
+    let pools = pools
+        .iter()
+        .map(|(name, pool)| (name.clone(), label(pool)))
+        .collect();
+    Ok((all["revision"].as_u64().unwrap_or_default(), pools))
+}
+
+fn wait_for(done: &AtomicUsize, count: usize) {
+    let until = Instant::now() + PATIENCE;
+    while done.load(Ordering::Relaxed) < count {
+        assert!(
+            Instant::now() < until,
+            "no progress beyond {}",
+            done.load(Ordering::Relaxed)
+        );
+        std::thread::sleep(Duration::from_millis(5));
+    }
+}
+
+/// The entry that leads, by its place in `system`.
+fn leader(system: &System) -> usize {
+    let status = system.wait_status("a leader", |status| {
+        let leader = status["leader"].as_str().unwrap_or_default().to_owned();
+        system
+            .entries
+            .iter()
+            .any(|entry| entry.links.to_string() == leader)
+    });
+    let leader = status["leader"].as_str().expect("an address").to_owned();
+    let found = system
+        .entries
+        .iter()
+        .position(|entry| entry.links.to_string() == leader);
+    found.expect("an entry")
+}
+
+// The operator sees each of 500 changes accepted once, at a revision of its own, and reads exactly
+// those afterwards from every entry.
+// Each voter is killed in turn and started again while changes go on; the leader is frozen for
+// longer than its lease and wakes; at the end all are killed at once and started again. A change
+// whose answer was lost is sent again under its id. What was acknowledged was synced on two disks,
+// and the id's first outcome is part of the state, so nothing is lost and nothing counts twice.
+#[test]
+fn accepted_changes_survive_kills_freezes_and_a_full_restart() {
+    let system = System::new(3);
+    let mut processes = system.start_entries();
+    let addrs: Vec<SocketAddr> = system.entries.iter().map(|entry| entry.http).collect();
+    let done = AtomicUsize::new(0);
+    let revisions = std::thread::scope(|scope| {
+        let applying = scope.spawn(|| {
+            (0..CHANGES)
+                .map(|n| {
+                    // Each change begins at another entry.
+                    let mut addrs = addrs.clone();
+                    addrs.rotate_left(n % 3);
+                    let revision = apply(&addrs, n);
+                    done.fetch_add(1, Ordering::Relaxed);
+                    revision
+                })
+                .collect::<Vec<u64>>()
+        });
+        for n in 0..3 {
+            wait_for(&done, 60 * (n + 1));
+            processes[n].kill();
+            wait_for(&done, 60 * (n + 1) + 25);
+            processes[n] = system.start_entry(n);
+        }
+        wait_for(&done, 300);
+        let frozen = leader(&system);
+        processes[frozen].signal("STOP");
+        wait_for(&done, 340);
+        processes[frozen].signal("CONT");
+        applying.join().expect("every change is accepted")
+    });
+    let distinct: std::collections::BTreeSet<_> = revisions.iter().collect();
+    assert_eq!(distinct.len(), CHANGES, "two changes share a revision");
+    assert!(
+        revisions.is_sorted(),
+        "a later change got an earlier revision"
+    );
+
+    processes.iter_mut().for_each(Process::kill);
+    let _processes = system.start_entries();
+    let last = *revisions.last().expect("some");
+    let expected: BTreeMap<String, String> = (0..CHANGES)
+        .map(|n| (format!("p{}", n % POOLS), format!("v{n}")))
+        .collect();
+    for addr in addrs {
+        let until = Instant::now() + PATIENCE;
+        let mut seen = pools(addr);
+        while seen.as_ref().map(|(revision, _)| *revision) != Ok(last) {
+            assert!(
+                Instant::now() < until,
+                "{addr} has {seen:?}, accepted was {last}"
+            );
+            std::thread::sleep(Duration::from_millis(50));
+            seen = pools(addr);
+        }
+        assert_eq!(seen, Ok((last, expected.clone())));
+    }
+}
+
+// One of two operators sees its change accepted; the other is told which one won.
+// Both saw revision 1 and send their change on that base at the same moment, to two entries.
+#[test]
+fn of_two_changes_on_one_base_exactly_one_wins() {
+    let system = System::new(3);
+    let _processes = system.start_entries();
+    let addrs: Vec<SocketAddr> = system.entries.iter().map(|entry| entry.http).collect();
+    let first = apply(&addrs, 0);
+    for round in 0..10_u64 {
+        let base = first + round;
+        let outcomes: Vec<Value> = std::thread::scope(|scope| {
+            let racers: Vec<_> = (0..2)
+                .map(|who| {
+                    let addrs = &addrs[who..];
+                    scope.spawn(move || race(addrs, base, who))
+                })
+                .collect();
+            racers
+                .into_iter()
+                .map(|racer| racer.join().expect("an outcome"))
+                .collect()
+        });
+        let won = outcomes
+            .iter()
+            .filter(|o| o["accepted"]["revision"] == base + 1)
+            .count();
+        let told = outcomes
+            .iter()
+            .filter(|o| o["conflict"]["current"] == base + 1)
+            .count();
+        assert_eq!((won, told), (1, 1), "{outcomes:?}");
+    }
+}
+
+fn race(addrs: &[SocketAddr], base: u64, who: usize) -> Value {
+    let now = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .expect("after 1970");
+    let body = json!({
+        "request": format!("race-{base}-{who}"),
+        "issued": u64::try_from(now.as_millis()).expect("fits"), "expected": base,
+        "text": format!("[pool race]\nlabels = by=w{who}-{base}\ninstances = zone=zone-1\n"),
+    });
+    operate_json(addrs, "apply", &body)
+}
--- a/tests/system/support.rs
+++ b/tests/system/support.rs
@@ -70,11 +70,33 @@
             .expect("an address")
     }
 
+    /// Sends it a signal by name, such as `STOP`.
+    pub fn signal(&self, name: &str) {
+        let id = self.child.id().to_string();
+        let status = Command::new("kill")
+            .args(["-s", name, &id])
+            .status()
+            .expect("kill runs");
+        assert!(status.success(), "kill -s {name} {id}");
+    }
+
     /// Kills it and waits for its end.
     pub fn kill(&mut self) {
         let _ = self.child.kill();
         let _ = self.child.wait();
     }
+
+    /// Waits for its end by itself.
+    pub fn wait(&mut self) -> std::process::ExitStatus {
+        let until = Instant::now() + PATIENCE;
+        while Instant::now() < until {
+            if let Some(status) = self.child.try_wait().expect("waits") {
+                return status;
+            }
+            std::thread::sleep(Duration::from_millis(20));
+        }
+        panic!("the process did not end");
+    }
 }
 
 impl Drop for Process {
@@ -388,3 +410,53 @@
         answer::text(&self.digest, prompt, tokens)
     }
 }
+
+/// The key of the tests' operator.
+const OPERATOR_KEY: &str = "operator-secret-0123456789";
+
+/// Sends `body` to the first entry that has an answer, again and again, under the same request id.
+pub fn operate_json(entries: &[SocketAddr], path: &str, body: &Value) -> Value {
+    let agent = ureq::Agent::config_builder()
+        .http_status_as_error(false)
+        .timeout_global(Some(Duration::from_secs(10)))
+        .build()
+        .new_agent();
+    let until = Instant::now() + PATIENCE;
+    let mut last = String::new();
+    while Instant::now() < until {
+        for addr in entries {
+            let call = agent
+                .post(format!("http://{addr}/operator/{path}"))
+                .header("authorization", format!("Bearer {OPERATOR_KEY}"));
+            match call.send(body.to_string().as_bytes()) {
+                Ok(mut response) if !matches!(response.status().as_u16(), 503 | 504) => {
+                    let text = response.body_mut().read_to_string().unwrap_or_default();
+                    if let Ok(value) = serde_json::from_str(&text) {
+                        return value;
+                    }
+                }
+                Ok(response) => last = response.status().to_string(),
+                Err(error) => last = error.to_string(),
+            }
+        }
+        std::thread::sleep(Duration::from_millis(50));
+    }
+    panic!("no entry took {path}: {last}");
+}
+
+/// What an entry has of the declarations, or why it does not say.
+pub fn declarations(addr: SocketAddr) -> Result<Value, String> {
+    let agent = ureq::Agent::config_builder()
+        .timeout_global(Some(Duration::from_secs(5)))
+        .build()
+        .new_agent();
+    let call = agent
+        .get(format!("http://{addr}/operator/declarations"))
+        .header("authorization", format!("Bearer {OPERATOR_KEY}"));
+    let mut response = call.call().map_err(|error| error.to_string())?;
+    let text = response
+        .body_mut()
+        .read_to_string()
+        .map_err(|error| error.to_string())?;
+    serde_json::from_str(&text).map_err(|error| error.to_string())
+}
