Engine: prefix cache, late load reports and cache events, KV moves, gated steps

Prompts are cut into blocks; cached ones shorten the prefill and what was used longest ago makes room. Load figures come late under the names that common engines give them, cache events late and with gaps. A gate, held by a test or over HTTP, decides which token has been made when.

--- a/crates/filbertstack-standins/src/engine/admin.rs
+++ b/crates/filbertstack-standins/src/engine/admin.rs
@@ -5,10 +5,12 @@
 use std::thread;
 
 use filbertstack_core::Digest;
+use serde::Deserialize;
 use serde::Serialize;
 
 use crate::answer;
 use crate::engine::config::Fencing;
+use crate::engine::config::Pace;
 use crate::engine::core::Core;
 use crate::engine::core::Memory;
 use crate::engine::weights::AdapterOrder;
@@ -41,11 +43,35 @@
             core.memory().faults = faults;
             Reply::json(200, &state(core))
         }),
+        ("POST", "/admin/steps") => call.json().and_then(|steps| allow(core, &steps)),
         _ => Err(Reply::error(404, "not_found", "no such order")),
     };
     call.reply(reply.unwrap_or_else(|refusal| refusal));
 }
 
+/// Passes for an engine whose pace is a gate; the body of `POST /admin/steps`.
+#[derive(Clone, Copy, Debug, Default, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+struct Steps {
+    steps: u64,
+    open: bool,
+}
+
+fn allow(core: &Core, steps: &Steps) -> Result<Reply, Reply> {
+    let Pace::Gated(gate) = &core.config.pace else {
+        return Err(Reply::error(
+            409,
+            "conflict",
+            "the engine's pace is no gate",
+        ));
+    };
+    gate.allow(steps.steps);
+    if steps.open {
+        gate.open();
+    }
+    Ok(Reply::json(200, &state(core)))
+}
+
 /// The state that the engine reports.
 pub fn state(core: &Core) -> EngineState {
     let memory = core.memory();
@@ -83,6 +109,7 @@
     weights.weights = None;
     weights.adapters.clear();
     weights.reason = None;
+    memory.cache.clear(core.now());
     drop(memory);
     let loader = core.clone();
     thread::spawn(move || finish_load(&loader, number, &order.dir));
@@ -128,6 +155,7 @@
         role: memory.weights.role,
         ..EngineState::default()
     };
+    memory.cache.clear(core.now());
     drop(memory);
     core.wake();
     Ok(Reply::json(200, &state(core)))
--- a/crates/filbertstack-standins/src/engine/api.rs
+++ b/crates/filbertstack-standins/src/engine/api.rs
@@ -130,7 +130,7 @@
     }
     let sequence = Sequence {
         priority: ask.common.priority,
-        prefill: 1,
+        prefill: 0,
         next: ask.from,
         end: ask.end,
     };
--- a/crates/filbertstack-standins/src/engine/batch.rs
+++ b/crates/filbertstack-standins/src/engine/batch.rs
@@ -54,7 +54,7 @@
 
     /// Queues a sequence; `None` if the queue is full.
     pub fn push(&mut self, sequence: Sequence) -> Option<SeqId> {
-        if self.waiting.len() >= self.room {
+        if self.is_full() {
             return None;
         }
         self.last += 1;
@@ -63,6 +63,11 @@
         Some(id)
     }
 
+    /// Whether the queue takes no more.
+    pub fn is_full(&self) -> bool {
+        self.waiting.len() >= self.room
+    }
+
     /// Takes a sequence out, wherever it is.
     pub fn cancel(&mut self, id: SeqId) {
         self.running.remove(&id);
--- a/crates/filbertstack-standins/src/engine/config.rs
+++ b/crates/filbertstack-standins/src/engine/config.rs
@@ -48,8 +48,12 @@
     pub queue: usize,
     /// The prefix cache's capacity, in blocks.
     pub cache: usize,
-    /// The age of the load figures at `/metrics`.
+    /// The blocks of a prompt that are prefilled in one step.
+    pub prefill: usize,
+    /// The age of the load figures at `/metrics` and of the cache events.
     pub lag: Duration,
+    /// Every so many cache events one is lost; 0 loses none.
+    pub event_gap: u64,
     /// The time that loading takes besides the reading.
     pub load_time: Duration,
     /// What it does with old orders.
@@ -68,7 +72,9 @@
             slots: 16,
             queue: 256,
             cache: 1024,
+            prefill: 8,
             lag: Duration::from_millis(500),
+            event_gap: 0,
             load_time: Duration::from_millis(50),
             fencing: Fencing::default(),
             faults: EngineFaults::default(),
--- a/crates/filbertstack-standins/src/engine/core.rs
+++ b/crates/filbertstack-standins/src/engine/core.rs
@@ -12,17 +12,22 @@
 use std::sync::mpsc::Sender;
 use std::thread;
 use std::time::Duration;
+use std::time::Instant;
 
 use crate::answer;
 use crate::engine::batch::Batch;
 use crate::engine::batch::Emit;
 use crate::engine::batch::SeqId;
 use crate::engine::batch::Sequence;
+use crate::engine::cache::PrefixCache;
 use crate::engine::config::EngineConfig;
 use crate::engine::config::EngineFaults;
 use crate::engine::config::Pace;
+use crate::engine::late::LateLoad;
+use crate::engine::late::Load;
 use crate::engine::weights::EngineState;
 use crate::engine::weights::Phase;
+use crate::engine::weights::Role;
 use crate::runs::RunLog;
 
 /// How often a thread that waits for a token looks whether its caller is still there.
@@ -62,6 +67,10 @@
     pub orders: u64,
     /// The faults.
     pub faults: EngineFaults,
+    /// The cached prefixes.
+    pub cache: PrefixCache,
+    /// The load as it is reported.
+    pub late: LateLoad,
     batch: Batch,
     jobs: BTreeMap<SeqId, Job>,
     closing: bool,
@@ -73,6 +82,7 @@
     pub config: EngineConfig,
     /// What ran.
     pub runs: RunLog,
+    begin: Instant,
     memory: Mutex<Memory>,
     wake: Condvar,
 }
@@ -84,6 +94,8 @@
             weights: EngineState::default(),
             orders: 0,
             faults: config.faults.clone(),
+            cache: PrefixCache::new(config.cache, config.event_gap),
+            late: LateLoad::new(config.lag),
             batch: Batch::new(config.slots, config.queue),
             jobs: BTreeMap::new(),
             closing: false,
@@ -91,6 +103,7 @@
         Self {
             config,
             runs: RunLog::default(),
+            begin: Instant::now(),
             memory: Mutex::new(memory),
             wake: Condvar::new(),
         }
@@ -101,6 +114,11 @@
         self.memory.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// The time since the engine began.
+    pub fn now(&self) -> Duration {
+        self.begin.elapsed()
+    }
+
     /// Wakes the step loop after a change of the memory.
     pub fn wake(&self) {
         self.wake.notify_all();
@@ -115,7 +133,7 @@
         self.wake();
     }
 
-    /// Queues a sequence.
+    /// Queues a sequence; its prefill follows from what the cache holds of the prompt.
     ///
     /// # Errors
     /// Why it was refused; nothing ran.
@@ -123,13 +141,22 @@
         self: &Arc<Self>,
         model: &str,
         prompt: &str,
-        sequence: Sequence,
+        mut sequence: Sequence,
     ) -> Result<Ticket, Refusal> {
         let (pieces, receiver) = mpsc::channel();
         let mut memory = self.memory();
         if memory.weights.answers(model).is_none() {
             return Err(Refusal::NoModel);
         }
+        if memory.batch.is_full() {
+            return Err(Refusal::Full);
+        }
+        let lookup = memory.cache.admit(prompt, self.now());
+        let missing = lookup.blocks - lookup.hits;
+        sequence.prefill = missing.div_ceil(self.config.prefill.max(1)).max(1);
+        if memory.weights.role == Role::Prefill {
+            sequence.end = sequence.next;
+        }
         let id = memory.batch.push(sequence).ok_or(Refusal::Full)?;
         let job = Job {
             model: model.to_owned(),
@@ -137,6 +164,7 @@
             pieces,
         };
         memory.jobs.insert(id, job);
+        memory.report(self.now());
         drop(memory);
         self.wake();
         Ok(Ticket {
@@ -154,7 +182,9 @@
                 Pace::Timed => thread::sleep(time),
                 Pace::Gated(gate) => gate.pass(),
             }
-            self.memory().step();
+            let mut memory = self.memory();
+            memory.step();
+            memory.report(self.now());
         }
     }
 
@@ -184,6 +214,16 @@
 }
 
 impl Memory {
+    /// Notes the load for the reports.
+    fn report(&mut self, now: Duration) {
+        let load = Load {
+            running: self.batch.running(),
+            waiting: self.batch.waiting(),
+            usage: self.cache.usage(),
+        };
+        self.late.push(now, load);
+    }
+
     fn step(&mut self) {
         for emit in self.batch.step() {
             match emit {
@@ -250,6 +290,7 @@
         }
         let mut memory = self.core.memory();
         memory.batch.cancel(self.id);
+        memory.report(self.core.now());
         if memory.jobs.remove(&self.id).is_some() {
             self.core.runs.cancel();
         }
--- a/crates/filbertstack-standins/src/engine/mod.rs
+++ b/crates/filbertstack-standins/src/engine/mod.rs
@@ -6,8 +6,11 @@
 mod admin;
 mod api;
 pub mod batch;
+pub mod cache;
 pub mod config;
 mod core;
+mod kv;
+pub mod late;
 pub mod pace;
 mod shape;
 pub mod weights;
@@ -118,6 +121,12 @@
         match (call.method(), path.as_str()) {
             ("POST", "/v1/completions" | "/v1/chat/completions") => api::handle(&self.0, call),
             ("GET", "/v1/models") => call.reply(api::models(&self.0)),
+            ("GET", "/metrics") => call.reply(kv::metrics(&self.0)),
+            ("GET", "/cache/events") => {
+                let reply = kv::events(&self.0, &call);
+                call.reply(reply);
+            }
+            ("POST", "/kv/export" | "/kv/import") => kv::handle(&self.0, call),
             ("GET", "/health") => call.reply(Reply::text(200, "")),
             (_, path) if path.starts_with("/admin/") => admin::handle(&self.0, call),
             _ => call.reply(Reply::error(404, "not_found", "no such path")),
--- a/crates/filbertstack-standins/src/engine/pace.rs
+++ b/crates/filbertstack-standins/src/engine/pace.rs
@@ -32,6 +32,12 @@
         self.changed.notify_all();
     }
 
+    /// The passes that nobody has taken.
+    pub fn passes(&self) -> u64 {
+        let state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
+        state.passes
+    }
+
     /// Waits for a pass and takes it.
     pub fn pass(&self) {
         let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
