--- a/crates/filbertstack-wire/src/messages.rs
+++ b/crates/filbertstack-wire/src/messages.rs
@@ -92,13 +92,30 @@
     /// Whether the call certainly had no effect.
     #[prost(bool, tag = "3")]
     pub not_run: bool,
+    /// What kind of refusal it is.
+    #[prost(enumeration = "Cause", tag = "4")]
+    pub cause: i32,
+}
+
+/// What kind of refusal a [`Fault`] is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, prost::Enumeration)]
+#[repr(i32)]
+pub enum Cause {
+    /// The far end does not serve the call.
+    Absent = 0,
+    /// The far end has no room now.
+    Full = 1,
+    /// The far end is leaving.
+    Leaving = 2,
+    /// What stands behind the far end can't be reached.
+    Unreachable = 3,
 }
 
 /// A request.
 #[derive(Clone, PartialEq, Message)]
 pub struct Call {
     /// What is asked.
-    #[prost(oneof = "Ask", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12")]
+    #[prost(oneof = "Ask", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13")]
     pub ask: Option<Ask>,
 }
 
@@ -141,6 +158,9 @@
     /// An operator's question that only the leader can answer; answered by [`Tell::Payload`].
     #[prost(message, tag = "12")]
     Query(Payload),
+    /// Take nothing new and finish what is in progress; answered by [`Tell::Payload`].
+    #[prost(message, tag = "13")]
+    Drain(Empty),
 }
 
 /// A reply.
@@ -190,9 +210,12 @@
 /// A follower's question for what changed.
 #[derive(Clone, PartialEq, Eq, Message)]
 pub struct Watch {
-    /// The log index that the follower has applied.
+    /// The revision of the declarations that the follower has.
     #[prost(uint64, tag = "1")]
     pub since: u64,
+    /// The sequence of the orders that the follower has.
+    #[prost(uint64, tag = "4")]
+    pub sequence: u64,
     /// The follower's instance name, whose config lease this renews.
     #[prost(string, tag = "2")]
     pub follower: String,
