--- a/crates/filbertstack-standins/src/front.rs
+++ b/crates/filbertstack-standins/src/front.rs
@@ -181,8 +181,8 @@
 
 /// Turns Nagle's algorithm off for every connection that `listener` accepts.
 ///
-/// `tiny_http` does not do so. Small writes then wait for the peer's delayed acknowledgement, some
-/// 40 ms, and a stream of tokens comes in bursts. Accepted sockets inherit the option from the
+/// `tiny_http` does not do so, and a token's small write may then wait for the peer's delayed
+/// acknowledgement, on Linux for up to 40 ms. Accepted sockets inherit the option from the
 /// listening one.
 ///
 /// # Errors
--- a/crates/filbertstack-standins/tests/origin.rs
+++ b/crates/filbertstack-standins/tests/origin.rs
@@ -132,6 +132,23 @@
     assert_eq!(get(&origin.addr(), FILE).bytes(), whole);
 }
 
+// The link stalls half way through an answer. The reader holds the first half, and nothing more
+// is sent, so that a reader without a bound of its own would wait for ever.
+#[test]
+fn a_stalled_answer_sends_its_first_half() {
+    let dir = weights("abcd");
+    let origin = origin(&dir);
+    origin.set_faults(FileFaults {
+        stall: 1,
+        ..FileFaults::default()
+    });
+    let mut half = vec![0; 2048];
+    let mut body = get(&origin.addr(), FILE).into_reader();
+    body.read_exact(&mut half).unwrap();
+    drop(body);
+    assert_eq!(origin.stats().bytes, 2048);
+}
+
 #[test]
 fn a_store_takes_uploads_whole() {
     let dir = tempfile::tempdir().unwrap();
