--- a/crates/filbertstack-policy/src/lib.rs
+++ b/crates/filbertstack-policy/src/lib.rs
@@ -10,7 +10,8 @@
 //! - [`outlier`]: which targets get none for a while;
 //! - [`retry`]: what may be tried again or twice at once.
 //!
-//! The leader of the replicated log decides with [`placement`] which instances hold which models.
+//! The leader of the replicated log decides with [`placement`] which instances hold which models, and
+//! with [`spread`] who fetches their weights from whom.
 
 pub mod admission;
 pub mod cost;
@@ -22,6 +23,7 @@
 pub mod prefix;
 pub mod retry;
 pub mod route;
+pub mod spread;
 pub mod subset;
 pub mod target;
 pub mod window;
