Open connections to the HTTP library one at a time

Ruled out: more threads (the library chooses); waiting for the caller's own request (bodies up to 1 KiB are read before it is handed over).

--- a/crates/filbertstack-entry/src/guard.rs
+++ b/crates/filbertstack-entry/src/guard.rs
@@ -34,6 +34,15 @@
 /// How long a sent byte may wait for the caller to take it, and a body for its next byte.
 pub const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
 
+/// The path on which the library answers the guard itself.
+pub const HELLO: &str = "/.guard";
+
+/// The whole answer on that path.
+pub const HELLO_ANSWER: &[u8] = b"HTTP/1.1 204 No Content\r\ncontent-length: 0\r\n\r\n";
+
+/// How long the library may take to answer the guard.
+const HELLO_TIMEOUT: Duration = Duration::from_secs(2);
+
 const STACK: usize = 128 << 10;
 const BUFFER: usize = 16 << 10;
 
@@ -93,6 +102,7 @@
     max_connections: usize,
     connections: AtomicUsize,
     stopped: AtomicBool,
+    opening: Mutex<()>,
     /// By the guard's own port on loopback, which the library sees as the caller's.
     served: Mutex<HashMap<u16, Served>>,
 }
@@ -115,6 +125,7 @@
             max_connections,
             connections: AtomicUsize::new(0),
             stopped: AtomicBool::new(false),
+            opening: Mutex::default(),
             served: Mutex::default(),
         });
         let accepting = shared.clone();
@@ -221,6 +232,24 @@
         });
     }
 
+    /// Opens a connection to the library that has a thread of its own.
+    ///
+    /// The library takes a thread for idle until it has woken, though a connection is queued for
+    /// it already: of several connections opened at once, some wait for another one's end. One
+    /// caller would then wait for another's whole answer. Opened one at a time, each until the
+    /// library has answered on it, none shares a thread.
+    fn open_inner(&self) -> std::io::Result<TcpStream> {
+        let _one_at_a_time = lock(&self.opening);
+        let mut inner = TcpStream::connect(self.inner)?;
+        inner.set_nodelay(true)?;
+        inner.set_read_timeout(Some(HELLO_TIMEOUT))?;
+        write!(inner, "GET {HELLO} HTTP/1.1\r\nhost: guard\r\n\r\n")?;
+        let mut answer = [0; HELLO_ANSWER.len()];
+        inner.read_exact(&mut answer)?;
+        inner.set_read_timeout(None)?;
+        Ok(inner)
+    }
+
     fn serve(&self, mut caller: TcpStream) -> std::io::Result<()> {
         caller.set_nodelay(true)?;
         caller.set_write_timeout(Some(IDLE_TIMEOUT))?;
@@ -245,8 +274,7 @@
             }
             Err(HeadError::Closed) => return Ok(()),
         };
-        let mut inner = TcpStream::connect(self.inner)?;
-        inner.set_nodelay(true)?;
+        let mut inner = self.open_inner()?;
         let watched = Watched::new(self, &inner)?;
         inner.write_all(&head)?;
         let back = Back {
--- a/crates/filbertstack-entry/src/http.rs
+++ b/crates/filbertstack-entry/src/http.rs
@@ -13,6 +13,7 @@
 use tiny_http::Request;
 
 use crate::guard::Guard;
+use crate::guard::HELLO_ANSWER;
 
 /// How long a body may take to arrive.
 pub const BODY_TIMEOUT: Duration = Duration::from_secs(20);
@@ -136,6 +137,16 @@
     writer.flush()
 }
 
+/// Answers the guard itself, which goes on to use the connection.
+///
+/// # Errors
+/// If the guard has left.
+pub fn greet(request: Request) -> io::Result<()> {
+    let mut writer = request.into_writer();
+    writer.write_all(HELLO_ANSWER)?;
+    writer.flush()
+}
+
 /// Writes `value` as a JSON answer.
 ///
 /// # Errors
--- a/crates/filbertstack-entry/src/process.rs
+++ b/crates/filbertstack-entry/src/process.rs
@@ -28,6 +28,7 @@
 use crate::call::Calls;
 use crate::claims::Claims;
 use crate::follow::Follow;
+use crate::guard;
 use crate::guard::Guard;
 use crate::http;
 use crate::http::Field;
@@ -291,6 +292,10 @@
     }
 
     fn take(self: Arc<Self>, request: Request, guard: Arc<Guard>) {
+        if request.url() == guard::HELLO {
+            let _ = http::greet(request);
+            return;
+        }
         let builder = thread::Builder::new()
             .name("request".into())
             .stack_size(STACK);
--- a/tests/system/control.rs
+++ b/tests/system/control.rs
@@ -108,11 +108,11 @@
                 })
                 .collect::<Vec<u64>>()
         });
-        for n in 0..3 {
+        for (n, process) in processes.iter_mut().enumerate() {
             wait_for(&done, 60 * (n + 1));
-            processes[n].kill();
+            process.kill();
             wait_for(&done, 60 * (n + 1) + 25);
-            processes[n] = system.start_entry(n);
+            *process = system.start_entry(n);
         }
         wait_for(&done, 300);
         let frozen = leader(&system);
--- a/tests/system/once.rs
+++ b/tests/system/once.rs
@@ -131,10 +131,10 @@
         at(30);
         desk.kill();
         desk = Process::start(&agent);
-        for n in 0..3 {
+        for (n, entry) in entries.iter_mut().enumerate() {
             at(60 + 40 * n);
-            entries[n].kill();
-            entries[n] = system.start_entry(n);
+            entry.kill();
+            *entry = system.start_entry(n);
         }
         at(200);
         entries[1].signal("STOP");
