--- a/crates/filbertstack-agent/src/keeper.rs
+++ b/crates/filbertstack-agent/src/keeper.rs
@@ -45,7 +45,7 @@
 const CHECK: Duration = Duration::from_secs(1);
 
 /// How long an engine may load before it is ordered again: a large model from a slow disk.
-const LOAD_TIMEOUT: Duration = Duration::from_mins(5);
+const LOAD_TIMEOUT: Duration = Duration::from_secs(300);
 
 /// The first wait after a failed load; it doubles up to [`RETRY_MOST`].
 const RETRY_FIRST: Duration = Duration::from_millis(500);
@@ -468,7 +468,12 @@
     }
 
     fn copy(&self) -> Copy {
-        let stage = self.held.as_ref().map_or(Stage::Absent, Held::stage);
+        let stage = match &self.held {
+            None => Stage::Absent,
+            // The leader counts failed loads, and moves the version elsewhere after a few.
+            Some(Held::Verified(_)) if self.failures > 0 => Stage::Failed,
+            Some(held) => held.stage(),
+        };
         let chunks = match &self.held {
             Some(Held::Fetching(_, copying)) => copying.held(),
             Some(Held::Verified(version)) => count(version),
--- a/crates/filbertstack-entry/src/call.rs
+++ b/crates/filbertstack-entry/src/call.rs
@@ -45,6 +45,7 @@
 use crate::http::OUTCOME;
 use crate::http::Refusal;
 use crate::prompt::Prompt;
+use crate::race::Race;
 use crate::settings::Callers;
 use crate::table::Asked;
 use crate::table::Chosen;
@@ -157,7 +158,16 @@
             ..Dispatch::default()
         };
         let deadline = arrived + Duration::from(timeout);
-        Ok(Job { org, chosen, table, need, dispatch, deadline, timeout, gone })
+        Ok(Job {
+            org,
+            chosen,
+            table,
+            need,
+            dispatch,
+            deadline,
+            timeout,
+            gone,
+        })
     }
 
     /// Claims the key of a request that must not run twice.
@@ -173,7 +183,9 @@
             );
             return Err(NotGranted::Refused(Refusal::not_run(400, text)));
         }
-        let Dispatch { method, path, body, .. } = &job.dispatch;
+        let Dispatch {
+            method, path, body, ..
+        } = &job.dispatch;
         let whole = [method.as_bytes(), b" ", path.as_bytes(), b"\n", body].concat();
         let wanted = Wanted {
             org: &job.org,
@@ -196,7 +208,10 @@
         };
         let end = match self.traffic.offer(offer) {
             Ok(ticket) => Run::new(self, job, ticket, request).follow(),
-            Err(refusal) => End::Refused { request, refusal: refusal_of(&refusal) },
+            Err(refusal) => End::Refused {
+                request,
+                refusal: refusal_of(&refusal),
+            },
         };
         conclude(end, claim);
     }
@@ -215,7 +230,7 @@
     /// An answer has begun and breaks off, or the caller has left.
     Cut { ran: bool },
     /// The answer is whole, its end not yet sent.
-    Whole(Answer),
+    Whole(Box<Answer>),
 }
 
 /// Settles the claim, then tells the caller.
@@ -269,19 +284,33 @@
     job: &'a Job,
     ticket: Ticket,
     live: Vec<Live>,
+    race: Race<AttemptKey>,
     answer: Answer,
     sent: bool,
+    /// A claimed request that was sent runs to its end also when its caller leaves: the caller
+    /// comes back with the same key, and then gets the answer instead of "unknown".
+    claimed: bool,
 }
 
 impl<'a> Run<'a> {
     fn new(calls: &'a Calls, job: &'a Job, ticket: Ticket, request: Request) -> Self {
         let answer = Answer::new(request);
-        Self { calls, job, ticket, live: Vec::new(), answer, sent: false }
+        let claimed = !job.chosen.idempotent;
+        Self {
+            calls,
+            job,
+            ticket,
+            live: Vec::new(),
+            race: Race::new(),
+            answer,
+            sent: false,
+            claimed,
+        }
     }
 
     fn follow(mut self) -> End {
         loop {
-            if self.job.gone.is_set() {
+            if self.job.gone.is_set() && !(self.claimed && self.sent) {
                 return End::Cut { ran: self.sent };
             }
             let turn = match self.ticket.turns.recv_timeout(LOOK) {
@@ -292,24 +321,38 @@
             let next = match turn {
                 Turn::Send { attempt, target } => self.send(attempt, target),
                 Turn::Refused(refusal) => Next::Refused(refusal),
-                Turn::Part { attempt, tell, last } => self.part(attempt, tell, last),
-                Turn::Failed { attempt, outcome, text } => self.failed(attempt, outcome, &text),
+                Turn::Part {
+                    attempt,
+                    tell,
+                    last,
+                } => self.part(attempt, tell, last),
+                Turn::Failed {
+                    attempt,
+                    outcome,
+                    text,
+                } => self.failed(attempt, outcome, &text),
             };
             match next {
                 Next::Go => {}
                 Next::Refused(refusal) => return self.refuse(&refusal),
                 Next::Unknown(text) => return self.unknown(502, text),
                 Next::Cut => return End::Cut { ran: true },
-                Next::Whole => return End::Whole(self.answer),
+                Next::Whole => return End::Whole(Box::new(self.answer)),
             }
         }
     }
 
     /// Sends the request to a target.
     fn send(&mut self, key: AttemptKey, target: TargetKey) -> Next {
+        if !self.race.enter(key) {
+            // The flow withdrew it when the other attempt began to answer.
+            return Next::Go;
+        }
         let table = self.calls.traffic.table();
         let group = self.job.chosen.group;
-        let place = table.place(group, target).or_else(|| self.job.table.place(group, target));
+        let place = table
+            .place(group, target)
+            .or_else(|| self.job.table.place(group, target));
         let Some(place) = place.cloned() else {
             let outcome = Outcome::NotRun(NotRun::Absent);
             return self.failed(key, outcome, "the target left before the request was sent");
@@ -322,17 +365,19 @@
             timeout: Millis::from(left).0,
             ..self.job.dispatch.clone()
         };
-        let (dialer, turns) = (self.calls.dialer.clone(), self.ticket.sender.clone());
+        let (dialer, turns) = (self.calls.dialer.clone(), &self.ticket.sender);
         let sending = Attempt::start(dialer, &place, key, dispatch, self.job.deadline, turns);
         self.sent = true;
-        self.live.push(Live { key, number, place, _sending: sending });
+        self.live.push(Live {
+            key,
+            number,
+            place,
+            _sending: sending,
+        });
         Next::Go
     }
 
     /// Takes a part of an answer, if it belongs to an attempt that may still answer.
-    ///
-    /// A late part of a withdrawn attempt would mix two answers; such an attempt is not live any
-    /// more, so its parts are dropped here.
     fn part(&mut self, key: AttemptKey, tell: Tell, last: bool) -> Next {
         let Some(live) = self.live.iter().find(|live| live.key == key) else {
             return Next::Go;
@@ -349,11 +394,17 @@
                     return self.failed(key, outcome, "the engine had no room");
                 }
                 let place = live.place.clone();
-                self.win(key);
-                self.answer.head(&head, &place);
+                if self.race.head(key) {
+                    self.ticket.first_token(key);
+                    self.live.retain(|live| live.key == key);
+                    self.answer.head(&head, &place);
+                }
                 Next::Go
             }
-            Tell::Piece(Payload { body }) => self.piece(key, &body, last),
+            Tell::Piece(Payload { body }) if self.race.may_pass(key) => {
+                self.piece(key, &body, last)
+            }
+            Tell::Piece(_) => Next::Go,
             _ => self.failed(key, Outcome::Unknown, "the agent told something else"),
         }
     }
@@ -363,30 +414,31 @@
         self.job.chosen.kind == Kind::Engines && matches!(head.status, 429 | 503)
     }
 
-    /// From here on only this attempt answers; the others are withdrawn.
-    fn win(&mut self, key: AttemptKey) {
-        self.ticket.first_token(key);
-        self.live.retain(|live| live.key == key);
-    }
-
     fn piece(&mut self, key: AttemptKey, body: &[u8], last: bool) -> Next {
-        if self.answer.piece(body).is_err() {
+        if self.answer.piece(body).is_err() && !self.claimed {
             return Next::Cut;
         }
         if !last {
             return Next::Go;
         }
-        let cost = Cost { prompt: self.job.need.cost.prompt, output: self.answer.tokens() };
+        let cost = Cost {
+            prompt: self.job.need.cost.prompt,
+            output: self.answer.tokens(),
+        };
         self.ticket.finish(key, Outcome::Ran { cost });
         Next::Whole
     }
 
     fn failed(&mut self, key: AttemptKey, outcome: Outcome, text: &str) -> Next {
         self.live.retain(|live| live.key != key);
+        let answered = self.race.may_pass(key);
+        self.race.leave(key);
         match self.ticket.finish(key, outcome) {
-            _ if self.answer.has_begun() => Next::Cut,
+            _ if answered && self.answer.has_begun() => Next::Cut,
             Ended::Again | Ended::Open | Ended::Late => {
-                self.answer.reset();
+                if answered {
+                    self.answer.reset();
+                }
                 Next::Go
             }
             Ended::Refused(refusal) => Next::Refused(refusal),
@@ -396,14 +448,20 @@
 
     fn refuse(self, refusal: &admission::Refusal) -> End {
         match self.answer.into_request() {
-            Some(request) => End::Refused { request, refusal: refusal_of(refusal) },
+            Some(request) => End::Refused {
+                request,
+                refusal: refusal_of(refusal),
+            },
             None => End::Cut { ran: true },
         }
     }
 
     fn unknown(self, status: u16, text: String) -> End {
         match self.answer.into_request() {
-            Some(request) => End::Unknown { request, refusal: Refusal::unknown(status, text) },
+            Some(request) => End::Unknown {
+                request,
+                refusal: Refusal::unknown(status, text),
+            },
             None => End::Cut { ran: true },
         }
     }
@@ -412,7 +470,10 @@
         if self.live.is_empty() {
             let reason = admission::Reason::Deadline;
             let retry_after = Millis::secs(1);
-            return self.refuse(&admission::Refusal { reason, retry_after });
+            return self.refuse(&admission::Refusal {
+                reason,
+                retry_after,
+            });
         }
         let text = "no whole answer by the deadline: allow more time, or ask again if it may run \
                     twice";
@@ -459,7 +520,9 @@
 
 /// The secret that a request bears.
 pub fn bearer(request: &Request) -> Option<&str> {
-    http::field(request, "authorization")?.strip_prefix("Bearer ").map(str::trim)
+    http::field(request, "authorization")?
+        .strip_prefix("Bearer ")
+        .map(str::trim)
 }
 
 fn request_labels(org: &OrgName, prompt: Option<&Prompt>, method: &str) -> Labels {
@@ -484,7 +547,12 @@
         Some(prompt) if chosen.kind == Kind::Engines => (prompt.cost, prompt.prefix),
         _ => (Cost::CALL, Vec::new()),
     };
-    Need { cost, prefix, idempotent: chosen.idempotent, tried: Vec::new() }
+    Need {
+        cost,
+        prefix,
+        idempotent: chosen.idempotent,
+        tried: Vec::new(),
+    }
 }
 
 const fn priority_number(priority: Priority) -> u32 {
@@ -500,5 +568,7 @@
         name: header.field.as_str().as_str().to_ascii_lowercase(),
         value: header.value.as_str().into(),
     });
-    headers.filter(|header| !OWN_HEADERS.contains(&header.name.as_str())).collect()
+    headers
+        .filter(|header| !OWN_HEADERS.contains(&header.name.as_str()))
+        .collect()
 }
--- a/crates/filbertstack-entry/src/operators.rs
+++ b/crates/filbertstack-entry/src/operators.rs
@@ -10,8 +10,17 @@
 use filbertstack_control::command::Publish;
 use filbertstack_control::outcome::Outcome;
 use filbertstack_control::outcome::Reply;
+use filbertstack_control::register::Register;
 use filbertstack_core::Digest;
+use filbertstack_core::names::InstanceName;
 use filbertstack_core::names::OrgName;
+use filbertstack_policy::placement;
+use filbertstack_policy::placement::DeploymentStatus;
+use filbertstack_policy::placement::LoadFaults;
+use filbertstack_wire::Dialer;
+use filbertstack_wire::Role;
+use filbertstack_wire::messages::Ask;
+use filbertstack_wire::messages::Empty;
 use serde::Deserialize;
 use serde::Serialize;
 use serde_json::Value;
@@ -20,9 +29,12 @@
 use tiny_http::Request;
 
 use crate::call::bearer;
+use crate::fleet::CLOCK_START;
+use crate::fleet::Watcher;
 use crate::guard::Guard;
 use crate::http;
 use crate::http::Refusal;
+use crate::lead::standing;
 use crate::ledger::Ledger;
 use crate::ledger::ProposeError;
 use crate::members::Held;
@@ -38,6 +50,9 @@
 /// How long a change may take to commit: an election and a round.
 const PROPOSE_TIMEOUT: Duration = Duration::from_secs(8);
 
+/// How long an agent may take to answer.
+const DRAIN_TIMEOUT: Duration = Duration::from_secs(2);
+
 /// An `apply` as the client sends it.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -76,6 +91,14 @@
     pub store: String,
 }
 
+/// A `drain` as the client sends it.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct DrainRequest {
+    /// The target's instance name.
+    pub name: InstanceName,
+}
+
 /// Answers operators.
 #[derive(Debug)]
 pub struct Operators {
@@ -87,6 +110,8 @@
     pub views: Arc<Views>,
     /// What runs.
     pub members: Arc<Members>,
+    /// Links to agents.
+    pub dialer: Arc<Dialer>,
     /// The largest body, in bytes.
     pub max_body: usize,
 }
@@ -103,7 +128,12 @@
 
     fn route(&self, request: &mut Request, guard: &Guard) -> Result<(u16, Value), Refusal> {
         let operator = self.authenticate(request)?;
-        let path = request.url().split('?').next().unwrap_or_default().to_owned();
+        let path = request
+            .url()
+            .split('?')
+            .next()
+            .unwrap_or_default()
+            .to_owned();
         let what = path.strip_prefix(PREFIX).unwrap_or_default();
         match (request.method().clone(), what) {
             (Method::Post, "apply") => {
@@ -114,12 +144,22 @@
                 let wanted = self.read(request, guard)?;
                 self.publish(&operator, wanted)
             }
+            (Method::Post, "drain") => {
+                let wanted = self.read(request, guard)?;
+                self.drain(&wanted)
+            }
             (Method::Get, "declarations") => {
                 let view = self.views.get();
-                Ok((200, json!({ "revision": view.revision(), "declared": view.declared() })))
+                Ok((
+                    200,
+                    json!({ "revision": view.revision(), "declared": view.declared() }),
+                ))
             }
             (Method::Get, "status") => Ok((200, status(&self.views.get(), &self.members))),
-            _ => Err(Refusal::not_run(404, "operators have no such path: see the guide")),
+            _ => Err(Refusal::not_run(
+                404,
+                "operators have no such path: see the guide",
+            )),
         }
     }
 
@@ -141,8 +181,11 @@
     }
 
     fn apply(&self, operator: &OrgName, wanted: ApplyRequest) -> Result<(u16, Value), Refusal> {
-        let removals: Result<Vec<Object>, Refusal> =
-            wanted.removals.iter().map(|text| parse_object(text)).collect();
+        let removals: Result<Vec<Object>, Refusal> = wanted
+            .removals
+            .iter()
+            .map(|text| parse_object(text))
+            .collect();
         let body = Body::Apply(Apply {
             request: wanted.request,
             operator: operator.to_string(),
@@ -168,6 +211,20 @@
         self.propose(body)
     }
 
+    /// Tells the target's agent to take nothing new.
+    fn drain(&self, wanted: &DrainRequest) -> Result<(u16, Value), Refusal> {
+        let live = self.members.live();
+        let member = live.iter().find(|member| member.name == wanted.name);
+        let member = member
+            .ok_or_else(|| Refusal::not_run(404, "no live target has this name: see 'status'"))?;
+        let ask = Ask::Drain(Empty {});
+        let told = self
+            .dialer
+            .ask(member.addr, Role::Agent, ask, DRAIN_TIMEOUT);
+        told.map_err(|error| Refusal::not_run(503, error.to_string()).after_ms(1000))?;
+        Ok((200, json!({ "leaving": member.name })))
+    }
+
     fn propose(&self, body: Body) -> Result<(u16, Value), Refusal> {
         match self.ledger.propose(body, PROPOSE_TIMEOUT) {
             Ok(outcome) => Ok(outcome_json(outcome)),
@@ -189,74 +246,91 @@
         "rule" => Some(Kind::Rule),
         _ => None,
     };
-    let split = text.split_once(' ').and_then(|(kind, name)| Some((kind_of(kind)?, name)));
+    let split = text
+        .split_once(' ')
+        .and_then(|(kind, name)| Some((kind_of(kind)?, name)));
     let wrong = || {
-        let text = format!("'{text}' is nothing to remove: write 'deployment NAME', 'pool NAME' or \
-                            'rule NAME'");
+        let text = format!(
+            "'{text}' is nothing to remove: write 'deployment NAME', 'pool NAME' or \
+                            'rule NAME'"
+        );
         Refusal::not_run(400, text)
     };
-    split.map(|(kind, name)| Object::new(kind, name)).ok_or_else(wrong)
+    split
+        .map(|(kind, name)| Object::new(kind, name))
+        .ok_or_else(wrong)
 }
 
 /// An outcome as operators see it, with its HTTP status.
 fn outcome_json(outcome: Outcome) -> (u16, Value) {
     match outcome.reply {
         Some(Reply::Accepted(accepted)) => {
-            let warnings: Vec<String> =
-                accepted.warnings.iter().map(ToString::to_string).collect();
-            let Accepted { revision, changed } =
-                Accepted { revision: accepted.revision, changed: accepted.changed };
-            (200, json!({ "accepted": { "revision": revision, "changed": changed, "warnings": warnings } }))
+            let warnings: Vec<String> = accepted.warnings.iter().map(ToString::to_string).collect();
+            (
+                200,
+                json!({ "accepted": { "revision": accepted.revision, "changed": accepted.changed, "warnings": warnings } }),
+            )
         }
         Some(Reply::Conflict(conflict)) => {
             let won = conflict.won.map(|won| {
                 json!({ "revision": won.revision, "operator": won.operator, "request": won.request })
             });
-            (409, json!({ "conflict": { "current": conflict.current, "won": won } }))
+            (
+                409,
+                json!({ "conflict": { "current": conflict.current, "won": won } }),
+            )
         }
         Some(Reply::Rejected(rejected)) => {
             let reasons: Vec<String> = rejected.reasons.iter().map(ToString::to_string).collect();
             (422, json!({ "rejected": { "reasons": reasons } }))
         }
         Some(Reply::Done(done)) => (200, json!({ "done": { "changed": done.changed } })),
-        other => (500, json!({ "error": { "message": format!("unexpected: {other:?}") } })),
+        other => (
+            500,
+            json!({ "error": { "message": format!("unexpected: {other:?}") } }),
+        ),
     }
 }
 
-struct Accepted {
-    revision: u64,
-    changed: bool,
-}
-
 /// What is declared, what runs, and the difference.
 fn status(view: &View, members: &Members) -> Value {
     let live = members.live();
-    let deployments: Vec<Value> = view
-        .declared()
-        .deployments
-        .iter()
-        .map(|(name, declared)| {
-            let serving = live.iter().filter(|m| m.serving(name.as_str()) == Some(declared.version));
-            let names: Vec<&str> = serving.map(|member| member.name.as_str()).collect();
-            json!({
-                "deployment": name,
-                "version": declared.version,
-                "declared": declared.replicas,
-                "serving": names.len(),
-                "met": names.len() >= declared.replicas as usize,
-            })
-        })
-        .collect();
     let lost: Vec<String> = members.lost().iter().map(|m| m.name.to_string()).collect();
     json!({
         "revision": view.revision(),
         "term": view.term(),
-        "deployments": deployments,
+        "deployments": deployments(view, &live),
         "targets": live.iter().map(target).collect::<Vec<_>>(),
         "lost": lost,
     })
 }
 
+/// Each deployment as placement sees it from here.
+fn deployments(view: &View, live: &[Member]) -> Vec<Value> {
+    let now = CLOCK_START;
+    let chunks = |version: &Digest| view.version(*version).map_or(0, |facts| facts.chunks);
+    let weights = |version: &Digest| view.version(*version).map_or(0, |facts| facts.weights);
+    let fleet = Watcher::default().observe(now, live, &Register::default(), chunks);
+    let wants = placement::wants(view.declared(), weights);
+    let faults = LoadFaults::default();
+    let decision = placement::decide(&fleet, &wants, &standing(view), &faults, now);
+    let all = placement::status(&fleet, &wants, &decision, &faults, now);
+    all.iter().map(deployment).collect()
+}
+
+fn deployment(status: &DeploymentStatus) -> Value {
+    let why: Vec<String> = status.why.iter().map(ToString::to_string).collect();
+    json!({
+        "deployment": status.deployment,
+        "version": status.version,
+        "declared": status.difference.declared,
+        "serving": status.difference.serving,
+        "older": status.difference.older,
+        "met": status.is_met(),
+        "why": why,
+    })
+}
+
 fn target(member: &Member) -> Value {
     json!({
         "name": member.name,
--- a/crates/filbertstack-log/src/node/leader.rs
+++ b/crates/filbertstack-log/src/node/leader.rs
@@ -6,6 +6,7 @@
 
 use bytes::Bytes;
 
+use crate::config::Timing;
 use crate::ids::NodeId;
 use crate::message::Append;
 use crate::message::AppendReply;
@@ -21,6 +22,9 @@
 use crate::node::snapshots::Outgoing;
 use crate::node::transfer::Transfer;
 
+/// Up to how many followers heartbeats are not spaced out.
+const UNSPACED: u32 = 4;
+
 /// How entries go to one follower.
 #[derive(Debug)]
 pub(super) enum Flow {
@@ -49,6 +53,8 @@
     pub(super) round: u64,
     /// When something was last sent that wants an answer, or the last answer came.
     pub(super) touched: Duration,
+    /// When it last answered.
+    pub(super) heard: Duration,
     /// The commit index that it was last told.
     pub(super) told: u64,
 }
@@ -113,6 +119,7 @@
                 flow: Flow::Probe { sent: false },
                 round: 0,
                 touched,
+                heard: Duration::ZERO,
                 told: 0,
             });
         }
@@ -165,7 +172,11 @@
             return;
         }
         let due = self.now >= leader.heartbeat_at;
+        let opened = self.commit >= leader.opened;
         self.expire_transfer();
+        if opened && !self.is_voter() {
+            self.hand_over();
+        }
         if due {
             self.start_round();
             self.resend_quiet();
@@ -180,10 +191,11 @@
     /// Begins a heartbeat round: every follower is asked to confirm the leader.
     pub(super) fn start_round(&mut self) {
         let now = self.now;
-        let heartbeat = self.config.timing.heartbeat;
+        let timing = self.config.timing;
         let Role::Leader(leader) = &mut self.role else {
             return;
         };
+        let heartbeat = spaced(timing, leader.peers.len());
         leader.round += 1;
         leader.rounds.push_back((leader.round, now));
         leader.heartbeat_at = now + heartbeat;
@@ -298,6 +310,7 @@
         let Some(peer) = leader.peers.get_mut(&from) else {
             return;
         };
+        peer.heard = now;
         peer.round = peer.round.max(reply.round);
         if reply.reject {
             peer.on_reject(reply);
@@ -339,6 +352,16 @@
     }
 }
 
+/// The time between two heartbeat rounds to so many followers. A leader of eight would spend at
+/// rest all that a node may spend on control (8 KB/s); with longer pauses it spends little more
+/// than a leader of five, and two rounds still fit an election timeout.
+fn spaced(timing: Timing, followers: usize) -> Duration {
+    let followers = u32::try_from(followers).unwrap_or(u32::MAX).max(UNSPACED);
+    let wanted = timing.heartbeat.saturating_mul(followers) / UNSPACED;
+    let most = (timing.election_min * 2 / 5).max(timing.heartbeat);
+    wanted.min(most)
+}
+
 impl Peer {
     pub(super) fn probe(&mut self) {
         self.next = self.held + 1;
--- a/crates/filbertstack-policy/src/lib.rs
+++ b/crates/filbertstack-policy/src/lib.rs
@@ -10,8 +10,9 @@
 //! - [`outlier`]: which targets get none for a while;
 //! - [`retry`]: what may be tried again or twice at once.
 //!
-//! The leader of the replicated log decides with [`placement`] which instances hold which models;
-//! entries tell each other with [`gossip`] which instances there are.
+//! The leader of the replicated log decides with [`placement`] which instances hold which models, and
+//! with [`spread`] who fetches their weights from whom. Entries tell each other with [`gossip`]
+//! which instances there are.
 
 pub mod admission;
 pub mod cost;
@@ -24,6 +25,7 @@
 pub mod prefix;
 pub mod retry;
 pub mod route;
+pub mod spread;
 pub mod subset;
 pub mod target;
 pub mod window;
