Config leases and the agent's gate, pure

Leases go leader -> voters -> entries, never beyond the granter's own, counted from the ask; so a change is in force everywhere when each follower confirmed it or ran out of its lease, within 10.1 s of the accept by the leader's clock plus one ask. Chosen: an entry without a lease refuses as not run.

The gate takes no order after a restart until a majority of the latest known voters has spoken; an order names the agent's process, so a delayed one of the present term is refused as well.

--- a/crates/filbertstack-control/src/lib.rs
+++ b/crates/filbertstack-control/src/lib.rs
@@ -23,6 +23,8 @@
 pub mod claims;
 pub mod command;
 pub mod declared;
+pub mod gate;
+pub mod lease;
 pub mod limits;
 pub mod orders;
 pub mod outcome;
