--- a/crates/filbertstack-control/src/limits.rs
+++ b/crates/filbertstack-control/src/limits.rs
@@ -20,9 +20,9 @@
     pub const DEFAULT: Self = Self {
         requests: 4096,
         request_age: 24 * 3_600_000,
-        claims: 160_000,
-        org_claims: 40_000,
-        answers: 16 << 20,
+        claims: 100_000,
+        org_claims: 25_000,
+        answers: 8 << 20,
     };
 }
 
--- a/crates/filbertstack-policy/src/gossip.rs
+++ b/crates/filbertstack-policy/src/gossip.rs
@@ -27,6 +27,7 @@
 pub use entries::SEEN_WITHIN;
 pub use entries::homes;
 pub use entries::spread;
+pub(crate) use entries::weight;
 pub use message::Message;
 pub use message::MessageKind;
 pub use message::Outgoing;
--- a/crates/filbertstack-policy/src/gossip/entries.rs
+++ b/crates/filbertstack-policy/src/gossip/entries.rs
@@ -10,6 +10,8 @@
 
 use super::row::Row;
 use super::row::RowKind;
+use crate::subset::hash;
+use crate::subset::mix;
 
 /// How many entries answer for a target: two may be lost at once.
 pub const HOMES: usize = 3;
@@ -59,19 +61,10 @@
     weighed.into_iter().map(|(_, name)| name.clone()).collect()
 }
 
-/// The rendezvous hash of two texts: FNV-1a over both, then mixed so that all bits depend on all.
-/// It is drawn hundreds of thousands of times when an entry comes or goes, and nobody gains by
-/// forging it: whoever can choose names can choose addresses.
-pub(super) fn weight(key: &str, name: &str) -> u64 {
-    const BASIS: u64 = 0xcbf2_9ce4_8422_2325;
-    const PRIME: u64 = 0x0100_0000_01b3;
-    const MIX: u64 = 0xbf58_476d_1ce4_e5b9;
-    let bytes = key.bytes().chain([u8::MAX]).chain(name.bytes());
-    let fold = |hash: u64, byte| (hash ^ u64::from(byte)).wrapping_mul(PRIME);
-    let hash = bytes.fold(BASIS, fold);
-    let hash = (hash ^ (hash >> 31)).wrapping_mul(MIX);
-    let hash = (hash ^ (hash >> 29)).wrapping_mul(MIX);
-    hash ^ (hash >> 32)
+/// The rendezvous hash of two texts. Nobody gains by forging it: whoever can choose names can
+/// choose addresses.
+pub(crate) fn weight(key: &str, name: &str) -> u64 {
+    mix(hash(key).rotate_left(32) ^ hash(name))
 }
 
 /// An entry that is leaving: until when it must still serve callers.
--- a/crates/filbertstack-policy/src/placement.rs
+++ b/crates/filbertstack-policy/src/placement.rs
@@ -37,7 +37,6 @@
 pub use place::Placement;
 pub use place::SETTLE;
 pub use place::Shortfall;
-pub use roll::surge_of;
 pub use status::DRIFT_AFTER;
 pub use status::DeploymentStatus;
 pub use status::Difference;
--- a/crates/filbertstack-policy/src/placement/decide.rs
+++ b/crates/filbertstack-policy/src/placement/decide.rs
@@ -15,7 +15,7 @@
 use super::place::Shortfall;
 use super::place::place;
 use super::roll::roll;
-use super::roll::surge_of;
+use super::roll::surges;
 
 /// What one round came to.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -47,10 +47,7 @@
         faults,
         now,
     };
-    let extra: Vec<_> = wants
-        .iter()
-        .map(|want| surge_of(fleet, standing, want))
-        .collect();
+    let extra = surges(fleet, standing, wants);
     let placed = place(round, wants, &extra);
     let rolled = roll(round, wants, &placed.placement);
     Decision {
--- a/crates/filbertstack-policy/src/placement/place.rs
+++ b/crates/filbertstack-policy/src/placement/place.rs
@@ -4,7 +4,6 @@
 use std::collections::BTreeSet;
 use std::sync::Arc;
 
-use filbertstack_core::Digest;
 use filbertstack_core::Millis;
 use filbertstack_core::names::DeploymentName;
 use filbertstack_core::names::InstanceName;
@@ -16,6 +15,7 @@
 use super::fleet::Member;
 use super::fleet::Standing;
 use super::fleet::Want;
+use crate::gossip::weight;
 
 /// How long an instance that does not answer keeps its place.
 ///
@@ -310,7 +310,7 @@
 
 /// How well an instance suits, the best last: few deployments, much of the version, then a hash,
 /// so that deployments do not all start at the first name.
-type Suits = (std::cmp::Reverse<usize>, u8, Digest, usize);
+type Suits = (std::cmp::Reverse<usize>, u8, u64, usize);
 
 /// The instances that a deployment could take, by zone and rack.
 #[derive(Default)]
@@ -323,7 +323,7 @@
     fn add(&mut self, slot: &Slot, index: usize, want: &Want) {
         let member = slot.member;
         let share = member.share(&want.version);
-        let hash = Digest::of(format!("{} {}", want.deployment, slot.name).as_bytes());
+        let hash = weight(want.deployment.as_str(), slot.name.as_str());
         let suits = (std::cmp::Reverse(slot.load), share, hash, index);
         let racks = self.zones.entry(member.zone.clone()).or_default();
         racks.entry(member.rack.clone()).or_default().push(suits);
--- a/crates/filbertstack-policy/src/placement/roll.rs
+++ b/crates/filbertstack-policy/src/placement/roll.rs
@@ -30,18 +30,33 @@
 /// eight rounds of loading and leaves most of the spare memory to others.
 const SURGE_PART: usize = 8;
 
-/// How many spare instances the deployment needs now: those that serve another version and have
-/// no room for the declared one beside it, at most one in eight and at least one.
-pub fn surge_of(fleet: &Fleet, standing: &Standing, want: &Want) -> usize {
-    let swaps = |(name, assignments): (&InstanceName, &Vec<Assignment>)| {
-        let member = fleet.get(name)?;
-        let old = assignments.iter().any(|a| is_old(a, want, member));
-        let used = memory_used(member, Some(&want.version));
-        let fits = used + member.takes(want.memory) <= member.memory;
-        (old && !fits && !takes_memory(member, &want.version)).then_some(())
-    };
-    let needed = standing.iter().filter_map(swaps).count();
-    needed.min((want.replicas / SURGE_PART).max(1))
+/// How many spare instances each deployment needs now: as many as serve another version and have no
+/// room for the declared one beside it, at most one in eight and at least one.
+pub(super) fn surges(fleet: &Fleet, standing: &Standing, wants: &[Want]) -> Vec<usize> {
+    let index = wants.iter().enumerate();
+    let index: BTreeMap<_, _> = index.map(|(i, want)| (&want.deployment, i)).collect();
+    let mut swaps = vec![0; wants.len()];
+    for (name, assignments) in standing {
+        let Some(member) = fleet.get(name) else {
+            continue;
+        };
+        let old = |one: &&Assignment| {
+            let want = index.get(&one.deployment).map(|i| &wants[*i]);
+            want.is_some_and(|want| is_old(one, want, member) && !has_room(member, want))
+        };
+        let deployments = assignments.iter().filter(old).map(|one| &one.deployment);
+        for deployment in deployments.collect::<BTreeSet<_>>() {
+            swaps[index[deployment]] += 1;
+        }
+    }
+    let most = |want: &Want| (want.replicas / SURGE_PART).max(1);
+    let pairs = swaps.into_iter().zip(wants);
+    pairs.map(|(swaps, want)| swaps.min(most(want))).collect()
+}
+
+/// Whether the declared version is in the engine's memory or fits beside what is there.
+fn has_room(member: &Member, want: &Want) -> bool {
+    takes_memory(member, &want.version) || memory_used(member, None) + want.memory <= member.memory
 }
 
 fn is_old(assignment: &Assignment, want: &Want, member: &Member) -> bool {
