Gossip: only a home doubts a target that falls silent

Cause: an entry that heard one announcement of a target it does not answer for waited for the next and doubted it.

--- a/crates/filbertstack-policy/src/gossip/engine.rs
+++ b/crates/filbertstack-policy/src/gossip/engine.rs
@@ -127,8 +127,10 @@
     pub fn announce(&mut self, announcement: Announcement, now: Millis) -> Option<&Row> {
         let name = announcement.row.name.clone();
         self.merge(announcement.row, now);
-        let lease = now + self.settings.lease;
-        self.leases.insert(name.clone(), lease);
+        // Only a home waits for the next announcement: the target may just not know better yet.
+        if let Some(lease) = self.leases.get_mut(&name) {
+            *lease = now + self.settings.lease;
+        }
         self.row(&name)
     }
 
