--- a/crates/filbertstack-control/tests/fuzz/world.rs
+++ b/crates/filbertstack-control/tests/fuzz/world.rs
@@ -18,6 +18,7 @@
 use filbertstack_control::command::Object;
 use filbertstack_control::command::Orders;
 use filbertstack_control::command::Release;
+use filbertstack_control::command::Renew;
 use filbertstack_control::command::Settle;
 use filbertstack_control::orders::Fence;
 use filbertstack_control::outcome::Decision;
@@ -172,6 +173,7 @@
                 value,
                 stale,
             } => self.order(*target, *value, *stale),
+            Op::Renew(target) => self.renew(*target),
             Op::Restart(pick) => self.restart(*pick),
             Op::Pull(pick) => self.pull(usize::from(*pick)),
         }
@@ -395,6 +397,9 @@
         let Some((claim, fence)) = back(&self.granted, pick).cloned() else {
             return Ok(());
         };
+        // Another attempt, whose claim never arrived, is abandoned.
+        let other = self.new_claim(1, &claim.key, claim.issued, 0);
+        self.commit(Body::Abandon(other))?;
         let key = &self.claims.keys[&claim.key];
         if key.fence == fence {
             return Ok(());
@@ -421,11 +426,16 @@
         }
         let key = claim.key.clone();
         let release = Release {
-            organisation: claim.organisation,
-            key: claim.key,
+            organisation: claim.organisation.clone(),
+            key: claim.key.clone(),
             fence,
         };
-        let outcome = self.commit(Body::Release(release))?;
+        // Half of them have lost the outcome of their claim, and with it the fence.
+        let body = match fence % 2 {
+            0 => Body::Release(release),
+            _ => Body::Abandon(claim),
+        };
+        let outcome = self.commit(body)?;
         self.close(&key, Stage::Released, &outcome)
     }
 
@@ -433,13 +443,13 @@
         let now = self.clock;
         let row = self.claims.keys.get_mut(key).ok_or("no such key")?;
         match &outcome.reply {
-            Some(Reply::Done(_)) => {
+            Some(Reply::Done(done)) if done.changed => {
                 row.stage = stage;
                 row.changed = now;
                 Ok(())
             }
             // Forgotten, as only an unknown one can be.
-            Some(Reply::Stale(_)) if row.stage == Stage::Unknown => Ok(()),
+            Some(Reply::Stale(_) | Reply::Done(_)) if row.stage == Stage::Unknown => Ok(()),
             _ => Err(format!("an open claim could not be closed: {outcome:?}")),
         }
     }
@@ -500,6 +510,25 @@
         Ok(())
     }
 
+    fn renew(&mut self, target: u8) -> Result<(), String> {
+        let name = format!("engine-{target}");
+        let known = name.parse().map_err(|_| "a name")?;
+        let before = self.state.orders().get(&known).cloned();
+        self.commit(Body::Renew(Renew {
+            term: self.term,
+            targets: vec![name],
+        }))?;
+        let after = self.state.orders().get(&known).cloned();
+        match (before, after) {
+            (None, None) => Ok(()),
+            (Some(old), Some(new)) if new.fence > self.fence && new.holds == old.holds => {
+                self.fence = new.fence;
+                Ok(())
+            }
+            other => Err(format!("a renewed order is wrong: {other:?}")),
+        }
+    }
+
     /// The replica starts anew from some earlier snapshot and replays what followed.
     fn restart(&mut self, pick: u8) -> Result<(), String> {
         let at = usize::from(pick) * self.snapshots.len() / 256;
