--- a/crates/filbertstack-weights/src/manifest.rs
+++ b/crates/filbertstack-weights/src/manifest.rs
@@ -33,9 +33,24 @@
 /// The largest encoded manifest, in bytes: [`MAX_CHUNKS`] entries of 42 bytes and the names fit.
 pub const MAX_MANIFEST: usize = 4 << 20;
 
+/// The chunks that [`chunk_size`] aims at, at most.
+const AIM: u64 = 2_048;
+
 /// The format this code writes and reads.
 const FORMAT: u32 = 1;
 
+/// The chunk size for a version of `size` bytes, from [`DEFAULT_CHUNK`] to [`MAX_CHUNK`].
+///
+/// Each chunk costs a dozen announcements at each target, so that there should not be many; with
+/// fewer than some hundred, a target could pass on little before it has the whole.
+pub fn chunk_size(size: u64) -> u32 {
+    let mut chunk = DEFAULT_CHUNK;
+    while u64::from(chunk) * AIM < size && chunk < MAX_CHUNK {
+        chunk *= 2;
+    }
+    chunk
+}
+
 /// A directory or an encoded manifest that makes no version.
 #[derive(Debug, Error)]
 pub enum ManifestError {
--- a/crates/filbertstack-weights/tests/manifest.rs
+++ b/crates/filbertstack-weights/tests/manifest.rs
@@ -5,6 +5,10 @@
 use std::fs;
 use std::os::unix::fs::symlink;
 use std::sync::Arc;
+use std::sync::LazyLock;
+
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
 
 use filbertstack_core::Digest;
 use filbertstack_weights::Manifest;
@@ -12,6 +16,7 @@
 use filbertstack_weights::manifest::File;
 use filbertstack_weights::manifest::MAX_CHUNKS;
 use filbertstack_weights::manifest::ManifestError;
+use filbertstack_weights::manifest::chunk_size;
 
 use support::CHUNK;
 use support::sample;
@@ -151,3 +156,31 @@
     let looped = Manifest::of_dir(dir.path(), CHUNK).unwrap_err();
     assert!(matches!(looped, ManifestError::Kind { .. }), "{looped}");
 }
+
+#[test]
+fn the_chunk_size_follows_the_versions_size() {
+    let sizes = [1 << 20, 8 << 30, (8 << 30) + 1, 140 << 30, 4 << 40].map(chunk_size);
+    assert_eq!(sizes, [4 << 20, 4 << 20, 8 << 20, 64 << 20, 64 << 20]);
+}
+
+static ENCODED: LazyLock<Vec<u8>> = LazyLock::new(|| sample(1).manifest.encode().to_vec());
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        rng_seed: RngSeed::Fixed(7),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn any_bytes_are_a_manifest_or_an_error(at in 0..700_usize, byte: u8, cut in 0..700_usize) {
+        let mut bytes = ENCODED.clone();
+        if let Some(old) = bytes.get_mut(at) {
+            *old = byte;
+        }
+        bytes.truncate(cut);
+        if let Ok(manifest) = Manifest::decode(Digest::of(&bytes), &bytes) {
+            prop_assert_eq!(manifest.encode(), bytes);
+        }
+    }
+}
