Weights: a copier that sleeps when it has nothing to do, and counts what is missing

Each landed chunk looked through all chunks of all versions; now it takes one from the count of the versions that have it. Agents whose versions are whole do not wake up. Announcements come as places, so that a single chunk costs a single step.

--- a/crates/filbertstack-weights/src/copy/catalogue.rs
+++ b/crates/filbertstack-weights/src/copy/catalogue.rs
@@ -14,7 +14,8 @@
 pub(super) struct Entry {
     pub(super) manifest: Arc<Manifest>,
     pub(super) indices: Vec<ChunkIndex>,
-    pub(super) complete: bool,
+    /// The places whose chunks are not held.
+    pub(super) missing: usize,
 }
 
 /// Maps chunks to indices; a chunk of two versions has one.
@@ -36,10 +37,11 @@
         }
         let wants: Vec<_> = manifest.wants().collect();
         let indices = wants.into_iter().map(|want| self.index(want)).collect();
+        let missing = manifest.chunks().len();
         let entry = Entry {
             manifest,
             indices,
-            complete: false,
+            missing,
         };
         Some(self.versions.entry(root).or_insert(entry))
     }
@@ -107,7 +109,40 @@
         self.versions.get(&root)
     }
 
-    pub(super) fn versions(&mut self) -> impl Iterator<Item = (&Digest, &mut Entry)> {
-        self.versions.iter_mut()
+    /// The versions that have a chunk.
+    pub(super) fn users(&self, index: ChunkIndex) -> impl Iterator<Item = Digest> {
+        let wants = self.wants.get(index as usize).into_iter().flatten();
+        wants.map(|want| want.version)
+    }
+
+    pub(super) fn roots(&self) -> Vec<Digest> {
+        self.versions.keys().copied().collect()
+    }
+
+    /// Counts what a version lacks; whether that has become nothing.
+    pub(super) fn recount(&mut self, root: Digest, held: impl Fn(ChunkIndex) -> bool) -> bool {
+        let Some(entry) = self.versions.get_mut(&root) else {
+            return false;
+        };
+        let missing = entry.indices.iter().filter(|index| !held(**index));
+        let before = std::mem::replace(&mut entry.missing, missing.count());
+        before > 0 && entry.missing == 0
+    }
+
+    /// Takes note that a chunk came; the versions that it made complete.
+    pub(super) fn landed(&mut self, index: ChunkIndex) -> Vec<Digest> {
+        let users: Vec<_> = self.users(index).collect();
+        let mut complete = Vec::new();
+        for root in users {
+            // A version that has the chunk in two places is named twice.
+            let Some(entry) = self.versions.get_mut(&root) else {
+                continue;
+            };
+            entry.missing -= 1;
+            if entry.missing == 0 {
+                complete.push(root);
+            }
+        }
+        complete
     }
 }
--- a/crates/filbertstack-weights/src/copy/core.rs
+++ b/crates/filbertstack-weights/src/copy/core.rs
@@ -90,7 +90,19 @@
                 self.pull.hold(index);
             }
         }
-        self.completed()
+        // What the store held may complete versions that were wanted before, too.
+        let roots = self.catalogue.roots();
+        roots
+            .into_iter()
+            .filter_map(|root| self.recount(root))
+            .collect()
+    }
+
+    /// Counts anew what a version lacks.
+    fn recount(&mut self, root: Digest) -> Option<CopyEvent> {
+        let held = self.pull.held();
+        let complete = self.catalogue.recount(root, |index| held.contains(index));
+        complete.then_some(CopyEvent::Complete { root })
     }
 
     /// Copies a version no more; chunks that another version wants are still fetched.
@@ -131,13 +143,19 @@
         self.reclaim();
     }
 
-    /// Takes note of the chunks of a version that an upstream holds; those of a version that is
-    /// not wanted are passed over.
-    pub fn announce(&mut self, key: NeighbourKey, root: Digest, held: &ChunkSet) {
+    /// Takes note of the chunks that an upstream holds, by their places in the manifest of a
+    /// version; those of a version that is not wanted are passed over.
+    pub fn announce(
+        &mut self,
+        key: NeighbourKey,
+        root: Digest,
+        places: impl IntoIterator<Item = ChunkIndex>,
+    ) {
         let Some(entry) = self.catalogue.version(root) else {
             return;
         };
-        let indices = held.iter().filter_map(|at| entry.indices.get(at as usize));
+        let places = places.into_iter();
+        let indices = places.filter_map(|at| entry.indices.get(at as usize));
         for &index in indices {
             self.pull.announce(key, index);
         }
@@ -163,14 +181,23 @@
         }
     }
 
-    /// Takes note that chunks of a version were found damaged or gone.
+    /// Takes note that chunks of a version were found damaged or gone, by their places in its
+    /// manifest.
     pub fn lost(&mut self, root: Digest, places: &[u32]) {
-        for (_, entry) in self.catalogue.versions().filter(|(key, _)| **key == root) {
-            entry.complete = false;
-            let lost = places
-                .iter()
-                .filter_map(|at| entry.indices.get(*at as usize));
-            lost.for_each(|&index| self.pull.lose(index));
+        let Some(entry) = self.catalogue.version(root) else {
+            return;
+        };
+        let indices = places.iter().map(|at| entry.indices.get(*at as usize));
+        let indices: Vec<_> = indices.flatten().copied().collect();
+        let mut roots = vec![root];
+        for index in indices {
+            self.pull.lose(index);
+            roots.extend(self.catalogue.users(index));
+        }
+        roots.sort_unstable();
+        roots.dedup();
+        for root in roots {
+            self.recount(root);
         }
     }
 
@@ -228,7 +255,12 @@
             self.grants.remove(&job.index);
         }
         let mut events = vec![CopyEvent::Landed { chunk, granted }];
-        events.extend(self.completed());
+        let complete = self.catalogue.landed(job.index);
+        events.extend(
+            complete
+                .into_iter()
+                .map(|root| CopyEvent::Complete { root }),
+        );
         events
     }
 
@@ -261,19 +293,6 @@
         Vec::new()
     }
 
-    fn completed(&mut self) -> Vec<CopyEvent> {
-        let held = self.pull.held();
-        let mut events = Vec::new();
-        for (&root, entry) in self.catalogue.versions() {
-            let all = entry.indices.iter().all(|&index| held.contains(index));
-            if all && !entry.complete {
-                entry.complete = true;
-                events.push(CopyEvent::Complete { root });
-            }
-        }
-        events
-    }
-
     fn worn_out(&mut self) -> Vec<CopyEvent> {
         let worn = self.pull.worn();
         let new = worn.iter().filter(|key| !self.worn.contains(key));
@@ -297,6 +316,11 @@
         events
     }
 
+    /// Whether there is nothing to do until the agent says something new.
+    pub fn is_idle(&self) -> bool {
+        self.pull.is_complete() && self.later.is_empty()
+    }
+
     /// The chunks of a version in the store, to announce; `None` if it is not wanted.
     pub fn holding(&self, root: Digest) -> Option<ChunkSet> {
         let entry = self.catalogue.version(root)?;
--- a/crates/filbertstack-weights/src/copy/pool.rs
+++ b/crates/filbertstack-weights/src/copy/pool.rs
@@ -13,6 +13,7 @@
 
 use filbertstack_core::Digest;
 use filbertstack_core::Millis;
+use filbertstack_policy::spread::chunks::ChunkIndex;
 use filbertstack_policy::spread::chunks::ChunkSet;
 use filbertstack_policy::spread::pace::Bucket;
 use filbertstack_policy::spread::pull::NeighbourKey;
@@ -98,6 +99,7 @@
     /// See [`Core::forget`].
     pub fn forget(&self, root: Digest) {
         self.shared.lock().core.forget(root);
+        self.shared.wake.notify_all();
     }
 
     /// See [`Core::add_peer`].
@@ -112,8 +114,13 @@
     }
 
     /// See [`Core::announce`].
-    pub fn announce(&self, key: NeighbourKey, root: Digest, held: &ChunkSet) {
-        self.shared.lock().core.announce(key, root, held);
+    pub fn announce(
+        &self,
+        key: NeighbourKey,
+        root: Digest,
+        places: impl IntoIterator<Item = ChunkIndex>,
+    ) {
+        self.shared.lock().core.announce(key, root, places);
         self.shared.wake.notify_all();
     }
 
@@ -213,8 +220,14 @@
                 let wait = state.bucket.take(size, now);
                 return Some((job, wait));
             }
-            let waited = self.wake.wait_timeout(state, TICK);
-            state = waited.unwrap_or_else(PoisonError::into_inner).0;
+            // An agent whose versions are whole costs no wake-ups.
+            state = if state.core.is_idle() {
+                let waited = self.wake.wait(state);
+                waited.unwrap_or_else(PoisonError::into_inner)
+            } else {
+                let waited = self.wake.wait_timeout(state, TICK);
+                waited.unwrap_or_else(PoisonError::into_inner).0
+            };
         }
     }
 }
--- a/crates/filbertstack-weights/tests/copy.rs
+++ b/crates/filbertstack-weights/tests/copy.rs
@@ -53,7 +53,7 @@
 fn join(core: &mut Core, sample: &Sample, peer: &Arc<MemoryPeer>, place: u32) {
     let key = core.add_peer(peer.clone(), seat(place, 2));
     let all = ChunkSet::full(sample.bytes.len());
-    core.announce(key, sample.manifest.root(), &all);
+    core.announce(key, sample.manifest.root(), all.iter());
 }
 
 /// Makes the fetches one after the other, a turn each, for two minutes.
@@ -332,7 +332,7 @@
                     }
                     let held = agent.copier.holding(root).unwrap();
                     for &(down, key) in &downs[up] {
-                        agents[down].copier.announce(key, root, &held);
+                        agents[down].copier.announce(key, root, held.iter());
                     }
                 }
                 CopyEvent::Complete { .. } => complete += 1,
@@ -357,7 +357,9 @@
     let peer = Arc::new(MemoryPeer::new(&sample.bytes));
     let key = agent.copier.add_peer(peer, seat(0, 1));
     let all = ChunkSet::full(sample.bytes.len());
-    agent.copier.announce(key, sample.manifest.root(), &all);
+    agent
+        .copier
+        .announce(key, sample.manifest.root(), all.iter());
     let root = sample.manifest.root();
     let complete = CopyEvent::Complete { root };
     while agent.events.recv_timeout(LONG).unwrap() != complete {}
--- a/crates/filbertstack-weights/tests/lifecycle.rs
+++ b/crates/filbertstack-weights/tests/lifecycle.rs
@@ -220,7 +220,7 @@
                 };
                 let key = self.core.add_peer(peer, seat);
                 let all = ChunkSet::full(sample.bytes.len());
-                self.core.announce(key, sample.manifest.root(), &all);
+                self.core.announce(key, sample.manifest.root(), all.iter());
                 key
             })
             .collect();
