Weights: tests that no chunk is under way twice and that held chunks count at once

Two broken variants passed the tests until now: an index for each version of a chunk, and no look into the store before requesting. Both are caught here.

--- a/crates/filbertstack-weights/tests/copy.rs
+++ b/crates/filbertstack-weights/tests/copy.rs
@@ -165,6 +165,31 @@
     assert_eq!(peers[0].count() + peers[1].count(), 13 + 13 - 5);
 }
 
+// Two versions with common chunks are wanted at the same moment, with upstreams enough to request
+// everything at once. No chunk is under way twice.
+#[test]
+fn no_chunk_is_under_way_twice() {
+    let (one, two) = (sample(1), sample(2));
+    let config = PullConfig {
+        slots: 64,
+        ..PullConfig::default()
+    };
+    let mut core = Core::new(Arc::new(Store::memory(100_000)), config, 1);
+    for sample in [&one, &two] {
+        core.want(sample.manifest.clone());
+        for _ in 0..20 {
+            let peer = Arc::new(MemoryPeer::new(&sample.bytes));
+            join(&mut core, sample, &peer, 0);
+        }
+    }
+    let jobs = std::iter::from_fn(|| core.next(Millis::ZERO));
+    let mut chunks: Vec<_> = jobs.map(|job| job.want.chunk.digest).collect();
+    assert_eq!(chunks.len(), 13 + 13 - 5);
+    chunks.sort_unstable();
+    chunks.dedup();
+    assert_eq!(chunks.len(), 13 + 13 - 5);
+}
+
 // The version is replaced in the middle of a copy, with a transfer under way. The transfer ends
 // after its version is forgotten and its index could name a chunk of the next one.
 #[test]
@@ -252,6 +277,7 @@
     let mut core = Core::new(store.clone(), PullConfig::default(), 1);
     let peer = Arc::new(MemoryPeer::new(&sample.bytes));
     core.want(sample.manifest.clone());
+    assert_eq!(core.progress(sample.manifest.root()).unwrap().held, 10);
     join(&mut core, &sample, &peer, 0);
     let events = drive(&mut core, &store);
     assert_eq!(completes(&events, &sample), 1);
