Spread: chunks that only a slow or a lost instance holds

A chunk that only a slow upstream holds is now requested first; a chunk brought in a moment before its holder is lost is granted anew at once under 'weigh = time', and a grant for a chunk that is held already costs no source a byte.

--- a/crates/filbertstack-policy/src/spread/pull.rs
+++ b/crates/filbertstack-policy/src/spread/pull.rs
@@ -253,9 +253,14 @@
         }
     }
 
-    /// Allows this agent to bring `chunk` in from outside, as a token of the leader says.
-    pub fn import(&mut self, chunk: ChunkIndex) {
-        self.imports.push_back(chunk);
+    /// Allows this agent to bring `chunk` in from outside, as a token of the leader says; false if
+    /// it holds the chunk already and is to tell the leader so.
+    pub fn import(&mut self, chunk: ChunkIndex) -> bool {
+        let missing = !self.held.contains(chunk);
+        if missing {
+            self.imports.push_back(chunk);
+        }
+        missing
     }
 
     /// The next request, which is in flight from now on; `None` while there is nothing to request
@@ -264,7 +269,8 @@
         if self.flights.len() >= self.config.slots || self.is_complete() {
             return None;
         }
-        let found = self.next_import().or_else(|| self.next_neighbour(now));
+        let found = self.next_import().or_else(|| self.next_sole(now));
+        let found = found.or_else(|| self.next_neighbour(now));
         let found = found.or_else(|| self.next_double(now));
         let Some((from, chunk)) = found else {
             self.note_idle(now);
@@ -302,6 +308,20 @@
         None
     }
 
+    /// A chunk that only one upstream holds, and that one is slow.
+    ///
+    /// Asked last, it would keep the chunk until nothing else is left to request: the symptom is
+    /// that all agents wait for the same chunk at the end. Its slow transfer leaves room beside it.
+    fn next_sole(&self, now: Millis) -> Option<(Upstream, ChunkIndex)> {
+        let slow = self.neighbours.iter().filter(|(_, n)| n.is_slow());
+        let mut free = slow.filter(|(_, n)| n.is_free(now));
+        free.find_map(|(key, neighbour)| {
+            let chunk = self.rarest(neighbour)?;
+            let sole = self.copies(chunk) == 1;
+            sole.then_some((Upstream::Neighbour(key), chunk))
+        })
+    }
+
     fn next_neighbour(&self, now: Millis) -> Option<(Upstream, ChunkIndex)> {
         let free = self.neighbours.iter().filter(|(_, n)| n.is_free(now));
         let turn = self.turns.turn(now);
--- a/crates/filbertstack-policy/src/spread/pull/neighbour.rs
+++ b/crates/filbertstack-policy/src/spread/pull/neighbour.rs
@@ -161,6 +161,10 @@
             .is_some_and(|pace| pace.0 > SLOW * median.0.max(1));
     }
 
+    pub(super) fn is_slow(&self) -> bool {
+        self.slow
+    }
+
     pub(super) fn is_worn(&self) -> bool {
         self.strikes >= WORN
     }
--- a/crates/filbertstack-policy/src/spread/tokens.rs
+++ b/crates/filbertstack-policy/src/spread/tokens.rs
@@ -125,10 +125,18 @@
     }
 
     /// Removes a target; what it was to bring in is granted to others.
-    pub fn leave(&mut self, target: TargetKey) {
+    ///
+    /// Chunks that it brought in a moment ago may be lost with it. Who weighs time has them granted
+    /// anew at once: else all targets would find out at the end of their copies and wait for the
+    /// same few chunks together. Who weighs origin bytes waits for that.
+    pub fn leave(&mut self, target: TargetKey, now: Millis) {
+        let fresh = match self.config.weigh {
+            Weigh::Time => self.config.lease,
+            Weigh::Origin => Millis::ZERO,
+        };
         let home = self.homes.remove(&target);
         if let Some(region) = home.and_then(|home| self.regions.get_mut(&home)) {
-            region.leave(target);
+            region.leave(target, now, fresh);
         }
     }
 
@@ -275,7 +283,9 @@
             Import::Granted { until, .. } => Answer::Wait {
                 after: until.since(now).max(Millis(1)),
             },
-            Import::Landed { by: holder, asked } if holder != by => {
+            Import::Landed {
+                by: holder, asked, ..
+            } if holder != by => {
                 let (first, count) = asked.unwrap_or((now, 0));
                 match ((first + lease).since(now), count) {
                     (Millis::ZERO, _) => self.grant_again(&home, chunk, by, now),
--- a/crates/filbertstack-policy/src/spread/tokens/region.rs
+++ b/crates/filbertstack-policy/src/spread/tokens/region.rs
@@ -33,6 +33,8 @@
     Landed {
         /// The target.
         by: TargetKey,
+        /// When it had it.
+        at: Millis,
         /// When it was first asked for since, and how often.
         asked: Option<(Millis, u32)>,
     },
@@ -77,23 +79,24 @@
         self.members.push(Member { key, out, slow });
     }
 
-    pub(super) fn leave(&mut self, key: TargetKey) {
-        self.members.retain(|member| member.key != key);
+    /// Removes a member. Chunks that it brought in less than `fresh` ago are queued again.
+    pub(super) fn leave(&mut self, key: TargetKey, now: Millis, fresh: Millis) {
         let imports = self.imports.iter();
         let touched: Vec<_> = imports
             .filter_map(|(&chunk, &import)| match import {
                 Import::Granted { to, .. } if to == Some(key) => Some((chunk, true)),
-                Import::Landed { by, .. } if by == key => Some((chunk, false)),
+                Import::Landed { by, at, .. } if by == key => Some((chunk, now.since(at) < fresh)),
                 _ => None,
             })
             .collect();
-        for (chunk, granted) in touched {
-            if granted {
+        for (chunk, again) in touched {
+            if again {
                 self.requeue(chunk);
             } else {
                 self.imports.insert(chunk, Import::Lost);
             }
         }
+        self.members.retain(|member| member.key != key);
     }
 
     pub(super) fn publish(&mut self, chunk: Digest) {
@@ -221,8 +224,14 @@
         }
         self.end_grant(chunk);
         self.queue.retain(|&queued| queued != chunk);
-        self.imports
-            .insert(chunk, Import::Landed { by, asked: None });
+        self.imports.insert(
+            chunk,
+            Import::Landed {
+                by,
+                at: now,
+                asked: None,
+            },
+        );
     }
 
     fn compare(&mut self, by: TargetKey, took: u64) {
--- a/crates/filbertstack-policy/tests/spread_agent.rs
+++ b/crates/filbertstack-policy/tests/spread_agent.rs
@@ -187,9 +187,11 @@
     assert_eq!(from(next), Some((Upstream::Neighbour(other), 0)));
 }
 
+// A slow upstream is asked last, unless it alone holds a chunk: else all of its downstreams would
+// leave that chunk to the end and wait for it together.
 #[test]
-fn a_slow_upstream_is_asked_last() {
-    let mut pull = pull(12);
+fn a_slow_upstream_is_asked_last_but_for_what_it_alone_holds() {
+    let mut pull = pull(13);
     let all: Vec<_> = (0..12).collect();
     let keys = [0, 1, 2].map(|place| peer(&mut pull, seat(Near::Zone, place, 3), &all));
     for turn in 0..6 {
@@ -200,6 +202,9 @@
     }
     let next = pull.next(Millis(50 * 6)).unwrap();
     assert_eq!(next.from, Upstream::Neighbour(keys[1]));
+    pull.announce(keys[0], 12);
+    let sole = pull.next(Millis(50 * 6));
+    assert_eq!(from(sole), Some((Upstream::Neighbour(keys[0]), 12)));
 }
 
 #[test]
--- a/crates/filbertstack-policy/tests/spread_leader.rs
+++ b/crates/filbertstack-policy/tests/spread_leader.rs
@@ -150,7 +150,7 @@
     assert!(tokens.grant(Millis(9_999)).is_empty());
     let second = tokens.grant(Millis::secs(10))[0];
     assert_ne!(second.to, first.to);
-    tokens.leave(second.to);
+    tokens.leave(second.to, Millis::secs(10));
     let third = tokens.grant(Millis::secs(10))[0];
     assert!(third.to != second.to && third.chunk == first.chunk);
     tokens.failed(third.chunk, third.to);
@@ -199,13 +199,27 @@
     let again = tokens.ask(chunk, others[0], at(11));
     assert!(matches!(again, Answer::Granted(again) if again.to == others[0]));
     tokens.landed(chunk, others[0], at(12));
-    tokens.leave(others[0]);
+    tokens.leave(others[0], at(60));
     assert!(matches!(
         tokens.ask(chunk, others[1], at(13)),
         Answer::Granted(_)
     ));
     let unknown = Digest::of(b"unknown");
-    assert_eq!(tokens.ask(unknown, asker, at(13)), Answer::Unknown);
+    assert_eq!(tokens.ask(unknown, asker, at(60)), Answer::Unknown);
+}
+
+// The holder of a chunk is lost a moment after it brought it in. Who weighs time does not wait
+// until somebody misses the chunk.
+#[test]
+fn a_chunk_lost_with_its_holder_is_granted_anew() {
+    for (weigh, again) in [(Weigh::Time, 1), (Weigh::Origin, 0)] {
+        let (mut tokens, _) = tokens(weigh, &["van"]);
+        tokens.publish(digests(1));
+        let grant = tokens.grant(Millis::ZERO)[0];
+        tokens.landed(grant.chunk, grant.to, Millis(100));
+        tokens.leave(grant.to, Millis(200));
+        assert_eq!(tokens.grant(Millis(200)).len(), again);
+    }
 }
 
 // A new leader knows no grant. It grants nothing for a lease, hears what has landed, and brings in
--- a/crates/filbertstack-policy/tests/spread_model/mesh/leader.rs
+++ b/crates/filbertstack-policy/tests/spread_model/mesh/leader.rs
@@ -19,7 +19,8 @@
         for (_, at) in due {
             let key = self.nodes[at].key;
             let orphans = self.plan.leave(key);
-            self.tokens.leave(key);
+            let now = self.leader_now();
+            self.tokens.leave(key, now);
             self.leader += 1;
             for orphan in orphans {
                 let orphan = self.index[&orphan];
@@ -61,7 +62,10 @@
             ImportFrom::Peer(key) => Some(self.index[&key]),
         };
         self.nodes[to].sources.insert(chunk, from);
-        self.nodes[to].pull.import(chunk);
+        if !self.nodes[to].pull.import(chunk) {
+            let now = self.leader_now();
+            self.tokens.landed(grant.chunk, grant.to, now);
+        }
     }
 
     pub(super) fn escalate(&mut self, at: usize, now: Millis) {
--- a/crates/filbertstack-policy/tests/spread_model/mesh/links.rs
+++ b/crates/filbertstack-policy/tests/spread_model/mesh/links.rs
@@ -130,8 +130,10 @@
             let waiting = asks.remove(chosen);
             self.begin(Some(at), &waiting);
         }
+        // A slow upstream knows that it is busy for longer than a round.
+        let after = Millis(1 + (self.nodes[at].slow - 1) * ROUND.0);
         for waiting in asks {
-            self.refuse(&waiting, Fault::Busy { after: Millis(1) });
+            self.refuse(&waiting, Fault::Busy { after });
         }
     }
 
--- a/crates/filbertstack-weights/src/copy/core.rs
+++ b/crates/filbertstack-weights/src/copy/core.rs
@@ -172,13 +172,23 @@
     }
 
     /// Takes a grant of the leader: `chunk` of the version `root` may be fetched from `sources`,
-    /// the weight store before the origin.
-    pub fn grant(&mut self, root: Digest, chunk: Digest, sources: Vec<Arc<dyn AnySource>>) {
-        if let Some(index) = self.catalogue.index_of(chunk) {
+    /// the weight store before the origin. A chunk that is held already costs no source a byte.
+    pub fn grant(
+        &mut self,
+        root: Digest,
+        chunk: Digest,
+        sources: Vec<Arc<dyn AnySource>>,
+    ) -> Vec<CopyEvent> {
+        let Some(index) = self.catalogue.index_of(chunk) else {
+            return Vec::new();
+        };
+        if self.pull.import(index) {
             let sources = sources.into();
             self.grants.insert(index, Grant { root, sources });
-            self.pull.import(index);
+            return Vec::new();
         }
+        let granted = true;
+        vec![CopyEvent::Landed { chunk, granted }]
     }
 
     /// Takes note that chunks of a version were found damaged or gone, by their places in its
@@ -250,10 +260,8 @@
         if !self.pull.landed(job.flight, now) || self.catalogue.index_of(chunk) != Some(job.index) {
             return Vec::new();
         }
-        let granted = job.from == Upstream::Import;
-        if granted {
-            self.grants.remove(&job.index);
-        }
+        // It may have come from a peer before its grant was used: the leader is told all the same.
+        let granted = self.grants.remove(&job.index).is_some();
         let mut events = vec![CopyEvent::Landed { chunk, granted }];
         let complete = self.catalogue.landed(job.index);
         events.extend(
--- a/crates/filbertstack-weights/src/copy/pool.rs
+++ b/crates/filbertstack-weights/src/copy/pool.rs
@@ -126,7 +126,9 @@
 
     /// See [`Core::grant`].
     pub fn grant(&self, root: Digest, chunk: Digest, sources: Vec<Arc<dyn AnySource>>) {
-        self.shared.lock().core.grant(root, chunk, sources);
+        let mut state = self.shared.lock();
+        let events = state.core.grant(root, chunk, sources);
+        state.send(events);
         self.shared.wake.notify_all();
     }
 
