--- a/crates/filbertstack-weights/tests/copy.rs
+++ b/crates/filbertstack-weights/tests/copy.rs
@@ -264,6 +264,25 @@
     assert_eq!(origin.count(), 1);
 }
 
+// A grant comes for a chunk that a peer has sent meanwhile. The origin is not asked, and the leader
+// hears that the chunk is there; else the grant would stay out until its lease ends.
+#[test]
+fn a_grant_for_a_held_chunk_is_answered_at_once() {
+    let sample = sample(1);
+    let (mut core, store) = core();
+    let origin = Arc::new(MemoryPeer::new(&sample.bytes));
+    let peer = Arc::new(MemoryPeer::new(&sample.bytes));
+    core.want(sample.manifest.clone());
+    join(&mut core, &sample, &peer, 0);
+    drive(&mut core, &store);
+    let chunk = sample.manifest.chunks()[4].digest;
+    let events = core.grant(sample.manifest.root(), chunk, vec![origin.clone()]);
+    let granted = true;
+    assert_eq!(events, [CopyEvent::Landed { chunk, granted }]);
+    drive(&mut core, &store);
+    assert_eq!(origin.count(), 0);
+}
+
 #[test]
 fn chunks_in_the_store_are_not_fetched_again() {
     let sample = sample(1);
