Spread: a join says who gets new links

Strides follow the ring's length, so that a ring that passes a power of two gets new links as a whole, and every other join touches a dozen targets.

--- a/crates/filbertstack-policy/src/spread/plan.rs
+++ b/crates/filbertstack-policy/src/spread/plan.rs
@@ -71,6 +71,17 @@
     pub seat: Seat,
 }
 
+/// What came of a target's joining.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Joined {
+    /// The target.
+    pub key: TargetKey,
+    /// The targets that are to get new links, beside the new one: a dozen that have it as an
+    /// upstream, or all of a ring whose strides changed, which happens when its length passes a
+    /// power of two.
+    pub relink: Vec<TargetKey>,
+}
+
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum RingName {
     Zone(RegionName, ZoneName),
@@ -95,14 +106,23 @@
         }
     }
 
-    /// Adds a target. [`Plan::downstreams`] names those that get new links by it.
-    pub fn join(&mut self, target: Target) -> TargetKey {
+    /// Adds a target.
+    pub fn join(&mut self, target: Target) -> Joined {
         let names = self.ring_names(&target);
         let key = self.targets.insert(target);
+        let mut relink = BTreeSet::new();
         for name in names {
-            self.rings.entry(name).or_default().join(key);
+            let ring = self.rings.entry(name).or_default();
+            let before = strides(ring.len(), self.config.fanout);
+            ring.join(key);
+            if strides(ring.len(), self.config.fanout) != before {
+                relink.extend(ring.members());
+            }
         }
-        key
+        relink.extend(self.downstreams(key));
+        relink.remove(&key);
+        let relink = relink.into_iter().collect();
+        Joined { key, relink }
     }
 
     /// Removes a target; the targets that had it as an upstream need new links.
--- a/crates/filbertstack-policy/src/spread/plan/ring.rs
+++ b/crates/filbertstack-policy/src/spread/plan/ring.rs
@@ -43,6 +43,15 @@
         self.places.insert(key, place);
     }
 
+    /// The places, those of targets that left included.
+    pub(super) fn len(&self) -> usize {
+        self.slots.len()
+    }
+
+    pub(super) fn members(&self) -> impl Iterator<Item = TargetKey> {
+        self.places.keys().copied()
+    }
+
     pub(super) fn leave(&mut self, key: TargetKey) {
         if let Some(place) = self.places.remove(&key) {
             self.slots[place] = None;
--- a/crates/filbertstack-policy/tests/spread_leader.rs
+++ b/crates/filbertstack-policy/tests/spread_leader.rs
@@ -28,7 +28,7 @@
 
 fn ring(count: usize) -> (Plan, Vec<TargetKey>) {
     let mut plan = Plan::new(PlanConfig::default());
-    let keys = (0..count).map(|at| plan.join(target(at, 0))).collect();
+    let keys = (0..count).map(|at| plan.join(target(at, 0)).key).collect();
     (plan, keys)
 }
 
@@ -92,7 +92,22 @@
         assert!(after.len() >= 11 && after.iter().all(|link| link.target != keys[100]));
     }
     let joined = plan.join(target(300, 0));
-    assert_eq!(plan.downstreams(joined).len(), 12);
+    assert_eq!(joined.relink, plan.downstreams(joined.key));
+    assert_eq!(joined.relink.len(), 12);
+}
+
+// A thousand targets join one by one. All of them get new links only when the ring's strides change,
+// so that each gets a few dozen lists in all, not a thousand.
+#[test]
+fn joins_touch_few_targets() {
+    let mut plan = Plan::new(PlanConfig::default());
+    let touched = (0..1000).map(|at| plan.join(target(at, 0)).relink.len());
+    let touched: Vec<_> = touched.collect();
+    assert!(
+        touched.iter().filter(|&&count| count > 12).count() <= 10,
+        "{touched:?}"
+    );
+    assert!(touched.iter().sum::<usize>() <= 16 * 1000);
 }
 
 #[test]
@@ -101,7 +116,9 @@
         fanout: 4,
         zone_first: true,
     });
-    let keys: Vec<_> = (0..40).map(|at| plan.join(target(at, at % 2))).collect();
+    let keys: Vec<_> = (0..40)
+        .map(|at| plan.join(target(at, at % 2)).key)
+        .collect();
     let links = plan.upstreams(keys[0]);
     let zones = links
         .iter()
--- a/crates/filbertstack-policy/tests/spread_model/mesh.rs
+++ b/crates/filbertstack-policy/tests/spread_model/mesh.rs
@@ -207,7 +207,9 @@
             chat: 0,
             wasted: 0,
         };
-        (0..setting.targets).for_each(|_| world.join());
+        for _ in 0..setting.targets {
+            world.join();
+        }
         let all: Vec<_> = (0..setting.targets).collect();
         for at in all {
             world.link(at);
--- a/crates/filbertstack-policy/tests/spread_model/mesh/targets.rs
+++ b/crates/filbertstack-policy/tests/spread_model/mesh/targets.rs
@@ -13,7 +13,9 @@
 use rand::seq::SliceRandom;
 
 use filbertstack_core::Millis;
+use filbertstack_policy::spread::plan::Joined;
 use filbertstack_policy::spread::plan::Target;
+use filbertstack_policy::spread::plan::TargetKey;
 use filbertstack_policy::spread::pull::Fault;
 use filbertstack_policy::spread::pull::Near;
 use filbertstack_policy::spread::pull::NeighbourKey;
@@ -29,7 +31,8 @@
         all
     }
 
-    pub(super) fn join(&mut self) {
+    /// Adds a target; those that are to get new links by it.
+    pub(super) fn join(&mut self) -> Vec<TargetKey> {
         let at = self.nodes.len();
         let areas = self.mesh.regions * self.mesh.zones;
         let area = self.rng.random_range(0..areas);
@@ -40,7 +43,7 @@
             region: format!("r{region}").parse().unwrap(),
         };
         self.leader += 1;
-        let key = self.plan.join(target);
+        let Joined { key, relink } = self.plan.join(target);
         self.index.insert(key, at);
         self.tokens
             .join(key, &format!("r{region}").parse().unwrap());
@@ -65,6 +68,7 @@
             link: Link::default(),
             done: None,
         });
+        relink
     }
 
     /// Gives a target the upstreams that the plan names now.
@@ -155,14 +159,13 @@
     pub fn happen(&mut self, event: &Event) {
         match event {
             Event::Join(joining) => {
-                let from = self.nodes.len();
-                (0..*joining).for_each(|_| self.join());
-                // Their downstreams learn of them with them.
-                (0..self.nodes.len()).for_each(|at| {
-                    if at >= from || self.nodes[at].alive {
-                        self.link(at);
+                for _ in 0..*joining {
+                    let relink = self.join();
+                    self.link(self.nodes.len() - 1);
+                    for key in relink {
+                        self.link(self.index[&key]);
                     }
-                });
+                }
             }
             Event::Publish(range) => self.publish(range.clone()),
             Event::Retire(range) => self.retire(range.clone()),
--- a/crates/filbertstack-weights/tests/copy.rs
+++ b/crates/filbertstack-weights/tests/copy.rs
@@ -341,7 +341,7 @@
         zone: "van-a".parse().unwrap(),
         region: "van".parse().unwrap(),
     };
-    let keys: Vec<_> = (0..11).map(|at| plan.join(target(at))).collect();
+    let keys: Vec<_> = (0..11).map(|at| plan.join(target(at)).key).collect();
     for &key in &keys {
         tokens.join(key, &"van".parse().unwrap());
     }
