--- /dev/null
+++ b/crates/filbertstack-log/tests/log/replica.rs
@@ -0,0 +1,219 @@
+//! Running replicas: threads, real time, a network in memory.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use filbertstack_log::Doubt;
+use filbertstack_log::ProposeError;
+use filbertstack_log::Refusal;
+
+use crate::support::disk::Wrong;
+use crate::support::machine::Put;
+use crate::support::network::Group;
+use crate::support::network::quick;
+use crate::support::network::soon;
+use crate::support::network::wait_for;
+
+/// Every voter in turn is killed and started again during the proposals, then all at once. The
+/// proposer resends after each error under the same request id. What was accepted must be there
+/// once, on every replica, at the index that the proposer was told.
+#[test]
+fn accepted_commands_survive_kills_and_restarts() {
+    let mut group = Group::form(3, quick());
+    let mut told = BTreeMap::new();
+    for request in 1..=60 {
+        if request % 10 == 0 {
+            let at = usize::try_from(request / 10).unwrap() % 3;
+            group.kill(at);
+            told.insert(request, group.put(request));
+            group.start(at);
+        } else {
+            told.insert(request, group.put(request));
+        }
+    }
+    for at in 0..3 {
+        group.kill(at);
+    }
+    for at in 0..3 {
+        group.start(at);
+    }
+    told.insert(61, group.put(61));
+    let state = group.settled(61);
+    assert_eq!(state.done, told);
+}
+
+/// A leader that nobody hears goes on receiving proposals. Each must end with "unknown" when it
+/// steps down, then with a certain refusal; a proposal accepted by the others is never replaced.
+#[test]
+fn an_isolated_leader_accepts_nothing() {
+    let group = Group::form(3, quick());
+    group.put(1);
+    let old = group.leader();
+    let replica = group.slots[old].replica.clone().unwrap();
+    group.network.cut(replica.status().id);
+    let lost = replica.propose(
+        Put {
+            request: 2,
+            key: 0,
+            value: 9,
+        }
+        .encode(),
+        soon(),
+    );
+    assert!(!lost.unwrap_err().is_certain());
+    let refused = replica.propose(bytes::Bytes::from_static(&[0; 24]), soon());
+    assert!(matches!(
+        refused,
+        Err(ProposeError::Refused(Refusal::NotLeader { .. }))
+    ));
+    assert!(replica.read_barrier(soon()).is_err());
+    group.put(3);
+    group.network.heal();
+    let state = group.settled(2);
+    assert!(state.done.contains_key(&1) && state.done.contains_key(&3));
+}
+
+/// A planned stop of the leader passes the leadership on first. The others' election timeout is
+/// longer than the test waits, so that a proposal is accepted only if one was bidden to campaign.
+#[test]
+fn a_planned_stop_passes_the_leadership_on() {
+    let mut settings = quick();
+    settings.timing.election_min = Duration::from_secs(30);
+    settings.timing.election_max = Duration::from_secs(60);
+    let mut group = Group::form(1, quick());
+    group.settings = settings;
+    let second = group.add_slot();
+    group.join(second);
+    let third = group.add_slot();
+    group.join(third);
+    group.put(1);
+    let leader = group.leader();
+    let replica = group.slots[leader].replica.clone().unwrap();
+    replica.stop(Duration::from_secs(10));
+    group.slots[leader].replica = None;
+    group.put(2);
+}
+
+/// Log compaction in a running group: the segments on disk stay bounded, and a replica that was
+/// down for longer than the log reaches back gets a snapshot.
+#[test]
+fn a_replica_far_behind_gets_a_snapshot() {
+    let mut settings = quick();
+    settings.snapshot_bytes = 4 << 10;
+    settings.segment_bytes = 2 << 10;
+    settings.limits.kept_entries = 8;
+    settings.limits.piece_bytes = 512;
+    let mut group = Group::form(3, settings);
+    group.put(1);
+    let behind = (group.leader() + 1) % 3;
+    group.kill(behind);
+    for request in 2..=300 {
+        group.put(request);
+    }
+    group.start(behind);
+    group.put(301);
+    let state = group.settled(301);
+    assert_eq!(state.done.len(), 301);
+    let replica = group.slots[behind].replica.clone().unwrap();
+    assert!(replica.status().node.snapshot > 100);
+    let segments = group.slots[behind].disk.files();
+    assert!(segments.keys().filter(|n| n.starts_with("wal-")).count() < 12);
+}
+
+/// A voter's disk is lost; it comes back empty, under a new identity, and joins as a learner. As
+/// soon as it counts, a second voter's disk is lost. Everything accepted is still there, and the
+/// second is replaced in the same way.
+#[test]
+fn a_second_loss_right_after_a_repair_loses_nothing() {
+    let mut group = Group::form(3, quick());
+    for request in 1..=40 {
+        group.put(request);
+    }
+    for (lost, request) in [(0, 41), (1, 42), (2, 43)] {
+        let old = group.slots[lost].id();
+        group.lose_disk(lost);
+        assert_ne!(group.slots[lost].id(), old);
+        group.remove(old);
+        group.join(lost);
+        group.put(request);
+    }
+    let state = group.settled(43);
+    assert!((1..=43).all(|request| state.done.contains_key(&request)));
+}
+
+/// The leader's disk fills up. Another leads and accepts; the full one refuses with its remedy,
+/// and follows again once there is space.
+#[test]
+fn a_leader_with_a_full_disk_gives_way() {
+    let group = Group::form(3, quick());
+    group.put(1);
+    let full = group.leader();
+    let slot = &group.slots[full];
+    slot.disk.set_wrong(Wrong {
+        space: Some(10),
+        ..Wrong::default()
+    });
+    let replica = slot.replica.clone().unwrap();
+    let put = Put {
+        request: 2,
+        key: 0,
+        value: 0,
+    };
+    assert!(replica.propose(put.encode(), soon()).is_err());
+    let refused = replica.propose(put.encode(), soon()).unwrap_err();
+    assert_eq!(refused, ProposeError::Refused(Refusal::DiskFull));
+    insta::assert_snapshot!(refused);
+    group.put(2);
+    assert!(replica.status().node.full);
+    slot.disk.set_wrong(Wrong::default());
+    group.put(3);
+    group.settled(3);
+    assert!(!replica.status().node.full);
+}
+
+/// A sync fails at the leader: nobody knows what its disk holds. It stops and says why; a caller
+/// that waits is told that the outcome is unknown, and the others go on.
+#[test]
+fn a_failed_sync_stops_only_that_replica() {
+    let mut group = Group::form(3, quick());
+    group.put(1);
+    let failed = group.leader();
+    let replica = group.slots[failed].replica.clone().unwrap();
+    group.slots[failed].disk.set_wrong(Wrong {
+        sync_fails: true,
+        ..Wrong::default()
+    });
+    let put = Put {
+        request: 2,
+        key: 0,
+        value: 0,
+    };
+    let ended = replica.propose(put.encode(), soon());
+    assert!(ended.is_ok() || ended == Err(ProposeError::Unknown(Doubt::Stopped)));
+    wait_for("stop", || replica.status().failed);
+    assert!(replica.read_barrier(soon()).is_err());
+    group.put(2);
+    group.kill(failed);
+    group.slots[failed].disk.set_wrong(Wrong::default());
+    group.start(failed);
+    group.put(3);
+    group.settled(3);
+}
+
+/// Reads at the leader see what was accepted before, with and without a lease; elsewhere they are
+/// refused with the leader's name.
+#[test]
+fn a_read_sees_what_was_accepted() {
+    let group = Group::form(3, quick());
+    for request in 1..=20 {
+        group.put(request);
+        let seen = group.on_leader(|leader| leader.read_barrier(soon()).ok());
+        let leader = &group.slots[group.leader()];
+        assert!(seen >= leader.map.state().done[&request]);
+    }
+    let leader = group.leader();
+    let follower = &group.slots[(leader + 1) % 3];
+    let refused = follower.replica.as_ref().unwrap().read_barrier(soon());
+    let hint = Some(group.slots[leader].id());
+    assert_eq!(refused, Err(Refusal::NotLeader { leader: hint }.into()));
+}
--- /dev/null
+++ b/crates/filbertstack-log/tests/log/support/world.rs
@@ -0,0 +1,523 @@
+//! A group of nodes with their real storage, on fake disks, links and clocks.
+//!
+//! Everything that chance decides comes from one seed, so that a run is repeated exactly.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::collections::VecDeque;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use filbertstack_log::Accepted;
+use filbertstack_log::Answer;
+use filbertstack_log::ClusterId;
+use filbertstack_log::EntryKind;
+use filbertstack_log::Input;
+use filbertstack_log::Limits;
+use filbertstack_log::Machine as _;
+use filbertstack_log::Member;
+use filbertstack_log::Membership;
+use filbertstack_log::Message;
+use filbertstack_log::Node;
+use filbertstack_log::NodeConfig;
+use filbertstack_log::NodeId;
+use filbertstack_log::NodeStatus;
+use filbertstack_log::RoleName;
+use filbertstack_log::Safeguards;
+use filbertstack_log::Ticket;
+use filbertstack_log::Timing;
+use filbertstack_log::Write;
+use filbertstack_log::storage::Storage;
+use filbertstack_log::storage::StorageError;
+use rand::RngExt as _;
+use rand::SeedableRng as _;
+use rand::seq::SliceRandom as _;
+use rand_chacha::ChaCha8Rng;
+
+use crate::support::checker::Checker;
+use crate::support::checker::Violation;
+use crate::support::disk::MemoryDisk;
+use crate::support::machine::Map;
+
+/// The grain of time.
+const SLICE: Duration = Duration::from_millis(10);
+/// The time in which the first voters' state becomes durable; no fault comes before.
+const CREATION: Duration = Duration::from_millis(200);
+const CLUSTER: ClusterId = ClusterId(77);
+/// Replicas beside the first voters.
+const SPARE: usize = 2;
+
+/// Which protections are off.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Variant {
+    pub safeguards: Safeguards,
+    /// A replica whose disk was lost comes back under its old identity.
+    pub keeps_identity: bool,
+    /// Disks acknowledge a sync without doing it.
+    pub lying_disks: bool,
+}
+
+/// A running replica.
+pub(super) struct Running {
+    pub(super) node: Node,
+    pub(super) storage: Storage<MemoryDisk>,
+    pub(super) map: Map,
+    pub(super) applied: u64,
+    pub(super) boot: Duration,
+    pub(super) queue: VecDeque<Write>,
+    pub(super) disk_until: Duration,
+    pub(super) tickets: BTreeMap<Ticket, Asked>,
+    pub(super) appended: BTreeMap<u64, (u64, u64)>,
+    pub(super) reads: Vec<(u64, u64)>,
+    pub(super) led: bool,
+}
+
+/// What a ticket stands for.
+pub(super) enum Asked {
+    Put(u64),
+    /// With what the read must see.
+    Read(u64),
+    Promote(NodeId),
+    Other,
+}
+
+pub(super) struct Slot {
+    pub(super) id: NodeId,
+    pub(super) disk: MemoryDisk,
+    pub(super) rate: f64,
+    pub(super) running: Option<Running>,
+    pub(super) frozen_until: Duration,
+    pub(super) inbox: Vec<Input>,
+    pub(super) durable: u64,
+    pub(super) membership: Arc<Membership>,
+}
+
+/// What a replica sent and was sent.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Traffic {
+    pub messages: u64,
+    pub bytes: u64,
+}
+
+/// The world.
+pub struct World {
+    pub traffic: BTreeMap<NodeId, Traffic>,
+    pub(super) variant: Variant,
+    pub(super) rng: ChaCha8Rng,
+    pub(super) now: Duration,
+    pub(super) slots: Vec<Slot>,
+    pub(super) wire: BTreeMap<(Duration, u64), Message>,
+    pub(super) sent: u64,
+    pub(super) cut: BTreeSet<(NodeId, NodeId)>,
+    pub(super) loss: u8,
+    pub(super) next_id: u64,
+    pub(super) next_ticket: u64,
+    pub(super) next_request: u64,
+    pub(super) lost: BTreeSet<NodeId>,
+    /// The membership committed last, and all that were appended anywhere since: an entry under
+    /// way may bring any of them into force.
+    pub(super) views: Vec<Arc<Membership>>,
+    pub checker: Checker,
+}
+
+impl World {
+    /// A group of `voters`, and spare replicas without a group.
+    pub fn new(seed: u64, voters: usize, variant: Variant) -> Self {
+        let mut world = Self {
+            variant,
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            now: Duration::ZERO,
+            slots: Vec::new(),
+            wire: BTreeMap::new(),
+            sent: 0,
+            cut: BTreeSet::new(),
+            loss: 0,
+            next_id: 100,
+            next_ticket: 0,
+            next_request: 0,
+            traffic: BTreeMap::new(),
+            lost: BTreeSet::new(),
+            views: vec![Arc::default()],
+            checker: Checker::default(),
+        };
+        for _ in 0..voters + SPARE {
+            world.add_slot();
+        }
+        let first: Vec<Member> = world.slots[..voters].iter().map(Slot::member).collect();
+        let membership = Membership {
+            voters: first,
+            learners: Vec::new(),
+            forming: 0,
+        };
+        world.checker.membership = membership.clone();
+        for at in 0..voters {
+            let ticket = world.ticket(at, Asked::Other);
+            let create = Input::Create {
+                ticket,
+                cluster: CLUSTER,
+                membership: membership.clone(),
+                data: Bytes::from(Map::default().snapshot()),
+            };
+            world.input(at, create);
+        }
+        world.run(CREATION);
+        world
+    }
+
+    fn add_slot(&mut self) {
+        let rate = self.rng.random_range(0.92..1.08);
+        self.slots.push(Slot {
+            id: NodeId(0),
+            disk: MemoryDisk::default(),
+            rate,
+            running: None,
+            frozen_until: Duration::ZERO,
+            inbox: Vec::new(),
+            durable: 0,
+            membership: Arc::default(),
+        });
+        let at = self.slots.len() - 1;
+        self.start(at);
+    }
+
+    pub fn kill(&mut self, at: usize) {
+        let slot = &mut self.slots[at];
+        if slot.running.take().is_some() {
+            slot.disk.crash(&mut self.rng);
+            slot.frozen_until = Duration::ZERO;
+            slot.inbox.clear();
+        }
+    }
+
+    pub(super) fn start_any(&mut self, pick: u8) {
+        let down = (0..self.slots.len()).filter(|at| self.slots[*at].running.is_none());
+        let down: Vec<usize> = down.collect();
+        if let Some(at) = down.get(usize::from(pick) % down.len().max(1)) {
+            self.start(*at);
+        }
+    }
+
+    pub(super) fn start(&mut self, at: usize) {
+        if self.slots[at].running.is_some() {
+            return;
+        }
+        self.next_id += 1;
+        let slot = &mut self.slots[at];
+        let again = slot.id != NodeId(0);
+        let fresh = if again { slot.id } else { NodeId(self.next_id) };
+        let opened = Storage::open_sized(slot.disk.clone(), fresh, 700);
+        let (storage, mut memory) = match opened {
+            Ok(opened) => opened,
+            // The process dies again while it starts, or there is no space to start.
+            Err(StorageError::Io { .. } | StorageError::Sync { .. }) => {
+                slot.disk.crash(&mut self.rng);
+                return;
+            }
+            Err(error) => {
+                self.checker
+                    .found(Violation::StartRefused(error.to_string()));
+                return;
+            }
+        };
+        let lies = self.variant.lying_disks;
+        self.wrong(at, |w| w.sync_lies = lies);
+        if again && self.variant.keeps_identity {
+            memory.hard.cluster = CLUSTER.0;
+        }
+        let slot = &mut self.slots[at];
+        slot.id = storage.node();
+        let config = NodeConfig {
+            id: slot.id,
+            seed: self.rng.random(),
+            timing: Timing::default(),
+            limits: small(),
+            safeguards: self.variant.safeguards,
+        };
+        if !self.variant.keeps_identity {
+            self.checker.restarted(slot.id, memory.hard.term);
+        }
+        slot.running = Some(Running {
+            node: Node::new(config, memory, Duration::ZERO),
+            storage,
+            map: Map::default(),
+            applied: 0,
+            boot: self.now,
+            queue: VecDeque::new(),
+            disk_until: self.now,
+            tickets: BTreeMap::new(),
+            appended: BTreeMap::new(),
+            reads: Vec::new(),
+            led: false,
+        });
+        self.settle(at);
+    }
+
+    /// A replica as it is now.
+    pub fn status(&self, at: usize) -> NodeStatus {
+        self.slots[at].running.as_ref().unwrap().node.status()
+    }
+
+    /// Runs until `ready`, for at most `limit` slices.
+    pub fn run_until(&mut self, limit: u32, ready: impl Fn(&Self) -> bool) -> bool {
+        for _ in 0..limit {
+            if ready(self) {
+                return true;
+            }
+            self.run(SLICE);
+        }
+        false
+    }
+
+    /// Runs until one of these leads.
+    pub fn elect(&mut self, among: &[usize]) -> usize {
+        let leads = |w: &Self| w.leaders().into_iter().find(|at| among.contains(at));
+        assert!(
+            self.run_until(2_000, |w| leads(w).is_some()),
+            "nobody leads"
+        );
+        leads(self).unwrap()
+    }
+
+    /// Loses what any of `from` sends to any of `to`.
+    pub fn cut(&mut self, from: &[usize], to: &[usize]) {
+        for from in from {
+            for to in to.iter().filter(|to| *to != from) {
+                let pair = (self.slots[*from].id, self.slots[*to].id);
+                self.cut.insert(pair);
+            }
+        }
+    }
+
+    /// Restores all links.
+    pub fn heal(&mut self) {
+        self.cut.clear();
+    }
+
+    /// Gives a replica an input at its own time. A frozen one takes it when it wakes.
+    pub(super) fn input(&mut self, at: usize, input: Input) {
+        let now = self.now;
+        let slot = &mut self.slots[at];
+        let Some(running) = &mut slot.running else {
+            return;
+        };
+        if slot.frozen_until > now {
+            slot.inbox.push(input);
+            return;
+        }
+        let local = now.saturating_sub(running.boot).mul_f64(slot.rate);
+        running.node.step(local, input);
+        self.settle(at);
+    }
+
+    pub fn run(&mut self, span: Duration) {
+        let until = self.now + span;
+        while self.now < until && self.checker.violation.is_none() {
+            self.now += SLICE;
+            self.deliver();
+            for at in 0..self.slots.len() {
+                if self.slots[at].frozen_until <= self.now {
+                    self.turn_disk(at);
+                    self.turn_clock(at);
+                }
+            }
+        }
+    }
+
+    /// Delivers what is due. What came to a frozen replica waits, as in the buffers of its
+    /// sockets, and is read when it wakes in an order that nobody can tell.
+    fn deliver(&mut self) {
+        for at in 0..self.slots.len() {
+            if self.slots[at].frozen_until <= self.now {
+                let mut waiting = std::mem::take(&mut self.slots[at].inbox);
+                if self.rng.random() {
+                    waiting.shuffle(&mut self.rng);
+                }
+                for input in waiting {
+                    self.input(at, input);
+                }
+            }
+        }
+        let later = self.wire.split_off(&(self.now, u64::MAX));
+        let due = std::mem::replace(&mut self.wire, later);
+        for message in due.into_values() {
+            let to = message.recipient();
+            let known = self.slots.iter().position(|s| s.id == to);
+            if let Some(at) = known
+                && !self.cut.contains(&(message.sender(), to))
+            {
+                self.input(at, Input::Message(message));
+            }
+        }
+    }
+
+    fn turn_disk(&mut self, at: usize) {
+        let slow = Duration::from_millis(self.rng.random_range(0..40));
+        let now = self.now;
+        let Some(running) = &mut self.slots[at].running else {
+            return;
+        };
+        if running.queue.is_empty() || running.disk_until > now {
+            return;
+        }
+        running.disk_until = now + slow;
+        let count = self.rng.random_range(1..=running.queue.len());
+        let batch = running.queue.drain(..count).collect();
+        match running.storage.write(batch) {
+            Ok(results) => {
+                for result in results {
+                    self.input(at, result);
+                }
+            }
+            Err(_) => self.kill(at),
+        }
+    }
+
+    fn turn_clock(&mut self, at: usize) {
+        let now = self.now;
+        let slot = &self.slots[at];
+        let Some(running) = &slot.running else { return };
+        let local = now.saturating_sub(running.boot).mul_f64(slot.rate);
+        if local >= running.node.wake_at() {
+            self.input(at, Input::Tick);
+        }
+    }
+
+    /// Does what the node wants done, as the replica's driver does.
+    fn settle(&mut self, at: usize) {
+        let durable = self.slots.iter().map(|s| (s.id, s.durable)).collect();
+        let slot = &mut self.slots[at];
+        let Some(running) = &mut slot.running else {
+            return;
+        };
+        let output = running.node.output();
+        if let Some(text) = output.broken {
+            self.checker.found(Violation::Broken(text));
+        }
+        running.queue.extend(output.write);
+        for answer in output.answers {
+            running.answer(answer, &mut self.checker, &durable);
+        }
+        if let Some(snapshot) = output.restore {
+            running.map.restore(&snapshot.data).unwrap();
+            running.applied = snapshot.index;
+            self.checker.state(snapshot.index, &running.map.state());
+        }
+        for entry in output.committed {
+            let outcome = (entry.kind() == EntryKind::Command)
+                .then(|| running.map.apply(entry.index, &entry.data));
+            running.applied = entry.index;
+            self.checker.committed(&entry, &running.map.state());
+            let waiter = running.appended.remove(&entry.index);
+            if let (Some((term, request)), Some(outcome)) = (waiter, outcome)
+                && term == entry.term
+            {
+                self.checker.tell(request, outcome, entry.index);
+            }
+        }
+        running.finish_reads(&mut self.checker);
+        let status = running.node.status();
+        let leads = status.role == RoleName::Leader;
+        if leads {
+            self.checker.led(status.term, slot.id);
+        }
+        if running.led && !leads {
+            running.appended.clear();
+        }
+        running.led = leads;
+        slot.durable = status.durable;
+        if slot.membership != status.membership {
+            slot.membership = Arc::clone(&status.membership);
+            self.views.push(status.membership);
+        }
+        let committed = self.checker.membership.clone();
+        if *self.views[0] != committed {
+            self.views = vec![Arc::new(committed)];
+            let current = self.slots.iter().map(|s| Arc::clone(&s.membership));
+            self.views.extend(current);
+        }
+        for message in output.messages {
+            self.send(&message);
+        }
+    }
+
+    fn send(&mut self, message: &Message) {
+        self.checker.sent(message);
+        for end in [message.sender(), message.recipient()] {
+            let traffic = self.traffic.entry(end).or_default();
+            traffic.messages += 1;
+            traffic.bytes += message.to_bytes().len() as u64;
+        }
+        let lossy = u32::from(self.loss);
+        if self.rng.random_ratio(lossy, 100) {
+            return;
+        }
+        let copies = if self.rng.random_ratio(lossy, 100) {
+            2
+        } else {
+            1
+        };
+        for _ in 0..copies {
+            let slow = if self.rng.random_ratio(lossy, 100) {
+                800
+            } else {
+                25
+            };
+            let delay = Duration::from_millis(self.rng.random_range(0..slow));
+            self.sent += 1;
+            let at = (self.now + delay, self.sent);
+            self.wire.insert(at, message.clone());
+        }
+    }
+}
+
+impl Running {
+    fn answer(&mut self, answer: Answer, checker: &mut Checker, durable: &BTreeMap<NodeId, u64>) {
+        let asked = self.tickets.remove(&answer.ticket);
+        match (asked, answer.result) {
+            (Some(Asked::Put(request)), Ok(Accepted::Appended(place))) => {
+                self.appended.insert(place.index, (place.term, request));
+            }
+            (Some(Asked::Read(floor)), Ok(Accepted::Readable(index))) => {
+                self.reads.push((floor, index));
+            }
+            (Some(Asked::Promote(node)), Ok(_)) => {
+                let commit = self.node.status().commit;
+                if let Some(held) = durable.get(&node).copied()
+                    && held < commit
+                {
+                    checker.found(Violation::EarlyVoter { held, commit });
+                }
+            }
+            _ => {}
+        }
+    }
+
+    fn finish_reads(&mut self, checker: &mut Checker) {
+        let applied = self.applied;
+        for (floor, index) in self.reads.extract_if(.., |(_, index)| *index <= applied) {
+            checker.read(floor, index);
+        }
+    }
+}
+
+impl Slot {
+    pub(super) fn member(&self) -> Member {
+        Member {
+            node: self.id.0,
+            name: format!("entry-{}", self.id),
+            address: String::new(),
+        }
+    }
+}
+
+/// Limits that are reached in a short run.
+fn small() -> Limits {
+    Limits {
+        append_bytes: 100,
+        inflight: 3,
+        piece_bytes: 64,
+        kept_entries: 3,
+        ..Limits::default()
+    }
+}
