--- a/crates/filbertstack-policy/tests/spread_leader.rs
+++ b/crates/filbertstack-policy/tests/spread_leader.rs
@@ -28,7 +28,7 @@
 
 fn ring(count: usize) -> (Plan, Vec<TargetKey>) {
     let mut plan = Plan::new(PlanConfig::default());
-    let keys = (0..count).map(|at| plan.join(target(at, 0))).collect();
+    let keys = (0..count).map(|at| plan.join(target(at, 0)).key).collect();
     (plan, keys)
 }
 
@@ -92,7 +92,22 @@
         assert!(after.len() >= 11 && after.iter().all(|link| link.target != keys[100]));
     }
     let joined = plan.join(target(300, 0));
-    assert_eq!(plan.downstreams(joined).len(), 12);
+    assert_eq!(joined.relink, plan.downstreams(joined.key));
+    assert_eq!(joined.relink.len(), 12);
+}
+
+// A thousand targets join one by one. All of them get new links only when the ring's strides change,
+// so that each gets a few dozen lists in all, not a thousand.
+#[test]
+fn joins_touch_few_targets() {
+    let mut plan = Plan::new(PlanConfig::default());
+    let touched = (0..1000).map(|at| plan.join(target(at, 0)).relink.len());
+    let touched: Vec<_> = touched.collect();
+    assert!(
+        touched.iter().filter(|&&count| count > 12).count() <= 10,
+        "{touched:?}"
+    );
+    assert!(touched.iter().sum::<usize>() <= 16 * 1000);
 }
 
 #[test]
@@ -101,7 +116,9 @@
         fanout: 4,
         zone_first: true,
     });
-    let keys: Vec<_> = (0..40).map(|at| plan.join(target(at, at % 2))).collect();
+    let keys: Vec<_> = (0..40)
+        .map(|at| plan.join(target(at, at % 2)).key)
+        .collect();
     let links = plan.upstreams(keys[0]);
     let zones = links
         .iter()
@@ -150,7 +167,7 @@
     assert!(tokens.grant(Millis(9_999)).is_empty());
     let second = tokens.grant(Millis::secs(10))[0];
     assert_ne!(second.to, first.to);
-    tokens.leave(second.to);
+    tokens.leave(second.to, Millis::secs(10));
     let third = tokens.grant(Millis::secs(10))[0];
     assert!(third.to != second.to && third.chunk == first.chunk);
     tokens.failed(third.chunk, third.to);
@@ -199,13 +216,27 @@
     let again = tokens.ask(chunk, others[0], at(11));
     assert!(matches!(again, Answer::Granted(again) if again.to == others[0]));
     tokens.landed(chunk, others[0], at(12));
-    tokens.leave(others[0]);
+    tokens.leave(others[0], at(60));
     assert!(matches!(
         tokens.ask(chunk, others[1], at(13)),
         Answer::Granted(_)
     ));
     let unknown = Digest::of(b"unknown");
-    assert_eq!(tokens.ask(unknown, asker, at(13)), Answer::Unknown);
+    assert_eq!(tokens.ask(unknown, asker, at(60)), Answer::Unknown);
+}
+
+// The holder of a chunk is lost a moment after it brought it in. Who weighs time does not wait
+// until somebody misses the chunk.
+#[test]
+fn a_chunk_lost_with_its_holder_is_granted_anew() {
+    for (weigh, again) in [(Weigh::Time, 1), (Weigh::Origin, 0)] {
+        let (mut tokens, _) = tokens(weigh, &["van"]);
+        tokens.publish(digests(1));
+        let grant = tokens.grant(Millis::ZERO)[0];
+        tokens.landed(grant.chunk, grant.to, Millis(100));
+        tokens.leave(grant.to, Millis(200));
+        assert_eq!(tokens.grant(Millis(200)).len(), again);
+    }
 }
 
 // A new leader knows no grant. It grants nothing for a lease, hears what has landed, and brings in
--- a/crates/filbertstack-weights/src/copy/core.rs
+++ b/crates/filbertstack-weights/src/copy/core.rs
@@ -90,7 +90,19 @@
                 self.pull.hold(index);
             }
         }
-        self.completed()
+        // What the store held may complete versions that were wanted before, too.
+        let roots = self.catalogue.roots();
+        roots
+            .into_iter()
+            .filter_map(|root| self.recount(root))
+            .collect()
+    }
+
+    /// Counts anew what a version lacks.
+    fn recount(&mut self, root: Digest) -> Option<CopyEvent> {
+        let held = self.pull.held();
+        let complete = self.catalogue.recount(root, |index| held.contains(index));
+        complete.then_some(CopyEvent::Complete { root })
     }
 
     /// Copies a version no more; chunks that another version wants are still fetched.
@@ -131,13 +143,19 @@
         self.reclaim();
     }
 
-    /// Takes note of the chunks of a version that an upstream holds; those of a version that is
-    /// not wanted are passed over.
-    pub fn announce(&mut self, key: NeighbourKey, root: Digest, held: &ChunkSet) {
+    /// Takes note of the chunks that an upstream holds, by their places in the manifest of a
+    /// version; those of a version that is not wanted are passed over.
+    pub fn announce(
+        &mut self,
+        key: NeighbourKey,
+        root: Digest,
+        places: impl IntoIterator<Item = ChunkIndex>,
+    ) {
         let Some(entry) = self.catalogue.version(root) else {
             return;
         };
-        let indices = held.iter().filter_map(|at| entry.indices.get(at as usize));
+        let places = places.into_iter();
+        let indices = places.filter_map(|at| entry.indices.get(at as usize));
         for &index in indices {
             self.pull.announce(key, index);
         }
@@ -154,23 +172,42 @@
     }
 
     /// Takes a grant of the leader: `chunk` of the version `root` may be fetched from `sources`,
-    /// the weight store before the origin.
-    pub fn grant(&mut self, root: Digest, chunk: Digest, sources: Vec<Arc<dyn AnySource>>) {
-        if let Some(index) = self.catalogue.index_of(chunk) {
+    /// the weight store before the origin. A chunk that is held already costs no source a byte.
+    pub fn grant(
+        &mut self,
+        root: Digest,
+        chunk: Digest,
+        sources: Vec<Arc<dyn AnySource>>,
+    ) -> Vec<CopyEvent> {
+        let Some(index) = self.catalogue.index_of(chunk) else {
+            return Vec::new();
+        };
+        if self.pull.import(index) {
             let sources = sources.into();
             self.grants.insert(index, Grant { root, sources });
-            self.pull.import(index);
+            return Vec::new();
         }
+        let granted = true;
+        vec![CopyEvent::Landed { chunk, granted }]
     }
 
-    /// Takes note that chunks of a version were found damaged or gone.
+    /// Takes note that chunks of a version were found damaged or gone, by their places in its
+    /// manifest.
     pub fn lost(&mut self, root: Digest, places: &[u32]) {
-        for (_, entry) in self.catalogue.versions().filter(|(key, _)| **key == root) {
-            entry.complete = false;
-            let lost = places
-                .iter()
-                .filter_map(|at| entry.indices.get(*at as usize));
-            lost.for_each(|&index| self.pull.lose(index));
+        let Some(entry) = self.catalogue.version(root) else {
+            return;
+        };
+        let indices = places.iter().map(|at| entry.indices.get(*at as usize));
+        let indices: Vec<_> = indices.flatten().copied().collect();
+        let mut roots = vec![root];
+        for index in indices {
+            self.pull.lose(index);
+            roots.extend(self.catalogue.users(index));
+        }
+        roots.sort_unstable();
+        roots.dedup();
+        for root in roots {
+            self.recount(root);
         }
     }
 
@@ -223,12 +260,15 @@
         if !self.pull.landed(job.flight, now) || self.catalogue.index_of(chunk) != Some(job.index) {
             return Vec::new();
         }
-        let granted = job.from == Upstream::Import;
-        if granted {
-            self.grants.remove(&job.index);
-        }
+        // It may have come from a peer before its grant was used: the leader is told all the same.
+        let granted = self.grants.remove(&job.index).is_some();
         let mut events = vec![CopyEvent::Landed { chunk, granted }];
-        events.extend(self.completed());
+        let complete = self.catalogue.landed(job.index);
+        events.extend(
+            complete
+                .into_iter()
+                .map(|root| CopyEvent::Complete { root }),
+        );
         events
     }
 
@@ -261,19 +301,6 @@
         Vec::new()
     }
 
-    fn completed(&mut self) -> Vec<CopyEvent> {
-        let held = self.pull.held();
-        let mut events = Vec::new();
-        for (&root, entry) in self.catalogue.versions() {
-            let all = entry.indices.iter().all(|&index| held.contains(index));
-            if all && !entry.complete {
-                entry.complete = true;
-                events.push(CopyEvent::Complete { root });
-            }
-        }
-        events
-    }
-
     fn worn_out(&mut self) -> Vec<CopyEvent> {
         let worn = self.pull.worn();
         let new = worn.iter().filter(|key| !self.worn.contains(key));
@@ -297,6 +324,11 @@
         events
     }
 
+    /// Whether there is nothing to do until the agent says something new.
+    pub fn is_idle(&self) -> bool {
+        self.pull.is_complete() && self.later.is_empty()
+    }
+
     /// The chunks of a version in the store, to announce; `None` if it is not wanted.
     pub fn holding(&self, root: Digest) -> Option<ChunkSet> {
         let entry = self.catalogue.version(root)?;
