Serve only under a config lease; arm the agent's gate by a majority

Cause: an entry that had just started answered 404 for rules that were in force (its view was empty), and one cut off would have served replaced rules for as long as the cut; an agent that restarted took the first order it saw. Ruled out: a file with the last declarations at each entry (it would revert what was changed meanwhile); serving on what was last known. Before: a resend right after a full restart got 404 'no rule'.

--- a/crates/filbertstack-agent/src/announce.rs
+++ b/crates/filbertstack-agent/src/announce.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::MutexGuard;
 use std::sync::PoisonError;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU64;
@@ -12,10 +13,16 @@
 use std::time::SystemTime;
 use std::time::UNIX_EPOCH;
 
+use filbertstack_control::gate::Armed;
+use filbertstack_control::gate::Delivery;
+use filbertstack_control::gate::Heard;
+use filbertstack_control::gate::Newborn;
+use filbertstack_control::gate::VoterWord;
 use filbertstack_wire::Dialer;
 use filbertstack_wire::Role;
 use filbertstack_wire::messages::Announce;
 use filbertstack_wire::messages::Ask;
+use filbertstack_wire::messages::Empty;
 use filbertstack_wire::messages::Fence;
 use filbertstack_wire::messages::Orders;
 use filbertstack_wire::messages::Tell;
@@ -54,6 +61,8 @@
     pub incarnation: u64,
     /// The highest fencing number accepted.
     pub accepted: Mutex<Option<Fence>>,
+    /// The gate of orders, once a majority of the voters has told its term.
+    pub armed: Mutex<Option<Armed>>,
 }
 
 /// A number that grows with each start of a process on one instance.
@@ -101,7 +110,7 @@
             copies: self.desk.copies(),
             leaving: self.gate.is_leaving(),
             service: settings.kind == Kind::Service,
-            fence: *self.accepted.lock().unwrap_or_else(PoisonError::into_inner),
+            fence: *lock(&self.accepted),
             slots: settings.slots,
         }
     }
@@ -121,21 +130,71 @@
         }
     }
 
-    /// Takes orders that are no older than any taken before.
+    /// Takes orders that the gate lets through.
     ///
     /// Entries may lag behind each other and an old leader may wake after a freeze: an older
-    /// order would bring an old version back. The fencing number only grows, so it is refused.
+    /// order would bring an old version back. An agent that has just started knows no fencing
+    /// number, so it first hears the term from a majority of the voters.
     fn accept(&self, orders: &Orders) {
         let Some(fence) = orders.fence else {
             return;
         };
-        let mut accepted = self.accepted.lock().unwrap_or_else(PoisonError::into_inner);
-        if accepted.is_some_and(|accepted| fence < accepted) {
+        let mut accepted = lock(&self.accepted);
+        let Some(mut armed) = self.armed(orders) else {
             return;
+        };
+        let delivery = Delivery {
+            incarnation: orders.incarnation,
+            term: orders.term.max(fence.term),
+            sequence: fence.sequence,
+        };
+        match armed.take(&delivery) {
+            Ok(_) => {
+                *accepted = Some(fence);
+                self.term.fetch_max(armed.term(), Ordering::Relaxed);
+                *lock(&self.armed) = Some(armed);
+                self.desk.order(orders.clone());
+            }
+            Err(refusal) => debug!("order refused: {refusal}"),
         }
-        *accepted = Some(fence);
-        self.term.fetch_max(fence.term, Ordering::Relaxed);
-        self.desk.order(orders.clone());
+    }
+
+    /// The gate of orders, armed by a majority of the voters if it is not yet.
+    fn armed(&self, orders: &Orders) -> Option<Armed> {
+        if let Some(armed) = &*lock(&self.armed) {
+            return Some(armed.clone());
+        }
+        let mut newborn = Newborn::new(self.incarnation);
+        for addr in orders.voters.iter().filter_map(|addr| addr.parse().ok()) {
+            let Some(word) = self.ask_voter(addr) else {
+                continue;
+            };
+            match newborn.hear(word) {
+                Heard::Armed(armed) => {
+                    *lock(&self.armed) = Some(armed.clone());
+                    return Some(armed);
+                }
+                Heard::Waiting(waiting) => newborn = waiting,
+            }
+        }
+        debug!("no majority of the voters has told its term yet");
+        None
+    }
+
+    fn ask_voter(&self, addr: SocketAddr) -> Option<VoterWord> {
+        let told = self
+            .dialer
+            .ask(addr, Role::Agent, Ask::Term(Empty {}), TIMEOUT);
+        let Ok(Tell::Term(report)) = told else {
+            return None;
+        };
+        let voters = report.voters.iter().map(|name| name.parse());
+        Some(VoterWord {
+            voter: report.voter.parse().ok()?,
+            term: report.term,
+            config: report.config,
+            voters: voters.collect::<Result<_, _>>().ok()?,
+        })
     }
 
     /// The entries to announce to next: those that entries name, then those of the settings.
@@ -156,3 +215,7 @@
         next
     }
 }
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- a/crates/filbertstack-agent/src/process.rs
+++ b/crates/filbertstack-agent/src/process.rs
@@ -114,6 +114,7 @@
             stopped: stopped.clone(),
             incarnation: incarnation(),
             accepted: Mutex::default(),
+            armed: Mutex::default(),
         });
         let announcing = announcer.clone();
         thread::spawn(move || announcing.run());
--- a/crates/filbertstack-agent/src/serve.rs
+++ b/crates/filbertstack-agent/src/serve.rs
@@ -69,7 +69,11 @@
             Ask::Have(Digested { digest }) => self.have(&digest, responder),
             Ask::Term(_) => {
                 let term = self.term.load(Ordering::Relaxed);
-                let _ = responder.finish(Tell::Term(TermReport { term }));
+                let report = TermReport {
+                    term,
+                    ..TermReport::default()
+                };
+                let _ = responder.finish(Tell::Term(report));
             }
             Ask::Drain(_) => {
                 self.gate.leave();
--- a/crates/filbertstack-entry/src/call.rs
+++ b/crates/filbertstack-entry/src/call.rs
@@ -44,6 +44,7 @@
 use crate::http::Field;
 use crate::http::OUTCOME;
 use crate::http::Refusal;
+use crate::lease::Leases;
 use crate::prompt::Prompt;
 use crate::race::Race;
 use crate::settings::Callers;
@@ -78,6 +79,8 @@
     pub claims: Claims,
     /// Links to agents.
     pub dialer: Arc<Dialer>,
+    /// This entry's config lease.
+    pub leases: Arc<Leases>,
     /// The largest body, in bytes.
     pub max_body: usize,
     /// Numbers attempts; begins at a random number, so that no two processes share one.
@@ -130,6 +133,9 @@
 
     fn read(&self, request: &mut Request, guard: &Guard, arrived: Instant) -> Result<Job, Refusal> {
         let org = self.authenticate(request)?;
+        self.leases.check().map_err(|expired| {
+            Refusal::not_run(503, expired.to_string()).after_ms(expired.retry.0)
+        })?;
         let gone = guard.gone(request.remote_addr());
         let body = http::read_body(request, guard, self.max_body)?;
         let target = request.url().to_owned();
--- a/crates/filbertstack-entry/src/lib.rs
+++ b/crates/filbertstack-entry/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod guard;
 pub mod http;
 pub mod lead;
+pub mod lease;
 pub mod ledger;
 pub mod links;
 pub mod machine;
--- a/crates/filbertstack-entry/src/links.rs
+++ b/crates/filbertstack-entry/src/links.rs
@@ -25,6 +25,7 @@
 use filbertstack_wire::stream::payload;
 use prost::Message;
 
+use crate::lease::Leases;
 use crate::ledger::Ledger;
 use crate::ledger::ProposeError;
 use crate::machine::Control;
@@ -60,6 +61,8 @@
     pub members: Arc<Members>,
     /// Whom to ask.
     pub ledger: Arc<Ledger>,
+    /// Config leases.
+    pub leases: Arc<Leases>,
 }
 
 /// Hands calls to [`Links`] once there is one: links may come while the entry still starts.
@@ -87,8 +90,7 @@
         match (role, ask) {
             (Role::Agent, Ask::Announce(announce)) => self.announce(&announce, responder),
             (_, Ask::Term(_)) => {
-                let term = self.term();
-                let _ = responder.finish(Tell::Term(TermReport { term }));
+                let _ = responder.finish(Tell::Term(self.term()));
             }
             (Role::Peer, Ask::Log(Payload { body })) => {
                 if let (Some(voter), Ok(envelope)) = (&self.voter, Envelope::decode(body)) {
@@ -127,12 +129,14 @@
         let _ = builder.spawn(move || body(&links, responder));
     }
 
-    fn term(&self) -> u64 {
-        let own = self
-            .voter
-            .as_ref()
-            .map_or(0, |voter| voter.status().node.term);
-        own.max(self.views.get().term())
+    fn term(&self) -> TermReport {
+        match &self.voter {
+            Some(voter) => voter.word(),
+            None => TermReport {
+                term: self.views.get().term(),
+                ..TermReport::default()
+            },
+        }
     }
 
     fn announce(&self, announce: &Announce, responder: Responder) {
@@ -164,6 +168,8 @@
                 .map(ToString::to_string)
                 .collect(),
             entries: Vec::new(),
+            term: view.term(),
+            incarnation: member.incarnation,
         }
     }
 
@@ -227,6 +233,14 @@
             (Some(Asked::Standing(_)), Some(voter)) => {
                 let _ = responder.finish(payload(voter.standing().encode_to_vec()));
             }
+            (Some(Asked::Lease(request)), Some(_)) => match self.leases.grant(&request) {
+                Ok(reply) => drop(responder.finish(payload(reply.encode_to_vec()))),
+                Err(text) => responder.refuse(&text, 500),
+            },
+            (Some(Asked::InForce(revision)), Some(_)) => match self.leases.in_force(revision) {
+                Ok(reply) => drop(responder.finish(payload(reply.encode_to_vec()))),
+                Err(text) => responder.refuse(&text, 500),
+            },
             (Some(Asked::Standing(_)), None) => responder.refuse("not a voter", 0),
             _ => responder.refuse("a question of a later release: upgrade this end", 0),
         }
--- a/crates/filbertstack-entry/src/operators.rs
+++ b/crates/filbertstack-entry/src/operators.rs
@@ -21,6 +21,9 @@
 use filbertstack_wire::Role;
 use filbertstack_wire::messages::Ask;
 use filbertstack_wire::messages::Empty;
+use filbertstack_wire::messages::Payload;
+use filbertstack_wire::messages::Tell;
+use prost::Message;
 use serde::Deserialize;
 use serde::Serialize;
 use serde_json::Value;
@@ -35,11 +38,15 @@
 use crate::http;
 use crate::http::Refusal;
 use crate::lead::standing;
+use crate::lease::Leases;
 use crate::ledger::Ledger;
 use crate::ledger::ProposeError;
 use crate::members::Held;
 use crate::members::Member;
 use crate::members::Members;
+use crate::question::Asked;
+use crate::question::InForce;
+use crate::question::ask;
 use crate::settings::Callers;
 use crate::view::View;
 use crate::view::Views;
@@ -50,6 +57,9 @@
 /// How long a change may take to commit: an election and a round.
 const PROPOSE_TIMEOUT: Duration = Duration::from_secs(8);
 
+/// How long another entry may take to answer.
+const ASK_TIMEOUT: Duration = Duration::from_secs(2);
+
 /// How long an agent may take to answer.
 const DRAIN_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -112,6 +122,8 @@
     pub members: Arc<Members>,
     /// Links to agents.
     pub dialer: Arc<Dialer>,
+    /// Config leases.
+    pub leases: Arc<Leases>,
     /// The largest body, in bytes.
     pub max_body: usize,
 }
@@ -155,6 +167,7 @@
                     json!({ "revision": view.revision(), "declared": view.declared() }),
                 ))
             }
+            (Method::Get, "in-force") => self.in_force(request.url()),
             (Method::Get, "status") => {
                 let mut status = status(&self.views.get(), &self.members);
                 status["leader"] = json!(self.ledger.leader());
@@ -215,6 +228,32 @@
         self.propose(body)
     }
 
+    /// Asks the leader how far a revision is in force.
+    fn in_force(&self, url: &str) -> Result<(u16, Value), Refusal> {
+        let revision = url
+            .split("revision=")
+            .nth(1)
+            .and_then(|text| text.parse().ok());
+        let wrong = || Refusal::not_run(400, "name the revision: in-force?revision=NUMBER");
+        let revision: u64 = revision.ok_or_else(wrong)?;
+        let here = self.leases.in_force(revision);
+        let force = here.or_else(|_| {
+            let told = self.ledger.ask(&ask(Asked::InForce(revision)), ASK_TIMEOUT);
+            match told {
+                Ok(Tell::Payload(Payload { body })) => {
+                    InForce::decode(body).map_err(|error| error.to_string())
+                }
+                Ok(_) => Err("another reply than was asked for".into()),
+                Err(error) => Err(error.to_string()),
+            }
+        });
+        let force = force.map_err(|text| Refusal::not_run(503, text).after_ms(1000))?;
+        Ok((
+            200,
+            json!({ "everywhere": force.everywhere, "waiting": force.waiting }),
+        ))
+    }
+
     /// Tells the target's agent to take nothing new.
     fn drain(&self, wanted: &DrainRequest) -> Result<(u16, Value), Refusal> {
         let live = self.members.live();
--- a/crates/filbertstack-entry/src/process.rs
+++ b/crates/filbertstack-entry/src/process.rs
@@ -34,6 +34,7 @@
 use crate::http::Field;
 use crate::http::Refusal;
 use crate::lead::Leader;
+use crate::lease::Leases;
 use crate::ledger::Ledger;
 use crate::links::LateLinks;
 use crate::links::Links;
@@ -124,16 +125,10 @@
         let voters = settings.voters.iter().map(|voter| voter.addr).collect();
         let ledger = Arc::new(Ledger::new(dialer.clone(), voter.clone(), voters));
         let members = Arc::new(Members::default());
-        late.set(Arc::new(Links {
-            voter: voter.clone(),
-            control: control.clone(),
-            views: views.clone(),
-            members: members.clone(),
-            ledger: ledger.clone(),
-        }));
         let inner = Arc::new(Inner::new(
             settings, telemetry, dialer, ledger, views, members, voter,
         ));
+        late.set(Arc::new(inner.links(&control)));
         inner.start_threads(&control);
         let (guard, server) = inner.start_http(http_socket)?;
         Ok(Self {
@@ -198,11 +193,18 @@
         let flow =
             flow::Settings::new(settings.name.clone(), settings.zone.clone(), rng.next_u64());
         let traffic = Traffic::new(flow);
+        let leases = Arc::new(Leases::new(
+            settings.name.clone(),
+            voter.clone(),
+            ledger.clone(),
+            traffic.clone(),
+        ));
         let calls = Calls {
             callers: settings.callers.clone(),
             traffic: traffic.clone(),
             claims: Claims::new(ledger.clone(), rng.next_u64()),
             dialer: dialer.clone(),
+            leases: leases.clone(),
             max_body: settings.max_body,
             attempts: AtomicU64::new(rng.next_u64() >> 1),
         };
@@ -212,6 +214,7 @@
             views: views.clone(),
             members: members.clone(),
             dialer,
+            leases,
             max_body: settings.max_body,
         };
         Self {
@@ -229,9 +232,22 @@
         }
     }
 
+    fn links(&self, control: &Control) -> Links {
+        Links {
+            voter: self.voter.clone(),
+            control: control.clone(),
+            views: self.views.clone(),
+            members: self.members.clone(),
+            ledger: self.operators.ledger.clone(),
+            leases: self.calls.leases.clone(),
+        }
+    }
+
     fn start_threads(self: &Arc<Self>, control: &Control) {
         let refreshing = self.clone();
         thread::spawn(move || refreshing.refresh());
+        let (leases, stopped) = (self.calls.leases.clone(), self.stopped.clone());
+        thread::spawn(move || leases.run(&stopped));
         if let Some(voter) = &self.voter {
             let leader = Leader {
                 voter: voter.clone(),
--- a/crates/filbertstack-entry/src/question.rs
+++ b/crates/filbertstack-entry/src/question.rs
@@ -19,7 +19,7 @@
 #[derive(Clone, PartialEq, Eq, Message)]
 pub struct Question {
     /// What is asked.
-    #[prost(oneof = "Asked", tags = "1, 2, 3")]
+    #[prost(oneof = "Asked", tags = "1, 2, 3, 4")]
     pub asked: Option<Asked>,
 }
 
@@ -35,6 +35,40 @@
     /// The control state and what runs, as an operator sees it; answered by JSON.
     #[prost(message, tag = "3")]
     Status(Nothing),
+    /// A config lease; answered by [`LeaseReply`].
+    #[prost(message, tag = "4")]
+    Lease(LeaseRequest),
+}
+
+/// An entry's question for a config lease.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct LeaseRequest {
+    /// The entry's instance name.
+    #[prost(string, tag = "1")]
+    pub name: String,
+    /// When it was sent, by the entry's own clock in milliseconds.
+    #[prost(uint64, tag = "2")]
+    pub sent: u64,
+    /// The revision that the entry acts on.
+    #[prost(uint64, tag = "3")]
+    pub revision: u64,
+    /// The lowest revision in force below the entry.
+    #[prost(uint64, tag = "4")]
+    pub lowest: u64,
+}
+
+/// A config lease.
+#[derive(Clone, Copy, PartialEq, Eq, Message)]
+pub struct LeaseReply {
+    /// When the question was sent.
+    #[prost(uint64, tag = "1")]
+    pub sent: u64,
+    /// The revision that it holds for, and any later one.
+    #[prost(uint64, tag = "2")]
+    pub revision: u64,
+    /// How long it lasts from `sent` on, in milliseconds.
+    #[prost(uint64, tag = "3")]
+    pub span: u64,
 }
 
 /// No fields.
@@ -67,9 +101,9 @@
 /// How far a revision is in force.
 #[derive(Clone, PartialEq, Eq, Message)]
 pub struct InForce {
-    /// The followers that have it or whose config lease has run out.
-    #[prost(uint32, tag = "1")]
-    pub done: u32,
+    /// Whether every entry acts on it or on a later one, or has no config lease.
+    #[prost(bool, tag = "1")]
+    pub everywhere: bool,
     /// The names of those still to confirm, the first few.
     #[prost(string, repeated, tag = "2")]
     pub waiting: Vec<String>,
--- a/crates/filbertstack-entry/src/table.rs
+++ b/crates/filbertstack-entry/src/table.rs
@@ -91,6 +91,7 @@
 /// The routing table.
 #[derive(Debug, Default)]
 pub struct Table {
+    revision: u64,
     rules: Vec<TableRule>,
     places: HashMap<(GroupKey, TargetKey), Place>,
     models: Vec<ModelName>,
@@ -139,6 +140,11 @@
         self.places.get(&(group, target))
     }
 
+    /// The revision of the declarations that it follows.
+    pub const fn revision(&self) -> u64 {
+        self.revision
+    }
+
     /// The models declared.
     pub fn models(&self) -> &[ModelName] {
         &self.models
@@ -175,7 +181,10 @@
         flow: &mut Flow,
     ) -> Table {
         self.sync_targets(now, members, flow);
-        let mut table = Table::default();
+        let mut table = Table {
+            revision: view.revision(),
+            ..Table::default()
+        };
         let mut groups = HashMap::new();
         let declared = view.declared();
         for (name, rule) in declared.ordered_rules() {
--- a/crates/filbertstack-entry/src/voter.rs
+++ b/crates/filbertstack-entry/src/voter.rs
@@ -38,9 +38,11 @@
 use filbertstack_log::storage::disk::Folder;
 use filbertstack_wire::Dialer;
 use filbertstack_wire::Role;
+use filbertstack_wire::WireError;
 use filbertstack_wire::messages::Ask;
 use filbertstack_wire::messages::Payload;
 use filbertstack_wire::messages::Tell;
+use filbertstack_wire::messages::TermReport;
 use prost::Message;
 use spdlog::info;
 use spdlog::warn;
@@ -150,6 +152,40 @@
             .then_some(status.node.term)
     }
 
+    /// Whether this voter leads and a majority confirmed it a moment ago.
+    pub fn has_quorum_lease(&self) -> bool {
+        let status = self.replica.status();
+        let leads = status.node.role == RoleName::Leader && status.failed.is_none();
+        leads && status.lease.is_some_and(|until| Instant::now() < until)
+    }
+
+    /// Asks the leader that this voter knows.
+    ///
+    /// # Errors
+    /// [`WireError`] if there is none or it does not answer.
+    pub fn ask_leader(&self, ask: Ask, timeout: Duration) -> Result<Tell, WireError> {
+        let leader = self.replica.status().node.leader;
+        let addr = leader
+            .and_then(|leader| self.post.find(leader))
+            .ok_or(WireError::Lost)?;
+        if addr == self.post.own {
+            return Err(WireError::Lost);
+        }
+        self.post.dialer.ask(addr, Role::Peer, ask, timeout)
+    }
+
+    /// What this voter tells an agent that has just started.
+    pub fn word(&self) -> TermReport {
+        let status = self.replica.status();
+        let voters = status.node.membership.voters.iter();
+        TermReport {
+            term: status.node.term,
+            voter: self.name.clone(),
+            config: status.node.membership_index,
+            voters: voters.map(|member| member.name.clone()).collect(),
+        }
+    }
+
     /// Takes a message of another voter.
     pub fn deliver(&self, envelope: Envelope) {
         let Ok(message) = LogMessage::from_bytes(envelope.message) else {
@@ -272,7 +308,13 @@
             return;
         };
         let text = format!("{change:?}");
-        match self.replica.change(change, Instant::now() + CHANGE_TIMEOUT) {
+        let deadline = Instant::now() + CHANGE_TIMEOUT;
+        let changed = match change {
+            // Waits for a moment when the learner holds everything.
+            Change::Promote(node) => self.replica.promote(node, deadline),
+            change => self.replica.change(change, deadline),
+        };
+        match changed {
             Ok(_) => info!("membership changed: {text}"),
             Err(error) => info!("membership not changed yet: {text}: {error}"),
         }
--- a/crates/filbertstack-log/src/node/io.rs
+++ b/crates/filbertstack-log/src/node/io.rs
@@ -249,6 +249,8 @@
     pub commit: u64,
     /// The last index covered by a snapshot.
     pub snapshot: u64,
+    /// The log index of the latest change of the members; 0 before the first.
+    pub membership_index: u64,
     /// The members, by the latest change appended.
     pub membership: Arc<Membership>,
     /// Until when this leader serves reads without asking, in the node's time.
--- a/crates/filbertstack-log/src/node/mod.rs
+++ b/crates/filbertstack-log/src/node/mod.rs
@@ -220,6 +220,7 @@
             durable: self.durable,
             commit: self.commit,
             snapshot: self.snapshot.as_ref().map_or(0, |s| s.index),
+            membership_index: self.members.last().map_or(0, |(index, _)| *index),
             membership: self.membership(),
             lease: self.lease_until(),
             full: self.disk.full_until.is_some(),
--- a/crates/filbertstack-wire/src/messages.rs
+++ b/crates/filbertstack-wire/src/messages.rs
@@ -224,12 +224,21 @@
     pub wait: u64,
 }
 
-/// A term of the log.
-#[derive(Clone, Copy, PartialEq, Eq, Message)]
+/// A voter's term, and whom it knows to vote.
+#[derive(Clone, PartialEq, Eq, Message)]
 pub struct TermReport {
     /// The highest term that the sender knows.
     #[prost(uint64, tag = "1")]
     pub term: u64,
+    /// The sender's instance name; empty if it does not vote.
+    #[prost(string, tag = "2")]
+    pub voter: String,
+    /// The log index of the latest set of voters that it knows.
+    #[prost(uint64, tag = "3")]
+    pub config: u64,
+    /// That set, by instance names.
+    #[prost(string, repeated, tag = "4")]
+    pub voters: Vec<String>,
 }
 
 /// What an agent says of its target.
@@ -339,6 +348,12 @@
     /// Addresses of other entries, to announce to.
     #[prost(string, repeated, tag = "5")]
     pub entries: Vec<String>,
+    /// The highest term whose leader committed anything: it vouches for these orders.
+    #[prost(uint64, tag = "6")]
+    pub term: u64,
+    /// The start of the agent that these orders are for.
+    #[prost(uint64, tag = "7")]
+    pub incarnation: u64,
 }
 
 /// One version that a target is to serve.
--- a/src/cmd/apply.rs
+++ b/src/cmd/apply.rs
@@ -56,12 +56,17 @@
     let mut shown = String::new();
     loop {
         let answer = client.get(&format!("in-force?revision={revision}"))?;
-        let waiting = answer.body["waiting"].as_array().map_or(0, Vec::len);
         if answer.body["everywhere"] == Value::Bool(true) {
             eprintln!("revision {revision} is in force everywhere");
             return Ok(());
         }
-        let line = format!("in force at {}, waiting for {waiting}", answer.body["done"]);
+        let waiting = answer.body["waiting"].as_array();
+        let waiting: Vec<&str> = waiting
+            .into_iter()
+            .flatten()
+            .filter_map(Value::as_str)
+            .collect();
+        let line = format!("revision {revision}: waiting for {}", waiting.join(", "));
         if line != shown {
             eprintln!("{line}");
             shown = line;
