--- a/crates/filbertstack-log/tests/log/support/events.rs
+++ b/crates/filbertstack-log/tests/log/support/events.rs
@@ -16,8 +16,8 @@
 use crate::support::checker::Violation;
 use crate::support::disk::Wrong;
 use crate::support::machine::Put;
+use crate::support::running::Asked;
 use crate::support::steps::Step;
-use crate::support::world::Asked;
 use crate::support::world::Slot;
 use crate::support::world::World;
 
@@ -55,6 +55,7 @@
             }
             Step::Start(pick) => self.start_any(pick),
             Step::Freeze(pick, ms) => self.freeze(self.any(pick), ms),
+            Step::Suspend(pick, ms) => self.suspend(self.any(pick), ms),
             Step::FreezeLeader(ms) => {
                 self.leaders()
                     .into_iter()
@@ -78,6 +79,7 @@
                 let member = self.slots[self.any(pick)].member();
                 self.change(pick, Change::AddLearner(member));
             }
+            Step::Stranger(pick) => self.add_stranger(pick),
             Step::Promote(pick) => self.promote(pick),
             Step::Remove(pick) => self.remove(pick),
             Step::Transfer(pick) => self.transfer(pick),
@@ -121,7 +123,21 @@
         }
     }
 
+    /// Several callers propose at the same time.
+    pub fn propose_burst(&mut self, at: usize, count: u64) {
+        for _ in 0..count {
+            let (ticket, command) = self.command(at, None);
+            self.take(at, Input::Propose { ticket, command });
+        }
+        self.settle(at);
+    }
+
     pub fn propose_at(&mut self, at: usize, earlier: Option<u64>) {
+        let (ticket, command) = self.command(at, earlier);
+        self.input(at, Input::Propose { ticket, command });
+    }
+
+    fn command(&mut self, at: usize, earlier: Option<u64>) -> (Ticket, Bytes) {
         let request = earlier.unwrap_or_else(|| {
             self.next_request += 1;
             self.next_request
@@ -132,8 +148,7 @@
             value: request,
         };
         let ticket = self.ticket(at, Asked::Put(request));
-        let command = put.encode();
-        self.input(at, Input::Propose { ticket, command });
+        (ticket, put.encode())
     }
 
     fn read(&mut self, pick: u8) {
@@ -148,9 +163,12 @@
     }
 
     fn change(&mut self, pick: u8, change: Change) {
-        let Some(at) = self.a_leader(pick) else {
-            return;
-        };
+        if let Some(at) = self.a_leader(pick) {
+            self.change_at(at, change);
+        }
+    }
+
+    pub fn change_at(&mut self, at: usize, change: Change) {
         // An operator whose change waits at a frozen leader could not know what is lost meanwhile.
         if self.slots[at].frozen_until > self.now {
             return;
@@ -163,6 +181,24 @@
         self.input(at, Input::Change { ticket, change });
     }
 
+    /// Adds one of the replicas that the leader does not know.
+    fn add_stranger(&mut self, pick: u8) {
+        let Some(at) = self.a_leader(pick) else {
+            return;
+        };
+        let known = Arc::clone(&self.slots[at].membership);
+        let strange = |s: &&Slot| !known.members().any(|m| m.id() == s.id);
+        let strange: Vec<Member> = self
+            .slots
+            .iter()
+            .filter(strange)
+            .map(Slot::member)
+            .collect();
+        if let Some(member) = strange.get(usize::from(pick) % strange.len().max(1)) {
+            self.change(pick, Change::AddLearner(member.clone()));
+        }
+    }
+
     fn promote(&mut self, pick: u8) {
         let Some(at) = self.a_leader(pick) else {
             return;
@@ -228,6 +264,16 @@
         slot.frozen_until = slot.frozen_until.max(until);
     }
 
+    /// Freezes a replica with its clock, as when a machine is suspended.
+    pub fn suspend(&mut self, at: usize, ms: u16) {
+        self.freeze(at, ms);
+        let slot = &mut self.slots[at];
+        slot.suspended = true;
+        if let Some(running) = &mut slot.running {
+            running.boot += Duration::from_millis(u64::from(ms));
+        }
+    }
+
     pub fn isolate(&mut self, at: usize) {
         let own = self.slots[at].id;
         for other in self.slots.iter().map(|s| s.id) {
@@ -262,6 +308,7 @@
         if self.variant.keeps_identity {
             self.lost.remove(&id);
         }
+        self.checker.seen.disks += 1;
         self.slots[at].running = None;
         self.slots[at].inbox.clear();
         self.slots[at].disk.replace();
