Give up a claim whose outcome was lost; know a key's own time

Cause: a claim that may stand made the caller's resend 'unknown' although nothing had been sent; keys with a time of their own got only the guarantee of plain ones. Ruled out: claiming again under the same attempt (it may meet the deadline's end). After: Abandon is proposed, and UUIDv7 keys carry their time. Conclusion: a lost claim costs the caller a retry, not its answer.

--- a/crates/filbertstack-entry/src/claims.rs
+++ b/crates/filbertstack-entry/src/claims.rs
@@ -8,7 +8,10 @@
 use filbertstack_control::command::Claim;
 use filbertstack_control::command::Release;
 use filbertstack_control::command::Settle;
+use filbertstack_control::key::key_time;
 use filbertstack_control::outcome::Decision;
+use filbertstack_control::outcome::Fault;
+use filbertstack_control::outcome::Outcome;
 use filbertstack_control::outcome::Reply;
 use filbertstack_core::Digest;
 use filbertstack_core::Millis;
@@ -114,7 +117,7 @@
         let claim = Claim {
             organisation: wanted.org.to_string(),
             key: wanted.key.into(),
-            issued: None,
+            issued: key_time(wanted.key),
             body: wanted.digest.to_vec(),
             entry: self.process,
             attempt: wanted.attempt,
@@ -123,17 +126,7 @@
                 .saturating_add(grace),
             life: u64::try_from(KEY_LIFE.as_millis()).unwrap_or(u64::MAX),
         };
-        let mut outcome = self
-            .ledger
-            .propose(Body::Claim(claim.clone()), CLAIM_TIMEOUT);
-        if let Err(ProposeError::Unknown(_)) = outcome {
-            outcome = self.ledger.propose(Body::Claim(claim), CLAIM_TIMEOUT);
-        }
-        // Nothing was sent to a target yet, so whatever became of the claim, nothing ran.
-        let outcome = outcome.map_err(|error| {
-            let refusal = Refusal::not_run(503, format!("the key can't be claimed now: {error}"));
-            NotGranted::Refused(refusal.after_ms(1000))
-        })?;
+        let outcome = self.propose(claim)?;
         let Some(Reply::Claimed(claimed)) = outcome.reply else {
             let text = "the key was not claimed: a voter runs another release";
             return Err(NotGranted::Refused(
@@ -143,6 +136,28 @@
         self.decided(wanted, claimed.decision)
     }
 
+    /// Proposes the claim; a claim that may or may not stand is given up.
+    ///
+    /// Nothing was sent to a target yet, so whatever became of the claim, nothing ran. Left as it
+    /// is, a claim whose outcome was lost would make the caller's resend "unknown".
+    fn propose(&self, claim: Claim) -> Result<Outcome, NotGranted> {
+        let proposed = self
+            .ledger
+            .propose(Body::Claim(claim.clone()), CLAIM_TIMEOUT);
+        let error = match proposed {
+            Ok(outcome) => return Ok(outcome),
+            Err(error) => error,
+        };
+        if let ProposeError::Unknown(_) = error {
+            let abandoned = self.ledger.propose(Body::Abandon(claim), SETTLE_TIMEOUT);
+            if let Err(error) = abandoned {
+                warn!("a claim was not given up: {error}");
+            }
+        }
+        let refusal = Refusal::not_run(503, format!("the key can't be claimed now: {error}"));
+        Err(NotGranted::Refused(refusal.after_ms(1000)))
+    }
+
     fn decided(
         &self,
         wanted: &Wanted<'_>,
@@ -176,6 +191,9 @@
                 409,
                 "the key is older than what is kept: whether it ran is not known any more",
             ),
+            Some(Decision::Refused(reason)) if reason.fault() == Fault::Expired => {
+                Refusal::not_run(503, reason.to_string()).after_ms(1000)
+            }
             Some(Decision::Refused(reason)) => Refusal::not_run(400, reason.to_string()),
             Some(Decision::Full(after)) => {
                 Refusal::not_run(503, "no room for another key now: come back").after_ms(after)
