Give every request one end, and none called not run that may have run

With that check taken out the test fails at once ('may have run'). Refusals before any pace was measured all named 200 to 300 ms: they are now spread by an assumed pace.

--- a/crates/filbertstack-policy/src/admission.rs
+++ b/crates/filbertstack-policy/src/admission.rs
@@ -7,6 +7,7 @@
 //! What becomes hopeless while it waits is refused at that moment.
 
 use std::collections::BTreeMap;
+use std::collections::VecDeque;
 
 use rand::RngExt;
 use rand::SeedableRng;
@@ -67,6 +68,10 @@
 /// The latest. Longer, and a caller refused in a burst would stay away long after its end.
 const LATEST: Millis = Millis::secs(30);
 
+/// The pace by which return times are spread before any was measured, in generated tokens a
+/// second: a sequence of a full batch at 8.6 ms a step.
+const FIRST_PACE: f64 = 100.0;
+
 /// The fewest places that an estimate counts with, so that it stays finite.
 const LEAST_PLACES: f64 = 0.1;
 
@@ -292,17 +297,34 @@
 
     fn unreachable(&self, now: Millis, supply: &Supply) -> Vec<Item> {
         let mut lost = Vec::new();
-        let mut ahead: BTreeMap<(&OrgName, bool), f64> = BTreeMap::new();
-        for item in self.fair.waiting() {
-            let before = ahead.entry((&item.org, item.long)).or_default();
-            let wait = supply.drains(*before, self.places(item, supply));
+        for org in self.fair.waiting() {
+            for lane in org {
+                self.unreachable_in(now, lane, supply, &mut lost);
+            }
+        }
+        lost
+    }
+
+    fn unreachable_in(
+        &self,
+        now: Millis,
+        lane: &VecDeque<Item>,
+        supply: &Supply,
+        lost: &mut Vec<Item>,
+    ) {
+        let Some(head) = lane.front() else {
+            return;
+        };
+        let places = self.places(head, supply);
+        let mut ahead = 0.0;
+        for item in lane {
+            let wait = supply.drains(ahead, places);
             if now + wait + supply.takes(item.work) > item.deadline {
                 lost.push(item.clone());
             } else {
-                *before += item.work;
+                ahead += item.work;
             }
         }
-        lost
     }
 
     /// The time that a new request is expected to wait.
@@ -336,7 +358,8 @@
     /// the present wait. So each refusal books its organisation's capacity for the request's
     /// work, and the next is told a later time.
     pub fn refuse(&mut self, now: Millis, item: &Item, supply: &Supply, reason: Reason) -> Refusal {
-        let takes = supply.drains(item.work, self.places(item, supply));
+        let speed = supply.pace.unwrap_or(FIRST_PACE);
+        let takes = millis(item.work / speed / self.places(item, supply));
         let free = now + self.wait(item, supply) + SOONEST;
         let booked = self.booked.entry(item.org.clone()).or_default();
         let place = (*booked).max(free);
--- a/crates/filbertstack-policy/src/fair.rs
+++ b/crates/filbertstack-policy/src/fair.rs
@@ -397,10 +397,9 @@
         idle.map(|(_, org)| org.in_flight).sum()
     }
 
-    /// Every request that waits, by organisation in the order in which each is served.
-    pub fn waiting(&self) -> impl Iterator<Item = &Item> {
-        self.orgs
-            .values()
-            .flat_map(|org| org.classes.iter().rev().flatten().flatten())
+    /// What waits, by organisation: its lanes, each in the order in which it is served.
+    pub fn waiting(&self) -> impl Iterator<Item = impl Iterator<Item = &VecDeque<Item>>> {
+        let orgs = self.orgs.values().filter(|org| org.queued > 0);
+        orgs.map(|org| org.classes.iter().flatten())
     }
 }
--- a/crates/filbertstack-policy/src/flow.rs
+++ b/crates/filbertstack-policy/src/flow.rs
@@ -4,7 +4,7 @@
 //! the latest every [`TICK`] while requests are open, it calls [`Flow::poll`] and hands each
 //! [`Event`] to the thread that waits for its ticket. Every offer that is not refused gets
 //! exactly one end: [`Ended`] other than [`Ended::Again`] and [`Ended::Late`] from
-//! [`Flow::finish`], an [`Event::Refuse`], or the owner's own [`Flow::cancel`].
+//! [`Flow::finish`], an [`Event::Refuse`] or [`Event::Unknown`], or the owner's own [`Flow::cancel`].
 //!
 //! ```
 //! use filbertstack_core::Millis;
@@ -143,6 +143,11 @@
         /// Why, and when to come back.
         refusal: Refusal,
     },
+    /// Whether it ran is not known, and it cannot be tried again in time: its end.
+    Unknown {
+        /// The request.
+        ticket: TicketKey,
+    },
 }
 
 /// What the end of an attempt means for its request.
@@ -386,9 +391,15 @@
         }
     }
 
+    /// A refusal says for certain that the request did not run. One that waits for another
+    /// attempt, after a first of unknown outcome, must not get it.
     fn end_refused(&mut self, ticket: TicketKey, refusal: Refusal) {
-        self.tickets.remove(ticket);
-        self.events.push(Event::Refuse { ticket, refusal });
+        let unsure = self.tickets.remove(ticket).is_some_and(|t| t.unsure);
+        self.events.push(if unsure {
+            Event::Unknown { ticket }
+        } else {
+            Event::Refuse { ticket, refusal }
+        });
     }
 
     fn wake_delayed(&mut self, now: Millis) {
@@ -402,8 +413,13 @@
             self.tickets[key].due = None;
             let item = self.item(key);
             let group = self.tickets[key].group;
-            if let Some(queue) = self.queues.get_mut(group) {
-                queue.put_back(now, item);
+            let supply = self.supply(now, group);
+            let Some(queue) = self.queues.get_mut(group) else {
+                continue;
+            };
+            queue.put_back(now, item);
+            if let Some((ticket, refusal)) = queue.trim(now, &supply) {
+                self.end_refused(ticket, refusal);
             }
         }
     }
--- a/crates/filbertstack-policy/tests/sim/brain.rs
+++ b/crates/filbertstack-policy/tests/sim/brain.rs
@@ -108,6 +108,9 @@
                 call: self.calls[&ticket.data().as_ffi()],
                 after: refusal.retry_after,
             },
+            Event::Unknown { ticket } => Act::Fail {
+                call: self.calls[&ticket.data().as_ffi()],
+            },
         }
     }
 }
