Split what the router learns from how it chooses

One decision changed: a target that does not serve what was asked for keeps its limit, as that tells nothing of its load.

--- /dev/null
+++ b/crates/filbertstack-policy/src/route/learn.rs
@@ -0,0 +1,237 @@
+//! What a router learns of its targets from how attempts go.
+
+use filbertstack_core::Millis;
+
+use super::Attempt;
+use super::AttemptKey;
+use super::Group;
+use super::GroupKey;
+use super::LASTING;
+use super::QUEUE_GOAL;
+use super::Router;
+use super::TargetKey;
+use crate::cost::Cost;
+use crate::limit::Sample;
+use crate::outlier::Health;
+use crate::outlier::MOST_OUT;
+use crate::retry::NotRun;
+use crate::target::Target;
+use crate::units::count;
+use crate::units::millis;
+use crate::units::secs;
+use crate::window::Mean;
+
+/// A target this many times slower than the median of its group is an outlier. Prompts cached
+/// or not and batches full or not make up to three times.
+const SLOW: f64 = 4.0;
+
+/// The fewest answers that a target is judged slow by.
+const JUDGED: u32 = 3;
+
+/// The fewest judged targets that make a median.
+const MEDIAN_OF: usize = 3;
+
+/// Prompt tokens that an engine reads in a second at least; what longer prompts take is no
+/// queueing.
+const PREFILL: f64 = 10_000.0;
+
+impl Router {
+    /// Takes attempts whose first token is overdue as slow ones, without waiting for their end.
+    ///
+    /// A target that is twenty times slower tells so twenty times later: what it holds is
+    /// evidence as soon as the usual time has passed.
+    pub fn sweep(&mut self, now: Millis) {
+        let late: Vec<_> = self
+            .attempts
+            .iter()
+            .filter(|(_, attempt)| attempt.first.is_none() && !attempt.overdue)
+            .filter(|(_, attempt)| now.since(attempt.sent) > self.overdue_after(attempt))
+            .map(|(key, attempt)| (key, attempt.target, attempt.group, attempt.sent))
+            .collect();
+        for (key, target, group, sent) in late {
+            self.attempts[key].overdue = true;
+            self.learn_first(now, key, now.since(sent));
+            self.judge(now, group, target, key);
+        }
+    }
+
+    fn overdue_after(&self, attempt: &Attempt) -> Millis {
+        let group = self.groups.get(attempt.group);
+        let goal = group.map_or(QUEUE_GOAL, Group::goal);
+        let median = group.and_then(|group| group.firsts.quantile(50));
+        let usual = median.unwrap_or(Millis::secs(1));
+        goal + millis(secs(usual) * SLOW) + prefill(attempt.cost)
+    }
+
+    pub(super) fn learn_first(&mut self, now: Millis, key: AttemptKey, first: Millis) {
+        let attempt = &self.attempts[key];
+        let Some(group) = self.groups.get(attempt.group) else {
+            return;
+        };
+        let Some(target) = self.targets.get_mut(attempt.target) else {
+            return;
+        };
+        let unloaded = group.floor.least().unwrap_or(first) + prefill(attempt.cost);
+        let sample = Sample {
+            sent: attempt.sent,
+            queued: first.since(unloaded),
+            goal: group.goal(),
+            service: millis(group.elapsed.get(1).unwrap_or_default()),
+            full: attempt.full,
+        };
+        target.limit.observe(now, sample);
+        target.note_first(first);
+        for block in &attempt.prefix {
+            target.hints.store(now, *block);
+        }
+    }
+
+    pub(super) fn learn_end(&mut self, now: Millis, attempt: &Attempt, cost: Cost) {
+        let elapsed = secs(now.since(attempt.sent));
+        if let Some(group) = self.groups.get_mut(attempt.group) {
+            group.work.add(cost.work(), LASTING);
+            group.elapsed.add(elapsed, LASTING);
+        }
+        let Some(target) = self.targets.get_mut(attempt.target) else {
+            return;
+        };
+        target.outlier.succeed();
+        let streamed = secs(now.since(attempt.first.unwrap_or(now)));
+        if cost.output > 1 {
+            target.note_between(streamed / f64::from(cost.output - 1));
+        }
+        self.judge_end(now, attempt);
+    }
+
+    pub(super) fn learn_refusal(&mut self, now: Millis, attempt: &Attempt, reason: NotRun) {
+        match reason {
+            NotRun::Unreachable => self.learn_loss(now, attempt),
+            NotRun::Leaving => self.target_leaving(attempt.target),
+            // Its candidates are out of date: that tells nothing of its load.
+            NotRun::Absent => {}
+            NotRun::Full => {
+                if let Some(target) = self.targets.get_mut(attempt.target) {
+                    target.limit.fail(now, attempt.sent);
+                }
+            }
+        }
+        self.reopen(now, attempt);
+    }
+
+    /// A refusal tells nothing of a probed target's speed: the next request probes again.
+    fn reopen(&mut self, now: Millis, attempt: &Attempt) {
+        if let Some(target) = self.targets.get_mut(attempt.target)
+            && attempt.is_probe()
+            && target.outlier.health() == Health::Probed
+        {
+            target.outlier.eject(now);
+        }
+    }
+
+    /// A target without a link is out at once: unlike an answer that fails, there is no doubt, and
+    /// every further request sent there would need a retry.
+    fn learn_loss(&mut self, now: Millis, attempt: &Attempt) {
+        let can_eject = self.can_eject(attempt.group);
+        if let Some(target) = self.targets.get_mut(attempt.target)
+            && can_eject
+            && !target.outlier.is_out()
+        {
+            target.limit.fail(now, attempt.sent);
+            target.outlier.lose(now);
+        }
+    }
+
+    pub(super) fn learn_failure(&mut self, now: Millis, attempt: &Attempt) {
+        let can_eject = self.can_eject(attempt.group);
+        let Some(target) = self.targets.get_mut(attempt.target) else {
+            return;
+        };
+        target.limit.fail(now, attempt.sent);
+        let bad = target.outlier.fail();
+        if attempt.is_probe() || (bad && can_eject && !target.outlier.is_out()) {
+            target.outlier.eject(now);
+        }
+    }
+
+    /// Ejects the target if its first tokens come too late, or takes it back after its probe.
+    pub(super) fn judge(
+        &mut self,
+        now: Millis,
+        group: GroupKey,
+        key: TargetKey,
+        attempt: AttemptKey,
+    ) {
+        let probe = self.attempts[attempt].is_probe();
+        if probe && self.attempts[attempt].overdue {
+            self.eject(now, key);
+            return;
+        }
+        let slack = self.groups.get(group).map_or(QUEUE_GOAL, Group::goal);
+        let slow = self.is_slow(group, key, secs(slack), |target| &target.first);
+        if !probe && slow && self.can_eject(group) {
+            self.eject_once(now, key);
+        }
+    }
+
+    /// Judges by the pace of the stream, which shows a slow target whose queue is empty.
+    fn judge_end(&mut self, now: Millis, attempt: &Attempt) {
+        let slow = self.is_slow(attempt.group, attempt.target, 0.0, |target| &target.between);
+        let can_eject = self.can_eject(attempt.group);
+        let Some(target) = self.targets.get_mut(attempt.target) else {
+            return;
+        };
+        let out = target.outlier.is_out();
+        match (attempt.is_probe() && out, slow) {
+            (true, false) if !attempt.overdue => target.readmit(now),
+            (true, _) => target.outlier.eject(now),
+            (false, true) if can_eject && !out => target.outlier.eject(now),
+            (false, _) => {}
+        }
+    }
+
+    fn eject(&mut self, now: Millis, key: TargetKey) {
+        if let Some(target) = self.targets.get_mut(key) {
+            target.outlier.eject(now);
+        }
+    }
+
+    fn eject_once(&mut self, now: Millis, key: TargetKey) {
+        let out = self.targets.get(key).is_some_and(Target::is_out);
+        if !out {
+            self.eject(now, key);
+        }
+    }
+
+    /// Whether the target's mean lies beyond its peers', a queue of `slack` seconds allowed for.
+    fn is_slow(
+        &self,
+        group: GroupKey,
+        key: TargetKey,
+        slack: f64,
+        mean: fn(&Target) -> &Mean,
+    ) -> bool {
+        let Some(own) = self.targets.get(key).and_then(|t| mean(t).get(JUDGED)) else {
+            return false;
+        };
+        let others = self.members(group).iter().filter(|member| **member != key);
+        let targets = others.filter_map(|member| self.targets.get(*member));
+        let mut means: Vec<f64> = targets.filter_map(|t| mean(t).get(JUDGED)).collect();
+        if means.len() < MEDIAN_OF {
+            return false;
+        }
+        means.sort_by(f64::total_cmp);
+        own > means[means.len() / 2] * SLOW + slack
+    }
+
+    /// Whether one more of the group's targets may be out.
+    pub fn can_eject(&self, group: GroupKey) -> bool {
+        let members = self.members(group);
+        let is_out = |key: &&TargetKey| self.targets.get(**key).is_some_and(Target::is_out);
+        let out = members.iter().filter(is_out).count() + 1;
+        count(out) <= count(members.len()) * MOST_OUT
+    }
+}
+
+fn prefill(cost: Cost) -> Millis {
+    millis(f64::from(cost.prompt) / PREFILL)
+}
