--- a/crates/filbertstack-policy/tests/overload.rs
+++ b/crates/filbertstack-policy/tests/overload.rs
@@ -45,6 +45,7 @@
         warm: 10,
         streams: ORGS.iter().map(|org| stream(org, rate, seconds)).collect(),
         faults: Vec::new(),
+        tells: true,
         seed: 42,
     }
 }
@@ -64,6 +65,7 @@
             warm: 10,
             streams,
             faults: Vec::new(),
+            tells: true,
             seed: 1,
         };
         let report = run(&full, Policy::Plain);
@@ -149,6 +151,19 @@
     assert!(trial.ours.all().sends() <= 1.0);
 }
 
+#[test]
+fn overload_of_targets_that_tell_nothing() {
+    // Engines that give neither slots nor load. Only their first tokens say that a batch is full:
+    // limits that did not heed them would grow until the queues stand in the engines, where
+    // nothing can be ordered or refused any more.
+    let mut silent = scenario(3.0, 40);
+    silent.tells = false;
+    let trial = Trial::new(&silent);
+    insta::assert_snapshot!(trial.table());
+    assert!(goodput(&trial.ours) >= 0.95);
+    assert!(trial.ours.all().p99() < 4000);
+}
+
 #[test]
 fn load_about_the_capacity() {
     // The hardest place for an estimate: queues come and go by chance alone.
@@ -228,7 +243,7 @@
     let mut trial = Trial::new(&shared);
     trial.line("hot", |stream| stream < 10);
     insta::assert_snapshot!(trial.table());
-    assert!(trial.ours.all().p99() <= trial.plain.all().p99());
+    assert!(trial.ours.all().p99() * 2 <= trial.plain.all().p99());
     assert!(trial.ours.all().refused * 100 <= trial.ours.all().offered);
 }
 
--- a/crates/filbertstack-policy/tests/properties.rs
+++ b/crates/filbertstack-policy/tests/properties.rs
@@ -433,3 +433,28 @@
     assert!(times.len() >= 20);
     assert!(different.len() * 10 >= times.len() * 9, "{times:?}");
 }
+
+#[test]
+fn retries_add_a_tenth_at_most() {
+    // Every target refuses every request as full. Free retries would send each four times and
+    // keep the targets busy with refusing.
+    let mut owner = Owner::new();
+    let mut sent = 0;
+    for round in 1..=1000 {
+        owner.now = owner.now + Millis(200);
+        owner.offer(round % 4, 1, 20, true);
+        owner.poll();
+        while let Some(attempt) = owner.pick(0) {
+            sent += 1;
+            let ticket = owner.attempts.remove(&attempt).unwrap().ticket;
+            let full = Outcome::NotRun(NotRun::Full);
+            let ended = owner.flow.finish(owner.now, attempt, full);
+            if matches!(ended, Ended::Refused(_)) {
+                owner.end(ticket);
+            }
+            owner.poll();
+        }
+    }
+    assert!(sent > 1000, "nothing was tried again");
+    assert!(sent <= 1100 + 3, "{sent} sendings of 1000 requests");
+}
--- a/crates/filbertstack-policy/tests/sim/brain.rs
+++ b/crates/filbertstack-policy/tests/sim/brain.rs
@@ -68,7 +68,14 @@
 }
 
 impl Filbert {
-    pub fn new(now: Millis, name: &str, engines: usize, entries: usize, seed: u64) -> Self {
+    pub fn new(
+        now: Millis,
+        name: &str,
+        engines: usize,
+        entries: usize,
+        tells: bool,
+        seed: u64,
+    ) -> Self {
         let zone = |i: usize| format!("zone-{}", i % 3).parse().unwrap();
         let own: usize = name.rsplit('-').next().unwrap().parse().unwrap();
         let mut flow = Flow::new(Settings::new(name.parse().unwrap(), zone(own), seed));
@@ -78,7 +85,7 @@
         let info = |i: usize| TargetInfo {
             name: format!("engine-{i}").parse().unwrap(),
             zone: zone(i),
-            slots: Some(u32::try_from(SLOTS).unwrap()),
+            slots: tells.then_some(u32::try_from(SLOTS).unwrap()),
         };
         let up = |i| flow.router_mut().target_up(now, info(i), false);
         let targets: Vec<_> = (0..engines).map(up).collect();
--- a/crates/filbertstack-policy/tests/sim/mod.rs
+++ b/crates/filbertstack-policy/tests/sim/mod.rs
@@ -91,6 +91,8 @@
     pub warm: u64,
     pub streams: Vec<Stream>,
     pub faults: Vec<(u64, Fault)>,
+    /// Whether engines tell their slots and their load.
+    pub tells: bool,
     pub seed: u64,
 }
 
@@ -233,6 +235,7 @@
                 &format!("entry-{entry}"),
                 self.engines.len(),
                 self.scenario.entries,
+                self.scenario.tells,
                 seed,
             )),
         };
@@ -405,7 +408,7 @@
 
     fn measure(&mut self, engine: usize) {
         self.push(self.now + REPORT_EVERY, Happening::Measure(engine));
-        if !self.engines[engine].alive {
+        if !self.engines[engine].alive || !self.scenario.tells {
             return;
         }
         let late = self.now + REPORT_LATE;
