Trace every hop and measure what callers get; never call 'not run' what may have run

Cause: a request whose deadline passed while it waited for its second attempt was refused as 'not run' although the first may have run; spans and metrics ended at the agent; call.rs held two jobs. Ruled out: leaving it to the flow alone (the entry's own deadline comes first). After: an attempt without word makes the end unknown; spans for request, claim, admission, dispatch, gate and engine; the run of one request is a file of its own. Tests use a loopback address each: a port freed by a kill was taken by an outgoing connection in one run (Address already in use). Conclusion: the outcome named to a caller is certain or says that it is not.

--- a/crates/filbertstack-entry/src/call.rs
+++ b/crates/filbertstack-entry/src/call.rs
@@ -3,7 +3,6 @@
 use std::sync::Arc;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
-use std::sync::mpsc::RecvTimeoutError;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -15,24 +14,19 @@
 use filbertstack_core::names::OrgName;
 use filbertstack_policy::admission;
 use filbertstack_policy::cost::Cost;
-use filbertstack_policy::flow::Ended;
 use filbertstack_policy::flow::Offer;
-use filbertstack_policy::retry::NotRun;
-use filbertstack_policy::retry::Outcome;
-use filbertstack_policy::route::AttemptKey;
 use filbertstack_policy::route::Kind;
 use filbertstack_policy::route::Need;
-use filbertstack_policy::route::TargetKey;
+use filbertstack_telemetry::Span;
+use filbertstack_telemetry::Telemetry;
+use filbertstack_telemetry::traces as trace;
+use filbertstack_telemetry::traces::Hop;
+use filbertstack_telemetry::traces::Parent;
 use filbertstack_wire::Dialer;
 use filbertstack_wire::messages::Dispatch;
-use filbertstack_wire::messages::Head;
 use filbertstack_wire::messages::Header;
-use filbertstack_wire::messages::Payload;
-use filbertstack_wire::messages::Tell;
 use tiny_http::Request;
 
-use crate::answer::Answer;
-use crate::attempt::Attempt;
 use crate::claims::Claims;
 use crate::claims::Granted;
 use crate::claims::MAX_KEY;
@@ -46,18 +40,13 @@
 use crate::http::Refusal;
 use crate::lease::Leases;
 use crate::prompt::Prompt;
-use crate::race::Race;
+use crate::run::End;
+use crate::run::Run;
 use crate::settings::Callers;
 use crate::table::Asked;
 use crate::table::Chosen;
-use crate::table::Place;
 use crate::table::SharedTable;
-use crate::traffic::Ticket;
 use crate::traffic::Traffic;
-use crate::traffic::Turn;
-
-/// How often a waiting request looks whether its caller has left.
-const LOOK: Duration = Duration::from_millis(50);
 
 /// The paths of the model API.
 const MODEL_PATHS: &str = "/v1/";
@@ -69,7 +58,6 @@
 const OWN_HEADERS: [&str; 2] = ["authorization", TIMEOUT_HEADER];
 
 /// Answers callers' requests.
-#[derive(Debug)]
 pub struct Calls {
     /// Who may call.
     pub callers: Callers,
@@ -81,6 +69,8 @@
     pub dialer: Arc<Dialer>,
     /// This entry's config lease.
     pub leases: Arc<Leases>,
+    /// Metrics and traces.
+    pub telemetry: Arc<Telemetry>,
     /// The largest body, in bytes.
     pub max_body: usize,
     /// Numbers attempts; begins at a random number, so that no two processes share one.
@@ -88,15 +78,15 @@
 }
 
 /// A request that has been read and routed.
-struct Job {
-    org: OrgName,
-    chosen: Chosen,
-    table: SharedTable,
-    need: Need,
-    dispatch: Dispatch,
-    deadline: Instant,
-    timeout: Millis,
-    gone: Gone,
+pub(crate) struct Job {
+    pub(crate) org: OrgName,
+    pub(crate) chosen: Chosen,
+    pub(crate) table: SharedTable,
+    pub(crate) need: Need,
+    pub(crate) dispatch: Dispatch,
+    pub(crate) deadline: Instant,
+    pub(crate) timeout: Millis,
+    pub(crate) gone: Gone,
 }
 
 impl Calls {
@@ -114,21 +104,25 @@
     /// Answers one request.
     pub fn answer(&self, mut request: Request, guard: &Guard) {
         let arrived = Instant::now();
-        let job = match self.read(&mut request, guard, arrived) {
-            Ok(job) => job,
+        let parent = Parent::parse(
+            http::field(&request, "traceparent"),
+            http::field(&request, "tracestate"),
+        );
+        let span = self.telemetry.tracer().span(Hop::EntryRequest, &parent);
+        let outcome = self.read(&mut request, guard, arrived);
+        let outcome = match outcome {
+            Ok(job) => self.serve(request, &job, &span),
             Err(refusal) => {
+                span.fail(&refusal.text);
+                let outcome = refusal.outcome.name();
                 let _ = http::refuse(request, &refusal);
-                return;
+                outcome
             }
         };
-        let claim = match self.claim(&request, &job) {
-            Ok(claim) => claim,
-            Err(not_granted) => {
-                let _ = answer_not_granted(request, not_granted);
-                return;
-            }
-        };
-        self.serve(request, &job, claim);
+        span.text(trace::Field::Outcome, outcome);
+        let metrics = &self.telemetry.metrics.entry;
+        metrics.requests.add(outcome, 1);
+        metrics.duration.record(outcome, arrived.elapsed());
     }
 
     fn read(&self, request: &mut Request, guard: &Guard, arrived: Instant) -> Result<Job, Refusal> {
@@ -203,7 +197,20 @@
         self.claims.claim(&wanted).map(Some)
     }
 
-    fn serve(&self, request: Request, job: &Job, claim: Option<Granted>) {
+    /// Claims, admits and sends a request; returns how it ended.
+    fn serve(&self, request: Request, job: &Job, span: &Span) -> &'static str {
+        span.text(trace::Field::Organisation, job.org.as_str());
+        span.text(trace::Field::Rule, job.chosen.rule.as_str());
+        let claiming = self
+            .telemetry
+            .tracer()
+            .span(Hop::EntryClaim, &span.parent());
+        let claimed = self.claim(&request, job);
+        drop(claiming);
+        let claim = match claimed {
+            Ok(claim) => claim,
+            Err(not_granted) => return self.answer_known(request, not_granted),
+        };
         let left = job.deadline.saturating_duration_since(Instant::now());
         let offer = Offer {
             group: job.chosen.group,
@@ -213,290 +220,32 @@
             need: job.need.clone(),
         };
         let end = match self.traffic.offer(offer) {
-            Ok(ticket) => Run::new(self, job, ticket, request).follow(),
+            Ok(ticket) => Run::new(self, job, ticket, request, span).follow(),
             Err(refusal) => End::Refused {
                 request,
                 refusal: refusal_of(&refusal),
             },
         };
-        conclude(end, claim);
-    }
-
-    fn next_attempt(&self) -> u64 {
-        self.attempts.fetch_add(1, Ordering::Relaxed)
-    }
-}
-
-/// How a request ends for its caller.
-enum End {
-    /// It did not run.
-    Refused { request: Request, refusal: Refusal },
-    /// Nobody knows whether it ran, and no byte of an answer went out.
-    Unknown { request: Request, refusal: Refusal },
-    /// An answer has begun and breaks off, or the caller has left.
-    Cut { ran: bool },
-    /// The answer is whole, its end not yet sent.
-    Whole(Box<Answer>),
-}
-
-/// Settles the claim, then tells the caller.
-///
-/// In this order: a caller that sees the end of an answer and sends its request again gets the
-/// same answer, not "in progress".
-fn conclude(end: End, claim: Option<Granted>) {
-    match end {
-        End::Refused { request, refusal } => {
-            if let Some(claim) = claim {
-                claim.release();
-            }
-            let _ = http::refuse(request, &refusal);
-        }
-        End::Unknown { request, refusal } => {
-            if let Some(claim) = claim {
-                claim.settle_unknown();
-            }
-            let _ = http::refuse(request, &refusal);
-        }
-        End::Cut { ran: false } => {
-            if let Some(claim) = claim {
-                claim.release();
-            }
-        }
-        End::Cut { ran: true } => {
-            if let Some(claim) = claim {
-                claim.settle_unknown();
-            }
-        }
-        End::Whole(answer) => {
-            if let Some(claim) = claim {
-                claim.settle(answer.status(), answer.digest(), answer.kept().as_ref());
-            }
-            let _ = answer.finish();
-        }
-    }
-}
-
-/// An attempt in progress and where it goes.
-struct Live {
-    key: AttemptKey,
-    number: u64,
-    place: Place,
-    _sending: Attempt,
-}
-
-/// One admitted request, until its end.
-struct Run<'a> {
-    calls: &'a Calls,
-    job: &'a Job,
-    ticket: Ticket,
-    live: Vec<Live>,
-    race: Race<AttemptKey>,
-    answer: Answer,
-    sent: bool,
-    /// A claimed request that was sent runs to its end also when its caller leaves: the caller
-    /// comes back with the same key, and then gets the answer instead of "unknown".
-    claimed: bool,
-}
-
-impl<'a> Run<'a> {
-    fn new(calls: &'a Calls, job: &'a Job, ticket: Ticket, request: Request) -> Self {
-        let answer = Answer::new(request);
-        let claimed = !job.chosen.idempotent;
-        Self {
-            calls,
-            job,
-            ticket,
-            live: Vec::new(),
-            race: Race::new(),
-            answer,
-            sent: false,
-            claimed,
-        }
-    }
-
-    fn follow(mut self) -> End {
-        loop {
-            if self.job.gone.is_set() && !(self.claimed && self.sent) {
-                return End::Cut { ran: self.sent };
-            }
-            let turn = match self.ticket.turns.recv_timeout(LOOK) {
-                Ok(turn) => turn,
-                Err(RecvTimeoutError::Timeout) if Instant::now() < self.job.deadline => continue,
-                Err(_) => return self.time_out(),
-            };
-            let next = match turn {
-                Turn::Send { attempt, target } => self.send(attempt, target),
-                Turn::Refused(refusal) => Next::Refused(refusal),
-                Turn::Part {
-                    attempt,
-                    tell,
-                    last,
-                } => self.part(attempt, tell, last),
-                Turn::Failed {
-                    attempt,
-                    outcome,
-                    text,
-                } => self.failed(attempt, outcome, &text),
-            };
-            match next {
-                Next::Go => {}
-                Next::Refused(refusal) => return self.refuse(&refusal),
-                Next::Unknown(text) => return self.unknown(502, text),
-                Next::Cut => return End::Cut { ran: true },
-                Next::Whole => return End::Whole(Box::new(self.answer)),
-            }
-        }
-    }
-
-    /// Sends the request to a target.
-    fn send(&mut self, key: AttemptKey, target: TargetKey) -> Next {
-        if !self.race.enter(key) {
-            // The flow withdrew it when the other attempt began to answer.
-            return Next::Go;
-        }
-        let table = self.calls.traffic.table();
-        let group = self.job.chosen.group;
-        let place = table
-            .place(group, target)
-            .or_else(|| self.job.table.place(group, target));
-        let Some(place) = place.cloned() else {
-            let outcome = Outcome::NotRun(NotRun::Absent);
-            return self.failed(key, outcome, "the target left before the request was sent");
-        };
-        let number = self.calls.next_attempt();
-        let left = self.job.deadline.saturating_duration_since(Instant::now());
-        let dispatch = Dispatch {
-            attempt: number,
-            digest: place.version.map(Digest::to_vec).unwrap_or_default(),
-            timeout: Millis::from(left).0,
-            ..self.job.dispatch.clone()
-        };
-        let (dialer, turns) = (self.calls.dialer.clone(), &self.ticket.sender);
-        let sending = Attempt::start(dialer, &place, key, dispatch, self.job.deadline, turns);
-        self.sent = true;
-        self.live.push(Live {
-            key,
-            number,
-            place,
-            _sending: sending,
-        });
-        Next::Go
-    }
-
-    /// Takes a part of an answer, if it belongs to an attempt that may still answer.
-    fn part(&mut self, key: AttemptKey, tell: Tell, last: bool) -> Next {
-        let Some(live) = self.live.iter().find(|live| live.key == key) else {
-            return Next::Go;
-        };
-        match tell {
-            Tell::Head(head) => {
-                let version = live.place.version.map(Digest::to_vec).unwrap_or_default();
-                if head.attempt != live.number || head.digest != version {
-                    let text = "the target answered another request or from another version";
-                    return self.failed(key, Outcome::Unknown, text);
-                }
-                if self.is_full(&head) {
-                    let outcome = Outcome::NotRun(NotRun::Full);
-                    return self.failed(key, outcome, "the engine had no room");
-                }
-                let place = live.place.clone();
-                if self.race.head(key) {
-                    self.ticket.first_token(key);
-                    self.live.retain(|live| live.key == key);
-                    self.answer.head(&head, &place);
-                }
-                Next::Go
-            }
-            Tell::Piece(Payload { body }) if self.race.may_pass(key) => {
-                self.piece(key, &body, last)
-            }
-            Tell::Piece(_) => Next::Go,
-            _ => self.failed(key, Outcome::Unknown, "the agent told something else"),
-        }
+        end.conclude(claim)
     }
 
-    /// An engine that says 429 or 503 has not begun; a plain service may mean anything by it.
-    fn is_full(&self, head: &Head) -> bool {
-        self.job.chosen.kind == Kind::Engines && matches!(head.status, 429 | 503)
-    }
-
-    fn piece(&mut self, key: AttemptKey, body: &[u8], last: bool) -> Next {
-        if self.answer.piece(body).is_err() && !self.claimed {
-            return Next::Cut;
-        }
-        if !last {
-            return Next::Go;
-        }
-        let cost = Cost {
-            prompt: self.job.need.cost.prompt,
-            output: self.answer.tokens(),
+    /// Answers a request whose key was not granted.
+    fn answer_known(&self, request: Request, not_granted: NotGranted) -> &'static str {
+        let outcome = match &not_granted {
+            NotGranted::Ran { .. } => "ran",
+            NotGranted::Refused(refusal) => refusal.outcome.name(),
         };
-        self.ticket.finish(key, Outcome::Ran { cost });
-        Next::Whole
+        self.telemetry.metrics.entry.replays.add(outcome, 1);
+        let _ = answer_not_granted(request, not_granted);
+        outcome
     }
 
-    fn failed(&mut self, key: AttemptKey, outcome: Outcome, text: &str) -> Next {
-        self.live.retain(|live| live.key != key);
-        let answered = self.race.may_pass(key);
-        self.race.leave(key);
-        match self.ticket.finish(key, outcome) {
-            _ if answered && self.answer.has_begun() => Next::Cut,
-            Ended::Again | Ended::Open | Ended::Late => {
-                if answered {
-                    self.answer.reset();
-                }
-                Next::Go
-            }
-            Ended::Refused(refusal) => Next::Refused(refusal),
-            Ended::Unknown | Ended::Whole => Next::Unknown(text.into()),
-        }
-    }
-
-    fn refuse(self, refusal: &admission::Refusal) -> End {
-        match self.answer.into_request() {
-            Some(request) => End::Refused {
-                request,
-                refusal: refusal_of(refusal),
-            },
-            None => End::Cut { ran: true },
-        }
-    }
-
-    fn unknown(self, status: u16, text: String) -> End {
-        match self.answer.into_request() {
-            Some(request) => End::Unknown {
-                request,
-                refusal: Refusal::unknown(status, text),
-            },
-            None => End::Cut { ran: true },
-        }
-    }
-
-    fn time_out(self) -> End {
-        if self.live.is_empty() {
-            let reason = admission::Reason::Deadline;
-            let retry_after = Millis::secs(1);
-            return self.refuse(&admission::Refusal {
-                reason,
-                retry_after,
-            });
-        }
-        let text = "no whole answer by the deadline: allow more time, or ask again if it may run \
-                    twice";
-        self.unknown(504, text.into())
+    pub(crate) fn next_attempt(&self) -> u64 {
+        self.attempts.fetch_add(1, Ordering::Relaxed)
     }
 }
 
-/// What a turn means for the request.
-enum Next {
-    Go,
-    Refused(admission::Refusal),
-    Unknown(String),
-    Cut,
-    Whole,
-}
-
-fn refusal_of(refusal: &admission::Refusal) -> Refusal {
+pub(crate) fn refusal_of(refusal: &admission::Refusal) -> Refusal {
     let status = match refusal.reason {
         admission::Reason::OrgQueue | admission::Reason::Queue => 429,
         _ => 503,
--- a/crates/filbertstack-entry/src/http.rs
+++ b/crates/filbertstack-entry/src/http.rs
@@ -56,6 +56,16 @@
     Unknown,
 }
 
+impl Outcome {
+    /// The outcome as headers and metrics name it.
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::NotRun => "not-run",
+            Self::Unknown => "unknown",
+        }
+    }
+}
+
 /// An error answer.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Refusal {
@@ -166,9 +176,10 @@
 /// # Errors
 /// If the caller has left.
 pub fn refuse(request: Request, refusal: &Refusal) -> io::Result<()> {
-    let (outcome, kind) = match refusal.outcome {
-        Outcome::NotRun => ("not-run", "not_run"),
-        Outcome::Unknown => ("unknown", "unknown"),
+    let outcome = refusal.outcome.name();
+    let kind = match refusal.outcome {
+        Outcome::NotRun => "not_run",
+        Outcome::Unknown => "unknown",
     };
     let mut fields = vec![
         Field::new("content-type", "application/json"),
--- a/crates/filbertstack-entry/src/lib.rs
+++ b/crates/filbertstack-entry/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod prompt;
 pub mod question;
 pub mod race;
+mod run;
 pub mod settings;
 pub mod table;
 pub mod traffic;
--- a/crates/filbertstack-entry/src/process.rs
+++ b/crates/filbertstack-entry/src/process.rs
@@ -205,6 +205,7 @@
             claims: Claims::new(ledger.clone(), rng.next_u64()),
             dialer: dialer.clone(),
             leases: leases.clone(),
+            telemetry: telemetry.clone(),
             max_body: settings.max_body,
             attempts: AtomicU64::new(rng.next_u64() >> 1),
         };
--- a/tests/system/support.rs
+++ b/tests/system/support.rs
@@ -5,6 +5,7 @@
 use std::io::BufRead;
 use std::io::BufReader;
 use std::io::Read;
+use std::net::Ipv4Addr;
 use std::net::SocketAddr;
 use std::net::TcpListener;
 use std::path::PathBuf;
@@ -12,6 +13,8 @@
 use std::process::Command;
 use std::process::Output;
 use std::process::Stdio;
+use std::sync::atomic::AtomicU8;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -105,9 +108,25 @@
     }
 }
 
-/// A port that is free now, on loopback.
-pub fn free_addr() -> SocketAddr {
-    let socket = TcpListener::bind("127.0.0.1:0").expect("a free port");
+/// A loopback address of one test's own.
+///
+/// A port that was free once may be taken by somebody's outgoing connection when a process is
+/// started again. Outgoing connections leave from 127.0.0.1, so on another address they can't.
+fn own_ip() -> Ipv4Addr {
+    static SYSTEMS: AtomicU8 = AtomicU8::new(1);
+    let process = std::process::id();
+    let part = |shift: u32| u8::try_from((process >> shift) % 200).unwrap_or(0) + 1;
+    Ipv4Addr::new(
+        127,
+        part(8),
+        part(0),
+        SYSTEMS.fetch_add(1, Ordering::Relaxed),
+    )
+}
+
+/// A port that is free now, at `ip`.
+fn free_addr(ip: Ipv4Addr) -> SocketAddr {
+    let socket = TcpListener::bind((ip, 0)).expect("a free port");
     socket.local_addr().expect("bound")
 }
 
@@ -123,6 +142,7 @@
 pub struct System {
     pub dir: TempDir,
     pub entries: Vec<EntryPlace>,
+    ip: Ipv4Addr,
 }
 
 impl System {
@@ -138,18 +158,19 @@
             &format!("acme {CALLER_KEY}\nother other-secret-0123456789\n"),
         );
         file("operators.keys", "olga operator-secret-0123456789\n");
+        let ip = own_ip();
         let mut entries = Vec::new();
         for n in 0..count {
             let name = format!("entry-{n}");
             let settings = dir.path().join(format!("{name}.ini"));
             entries.push(EntryPlace {
                 name,
-                http: free_addr(),
-                links: free_addr(),
+                http: free_addr(ip),
+                links: free_addr(ip),
                 settings,
             });
         }
-        let system = Self { dir, entries };
+        let system = Self { dir, entries, ip };
         for entry in &system.entries {
             fs::write(&entry.settings, system.entry_settings(entry)).expect("written");
         }
@@ -193,7 +214,7 @@
     /// Writes the settings of an agent and returns their path.
     pub fn agent_settings(&self, name: &str, kind: &str, url: SocketAddr, labels: &str) -> PathBuf {
         let entries: Vec<String> = self.entries.iter().map(|e| e.links.to_string()).collect();
-        let (entries, links) = (entries.join(", "), free_addr());
+        let (entries, links) = (entries.join(", "), free_addr(self.ip));
         let text = format!(
             "[agent]\nname = {name}\nzone = zone-1\nregion = region-1\nlinks = {links}\n\
              labels = {labels}\nentries = {entries}\ndata = data-{name}\nstore = 1GiB\n\
