--- a/crates/filbertstack-policy/src/admission.rs
+++ b/crates/filbertstack-policy/src/admission.rs
@@ -54,8 +54,8 @@
 
 /// The places kept free for organisations within their share, in square roots of the places that
 /// they hold. What they hold varies by about its root: at three roots one request in a thousand
-/// of theirs waits, and the engines run below their slowest step. Under one hot organisation the
-/// others' p99 is 1.35 times that alone with one root, 1.23 with two and 1.20 with three.
+/// of theirs would wait, and the engines run below their slowest step. Under one hot organisation
+/// the others' p99 is 1.52 times that alone without it, 1.23 with two roots and 1.19 with three.
 const RESERVE: f64 = 3.0;
 
 /// What is allowed for a request's own time against the mean pace: full batches step a quarter
--- a/crates/filbertstack-policy/tests/overload.rs
+++ b/crates/filbertstack-policy/tests/overload.rs
@@ -272,7 +272,7 @@
         insta::assert_snapshot!(format!("slow_idempotent_{idempotent}"), trial.table());
         let ours = trial.ours.all();
         assert!(sim::real(ours.p99()) <= sim::real(without.p99()) * 1.3);
-        assert!(ours.missed * 100 <= ours.offered);
+        assert!(ours.missed * 1000 <= ours.offered * 6, "{}", ours.missed);
         assert!(ours.sends() <= 1.1);
         assert_eq!(trial.ours.doubled, 0);
     }
