--- /dev/null
+++ b/crates/filbertstack-log/src/node/persist.rs
@@ -0,0 +1,268 @@
+//! What is written, and which messages wait for it.
+
+use std::collections::VecDeque;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+
+use crate::ids::NodeId;
+use crate::ids::Position;
+use crate::message::Entry;
+use crate::message::EntryKind;
+use crate::message::Message;
+use crate::message::Snapshot;
+use crate::node::Node;
+use crate::node::Role;
+use crate::node::Write;
+
+/// What a message waits for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Gate {
+    /// Nothing: it tells of nothing that could be forgotten.
+    Open,
+    /// That term and vote are durable.
+    Hard,
+    /// That everything so far is durable.
+    Entries,
+}
+
+/// A write under way.
+#[derive(Debug)]
+pub(super) struct Pending {
+    pub(super) seq: u64,
+    pub(super) issued: Duration,
+    pub(super) last: Option<Position>,
+    pub(super) snapshot: Option<Snapshot>,
+    pub(super) install: bool,
+}
+
+/// What the disk has still to do, and what waits for it.
+#[derive(Debug, Default)]
+pub(super) struct Work {
+    pub(super) pending: VecDeque<Pending>,
+    /// Messages by the write that they wait for.
+    pub(super) held: VecDeque<(u64, Message)>,
+    /// Messages since the last output.
+    pub(super) outbox: Vec<(Gate, Message)>,
+    /// The first index that no write holds.
+    pub(super) unsaved: u64,
+    pub(super) hard_dirty: bool,
+    /// A snapshot to write, and whether it comes from the leader.
+    pub(super) snapshot_dirty: Option<(Snapshot, bool)>,
+    /// The last write that holds term and vote.
+    pub(super) hard_seq: u64,
+    pub(super) issued: u64,
+    pub(super) written: u64,
+    pub(super) epoch: u64,
+    /// The disk refuses writes; when it is tried again.
+    pub(super) full_until: Option<Duration>,
+}
+
+impl Work {
+    /// Nothing to do: the log up to `last` was read from the disk.
+    pub(super) fn after(last: u64) -> Self {
+        Self {
+            unsaved: last + 1,
+            ..Self::default()
+        }
+    }
+}
+
+impl Node {
+    pub(super) fn issue_write(&mut self) {
+        if self.disk.full_until.is_some() && !self.disk.hard_dirty {
+            return;
+        }
+        let entries = self.unsaved_entries();
+        let snapshot = self.disk.snapshot_dirty.take();
+        if !self.disk.hard_dirty && entries.is_empty() && snapshot.is_none() {
+            return;
+        }
+        self.disk.issued += 1;
+        let seq = self.disk.issued;
+        let hard = self.disk.hard_dirty.then_some(self.hard);
+        if self.disk.hard_dirty {
+            self.disk.hard_seq = seq;
+            self.disk.hard_dirty = false;
+        }
+        let (snapshot, install) = snapshot.map_or((None, false), |(s, i)| (Some(s), i));
+        self.disk.unsaved = self.log.last().index + 1;
+        self.disk.pending.push_back(Pending {
+            seq,
+            issued: self.now,
+            last: entries.last().map(Entry::position),
+            snapshot: snapshot.clone(),
+            install,
+        });
+        self.output.write = Some(Write {
+            seq,
+            epoch: self.disk.epoch,
+            hard,
+            entries,
+            snapshot,
+            install,
+        });
+    }
+
+    fn unsaved_entries(&self) -> Vec<Entry> {
+        if self.disk.unsaved > self.log.last().index {
+            return Vec::new();
+        }
+        self.log.slice(self.disk.unsaved, usize::MAX)
+    }
+
+    pub(super) fn release_messages(&mut self) {
+        if self.disk.full_until.is_some() {
+            self.disk.outbox.clear();
+            return;
+        }
+        let guards = self.config.safeguards;
+        for (gate, message) in std::mem::take(&mut self.disk.outbox) {
+            let after = match gate {
+                Gate::Hard if guards.durable_votes => self.disk.hard_seq,
+                Gate::Entries if guards.durable_entries => self.disk.issued,
+                _ => 0,
+            };
+            if after > self.disk.written {
+                self.disk.held.push_back((after, message));
+            } else {
+                self.output.messages.push(message);
+            }
+        }
+    }
+
+    pub(super) fn on_written(&mut self, seq: u64) {
+        self.disk.written = self.disk.written.max(seq);
+        while self.disk.pending.front().is_some_and(|p| p.seq <= seq) {
+            if let Some(done) = self.disk.pending.pop_front() {
+                self.settle(done);
+            }
+        }
+        self.release_held(seq);
+        if self.disk.full_until.is_some()
+            && self.disk.written >= self.disk.hard_seq
+            && !self.disk.hard_dirty
+        {
+            self.disk.full_until = None;
+            self.heard = Some(self.now);
+            self.reset_election();
+        }
+        self.count_own_vote();
+        self.count_own_entries();
+    }
+
+    /// Releases what waited, in the order in which it was said.
+    fn release_held(&mut self, seq: u64) {
+        for (after, message) in std::mem::take(&mut self.disk.held) {
+            if after <= seq {
+                self.output.messages.push(message);
+            } else {
+                self.disk.held.push_back((after, message));
+            }
+        }
+    }
+
+    fn settle(&mut self, done: Pending) {
+        // An entry that was replaced since it was written is no longer the log's.
+        if let Some(last) = done.last
+            && self.log.holds(last)
+        {
+            self.durable = self.durable.max(last.index);
+        }
+        let Some(snapshot) = done.snapshot else {
+            return;
+        };
+        if done.install {
+            self.installed(snapshot);
+        } else {
+            self.kept(snapshot);
+        }
+    }
+
+    /// The disk is full: nothing since the refused write is remembered, so none of it may be
+    /// relied on. Until a write succeeds the replica is silent, as if it were down: it neither
+    /// votes, acknowledges nor leads, and refuses proposals as not run.
+    pub(super) fn on_refused(&mut self, seq: u64) {
+        if !self.disk.pending.iter().any(|p| p.seq == seq) {
+            return;
+        }
+        self.disk.epoch += 1;
+        self.disk.pending.clear();
+        self.disk.held.clear();
+        self.disk.outbox.clear();
+        self.disk.snapshot_dirty = None;
+        self.installing = false;
+        self.incoming = None;
+        self.drop_from(self.durable + 1);
+        self.commit = self.commit.min(self.log.last().index);
+        self.follow(self.hard.term, None);
+        self.disk.hard_dirty = false;
+        self.disk.hard_seq = u64::MAX;
+        self.disk.full_until = Some(self.now + self.config.timing.resend);
+    }
+
+    /// Whether a write has been under way for so long that the disk is taken to hang. A leader on
+    /// such a disk could send heartbeats for ever and never tell a caller that it committed.
+    pub(super) fn disk_hangs(&self) -> bool {
+        let most = self.config.timing.election_max;
+        let oldest = self.disk.pending.front();
+        oldest.is_some_and(|p| self.now >= p.issued + most)
+    }
+
+    /// Tries whether the disk takes term and vote again.
+    pub(super) fn try_disk(&mut self) {
+        self.disk.full_until = Some(self.now + self.config.timing.resend);
+        if self.disk.pending.is_empty() {
+            self.disk.hard_dirty = true;
+        }
+    }
+
+    /// Drops the log from `index` on.
+    pub(super) fn drop_from(&mut self, index: u64) {
+        self.log.truncate(index);
+        self.disk.unsaved = self.disk.unsaved.min(index);
+        self.durable = self.durable.min(index.saturating_sub(1));
+        let base = self.log.base().index;
+        self.members.retain(|(at, _)| *at < index || *at <= base);
+    }
+
+    /// Appends an entry of the own term; its place is returned.
+    pub(super) fn append_own(&mut self, kind: EntryKind, data: Bytes) -> Position {
+        let entry = Entry {
+            index: self.log.last().index + 1,
+            term: self.hard.term,
+            kind: kind.into(),
+            data,
+        };
+        let place = entry.position();
+        self.push_entry(entry);
+        place
+    }
+
+    pub(super) fn push_entry(&mut self, entry: Entry) {
+        let membership = entry.membership();
+        self.members
+            .extend(membership.map(|m| (entry.index, Arc::new(m))));
+        self.log.push(entry);
+    }
+
+    /// Hands over what is committed and durable here.
+    pub(super) fn hand_committed(&mut self) {
+        if self.installing {
+            return;
+        }
+        let until = self.commit.min(self.durable);
+        while self.handed < until {
+            let Some(entry) = self.log.get(self.handed + 1) else {
+                break;
+            };
+            self.output.committed.push(entry.clone());
+            self.handed += 1;
+        }
+    }
+
+    pub(super) fn leads(&self, node: NodeId) -> bool {
+        node == self.config.id && matches!(self.role, Role::Leader(_))
+    }
+}
--- a/crates/filbertstack-policy/src/lib.rs
+++ b/crates/filbertstack-policy/src/lib.rs
@@ -9,16 +9,23 @@
 //! - [`route`]: which target gets a request;
 //! - [`outlier`]: which targets get none for a while;
 //! - [`retry`]: what may be tried again or twice at once.
+//!
+//! The leader of the replicated log decides with [`placement`] which instances hold which models, and
+//! with [`spread`] who fetches their weights from whom. Entries tell each other with [`gossip`]
+//! which instances there are.
 
 pub mod admission;
 pub mod cost;
 pub mod fair;
 pub mod flow;
+pub mod gossip;
 pub mod limit;
 pub mod outlier;
+pub mod placement;
 pub mod prefix;
 pub mod retry;
 pub mod route;
+pub mod spread;
 pub mod subset;
 pub mod target;
 pub mod window;
