--- a/examples/capacity.rs
+++ b/examples/capacity.rs
@@ -17,6 +17,7 @@
 use std::fs;
 use std::io::BufRead;
 use std::io::BufReader;
+use std::net::Ipv4Addr;
 use std::net::SocketAddr;
 use std::net::TcpListener;
 use std::path::Path;
@@ -24,6 +25,8 @@
 use std::process::Child;
 use std::process::Command;
 use std::process::Stdio;
+use std::sync::atomic::AtomicU16;
+use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::Duration;
 use std::time::Instant;
@@ -45,6 +48,9 @@
 const SETTLE: Duration = Duration::from_secs(5);
 const SPAN: Duration = Duration::from_secs(10);
 
+/// The first port that is given out.
+const FIRST_PORT: u16 = 20_000;
+
 /// Ticks of processor time a second, as Linux reports them to programs.
 const TICKS: f64 = 100.0;
 
@@ -292,8 +298,13 @@
     }
 }
 
+/// An address that nobody else takes: a loopback address of this process's own, and a port under
+/// those that outgoing connections get.
 fn free_addr() -> Result<SocketAddr, std::io::Error> {
-    TcpListener::bind("127.0.0.1:0")?.local_addr()
+    static NEXT: AtomicU16 = AtomicU16::new(FIRST_PORT);
+    let [_, _, high, low] = std::process::id().to_be_bytes();
+    let port = NEXT.fetch_add(1, Ordering::Relaxed);
+    TcpListener::bind((Ipv4Addr::new(127, 77, high, low), port))?.local_addr()
 }
 
 /// What entries and agents cost while nobody calls.
