--- a/examples/capacity.rs
+++ b/examples/capacity.rs
@@ -336,11 +336,17 @@
             .map(|(before, after)| after.sent - before.sent)
             .collect();
         let most_sent = sent.iter().fold(0.0, |most: f64, one| one.max(most));
+        let spans = before.iter().zip(after);
+        let times: Vec<f64> = spans
+            .map(|(before, after)| after.processor - before.processor)
+            .collect();
+        let most_time = times.iter().fold(0.0, |most: f64, one| one.max(most));
         println!(
-            "{what}: {name}: {:.0} KiB on average, {:.0} at most; {:.2} % of a core; {:.0} B/s sent on average, {:.0} at most",
+            "{what}: {name}: {:.0} KiB on average, {:.0} at most; {:.2} % of a core on average, {:.2} at most; {:.0} B/s sent on average, {:.0} at most",
             mean(after).memory,
             most(after),
             100.0 * (mean(after).processor - mean(before).processor) / SPAN.as_secs_f64(),
+            100.0 * most_time / SPAN.as_secs_f64(),
             (mean(after).sent - mean(before).sent) / SPAN.as_secs_f64(),
             most_sent / SPAN.as_secs_f64(),
         );
