Close an answered connection; refuse a body that does not come

Cause: the answer said 'connection: close' and the library kept it open; and before it lets a request be answered the library reads what is left of its body, so a caller that announced 64 MiB and sent one byte never saw its 413. Ruled out: closing from the handler (the library owns the socket). Before: the new test timed out on the 413. Conclusion: the guard ends the body, then the answer passes.

--- a/crates/filbertstack-entry/src/call.rs
+++ b/crates/filbertstack-entry/src/call.rs
@@ -115,6 +115,7 @@
             Err(refusal) => {
                 span.fail(&refusal.text);
                 let outcome = refusal.outcome.name();
+                guard.end_body(request.remote_addr());
                 let _ = http::refuse(request, &refusal);
                 outcome
             }
--- a/crates/filbertstack-entry/src/guard.rs
+++ b/crates/filbertstack-entry/src/guard.rs
@@ -43,6 +43,9 @@
 /// How long the library may take to answer the guard.
 const HELLO_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// How long a caller that was answered may go on sending before the connection is closed.
+const LINGER: Duration = Duration::from_millis(200);
+
 const STACK: usize = 128 << 10;
 const BUFFER: usize = 16 << 10;
 
@@ -170,6 +173,17 @@
         }
     }
 
+    /// Ends the body of the request from `remote` where it is.
+    ///
+    /// The library reads what is left of a body before it lets a request be answered. A caller
+    /// that announces a large body and does not send it would never see that it is refused.
+    pub fn end_body(&self, remote: Option<&SocketAddr>) {
+        let served = lock(&self.shared.served);
+        if let Some(served) = remote.and_then(|addr| served.get(&addr.port())) {
+            let _ = served.inner.shutdown(Shutdown::Write);
+        }
+    }
+
     /// The connections open now.
     pub fn connections(&self) -> usize {
         self.shared.connections.load(Ordering::Relaxed)
@@ -276,7 +290,7 @@
         };
         let mut inner = self.open_inner()?;
         let watched = Watched::new(self, &inner)?;
-        inner.write_all(&head)?;
+        inner.write_all(&closing(&head))?;
         let back = Back {
             inner: inner.try_clone()?,
             caller: caller.try_clone()?,
@@ -292,6 +306,7 @@
         watched.gone.set();
         let _ = inner.shutdown(Shutdown::Write);
         let _ = answering.join();
+        drain(&mut caller);
         Ok(())
     }
 }
@@ -363,6 +378,17 @@
     }
 }
 
+/// The head with word that the connection ends with the answer.
+///
+/// The library otherwise keeps the connection for a next request, and the caller, told that it is
+/// closed, would wait for an end that does not come. It goes by the first header of that name.
+fn closing(head: &[u8]) -> Vec<u8> {
+    const CLOSE: &[u8] = b"connection: close\r\n";
+    let line = head.windows(2).position(|window| window == b"\r\n");
+    let (line, rest) = head.split_at(line.map_or(head.len(), |at| at + 2));
+    [line, CLOSE, rest].concat()
+}
+
 enum HeadError {
     Slow,
     Large,
@@ -440,7 +466,7 @@
 /// Reads what the caller still sends: closing with unread bytes would reset the connection and
 /// take the answer away from the caller before it could read it.
 fn drain(caller: &mut TcpStream) {
-    let _ = caller.set_read_timeout(Some(Duration::from_millis(200)));
+    let _ = caller.set_read_timeout(Some(LINGER));
     let mut buffer = [0; 4096];
     for _ in 0..64 {
         match caller.read(&mut buffer) {
--- a/crates/filbertstack-entry/src/operators.rs
+++ b/crates/filbertstack-entry/src/operators.rs
@@ -132,6 +132,7 @@
     /// Answers one request below [`PREFIX`].
     pub fn answer(&self, mut request: Request, guard: &Guard) {
         let answered = self.route(&mut request, guard);
+        guard.end_body(request.remote_addr());
         let _ = match answered {
             Ok((status, value)) => http::respond_json(request, status, &value),
             Err(refusal) => http::refuse(request, &refusal),
--- a/crates/filbertstack-entry/src/process.rs
+++ b/crates/filbertstack-entry/src/process.rs
@@ -335,6 +335,9 @@
             .unwrap_or_default()
             .to_owned();
         let get = *request.method() == Method::Get;
+        if get {
+            guard.end_body(request.remote_addr());
+        }
         let _ = match path.as_str() {
             "/health" => http::respond(request, 200, &[], b"ok\n"),
             "/metrics" => self.metrics(request),
--- a/tests/system/main.rs
+++ b/tests/system/main.rs
@@ -1,6 +1,7 @@
 //! The whole system as real processes on loopback.
 
 mod control;
+mod input;
 mod leaving;
 mod once;
 mod path;
--- a/tests/system/support.rs
+++ b/tests/system/support.rs
@@ -219,7 +219,7 @@
             "[agent]\nname = {name}\nzone = zone-1\nregion = region-1\nlinks = {links}\n\
              labels = {labels}\nentries = {entries}\ndata = data-{name}\nstore = 1GiB\n\
              memory = 1GiB\nstop-timeout = 20s\n\
-             [target]\nkind = {kind}\nurl = http://{url}\nslots = 8\n\
+             [target]\nkind = {kind}\nurl = http://{url}\nslots = 16\n\
              [keys]\nagent = agent.key\n\
              [telemetry]\nlog-level = warn\n"
         );
