--- a/crates/filbertstack-entry/src/call.rs
+++ b/crates/filbertstack-entry/src/call.rs
@@ -327,6 +327,7 @@
             let next = match turn {
                 Turn::Send { attempt, target } => self.send(attempt, target),
                 Turn::Refused(refusal) => Next::Refused(refusal),
+                Turn::Unknown => Next::Unknown("no further attempt can be made in time".into()),
                 Turn::Part {
                     attempt,
                     tell,
--- a/crates/filbertstack-entry/src/traffic.rs
+++ b/crates/filbertstack-entry/src/traffic.rs
@@ -45,6 +45,8 @@
     },
     /// It is refused.
     Refused(Refusal),
+    /// Whether an earlier attempt ran is not known, and no other can be made in time.
+    Unknown,
     /// A part of an attempt's answer.
     Part {
         /// The attempt.
@@ -236,6 +238,7 @@
                     target,
                 } => (ticket, Turn::Send { attempt, target }),
                 Event::Refuse { ticket, refusal } => (ticket, Turn::Refused(refusal)),
+                Event::Unknown { ticket } => (ticket, Turn::Unknown),
             };
             if let Some(sender) = state.waiting.get(ticket) {
                 // A request whose thread is gone has cancelled itself.
