Hold a plain service's limit to its unloaded time

Seen in a new test: callers that always want more drove the limit before a service of 16 places to its ceiling of 64, as the mean that the goal rests on rose with the queue. Ruled out: samples of calls sent whenever a place was free, which in a refill of several are most of them (still 64). Calls count as unloaded now only when sent while the group was at most half full, and a target's recent mean is compared, not each answer.

--- a/crates/filbertstack-policy/src/route.rs
+++ b/crates/filbertstack-policy/src/route.rs
@@ -69,8 +69,12 @@
 /// engine with 32 places of one second each.
 const QUEUE_GOAL: Millis = Millis(60);
 
-/// A plain service's latency beyond this many times its long mean counts as queueing.
-const SERVICE_SLACK: f64 = 3.0;
+/// The queueing accepted at a plain service, in mean answers of an unloaded one: with as much
+/// again in its queue a service that works on many calls at once is never idle.
+const SERVICE_QUEUE: f64 = 1.0;
+
+/// The first answers of a service all count as unloaded, as the limit begins at two.
+const FIRST_ANSWERS: u32 = 20;
 
 /// How long a due probe waits for an idempotent request, before any request may be the probe.
 const PROBE_PATIENCE: Millis = Millis::secs(5);
@@ -83,7 +87,8 @@
 pub enum Kind {
     /// Model engines: the first token's time tells of the queue.
     Engines,
-    /// Plain services: the answer's time against its own mean tells.
+    /// Plain services, whose answers take unequal time of themselves: a target's recent mean
+    /// against the mean of calls sent while it was at most half full tells.
     Service,
 }
 
@@ -133,7 +138,7 @@
             Kind::Engines => QUEUE_GOAL,
             Kind::Service => {
                 let mean = self.latency.get(1).unwrap_or_default();
-                QUEUE_GOAL.max(millis(mean * SERVICE_SLACK))
+                QUEUE_GOAL.max(millis(mean * SERVICE_QUEUE))
             }
         }
     }
@@ -147,6 +152,16 @@
     Probe,
 }
 
+/// How full the group was when an attempt was sent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Fill {
+    /// At most half: what the answer took is the target's own time.
+    Low,
+    Usual,
+    /// No room was left: the limits may be too low.
+    Full,
+}
+
 #[derive(Debug)]
 struct Attempt {
     target: TargetKey,
@@ -156,7 +171,7 @@
     sent: Millis,
     first: Option<Millis>,
     role: Role,
-    full: bool,
+    fill: Fill,
     long: bool,
     overdue: bool,
 }
@@ -447,7 +462,7 @@
             prefix: need.prefix.clone(),
             sent: now,
             first: None,
-            full: false,
+            fill: Fill::Usual,
             long,
             role: Role::Usual,
             overdue: false,
@@ -463,12 +478,24 @@
             group.long += u32::from(long);
             group.in_flight += 1;
         }
-        // Limits grow for want of room in the group: growth of a single full target, while others
-        // have room, would only move the queue into that engine.
-        attempt.full = f64::from(self.in_flight(group)) + 1.5 > self.room(now, group);
+        attempt.fill = self.fill(now, group);
         self.attempts.insert(attempt)
     }
 
+    /// Limits grow for want of room in the group: growth of a single full target, while others have
+    /// room, would only move the queue into that one.
+    fn fill(&self, now: Millis, group: GroupKey) -> Fill {
+        let held = f64::from(self.in_flight(group));
+        let room = self.room(now, group);
+        if held + 1.5 > room {
+            Fill::Full
+        } else if held * 2.0 <= room {
+            Fill::Low
+        } else {
+            Fill::Usual
+        }
+    }
+
     /// Notes that the first token or byte came.
     pub fn first_token(&mut self, now: Millis, key: AttemptKey) {
         let Some(attempt) = self.attempts.get_mut(key) else {
@@ -479,11 +506,15 @@
         }
         attempt.first = Some(now);
         let first = now.since(attempt.sent);
-        let (target, group) = (attempt.target, attempt.group);
+        let (target, group, fill) = (attempt.target, attempt.group, attempt.fill);
         if let Some(group) = self.groups.get_mut(group) {
             group.firsts.add(first);
             group.floor.add(now, first);
-            group.latency.add(secs(first), LASTING);
+            // A lasting overload must not pass for the usual latency: the goal would follow the
+            // queue up, and the limit with it to its ceiling.
+            if fill == Fill::Low || group.latency.get(FIRST_ANSWERS).is_none() {
+                group.latency.add(secs(first), LASTING);
+            }
         }
         self.learn_first(now, key, first);
         self.judge(now, group, target, key);
--- a/crates/filbertstack-policy/src/route/learn.rs
+++ b/crates/filbertstack-policy/src/route/learn.rs
@@ -4,8 +4,10 @@
 
 use super::Attempt;
 use super::AttemptKey;
+use super::Fill;
 use super::Group;
 use super::GroupKey;
+use super::Kind;
 use super::LASTING;
 use super::QUEUE_GOAL;
 use super::Router;
@@ -71,16 +73,25 @@
         let Some(target) = self.targets.get_mut(attempt.target) else {
             return;
         };
-        let unloaded = group.floor.least().unwrap_or(first) + prefill(attempt.cost);
+        target.note_first(first);
+        let queued = match group.kind {
+            Kind::Engines => {
+                let least = group.floor.least().unwrap_or(first);
+                first.since(least + prefill(attempt.cost))
+            }
+            Kind::Service => {
+                let recent = target.first.get(1).unwrap_or_default();
+                millis(recent - group.latency.get(1).unwrap_or(recent))
+            }
+        };
         let sample = Sample {
             sent: attempt.sent,
-            queued: first.since(unloaded),
+            queued,
             goal: group.goal(),
             service: millis(group.elapsed.get(1).unwrap_or_default()),
-            full: attempt.full,
+            full: attempt.fill == Fill::Full,
         };
         target.limit.observe(now, sample);
-        target.note_first(first);
         for block in &attempt.prefix {
             target.hints.store(now, *block);
         }
