Give a client that is run again under its id the first outcome

Cause: the client's own time is new in each run and counted as a part of the change, so a resend by hand was refused as another change. Ruled out: a file that remembers the time (the operator may sit elsewhere). After: who, when and under which id are left out of the comparison. Conclusion: an id names the change; its time only dates what was forgotten.

--- a/crates/filbertstack-control/src/requests.rs
+++ b/crates/filbertstack-control/src/requests.rs
@@ -108,11 +108,13 @@
     }
 }
 
-/// The digest of what the request asks for, without who asks and under which identifier.
+/// The digest of what the request asks for, without who asks, under which identifier and when: an
+/// operator who runs the client again under one identifier sends another time.
 fn body_digest(apply: &Apply) -> Digest {
     let body = Apply {
         request: String::new(),
         operator: String::new(),
+        issued: 0,
         ..apply.clone()
     };
     Digest::of(&body.encode_to_vec())
--- a/tests/system/control.rs
+++ b/tests/system/control.rs
@@ -194,3 +194,32 @@
     });
     operate_json(addrs, "apply", &body)
 }
+
+// The operator who runs the client again under one request id gets the first outcome; another
+// change under that id is refused, with exit code 1.
+#[test]
+fn a_client_run_again_under_its_id_gets_the_first_outcome() {
+    let system = System::new(1);
+    let _processes = system.start_entries();
+    let file = system.dir.path().join("pools.ini");
+    let path = file.to_str().expect("UTF-8").to_owned();
+    let write = |label: &str| {
+        let text = format!("[pool all]\nlabels = n={label}\ninstances = zone=zone-1\n");
+        std::fs::write(&file, text).expect("written");
+    };
+    write("one");
+    let first = system.operate(&["apply", &path, "--request-id", "mine"]);
+    write("two");
+    system.operate(&["apply", &path, "--request-id", "another"]);
+    write("one");
+    let again = system.operate(&["apply", &path, "--request-id", "mine"]);
+    assert_eq!(again, first);
+    let pools = system.operate(&["get", "pools"]);
+    assert!(
+        pools.contains("\"two\""),
+        "the resend applied again: {pools}"
+    );
+    write("three");
+    let reused = system.client(&["apply", &path, "--request-id", "mine"]);
+    assert_eq!(reused.status.code(), Some(1));
+}
