--- a/crates/filbertstack-entry/src/process.rs
+++ b/crates/filbertstack-entry/src/process.rs
@@ -205,6 +205,7 @@
             claims: Claims::new(ledger.clone(), rng.next_u64()),
             dialer: dialer.clone(),
             leases: leases.clone(),
+            telemetry: telemetry.clone(),
             max_body: settings.max_body,
             attempts: AtomicU64::new(rng.next_u64() >> 1),
         };
@@ -334,6 +335,9 @@
             .unwrap_or_default()
             .to_owned();
         let get = *request.method() == Method::Get;
+        if get {
+            guard.end_body(request.remote_addr());
+        }
         let _ = match path.as_str() {
             "/health" => http::respond(request, 200, &[], b"ok\n"),
             "/metrics" => self.metrics(request),
--- a/crates/filbertstack-entry/src/traffic.rs
+++ b/crates/filbertstack-entry/src/traffic.rs
@@ -45,7 +45,7 @@
     },
     /// It is refused.
     Refused(Refusal),
-    /// Whether an earlier attempt ran is not known, and no other can be made in time.
+    /// It may have run, and can't be tried again in time.
     Unknown,
     /// A part of an attempt's answer.
     Part {
