Copy weights by the leader's plan: one copy leaves the origin

The leader now keeps a plan and grants for each version ordered (entry::spread). Agents ask it for their part, tell it what landed or failed, and the question is held until the part changes.

Ruled out: the plan through the replicated log (written and fsynced at each change for what only the next seconds need); rows pulled by entries once a second (a grant would wait up to a second for its agent).

--- a/crates/filbertstack-agent/src/announce.rs
+++ b/crates/filbertstack-agent/src/announce.rs
@@ -29,6 +29,9 @@
 /// How often an agent announces itself: three fit into an entry's lease.
 pub const INTERVAL: Duration = Duration::from_secs(1);
 
+/// How often while a version is copied: orders that follow from its end come that much sooner.
+pub const COPYING: Duration = Duration::from_millis(250);
+
 /// How long an entry may take to answer.
 const TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -77,7 +80,8 @@
                 heard.extend(self.tell(*addr, &announce));
             }
             entries = self.next_entries(&entries, &heard);
-            thread::sleep(INTERVAL);
+            let copying = self.desk.is_copying();
+            thread::sleep(if copying { COPYING } else { INTERVAL });
         }
     }
 
--- a/crates/filbertstack-agent/src/keeper.rs
+++ b/crates/filbertstack-agent/src/keeper.rs
@@ -119,6 +119,27 @@
         self.lock().copies.clone()
     }
 
+    /// The versions ordered.
+    pub fn ordered(&self) -> Vec<Digest> {
+        let board = self.lock();
+        let serve = board.orders.serve.iter();
+        serve
+            .filter_map(|assignment| Digest::from_slice(&assignment.digest))
+            .collect()
+    }
+
+    /// Where the leader is, as the last orders say; empty if they do not.
+    pub fn leader(&self) -> String {
+        self.lock().orders.leader.clone()
+    }
+
+    /// Whether a version is being copied or is about to be.
+    pub fn is_copying(&self) -> bool {
+        let board = self.lock();
+        let mut copies = board.copies.iter();
+        copies.any(|copy| copy.stage() <= Stage::Fetching)
+    }
+
     /// The manifest of `version`, if it is known here.
     pub fn manifest(&self, version: Digest) -> Option<Arc<Manifest>> {
         self.lock().manifests.get(&version).cloned()
@@ -157,11 +178,11 @@
 
 /// Finds manifests and starts copies.
 pub trait Fetcher: Send {
-    /// The manifest of the assigned version.
+    /// The manifest of the assigned version; `None` while it is on its way.
     ///
     /// # Errors
-    /// Why none was found, for the operator.
-    fn manifest(&self, assignment: &Assignment) -> Result<Manifest, String>;
+    /// Why none can be found, for the operator.
+    fn manifest(&self, assignment: &Assignment) -> Result<Option<Arc<Manifest>>, String>;
 
     /// Starts to fetch the chunks of `manifest` that the store lacks.
     fn copy(&self, manifest: &Arc<Manifest>, assignment: &Assignment) -> Copying;
@@ -273,7 +294,8 @@
             return None;
         }
         let manifest = match self.fetcher.manifest(&kept.assignment) {
-            Ok(manifest) => Arc::new(manifest),
+            Ok(Some(manifest)) => manifest,
+            Ok(None) => return None,
             Err(trouble) => {
                 kept.fail(trouble);
                 return None;
@@ -297,7 +319,6 @@
 
     fn fetch(&self, kept: &mut Kept, version: Version<Fetching>, copying: Copying) -> Option<Held> {
         kept.duty()?;
-        copying.update(&kept.assignment);
         if !copying.is_done() {
             kept.trouble = copying.trouble();
             return Some(Held::Fetching(version, copying));
--- a/crates/filbertstack-agent/src/lib.rs
+++ b/crates/filbertstack-agent/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod copying;
 pub mod gate;
 pub mod keeper;
+pub mod mesh;
 pub mod process;
 pub mod serve;
 pub mod settings;
--- a/crates/filbertstack-agent/src/process.rs
+++ b/crates/filbertstack-agent/src/process.rs
@@ -24,6 +24,7 @@
 use crate::gate::Gate;
 use crate::keeper::Desk;
 use crate::keeper::Keeper;
+use crate::mesh::Mesh;
 use crate::serve::Calls;
 use crate::settings::Kind;
 use crate::settings::Settings;
@@ -64,6 +65,7 @@
     gate: Gate,
     desk: Arc<Desk>,
     announcer: Arc<Announcer>,
+    mesh: Arc<Mesh>,
     stopped: Arc<AtomicBool>,
 }
 
@@ -97,10 +99,8 @@
         let name = settings.name.as_str();
         let dialer = Arc::new(Dialer::new(name, settings.keys.clone(), calls.clone()));
         let listener = Listener::start(socket, name, settings.keys.clone(), calls)?;
-        let network = Network {
-            dialer: dialer.clone(),
-            store: store.clone(),
-        };
+        let mesh = Mesh::start(name, dialer.clone(), store.clone(), desk.clone());
+        let network = Network { mesh: mesh.clone() };
         let files = settings.data.join("files");
         let keeper = Keeper::new(desk.clone(), gate.clone(), target, store, files, network);
         thread::spawn(move || keeper.run());
@@ -123,6 +123,7 @@
             gate,
             desk,
             announcer,
+            mesh,
             stopped,
         })
     }
@@ -145,6 +146,7 @@
     fn drop(&mut self) {
         self.stopped.store(true, Ordering::Relaxed);
         self.desk.stop();
+        self.mesh.stop();
     }
 }
 
--- a/crates/filbertstack-entry/src/lead.rs
+++ b/crates/filbertstack-entry/src/lead.rs
@@ -31,6 +31,7 @@
 use crate::machine::Control;
 use crate::members::Member;
 use crate::members::Members;
+use crate::spread::Spread;
 use crate::view::View;
 use crate::view::Views;
 use crate::voter::Voter;
@@ -53,6 +54,8 @@
     pub members: Arc<Members>,
     /// Where orders go.
     pub ledger: Arc<Ledger>,
+    /// The plan of copies.
+    pub spread: Arc<Spread>,
     /// Ends the loop.
     pub stopped: Arc<AtomicBool>,
 }
@@ -66,6 +69,7 @@
             thread::sleep(TICK);
             let Some(term) = self.voter.leads() else {
                 led = None;
+                self.spread.resign();
                 continue;
             };
             if led != Some(term) {
@@ -77,6 +81,7 @@
             }
             self.register();
             self.order(term, &mut round);
+            self.spread.tend(term, &self.views.get());
         }
     }
 
--- a/crates/filbertstack-entry/src/lib.rs
+++ b/crates/filbertstack-entry/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod question;
 pub mod race;
 pub mod settings;
+pub mod spread;
 pub mod table;
 pub mod traffic;
 pub mod view;
--- a/crates/filbertstack-entry/src/links.rs
+++ b/crates/filbertstack-entry/src/links.rs
@@ -18,7 +18,6 @@
 use filbertstack_wire::messages::Fence;
 use filbertstack_wire::messages::Orders;
 use filbertstack_wire::messages::Payload;
-use filbertstack_wire::messages::Stage;
 use filbertstack_wire::messages::Tell;
 use filbertstack_wire::messages::TermReport;
 use filbertstack_wire::messages::Watch;
@@ -33,6 +32,7 @@
 use crate::question::Asked;
 use crate::question::Envelope;
 use crate::question::Question;
+use crate::spread::Spread;
 use crate::view::Reached;
 use crate::view::View;
 use crate::view::Views;
@@ -45,9 +45,6 @@
 /// The longest a question for updates may be held.
 const MAX_HOLD: u64 = 10_000;
 
-/// How many upstreams a target is told.
-const UPSTREAMS: usize = 3;
-
 /// What the calls need.
 pub struct Links {
     /// The voter, if this entry is one.
@@ -60,6 +57,8 @@
     pub members: Arc<Members>,
     /// Whom to ask.
     pub ledger: Arc<Ledger>,
+    /// The plan of copies, while this entry leads.
+    pub spread: Arc<Spread>,
 }
 
 /// Hands calls to [`Links`] once there is one: links may come while the entry still starts.
@@ -86,6 +85,7 @@
     fn take(self: &Arc<Self>, role: Role, ask: Ask, responder: Responder) {
         match (role, ask) {
             (Role::Agent, Ask::Announce(announce)) => self.announce(&announce, responder),
+            (Role::Agent, Ask::Spread(ask)) => self.spread.answer(ask, responder),
             (_, Ask::Term(_)) => {
                 let term = self.term();
                 let _ = responder.finish(Tell::Term(TermReport { term }));
@@ -154,7 +154,7 @@
         Orders {
             fence,
             serve: order
-                .map(|order| self.assignments(view, member, order))
+                .map(|order| assignments(view, order))
                 .unwrap_or_default(),
             revision: view.revision(),
             voters: self
@@ -164,32 +164,10 @@
                 .map(ToString::to_string)
                 .collect(),
             entries: Vec::new(),
+            leader: self.ledger.leader().unwrap_or_default(),
         }
     }
 
-    fn assignments(&self, view: &View, member: &Member, order: &TargetOrder) -> Vec<Assignment> {
-        let live = self.members.live();
-        let holds = order.holds.iter();
-        holds
-            .filter_map(|hold| {
-                let version = Digest::from_slice(&hold.version)?;
-                let published = view.version(version)?;
-                let deployment = view.declared().deployments.get(hold.deployment.as_str())?;
-                Some(Assignment {
-                    deployment: hold.deployment.clone(),
-                    model: hold.model.clone(),
-                    digest: hold.version.clone(),
-                    upstreams: upstreams(&live, member, version),
-                    origin: published.origin.clone(),
-                    store: published.store.clone(),
-                    tokens: Vec::new(),
-                    frugal: deployment.weigh == filbertstack_core::declare::Weigh::Origin,
-                    duty: hold.duty,
-                })
-            })
-            .collect()
-    }
-
     fn propose(&self, command: &[u8], responder: Responder) {
         let Some(voter) = &self.voter else {
             return responder.refuse("not a voter: ask one", 0);
@@ -233,23 +211,22 @@
     }
 }
 
-/// The agents that a target may fetch a version from: those nearest to it in the order of names
-/// among all that hold or fetch it, so that load spreads and copies chain.
-fn upstreams(live: &[Member], member: &Member, version: Digest) -> Vec<String> {
-    let holds = |other: &&Member| {
-        other.held.iter().any(|held| {
-            held.version == version && held.stage >= Stage::Fetching && held.stage != Stage::Failed
+fn assignments(view: &View, order: &TargetOrder) -> Vec<Assignment> {
+    let holds = order.holds.iter();
+    holds
+        .filter_map(|hold| {
+            let version = Digest::from_slice(&hold.version)?;
+            let published = view.version(version)?;
+            let deployment = view.declared().deployments.get(hold.deployment.as_str())?;
+            Some(Assignment {
+                deployment: hold.deployment.clone(),
+                model: hold.model.clone(),
+                digest: hold.version.clone(),
+                origin: published.origin.clone(),
+                store: published.store.clone(),
+                frugal: deployment.weigh == filbertstack_core::declare::Weigh::Origin,
+                duty: hold.duty,
+            })
         })
-    };
-    let mut before: Vec<&Member> = live
-        .iter()
-        .filter(holds)
-        .filter(|other| other.name < member.name)
-        .collect();
-    before.reverse();
-    before
-        .iter()
-        .take(UPSTREAMS)
-        .map(|other| other.addr.to_string())
         .collect()
 }
--- a/crates/filbertstack-entry/src/members.rs
+++ b/crates/filbertstack-entry/src/members.rs
@@ -88,6 +88,12 @@
         })
     }
 
+    /// Whether it holds every chunk of `version`.
+    pub fn holds(&self, version: Digest) -> bool {
+        let whole = |held: &Held| held.version == version && held.stage >= Stage::Verified;
+        self.held.iter().any(whole)
+    }
+
     /// The version of `deployment` that it answers from now.
     pub fn serving(&self, deployment: &str) -> Option<Digest> {
         let serving = |held: &&Held| held.stage == Stage::Serving && held.deployment == deployment;
@@ -164,6 +170,13 @@
         live.map(|row| row.member.clone()).collect()
     }
 
+    /// The target of this name, if its lease holds.
+    pub fn get(&self, name: &str) -> Option<Member> {
+        let rows = self.lock();
+        let row = rows.rows.get(name).filter(|row| !is_over(row))?;
+        Some(row.member.clone())
+    }
+
     /// The targets whose lease is over, not yet forgotten.
     pub fn lost(&self) -> Vec<Member> {
         let rows = self.lock();
--- a/crates/filbertstack-entry/src/process.rs
+++ b/crates/filbertstack-entry/src/process.rs
@@ -42,6 +42,7 @@
 use crate::operators;
 use crate::operators::Operators;
 use crate::settings::Settings;
+use crate::spread::Spread;
 use crate::traffic::Traffic;
 use crate::view::Reached;
 use crate::view::Views;
@@ -123,7 +124,9 @@
         let voters = settings.voters.iter().map(|voter| voter.addr).collect();
         let ledger = Arc::new(Ledger::new(dialer.clone(), voter.clone(), voters));
         let members = Arc::new(Members::default());
+        let spread = Arc::new(Spread::new(members.clone()));
         late.set(Arc::new(Links {
+            spread: spread.clone(),
             voter: voter.clone(),
             control: control.clone(),
             views: views.clone(),
@@ -133,7 +136,7 @@
         let inner = Arc::new(Inner::new(
             settings, telemetry, dialer, ledger, views, members, voter,
         ));
-        inner.start_threads(&control);
+        inner.start_threads(&control, spread);
         let (guard, server) = inner.start_http(http_socket)?;
         Ok(Self {
             inner,
@@ -228,7 +231,7 @@
         }
     }
 
-    fn start_threads(self: &Arc<Self>, control: &Control) {
+    fn start_threads(self: &Arc<Self>, control: &Control, spread: Arc<Spread>) {
         let refreshing = self.clone();
         thread::spawn(move || refreshing.refresh());
         if let Some(voter) = &self.voter {
@@ -238,6 +241,7 @@
                 views: self.views.clone(),
                 members: self.members.clone(),
                 ledger: self.operators.ledger.clone(),
+                spread,
                 stopped: self.stopped.clone(),
             };
             thread::spawn(move || leader.run());
--- /dev/null
+++ b/crates/filbertstack-entry/src/spread/copy.rs
@@ -0,0 +1,324 @@
+//! The plan of one version's copy.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use filbertstack_core::Digest;
+use filbertstack_core::Millis;
+use filbertstack_core::declare::Weigh;
+use filbertstack_core::names::RegionName;
+use filbertstack_policy::spread::ChunkSet;
+use filbertstack_policy::spread::plan::Link;
+use filbertstack_policy::spread::plan::Plan;
+use filbertstack_policy::spread::plan::PlanConfig;
+use filbertstack_policy::spread::plan::Target;
+use filbertstack_policy::spread::plan::TargetKey;
+use filbertstack_policy::spread::pull::Near;
+use filbertstack_policy::spread::tokens::Answer;
+use filbertstack_policy::spread::tokens::Grant;
+use filbertstack_policy::spread::tokens::ImportFrom;
+use filbertstack_policy::spread::tokens::TokenConfig;
+use filbertstack_policy::spread::tokens::Tokens;
+use filbertstack_wire::messages::MANIFEST;
+use filbertstack_wire::messages::SpreadCopy;
+use filbertstack_wire::messages::SpreadGrant;
+use filbertstack_wire::messages::SpreadPart;
+use filbertstack_wire::messages::SpreadUpstream;
+
+use crate::members::Member;
+
+/// The bits of a part's number that count within a term.
+const TERM_SHIFT: u32 = 32;
+
+/// A target's part.
+#[derive(Debug)]
+struct Row {
+    key: TargetKey,
+    addr: SocketAddr,
+    incarnation: u64,
+    number: u64,
+    grants: BTreeMap<u32, ImportFrom>,
+    /// Holders of chunks that no other upstream had.
+    extra: BTreeSet<TargetKey>,
+}
+
+/// The plan of one version's copy.
+///
+/// The leader knows how many chunks a version has, not their digests: a chunk is named by the
+/// version and its place.
+#[derive(Debug)]
+pub struct Copying {
+    root: Digest,
+    term: u64,
+    ids: Vec<Digest>,
+    places: BTreeMap<Digest, u32>,
+    plan: Plan,
+    tokens: Tokens,
+    rows: BTreeMap<Arc<str>, Row>,
+    names: BTreeMap<TargetKey, Arc<str>>,
+    wanted: BTreeSet<Arc<str>>,
+    /// Whether a target that holds everything has been counted.
+    whole: bool,
+}
+
+impl Copying {
+    /// The plan of a copy to no target yet.
+    pub fn new(root: Digest, term: u64, chunks: u32, weigh: Weigh) -> Self {
+        let order = std::iter::once(MANIFEST).chain(0..chunks);
+        let named: Vec<_> = order.map(|place| (id(root, place), place)).collect();
+        Self {
+            root,
+            term,
+            ids: named.iter().map(|(id, _)| *id).collect(),
+            places: named.into_iter().collect(),
+            plan: Plan::new(PlanConfig::default()),
+            tokens: Tokens::new(TokenConfig::of(weigh)),
+            rows: BTreeMap::new(),
+            names: BTreeMap::new(),
+            wanted: BTreeSet::new(),
+            whole: false,
+        }
+    }
+
+    /// Puts the chunks up for grants; `inherited` says since when an earlier leader's may be out.
+    pub fn begin(&mut self, inherited: Option<Millis>) {
+        let ids = self.ids.iter().copied();
+        match inherited {
+            Some(now) => self.tokens.recover(ids, now),
+            None => self.tokens.publish(ids),
+        }
+    }
+
+    /// Takes who is to hold the version and who is there.
+    pub fn tend(&mut self, wanted: &[Arc<str>], live: &[Member], now: Millis) {
+        self.wanted = wanted.iter().cloned().collect();
+        let here: BTreeMap<&str, &Member> =
+            live.iter().map(|one| (one.name.as_str(), one)).collect();
+        let is_gone = |(name, row): (&Arc<str>, &Row)| {
+            let member = here.get(&**name);
+            let same =
+                member.is_some_and(|m| (m.addr, m.incarnation) == (row.addr, row.incarnation));
+            (!same || !self.wanted.contains(name)).then(|| name.clone())
+        };
+        let gone: Vec<_> = self.rows.iter().filter_map(is_gone).collect();
+        for name in gone {
+            self.dismiss(&name);
+        }
+        let root = self.root;
+        for member in live.iter().filter(|member| member.holds(root)) {
+            self.admit(member);
+            self.count_whole(member, now);
+        }
+    }
+
+    /// A target that holds everything serves all chunks: none need be brought in again.
+    fn count_whole(&mut self, member: &Member, now: Millis) {
+        let Some(row) = self.rows.get(member.name.as_str()).filter(|_| !self.whole) else {
+            return;
+        };
+        self.whole = true;
+        let key = row.key;
+        for &id in &self.ids {
+            self.tokens.landed(id, key, now);
+        }
+    }
+
+    /// Whether the target is to hold the version and has no part yet.
+    pub fn lacks(&self, name: &str) -> bool {
+        self.wanted.contains(name) && !self.rows.contains_key(name)
+    }
+
+    /// Gives a target a part.
+    pub fn admit(&mut self, member: &Member) {
+        let name = member.name.as_str();
+        if !self.lacks(name) {
+            return;
+        }
+        let region = region(member);
+        let key = self.plan.join(Target {
+            name: member.name.clone(),
+            zone: member.zone.clone(),
+            region: region.clone(),
+        });
+        self.tokens.join(key, &region);
+        let name: Arc<str> = name.into();
+        self.names.insert(key, name.clone());
+        let row = Row {
+            key,
+            addr: member.addr,
+            incarnation: member.incarnation,
+            number: (self.term << TERM_SHIFT) + 1,
+            grants: BTreeMap::new(),
+            extra: BTreeSet::new(),
+        };
+        self.rows.insert(name, row);
+        self.touch_all(&self.plan.downstreams(key));
+    }
+
+    fn dismiss(&mut self, name: &str) {
+        let Some(row) = self.rows.remove(name) else {
+            return;
+        };
+        self.names.remove(&row.key);
+        let orphans = self.plan.leave(row.key);
+        self.tokens.leave(row.key);
+        for other in self.rows.values_mut() {
+            if other.extra.remove(&row.key) {
+                other.number += 1;
+            }
+        }
+        self.touch_all(&orphans);
+    }
+
+    fn touch_all(&mut self, keys: &[TargetKey]) {
+        for key in keys {
+            if let Some(row) = self.row(*key) {
+                row.number += 1;
+            }
+        }
+    }
+
+    fn row(&mut self, key: TargetKey) -> Option<&mut Row> {
+        self.rows.get_mut(self.names.get(&key)?)
+    }
+
+    /// Takes what an agent says of its copy.
+    pub fn report(&mut self, member: &Member, said: &SpreadCopy, now: Millis) {
+        self.admit(member);
+        let Some(key) = self.rows.get(member.name.as_str()).map(|row| row.key) else {
+            return;
+        };
+        for &place in &said.landed {
+            self.landed(key, place, now);
+        }
+        if let Ok(held) = ChunkSet::from_bytes(self.ids.len() - 1, &said.held) {
+            for place in held.iter() {
+                self.landed(key, place, now);
+            }
+        }
+        for &place in &said.failed {
+            self.end_grant(key, place);
+            self.tokens.failed(id(self.root, place), key);
+        }
+        for &place in &said.wanted {
+            self.wanted(key, place, now);
+        }
+    }
+
+    fn landed(&mut self, key: TargetKey, place: u32, now: Millis) {
+        self.end_grant(key, place);
+        self.tokens.landed(id(self.root, place), key, now);
+    }
+
+    fn end_grant(&mut self, key: TargetKey, place: u32) {
+        if let Some(row) = self.row(key)
+            && row.grants.remove(&place).is_some()
+        {
+            row.number += 1;
+        }
+    }
+
+    fn wanted(&mut self, key: TargetKey, place: u32, now: Millis) {
+        match self.tokens.ask(id(self.root, place), key, now) {
+            Answer::Granted(grant) => self.give(grant),
+            Answer::Ask(holder) => {
+                if let Some(row) = self.row(key)
+                    && row.extra.insert(holder)
+                {
+                    row.number += 1;
+                }
+            }
+            Answer::Wait { .. } | Answer::Unknown => {}
+        }
+    }
+
+    /// Gives the grants that can be out now.
+    pub fn grant(&mut self, now: Millis) {
+        for grant in self.tokens.grant(now) {
+            self.give(grant);
+        }
+    }
+
+    fn give(&mut self, grant: Grant) {
+        let Some(&place) = self.places.get(&grant.chunk) else {
+            return;
+        };
+        // A grant that ran out is another's now.
+        for row in self.rows.values_mut() {
+            if row.key != grant.to && row.grants.remove(&place).is_some() {
+                row.number += 1;
+            }
+        }
+        if let Some(row) = self.row(grant.to) {
+            row.grants.insert(place, grant.from);
+            row.number += 1;
+        }
+    }
+
+    /// The part of a target; `None` if it has none or `number` is its newest.
+    pub fn part(&self, name: &str, number: u64) -> Option<SpreadPart> {
+        let row = self.rows.get(name).filter(|row| row.number != number)?;
+        let links = self.plan.upstreams(row.key);
+        let extra = row.extra.iter().filter_map(|key| self.extra(*key));
+        let upstreams = links.iter().filter_map(|link| self.upstream(link));
+        let grants = row.grants.iter().map(|(&chunk, from)| SpreadGrant {
+            chunk,
+            peer: match from {
+                ImportFrom::Origin => String::new(),
+                ImportFrom::Peer(key) => self.addr(*key).unwrap_or_default(),
+            },
+        });
+        Some(SpreadPart {
+            digest: self.root.to_vec(),
+            number: row.number,
+            upstreams: upstreams.chain(extra).collect(),
+            grants: grants.collect(),
+        })
+    }
+
+    fn addr(&self, key: TargetKey) -> Option<String> {
+        let row = self.rows.get(self.names.get(&key)?)?;
+        Some(row.addr.to_string())
+    }
+
+    fn upstream(&self, link: &Link) -> Option<SpreadUpstream> {
+        Some(SpreadUpstream {
+            addr: self.addr(link.target)?,
+            region: link.seat.near == Near::Region,
+            place: link.seat.place,
+            places: link.seat.places,
+        })
+    }
+
+    fn extra(&self, key: TargetKey) -> Option<SpreadUpstream> {
+        Some(SpreadUpstream {
+            addr: self.addr(key)?,
+            region: true,
+            place: 0,
+            places: 1,
+        })
+    }
+}
+
+fn region(member: &Member) -> RegionName {
+    let named = member.labels.get("region");
+    let named = named.and_then(|region| region.parse().ok());
+    // Without a label every target counts as of one region, where copies are cheap.
+    named.unwrap_or_else(|| "region".parse().expect("a valid name"))
+}
+
+/// Names a chunk by its version and place.
+///
+/// Grants go out in the order of names. The manifest has the first of all: nobody can use another
+/// grant before having it.
+fn id(root: Digest, place: u32) -> Digest {
+    if place == MANIFEST {
+        let first = [0; size_of::<Digest>()];
+        return Digest::from_slice(&first).unwrap_or(root);
+    }
+    let mut bytes = root.to_vec();
+    bytes.extend(place.to_le_bytes());
+    Digest::of(&bytes)
+}
--- a/crates/filbertstack-wire/src/messages.rs
+++ b/crates/filbertstack-wire/src/messages.rs
@@ -152,9 +152,9 @@
     /// The far end's current term; answered by [`Tell::Term`].
     #[prost(message, tag = "10")]
     Term(Empty),
-    /// Leave to fetch chunks from the origin; answered by [`Tell::Payload`].
+    /// An agent's question for its part in the copies it makes; answered by [`Tell::Plan`].
     #[prost(message, tag = "11")]
-    Token(Payload),
+    Spread(SpreadAsk),
     /// An operator's question that only the leader can answer; answered by [`Tell::Payload`].
     #[prost(message, tag = "12")]
     Query(Payload),
@@ -167,7 +167,7 @@
 #[derive(Clone, PartialEq, Message)]
 pub struct Reply {
     /// What is told.
-    #[prost(oneof = "Tell", tags = "1, 2, 3, 4, 5")]
+    #[prost(oneof = "Tell", tags = "1, 2, 3, 4, 5, 6")]
     pub tell: Option<Tell>,
 }
 
@@ -189,6 +189,9 @@
     /// A term.
     #[prost(message, tag = "5")]
     Term(TermReport),
+    /// An agent's part in the copies it makes.
+    #[prost(message, tag = "6")]
+    Plan(SpreadPlan),
 }
 
 /// Bytes in their owner's encoding.
@@ -339,6 +342,9 @@
     /// Addresses of other entries, to announce to.
     #[prost(string, repeated, tag = "5")]
     pub entries: Vec<String>,
+    /// Where the leader's links are, to ask for the plan of copies; empty if it is not known.
+    #[prost(string, tag = "6")]
+    pub leader: String,
 }
 
 /// One version that a target is to serve.
@@ -353,18 +359,12 @@
     /// The version.
     #[prost(bytes = "vec", tag = "3")]
     pub digest: Vec<u8>,
-    /// Agents to fetch from, as `IP:port`.
-    #[prost(string, repeated, tag = "4")]
-    pub upstreams: Vec<String>,
     /// Where the origin has the version's files, as a URL.
     #[prost(string, tag = "5")]
     pub origin: String,
     /// The weight store's URL; empty if there is none.
     #[prost(string, tag = "6")]
     pub store: String,
-    /// Chunks that this target is to fetch from the origin, by index.
-    #[prost(uint32, repeated, tag = "7")]
-    pub tokens: Vec<u32>,
     /// Whether bytes from the origin weigh more than time.
     #[prost(bool, tag = "8")]
     pub frugal: bool,
@@ -373,6 +373,101 @@
     pub duty: i32,
 }
 
+/// An agent's question to the leader for its part in the copies it makes.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct SpreadAsk {
+    /// The target's instance name.
+    #[prost(string, tag = "1")]
+    pub name: String,
+    /// The copies in progress.
+    #[prost(message, repeated, tag = "2")]
+    pub copies: Vec<SpreadCopy>,
+    /// How long the leader may hold the question while nothing changes, in milliseconds.
+    #[prost(uint64, tag = "3")]
+    pub hold: u64,
+}
+
+/// The place that names the manifest among the chunks.
+pub const MANIFEST: u32 = u32::MAX;
+
+/// How an agent fares with the copy of a version.
+///
+/// Chunks are named by their places in the manifest; [`MANIFEST`] names the manifest itself.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct SpreadCopy {
+    /// The version.
+    #[prost(bytes = "vec", tag = "1")]
+    pub digest: Vec<u8>,
+    /// The number of the part that the agent has; zero for none.
+    #[prost(uint64, tag = "2")]
+    pub number: u64,
+    /// The granted chunks that it has.
+    #[prost(uint32, repeated, tag = "3")]
+    pub landed: Vec<u32>,
+    /// The granted chunks that no source gave.
+    #[prost(uint32, repeated, tag = "4")]
+    pub failed: Vec<u32>,
+    /// The chunks that no upstream has.
+    #[prost(uint32, repeated, tag = "5")]
+    pub wanted: Vec<u32>,
+    /// All chunks that it has, a bit a chunk, for a leader that does not know; empty otherwise.
+    #[prost(bytes = "vec", tag = "6")]
+    pub held: Vec<u8>,
+}
+
+/// An agent's part in the copies it makes.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct SpreadPlan {
+    /// A part for each copy.
+    #[prost(message, repeated, tag = "1")]
+    pub parts: Vec<SpreadPart>,
+}
+
+/// An agent's part in the copy of a version: all of it, so that a lost reply is mended by the next.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct SpreadPart {
+    /// The version.
+    #[prost(bytes = "vec", tag = "1")]
+    pub digest: Vec<u8>,
+    /// Names this part among those of one leader and agent.
+    #[prost(uint64, tag = "2")]
+    pub number: u64,
+    /// The agents to fetch from.
+    #[prost(message, repeated, tag = "3")]
+    pub upstreams: Vec<SpreadUpstream>,
+    /// The chunks to bring in from outside.
+    #[prost(message, repeated, tag = "4")]
+    pub grants: Vec<SpreadGrant>,
+}
+
+/// An agent to fetch from.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct SpreadUpstream {
+    /// Where its links are, as `IP:port`.
+    #[prost(string, tag = "1")]
+    pub addr: String,
+    /// Whether it is near only by the region, and not by the zone.
+    #[prost(bool, tag = "2")]
+    pub region: bool,
+    /// Its place among the upstreams of its kind.
+    #[prost(uint32, tag = "3")]
+    pub place: u32,
+    /// The upstreams of its kind.
+    #[prost(uint32, tag = "4")]
+    pub places: u32,
+}
+
+/// Leave to bring in a chunk from outside.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct SpreadGrant {
+    /// The chunk's place in the manifest.
+    #[prost(uint32, tag = "1")]
+    pub chunk: u32,
+    /// The agent of another region to get it from; empty for the weight store or the origin.
+    #[prost(string, tag = "2")]
+    pub peer: String,
+}
+
 /// What a target is to do with a version.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, prost::Enumeration)]
 #[repr(i32)]
