--- a/crates/filbertstack-agent/src/mesh/peers.rs
+++ b/crates/filbertstack-agent/src/mesh/peers.rs
@@ -75,7 +75,7 @@
                 continue;
             };
             if let Ok(held) = ChunkSet::from_bytes(total, &body) {
-                copier.announce(key, root, &held);
+                copier.announce(key, root, held.iter());
             }
         }
     }
--- a/crates/filbertstack-entry/src/http.rs
+++ b/crates/filbertstack-entry/src/http.rs
@@ -13,6 +13,7 @@
 use tiny_http::Request;
 
 use crate::guard::Guard;
+use crate::guard::HELLO_ANSWER;
 
 /// How long a body may take to arrive.
 pub const BODY_TIMEOUT: Duration = Duration::from_secs(20);
@@ -55,6 +56,16 @@
     Unknown,
 }
 
+impl Outcome {
+    /// The outcome as headers and metrics name it.
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::NotRun => "not-run",
+            Self::Unknown => "unknown",
+        }
+    }
+}
+
 /// An error answer.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Refusal {
@@ -136,6 +147,16 @@
     writer.flush()
 }
 
+/// Answers the guard itself, which goes on to use the connection.
+///
+/// # Errors
+/// If the guard has left.
+pub fn greet(request: Request) -> io::Result<()> {
+    let mut writer = request.into_writer();
+    writer.write_all(HELLO_ANSWER)?;
+    writer.flush()
+}
+
 /// Writes `value` as a JSON answer.
 ///
 /// # Errors
@@ -155,9 +176,10 @@
 /// # Errors
 /// If the caller has left.
 pub fn refuse(request: Request, refusal: &Refusal) -> io::Result<()> {
-    let (outcome, kind) = match refusal.outcome {
-        Outcome::NotRun => ("not-run", "not_run"),
-        Outcome::Unknown => ("unknown", "unknown"),
+    let outcome = refusal.outcome.name();
+    let kind = match refusal.outcome {
+        Outcome::NotRun => "not_run",
+        Outcome::Unknown => "unknown",
     };
     let mut fields = vec![
         Field::new("content-type", "application/json"),
--- a/crates/filbertstack-entry/src/process.rs
+++ b/crates/filbertstack-entry/src/process.rs
@@ -28,11 +28,13 @@
 use crate::call::Calls;
 use crate::claims::Claims;
 use crate::follow::Follow;
+use crate::guard;
 use crate::guard::Guard;
 use crate::http;
 use crate::http::Field;
 use crate::http::Refusal;
 use crate::lead::Leader;
+use crate::lease::Leases;
 use crate::ledger::Ledger;
 use crate::links::LateLinks;
 use crate::links::Links;
@@ -124,18 +126,11 @@
         let voters = settings.voters.iter().map(|voter| voter.addr).collect();
         let ledger = Arc::new(Ledger::new(dialer.clone(), voter.clone(), voters));
         let members = Arc::new(Members::default());
-        let spread = Arc::new(Spread::new(members.clone()));
-        late.set(Arc::new(Links {
-            spread: spread.clone(),
-            voter: voter.clone(),
-            control: control.clone(),
-            views: views.clone(),
-            members: members.clone(),
-            ledger: ledger.clone(),
-        }));
         let inner = Arc::new(Inner::new(
             settings, telemetry, dialer, ledger, views, members, voter,
         ));
+        let spread = Arc::new(Spread::new(inner.members.clone()));
+        late.set(Arc::new(inner.links(&control, spread.clone())));
         inner.start_threads(&control, spread);
         let (guard, server) = inner.start_http(http_socket)?;
         Ok(Self {
@@ -200,11 +195,19 @@
         let flow =
             flow::Settings::new(settings.name.clone(), settings.zone.clone(), rng.next_u64());
         let traffic = Traffic::new(flow);
+        let leases = Arc::new(Leases::new(
+            settings.name.clone(),
+            voter.clone(),
+            ledger.clone(),
+            traffic.clone(),
+        ));
         let calls = Calls {
             callers: settings.callers.clone(),
             traffic: traffic.clone(),
             claims: Claims::new(ledger.clone(), rng.next_u64()),
             dialer: dialer.clone(),
+            leases: leases.clone(),
+            telemetry: telemetry.clone(),
             max_body: settings.max_body,
             attempts: AtomicU64::new(rng.next_u64() >> 1),
         };
@@ -214,6 +217,7 @@
             views: views.clone(),
             members: members.clone(),
             dialer,
+            leases,
             max_body: settings.max_body,
         };
         Self {
@@ -231,9 +235,23 @@
         }
     }
 
+    fn links(&self, control: &Control, spread: Arc<Spread>) -> Links {
+        Links {
+            spread,
+            voter: self.voter.clone(),
+            control: control.clone(),
+            views: self.views.clone(),
+            members: self.members.clone(),
+            ledger: self.operators.ledger.clone(),
+            leases: self.calls.leases.clone(),
+        }
+    }
+
     fn start_threads(self: &Arc<Self>, control: &Control, spread: Arc<Spread>) {
         let refreshing = self.clone();
         thread::spawn(move || refreshing.refresh());
+        let (leases, stopped) = (self.calls.leases.clone(), self.stopped.clone());
+        thread::spawn(move || leases.run(&stopped));
         if let Some(voter) = &self.voter {
             let leader = Leader {
                 voter: voter.clone(),
@@ -295,6 +313,10 @@
     }
 
     fn take(self: Arc<Self>, request: Request, guard: Arc<Guard>) {
+        if request.url() == guard::HELLO {
+            let _ = http::greet(request);
+            return;
+        }
         let builder = thread::Builder::new()
             .name("request".into())
             .stack_size(STACK);
--- a/crates/filbertstack-entry/src/spread/copy.rs
+++ b/crates/filbertstack-entry/src/spread/copy.rs
@@ -10,6 +10,7 @@
 use filbertstack_core::declare::Weigh;
 use filbertstack_core::names::RegionName;
 use filbertstack_policy::spread::ChunkSet;
+use filbertstack_policy::spread::plan::Joined;
 use filbertstack_policy::spread::plan::Link;
 use filbertstack_policy::spread::plan::Plan;
 use filbertstack_policy::spread::plan::PlanConfig;
@@ -59,8 +60,8 @@
     rows: BTreeMap<Arc<str>, Row>,
     names: BTreeMap<TargetKey, Arc<str>>,
     wanted: BTreeSet<Arc<str>>,
-    /// Whether a target that holds everything has been counted.
-    whole: bool,
+    /// The target that was counted as holding everything.
+    whole: Option<TargetKey>,
 }
 
 impl Copying {
@@ -78,7 +79,7 @@
             rows: BTreeMap::new(),
             names: BTreeMap::new(),
             wanted: BTreeSet::new(),
-            whole: false,
+            whole: None,
         }
     }
 
@@ -104,7 +105,7 @@
         };
         let gone: Vec<_> = self.rows.iter().filter_map(is_gone).collect();
         for name in gone {
-            self.dismiss(&name);
+            self.dismiss(&name, now);
         }
         let root = self.root;
         for member in live.iter().filter(|member| member.holds(root)) {
@@ -115,11 +116,15 @@
 
     /// A target that holds everything serves all chunks: none need be brought in again.
     fn count_whole(&mut self, member: &Member, now: Millis) {
-        let Some(row) = self.rows.get(member.name.as_str()).filter(|_| !self.whole) else {
+        let Some(row) = self
+            .rows
+            .get(member.name.as_str())
+            .filter(|_| self.whole.is_none())
+        else {
             return;
         };
-        self.whole = true;
         let key = row.key;
+        self.whole = Some(key);
         for &id in &self.ids {
             self.tokens.landed(id, key, now);
         }
@@ -137,7 +142,7 @@
             return;
         }
         let region = region(member);
-        let key = self.plan.join(Target {
+        let Joined { key, relink } = self.plan.join(Target {
             name: member.name.clone(),
             zone: member.zone.clone(),
             region: region.clone(),
@@ -154,16 +159,18 @@
             extra: BTreeSet::new(),
         };
         self.rows.insert(name, row);
-        self.touch_all(&self.plan.downstreams(key));
+        self.touch_all(&relink);
     }
 
-    fn dismiss(&mut self, name: &str) {
+    fn dismiss(&mut self, name: &str, now: Millis) {
         let Some(row) = self.rows.remove(name) else {
             return;
         };
         self.names.remove(&row.key);
         let orphans = self.plan.leave(row.key);
-        self.tokens.leave(row.key);
+        self.tokens.leave(row.key, now);
+        // Another that holds everything is counted in its place.
+        self.whole = self.whole.filter(|whole| *whole != row.key);
         for other in self.rows.values_mut() {
             if other.extra.remove(&row.key) {
                 other.number += 1;
--- a/crates/filbertstack-log/src/node/changes.rs
+++ b/crates/filbertstack-log/src/node/changes.rs
@@ -27,7 +27,7 @@
     }
 
     fn check_change(&self, change: &Change) -> Result<Membership, Refusal> {
-        if self.full_until.is_some() {
+        if self.disk.full_until.is_some() {
             return Err(Refusal::DiskFull);
         }
         let Role::Leader(leader) = &self.role else {
@@ -56,7 +56,7 @@
             Change::Remove(node) if self.leads(*node) => {
                 return Err(ChangeError::Leads { node: *node }.into());
             }
-            Change::AddLearner(_) | Change::Remove(_) => {}
+            Change::AddLearner(_) | Change::Remove(_) | Change::Move(_) => {}
         }
         self.check_quorum(leader, &next)?;
         Ok(next)
--- a/crates/filbertstack-log/src/replica/core.rs
+++ b/crates/filbertstack-log/src/replica/core.rs
@@ -1,8 +1,6 @@
 //! The thread that runs the protocol and the machine.
 
 use std::sync::Arc;
-use std::sync::Mutex;
-use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 use std::sync::mpsc::Receiver;
 use std::sync::mpsc::RecvTimeoutError;
@@ -11,12 +9,14 @@
 use std::time::Instant;
 use std::time::SystemTime;
 
+use bytes::Bytes;
 use rand::RngExt as _;
 
 use crate::config::Safeguards;
 use crate::ids::ClusterId;
 use crate::ids::NodeId;
 use crate::machine::Machine;
+use crate::membership::Member;
 use crate::membership::Membership;
 use crate::message::Entry;
 use crate::message::EntryKind;
@@ -29,10 +29,10 @@
 use crate::node::NodeConfig;
 use crate::node::Output;
 use crate::node::RoleName;
+use crate::node::Ticket;
 use crate::node::Write;
 use crate::replica::Event;
 use crate::replica::ReplicaSettings;
-use crate::replica::ReplicaStatus;
 use crate::replica::Shared;
 use crate::replica::StartError;
 use crate::replica::Transport;
@@ -40,6 +40,7 @@
 use crate::replica::waiters::Waiter;
 use crate::replica::waiters::Waiters;
 use crate::replica::waiters::Wanted;
+use crate::storage::frame;
 
 /// The most events that are taken before their results are sent and written: enough to share one
 /// sync among many, few enough that a heartbeat is never late for it.
@@ -49,6 +50,25 @@
 /// monotonic clock is taken to have stood still, as it does while a machine is suspended.
 const CLOCK_LEAP: Duration = Duration::from_millis(100);
 
+/// What is told when the machine panics. The next start applies the same command again.
+const PANICKED: &str = "the machine panicked at a command; run a version that applies it";
+
+/// Tells at the end of the thread, however it comes about, that the replica leads no longer. If a
+/// panic of the machine left the status as it was, callers would go on being sent here.
+struct Ending {
+    shared: Arc<Shared>,
+    failed: Option<String>,
+}
+
+impl Drop for Ending {
+    fn drop(&mut self) {
+        let mut status = self.shared.status();
+        status.failed = self.failed.take();
+        status.node.role = RoleName::Follower;
+        status.lease = None;
+    }
+}
+
 /// The protocol, its machine, and who waits.
 pub(super) struct Core<M: Machine, T: Transport> {
     node: Node,
@@ -84,18 +104,7 @@
             safeguards: Safeguards::default(),
         };
         let node = Node::new(config, memory, Duration::ZERO);
-        let shared = Arc::new(Shared {
-            status: Mutex::new(ReplicaStatus {
-                id,
-                cluster: None,
-                node: node.status(),
-                applied: 0,
-                lease: None,
-                failed: None,
-            }),
-            messages: AtomicUsize::new(0),
-            requests: AtomicUsize::new(0),
-        });
+        let shared = Arc::new(Shared::new(&node));
         Self {
             node,
             settings,
@@ -122,12 +131,12 @@
     }
 
     pub(super) fn run(mut self, inbox: &Receiver<Event<M::Outcome>>) {
-        let failed = self.serve(inbox).err();
+        let mut ending = Ending {
+            shared: Arc::clone(&self.shared),
+            failed: Some(PANICKED.to_owned()),
+        };
+        ending.failed = self.serve(inbox).err();
         self.waiters.stopped();
-        let mut status = self.shared.status();
-        status.failed = failed;
-        status.node.role = RoleName::Follower;
-        status.lease = None;
     }
 
     fn serve(&mut self, inbox: &Receiver<Event<M::Outcome>>) -> Result<(), String> {
@@ -202,25 +211,33 @@
                 let ticket = self.waiters.ask(Waiter::Done(reply));
                 self.step(Input::Transfer { ticket, to });
             }
+            Wanted::Backup { reply } => {
+                let sealed = frame::encode(self.applied, &self.machine.snapshot());
+                let _ = reply.try_send(Ok(sealed.into()));
+            }
             Wanted::Create {
-                mut member,
+                member,
                 wanted,
                 state,
                 reply,
             } => {
-                member.node = self.node.id().0;
                 let ticket = self.waiters.ask(Waiter::Done(reply));
-                let data = state.unwrap_or_else(|| self.machine.snapshot().into());
-                self.step(Input::Create {
-                    ticket,
-                    cluster: ClusterId(rand::rng().random()),
-                    membership: Membership::first(member, wanted),
-                    data,
-                });
+                self.create(ticket, member, wanted, state);
             }
         }
     }
 
+    fn create(&mut self, ticket: Ticket, mut member: Member, wanted: u32, state: Option<Bytes>) {
+        member.node = self.node.id().0;
+        let data = state.unwrap_or_else(|| self.machine.snapshot().into());
+        self.step(Input::Create {
+            ticket,
+            cluster: ClusterId(rand::rng().random()),
+            membership: Membership::first(member, wanted),
+            data,
+        });
+    }
+
     /// Does what the node wants done.
     fn settle(&mut self) -> Result<(), String> {
         let output = self.node.output();
--- a/crates/filbertstack-log/src/replica/mod.rs
+++ b/crates/filbertstack-log/src/replica/mod.rs
@@ -27,10 +27,12 @@
 use crate::ids::NodeId;
 use crate::machine::Machine;
 use crate::membership::Change;
+use crate::membership::ChangeError;
 use crate::membership::Member;
 use crate::membership::Membership;
 use crate::message::Message;
 use crate::node::Input;
+use crate::node::Node;
 use crate::node::NodeStatus;
 use crate::node::Refusal;
 use crate::node::RoleName;
@@ -45,6 +47,8 @@
 use crate::storage::Storage;
 use crate::storage::StorageError;
 use crate::storage::disk::Disk;
+use crate::storage::frame;
+use crate::storage::frame::End;
 
 /// Carries messages to the other replicas. A message may be lost, late, doubled or out of order.
 pub trait Transport: Send + 'static {
@@ -133,6 +137,22 @@
 }
 
 impl Shared {
+    fn new(node: &Node) -> Self {
+        let status = ReplicaStatus {
+            id: node.id(),
+            cluster: None,
+            node: node.status(),
+            applied: 0,
+            lease: None,
+            failed: None,
+        };
+        Self {
+            status: Mutex::new(status),
+            messages: AtomicUsize::new(0),
+            requests: AtomicUsize::new(0),
+        }
+    }
+
     fn status(&self) -> MutexGuard<'_, ReplicaStatus> {
         self.status.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -220,12 +240,33 @@
         self.change(Change::AddLearner(member), deadline)
     }
 
-    /// Makes a learner a voter, if it holds everything committed.
+    /// Makes a learner a voter as soon as it holds everything committed. Under load it does so
+    /// only from time to time; that is waited for.
     ///
     /// # Errors
     /// As for [`Replica::propose`].
     pub fn promote(&self, node: NodeId, deadline: Instant) -> Result<u64, ProposeError> {
-        self.change(Change::Promote(node), deadline)
+        loop {
+            let result = self.change(Change::Promote(node), deadline);
+            let behind = matches!(
+                result,
+                Err(ProposeError::Refused(Refusal::Change(
+                    ChangeError::Behind { .. }
+                )))
+            );
+            if !behind || Instant::now() + POLL >= deadline {
+                return result;
+            }
+            thread::sleep(POLL);
+        }
+    }
+
+    /// Tells the group that a member is reached at another address.
+    ///
+    /// # Errors
+    /// As for [`Replica::propose`].
+    pub fn move_member(&self, member: Member, deadline: Instant) -> Result<u64, ProposeError> {
+        self.change(Change::Move(member), deadline)
     }
 
     /// Removes a member that does not lead.
@@ -276,6 +317,14 @@
         })
     }
 
+    /// The machine's state as applied here, sealed against damage; see [`open_backup`].
+    ///
+    /// # Errors
+    /// [`ProposeError`] if the replica has stopped or the deadline passed.
+    pub fn backup(&self, deadline: Instant) -> Result<Bytes, ProposeError> {
+        self.ask(deadline, |reply| Wanted::Backup { reply })
+    }
+
     /// The replica as it is now.
     pub fn status(&self) -> ReplicaStatus {
         self.shared.status().clone()
@@ -287,7 +336,7 @@
         let until = Instant::now() + patience;
         if self.leads() && self.transfer_leader(None, until).is_ok() {
             while self.leads() && Instant::now() < until {
-                thread::sleep(STOP_POLL);
+                thread::sleep(POLL);
             }
         }
         self.halt();
@@ -302,7 +351,9 @@
         let _ = self.events.send(Event::Stop);
         let threads = self.threads.lock();
         let mut threads = threads.unwrap_or_else(PoisonError::into_inner);
-        for thread in threads.drain(..) {
+        // The transport may hold the last handle: then this runs on the thread that ends.
+        let own = thread::current().id();
+        for thread in threads.drain(..).filter(|t| t.thread().id() != own) {
             let _ = thread.join();
         }
     }
@@ -342,8 +393,20 @@
     }
 }
 
-/// How often a replica that stops looks whether another leads.
-const STOP_POLL: Duration = Duration::from_millis(5);
+/// Opens what [`Replica::backup`] returned: the state for [`Replica::create`].
+///
+/// # Errors
+/// [`StorageError::Backup`] if it is not a whole, unchanged backup.
+pub fn open_backup(bytes: &[u8]) -> Result<Bytes, StorageError> {
+    let frames = frame::decode(bytes);
+    match (frames.payloads.as_slice(), frames.end) {
+        ([state], End::Whole) => Ok(Bytes::copy_from_slice(state)),
+        _ => Err(StorageError::Backup),
+    }
+}
+
+/// How often it is looked whether another leads, or a learner has caught up.
+const POLL: Duration = Duration::from_millis(5);
 
 fn spawn(name: &str, work: impl FnOnce() + Send + 'static) -> Result<JoinHandle<()>, StartError> {
     let builder = thread::Builder::new().name(name.into());
--- a/crates/filbertstack-log/tests/log/support/world.rs
+++ b/crates/filbertstack-log/tests/log/support/world.rs
@@ -9,8 +9,6 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use filbertstack_log::Accepted;
-use filbertstack_log::Answer;
 use filbertstack_log::ClusterId;
 use filbertstack_log::EntryKind;
 use filbertstack_log::Input;
@@ -25,9 +23,7 @@
 use filbertstack_log::NodeStatus;
 use filbertstack_log::RoleName;
 use filbertstack_log::Safeguards;
-use filbertstack_log::Ticket;
 use filbertstack_log::Timing;
-use filbertstack_log::Write;
 use filbertstack_log::storage::Storage;
 use filbertstack_log::storage::StorageError;
 use rand::RngExt as _;
@@ -39,6 +35,8 @@
 use crate::support::checker::Violation;
 use crate::support::disk::MemoryDisk;
 use crate::support::machine::Map;
+use crate::support::running::Asked;
+use crate::support::running::Running;
 
 /// The grain of time.
 const SLICE: Duration = Duration::from_millis(10);
@@ -54,40 +52,22 @@
     pub safeguards: Safeguards,
     /// A replica whose disk was lost comes back under its old identity.
     pub keeps_identity: bool,
+    /// A replica does not notice that its clock stood still.
+    pub trusts_clock: bool,
+    /// Limits in place of those that a short run reaches.
+    pub limits: Option<Limits>,
     /// Disks acknowledge a sync without doing it.
     pub lying_disks: bool,
 }
 
-/// A running replica.
-pub(super) struct Running {
-    pub(super) node: Node,
-    pub(super) storage: Storage<MemoryDisk>,
-    pub(super) map: Map,
-    pub(super) applied: u64,
-    pub(super) boot: Duration,
-    pub(super) queue: VecDeque<Write>,
-    pub(super) disk_until: Duration,
-    pub(super) tickets: BTreeMap<Ticket, Asked>,
-    pub(super) appended: BTreeMap<u64, (u64, u64)>,
-    pub(super) reads: Vec<(u64, u64)>,
-    pub(super) led: bool,
-}
-
-/// What a ticket stands for.
-pub(super) enum Asked {
-    Put(u64),
-    /// With what the read must see.
-    Read(u64),
-    Promote(NodeId),
-    Other,
-}
-
 pub(super) struct Slot {
     pub(super) id: NodeId,
     pub(super) disk: MemoryDisk,
     pub(super) rate: f64,
     pub(super) running: Option<Running>,
     pub(super) frozen_until: Duration,
+    /// Its clock stood still while it was frozen, and it has not noticed yet.
+    pub(super) suspended: bool,
     pub(super) inbox: Vec<Input>,
     pub(super) durable: u64,
     pub(super) membership: Arc<Membership>,
@@ -173,6 +153,7 @@
             rate,
             running: None,
             frozen_until: Duration::ZERO,
+            suspended: false,
             inbox: Vec::new(),
             durable: 0,
             membership: Arc::default(),
@@ -231,7 +212,7 @@
             id: slot.id,
             seed: self.rng.random(),
             timing: Timing::default(),
-            limits: small(),
+            limits: self.variant.limits.unwrap_or_else(small),
             safeguards: self.variant.safeguards,
         };
         if !self.variant.keeps_identity {
@@ -253,6 +234,16 @@
         self.settle(at);
     }
 
+    /// A replica as its group knows it.
+    pub fn member(&self, at: usize) -> Member {
+        self.slots[at].member()
+    }
+
+    /// How many syncs a replica's disk did.
+    pub fn syncs(&self, at: usize) -> u64 {
+        self.slots[at].disk.syncs()
+    }
+
     /// A replica as it is now.
     pub fn status(&self, at: usize) -> NodeStatus {
         self.slots[at].running.as_ref().unwrap().node.status()
@@ -296,18 +287,25 @@
 
     /// Gives a replica an input at its own time. A frozen one takes it when it wakes.
     pub(super) fn input(&mut self, at: usize, input: Input) {
+        if self.take(at, input) {
+            self.settle(at);
+        }
+    }
+
+    /// Has a replica take an input before it does what that leads to; false if it waits.
+    pub(super) fn take(&mut self, at: usize, input: Input) -> bool {
         let now = self.now;
         let slot = &mut self.slots[at];
         let Some(running) = &mut slot.running else {
-            return;
+            return false;
         };
         if slot.frozen_until > now {
             slot.inbox.push(input);
-            return;
+            return false;
         }
         let local = now.saturating_sub(running.boot).mul_f64(slot.rate);
         running.node.step(local, input);
-        self.settle(at);
+        true
     }
 
     pub fn run(&mut self, span: Duration) {
@@ -329,6 +327,9 @@
     fn deliver(&mut self) {
         for at in 0..self.slots.len() {
             if self.slots[at].frozen_until <= self.now {
+                if std::mem::take(&mut self.slots[at].suspended) && !self.variant.trusts_clock {
+                    self.input(at, Input::ClockDoubt);
+                }
                 let mut waiting = std::mem::take(&mut self.slots[at].inbox);
                 if self.rng.random() {
                     waiting.shuffle(&mut self.rng);
@@ -366,6 +367,8 @@
         match running.storage.write(batch) {
             Ok(results) => {
                 for result in results {
+                    let refused = matches!(result, Input::Refused { .. });
+                    self.checker.seen.refusals += usize::from(refused);
                     self.input(at, result);
                 }
             }
@@ -384,7 +387,7 @@
     }
 
     /// Does what the node wants done, as the replica's driver does.
-    fn settle(&mut self, at: usize) {
+    pub(super) fn settle(&mut self, at: usize) {
         let durable = self.slots.iter().map(|s| (s.id, s.durable)).collect();
         let slot = &mut self.slots[at];
         let Some(running) = &mut slot.running else {
@@ -400,6 +403,7 @@
         }
         if let Some(snapshot) = output.restore {
             running.map.restore(&snapshot.data).unwrap();
+            self.checker.seen.installs += usize::from(running.applied > 0);
             running.applied = snapshot.index;
             self.checker.state(snapshot.index, &running.map.state());
         }
@@ -471,38 +475,8 @@
     }
 }
 
-impl Running {
-    fn answer(&mut self, answer: Answer, checker: &mut Checker, durable: &BTreeMap<NodeId, u64>) {
-        let asked = self.tickets.remove(&answer.ticket);
-        match (asked, answer.result) {
-            (Some(Asked::Put(request)), Ok(Accepted::Appended(place))) => {
-                self.appended.insert(place.index, (place.term, request));
-            }
-            (Some(Asked::Read(floor)), Ok(Accepted::Readable(index))) => {
-                self.reads.push((floor, index));
-            }
-            (Some(Asked::Promote(node)), Ok(_)) => {
-                let commit = self.node.status().commit;
-                if let Some(held) = durable.get(&node).copied()
-                    && held < commit
-                {
-                    checker.found(Violation::EarlyVoter { held, commit });
-                }
-            }
-            _ => {}
-        }
-    }
-
-    fn finish_reads(&mut self, checker: &mut Checker) {
-        let applied = self.applied;
-        for (floor, index) in self.reads.extract_if(.., |(_, index)| *index <= applied) {
-            checker.read(floor, index);
-        }
-    }
-}
-
 impl Slot {
-    pub(super) fn member(&self) -> Member {
+    pub fn member(&self) -> Member {
         Member {
             node: self.id.0,
             name: format!("entry-{}", self.id),
--- a/crates/filbertstack-policy/src/route.rs
+++ b/crates/filbertstack-policy/src/route.rs
@@ -6,6 +6,8 @@
 //! entry's next requests to the one target whose report looks best. Two choices at random among
 //! those with room avoid both: own in-flight counts are exact, and a late report only tilts.
 
+mod learn;
+
 use rand::RngExt;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
@@ -17,10 +19,8 @@
 use filbertstack_core::names::ZoneName;
 
 use crate::cost::Cost;
-use crate::limit::Sample;
-use crate::outlier::MOST_OUT;
+use crate::fair::LongTurn;
 use crate::prefix::CacheEvent;
-use crate::retry::NotRun;
 use crate::retry::Outcome;
 use crate::subset;
 use crate::subset::Candidate;
@@ -60,27 +60,18 @@
 /// as a place that short requests use is free again within a second.
 pub const LONG_SHARE: f64 = 0.75;
 
-/// The queueing at an engine that is accepted for a full batch: about three requests waiting at
-/// an engine with 32 places of one second each.
-const QUEUE_GOAL: Millis = Millis(100);
+/// Up to this share of a group's room long requests take their turn like short ones; beyond it
+/// an organisation's short requests go first. So a mix that asks for more than there is cuts the
+/// long ones, which can wait, down to half of the room before a short one waits.
+pub const LONG_FLOOR: f64 = 0.5;
 
-/// Prompt tokens that an engine reads in a second at least; what longer prompts take is no
-/// queueing.
-const PREFILL: f64 = 10_000.0;
+/// The queueing at an engine that is accepted for a full batch: about two requests waiting at an
+/// engine with 32 places of one second each.
+const QUEUE_GOAL: Millis = Millis(60);
 
 /// A plain service's latency beyond this many times its long mean counts as queueing.
 const SERVICE_SLACK: f64 = 3.0;
 
-/// A target this many times slower than the median of its group is an outlier. Prompts cached
-/// or not and batches full or not make up to three times.
-const SLOW: f64 = 4.0;
-
-/// The fewest answers that a target is judged slow by.
-const JUDGED: u32 = 3;
-
-/// The fewest judged targets that make a median.
-const MEDIAN_OF: usize = 3;
-
 /// How long a due probe waits for an idempotent request, before any request may be the probe.
 const PROBE_PATIENCE: Millis = Millis::secs(5);
 
@@ -119,6 +110,7 @@
     work: Mean,
     elapsed: Mean,
     long: u32,
+    in_flight: u32,
 }
 
 impl Group {
@@ -132,6 +124,7 @@
             work: Mean::default(),
             elapsed: Mean::default(),
             long: 0,
+            in_flight: 0,
         }
     }
 
@@ -309,10 +302,29 @@
         mean.is_some_and(|mean| cost.work() > mean * LONG)
     }
 
-    /// Whether another long request may be sent. One may always be, so that none starves.
-    pub fn long_room(&self, now: Millis, group: GroupKey) -> bool {
-        let held = self.groups.get(group).map_or(0, |group| group.long);
-        held == 0 || f64::from(held) + 1.0 <= self.room(now, group) * LONG_SHARE
+    /// How another long request stands to short ones. One may always be sent, so that none
+    /// starves.
+    pub fn long_turn(&self, now: Millis, group: GroupKey) -> LongTurn {
+        let held = self.long_in_flight(group);
+        let room = self.room(now, group);
+        let next = f64::from(held) + 1.0;
+        if held == 0 || next <= room * LONG_FLOOR {
+            LongTurn::Equal
+        } else if next <= room * LONG_SHARE {
+            LongTurn::Behind
+        } else {
+            LongTurn::Never
+        }
+    }
+
+    /// The long requests in flight in the group.
+    pub fn long_in_flight(&self, group: GroupKey) -> u32 {
+        self.groups.get(group).map_or(0, |group| group.long)
+    }
+
+    /// The requests in flight in the group.
+    pub fn in_flight(&self, group: GroupKey) -> u32 {
+        self.groups.get(group).map_or(0, |group| group.in_flight)
     }
 
     /// Chooses a target with room; `None` if there is none now.
@@ -360,7 +372,7 @@
         attempt.first.is_none().then_some(now.since(attempt.sent))
     }
 
-    /// Two at random, and the one that holds most of the prefix.
+    /// Two at random, and those thought to hold some of the prefix.
     fn picks(&mut self, now: Millis, free: &[TargetKey], need: &Need) -> Vec<TargetKey> {
         if free.is_empty() {
             return Vec::new();
@@ -368,9 +380,8 @@
         let mut picks: Vec<_> = (0..2)
             .map(|_| free[self.rng.random_range(0..free.len())])
             .collect();
-        let held = |key: &TargetKey| self.held(now, *key, need);
-        let best = free.iter().max_by_key(|key| held(key));
-        picks.extend(best.filter(|key| held(key) > 0));
+        let holders = free.iter().filter(|key| self.held(now, **key, need) > 0);
+        picks.extend(holders);
         picks
     }
 
@@ -443,7 +454,6 @@
         };
         if let Some(target) = self.targets.get_mut(key) {
             target.in_flight += 1;
-            attempt.full = !target.has_room(now);
             if target.outlier.is_out() {
                 attempt.role = Role::Probe;
                 target.outlier.probe();
@@ -451,7 +461,11 @@
         }
         if let Some(group) = self.groups.get_mut(group) {
             group.long += u32::from(long);
+            group.in_flight += 1;
         }
+        // Limits grow for want of room in the group: growth of a single full target, while others
+        // have room, would only move the queue into that engine.
+        attempt.full = f64::from(self.in_flight(group)) + 1.5 > self.room(now, group);
         self.attempts.insert(attempt)
     }
 
@@ -503,179 +517,6 @@
         }
     }
 
-    /// Takes attempts whose first token is overdue as slow ones, without waiting for their end.
-    ///
-    /// A target that is twenty times slower tells so twenty times later: what it holds is
-    /// evidence as soon as the usual time has passed.
-    pub fn sweep(&mut self, now: Millis) {
-        let late: Vec<_> = self
-            .attempts
-            .iter()
-            .filter(|(_, attempt)| attempt.first.is_none() && !attempt.overdue)
-            .filter(|(_, attempt)| now.since(attempt.sent) > self.overdue_after(attempt))
-            .map(|(key, attempt)| (key, attempt.target, attempt.group, attempt.sent))
-            .collect();
-        for (key, target, group, sent) in late {
-            self.attempts[key].overdue = true;
-            self.learn_first(now, key, now.since(sent));
-            self.judge(now, group, target, key);
-        }
-    }
-
-    fn overdue_after(&self, attempt: &Attempt) -> Millis {
-        let group = self.groups.get(attempt.group);
-        let goal = group.map_or(QUEUE_GOAL, Group::goal);
-        let median = group.and_then(|group| group.firsts.quantile(50));
-        let usual = median.unwrap_or(Millis::secs(1));
-        goal + millis(secs(usual) * SLOW) + prefill(attempt.cost)
-    }
-
-    fn learn_first(&mut self, now: Millis, key: AttemptKey, first: Millis) {
-        let attempt = &self.attempts[key];
-        let Some(group) = self.groups.get(attempt.group) else {
-            return;
-        };
-        let Some(target) = self.targets.get_mut(attempt.target) else {
-            return;
-        };
-        let unloaded = group.floor.least().unwrap_or(first) + prefill(attempt.cost);
-        let sample = Sample {
-            sent: attempt.sent,
-            queued: first.since(unloaded),
-            goal: group.goal(),
-            full: attempt.full,
-        };
-        target.limit.observe(now, sample);
-        target.note_first(first);
-    }
-
-    fn learn_end(&mut self, now: Millis, attempt: &Attempt, cost: Cost) {
-        let elapsed = secs(now.since(attempt.sent));
-        if let Some(group) = self.groups.get_mut(attempt.group) {
-            group.work.add(cost.work(), LASTING);
-            group.elapsed.add(elapsed, LASTING);
-        }
-        let Some(target) = self.targets.get_mut(attempt.target) else {
-            return;
-        };
-        target.outlier.succeed();
-        for block in &attempt.prefix {
-            target.hints.store(now, *block);
-        }
-        let streamed = secs(now.since(attempt.first.unwrap_or(now)));
-        if cost.output > 1 {
-            target.note_between(streamed / f64::from(cost.output - 1));
-        }
-        self.judge_end(now, attempt);
-    }
-
-    fn learn_refusal(&mut self, now: Millis, attempt: &Attempt, reason: NotRun) {
-        match reason {
-            NotRun::Unreachable => self.learn_failure(now, attempt),
-            NotRun::Leaving => self.target_leaving(attempt.target),
-            NotRun::Full | NotRun::Absent => {
-                if let Some(target) = self.targets.get_mut(attempt.target) {
-                    target.limit.fail(now, attempt.sent);
-                }
-            }
-        }
-        self.reopen(now, attempt);
-    }
-
-    /// A refusal tells nothing of a probed target's speed: the next request probes again.
-    fn reopen(&mut self, now: Millis, attempt: &Attempt) {
-        if let Some(target) = self.targets.get_mut(attempt.target)
-            && attempt.is_probe()
-            && target.outlier.health() == crate::outlier::Health::Probed
-        {
-            target.outlier.eject(now);
-        }
-    }
-
-    fn learn_failure(&mut self, now: Millis, attempt: &Attempt) {
-        let can_eject = self.can_eject(attempt.group);
-        let Some(target) = self.targets.get_mut(attempt.target) else {
-            return;
-        };
-        target.limit.fail(now, attempt.sent);
-        let bad = target.outlier.fail();
-        if attempt.is_probe() || (bad && can_eject && !target.outlier.is_out()) {
-            target.outlier.eject(now);
-        }
-    }
-
-    /// Ejects the target if its first tokens come too late, or takes it back after its probe.
-    fn judge(&mut self, now: Millis, group: GroupKey, key: TargetKey, attempt: AttemptKey) {
-        let probe = self.attempts[attempt].is_probe();
-        if probe && self.attempts[attempt].overdue {
-            self.eject(now, key);
-            return;
-        }
-        let slack = self.groups.get(group).map_or(QUEUE_GOAL, Group::goal);
-        let slow = self.is_slow(group, key, secs(slack), |target| &target.first);
-        if !probe && slow && self.can_eject(group) {
-            self.eject_once(now, key);
-        }
-    }
-
-    /// Judges by the pace of the stream, which shows a slow target whose queue is empty.
-    fn judge_end(&mut self, now: Millis, attempt: &Attempt) {
-        let slow = self.is_slow(attempt.group, attempt.target, 0.0, |target| &target.between);
-        let can_eject = self.can_eject(attempt.group);
-        let Some(target) = self.targets.get_mut(attempt.target) else {
-            return;
-        };
-        let out = target.outlier.is_out();
-        match (attempt.is_probe() && out, slow) {
-            (true, false) if !attempt.overdue => target.readmit(now),
-            (true, _) => target.outlier.eject(now),
-            (false, true) if can_eject && !out => target.outlier.eject(now),
-            (false, _) => {}
-        }
-    }
-
-    fn eject(&mut self, now: Millis, key: TargetKey) {
-        if let Some(target) = self.targets.get_mut(key) {
-            target.outlier.eject(now);
-        }
-    }
-
-    fn eject_once(&mut self, now: Millis, key: TargetKey) {
-        let out = self.targets.get(key).is_some_and(Target::is_out);
-        if !out {
-            self.eject(now, key);
-        }
-    }
-
-    /// Whether the target's mean lies beyond its peers', a queue of `slack` seconds allowed for.
-    fn is_slow(
-        &self,
-        group: GroupKey,
-        key: TargetKey,
-        slack: f64,
-        mean: fn(&Target) -> &Mean,
-    ) -> bool {
-        let Some(own) = self.targets.get(key).and_then(|t| mean(t).get(JUDGED)) else {
-            return false;
-        };
-        let others = self.members(group).iter().filter(|member| **member != key);
-        let targets = others.filter_map(|member| self.targets.get(*member));
-        let mut means: Vec<f64> = targets.filter_map(|t| mean(t).get(JUDGED)).collect();
-        if means.len() < MEDIAN_OF {
-            return false;
-        }
-        means.sort_by(f64::total_cmp);
-        own > means[means.len() / 2] * SLOW + slack
-    }
-
-    /// Whether one more of the group's targets may be out.
-    pub fn can_eject(&self, group: GroupKey) -> bool {
-        let members = self.members(group);
-        let is_out = |key: &&TargetKey| self.targets.get(**key).is_some_and(Target::is_out);
-        let out = members.iter().filter(is_out).count() + 1;
-        count(out) <= count(members.len()) * MOST_OUT
-    }
-
     fn end(&mut self, key: AttemptKey) -> Option<Attempt> {
         let attempt = self.attempts.remove(key)?;
         if let Some(target) = self.targets.get_mut(attempt.target) {
@@ -683,11 +524,8 @@
         }
         if let Some(group) = self.groups.get_mut(attempt.group) {
             group.long -= u32::from(attempt.long);
+            group.in_flight -= 1;
         }
         Some(attempt)
     }
 }
-
-fn prefill(cost: Cost) -> Millis {
-    millis(f64::from(cost.prompt) / PREFILL)
-}
--- a/crates/filbertstack-weights/tests/copy.rs
+++ b/crates/filbertstack-weights/tests/copy.rs
@@ -53,7 +53,7 @@
 fn join(core: &mut Core, sample: &Sample, peer: &Arc<MemoryPeer>, place: u32) {
     let key = core.add_peer(peer.clone(), seat(place, 2));
     let all = ChunkSet::full(sample.bytes.len());
-    core.announce(key, sample.manifest.root(), &all);
+    core.announce(key, sample.manifest.root(), all.iter());
 }
 
 /// Makes the fetches one after the other, a turn each, for two minutes.
@@ -165,6 +165,31 @@
     assert_eq!(peers[0].count() + peers[1].count(), 13 + 13 - 5);
 }
 
+// Two versions with common chunks are wanted at the same moment, with upstreams enough to request
+// everything at once. No chunk is under way twice.
+#[test]
+fn no_chunk_is_under_way_twice() {
+    let (one, two) = (sample(1), sample(2));
+    let config = PullConfig {
+        slots: 64,
+        ..PullConfig::default()
+    };
+    let mut core = Core::new(Arc::new(Store::memory(100_000)), config, 1);
+    for sample in [&one, &two] {
+        core.want(sample.manifest.clone());
+        for _ in 0..20 {
+            let peer = Arc::new(MemoryPeer::new(&sample.bytes));
+            join(&mut core, sample, &peer, 0);
+        }
+    }
+    let jobs = std::iter::from_fn(|| core.next(Millis::ZERO));
+    let mut chunks: Vec<_> = jobs.map(|job| job.want.chunk.digest).collect();
+    assert_eq!(chunks.len(), 13 + 13 - 5);
+    chunks.sort_unstable();
+    chunks.dedup();
+    assert_eq!(chunks.len(), 13 + 13 - 5);
+}
+
 // The version is replaced in the middle of a copy, with a transfer under way. The transfer ends
 // after its version is forgotten and its index could name a chunk of the next one.
 #[test]
@@ -239,6 +264,25 @@
     assert_eq!(origin.count(), 1);
 }
 
+// A grant comes for a chunk that a peer has sent meanwhile. The origin is not asked, and the leader
+// hears that the chunk is there; else the grant would stay out until its lease ends.
+#[test]
+fn a_grant_for_a_held_chunk_is_answered_at_once() {
+    let sample = sample(1);
+    let (mut core, store) = core();
+    let origin = Arc::new(MemoryPeer::new(&sample.bytes));
+    let peer = Arc::new(MemoryPeer::new(&sample.bytes));
+    core.want(sample.manifest.clone());
+    join(&mut core, &sample, &peer, 0);
+    drive(&mut core, &store);
+    let chunk = sample.manifest.chunks()[4].digest;
+    let events = core.grant(sample.manifest.root(), chunk, vec![origin.clone()]);
+    let granted = true;
+    assert_eq!(events, [CopyEvent::Landed { chunk, granted }]);
+    drive(&mut core, &store);
+    assert_eq!(origin.count(), 0);
+}
+
 #[test]
 fn chunks_in_the_store_are_not_fetched_again() {
     let sample = sample(1);
@@ -252,6 +296,7 @@
     let mut core = Core::new(store.clone(), PullConfig::default(), 1);
     let peer = Arc::new(MemoryPeer::new(&sample.bytes));
     core.want(sample.manifest.clone());
+    assert_eq!(core.progress(sample.manifest.root()).unwrap().held, 10);
     join(&mut core, &sample, &peer, 0);
     let events = drive(&mut core, &store);
     assert_eq!(completes(&events, &sample), 1);
@@ -296,7 +341,7 @@
         zone: "van-a".parse().unwrap(),
         region: "van".parse().unwrap(),
     };
-    let keys: Vec<_> = (0..11).map(|at| plan.join(target(at))).collect();
+    let keys: Vec<_> = (0..11).map(|at| plan.join(target(at)).key).collect();
     for &key in &keys {
         tokens.join(key, &"van".parse().unwrap());
     }
@@ -332,7 +377,7 @@
                     }
                     let held = agent.copier.holding(root).unwrap();
                     for &(down, key) in &downs[up] {
-                        agents[down].copier.announce(key, root, &held);
+                        agents[down].copier.announce(key, root, held.iter());
                     }
                 }
                 CopyEvent::Complete { .. } => complete += 1,
@@ -357,7 +402,9 @@
     let peer = Arc::new(MemoryPeer::new(&sample.bytes));
     let key = agent.copier.add_peer(peer, seat(0, 1));
     let all = ChunkSet::full(sample.bytes.len());
-    agent.copier.announce(key, sample.manifest.root(), &all);
+    agent
+        .copier
+        .announce(key, sample.manifest.root(), all.iter());
     let root = sample.manifest.root();
     let complete = CopyEvent::Complete { root };
     while agent.events.recv_timeout(LONG).unwrap() != complete {}
