--- a/crates/filbertstack-entry/src/lib.rs
+++ b/crates/filbertstack-entry/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod race;
 mod run;
 pub mod settings;
+pub mod spread;
 pub mod table;
 pub mod traffic;
 pub mod view;
--- a/crates/filbertstack-entry/src/process.rs
+++ b/crates/filbertstack-entry/src/process.rs
@@ -44,6 +44,7 @@
 use crate::operators;
 use crate::operators::Operators;
 use crate::settings::Settings;
+use crate::spread::Spread;
 use crate::traffic::Traffic;
 use crate::view::Reached;
 use crate::view::Views;
@@ -128,8 +129,9 @@
         let inner = Arc::new(Inner::new(
             settings, telemetry, dialer, ledger, views, members, voter,
         ));
-        late.set(Arc::new(inner.links(&control)));
-        inner.start_threads(&control);
+        let spread = Arc::new(Spread::new(inner.members.clone()));
+        late.set(Arc::new(inner.links(&control, spread.clone())));
+        inner.start_threads(&control, spread);
         let (guard, server) = inner.start_http(http_socket)?;
         Ok(Self {
             inner,
@@ -233,8 +235,9 @@
         }
     }
 
-    fn links(&self, control: &Control) -> Links {
+    fn links(&self, control: &Control, spread: Arc<Spread>) -> Links {
         Links {
+            spread,
             voter: self.voter.clone(),
             control: control.clone(),
             views: self.views.clone(),
@@ -244,7 +247,7 @@
         }
     }
 
-    fn start_threads(self: &Arc<Self>, control: &Control) {
+    fn start_threads(self: &Arc<Self>, control: &Control, spread: Arc<Spread>) {
         let refreshing = self.clone();
         thread::spawn(move || refreshing.refresh());
         let (leases, stopped) = (self.calls.leases.clone(), self.stopped.clone());
@@ -256,6 +259,7 @@
                 views: self.views.clone(),
                 members: self.members.clone(),
                 ledger: self.operators.ledger.clone(),
+                spread,
                 stopped: self.stopped.clone(),
             };
             thread::spawn(move || leader.run());
@@ -335,6 +339,9 @@
             .unwrap_or_default()
             .to_owned();
         let get = *request.method() == Method::Get;
+        if get {
+            guard.end_body(request.remote_addr());
+        }
         let _ = match path.as_str() {
             "/health" => http::respond(request, 200, &[], b"ok\n"),
             "/metrics" => self.metrics(request),
