Entries gossip: each knows every entry and every target

Cause: an entry knew only the targets that announced to itself, and told callers of itself alone; an agent with more than three entries in its settings left the others without its target.

The gossip module runs over links between entries; members are a view over its rows. Agents are told their homes; GET /v1/entries gives up to 16 entries in the organisation's own order; the router hears how many entries share the targets. An entry that stops says so first, serves for the 6 s in which others hear of it and max_age, then refuses as not run, and says it is gone. Announcements that only renew a lease are no news: agents number each of them, and taken as they are one target would be news for every entry each second. An agent's last word no longer has the greatest number there is: a doubt of it could not have been answered.

--- a/crates/filbertstack-agent/src/announce.rs
+++ b/crates/filbertstack-agent/src/announce.rs
@@ -52,6 +52,8 @@
     pub stopped: Arc<AtomicBool>,
     /// This start of the agent.
     pub incarnation: u64,
+    /// The number of the last announcement.
+    pub version: AtomicU64,
     /// The highest fencing number accepted.
     pub accepted: Mutex<Option<Fence>>,
 }
@@ -68,10 +70,8 @@
     /// Announces until it is stopped.
     pub fn run(&self) {
         let mut entries = self.settings.entries.clone();
-        let mut version = 0;
         while !self.stopped.load(Ordering::Relaxed) {
-            version += 1;
-            let announce = self.announce(version);
+            let announce = self.announce();
             let mut heard = Vec::new();
             for addr in entries.iter().take(ENTRIES) {
                 heard.extend(self.tell(*addr, &announce));
@@ -83,13 +83,16 @@
 
     /// Announces once, at once: a target that leaves must be known to leave before its lease ends.
     pub fn announce_once(&self) {
-        let announce = self.announce(u64::MAX);
+        let announce = self.announce();
         for addr in self.settings.entries.iter().take(ENTRIES) {
             self.tell(*addr, &announce);
         }
     }
 
-    fn announce(&self, version: u64) -> Announce {
+    fn announce(&self) -> Announce {
+        // Numbered before it is read: of two made at once the later read has the greater number
+        // or the same content.
+        let version = self.version.fetch_add(1, Ordering::SeqCst) + 1;
         let settings = &self.settings;
         Announce {
             name: settings.name.to_string(),
--- a/crates/filbertstack-agent/src/process.rs
+++ b/crates/filbertstack-agent/src/process.rs
@@ -113,6 +113,7 @@
             term,
             stopped: stopped.clone(),
             incarnation: incarnation(),
+            version: AtomicU64::new(0),
             accepted: Mutex::default(),
         });
         let announcing = announcer.clone();
--- a/crates/filbertstack-entry/src/lib.rs
+++ b/crates/filbertstack-entry/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod claims;
 pub mod fleet;
 pub mod follow;
+pub mod gossip;
 pub mod guard;
 pub mod http;
 pub mod lead;
--- a/crates/filbertstack-entry/src/links.rs
+++ b/crates/filbertstack-entry/src/links.rs
@@ -25,6 +25,7 @@
 use filbertstack_wire::stream::payload;
 use prost::Message;
 
+use crate::gossip::Membership;
 use crate::ledger::Ledger;
 use crate::ledger::ProposeError;
 use crate::machine::Control;
@@ -58,6 +59,8 @@
     pub views: Arc<Views>,
     /// The targets.
     pub members: Arc<Members>,
+    /// Which entries and targets there are.
+    pub membership: Arc<Membership>,
     /// Whom to ask.
     pub ledger: Arc<Ledger>,
 }
@@ -76,15 +79,15 @@
 impl Handler for LateLinks {
     fn handle(&self, remote: &Remote, ask: Ask, responder: Responder) {
         match self.0.get() {
-            Some(links) => links.take(remote.role, ask, responder),
+            Some(links) => links.take(remote, ask, responder),
             None => responder.refuse("the entry is starting: come back", 500),
         }
     }
 }
 
 impl Links {
-    fn take(self: &Arc<Self>, role: Role, ask: Ask, responder: Responder) {
-        match (role, ask) {
+    fn take(self: &Arc<Self>, remote: &Remote, ask: Ask, responder: Responder) {
+        match (remote.role, ask) {
             (Role::Agent, Ask::Announce(announce)) => self.announce(&announce, responder),
             (_, Ask::Term(_)) => {
                 let term = self.term();
@@ -95,6 +98,9 @@
                     voter.deliver(envelope);
                 }
             }
+            (Role::Peer, Ask::Gossip(Payload { body })) => {
+                self.membership.receive(remote, &body, responder);
+            }
             (Role::Peer, Ask::Propose(Payload { body })) => {
                 self.apart(responder, move |links, responder| {
                     links.propose(&body, responder);
@@ -139,7 +145,9 @@
         let Some(member) = Member::of(announce) else {
             return responder.refuse("the announcement does not read: run the same release", 0);
         };
-        self.members.announce(member.clone());
+        if !self.membership.announce(announce, &member) {
+            return responder.refuse("an entry has this name: give the target another", 0);
+        }
         let view = self.views.get();
         let orders = self.orders_for(&view, &member);
         let _ = responder.finish(Tell::Orders(orders));
@@ -163,7 +171,12 @@
                 .iter()
                 .map(ToString::to_string)
                 .collect(),
-            entries: Vec::new(),
+            entries: self
+                .membership
+                .homes(&member.name)
+                .iter()
+                .map(ToString::to_string)
+                .collect(),
         }
     }
 
--- a/crates/filbertstack-entry/src/members.rs
+++ b/crates/filbertstack-entry/src/members.rs
@@ -1,4 +1,4 @@
-//! The targets that announced themselves, each under a lease.
+//! The targets, as the gossip's rows tell of them.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -12,13 +12,13 @@
 use filbertstack_core::Labels;
 use filbertstack_core::names::InstanceName;
 use filbertstack_core::names::ZoneName;
+use filbertstack_policy::gossip::Row;
 use filbertstack_wire::messages::Announce;
 use filbertstack_wire::messages::Copy;
 use filbertstack_wire::messages::Fence;
 use filbertstack_wire::messages::Stage;
 
-/// How long an announcement holds: three may be lost before the target is taken for gone.
-pub const LEASE: Duration = Duration::from_secs(4);
+use crate::gossip::encoding::announced;
 
 /// How long a target that is gone stays in `status`.
 const REMEMBERED: Duration = Duration::from_secs(600);
@@ -94,10 +94,6 @@
         self.held.iter().find(serving).map(|held| held.version)
     }
 
-    fn order(&self) -> (u64, u64) {
-        (self.incarnation, self.version)
-    }
-
     /// Whether what decisions rest on differs, the announcement's number aside.
     fn differs(&self, other: &Self) -> bool {
         let other = Self {
@@ -119,72 +115,73 @@
 }
 
 #[derive(Clone, Debug)]
-struct Row {
+struct Known {
     member: Member,
-    heard: Instant,
+    /// Since when it is gone.
+    gone: Option<Instant>,
 }
 
 #[derive(Debug, Default)]
-struct Rows {
-    rows: BTreeMap<InstanceName, Row>,
+struct Table {
+    rows: BTreeMap<InstanceName, Known>,
     changes: u64,
 }
 
-/// The targets that announced themselves.
+/// The targets that some entry heard of.
 #[derive(Debug, Default)]
 pub struct Members {
-    rows: Mutex<Rows>,
+    table: Mutex<Table>,
 }
 
 impl Members {
-    /// Takes an announcement; false if it is older than what is known.
-    ///
-    /// An old row that comes late, after a restart or a leave, would bring back a target that is
-    /// gone; its incarnation and version are lower, so it is dropped.
-    pub fn announce(&self, member: Member) -> bool {
-        let mut rows = self.lock();
-        let known = rows.rows.get(&member.name);
-        if known.is_some_and(|row| row.member.order() > member.order()) {
-            return false;
-        }
-        let news = known.is_none_or(|row| row.member.differs(&member) || is_over(row));
-        rows.changes += u64::from(news);
-        let row = Row {
-            heard: Instant::now(),
-            member,
+    /// Takes a target's row, which is newer than any before.
+    pub fn take(&self, row: &Row) {
+        let Some(member) = announced(row).as_ref().and_then(Member::of) else {
+            return;
         };
-        rows.rows.insert(row.member.name.clone(), row);
-        true
+        let mut table = self.lock();
+        let known = table.rows.get(&member.name);
+        let news = known.is_none_or(|known| {
+            known.member.differs(&member) || known.gone.is_some() != row.is_gone()
+        });
+        let gone = row.is_gone().then(Instant::now);
+        table.changes += u64::from(news);
+        let known = Known { member, gone };
+        table.rows.insert(row.name.clone(), known);
+    }
+
+    /// Drops a target that the gossip no longer knows.
+    pub fn forget(&self, name: &InstanceName) {
+        let mut table = self.lock();
+        let known = table.rows.remove(name);
+        table.changes += u64::from(known.is_some());
     }
 
-    /// The targets whose lease holds.
+    /// The targets that are there, those that leave among them.
     pub fn live(&self) -> Vec<Member> {
-        let rows = self.lock();
-        let live = rows.rows.values().filter(|row| !is_over(row));
-        live.map(|row| row.member.clone()).collect()
+        let table = self.lock();
+        let live = table.rows.values().filter(|known| known.gone.is_none());
+        live.map(|known| known.member.clone()).collect()
     }
 
-    /// The targets whose lease is over, not yet forgotten.
+    /// The targets that are gone, not yet forgotten.
     pub fn lost(&self) -> Vec<Member> {
-        let rows = self.lock();
-        let lost = rows.rows.values().filter(|row| is_over(row));
-        lost.map(|row| row.member.clone()).collect()
+        let table = self.lock();
+        let lost = table.rows.values().filter(|known| known.gone.is_some());
+        lost.map(|known| known.member.clone()).collect()
     }
 
     /// Forgets what is long gone, and returns a number that changes with what decisions rest on.
     pub fn sweep(&self) -> u64 {
-        let mut rows = self.lock();
-        rows.rows
-            .retain(|_, row| row.heard.elapsed() < LEASE + REMEMBERED);
-        let over = rows.rows.values().filter(|row| is_over(row)).count();
-        rows.changes.wrapping_mul(1 << 20).wrapping_add(over as u64)
+        let mut table = self.lock();
+        let is_old = |gone: Instant| gone.elapsed() >= REMEMBERED;
+        table
+            .rows
+            .retain(|_, known| !known.gone.is_some_and(is_old));
+        table.changes
     }
 
-    fn lock(&self) -> MutexGuard<'_, Rows> {
-        self.rows.lock().unwrap_or_else(PoisonError::into_inner)
+    fn lock(&self) -> MutexGuard<'_, Table> {
+        self.table.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
-
-fn is_over(row: &Row) -> bool {
-    row.heard.elapsed() >= LEASE
-}
--- a/crates/filbertstack-entry/src/process.rs
+++ b/crates/filbertstack-entry/src/process.rs
@@ -28,6 +28,7 @@
 use crate::call::Calls;
 use crate::claims::Claims;
 use crate::follow::Follow;
+use crate::gossip::Membership;
 use crate::guard;
 use crate::guard::Guard;
 use crate::http;
@@ -52,6 +53,9 @@
 /// How often the routing table is brought up to date while nothing changes.
 const REFRESH: Duration = Duration::from_millis(100);
 
+/// How often a stop looks whether it is over.
+const STOP_POLL: Duration = Duration::from_millis(20);
+
 /// The stack of a request's thread, in bytes.
 const STACK: usize = 512 << 10;
 
@@ -97,6 +101,7 @@
     operators: Operators,
     views: Arc<Views>,
     members: Arc<Members>,
+    membership: Arc<Membership>,
     traffic: Traffic,
     voter: Option<Arc<Voter>>,
     stopped: Arc<AtomicBool>,
@@ -124,15 +129,22 @@
         let voters = settings.voters.iter().map(|voter| voter.addr).collect();
         let ledger = Arc::new(Ledger::new(dialer.clone(), voter.clone(), voters));
         let members = Arc::new(Members::default());
+        let membership = Arc::new(Membership::new(
+            &settings,
+            dialer.clone(),
+            members.clone(),
+            telemetry.clone(),
+        ));
         late.set(Arc::new(Links {
             voter: voter.clone(),
             control: control.clone(),
             views: views.clone(),
             members: members.clone(),
+            membership: membership.clone(),
             ledger: ledger.clone(),
         }));
         let inner = Arc::new(Inner::new(
-            settings, telemetry, dialer, ledger, views, members, voter,
+            settings, telemetry, dialer, ledger, views, membership, voter,
         ));
         inner.start_threads(&control);
         let (guard, server) = inner.start_http(http_socket)?;
@@ -154,21 +166,27 @@
         self.inner.settings.links
     }
 
-    /// Takes nothing new, and returns when the requests in progress have ended; false if some had
-    /// not when the stop timeout ran out.
+    /// Leaves, and returns when the requests in progress have ended; false if some had not when
+    /// the stop timeout ran out.
     ///
-    /// Callers keep the entry's address for `max_age`, so it serves that long after it has begun
-    /// to leave.
+    /// Callers keep the entry's address for `max_age`, so it serves that long after every other
+    /// entry has stopped giving it out; then it takes nothing new.
     pub fn stop(self) -> bool {
-        self.inner.leaving.store(true, Ordering::Relaxed);
-        let until = Instant::now() + Duration::from(self.inner.settings.stop_timeout);
-        while self.inner.serving.load(Ordering::Relaxed) > 0 && Instant::now() < until {
-            thread::sleep(Duration::from_millis(20));
+        let inner = &self.inner;
+        let until = Instant::now() + Duration::from(inner.settings.stop_timeout);
+        let departure = inner.membership.leave();
+        while !departure.is_over(inner.membership.now()) && Instant::now() < until {
+            thread::sleep(STOP_POLL);
         }
-        let done = self.inner.serving.load(Ordering::Relaxed) == 0;
-        if let Some(voter) = &self.inner.voter {
+        inner.leaving.store(true, Ordering::SeqCst);
+        while inner.serving.load(Ordering::SeqCst) > 0 && Instant::now() < until {
+            thread::sleep(STOP_POLL);
+        }
+        let done = inner.serving.load(Ordering::SeqCst) == 0;
+        if let Some(voter) = &inner.voter {
             voter.stop();
         }
+        inner.membership.part();
         done
     }
 }
@@ -191,9 +209,10 @@
         dialer: Arc<Dialer>,
         ledger: Arc<Ledger>,
         views: Arc<Views>,
-        members: Arc<Members>,
+        membership: Arc<Membership>,
         voter: Option<Arc<Voter>>,
     ) -> Self {
+        let members = membership.members().clone();
         let mut rng = rand::rng();
         let flow =
             flow::Settings::new(settings.name.clone(), settings.zone.clone(), rng.next_u64());
@@ -221,6 +240,7 @@
             operators,
             views,
             members,
+            membership,
             traffic,
             voter,
             stopped: Arc::new(AtomicBool::new(false)),
@@ -232,6 +252,8 @@
     fn start_threads(self: &Arc<Self>, control: &Control) {
         let refreshing = self.clone();
         thread::spawn(move || refreshing.refresh());
+        let gossiping = self.clone();
+        thread::spawn(move || gossiping.membership.run(&gossiping.stopped));
         if let Some(voter) = &self.voter {
             let leader = Leader {
                 voter: voter.clone(),
@@ -256,7 +278,13 @@
     /// Keeps the routing table in step with the declarations and the targets.
     fn refresh(&self) {
         let mut seen = None;
+        let mut sharers = 0;
         while !self.stopped.load(Ordering::Relaxed) {
+            let entries = self.membership.live_entries();
+            if sharers != entries {
+                self.traffic.share(entries);
+                sharers = entries;
+            }
             let view = self.views.get();
             let now: (Reached, u64) = (view.reached(), self.members.sweep());
             if seen != Some(now) {
@@ -299,14 +327,20 @@
         let builder = thread::Builder::new()
             .name("request".into())
             .stack_size(STACK);
-        self.serving.fetch_add(1, Ordering::Relaxed);
+        // Counted before it looks whether the entry leaves: a stop that has seen no request then
+        // knows that none will run.
+        self.serving.fetch_add(1, Ordering::SeqCst);
         let inner = self.clone();
         let started = builder.spawn(move || {
             let _serving = Serving(&inner.serving);
+            if inner.leaving.load(Ordering::SeqCst) {
+                let _ = http::refuse(request, &leaving());
+                return;
+            }
             inner.answer(request, &guard);
         });
         if started.is_err() {
-            self.serving.fetch_sub(1, Ordering::Relaxed);
+            self.serving.fetch_sub(1, Ordering::SeqCst);
         }
     }
 
@@ -341,18 +375,20 @@
     }
 
     fn entries(&self, request: Request) -> std::io::Result<()> {
-        if let Err(refusal) = self.calls.authenticate(&request) {
-            return http::refuse(request, &refusal);
-        }
-        let entry = json!({
-            "addr": self.settings.listen.to_string(),
-            "zone": self.settings.zone,
-        });
+        let organisation = match self.calls.authenticate(&request) {
+            Ok(organisation) => organisation,
+            Err(refusal) => return http::refuse(request, &refusal),
+        };
+        let told = self.membership.entries_for(organisation.as_str());
+        let entries: Vec<_> = told
+            .iter()
+            .map(|entry| json!({ "addr": entry.http, "zone": entry.zone }))
+            .collect();
         let max_age = self.settings.max_age.ceil_secs();
         http::respond_json(
             request,
             200,
-            &json!({ "entries": [entry], "max_age_s": max_age }),
+            &json!({ "entries": entries, "max_age_s": max_age }),
         )
     }
 
@@ -374,7 +410,7 @@
 
 impl Drop for Serving<'_> {
     fn drop(&mut self) {
-        self.0.fetch_sub(1, Ordering::Relaxed);
+        self.0.fetch_sub(1, Ordering::SeqCst);
     }
 }
 
--- a/crates/filbertstack-entry/src/traffic.rs
+++ b/crates/filbertstack-entry/src/traffic.rs
@@ -151,6 +151,12 @@
         self.shared.poll();
     }
 
+    /// Sets how many entries share the targets.
+    pub fn share(&self, entries: usize) {
+        let sharers = u32::try_from(entries).unwrap_or(u32::MAX);
+        self.shared.lock().flow.router_mut().set_sharers(sharers);
+    }
+
     /// The table now.
     pub fn table(&self) -> SharedTable {
         self.shared.lock().table.clone()
--- a/tests/system/main.rs
+++ b/tests/system/main.rs
@@ -2,6 +2,7 @@
 
 mod control;
 mod leaving;
+mod membership;
 mod once;
 mod path;
 mod support;
--- /dev/null
+++ b/tests/system/membership.rs
@@ -0,0 +1,217 @@
+//! Every entry knows every entry and every target, whichever of them a target talks to.
+
+use std::collections::BTreeSet;
+use std::fs;
+use std::net::SocketAddr;
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
+
+use serde_json::Value;
+use serde_json::json;
+
+use crate::support::CALLER_KEY;
+use crate::support::OPERATOR_KEY;
+use crate::support::PATIENCE;
+use crate::support::Process;
+use crate::support::System;
+use crate::support::Weights;
+use crate::support::completion_text;
+use crate::support::declaration;
+use crate::support::post;
+use crate::support::try_post;
+
+/// Entries; the first three of them vote, and only these are told to agents by their settings.
+const ENTRIES: usize = 5;
+
+/// An entry that does not vote and that nobody's settings name.
+const LAST: usize = ENTRIES - 1;
+
+struct Fleet {
+    system: System,
+    entries: Vec<Process>,
+    agents: Vec<Process>,
+    engines: Vec<Process>,
+    weights: Weights,
+    _origin: Process,
+}
+
+/// Five entries, and two engines that serve one model.
+fn fleet() -> Fleet {
+    let system = System::with_voters(ENTRIES, 3);
+    for entry in &system.entries {
+        let text = fs::read_to_string(&entry.settings).expect("readable");
+        let text = text.replace("max-age = 1s", "max-age = 10s");
+        fs::write(&entry.settings, text).expect("written");
+    }
+    let entries = system.start_entries();
+    let weights = system.weights(6, 1 << 20);
+    let origin = Process::start(&["stand-in", "origin", weights.dir()]);
+    let url = format!("http://{}", origin.addr("listening"));
+    let (mut agents, mut engines) = (Vec::new(), Vec::new());
+    for n in 0..2 {
+        let engine = Process::start(&["stand-in", "engine", "--step-ms", "2"]);
+        agents.push(start_agent(&system, n, engine.addr("listening")));
+        engines.push(engine);
+    }
+    let dir = weights.dir();
+    let version = system.operate(&["publish", dir, "--model", "draft-model", "--origin", &url]);
+    system.wait_status("two targets", |status| targets_of(status).len() == 2);
+    system.apply(&declaration(&version, 2, true));
+    system.wait_met();
+    Fleet {
+        system,
+        entries,
+        agents,
+        engines,
+        weights,
+        _origin: origin,
+    }
+}
+
+/// Starts an agent whose settings name the voters alone.
+fn start_agent(system: &System, n: usize, url: SocketAddr) -> Process {
+    let path = system.agent_settings(&format!("engine-{n}"), "engine", url, "role=llm");
+    let mut text = fs::read_to_string(&path).expect("readable");
+    for entry in &system.entries[3..] {
+        text = text.replace(&format!(", {}", entry.links), "");
+    }
+    fs::write(&path, text).expect("written");
+    Process::start(&["agent", "--settings", path.to_str().expect("UTF-8")])
+}
+
+fn get(addr: SocketAddr, path: &str, key: &str) -> Option<Value> {
+    let call = ureq::get(format!("http://{addr}{path}"));
+    let call = call.header("authorization", format!("Bearer {key}"));
+    let mut response = call.call().ok()?;
+    let text = response.body_mut().read_to_string().ok()?;
+    serde_json::from_str(&text).ok()
+}
+
+/// The entries that `addr` tells a caller to use.
+fn told(addr: SocketAddr) -> BTreeSet<String> {
+    let answer = get(addr, "/v1/entries", CALLER_KEY).unwrap_or_default();
+    let entries = answer["entries"].as_array().cloned().unwrap_or_default();
+    let addrs = entries.iter().filter_map(|entry| entry["addr"].as_str());
+    addrs.map(ToOwned::to_owned).collect()
+}
+
+fn targets_of(status: &Value) -> BTreeSet<String> {
+    let targets = status["targets"].as_array().cloned().unwrap_or_default();
+    let names = targets.iter().filter_map(|target| target["name"].as_str());
+    names.map(ToOwned::to_owned).collect()
+}
+
+/// The targets that the entry at `addr` itself knows.
+fn targets(addr: SocketAddr) -> BTreeSet<String> {
+    targets_of(&get(addr, "/operator/status", OPERATOR_KEY).unwrap_or_default())
+}
+
+fn wait(what: &str, wanted: impl Fn() -> bool) {
+    let until = Instant::now() + PATIENCE;
+    while !wanted() {
+        assert!(Instant::now() < until, "{what} did not come to be");
+        thread::sleep(Duration::from_millis(50));
+    }
+}
+
+impl Fleet {
+    fn addrs(&self) -> BTreeSet<String> {
+        let entries = self.system.entries.iter();
+        entries.map(|entry| entry.http.to_string()).collect()
+    }
+
+    fn wait_all_told(&self) {
+        let all = self.addrs();
+        for entry in &self.system.entries {
+            wait("all entries told", || told(entry.http) == all);
+        }
+    }
+
+    fn wait_dropped(&self, n: usize) {
+        let mut rest = self.addrs();
+        rest.remove(&self.system.entries[n].http.to_string());
+        for (other, entry) in self.system.entries.iter().enumerate() {
+            if other != n {
+                wait("one entry less told", || told(entry.http) == rest);
+            }
+        }
+    }
+
+    /// Whether the answer is right; `Err` says what came instead.
+    fn ask(&self, addr: SocketAddr, prompt: &str) -> Result<(), String> {
+        let body = json!({ "model": "draft-model", "prompt": prompt, "max_tokens": 3 });
+        let answer = try_post(addr, "/v1/completions", &[], &body.to_string())?;
+        if answer.status != 200 {
+            return Err(answer.text());
+        }
+        assert_eq!(completion_text(&answer), self.weights.answer(prompt, 3));
+        Ok(())
+    }
+}
+
+// Each entry answers for the model and tells callers of all five, though agents' settings name
+// only the voters, and no settings name the last two entries.
+// An entry that knew only who talks to itself would refuse every request, and callers would all
+// stay with the entry they asked.
+#[test]
+fn every_entry_knows_all_entries_and_all_targets() {
+    let fleet = fleet();
+    fleet.wait_all_told();
+    for entry in &fleet.system.entries {
+        wait("both targets known", || targets(entry.http).len() == 2);
+        let body = json!({ "model": "draft-model", "prompt": "hello", "max_tokens": 3 });
+        let answer = post(entry.http, "/v1/completions", &[], &body.to_string());
+        assert_eq!(answer.status, 200, "{}", answer.text());
+        assert_eq!(completion_text(&answer), fleet.weights.answer("hello", 3));
+    }
+}
+
+// A caller asks an entry where to go, is told of one that is leaving, and goes there: it is
+// answered, for as long as any entry tells of it, and once more with the address kept from then.
+// The entry gets SIGTERM, the others hear of it, and it is no longer told.
+#[test]
+fn an_entry_that_leaves_answers_for_as_long_as_callers_are_told_of_it() {
+    let fleet = fleet();
+    fleet.wait_all_told();
+    let leaver = fleet.system.entries[LAST].http;
+    wait("the model served", || fleet.ask(leaver, "before").is_ok());
+    fleet.entries[LAST].signal("TERM");
+    let mut rest = fleet.addrs();
+    rest.remove(&leaver.to_string());
+    for (n, entry) in fleet.system.entries[..LAST].iter().enumerate() {
+        wait("the leaving entry untold", || {
+            let answered = fleet.ask(leaver, &format!("told by {n}"));
+            assert_eq!(answered, Ok(()), "a caller was told of it");
+            told(entry.http) == rest
+        });
+    }
+    assert_eq!(fleet.ask(leaver, "kept"), Ok(()), "a caller had kept it");
+    assert!(!told(leaver).contains(&leaver.to_string()));
+}
+
+// An entry and an agent are killed without a word. Callers are no longer told of the entry, the
+// target is no longer counted on, and after its restart it is back everywhere: its new incarnation
+// outweighs what was said of the old one.
+#[test]
+fn the_killed_vanish_and_a_restarted_target_is_back_everywhere() {
+    let mut fleet = fleet();
+    fleet.wait_all_told();
+    for entry in &fleet.system.entries {
+        wait("both targets known", || targets(entry.http).len() == 2);
+    }
+    fleet.entries[LAST].kill();
+    fleet.agents[1].kill();
+    fleet.wait_dropped(LAST);
+    let left = BTreeSet::from(["engine-0".to_owned()]);
+    for entry in &fleet.system.entries[..LAST] {
+        wait("the killed target gone", || targets(entry.http) == left);
+    }
+    let url = fleet.engines[1].addr("listening");
+    fleet.agents[1] = start_agent(&fleet.system, 1, url);
+    for entry in &fleet.system.entries[..LAST] {
+        wait("the restarted target back", || {
+            targets(entry.http).len() == 2
+        });
+    }
+}
--- a/tests/system/support.rs
+++ b/tests/system/support.rs
@@ -123,11 +123,17 @@
 pub struct System {
     pub dir: TempDir,
     pub entries: Vec<EntryPlace>,
+    voters: usize,
 }
 
 impl System {
     /// Writes keys and the settings of `count` entries, all of them voters.
     pub fn new(count: usize) -> Self {
+        Self::with_voters(count, count)
+    }
+
+    /// Writes keys and the settings of `count` entries, the first `voters` of them with a disk.
+    pub fn with_voters(count: usize, voters: usize) -> Self {
         let dir = tempfile::tempdir().expect("a folder");
         let file =
             |name: &str, text: &str| fs::write(dir.path().join(name), text).expect("written");
@@ -149,9 +155,17 @@
                 settings,
             });
         }
-        let system = Self { dir, entries };
-        for entry in &system.entries {
-            fs::write(&entry.settings, system.entry_settings(entry)).expect("written");
+        let system = Self {
+            dir,
+            entries,
+            voters,
+        };
+        for (n, entry) in system.entries.iter().enumerate() {
+            let mut settings = system.entry_settings(entry);
+            if n < voters {
+                let _ = write!(settings, "[disk]\ndata = data-{}\n", entry.name);
+            }
+            fs::write(&entry.settings, settings).expect("written");
         }
         system
     }
@@ -160,8 +174,7 @@
         let EntryPlace {
             name, http, links, ..
         } = entry;
-        let voters: Vec<String> = self
-            .entries
+        let voters: Vec<String> = self.entries[..self.voters]
             .iter()
             .map(|e| format!("{}@{}", e.name, e.links))
             .collect();
@@ -170,7 +183,6 @@
             "[entry]\nname = {name}\nzone = zone-1\nregion = region-1\nlisten = {http}\n\
              links = {links}\nmax-age = 1s\nstop-timeout = 20s\n\
              [control]\nvoters = {voters}\nseeds = {links}\n\
-             [disk]\ndata = data-{name}\n\
              [keys]\npeer = peer.key\nagent = agent.key\ncallers = callers.keys\n\
              operators = operators.keys\n\
              [telemetry]\nlog-level = warn\n"
@@ -412,7 +424,7 @@
 }
 
 /// The key of the tests' operator.
-const OPERATOR_KEY: &str = "operator-secret-0123456789";
+pub const OPERATOR_KEY: &str = "operator-secret-0123456789";
 
 /// Sends `body` to the first entry that has an answer, again and again, under the same request id.
 pub fn operate_json(entries: &[SocketAddr], path: &str, body: &Value) -> Value {
