--- a/crates/filbertstack-agent/src/process.rs
+++ b/crates/filbertstack-agent/src/process.rs
@@ -115,6 +115,7 @@
             incarnation: incarnation(),
             version: AtomicU64::new(0),
             accepted: Mutex::default(),
+            armed: Mutex::default(),
         });
         let announcing = announcer.clone();
         thread::spawn(move || announcing.run());
--- a/crates/filbertstack-entry/src/process.rs
+++ b/crates/filbertstack-entry/src/process.rs
@@ -35,6 +35,7 @@
 use crate::http::Field;
 use crate::http::Refusal;
 use crate::lead::Leader;
+use crate::lease::Leases;
 use crate::ledger::Ledger;
 use crate::links::LateLinks;
 use crate::links::Links;
@@ -135,17 +136,10 @@
             members.clone(),
             telemetry.clone(),
         ));
-        late.set(Arc::new(Links {
-            voter: voter.clone(),
-            control: control.clone(),
-            views: views.clone(),
-            members: members.clone(),
-            membership: membership.clone(),
-            ledger: ledger.clone(),
-        }));
         let inner = Arc::new(Inner::new(
             settings, telemetry, dialer, ledger, views, membership, voter,
         ));
+        late.set(Arc::new(inner.links(&control)));
         inner.start_threads(&control);
         let (guard, server) = inner.start_http(http_socket)?;
         Ok(Self {
@@ -217,11 +211,19 @@
         let flow =
             flow::Settings::new(settings.name.clone(), settings.zone.clone(), rng.next_u64());
         let traffic = Traffic::new(flow);
+        let leases = Arc::new(Leases::new(
+            settings.name.clone(),
+            voter.clone(),
+            ledger.clone(),
+            traffic.clone(),
+        ));
         let calls = Calls {
             callers: settings.callers.clone(),
             traffic: traffic.clone(),
             claims: Claims::new(ledger.clone(), rng.next_u64()),
             dialer: dialer.clone(),
+            leases: leases.clone(),
+            telemetry: telemetry.clone(),
             max_body: settings.max_body,
             attempts: AtomicU64::new(rng.next_u64() >> 1),
         };
@@ -231,6 +233,7 @@
             views: views.clone(),
             members: members.clone(),
             dialer,
+            leases,
             max_body: settings.max_body,
         };
         Self {
@@ -249,11 +252,25 @@
         }
     }
 
+    fn links(&self, control: &Control) -> Links {
+        Links {
+            voter: self.voter.clone(),
+            control: control.clone(),
+            views: self.views.clone(),
+            members: self.members.clone(),
+            membership: self.membership.clone(),
+            ledger: self.operators.ledger.clone(),
+            leases: self.calls.leases.clone(),
+        }
+    }
+
     fn start_threads(self: &Arc<Self>, control: &Control) {
         let refreshing = self.clone();
         thread::spawn(move || refreshing.refresh());
         let gossiping = self.clone();
         thread::spawn(move || gossiping.membership.run(&gossiping.stopped));
+        let (leases, stopped) = (self.calls.leases.clone(), self.stopped.clone());
+        thread::spawn(move || leases.run(&stopped));
         if let Some(voter) = &self.voter {
             let leader = Leader {
                 voter: voter.clone(),
@@ -352,6 +369,9 @@
             .unwrap_or_default()
             .to_owned();
         let get = *request.method() == Method::Get;
+        if get {
+            guard.end_body(request.remote_addr());
+        }
         let _ = match path.as_str() {
             "/health" => http::respond(request, 200, &[], b"ok\n"),
             "/metrics" => self.metrics(request),
