--- a/tests/system/main.rs
+++ b/tests/system/main.rs
@@ -3,6 +3,7 @@
 mod control;
 mod input;
 mod leaving;
+mod membership;
 mod once;
 mod path;
 mod support;
