--- a/examples/capacity.rs
+++ b/examples/capacity.rs
@@ -45,7 +45,7 @@
 const ENGINES: usize = 8;
 
 /// How long the processes settle before they are measured, and how long they are.
-const SETTLE: Duration = Duration::from_secs(5);
+const SETTLE: Duration = Duration::from_secs(30);
 const SPAN: Duration = Duration::from_secs(10);
 
 /// The first port that is given out.
