--- a/crates/filbertstack-agent/src/mesh.rs
+++ b/crates/filbertstack-agent/src/mesh.rs
@@ -280,11 +280,8 @@
         let searches = self.lock().searches();
         for search in searches {
             let found = search.run(&self.dialer);
-            let granted = search.is_granted();
-            let mut copies = self.lock();
-            copies.found(&search, found);
-            drop(copies);
-            if granted {
+            let news = self.lock().found(&search, found);
+            if news {
                 self.tell();
             }
         }
--- a/crates/filbertstack-agent/src/mesh/copies.rs
+++ b/crates/filbertstack-agent/src/mesh/copies.rs
@@ -29,6 +29,9 @@
 /// How long a grant that failed rests before the same agent tries it again.
 const REST: Duration = Duration::from_secs(1);
 
+/// How long upstreams may have no manifest before the leader is asked for it.
+const PATIENCE: Duration = Duration::from_secs(2);
+
 /// One version.
 #[derive(Debug, Default)]
 struct Row {
@@ -39,6 +42,10 @@
     /// Who gave the part.
     leader: String,
     number: u64,
+    /// Whether that leader was told all that is held.
+    greeted: bool,
+    /// When the leader is asked for the manifest, if it has not come by then.
+    patience: Option<Instant>,
     upstreams: Vec<(SocketAddr, Seat)>,
     /// Chunks to bring in, and the agent to get them from if it is not the origin.
     grants: BTreeMap<u32, String>,
@@ -135,7 +142,7 @@
                     row.failed.iter().copied().collect()
                 },
                 wanted: row.wanted.iter().copied().collect(),
-                held: if stranger {
+                held: if stranger || !row.greeted {
                     row.held(store)
                 } else {
                     Vec::new()
@@ -157,6 +164,7 @@
                 row.used.remove(place);
                 row.rest.insert(*place, Instant::now() + REST);
             }
+            row.greeted |= !said.held.is_empty();
             row.wanted.retain(|place| !said.wanted.contains(place));
         }
     }
@@ -167,10 +175,10 @@
         let Some(row) = root.and_then(|root| self.rows.get_mut(&root)) else {
             return;
         };
-        if row.leader == leader && row.number > part.number {
-            return;
+        if row.leader != leader {
+            leader.clone_into(&mut row.leader);
+            row.greeted = false;
         }
-        leader.clone_into(&mut row.leader);
         row.number = part.number;
         let upstreams = part.upstreams.iter().filter_map(|upstream| {
             let seat = Seat {
@@ -258,10 +266,10 @@
             .collect()
     }
 
-    /// Takes what a search found.
-    pub fn found(&mut self, search: &Search, found: Result<Manifest, String>) {
+    /// Takes what a search found; true if the leader is to hear of it.
+    pub fn found(&mut self, search: &Search, found: Result<Manifest, String>) -> bool {
         let Some(row) = self.rows.get_mut(&search.root) else {
-            return;
+            return false;
         };
         match found {
             Ok(manifest) => row.manifest = Some(Arc::new(manifest)),
@@ -272,6 +280,7 @@
                 }
             }
         }
+        search.granted || row.manifest.is_some() || row.misses_manifest()
     }
 }
 
@@ -282,6 +291,19 @@
         named.cloned().collect()
     }
 
+    /// Whether the leader is to be asked for the manifest now: the target that brought it in may be
+    /// gone, and nobody else would miss it.
+    fn misses_manifest(&mut self) -> bool {
+        let now = Instant::now();
+        let due = *self.patience.get_or_insert(now + PATIENCE);
+        let misses = now >= due && !self.grants.contains_key(&MANIFEST);
+        if misses {
+            self.patience = Some(now + PATIENCE);
+            self.wanted.insert(MANIFEST);
+        }
+        misses
+    }
+
     fn landed(&self, store: &Store) -> Vec<u32> {
         let Some(manifest) = &self.manifest else {
             return Vec::new();
@@ -362,11 +384,6 @@
 }
 
 impl Search {
-    /// Whether the leader is to hear what came of it.
-    pub const fn is_granted(&self) -> bool {
-        self.granted
-    }
-
     /// Looks everywhere that it may.
     pub fn run(&self, dialer: &Arc<Dialer>) -> Result<Manifest, String> {
         let mut trouble = String::from("no upstream has the manifest yet");
--- a/crates/filbertstack-entry/src/spread/copy.rs
+++ b/crates/filbertstack-entry/src/spread/copy.rs
@@ -52,14 +52,19 @@
 #[derive(Debug)]
 pub struct Copying {
     root: Digest,
-    term: u64,
     ids: Vec<Digest>,
     places: BTreeMap<Digest, u32>,
     plan: Plan,
     tokens: Tokens,
+    /// The manifest's grants, apart from the chunks': an agent without a manifest can use no grant
+    /// of a chunk, and a window full of such grants would keep the manifest out for ever.
+    manifests: Tokens,
     rows: BTreeMap<Arc<str>, Row>,
     names: BTreeMap<TargetKey, Arc<str>>,
     wanted: BTreeSet<Arc<str>>,
+    /// The highest number of a part of a target that left: the same agent may be back, and must
+    /// not take its new part for the old one.
+    last: u64,
     /// The target that was counted as holding everything.
     whole: Option<TargetKey>,
 }
@@ -67,18 +72,21 @@
 impl Copying {
     /// The plan of a copy to no target yet.
     pub fn new(root: Digest, term: u64, chunks: u32, weigh: Weigh) -> Self {
-        let order = std::iter::once(MANIFEST).chain(0..chunks);
-        let named: Vec<_> = order.map(|place| (id(root, place), place)).collect();
+        let named: Vec<_> = (0..chunks).map(|place| (id(root, place), place)).collect();
         Self {
             root,
-            term,
             ids: named.iter().map(|(id, _)| *id).collect(),
-            places: named.into_iter().collect(),
+            places: named
+                .into_iter()
+                .chain([(id(root, MANIFEST), MANIFEST)])
+                .collect(),
             plan: Plan::new(PlanConfig::default()),
             tokens: Tokens::new(TokenConfig::of(weigh)),
+            manifests: Tokens::new(TokenConfig::of(weigh)),
             rows: BTreeMap::new(),
             names: BTreeMap::new(),
             wanted: BTreeSet::new(),
+            last: term << TERM_SHIFT,
             whole: None,
         }
     }
@@ -86,9 +94,13 @@
     /// Puts the chunks up for grants; `inherited` says since when an earlier leader's may be out.
     pub fn begin(&mut self, inherited: Option<Millis>) {
         let ids = self.ids.iter().copied();
-        match inherited {
-            Some(now) => self.tokens.recover(ids, now),
-            None => self.tokens.publish(ids),
+        let manifest = [id(self.root, MANIFEST)];
+        if let Some(now) = inherited {
+            self.tokens.recover(ids, now);
+            self.manifests.recover(manifest, now);
+        } else {
+            self.tokens.publish(ids);
+            self.manifests.publish(manifest);
         }
     }
 
@@ -128,6 +140,7 @@
         for &id in &self.ids {
             self.tokens.landed(id, key, now);
         }
+        self.landed(key, MANIFEST, now);
     }
 
     /// Whether the target is to hold the version and has no part yet.
@@ -148,13 +161,14 @@
             region: region.clone(),
         });
         self.tokens.join(key, &region);
+        self.manifests.join(key, &region);
         let name: Arc<str> = name.into();
         self.names.insert(key, name.clone());
         let row = Row {
             key,
             addr: member.addr,
             incarnation: member.incarnation,
-            number: (self.term << TERM_SHIFT) + 1,
+            number: self.last + 1,
             grants: BTreeMap::new(),
             extra: BTreeSet::new(),
         };
@@ -166,9 +180,11 @@
         let Some(row) = self.rows.remove(name) else {
             return;
         };
+        self.last = self.last.max(row.number);
         self.names.remove(&row.key);
         let orphans = self.plan.leave(row.key);
         self.tokens.leave(row.key, now);
+        self.manifests.leave(row.key, now);
         // Another that holds everything is counted in its place.
         self.whole = self.whole.filter(|whole| *whole != row.key);
         for other in self.rows.values_mut() {
@@ -200,14 +216,18 @@
         for &place in &said.landed {
             self.landed(key, place, now);
         }
-        if let Ok(held) = ChunkSet::from_bytes(self.ids.len() - 1, &said.held) {
-            for place in held.iter() {
+        if let Ok(held) = ChunkSet::from_bytes(self.ids.len(), &said.held) {
+            for place in held
+                .iter()
+                .chain((!said.held.is_empty()).then_some(MANIFEST))
+            {
                 self.landed(key, place, now);
             }
         }
         for &place in &said.failed {
             self.end_grant(key, place);
-            self.tokens.failed(id(self.root, place), key);
+            let chunk = id(self.root, place);
+            self.tokens(place).failed(chunk, key);
         }
         for &place in &said.wanted {
             self.wanted(key, place, now);
@@ -216,7 +236,8 @@
 
     fn landed(&mut self, key: TargetKey, place: u32, now: Millis) {
         self.end_grant(key, place);
-        self.tokens.landed(id(self.root, place), key, now);
+        let chunk = id(self.root, place);
+        self.tokens(place).landed(chunk, key, now);
     }
 
     fn end_grant(&mut self, key: TargetKey, place: u32) {
@@ -228,7 +249,8 @@
     }
 
     fn wanted(&mut self, key: TargetKey, place: u32, now: Millis) {
-        match self.tokens.ask(id(self.root, place), key, now) {
+        let chunk = id(self.root, place);
+        match self.tokens(place).ask(chunk, key, now) {
             Answer::Granted(grant) => self.give(grant),
             Answer::Ask(holder) => {
                 if let Some(row) = self.row(key)
@@ -243,11 +265,21 @@
 
     /// Gives the grants that can be out now.
     pub fn grant(&mut self, now: Millis) {
-        for grant in self.tokens.grant(now) {
+        let manifests = self.manifests.grant(now);
+        for grant in manifests.into_iter().chain(self.tokens.grant(now)) {
             self.give(grant);
         }
     }
 
+    /// The grants that those of `place` are among.
+    const fn tokens(&mut self, place: u32) -> &mut Tokens {
+        if place == MANIFEST {
+            &mut self.manifests
+        } else {
+            &mut self.tokens
+        }
+    }
+
     fn give(&mut self, grant: Grant) {
         let Some(&place) = self.places.get(&grant.chunk) else {
             return;
@@ -317,14 +349,7 @@
 }
 
 /// Names a chunk by its version and place.
-///
-/// Grants go out in the order of names. The manifest has the first of all: nobody can use another
-/// grant before having it.
 fn id(root: Digest, place: u32) -> Digest {
-    if place == MANIFEST {
-        let first = [0; size_of::<Digest>()];
-        return Digest::from_slice(&first).unwrap_or(root);
-    }
     let mut bytes = root.to_vec();
     bytes.extend(place.to_le_bytes());
     Digest::of(&bytes)
--- a/tests/system/main.rs
+++ b/tests/system/main.rs
@@ -5,3 +5,4 @@
 mod once;
 mod path;
 mod support;
+mod weights;
