--- a/crates/filbertstack-agent/src/process.rs
+++ b/crates/filbertstack-agent/src/process.rs
@@ -12,6 +12,7 @@
 
 use filbertstack_telemetry::Telemetry;
 use filbertstack_weights::Store;
+use filbertstack_weights::copy::Uploads;
 use filbertstack_weights::store::StoreError;
 use filbertstack_wire::Dialer;
 use filbertstack_wire::Listener;
@@ -26,6 +27,7 @@
 use crate::keeper::Keeper;
 use crate::mesh::Mesh;
 use crate::serve::Calls;
+use crate::serve::UPLOADS;
 use crate::settings::Kind;
 use crate::settings::Settings;
 use crate::target::Target;
@@ -92,6 +94,7 @@
             gate: gate.clone(),
             target: target.clone(),
             store: store.clone(),
+            uploads: Uploads::new(UPLOADS),
             desk: desk.clone(),
             term: term.clone(),
             telemetry,
--- a/crates/filbertstack-agent/src/serve.rs
+++ b/crates/filbertstack-agent/src/serve.rs
@@ -4,13 +4,17 @@
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::thread;
+use std::time::Duration;
 
 use filbertstack_core::Digest;
+use filbertstack_core::Millis;
+use filbertstack_policy::spread::serve::Ask as Upload;
 use filbertstack_telemetry::Telemetry;
 use filbertstack_telemetry::traces::Field;
 use filbertstack_telemetry::traces::Hop;
 use filbertstack_telemetry::traces::Parent;
 use filbertstack_weights::Store;
+use filbertstack_weights::copy::Uploads;
 use filbertstack_wire::Handler;
 use filbertstack_wire::Remote;
 use filbertstack_wire::Responder;
@@ -42,6 +46,28 @@
 /// When an entry may come back to a full or closed target, in milliseconds: about one answer.
 const COME_BACK: u64 = 200;
 
+/// How many chunks are sent at once: each asker has a few of the slots of a few agents, and more
+/// at once would all be slow together.
+pub const UPLOADS: usize = 8;
+
+/// How many may wait for an upload; each takes a thread.
+const MAX_WAITING: usize = 64;
+
+/// How long one may wait for an upload: well under what askers wait for a piece.
+const UPLOAD_WAIT: Duration = Duration::from_secs(1);
+
+/// When one that got no upload may come back, in milliseconds.
+const BUSY: u64 = 100;
+
+/// A requester of whom nothing is known: such are served in the order of arrival.
+const ANYBODY: Upload = Upload {
+    chunk: 0,
+    import: false,
+    held: 0,
+    served: Millis::ZERO,
+    copies: 0,
+};
+
 const READ_BUFFER: usize = 16 << 10;
 
 /// Takes the calls that arrive on the agent's links.
@@ -52,6 +78,8 @@
     pub target: Target,
     /// Chunks for peers.
     pub store: Arc<Store>,
+    /// Who of the peers gets the next chunk.
+    pub uploads: Arc<Uploads>,
     /// Manifests for peers.
     pub desk: Arc<Desk>,
     /// The highest term accepted.
@@ -118,14 +146,22 @@
         let Some(digest) = held else {
             return responder.refuse("this agent does not hold the chunk: ask another", 0);
         };
-        let store = self.store.clone();
+        if self.uploads.waiting() >= MAX_WAITING {
+            return responder.refuse("too many ask for chunks: come back", BUSY);
+        }
+        let (store, uploads) = (self.store.clone(), self.uploads.clone());
         let builder = thread::Builder::new()
             .name("chunk".into())
             .stack_size(STACK);
-        let _ = builder.spawn(move || match store.get(digest) {
-            Ok(Some(bytes)) => send_pieces(&bytes, responder),
-            Ok(None) => responder.refuse("the chunk was evicted: ask another", 0),
-            Err(error) => responder.refuse(&error.to_string(), 0),
+        let _ = builder.spawn(move || {
+            let Some(_slot) = uploads.enter(ANYBODY, UPLOAD_WAIT) else {
+                return responder.refuse("others were served first: come back", BUSY);
+            };
+            match store.get(digest) {
+                Ok(Some(bytes)) => send_pieces(&bytes, responder),
+                Ok(None) => responder.refuse("the chunk was evicted: ask another", 0),
+                Err(error) => responder.refuse(&error.to_string(), 0),
+            }
         });
     }
 
