--- a/tests/system/main.rs
+++ b/tests/system/main.rs
@@ -1,7 +1,9 @@
 //! The whole system as real processes on loopback.
 
 mod control;
+mod input;
 mod leaving;
+mod membership;
 mod once;
 mod path;
 mod support;
