--- a/tests/system/membership.rs
+++ b/tests/system/membership.rs
@@ -215,3 +215,22 @@
         });
     }
 }
+
+// Two entries whose voters are all away find each other by a seed, an address without a name.
+// Entries that asked voters alone would each tell callers of itself only, for as long as those are
+// away, and lose their callers with the one address they gave out.
+#[test]
+fn entries_find_each_other_by_a_seed_while_the_voters_are_away() {
+    let system = System::with_voters(3, 1);
+    let (seed, other) = (&system.entries[1], &system.entries[2]);
+    let text = fs::read_to_string(&other.settings).expect("readable");
+    let own = format!("seeds = {}", other.links);
+    assert!(text.contains(&own));
+    let text = text.replace(&own, &format!("seeds = {}", seed.links));
+    fs::write(&other.settings, text).expect("written");
+    let _entries = [system.start_entry(1), system.start_entry(2)];
+    let both = BTreeSet::from([seed.http.to_string(), other.http.to_string()]);
+    for entry in [seed, other] {
+        wait("both entries told", || told(entry.http) == both);
+    }
+}
