--- a/tests/system/main.rs
+++ b/tests/system/main.rs
@@ -7,3 +7,4 @@
 mod once;
 mod path;
 mod support;
+mod weights;
