--- a/tests/system/main.rs
+++ b/tests/system/main.rs
@@ -7,4 +7,5 @@
 mod once;
 mod path;
 mod support;
+mod targets;
 mod weights;
--- a/tests/system/support.rs
+++ b/tests/system/support.rs
@@ -22,6 +22,7 @@
 use filbertstack_standins::answer;
 use filbertstack_standins::answer::weights_digest;
 use serde_json::Value;
+use serde_json::json;
 use tempfile::TempDir;
 
 /// How long anything may take before a test gives up; no test passes by waiting it out.
@@ -495,3 +496,96 @@
         .map_err(|error| error.to_string())?;
     serde_json::from_str(&text).map_err(|error| error.to_string())
 }
+
+/// An answer that is long enough to be in progress when something happens.
+pub const TOKENS: usize = 60;
+
+/// A system whose engines serve one model.
+pub struct Served {
+    pub system: System,
+    pub entries: Vec<Process>,
+    pub agents: Vec<Process>,
+    pub engines: Vec<Process>,
+    pub weights: Weights,
+    _origin: Process,
+}
+
+impl Served {
+    /// Starts `targets` engines with their agents, three entries and an origin.
+    pub fn start(targets: usize) -> Self {
+        let system = System::new(3);
+        let entries = system.start_entries();
+        let weights = system.weights(3, 1 << 20);
+        let origin = Process::start(&["stand-in", "origin", weights.dir()]);
+        let url = format!("http://{}", origin.addr("listening"));
+        let (mut agents, mut engines) = (Vec::new(), Vec::new());
+        for n in 0..targets {
+            let engine = Process::start(&["stand-in", "engine", "--step-ms", "20"]);
+            let addr = engine.addr("listening");
+            agents.push(system.start_agent(&format!("engine-{n}"), "engine", addr, "role=llm"));
+            engines.push(engine);
+        }
+        let version = system.operate(&[
+            "publish",
+            weights.dir(),
+            "--model",
+            "draft-model",
+            "--origin",
+            &url,
+        ]);
+        system.wait_status("the targets", |status| {
+            status["targets"]
+                .as_array()
+                .is_some_and(|known| known.len() == targets)
+        });
+        system.apply(&declaration(&version, targets, true));
+        system.wait_met();
+        for entry in &system.entries {
+            let body = json!({ "model": "draft-model", "prompt": "hi", "max_tokens": 1 });
+            post(entry.http, "/v1/completions", &[], &body.to_string());
+        }
+        Self {
+            system,
+            entries,
+            agents,
+            engines,
+            weights,
+            _origin: origin,
+        }
+    }
+}
+
+/// Starts a streamed request, calls `at_first` at its first token, and returns the whole text.
+pub fn stream(entry: SocketAddr, prompt: &str, at_first: impl FnOnce()) -> Result<String, String> {
+    let body = json!({
+        "model": "draft-model", "prompt": prompt, "max_tokens": TOKENS, "stream": true,
+    });
+    let response = ureq::post(format!("http://{entry}/v1/completions"))
+        .header("authorization", format!("Bearer {CALLER_KEY}"))
+        .send(body.to_string().as_bytes())
+        .map_err(|error| error.to_string())?;
+    let reader = BufReader::new(response.into_body().into_reader());
+    let mut text = String::new();
+    let mut at_first = Some(at_first);
+    let mut ended = false;
+    for line in reader.lines() {
+        let line = line.map_err(|error| format!("cut: {error}"))?;
+        let Some(data) = line.strip_prefix("data: ") else {
+            continue;
+        };
+        if let Some(at_first) = at_first.take() {
+            at_first();
+        }
+        if data == "[DONE]" {
+            ended = true;
+            continue;
+        }
+        let event: Value = serde_json::from_str(data).map_err(|error| error.to_string())?;
+        text.push_str(event["choices"][0]["text"].as_str().unwrap_or_default());
+    }
+    if ended {
+        Ok(text)
+    } else {
+        Err("no end mark".into())
+    }
+}
