--- a/tests/system/membership.rs
+++ b/tests/system/membership.rs
@@ -234,3 +234,45 @@
         wait("both entries told", || told(entry.http) == both);
     }
 }
+
+// A caller who comes after the address's time is refused at once, certainly not run, and told when
+// to come back; the answer in progress goes on to its end.
+// A long answer holds the stopped entry beyond its departure. One that took new requests for as
+// long would never end under load.
+#[test]
+fn an_entry_past_its_departure_refuses_and_finishes_what_it_has() {
+    let system = System::new(1);
+    let mut entry = system.start_entry(0);
+    let service = Process::start(&["stand-in", "service", "desk", "--latency-ms", "12000"]);
+    let _agent = system.start_agent("desk-0", "service", service.addr("listening"), "role=desk");
+    system.wait_status("the desk", |status| targets_of(status).len() == 1);
+    system.apply(
+        "[rule desk]\norder = 20\npath = /desk/\ninstances = role=desk\n\
+         idempotent = false\ntimeout = 30s\n",
+    );
+    let addr = system.entries[0].http;
+    thread::scope(|scope| {
+        let keyed = [("idempotency-key", "long")];
+        let long = scope.spawn(move || post(addr, "/desk/long", &keyed, "a long one"));
+        wait("the long one begun", || begun(&service));
+        entry.signal("TERM");
+        let refused = || {
+            let late = [("content-type", "text/plain")];
+            let answer = try_post(addr, "/nothing", &late, "late").expect("a whole answer");
+            let again = !answer.header("retry-after").is_empty();
+            answer.status == 503 && again && answer.header("x-filbertstack-outcome") == "not-run"
+        };
+        wait("new requests refused", refused);
+        assert_eq!(long.join().expect("an answer").status, 200);
+    });
+    assert!(entry.wait().success());
+}
+
+/// Whether the call with the key `long` has reached the service.
+fn begun(service: &Process) -> bool {
+    let url = format!("http://{}/admin/runs", service.addr("listening"));
+    let mut response = ureq::get(url).call().expect("answers");
+    let text = response.body_mut().read_to_string().expect("a body");
+    let runs: Value = serde_json::from_str(&text).expect("JSON");
+    runs["by_key"]["long"].is_u64()
+}
