--- a/crates/filbertstack-agent/src/settings.rs
+++ b/crates/filbertstack-agent/src/settings.rs
@@ -10,11 +10,13 @@
 use filbertstack_core::ini::Document;
 use filbertstack_core::ini::Problems;
 use filbertstack_core::ini::Section;
+use filbertstack_core::ini::parse_count;
 use filbertstack_core::names::InstanceName;
 use filbertstack_core::names::RegionName;
 use filbertstack_core::names::ZoneName;
 use filbertstack_core::settings;
 use filbertstack_core::settings::SettingsError;
+use filbertstack_core::settings::parse_addr;
 use filbertstack_core::settings::parse_addrs;
 use filbertstack_core::settings::require_section;
 use filbertstack_core::time::Millis;
@@ -186,7 +188,7 @@
     let name = section.require("name", problems);
     let zone = section.require("zone", problems);
     let region = section.require("region", problems);
-    let links: Option<SocketAddr> = section.require("links", problems);
+    let links: Option<SocketAddr> = section.require_with("links", problems, parse_addr);
     let entries = section
         .read_with("entries", problems, parse_addrs)
         .unwrap_or_default();
@@ -221,7 +223,7 @@
         let what = "[target] lacks the key 'url': add url = http://IP:port";
         problems.0.push(section.problem(section.line, what));
     }
-    let slots = section.read("slots", problems);
+    let slots = section.read_with("slots", problems, parse_count);
     section.finish(problems);
     Some(TargetSection {
         kind: kind?,
--- a/crates/filbertstack-core/src/declare.rs
+++ b/crates/filbertstack-core/src/declare.rs
@@ -34,6 +34,7 @@
 use crate::ini::Problems;
 use crate::ini::Section;
 use crate::ini::parse_bool;
+use crate::ini::parse_count;
 use crate::labels::Labels;
 use crate::names::DeploymentName;
 use crate::names::ModelName;
@@ -248,7 +249,7 @@
     let labels = section.read("labels", problems);
     let model = section.require("model", problems);
     let version = section.require("version", problems);
-    let replicas = section.require("replicas", problems);
+    let replicas = section.require_with("replicas", problems, parse_count);
     let memory = section.read_with("memory", problems, parse_size);
     let pools = section.require("pools", problems);
     let weigh = section.read("weigh", problems);
@@ -274,7 +275,7 @@
 
 fn read_rule(section: &mut Section, problems: &mut Problems) -> Option<Rule> {
     let labels = section.read("labels", problems);
-    let order = section.read("order", problems);
+    let order = section.read_with("order", problems, parse_count);
     let requests = section.read("requests", problems);
     let path = section.read_with("path", problems, parse_path);
     let idempotent = section.read_with("idempotent", problems, parse_bool);
--- a/crates/filbertstack-core/src/error.rs
+++ b/crates/filbertstack-core/src/error.rs
@@ -53,6 +53,12 @@
         /// The text.
         text: String,
     },
+    /// A count does not read.
+    #[error("'{text}' is not a count: write a whole number up to 4294967295")]
+    Count {
+        /// The text.
+        text: String,
+    },
     /// An address does not read.
     #[error("'{text}' is not an address: write IP:port, such as 10.0.0.1:9080")]
     Address {
--- a/crates/filbertstack-core/src/ini.rs
+++ b/crates/filbertstack-core/src/ini.rs
@@ -134,12 +134,22 @@
         &mut self,
         key: &str,
         problems: &mut Problems,
+    ) -> Option<T> {
+        self.require_with(key, problems, T::from_str)
+    }
+
+    /// Like [`Section::require`], by the reader given.
+    pub fn require_with<T, E: fmt::Display>(
+        &mut self,
+        key: &str,
+        problems: &mut Problems,
+        reader: impl FnOnce(&str) -> Result<T, E>,
     ) -> Option<T> {
         if !self.has(key) {
             let what = format!("[{}] lacks the key '{key}': add it", self.header());
             problems.0.push(self.problem(self.line, what));
         }
-        self.read(key, problems)
+        self.read_with(key, problems, reader)
     }
 
     /// Reports every key that was not taken.
@@ -288,3 +298,12 @@
         }),
     }
 }
+
+/// Reads a whole number.
+///
+/// # Errors
+/// [`ValueError::Count`].
+pub fn parse_count(text: &str) -> Result<u32, ValueError> {
+    text.parse()
+        .map_err(|_| ValueError::Count { text: text.into() })
+}
--- a/crates/filbertstack-entry/src/process.rs
+++ b/crates/filbertstack-entry/src/process.rs
@@ -403,7 +403,9 @@
             Ok(organisation) => organisation,
             Err(refusal) => return http::refuse(request, &refusal),
         };
-        let told = self.membership.entries_for(organisation.as_str());
+        // Drawn anew each time: an organisation's callers would otherwise all take one entry.
+        let caller = format!("{organisation}/{}", rand::random::<u32>());
+        let told = self.membership.entries_for(&caller);
         let entries: Vec<_> = told
             .iter()
             .map(|entry| json!({ "addr": entry.http, "zone": entry.zone }))
--- a/crates/filbertstack-entry/src/settings.rs
+++ b/crates/filbertstack-entry/src/settings.rs
@@ -8,6 +8,7 @@
 use filbertstack_core::ini::Document;
 use filbertstack_core::ini::Problems;
 use filbertstack_core::ini::Section;
+use filbertstack_core::ini::parse_count;
 use filbertstack_core::names::InstanceName;
 use filbertstack_core::names::OrgName;
 use filbertstack_core::names::RegionName;
@@ -21,6 +22,7 @@
 use filbertstack_core::settings::require_section;
 use filbertstack_core::time::Millis;
 use filbertstack_core::time::parse_size;
+use filbertstack_policy::gossip::SEEN_WITHIN;
 use filbertstack_telemetry::settings::TelemetrySettings;
 use filbertstack_wire::Key;
 use filbertstack_wire::Keyring;
@@ -212,7 +214,16 @@
     let max_age = section.read("max-age", problems);
     let stop_timeout = section.read("stop-timeout", problems);
     let max_body = section.read_with("max-body", problems, parse_size);
-    let max_connections = section.read("max-connections", problems);
+    let max_connections = section.read_with("max-connections", problems, parse_count);
+    let max_age = max_age.unwrap_or(DEFAULT_MAX_AGE);
+    let stop_timeout = stop_timeout.unwrap_or(DEFAULT_STOP_TIMEOUT);
+    if stop_timeout < max_age + SEEN_WITHIN {
+        let what = format!(
+            "stop-timeout {stop_timeout} ends before callers have let go of this entry's address: \
+             give at least max-age and {SEEN_WITHIN}"
+        );
+        problems.0.push(section.problem(section.line, what));
+    }
     section.finish(problems);
     Some(EntrySection {
         name: name?,
@@ -220,15 +231,15 @@
         region: region?,
         listen: listen?,
         links: links?,
-        max_age: max_age.unwrap_or(DEFAULT_MAX_AGE),
-        stop_timeout: stop_timeout.unwrap_or(DEFAULT_STOP_TIMEOUT),
+        max_age,
+        stop_timeout,
         max_body: usize::try_from(max_body.unwrap_or(DEFAULT_MAX_BODY)).unwrap_or(usize::MAX),
         max_connections: max_connections.unwrap_or(DEFAULT_MAX_CONNECTIONS) as usize,
     })
 }
 
 fn read_addr(section: &mut Section, key: &str, problems: &mut Problems) -> Option<SocketAddr> {
-    let addr: Option<SocketAddr> = section.require(key, problems);
+    let addr: Option<SocketAddr> = section.require_with(key, problems, parse_addr);
     let addr = addr?;
     if addr.ip().is_unspecified() {
         let what = format!("{key}: others are told this address: give the instance's own IP");
