--- a/tests/system/main.rs
+++ b/tests/system/main.rs
@@ -6,6 +6,7 @@
 mod membership;
 mod once;
 mod path;
+mod roll;
 mod support;
 mod targets;
 mod weights;
--- a/tests/system/support.rs
+++ b/tests/system/support.rs
@@ -440,6 +440,11 @@
         self.dir.to_str().expect("UTF-8")
     }
 
+    /// What engines make of the files.
+    pub const fn digest(&self) -> Digest {
+        self.digest
+    }
+
     /// What an engine with these weights answers.
     pub fn answer(&self, prompt: &str, tokens: usize) -> String {
         answer::text(&self.digest, prompt, tokens)
@@ -507,12 +512,18 @@
     pub agents: Vec<Process>,
     pub engines: Vec<Process>,
     pub weights: Weights,
+    pub version: String,
     _origin: Process,
 }
 
 impl Served {
-    /// Starts `targets` engines with their agents, three entries and an origin.
+    /// Starts `targets` engines with their agents, three entries and an origin; all serve.
     pub fn start(targets: usize) -> Self {
+        Self::start_with(targets, targets)
+    }
+
+    /// Starts `targets` engines, `replicas` of which serve.
+    pub fn start_with(targets: usize, replicas: usize) -> Self {
         let system = System::new(3);
         let entries = system.start_entries();
         let weights = system.weights(3, 1 << 20);
@@ -538,7 +549,7 @@
                 .as_array()
                 .is_some_and(|known| known.len() == targets)
         });
-        system.apply(&declaration(&version, targets, true));
+        system.apply(&declaration(&version, replicas, true));
         system.wait_met();
         for entry in &system.entries {
             let body = json!({ "model": "draft-model", "prompt": "hi", "max_tokens": 1 });
@@ -550,6 +561,7 @@
             agents,
             engines,
             weights,
+            version,
             _origin: origin,
         }
     }
