Answer scrapes at agents, keep the last spans, tell why a gate is closed

Cause: an agent had no /metrics; a stopped process lost the spans that were not yet written, as its threads still held the exporter; every refusal of a gate reached the entry as 'absent', also when it was full or leaving. After: a setting for the agent's metrics, levels set when they are read, spans flushed before the end, a cause for each refusal. The new test finds a request's figures at both processes and its spans under the caller's trace; before the flush it found none.

--- a/crates/filbertstack-agent/src/gate.rs
+++ b/crates/filbertstack-agent/src/gate.rs
@@ -29,6 +29,17 @@
     Full,
 }
 
+impl Closed {
+    /// The reason as metrics name it.
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::Version => "version",
+            Self::Leaving => "leaving",
+            Self::Full => "full",
+        }
+    }
+}
+
 #[derive(Debug, Default)]
 struct State {
     open: Option<Digest>,
--- a/crates/filbertstack-agent/src/lib.rs
+++ b/crates/filbertstack-agent/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod mesh;
 pub mod pacing;
 pub mod process;
+pub mod scrape;
 pub mod serve;
 pub mod settings;
 pub mod source;
--- a/crates/filbertstack-agent/src/process.rs
+++ b/crates/filbertstack-agent/src/process.rs
@@ -28,6 +28,7 @@
 use crate::mesh::Mesh;
 use crate::pacing::FirstBytes;
 use crate::pacing::Pacer;
+use crate::scrape::Scrape;
 use crate::serve::Calls;
 use crate::serve::UPLOADS;
 use crate::settings::Kind;
@@ -46,7 +47,7 @@
         source: std::io::Error,
     },
     /// The address for links is taken or not this instance's.
-    #[error("{addr}: {source}; give a free address of this instance in [agent] links")]
+    #[error("{addr}: {source}; give a free address of this instance in [agent] links and metrics")]
     Bind {
         /// The address.
         addr: SocketAddr,
@@ -64,6 +65,7 @@
 /// A running agent.
 #[derive(Debug)]
 pub struct Agent {
+    _scrape: Option<Scrape>,
     settings: Arc<Settings>,
     listener: Listener,
     gate: Gate,
@@ -92,6 +94,7 @@
         let target = Target::new(&settings.url);
         let desk = Arc::new(Desk::new());
         let term = Arc::new(AtomicU64::new(0));
+        let scrape = start_scrape(&settings, &telemetry, &gate, &desk)?;
         let firsts = FirstBytes::default();
         let calls = Arc::new(Calls {
             gate: gate.clone(),
@@ -137,6 +140,7 @@
         let announcing = announcer.clone();
         thread::spawn(move || announcing.run());
         Ok(Self {
+            _scrape: scrape,
             settings,
             listener,
             gate,
@@ -169,6 +173,25 @@
     }
 }
 
+fn start_scrape(
+    settings: &Settings,
+    telemetry: &Arc<Telemetry>,
+    gate: &Gate,
+    desk: &Arc<Desk>,
+) -> Result<Option<Scrape>, StartError> {
+    let Some(addr) = settings.metrics else {
+        return Ok(None);
+    };
+    let (gate, desk) = (gate.clone(), desk.clone());
+    let scrape = Scrape::start(addr, telemetry.clone(), move |telemetry| {
+        let metrics = &telemetry.metrics;
+        metrics.agent.in_flight.set(gate.running().into());
+        metrics.weights.copying.set(i64::from(desk.is_copying()));
+    });
+    let scrape = scrape.map_err(|source| StartError::Bind { addr, source })?;
+    Ok(Some(scrape))
+}
+
 fn open_store(settings: &Settings) -> Result<Store, StartError> {
     if settings.kind == Kind::Service {
         return Ok(Store::memory(0));
--- a/crates/filbertstack-agent/src/serve.rs
+++ b/crates/filbertstack-agent/src/serve.rs
@@ -125,14 +125,11 @@
         let pass = match self.gate.pass(version) {
             Ok(pass) => pass,
             Err(closed) => {
-                let after = if closed == Closed::Leaving {
-                    0
-                } else {
-                    COME_BACK
-                };
-                return responder.refuse(&closed.to_string(), after);
+                self.telemetry.metrics.agent.gate.add(closed.name(), 1);
+                return responder.refuse_as(cause_of(closed), &closed.to_string(), COME_BACK);
             }
         };
+        self.telemetry.metrics.agent.gate.add("pass", 1);
         let (target, gate) = (self.target.clone(), self.gate.clone());
         let telemetry = self.telemetry.clone();
         let firsts = self.firsts.clone();
@@ -146,6 +143,11 @@
             let begun = Instant::now();
             let first = || firsts.note(begun.elapsed());
             pass_on(&target, &gate, &telemetry, dispatch, responder, first);
+            telemetry
+                .metrics
+                .agent
+                .call
+                .record("ended", begun.elapsed());
         });
     }
 
@@ -196,6 +198,15 @@
     }
 }
 
+/// What an entry can do about a closed gate.
+const fn cause_of(closed: Closed) -> Cause {
+    match closed {
+        Closed::Version => Cause::Absent,
+        Closed::Leaving => Cause::Leaving,
+        Closed::Full => Cause::Full,
+    }
+}
+
 fn send_pieces(bytes: &bytes::Bytes, mut responder: Responder) {
     let mut pieces = bytes.chunks(PIECE).peekable();
     while let Some(piece) = pieces.next() {
--- a/crates/filbertstack-agent/src/settings.rs
+++ b/crates/filbertstack-agent/src/settings.rs
@@ -72,6 +72,8 @@
     pub region: RegionName,
     /// Where links connect.
     pub links: SocketAddr,
+    /// Where `/metrics` is; nowhere without it.
+    pub metrics: Option<SocketAddr>,
     /// Links of entries to announce to at first.
     pub entries: Vec<SocketAddr>,
     /// Further labels.
@@ -145,6 +147,7 @@
     zone: ZoneName,
     region: RegionName,
     links: SocketAddr,
+    metrics: Option<SocketAddr>,
     entries: Vec<SocketAddr>,
     labels: Labels,
     data: PathBuf,
@@ -172,6 +175,7 @@
         zone: agent.zone,
         region: agent.region,
         links: agent.links,
+        metrics: agent.metrics,
         entries: agent.entries,
         labels: agent.labels,
         data: agent.data,
@@ -203,6 +207,7 @@
         let what = "[agent] names no entries: add entries = IP:port, ...";
         problems.0.push(section.problem(section.line, what));
     }
+    let metrics = section.read_with("metrics", problems, parse_addr);
     let labels = section.read("labels", problems);
     let data: Option<PathBuf> = section.require("data", problems);
     let store = section.read_with("store", problems, parse_size);
@@ -215,6 +220,7 @@
         zone: zone?,
         region: region?,
         links: links?,
+        metrics,
         entries,
         labels: labels.unwrap_or_default(),
         data: folder.join(data?),
--- a/crates/filbertstack-entry/src/process.rs
+++ b/crates/filbertstack-entry/src/process.rs
@@ -399,11 +399,36 @@
     }
 
     fn metrics(&self, request: Request) -> std::io::Result<()> {
+        self.measure();
         let text = self.telemetry.metrics.render();
         let fields = [Field::new("content-type", "text/plain; version=0.0.4")];
         http::respond(request, 200, &fields, text.as_bytes())
     }
 
+    /// Sets the levels that are read when they are asked for.
+    fn measure(&self) {
+        let metrics = &self.telemetry.metrics;
+        let level = |count: usize| i64::try_from(count).unwrap_or(i64::MAX);
+        metrics.entry.in_flight.set(level(self.traffic.open()));
+        metrics
+            .entry
+            .targets
+            .set("live", level(self.members.live().len()));
+        metrics
+            .entry
+            .targets
+            .set("lost", level(self.members.lost().len()));
+        let view = self.views.get();
+        let whole = |number: u64| i64::try_from(number).unwrap_or(i64::MAX);
+        metrics.control.revision.set(whole(view.revision()));
+        metrics.control.term.set(whole(view.term()));
+        let leads = self
+            .voter
+            .as_ref()
+            .is_some_and(|voter| voter.leads().is_some());
+        metrics.control.leader.set(i64::from(leads));
+    }
+
     fn entries(&self, request: Request) -> std::io::Result<()> {
         let organisation = match self.calls.authenticate(&request) {
             Ok(organisation) => organisation,
--- a/crates/filbertstack-telemetry/src/metrics/groups.rs
+++ b/crates/filbertstack-telemetry/src/metrics/groups.rs
@@ -124,6 +124,8 @@
     pub switches: Total,
     /// Bytes that are still to be fetched.
     pub missing: Level,
+    /// Whether a copy is in progress.
+    pub copying: Level,
     /// The time from the order to the last chunk verified.
     pub copy: Timing,
     /// The time of loading into the engine.
@@ -143,6 +145,7 @@
                 "Chunks with a bad digest",
             ),
             switches: Total::new(m, "weights_switches", "Changes of the source"),
+            copying: Level::new(m, "weights_copying", "Whether a copy is in progress"),
             missing: Level::new(m, "weights_missing_bytes", "Bytes still to be fetched"),
             copy: Timing::new(m, "weights_copy", "Time to the last chunk verified"),
             load: Timing::new(m, "weights_load", "Time of loading into the engine"),
--- a/src/cmd/agent.rs
+++ b/src/cmd/agent.rs
@@ -16,10 +16,13 @@
     let settings = Settings::read(&flags.settings)?;
     let identity = Identity::new(Role::Agent, settings.name.as_str());
     let telemetry = Arc::new(Telemetry::start(&settings.telemetry, &identity)?);
-    let agent = Agent::start(settings, telemetry)?;
+    let agent = Agent::start(settings, telemetry.clone())?;
     println!("listening links {}", agent.links());
     signals::wait()?;
-    if agent.stop() {
+    let done = agent.stop();
+    // Threads that end with the process hold it too, so its own end would not flush it.
+    telemetry.traces.flush();
+    if done {
         return Ok(());
     }
     Err("requests were still in progress when the stop timeout ran out: raise stop-timeout".into())
--- a/src/cmd/entry.rs
+++ b/src/cmd/entry.rs
@@ -16,10 +16,13 @@
     let settings = Settings::read(&flags.settings)?;
     let identity = Identity::new(Role::Entry, settings.name.as_str());
     let telemetry = Arc::new(Telemetry::start(&settings.telemetry, &identity)?);
-    let entry = Entry::start(settings, telemetry)?;
+    let entry = Entry::start(settings, telemetry.clone())?;
     println!("listening {} links {}", entry.addr(), entry.links());
     signals::wait()?;
-    if entry.stop() {
+    let done = entry.stop();
+    // Threads that end with the process hold it too, so its own end would not flush it.
+    telemetry.traces.flush();
+    if done {
         return Ok(());
     }
     Err("requests were still in progress when the stop timeout ran out: raise stop-timeout".into())
--- a/tests/system/path.rs
+++ b/tests/system/path.rs
@@ -129,3 +129,57 @@
     let text = response.body_mut().read_to_string().expect("a body");
     serde_json::from_str(&text).expect("JSON")
 }
+
+// A collector finds the path's figures at the entry and at the agent, and a span for each hop of
+// one request under the caller's own trace.
+#[test]
+fn metrics_and_spans_follow_a_request() {
+    let system = System::new(1);
+    let _entries = system.start_entries();
+    let service = Process::start(&["stand-in", "service", "casework"]);
+    let scrape = system.free_addr();
+    let path = system.agent_settings("desk-0", "service", service.addr("listening"), "role=desk");
+    let settings = std::fs::read_to_string(&path).expect("written");
+    let settings = settings
+        .replace("[target]", &format!("metrics = {scrape}\n[target]"))
+        .replace("[telemetry]", "[telemetry]\ntrace-file = spans.json");
+    std::fs::write(&path, settings).expect("written");
+    let mut agent = Process::start(&["agent", "--settings", path.to_str().expect("UTF-8")]);
+    system.wait_status("the desk", |status| {
+        status["targets"]
+            .as_array()
+            .is_some_and(|targets| targets.len() == 1)
+    });
+    system.apply("[rule all]\npath = /case/\ninstances = role=desk\nidempotent = true\n");
+    let trace = "00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01";
+    let addr = system.entries[0].http;
+    let answer = post(addr, "/case/1", &[("traceparent", trace)], "what of flat 1");
+    assert_eq!(answer.status, 200, "{}", answer.text());
+
+    let entry = scraped(addr);
+    assert!(
+        entry.contains("entry_requests_total{outcome=\"ran\""),
+        "{entry}"
+    );
+    let at_agent = scraped(scrape);
+    assert!(
+        at_agent.contains("agent_gate_total{decision=\"pass\""),
+        "{at_agent}"
+    );
+    agent.signal("TERM");
+    assert!(agent.wait().success());
+    let spans = std::fs::read_to_string(system.dir.path().join("spans.json")).expect("spans");
+    for hop in ["agent.gate", "agent.service"] {
+        let found = spans
+            .lines()
+            .any(|span| span.contains(hop) && span.contains("0af7651916cd43dd8448eb211c80319c"));
+        assert!(found, "no span of {hop} under the caller's trace: {spans}");
+    }
+}
+
+fn scraped(addr: std::net::SocketAddr) -> String {
+    let mut response = ureq::get(format!("http://{addr}/metrics"))
+        .call()
+        .expect("answers");
+    response.body_mut().read_to_string().expect("a body")
+}
--- a/tests/system/support.rs
+++ b/tests/system/support.rs
@@ -212,6 +212,11 @@
         )
     }
 
+    /// A port that is free now, at this system's own address.
+    pub fn free_addr(&self) -> SocketAddr {
+        free_addr(self.ip)
+    }
+
     /// Starts the entry `n`.
     pub fn start_entry(&self, n: usize) -> Process {
         let settings = self.entries[n].settings.to_str().expect("UTF-8");
