--- a/crates/filbertstack-entry/src/question.rs
+++ b/crates/filbertstack-entry/src/question.rs
@@ -19,7 +19,7 @@
 #[derive(Clone, PartialEq, Eq, Message)]
 pub struct Question {
     /// What is asked.
-    #[prost(oneof = "Asked", tags = "1, 2, 3, 4")]
+    #[prost(oneof = "Asked", tags = "1, 2, 4")]
     pub asked: Option<Asked>,
 }
 
@@ -32,9 +32,6 @@
     /// Whether a revision is in force everywhere; answered by [`InForce`].
     #[prost(uint64, tag = "2")]
     InForce(u64),
-    /// The control state and what runs, as an operator sees it; answered by JSON.
-    #[prost(message, tag = "3")]
-    Status(Nothing),
     /// A config lease; answered by [`LeaseReply`].
     #[prost(message, tag = "4")]
     Lease(LeaseRequest),
