Give the agent's desk a file of its own; say goodbye to whoever is told

Cause: keeper.rs held two jobs in 527 lines; an agent that left told the entries of its settings, not the homes it announces to. Ruled out: leaving it to the gossip (the homes answer for the target, and its last word should reach them first). Conclusion: no behaviour but the last word's addressees changed.

--- a/crates/filbertstack-agent/src/announce.rs
+++ b/crates/filbertstack-agent/src/announce.rs
@@ -29,8 +29,8 @@
 use filbertstack_wire::messages::Tell;
 use spdlog::debug;
 
+use crate::desk::Desk;
 use crate::gate::Gate;
-use crate::keeper::Desk;
 use crate::settings::Kind;
 use crate::settings::Settings;
 
@@ -67,6 +67,8 @@
     pub version: AtomicU64,
     /// The highest fencing number accepted.
     pub accepted: Mutex<Option<Fence>>,
+    /// The entries that are told now.
+    pub told: Mutex<Vec<SocketAddr>>,
     /// The orders last heard from each entry.
     pub heard: Mutex<HashMap<SocketAddr, Orders>>,
     /// The gate of orders, once a majority of the voters has told its term.
@@ -92,6 +94,7 @@
                 heard.extend(self.tell(*addr, &announce));
             }
             entries = self.next_entries(&entries, &heard);
+            lock(&self.told).clone_from(&entries);
             let copying = self.desk.is_copying();
             thread::sleep(if copying { COPYING } else { INTERVAL });
         }
@@ -100,7 +103,13 @@
     /// Announces once, at once: a target that leaves must be known to leave before its lease ends.
     pub fn announce_once(&self) {
         let announce = self.announce();
-        for addr in self.settings.entries.iter().take(ENTRIES) {
+        let told = lock(&self.told).clone();
+        let entries = if told.is_empty() {
+            &self.settings.entries
+        } else {
+            &told
+        };
+        for addr in entries.iter().take(ENTRIES) {
             self.tell(*addr, &announce);
         }
     }
--- a/crates/filbertstack-agent/src/keeper.rs
+++ b/crates/filbertstack-agent/src/keeper.rs
@@ -6,12 +6,6 @@
 use std::collections::BTreeMap;
 use std::path::PathBuf;
 use std::sync::Arc;
-use std::sync::Condvar;
-use std::sync::Mutex;
-use std::sync::MutexGuard;
-use std::sync::PoisonError;
-use std::sync::atomic::AtomicBool;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -33,6 +27,7 @@
 use spdlog::warn;
 
 use crate::copying::Copying;
+use crate::desk::Desk;
 use crate::gate::Gate;
 use crate::target::Phase;
 use crate::target::Report;
@@ -82,100 +77,6 @@
     not_before: Instant,
 }
 
-/// What the keeper shows to the agent's other threads.
-#[derive(Debug, Default)]
-struct Board {
-    orders: Orders,
-    copies: Vec<Copy>,
-    manifests: BTreeMap<Digest, Arc<Manifest>>,
-}
-
-/// The part that other threads share with the keeper.
-#[derive(Debug)]
-pub struct Desk {
-    board: Mutex<Board>,
-    woken: Condvar,
-    stopped: AtomicBool,
-}
-
-impl Desk {
-    /// An empty desk.
-    pub fn new() -> Self {
-        Self {
-            board: Mutex::default(),
-            woken: Condvar::new(),
-            stopped: AtomicBool::new(false),
-        }
-    }
-
-    /// Lays down new orders, which stand for all of what the target is to hold.
-    pub fn order(&self, orders: Orders) {
-        self.lock().orders = orders;
-        self.woken.notify_all();
-    }
-
-    /// What the target holds.
-    pub fn copies(&self) -> Vec<Copy> {
-        self.lock().copies.clone()
-    }
-
-    /// The versions ordered.
-    pub fn ordered(&self) -> Vec<Digest> {
-        let board = self.lock();
-        let serve = board.orders.serve.iter();
-        serve
-            .filter_map(|assignment| Digest::from_slice(&assignment.digest))
-            .collect()
-    }
-
-    /// Where the leader is, as the last orders say; empty if they do not.
-    pub fn leader(&self) -> String {
-        self.lock().orders.leader.clone()
-    }
-
-    /// Whether a version is being copied or is about to be.
-    pub fn is_copying(&self) -> bool {
-        let board = self.lock();
-        let mut copies = board.copies.iter();
-        copies.any(|copy| copy.stage() <= Stage::Fetching)
-    }
-
-    /// The manifest of `version`, if it is known here.
-    pub fn manifest(&self, version: Digest) -> Option<Arc<Manifest>> {
-        self.lock().manifests.get(&version).cloned()
-    }
-
-    /// Ends the keeper.
-    pub fn stop(&self) {
-        self.stopped.store(true, Ordering::Relaxed);
-        self.woken.notify_all();
-    }
-
-    fn is_stopped(&self) -> bool {
-        self.stopped.load(Ordering::Relaxed)
-    }
-
-    fn wait(&self) -> Orders {
-        let board = self.lock();
-        let waited = self.woken.wait_timeout(board, TICK);
-        waited
-            .unwrap_or_else(PoisonError::into_inner)
-            .0
-            .orders
-            .clone()
-    }
-
-    fn lock(&self) -> MutexGuard<'_, Board> {
-        self.board.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-}
-
-impl Default for Desk {
-    fn default() -> Self {
-        Self::new()
-    }
-}
-
 /// Finds manifests and starts copies.
 pub trait Fetcher: Send {
     /// The manifest of the assigned version; `None` while it is on its way.
@@ -226,7 +127,7 @@
     /// Runs until the desk is stopped.
     pub fn run(mut self) {
         while !self.desk.is_stopped() {
-            let orders = self.desk.wait();
+            let orders = self.desk.wait(TICK);
             self.step(&orders);
         }
         self.gate.close();
@@ -301,10 +202,7 @@
                 return None;
             }
         };
-        self.desk
-            .lock()
-            .manifests
-            .insert(manifest.root(), manifest.clone());
+        self.desk.learn(&manifest);
         match Version::declare(manifest.clone(), self.store.clone()) {
             Ok(version) => {
                 let copying = self.fetcher.copy(&manifest, &kept.assignment);
@@ -441,11 +339,8 @@
 
     fn show(&self) {
         let copies = self.kept.values().map(Kept::copy).collect();
-        let mut board = self.desk.lock();
-        board.copies = copies;
-        board
-            .manifests
-            .retain(|version, _| self.kept.contains_key(version));
+        let known = |version: &Digest| self.kept.contains_key(version);
+        self.desk.show(copies, known);
     }
 }
 
--- a/crates/filbertstack-agent/src/lib.rs
+++ b/crates/filbertstack-agent/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod announce;
 pub mod copying;
+pub mod desk;
 pub mod gate;
 pub mod keeper;
 pub mod mesh;
--- a/crates/filbertstack-agent/src/mesh.rs
+++ b/crates/filbertstack-agent/src/mesh.rs
@@ -40,7 +40,7 @@
 use filbertstack_wire::messages::Tell;
 use spdlog::debug;
 
-use crate::keeper::Desk;
+use crate::desk::Desk;
 use crate::settings::DEFAULT_LINK;
 
 use copies::Copies;
--- a/crates/filbertstack-agent/src/pacing.rs
+++ b/crates/filbertstack-agent/src/pacing.rs
@@ -14,8 +14,8 @@
 use filbertstack_policy::spread::pace::Pace;
 use filbertstack_policy::spread::pace::PaceConfig;
 
+use crate::desk::Desk;
 use crate::gate::Gate;
-use crate::keeper::Desk;
 use crate::mesh::Mesh;
 
 /// How often the rate is set: several first tokens of a busy target fall into it.
--- a/crates/filbertstack-agent/src/process.rs
+++ b/crates/filbertstack-agent/src/process.rs
@@ -22,8 +22,8 @@
 use crate::announce::Announcer;
 use crate::announce::incarnation;
 use crate::copying::Network;
+use crate::desk::Desk;
 use crate::gate::Gate;
-use crate::keeper::Desk;
 use crate::keeper::Keeper;
 use crate::mesh::Mesh;
 use crate::pacing::FirstBytes;
@@ -136,6 +136,7 @@
             accepted: Mutex::default(),
             armed: Mutex::default(),
             heard: Mutex::default(),
+            told: Mutex::default(),
         });
         let announcing = announcer.clone();
         thread::spawn(move || announcing.run());
--- a/crates/filbertstack-agent/src/serve.rs
+++ b/crates/filbertstack-agent/src/serve.rs
@@ -32,9 +32,9 @@
 use filbertstack_wire::messages::TermReport;
 use filbertstack_wire::stream::payload;
 
+use crate::desk::Desk;
 use crate::gate::Closed;
 use crate::gate::Gate;
-use crate::keeper::Desk;
 use crate::pacing::FirstBytes;
 use crate::target::Answer;
 use crate::target::Target;
