Give each process of a test a port of its own

A port that the system hands out and that is let go may be handed out a second time, here to two entries of one system. Ruled out: outgoing connections (they leave from another address). After: ports are counted, under those that the system hands out; the demo holds its sockets until all are chosen.

--- a/src/demo/world.rs
+++ b/src/demo/world.rs
@@ -240,21 +240,30 @@
     weights_digest(&folder).map_err(std::io::Error::other)
 }
 
-fn free_addr() -> Result<SocketAddr, DemoError> {
-    let socket = TcpListener::bind("127.0.0.1:0").map_err(|error| failed("port", &error))?;
-    socket.local_addr().map_err(|error| failed("port", &error))
+/// So many different addresses that are free now: held until all are chosen, as a port that was
+/// let go may be handed out again.
+fn free_addrs(count: usize) -> Result<Vec<SocketAddr>, DemoError> {
+    let bind = |_| TcpListener::bind("127.0.0.1:0");
+    let sockets: Result<Vec<_>, _> = (0..count).map(bind).collect();
+    let sockets = sockets.map_err(|error| failed("port", &error))?;
+    let addrs: Result<Vec<_>, _> = sockets.iter().map(TcpListener::local_addr).collect();
+    addrs.map_err(|error| failed("port", &error))
 }
 
 fn start_entries(dir: &Path) -> Result<Vec<Entry>, DemoError> {
-    let mut places = Vec::new();
-    for n in 0..ENTRIES {
-        places.push((
-            format!("entry-{n}"),
-            free_addr()?,
-            free_addr()?,
-            ZONES[n % ZONES.len()],
-        ));
-    }
+    let addrs = free_addrs(2 * ENTRIES)?;
+    let places: Vec<_> = addrs
+        .chunks_exact(2)
+        .enumerate()
+        .map(|(n, pair)| {
+            (
+                format!("entry-{n}"),
+                pair[0],
+                pair[1],
+                ZONES[n % ZONES.len()],
+            )
+        })
+        .collect();
     let voters: Vec<String> = places
         .iter()
         .map(|(name, _, links, _)| format!("{name}@{links}"))
--- a/tests/system/support.rs
+++ b/tests/system/support.rs
@@ -14,6 +14,7 @@
 use std::process::Output;
 use std::process::Stdio;
 use std::sync::atomic::AtomicU8;
+use std::sync::atomic::AtomicU16;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
@@ -125,12 +126,23 @@
     )
 }
 
-/// A port that is free now, at `ip`.
+/// A port at `ip` that nobody else of this run gets, and that is free now.
+///
+/// A port that the system hands out may be handed out twice once its socket is closed. These are
+/// counted, and lie under those that the system hands out.
 fn free_addr(ip: Ipv4Addr) -> SocketAddr {
-    let socket = TcpListener::bind((ip, 0)).expect("a free port");
-    socket.local_addr().expect("bound")
+    static NEXT: AtomicU16 = AtomicU16::new(FIRST_PORT);
+    loop {
+        let addr = SocketAddr::from((ip, NEXT.fetch_add(1, Ordering::Relaxed)));
+        if TcpListener::bind(addr).is_ok() {
+            return addr;
+        }
+    }
 }
 
+/// The first port that is given to a process of a test.
+const FIRST_PORT: u16 = 20_000;
+
 /// Where an entry is.
 pub struct EntryPlace {
     pub name: String,
