--- a/src/demo/world.rs
+++ b/src/demo/world.rs
@@ -66,7 +66,7 @@
     _engines: Vec<Engine>,
     _service: Service,
     origin: Origin,
-    client: Client,
+    clients: Vec<Client>,
     weights: Digest,
     dir: TempDir,
 }
@@ -105,16 +105,17 @@
             agents.push(start_agent(dir.path(), n, "engine", engine.addr(), &links)?);
             engines.push(engine);
         }
-        let addrs = entries.iter().map(Entry::addr).collect();
-        let client = Client::new(addrs, Some(dir.path().join("operators.keys")));
-        let client = client.map_err(|error| failed("client", &error))?;
+        let key = dir.path().join("operators.keys");
+        let client = |entry: &Entry| Client::new(vec![entry.addr()], Some(key.clone()));
+        let clients: Result<Vec<_>, _> = entries.iter().map(client).collect();
+        let clients = clients.map_err(|error| failed("client", &error))?;
         Ok(Self {
             entries,
             _agents: agents,
             _engines: engines,
             _service: service,
             origin,
-            client,
+            clients,
             weights,
             dir,
         })
@@ -132,15 +133,24 @@
 
     /// The targets that every entry knows.
     pub fn known(&self) -> usize {
-        let status = self.status();
-        status["targets"].as_array().map_or(0, Vec::len)
+        self.least(|status| status["targets"].as_array().map_or(0, Vec::len))
     }
 
-    /// The replicas that serve.
+    /// The replicas that every entry knows to serve: a caller may ask any of them.
     pub fn serving(&self) -> usize {
-        let status = self.status();
-        let serving = status["deployments"][0]["serving"].as_u64().unwrap_or(0);
-        usize::try_from(serving).unwrap_or(0)
+        self.least(|status| {
+            let serving = status["deployments"][0]["serving"].as_u64().unwrap_or(0);
+            usize::try_from(serving).unwrap_or(0)
+        })
+    }
+
+    /// The least that any entry's status gives.
+    fn least(&self, count: impl Fn(&Value) -> usize) -> usize {
+        let counts = self.clients.iter().map(|client| {
+            let status = client.get("status").map(|answer| answer.body);
+            count(&status.unwrap_or_default())
+        });
+        counts.min().unwrap_or(0)
     }
 
     /// Bytes that left the origin over the model's size.
@@ -197,20 +207,13 @@
     }
 
     fn post(&self, what: &str, body: &impl serde::Serialize) -> Result<(), DemoError> {
-        let answer = self.client.post(what, body);
+        let answer = self.clients[0].post(what, body);
         let answer = answer.map_err(|error| DemoError::Refused(error.to_string()))?;
         if answer.status == 200 {
             return Ok(());
         }
         Err(DemoError::Refused(message(&answer.body)))
     }
-
-    fn status(&self) -> Value {
-        self.client
-            .get("status")
-            .map(|answer| answer.body)
-            .unwrap_or_default()
-    }
 }
 
 fn failed(part: &'static str, error: &dyn std::fmt::Display) -> DemoError {
