--- a/tests/system/leaving.rs
+++ b/tests/system/leaving.rs
@@ -3,11 +3,11 @@
 use serde_json::Value;
 use serde_json::json;
 
+use crate::served::Served;
+use crate::served::TOKENS;
+use crate::served::stream;
 use crate::support::Process;
-use crate::support::Served;
-use crate::support::TOKENS;
 use crate::support::post;
-use crate::support::stream;
 
 // The designer's streamed answer, begun before the stop, arrives whole; the process then ends by
 // itself with exit code 0.
--- a/tests/system/main.rs
+++ b/tests/system/main.rs
@@ -7,6 +7,7 @@
 mod once;
 mod path;
 mod roll;
+mod served;
 mod support;
 mod targets;
 mod weights;
--- a/tests/system/roll.rs
+++ b/tests/system/roll.rs
@@ -10,9 +10,9 @@
 use filbertstack_standins::load::Organisation;
 use filbertstack_standins::load::Version;
 
+use crate::served::Served;
 use crate::support::CALLER_KEY;
 use crate::support::Process;
-use crate::support::Served;
 use crate::support::declaration;
 
 /// How many requests are made at a time, again and again while the version changes.
--- /dev/null
+++ b/tests/system/served.rs
@@ -0,0 +1,115 @@
+//! A system whose engines serve one model, and its streamed answers.
+
+use std::io::BufRead;
+use std::io::BufReader;
+use std::net::SocketAddr;
+
+use serde_json::Value;
+use serde_json::json;
+
+use crate::support::CALLER_KEY;
+use crate::support::Process;
+use crate::support::System;
+use crate::support::Weights;
+use crate::support::declaration;
+use crate::support::post;
+
+/// An answer that is long enough to be in progress when something happens.
+pub const TOKENS: usize = 60;
+
+/// A system whose engines serve one model.
+pub struct Served {
+    pub system: System,
+    pub entries: Vec<Process>,
+    pub agents: Vec<Process>,
+    pub engines: Vec<Process>,
+    pub weights: Weights,
+    pub version: String,
+    _origin: Process,
+}
+
+impl Served {
+    /// Starts `targets` engines with their agents, three entries and an origin; all serve.
+    pub fn start(targets: usize) -> Self {
+        Self::start_with(targets, targets)
+    }
+
+    /// Starts `targets` engines, `replicas` of which serve.
+    pub fn start_with(targets: usize, replicas: usize) -> Self {
+        let system = System::new(3);
+        let entries = system.start_entries();
+        let weights = system.weights(3, 1 << 20);
+        let origin = Process::start(&["stand-in", "origin", weights.dir()]);
+        let url = format!("http://{}", origin.addr("listening"));
+        let (mut agents, mut engines) = (Vec::new(), Vec::new());
+        for n in 0..targets {
+            let engine = Process::start(&["stand-in", "engine", "--step-ms", "20"]);
+            let addr = engine.addr("listening");
+            agents.push(system.start_agent(&format!("engine-{n}"), "engine", addr, "role=llm"));
+            engines.push(engine);
+        }
+        let version = system.operate(&[
+            "publish",
+            weights.dir(),
+            "--model",
+            "draft-model",
+            "--origin",
+            &url,
+        ]);
+        system.wait_status("the targets", |status| {
+            status["targets"]
+                .as_array()
+                .is_some_and(|known| known.len() == targets)
+        });
+        system.apply(&declaration(&version, replicas, true));
+        system.wait_met();
+        for entry in &system.entries {
+            let body = json!({ "model": "draft-model", "prompt": "hi", "max_tokens": 1 });
+            post(entry.http, "/v1/completions", &[], &body.to_string());
+        }
+        Self {
+            system,
+            entries,
+            agents,
+            engines,
+            weights,
+            version,
+            _origin: origin,
+        }
+    }
+}
+
+/// Starts a streamed request, calls `at_first` at its first token, and returns the whole text.
+pub fn stream(entry: SocketAddr, prompt: &str, at_first: impl FnOnce()) -> Result<String, String> {
+    let body = json!({
+        "model": "draft-model", "prompt": prompt, "max_tokens": TOKENS, "stream": true,
+    });
+    let response = ureq::post(format!("http://{entry}/v1/completions"))
+        .header("authorization", format!("Bearer {CALLER_KEY}"))
+        .send(body.to_string().as_bytes())
+        .map_err(|error| error.to_string())?;
+    let reader = BufReader::new(response.into_body().into_reader());
+    let mut text = String::new();
+    let mut at_first = Some(at_first);
+    let mut ended = false;
+    for line in reader.lines() {
+        let line = line.map_err(|error| format!("cut: {error}"))?;
+        let Some(data) = line.strip_prefix("data: ") else {
+            continue;
+        };
+        if let Some(at_first) = at_first.take() {
+            at_first();
+        }
+        if data == "[DONE]" {
+            ended = true;
+            continue;
+        }
+        let event: Value = serde_json::from_str(data).map_err(|error| error.to_string())?;
+        text.push_str(event["choices"][0]["text"].as_str().unwrap_or_default());
+    }
+    if ended {
+        Ok(text)
+    } else {
+        Err("no end mark".into())
+    }
+}
--- a/tests/system/targets.rs
+++ b/tests/system/targets.rs
@@ -6,12 +6,12 @@
 
 use serde_json::json;
 
+use crate::served::Served;
+use crate::served::stream;
 use crate::support::PATIENCE;
 use crate::support::Process;
-use crate::support::Served;
 use crate::support::completion_text;
 use crate::support::post;
-use crate::support::stream;
 use crate::support::try_post;
 
 /// Asks until an answer comes; every answer that comes is whole and the caller's own.
