--- /dev/null
+++ b/crates/filbertstack-control/src/document.rs
@@ -0,0 +1,148 @@
+//! The declared state where operators replace a whole document: the highest version is in force.
+//!
+//! A deterministic machine behind the replicated log, beside the mode of single declarations in
+//! [`ControlState`](crate::ControlState). The document's bytes are kept as they came, so that a
+//! read gives back exactly what was sent under that version.
+
+use std::collections::BTreeMap;
+
+use bytes::Bytes;
+use prost::Message as _;
+use thiserror::Error;
+
+/// A command of the machine.
+#[derive(Clone, PartialEq, Eq, Hash, prost::Message)]
+pub struct Change {
+    /// What changes.
+    #[prost(oneof = "Kind", tags = "1, 2")]
+    pub kind: Option<Kind>,
+}
+
+/// What a command changes.
+#[derive(Clone, PartialEq, Eq, Hash, prost::Oneof)]
+pub enum Kind {
+    /// A whole document, checked by whoever proposes it.
+    #[prost(message, tag = "1")]
+    Document(Document),
+    /// A version of a model's weights.
+    #[prost(message, tag = "2")]
+    Weights(Weights),
+}
+
+/// A whole configuration.
+#[derive(Clone, PartialEq, Eq, Hash, prost::Message)]
+pub struct Document {
+    /// Its version; 0 is none yet.
+    #[prost(uint64, tag = "1")]
+    pub version: u64,
+    /// The bytes as the operator sent them.
+    #[prost(bytes = "bytes", tag = "2")]
+    pub body: Bytes,
+}
+
+/// A version of a model's weights that targets are to be brought to.
+#[derive(Clone, PartialEq, Eq, Hash, prost::Message)]
+pub struct Weights {
+    /// The model.
+    #[prost(string, tag = "1")]
+    pub model: String,
+    /// The version.
+    #[prost(uint64, tag = "2")]
+    pub version: u64,
+}
+
+/// What a command led to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Effect {
+    /// It is in force now.
+    InForce,
+    /// A version at least as high was there already; nothing has changed.
+    Superseded,
+    /// The command can't be read, by this version of the program at least.
+    Unreadable,
+}
+
+/// The state: the newest document, and the newest version of each model's weights.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Documents {
+    document: Document,
+    weights: BTreeMap<String, u64>,
+}
+
+#[derive(Clone, PartialEq, prost::Message)]
+struct Image {
+    #[prost(message, required, tag = "1")]
+    document: Document,
+    #[prost(message, repeated, tag = "2")]
+    weights: Vec<Weights>,
+}
+
+/// Bytes that are no snapshot of this machine.
+#[derive(Debug, Error)]
+#[error("the snapshot can't be read ({0}); run the version that wrote it")]
+pub struct ImageError(#[from] prost::DecodeError);
+
+impl Documents {
+    /// The newest document; its version is 0 if there is none yet.
+    pub fn document(&self) -> &Document {
+        &self.document
+    }
+
+    /// The newest version of each model's weights.
+    pub fn weights(&self) -> impl Iterator<Item = Weights> {
+        self.weights.iter().map(|(model, version)| Weights {
+            model: model.clone(),
+            version: *version,
+        })
+    }
+
+    /// Applies one command.
+    pub fn apply(&mut self, command: &[u8]) -> Effect {
+        let change = Change::decode(command).ok().and_then(|c| c.kind);
+        match change {
+            Some(Kind::Document(document)) => self.put(document),
+            Some(Kind::Weights(weights)) => self.name(weights),
+            None => Effect::Unreadable,
+        }
+    }
+
+    /// A version takes effect only if it is higher. Other content under the version held would
+    /// give two callers different routes for one number; a lower one would take back a change.
+    fn put(&mut self, document: Document) -> Effect {
+        if document.version <= self.document.version {
+            return Effect::Superseded;
+        }
+        self.document = document;
+        Effect::InForce
+    }
+
+    fn name(&mut self, weights: Weights) -> Effect {
+        let held = self.weights.entry(weights.model).or_default();
+        if weights.version <= *held {
+            return Effect::Superseded;
+        }
+        *held = weights.version;
+        Effect::InForce
+    }
+
+    /// The whole state as bytes.
+    pub fn snapshot(&self) -> Vec<u8> {
+        let image = Image {
+            document: self.document.clone(),
+            weights: self.weights().collect(),
+        };
+        image.encode_to_vec()
+    }
+
+    /// Replaces the whole state by that of a snapshot.
+    ///
+    /// # Errors
+    /// [`ImageError`] if the bytes are none.
+    pub fn restore(&mut self, bytes: &[u8]) -> Result<(), ImageError> {
+        let image = Image::decode(bytes)?;
+        self.document = image.document;
+        let weights = image.weights.into_iter();
+        self.weights = weights.map(|w| (w.model, w.version)).collect();
+        Ok(())
+    }
+}
--- a/crates/filbertstack-control/src/lib.rs
+++ b/crates/filbertstack-control/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod claims;
 pub mod command;
 pub mod declared;
+pub mod document;
 pub mod gate;
 pub mod key;
 pub mod lease;
--- a/crates/filbertstack-core/src/lib.rs
+++ b/crates/filbertstack-core/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod names;
 pub mod render;
 pub mod selector;
+pub mod serving;
 pub mod settings;
 pub mod time;
 
--- /dev/null
+++ b/crates/filbertstack-gateway/src/control/follow.rs
@@ -0,0 +1,212 @@
+//! Following a voter, and being followed.
+//!
+//! A node without a disk follows one voter: it is told the declared state, the registry and,
+//! several times a second, whether the voter is in contact with its group. A voter that is silent
+//! or cut off from the others is left for another. Voters follow each other for the registry.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use filbertstack_control::document::Weights;
+use filbertstack_policy::subset::hash;
+use spdlog::info;
+use tokio::sync::mpsc;
+use tokio::task::spawn_local;
+use tokio::time::Instant;
+use tokio::time::sleep;
+use tokio::time::timeout;
+
+use crate::control::node::Node;
+use crate::control::voter::Voter;
+use crate::link::Dialer;
+use crate::link::messages::Declared;
+use crate::link::messages::Follow;
+use crate::link::messages::News;
+use crate::link::messages::Nothing;
+use crate::link::messages::Question;
+use crate::link::messages::Reply;
+use crate::link::messages::addr;
+
+/// How often followers hear from their voter.
+const PULSE: Duration = Duration::from_millis(200);
+
+/// After which silence a voter is left: three pulses lost. What was acknowledged must be in force
+/// within two seconds also where a voter freezes right after it.
+const SILENT: Duration = Duration::from_millis(700);
+
+/// How often changed rows are told: a target that drains must be known everywhere within two
+/// seconds, and rows that change together share one frame.
+const FLUSH: Duration = Duration::from_millis(40);
+
+/// The pause before another voter is tried.
+const RETRY: Duration = Duration::from_millis(100);
+
+/// How long a node is waited for when it is asked who the voters are.
+const STANDING: Duration = Duration::from_millis(500);
+
+/// Shows each committed state to this process and its followers.
+pub async fn show_documents(node: Rc<Node>, voter: Rc<Voter>) {
+    let mut seen = voter.watch();
+    loop {
+        let documents = seen.borrow_and_update().clone();
+        let document = documents.document().clone();
+        let weights: Vec<Weights> = documents.weights().collect();
+        let newer = document.version > node.declared.version();
+        node.declared.take(Some(document.clone()), weights.clone());
+        node.people.tell(|voter| {
+            let document = newer.then(|| document.clone());
+            let weights = weights.clone();
+            (!voter).then_some(News::Declared(Declared { document, weights }))
+        });
+        if seen.changed().await.is_err() {
+            return;
+        }
+    }
+}
+
+/// Tells followers changed rows and signs of life.
+pub async fn keep_followers(node: Rc<Node>) {
+    let mut pulse_at = Instant::now();
+    loop {
+        sleep(FLUSH).await;
+        node.people.flush();
+        if Instant::now() >= pulse_at {
+            pulse_at = Instant::now() + PULSE;
+            node.people.expire();
+            let pulse = node.pulse();
+            node.people.tell(|_| Some(pulse.clone()));
+        }
+    }
+}
+
+/// Follows one voter after the other, until the process ends.
+pub async fn follow_any(node: Rc<Node>) {
+    let mut turn = 0;
+    loop {
+        let voters = find_voters(&node).await;
+        let own = &node.settings.node;
+        // Each node has an order of its own, so that voters share the followers.
+        let mut ranked = voters;
+        ranked.sort_by_key(|voter| hash(&format!("{} {voter}", own.name)));
+        if let Some(voter) = ranked.get(turn % ranked.len().max(1)) {
+            follow(&node, *voter).await;
+            node.set_followed(None);
+        }
+        turn += 1;
+        sleep(RETRY).await;
+    }
+}
+
+/// The voters known, or those that a seed names.
+async fn find_voters(node: &Rc<Node>) -> Vec<SocketAddr> {
+    let known = node.voters();
+    if !known.is_empty() {
+        return known;
+    }
+    for seed in node.settings.node.seeds.clone() {
+        let asked = node
+            .dialer
+            .ask(seed, Question::Standing(Nothing {}), STANDING);
+        if let Ok(Reply::Standing(standing)) = asked.await {
+            let voters: Vec<_> = standing.voters.iter().filter_map(|v| addr(v)).collect();
+            node.learn_voters(voters);
+        }
+    }
+    node.voters()
+}
+
+/// Follows `voter` until it is silent or out of contact with its group.
+async fn follow(node: &Rc<Node>, voter: SocketAddr) {
+    let (sender, mut news) = mpsc::unbounded_channel();
+    let link = match Dialer::subscribe(voter, sender).await {
+        Ok(link) => link,
+        Err(error) => {
+            info!("voter not reached", kv: { voter = voter.to_string(), error = error.to_string() });
+            return;
+        }
+    };
+    link.tell(News::Follow(Follow {
+        version: node.declared.version(),
+        voter: node.voter.is_some(),
+    }));
+    let mut told = false;
+    loop {
+        match timeout(SILENT, news.recv()).await {
+            Ok(Some(News::Pulse(pulse))) if !pulse.current => {
+                info!("voter left: it has no contact with its group",
+                    kv: { voter = voter.to_string() });
+                return;
+            }
+            Ok(Some(News::Pulse(pulse))) => {
+                node.learn_voters(pulse.voters.iter().filter_map(|v| addr(v)).collect());
+                node.people.prune();
+                if !told {
+                    info!("voter followed", kv: { voter = voter.to_string() });
+                    told = true;
+                }
+                node.set_followed(Some(voter));
+            }
+            Ok(Some(news)) => take(node, news),
+            Ok(None) | Err(_) => {
+                info!("voter left: it is silent", kv: { voter = voter.to_string() });
+                return;
+            }
+        }
+    }
+}
+
+fn take(node: &Rc<Node>, news: News) {
+    match news {
+        News::Declared(declared) => node.declared.take(declared.document, declared.weights),
+        News::Rows(rows) => {
+            if rows.whole && node.voter.is_none() {
+                node.people.begin_listing();
+            }
+            node.people.take(rows.rows, false);
+        }
+        News::Log(_) | News::Follow(_) | News::Pulse(_) => {}
+    }
+}
+
+/// A voter follows all others for the rows registered there.
+pub async fn follow_others(node: Rc<Node>, voter: Rc<Voter>) {
+    let mut following: Vec<(SocketAddr, tokio::task::JoinHandle<()>)> = Vec::new();
+    loop {
+        following.retain(|(_, task)| !task.is_finished());
+        let wanted = voter.others();
+        following.retain(|(peer, task)| {
+            let keep = wanted.contains(peer);
+            if !keep {
+                task.abort();
+            }
+            keep
+        });
+        for peer in wanted {
+            if following.iter().all(|(p, _)| *p != peer) {
+                let node = node.clone();
+                let task = spawn_local(async move { follow_voter(&node, peer).await });
+                following.push((peer, task));
+            }
+        }
+        sleep(PULSE).await;
+    }
+}
+
+/// Takes in the rows registered at another voter, in contact with its group or not.
+async fn follow_voter(node: &Rc<Node>, voter: SocketAddr) {
+    let (sender, mut news) = mpsc::unbounded_channel();
+    let Ok(link) = Dialer::subscribe(voter, sender).await else {
+        return;
+    };
+    let follow = Follow {
+        version: u64::MAX,
+        voter: true,
+    };
+    link.tell(News::Follow(follow));
+    while let Ok(Some(news)) = timeout(SILENT, news.recv()).await {
+        if let News::Rows(rows) = news {
+            node.people.take(rows.rows, false);
+        }
+    }
+}
--- /dev/null
+++ b/crates/filbertstack-gateway/src/control/mod.rs
@@ -0,0 +1,23 @@
+//! What is declared and who is there, on every node.
+//!
+//! Voters keep the declared state in the replicated log and the registry of processes in memory;
+//! every other node follows one voter. [`node::Node`] answers peers, [`calls`] answers operators
+//! and engines.
+
+pub mod calls;
+pub mod declared;
+pub mod follow;
+pub mod machine;
+pub mod membership;
+pub mod node;
+pub mod people;
+pub mod voter;
+
+use std::time::Duration;
+
+/// How long a question to a peer may take when a caller waits for its outcome: operators move on
+/// after a second, so an answer after that is lost.
+pub const ASK: Duration = Duration::from_millis(850);
+
+/// How long a change may take to be committed: the questioner's patience less the way.
+pub const COMMIT: Duration = Duration::from_millis(750);
--- /dev/null
+++ b/crates/filbertstack-gateway/src/control/voter.rs
@@ -0,0 +1,420 @@
+//! A voter on the event loop: the replica of the log, its messages on links, and its membership.
+//!
+//! Seeds are all that a node is told of the others. The first of them that has a disk creates the
+//! group when the whole system starts for the first time; every other node with a disk asks the
+//! leader to take it in. A voter that lost its disk, or that stays silent while a newcomer waits,
+//! is taken out first: its place counts for nothing, and the newcomer's then does.
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use filbertstack_control::document::Documents;
+use filbertstack_control::document::Effect;
+use filbertstack_log::Change;
+use filbertstack_log::Limits;
+use filbertstack_log::Member;
+use filbertstack_log::Membership;
+use filbertstack_log::Message;
+use filbertstack_log::NodeId;
+use filbertstack_log::ProposeError;
+use filbertstack_log::Replica;
+use filbertstack_log::ReplicaSettings;
+use filbertstack_log::ReplicaStatus;
+use filbertstack_log::RoleName;
+use filbertstack_log::StartError;
+use filbertstack_log::Transport;
+use filbertstack_log::storage::disk::Folder;
+use spdlog::info;
+use spdlog::warn;
+use tokio::sync::mpsc;
+use tokio::sync::watch;
+use tokio::task::spawn_blocking;
+use tokio::task::spawn_local;
+
+use crate::control::COMMIT;
+use crate::control::machine::DocumentMachine;
+use crate::control::membership;
+use crate::control::membership::Newcomer;
+use crate::link::Dialer;
+use crate::link::messages::LogMessage;
+use crate::link::messages::News;
+use crate::link::messages::Nothing;
+use crate::link::messages::Question;
+use crate::link::messages::Reply;
+use crate::link::messages::Standing;
+use crate::settings::Node as NodeSettings;
+
+/// How often a voter looks after the membership.
+const TEND: Duration = Duration::from_millis(250);
+
+/// How long a node is waited for when it is asked who it is.
+const STANDING: Duration = Duration::from_millis(600);
+
+/// How long a change of membership may take.
+const CHANGE: Duration = Duration::from_secs(2);
+
+/// How many of the log's messages may wait to be sent; more are dropped, and sent again.
+const OUTBOX: usize = 1_024;
+
+/// The longest command: a document of 4 MiB and its frame.
+const COMMAND_BYTES: usize = 5 << 20;
+
+/// How long a stop tries to pass the leadership on.
+const STOP: Duration = Duration::from_millis(1_500);
+
+enum Outgoing {
+    Message(NodeId, Message),
+    Members(Membership),
+}
+
+/// Carries the log's messages from its thread to the event loop.
+struct Outbox(mpsc::Sender<Outgoing>);
+
+impl Transport for Outbox {
+    fn send(&self, to: NodeId, message: Message) {
+        // A full outbox drops the message, as the network may do: the log sends it again.
+        let _ = self.0.try_send(Outgoing::Message(to, message));
+    }
+
+    fn configure(&self, membership: &Membership) {
+        let _ = self.0.try_send(Outgoing::Members(membership.clone()));
+    }
+}
+
+/// A node with a disk.
+pub struct Voter {
+    replica: Arc<Replica<DocumentMachine>>,
+    documents: watch::Receiver<Arc<Documents>>,
+    settings: NodeSettings,
+    dialer: Dialer,
+    /// Where the replicas of the group are reached.
+    places: RefCell<BTreeMap<NodeId, SocketAddr>>,
+    /// When each replica was last heard.
+    heard: RefCell<BTreeMap<NodeId, Instant>>,
+    /// Nodes with a disk that asked to be taken in, and when.
+    newcomers: RefCell<BTreeMap<NodeId, (Newcomer, Instant)>>,
+}
+
+impl Voter {
+    /// Opens the data folder and starts the replica.
+    ///
+    /// # Errors
+    /// [`StartError`] names the remedy.
+    pub fn start(
+        settings: &NodeSettings,
+        folder: &std::path::Path,
+        dialer: Dialer,
+    ) -> Result<Rc<Self>, StartError> {
+        let (machine, documents) = DocumentMachine::new();
+        // If the folder can't be made, opening it says so.
+        let _ = std::fs::create_dir_all(folder);
+        let disk = Folder::lock(folder)?;
+        let (outbox, outgoing) = mpsc::channel(OUTBOX);
+        let settings_log = ReplicaSettings {
+            limits: Limits {
+                command_bytes: COMMAND_BYTES,
+                ..Limits::default()
+            },
+            ..ReplicaSettings::default()
+        };
+        let replica = Replica::start(disk, settings_log, machine, Outbox(outbox))?;
+        let voter = Rc::new(Self {
+            replica: Arc::new(replica),
+            documents,
+            settings: settings.clone(),
+            dialer,
+            places: RefCell::default(),
+            heard: RefCell::default(),
+            newcomers: RefCell::default(),
+        });
+        spawn_local(voter.clone().carry(outgoing));
+        spawn_local(voter.clone().tend());
+        Ok(voter)
+    }
+
+    /// The replica as it is now.
+    pub fn status(&self) -> ReplicaStatus {
+        self.replica.status()
+    }
+
+    /// The state that is applied here.
+    pub fn documents(&self) -> Arc<Documents> {
+        self.documents.borrow().clone()
+    }
+
+    /// Told whenever that state changes.
+    pub fn watch(&self) -> watch::Receiver<Arc<Documents>> {
+        self.documents.clone()
+    }
+
+    /// Whether this voter leads.
+    pub fn leads(&self) -> bool {
+        let status = self.status();
+        status.node.role == RoleName::Leader && status.failed.is_none()
+    }
+
+    /// Whether this voter is in contact with a leader of its group.
+    pub fn is_current(&self) -> bool {
+        let status = self.status();
+        let led = status.node.leader.is_some() || status.node.role == RoleName::Leader;
+        status.cluster.is_some() && status.failed.is_none() && led
+    }
+
+    /// The leader's address, unless it is this voter.
+    pub fn leader(&self) -> Option<SocketAddr> {
+        let leader = self.status().node.leader?;
+        let addr = self.places.borrow().get(&leader).copied();
+        addr.filter(|addr| *addr != self.settings.link)
+    }
+
+    /// The addresses of the other voters.
+    pub fn others(&self) -> Vec<SocketAddr> {
+        let membership = self.status().node.membership;
+        let voters = membership.voters.iter().filter_map(|m| m.address.parse().ok());
+        voters.filter(|addr| *addr != self.settings.link).collect()
+    }
+
+    /// Takes a message of another replica.
+    pub fn deliver(&self, message: LogMessage) {
+        let decoded = match Message::from_bytes(message.body) {
+            Ok(decoded) => decoded,
+            Err(error) => {
+                warn!("log message dropped", kv: { error = error.to_string() });
+                return;
+            }
+        };
+        let sender = decoded.sender();
+        if let Ok(addr) = message.from.parse() {
+            self.places.borrow_mut().insert(sender, addr);
+        }
+        self.heard.borrow_mut().insert(sender, Instant::now());
+        self.replica.deliver(decoded);
+    }
+
+    /// Proposes a command and waits until it is applied here.
+    ///
+    /// # Errors
+    /// [`ProposeError`] says whether it may have taken effect.
+    pub async fn propose(&self, command: bytes::Bytes) -> Result<Effect, ProposeError> {
+        let replica = self.replica.clone();
+        let until = Instant::now() + COMMIT;
+        let done = spawn_blocking(move || replica.propose(command, until)).await;
+        done.unwrap_or(Err(filbertstack_log::Refusal::Stopped.into()))
+            .map(|applied| applied.outcome)
+    }
+
+    /// Waits until all that was accepted before is applied here.
+    ///
+    /// # Errors
+    /// Why a read here would not be current.
+    pub async fn read_barrier(&self) -> Result<(), ProposeError> {
+        let replica = self.replica.clone();
+        let until = Instant::now() + COMMIT;
+        let done = spawn_blocking(move || replica.read_barrier(until)).await;
+        done.unwrap_or(Err(filbertstack_log::Refusal::Stopped.into()))
+            .map(drop)
+    }
+
+    /// Who this voter is.
+    pub fn standing(&self) -> Standing {
+        let status = self.status();
+        let leader = if self.leads() {
+            Some(self.settings.link)
+        } else {
+            self.leader()
+        };
+        let membership = &status.node.membership;
+        Standing {
+            name: self.settings.name.clone(),
+            addr: self.settings.link.to_string(),
+            node: status.id.0,
+            cluster: status.cluster.map_or(0, |c| c.0),
+            leader: leader.map(|l| l.to_string()).unwrap_or_default(),
+            voters: membership.voters.iter().map(|m| m.address.clone()).collect(),
+            members: membership.members().map(|m| m.node).collect(),
+        }
+    }
+
+    /// Notes a node that wants to be taken in.
+    pub fn meet(&self, standing: &Standing) {
+        let Ok(addr) = standing.addr.parse() else {
+            return;
+        };
+        let node = NodeId(standing.node);
+        self.places.borrow_mut().insert(node, addr);
+        let newcomer = Newcomer {
+            node,
+            name: standing.name.clone(),
+            addr,
+        };
+        let mut newcomers = self.newcomers.borrow_mut();
+        newcomers.insert(node, (newcomer, Instant::now()));
+    }
+
+    /// Passes the leadership on and stops.
+    pub async fn stop(&self) {
+        let replica = self.replica.clone();
+        // The task fails only if the runtime ends, and then the process does as well.
+        let _ = spawn_blocking(move || replica.stop(STOP)).await;
+    }
+
+    async fn carry(self: Rc<Self>, mut outgoing: mpsc::Receiver<Outgoing>) {
+        while let Some(out) = outgoing.recv().await {
+            match out {
+                Outgoing::Members(membership) => self.learn(&membership),
+                Outgoing::Message(to, message) => self.send(to, &message),
+            }
+        }
+    }
+
+    fn learn(&self, membership: &Membership) {
+        info!("membership of the log", kv: {
+            voters = membership.voters.len(),
+            learners = membership.learners.len(),
+            forming = membership.forming
+        });
+        let mut places = self.places.borrow_mut();
+        for member in membership.members() {
+            if let Ok(addr) = member.address.parse() {
+                places.insert(member.id(), addr);
+            }
+        }
+    }
+
+    fn send(&self, to: NodeId, message: &Message) {
+        let place = self.places.borrow().get(&to).copied();
+        let Some(addr) = place else {
+            return;
+        };
+        let body = message.to_bytes().into();
+        let from = self.settings.link.to_string();
+        let news = News::Log(LogMessage { from, body });
+        self.dialer.tell(addr, news);
+    }
+
+    async fn tend(self: Rc<Self>) {
+        loop {
+            tokio::time::sleep(TEND).await;
+            let status = self.status();
+            if let Some(why) = &status.failed {
+                // Only a new start finds out what is on the disk.
+                spdlog::error!("the log has stopped, the process ends", kv: { error = why.clone() });
+                std::process::exit(1);
+            }
+            if status.cluster.is_none() {
+                self.form().await;
+            } else if self.leads() {
+                self.repair(&status).await;
+            } else if status.node.leader.is_none() {
+                self.ask_in().await;
+            }
+        }
+    }
+
+    /// A node without a group creates one, or asks to be taken in.
+    async fn form(&self) {
+        let heard = self.hear(&self.settings.seeds).await;
+        let own = self.settings.link;
+        let wanted = membership::founder(self.settings.first, own, &self.settings.seeds, &heard);
+        let Some(wanted) = wanted else {
+            self.join(&heard).await;
+            return;
+        };
+        let replica = self.replica.clone();
+        let member = self.member();
+        let until = Instant::now() + CHANGE;
+        let made = spawn_blocking(move || replica.create(member, wanted, None, until)).await;
+        match made {
+            Ok(Ok(())) => info!("group of voters created", kv: { wanted = wanted }),
+            Ok(Err(error)) => warn!("group not created", kv: { error = error.to_string() }),
+            Err(error) => warn!("group not created", kv: { error = error.to_string() }),
+        }
+    }
+
+    /// A member without a leader may have been taken out while it was away.
+    async fn ask_in(&self) {
+        let known: Vec<SocketAddr> = self.places.borrow().values().copied().collect();
+        let heard = self.hear(&known).await;
+        let own = self.status().id.0;
+        let group = heard.iter().find(|s| !s.leader.is_empty());
+        if group.is_some_and(|s| !s.members.contains(&own)) {
+            self.join(&heard).await;
+        }
+    }
+
+    async fn join(&self, heard: &[Standing]) {
+        let leader = heard.iter().find_map(|s| s.leader.parse().ok());
+        let Some(leader) = leader else {
+            return;
+        };
+        let asked = Question::Join(self.standing());
+        if let Err(error) = self.dialer.ask(leader, asked, STANDING).await {
+            info!("not taken in yet", kv: { error = error.to_string() });
+        }
+    }
+
+    async fn hear(&self, addrs: &[SocketAddr]) -> Vec<Standing> {
+        let others = addrs.iter().filter(|addr| **addr != self.settings.link);
+        let asked = others.map(|addr| {
+            let question = Question::Standing(Nothing {});
+            self.dialer.ask(*addr, question, STANDING)
+        });
+        let answers = futures_util::future::join_all(asked).await;
+        let standings = answers.into_iter().filter_map(|answer| match answer {
+            Ok(Reply::Standing(standing)) => Some(standing),
+            // Whoever does not answer is asked again in the next round.
+            _ => None,
+        });
+        standings.collect()
+    }
+
+    /// The leader brings the membership one step nearer to those that are there.
+    async fn repair(&self, status: &ReplicaStatus) {
+        let now = Instant::now();
+        let mut newcomers = self.newcomers.borrow_mut();
+        newcomers.retain(|_, (_, at)| now.duration_since(*at) < membership::NEWCOMER);
+        let waiting: Vec<Newcomer> = newcomers.values().map(|(n, _)| n.clone()).collect();
+        drop(newcomers);
+        let silent = |node: NodeId| {
+            let heard = self.heard.borrow().get(&node).copied();
+            let since = heard.unwrap_or(now);
+            self.heard.borrow_mut().entry(node).or_insert(now);
+            now.duration_since(since)
+        };
+        let step = membership::next(status.id, &status.node.membership, &waiting, silent);
+        if let Some(change) = step {
+            self.change(change).await;
+        }
+    }
+
+    async fn change(&self, change: Change) {
+        let text = format!("{change:?}");
+        let replica = self.replica.clone();
+        let until = Instant::now() + CHANGE;
+        let done = spawn_blocking(move || match change {
+            // Waits for a moment when the learner holds everything.
+            Change::Promote(node) => replica.promote(node, until),
+            change => replica.change(change, until),
+        });
+        match done.await {
+            Ok(Ok(_)) => info!("membership changed", kv: { change = text }),
+            Ok(Err(error)) => {
+                info!("membership not changed yet", kv: { change = text, error = error.to_string() });
+            }
+            Err(error) => warn!("membership not changed", kv: { error = error.to_string() }),
+        }
+    }
+
+    fn member(&self) -> Member {
+        Member {
+            node: self.status().id.0,
+            name: self.settings.name.clone(),
+            address: self.settings.link.to_string(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/filbertstack-gateway/src/request/attempt.rs
@@ -0,0 +1,376 @@
+//! Sending a request to a target, and again to another where that is allowed.
+
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use filbertstack_core::Millis;
+use filbertstack_core::serving::Repeat;
+use filbertstack_platform::request::Onward;
+use filbertstack_platform::request::ReplyHead;
+use filbertstack_platform::request::send_on;
+use filbertstack_platform::request::strip;
+use filbertstack_policy::dispatch::Ended;
+use filbertstack_policy::dispatch::TargetId;
+use filbertstack_policy::dispatch::Wanted;
+use http::Request;
+use http::Response;
+use http::StatusCode;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use spdlog::info;
+use tokio::time::Instant;
+use tokio::time::timeout;
+
+use crate::client::CallFailure;
+use crate::client::Connection;
+use crate::request::Call;
+use crate::request::Requests;
+use crate::request::answer::AnswerBody;
+use crate::request::answer::Refusal;
+use crate::request::relay::Relay;
+use crate::request::targets::Chosen;
+
+/// How long a connection to a target may take to open: links are milliseconds long, and a target
+/// that is cut off answers never.
+const CONNECT: Duration = Duration::from_millis(300);
+
+/// For how long a target is left out that says it is another instance or holds other weights: the
+/// registry tells within this what is there.
+const MISDIRECTED: Millis = Millis(400);
+
+/// For how long a target is left out that has no room: some turns of a full batch.
+const FULL: Millis = Millis(60);
+
+/// How many times its goal a first event may take before another target is asked. Below this an
+/// engine may only be busy, and a repeat would read the prompt twice.
+const SILENT_GOALS: u32 = 2;
+
+/// The least of that time.
+const SILENT: Duration = Duration::from_millis(300);
+
+/// The time left below which nothing is sent any more: no answer could come back in it.
+const TOO_LATE: Duration = Duration::from_millis(5);
+
+/// What one attempt led to.
+pub enum Outcome {
+    /// An answer that goes back to the caller.
+    Answer(Response<Incoming>, Lease),
+    /// It certainly did not run.
+    NotRun,
+    /// It may have run.
+    Unknown,
+    /// It ran, and the target failed at it.
+    Failed(Response<Incoming>, Lease),
+}
+
+/// A request's place at a target. Dropping it gives the place back; the connection closes with it
+/// unless it was kept, so that the target stops work for a caller who has left.
+pub struct Lease {
+    requests: Rc<Requests>,
+    id: TargetId,
+    addr: SocketAddr,
+    connection: Option<Connection>,
+    idle: Option<Duration>,
+    closes: bool,
+    unread: u32,
+    sent: Instant,
+    ended: Ended,
+}
+
+impl Lease {
+    /// The requests that it is one of.
+    pub fn requests(&self) -> Rc<Requests> {
+        self.requests.clone()
+    }
+
+    /// The target.
+    pub fn target(&self) -> &TargetId {
+        &self.id
+    }
+
+    /// Notes that the first bytes of the answer's body came.
+    pub fn began(&mut self) {
+        if self.unread > 0 {
+            self.requests.targets.began(&self.id, self.unread);
+            self.unread = 0;
+        }
+    }
+
+    /// Notes that the target failed.
+    pub fn fail(&mut self) {
+        self.ended = Ended::Failed;
+    }
+
+    /// Notes that the answer is whole, and keeps the connection.
+    pub fn finish(&mut self) {
+        self.ended = Ended::Answered(Millis::from(self.sent.elapsed()));
+        let kept = self.connection.take().filter(|_| !self.closes);
+        if let Some(connection) = kept {
+            self.requests.pool.put(self.addr, connection, self.idle);
+        }
+    }
+}
+
+impl Drop for Lease {
+    fn drop(&mut self) {
+        self.requests.targets.ended(&self.id, self.unread, self.ended);
+    }
+}
+
+/// The attempts of one request so far.
+#[derive(Default)]
+pub struct Tries {
+    /// The targets that it was sent to or could not be sent to.
+    pub targets: Vec<TargetId>,
+    /// How many targets it was handed to.
+    pub sent: u32,
+}
+
+/// Serves a request: one target after another, until there is an answer for the caller.
+///
+/// # Errors
+/// A [`Refusal`] that says truly whether the request may have run.
+pub async fn run(
+    requests: &Rc<Requests>,
+    call: &Rc<Call>,
+) -> Result<Response<AnswerBody>, Refusal> {
+    let mut tries = Tries::default();
+    let mut unknown = false;
+    let mut failed = None;
+    loop {
+        let chosen = match choose(requests, call, &tries) {
+            Ok(chosen) => chosen,
+            Err(refusal) => {
+                return match failed {
+                    Some((response, lease)) => Ok(relay(call, response, lease, tries)),
+                    None if unknown => Err(Refusal::unknown("no answer came; it may have run")),
+                    None => Err(refusal),
+                };
+            }
+        };
+        match send(requests, call, &chosen, &mut tries, None).await {
+            Outcome::Answer(response, lease) => return Ok(relay(call, response, lease, tries)),
+            Outcome::Failed(response, lease) => failed = Some((response, lease)),
+            Outcome::NotRun => {}
+            Outcome::Unknown if call.may_repeat() => unknown = true,
+            Outcome::Unknown => {
+                return Err(Refusal::unknown("the answer was lost; it may have run"));
+            }
+        }
+        if !again(requests, call, &tries) {
+            return match failed {
+                Some((response, lease)) => Ok(relay(call, response, lease, tries)),
+                None if unknown => Err(Refusal::unknown("no answer came; it may have run")),
+                None => Err(Refusal::busy("no target has room", Duration::from_millis(150))),
+            };
+        }
+    }
+}
+
+/// Whether the request may be sent to another target. A target that was never reached costs
+/// nothing of the budget.
+fn again(requests: &Rc<Requests>, call: &Call, tries: &Tries) -> bool {
+    let most = call.route.attempts;
+    // Targets that were not reached are tried past the most, but not all of a large service.
+    if tries.sent >= most || tries.targets.len() >= 4 + most as usize {
+        return false;
+    }
+    tries.sent == 0 || requests.spend(&call.service)
+}
+
+/// Chooses the next target for a request.
+///
+/// # Errors
+/// A [`Refusal`] that says when to come back.
+pub fn choose(
+    requests: &Rc<Requests>,
+    call: &Call,
+    tries: &Tries,
+) -> Result<Chosen, Refusal> {
+    let spent = call.came.elapsed();
+    let goal = call.route.goal.saturating_sub(spent);
+    // A request past its goal is still worth an answer: it is judged as one that has just come.
+    let goal = if tries.targets.is_empty() { goal } else { goal.max(call.route.goal) };
+    let wanted = Wanted {
+        service: &call.service,
+        prompt: call.prompt(),
+        goal: Millis::from(goal),
+        tried: &tries.targets,
+    };
+    let chosen = requests.targets.choose(&wanted);
+    chosen.map_err(|refused| {
+        let after = Duration::from(refused.after());
+        Refusal::busy("no target can serve it in time", after)
+    })
+}
+
+/// Sends a request to one target and waits for the head of its answer. `resume_after` is the last
+/// event that the caller holds, if an answer is resumed.
+pub async fn send(
+    requests: &Rc<Requests>,
+    call: &Rc<Call>,
+    chosen: &Chosen,
+    tries: &mut Tries,
+    resume_after: Option<u64>,
+) -> Outcome {
+    tries.targets.push(chosen.id.clone());
+    let resume_after = resume_after.or(call.head.resumes);
+    let mut lease = Lease {
+        requests: requests.clone(),
+        id: chosen.id.clone(),
+        addr: chosen.addr,
+        connection: None,
+        idle: None,
+        closes: false,
+        unread: call.prompt(),
+        sent: Instant::now(),
+        ended: Ended::Left,
+    };
+    requests.targets.sent(&chosen.id, call.prompt());
+    let mut connection = match connect(requests, call, chosen.addr).await {
+        Ok(connection) => connection,
+        Err(error) => {
+            info!("target not reached", kv: {
+                request = call.head.id(), target = chosen.id.to_string(), error = error.to_string()
+            });
+            lease.fail();
+            return Outcome::NotRun;
+        }
+    };
+    let left = call.left();
+    if left < TOO_LATE {
+        return Outcome::NotRun;
+    }
+    tries.sent += 1;
+    let onward = Onward {
+        left,
+        instance: &chosen.id,
+        organisation: call.organisation.as_deref(),
+        version: chosen.version,
+        resume_after,
+    };
+    let request = prepare(call, &onward);
+    let reply = {
+        let sending = connection.send(request);
+        let mut sending = std::pin::pin!(sending);
+        match silence(call) {
+            None => sending.await,
+            Some(span) => match timeout(span, &mut sending).await {
+                Ok(reply) => reply,
+                Err(_) if can_ask_another(requests, call, tries) => {
+                    info!("target silent, another is asked", kv: {
+                        request = call.head.id(), target = chosen.id.to_string(),
+                        waited_ms = span.as_millis()
+                    });
+                    lease.fail();
+                    return Outcome::Unknown;
+                }
+                Err(_) => sending.await,
+            },
+        }
+    };
+    lease.connection = Some(connection);
+    match reply {
+        Ok(response) => judge(call, response, lease),
+        Err(error) => {
+            info!("answer lost", kv: {
+                request = call.head.id(), target = chosen.id.to_string(), error = error.to_string()
+            });
+            lease.fail();
+            Outcome::Unknown
+        }
+    }
+}
+
+/// Whether another target could take the request now, within its attempts.
+fn can_ask_another(requests: &Rc<Requests>, call: &Call, tries: &Tries) -> bool {
+    tries.sent < call.route.attempts && choose(requests, call, tries).is_ok()
+}
+
+/// After which silence of a target another is asked, if the request may run twice.
+fn silence(call: &Call) -> Option<Duration> {
+    let span = (call.route.goal * SILENT_GOALS).max(SILENT);
+    call.may_repeat().then_some(span)
+}
+
+/// A kept connection, or a new one.
+///
+/// What may run once only goes on a new connection: on a kept one the target may have dropped it
+/// without a word, or an answer to an earlier request may come first, and either would leave it
+/// unknown whether this one ran.
+async fn connect(
+    requests: &Rc<Requests>,
+    call: &Call,
+    addr: SocketAddr,
+) -> Result<Connection, CallFailure> {
+    if call.may_repeat()
+        && let Some(kept) = requests.pool.take(addr)
+    {
+        return Ok(kept);
+    }
+    Connection::open(addr, CONNECT.min(call.left())).await
+}
+
+fn prepare(call: &Call, onward: &Onward<'_>) -> Request<Full<bytes::Bytes>> {
+    let mut request = Request::new(Full::new(call.body.clone()));
+    *request.method_mut() = call.method.clone();
+    *request.uri_mut() = call.target.clone();
+    *request.headers_mut() = call.headers.clone();
+    send_on(request.headers_mut(), onward);
+    request
+}
+
+/// What the head of an answer means for the request.
+fn judge(call: &Call, response: Response<Incoming>, mut lease: Lease) -> Outcome {
+    let status = response.status();
+    let head = ReplyHead::read(response.headers(), call.head.attempt.as_ref());
+    lease.idle = head.idle;
+    lease.closes = head.closes;
+    if head.ours && (head.not_run || status == StatusCode::MISDIRECTED_REQUEST) {
+        let misdirected = status == StatusCode::MISDIRECTED_REQUEST;
+        let span = if misdirected { MISDIRECTED } else { FULL };
+        lease.ended = Ended::Refused;
+        lease.requests.targets.shut(&lease.id, span);
+        return Outcome::NotRun;
+    }
+    // Without the target's seal, for another request or with an encoding that nobody asked for,
+    // it is no answer to this one.
+    if !head.ours || !head.sealed || head.encoded {
+        info!("answer not taken", kv: {
+            request = call.head.id(), target = lease.id.to_string(), status = status.as_u16(),
+            ours = head.ours, sealed = head.sealed, encoded = head.encoded
+        });
+        lease.fail();
+        return Outcome::Unknown;
+    }
+    if status.is_server_error() {
+        lease.ended = Ended::Refused;
+        let repeats = call.route.repeat == Repeat::Idempotent;
+        if repeats {
+            return Outcome::Failed(response, lease);
+        }
+    }
+    Outcome::Answer(response, lease)
+}
+
+/// Gives an answer back to the caller as it comes.
+fn relay(
+    call: &Rc<Call>,
+    response: Response<Incoming>,
+    lease: Lease,
+    tries: Tries,
+) -> Response<AnswerBody> {
+    let (mut head, body) = response.into_parts();
+    strip(&mut head.headers);
+    let resumable = call.route.repeat == Repeat::Resumable && head.status.is_success();
+    let relay = Relay::new(call.clone(), body, lease, tries, resumable);
+    Response::from_parts(head, AnswerBody::Relayed(Box::new(relay)))
+}
+
+/// The error of an answer that breaks off: the connection to the caller closes without an end
+/// that looks complete.
+pub fn broken(why: &'static str) -> io::Error {
+    io::Error::new(io::ErrorKind::ConnectionAborted, why)
+}
--- /dev/null
+++ b/crates/filbertstack-gateway/src/request/relay.rs
@@ -0,0 +1,250 @@
+//! An answer on its way from a target to the caller.
+//!
+//! Bytes go on as they come. A stream that may be resumed goes on by whole events: when its
+//! target is lost, another goes on after the last event that the caller has, and nothing of a
+//! half event of the first must have gone out before.
+
+use std::io;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::Context;
+use std::task::Poll;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body::Body as _;
+use http_body::Frame;
+use hyper::body::Incoming;
+use spdlog::info;
+use tokio::time::Instant;
+use tokio::time::Sleep;
+use tokio::time::sleep_until;
+
+use crate::request::Call;
+use crate::request::Requests;
+use crate::request::attempt::Lease;
+use crate::request::attempt::Outcome;
+use crate::request::attempt::Tries;
+use crate::request::attempt::broken;
+use crate::request::attempt::choose;
+use crate::request::attempt::send;
+use crate::request::events::Events;
+
+/// How many of the route's pauses a stream may be silent before another target goes on with it.
+/// Callers leave after eight; an engine that reads many prompts at once is silent for two.
+const SILENT_PAUSES: u32 = 4;
+
+/// The pause of a route that names none.
+const USUAL_PAUSE: Duration = Duration::from_millis(300);
+
+/// The time left below which a stream isn't resumed: reading the prompt anew takes it.
+const TOO_LATE: Duration = Duration::from_millis(150);
+
+type Resuming = Pin<Box<dyn Future<Output = Option<Resumed>>>>;
+
+struct Resumed {
+    body: Incoming,
+    lease: Lease,
+    tries: Tries,
+}
+
+enum Source {
+    /// A target is answering.
+    Target(Incoming, Lease),
+    /// Another target is being asked to go on.
+    Resuming(Resuming),
+    /// Nothing more comes.
+    Ended,
+}
+
+/// The body of an answer that is being relayed.
+pub struct Relay {
+    call: Rc<Call>,
+    requests: Rc<Requests>,
+    source: Source,
+    tries: Tries,
+    events: Option<Events>,
+    deadline: Pin<Box<Sleep>>,
+    silence: Option<Pin<Box<Sleep>>>,
+}
+
+impl Relay {
+    /// Relays `body` from the target that `lease` is a place at.
+    pub fn new(
+        call: Rc<Call>,
+        body: Incoming,
+        lease: Lease,
+        tries: Tries,
+        resumable: bool,
+    ) -> Self {
+        let requests = lease.requests();
+        let deadline = Box::pin(sleep_until(call.deadline));
+        let silence = resumable.then(|| Box::pin(sleep_until(silent_at(&call))));
+        Self {
+            events: resumable.then(|| Events::after(call.head.resumes)),
+            requests,
+            source: Source::Target(body, lease),
+            tries,
+            deadline,
+            silence,
+            call,
+        }
+    }
+
+    /// The next bytes for the caller.
+    pub fn poll_frame(
+        &mut self,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, io::Error>>> {
+        if self.deadline.as_mut().poll(cx).is_ready() {
+            self.source = Source::Ended;
+            return Poll::Ready(Some(Err(broken("the time has run out"))));
+        }
+        loop {
+            let step = match &mut self.source {
+                Source::Ended => return Poll::Ready(None),
+                Source::Resuming(resuming) => {
+                    let resumed = std::task::ready!(resuming.as_mut().poll(cx));
+                    self.go_on(resumed)
+                }
+                Source::Target(body, _) => match Pin::new(body).poll_frame(cx) {
+                    Poll::Ready(frame) => self.take(frame),
+                    Poll::Pending => std::task::ready!(self.poll_silence(cx)),
+                },
+            };
+            if let Some(step) = step {
+                return Poll::Ready(step);
+            }
+        }
+    }
+
+    /// Takes what the target sent; `None` if nothing of it can go on yet.
+    fn take(
+        &mut self,
+        frame: Option<Result<Frame<Bytes>, hyper::Error>>,
+    ) -> Option<Option<Result<Frame<Bytes>, io::Error>>> {
+        match frame {
+            Some(Ok(frame)) => {
+                let data = frame.into_data().ok()?;
+                if let Source::Target(_, lease) = &mut self.source {
+                    lease.began();
+                }
+                let data = self.pass(data);
+                (!data.is_empty()).then(|| Some(Ok(Frame::data(data))))
+            }
+            Some(Err(_)) => self.lost("the target broke off"),
+            None if self.events.as_ref().is_some_and(Events::is_half) => {
+                self.lost("the target ended in mid event")
+            }
+            None => {
+                if let Source::Target(_, lease) = &mut self.source {
+                    lease.finish();
+                }
+                self.source = Source::Ended;
+                Some(None)
+            }
+        }
+    }
+
+    fn pass(&mut self, data: Bytes) -> Bytes {
+        let Some(events) = &mut self.events else {
+            return data;
+        };
+        if let Some(silence) = &mut self.silence {
+            silence.as_mut().reset(silent_at(&self.call));
+        }
+        events.push(data)
+    }
+
+    /// Gives up a target that is silent for too long.
+    fn poll_silence(
+        &mut self,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Option<Result<Frame<Bytes>, io::Error>>>> {
+        let Some(silence) = &mut self.silence else {
+            return Poll::Pending;
+        };
+        std::task::ready!(silence.as_mut().poll(cx));
+        if choose(&self.requests, &self.call, &self.tries).is_err()
+            || self.tries.sent >= self.call.route.attempts
+        {
+            // Nobody else can go on with it: the target may still.
+            silence.as_mut().reset(silent_at(&self.call));
+            return self.poll_silence(cx);
+        }
+        Poll::Ready(self.lost("the target is silent"))
+    }
+
+    /// Goes on without the target: another resumes the stream, or it ends without looking whole.
+    fn lost(&mut self, why: &'static str) -> Option<Option<Result<Frame<Bytes>, io::Error>>> {
+        let source = std::mem::replace(&mut self.source, Source::Ended);
+        if let Source::Target(body, mut lease) = source {
+            info!("answer broke off", kv: {
+                request = self.call.head.id(), target = lease.target().to_string(), why = why,
+                resumable = self.events.is_some()
+            });
+            lease.fail();
+            drop((body, lease));
+        }
+        let Some(events) = &mut self.events else {
+            return Some(Some(Err(broken(why))));
+        };
+        events.drop_half();
+        let resuming = resume(
+            self.requests.clone(),
+            self.call.clone(),
+            std::mem::take(&mut self.tries),
+            events.last(),
+        );
+        self.source = Source::Resuming(Box::pin(resuming));
+        None
+    }
+
+    fn go_on(
+        &mut self,
+        resumed: Option<Resumed>,
+    ) -> Option<Option<Result<Frame<Bytes>, io::Error>>> {
+        let Some(resumed) = resumed else {
+            self.source = Source::Ended;
+            return Some(Some(Err(broken("no target goes on with the stream"))));
+        };
+        info!("stream resumed", kv: {
+            request = self.call.head.id(), target = resumed.lease.target().to_string(),
+            after = self.events.as_ref().and_then(Events::last).unwrap_or(0)
+        });
+        self.tries = resumed.tries;
+        self.source = Source::Target(resumed.body, resumed.lease);
+        if let Some(silence) = &mut self.silence {
+            silence.as_mut().reset(silent_at(&self.call));
+        }
+        None
+    }
+}
+
+fn silent_at(call: &Call) -> Instant {
+    let pause = call.route.pause.unwrap_or(USUAL_PAUSE);
+    Instant::now() + pause * SILENT_PAUSES
+}
+
+/// Asks one target after another to go on after the event `last`.
+async fn resume(
+    requests: Rc<Requests>,
+    call: Rc<Call>,
+    mut tries: Tries,
+    last: Option<u64>,
+) -> Option<Resumed> {
+    while tries.sent < call.route.attempts && call.left() > TOO_LATE {
+        if !requests.spend(&call.service) {
+            return None;
+        }
+        let chosen = choose(&requests, &call, &tries).ok()?;
+        let outcome = send(&requests, &call, &chosen, &mut tries, last).await;
+        if let Outcome::Answer(response, lease) = outcome
+            && response.status().is_success()
+        {
+            let body = response.into_body();
+            return Some(Resumed { body, lease, tries });
+        }
+    }
+    None
+}
--- /dev/null
+++ b/crates/filbertstack-gateway/src/settings.rs
@@ -0,0 +1,206 @@
+//! Settings of a process on small instances: the sections `[node]`, `[listen]`, `[target]` and
+//! `[bounds]` of an INI file.
+
+use std::net::SocketAddr;
+use std::path::Path;
+use std::path::PathBuf;
+use std::str::FromStr;
+use std::time::Duration;
+
+use filbertstack_core::ini::Document;
+use filbertstack_core::ini::Problems;
+use filbertstack_core::ini::Section;
+use filbertstack_core::settings::SettingsError;
+use filbertstack_core::settings::parse_addrs;
+use filbertstack_core::settings::read_document;
+use filbertstack_core::settings::require_section;
+
+/// All settings of one process.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Settings {
+    /// Who and where the process is.
+    pub node: Node,
+    /// What it serves.
+    pub listen: Listen,
+    /// The engine beside it, if it is an agent.
+    pub engine: Option<SocketAddr>,
+    /// The bounds that the operator promises.
+    pub bounds: Bounds,
+}
+
+/// Who and where a process is.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Node {
+    /// Its name.
+    pub name: String,
+    /// Its availability zone.
+    pub zone: String,
+    /// Its address for links to other processes of the system.
+    pub link: SocketAddr,
+    /// Addresses for links of nodes that may know the group.
+    pub seeds: Vec<SocketAddr>,
+    /// Whether the whole system starts for the first time, so that a group may be created.
+    pub first: bool,
+    /// The folder for durable state; with it an entry is a voter.
+    pub data: Option<PathBuf>,
+}
+
+/// The addresses that a process serves; each may be absent.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Listen {
+    /// Callers' requests.
+    pub front: Option<SocketAddr>,
+    /// The question whether the process is ready.
+    pub ready: Option<SocketAddr>,
+    /// Operators and heartbeats.
+    pub control: Option<SocketAddr>,
+    /// Callers' question where to connect.
+    pub directory: Option<SocketAddr>,
+}
+
+/// What the operator promises, in the product's terms.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Bounds {
+    /// From SIGTERM to the end of the process.
+    pub grace: Duration,
+    /// How long callers may keep the addresses that they were told.
+    pub keep: Duration,
+    /// From the acknowledgement of a version of weights to the last request on an older one.
+    pub rollout: Duration,
+    /// Repeated sends for each request.
+    pub ratio: f64,
+    /// Repeated sends in a window, beside those.
+    pub fixed: f64,
+    /// The window over which repeated sends are counted.
+    pub window: Duration,
+}
+
+impl Default for Bounds {
+    fn default() -> Self {
+        Self {
+            grace: Duration::from_secs(8),
+            keep: Duration::from_secs(5),
+            rollout: Duration::from_secs(8),
+            ratio: 0.2,
+            fixed: 50.0,
+            window: Duration::from_secs(10),
+        }
+    }
+}
+
+impl Settings {
+    /// Reads the settings file.
+    ///
+    /// # Errors
+    /// [`SettingsError`], with every line that does not read.
+    pub fn read(path: &Path) -> Result<Self, SettingsError> {
+        Ok(Self::parse(read_document(path)?)?)
+    }
+
+    /// Reads settings from a parsed file.
+    ///
+    /// # Errors
+    /// All problems of the file.
+    pub fn parse(mut document: Document) -> Result<Self, Problems> {
+        let mut problems = Problems::default();
+        let node = require_section(&mut document, "node", &mut problems);
+        let node = node.and_then(|s| read_node(s, &mut problems));
+        let listen = document.take("listen");
+        let listen = listen.map(|s| read_listen(s, &mut problems));
+        let engine = document.take("target").and_then(|mut section| {
+            let addr = optional(&mut section, "engine", &mut problems);
+            section.finish(&mut problems);
+            addr
+        });
+        let bounds = document.take("bounds");
+        let bounds = bounds.map(|s| read_bounds(s, &mut problems));
+        document.finish(&mut problems);
+        let Some(node) = node else {
+            return Err(problems);
+        };
+        problems.into_result(Self {
+            node,
+            listen: listen.unwrap_or_default(),
+            engine,
+            bounds: bounds.unwrap_or_default(),
+        })
+    }
+}
+
+fn read_node(mut section: Section, problems: &mut Problems) -> Option<Node> {
+    let name = section.require::<String, _>("name", problems);
+    let zone = section.require::<String, _>("zone", problems);
+    let link: Option<SocketAddr> = section.require("link", problems);
+    let seeds = section.read_with("seeds", problems, parse_addrs);
+    let first: Option<bool> = optional(&mut section, "first-start", problems);
+    let data: Option<PathBuf> = optional(&mut section, "data", problems);
+    section.finish(problems);
+    let link = link?;
+    let seeds = seeds.unwrap_or_default();
+    Some(Node {
+        name: name?,
+        zone: zone?,
+        link,
+        // Seeds are named by what they serve to operators; links have one port everywhere.
+        seeds: seeds
+            .iter()
+            .map(|seed| SocketAddr::new(seed.ip(), link.port()))
+            .collect(),
+        first: first.unwrap_or(false),
+        data,
+    })
+}
+
+fn read_listen(mut section: Section, problems: &mut Problems) -> Listen {
+    let listen = Listen {
+        front: optional(&mut section, "front", problems),
+        ready: optional(&mut section, "ready", problems),
+        control: optional(&mut section, "control", problems),
+        directory: optional(&mut section, "directory", problems),
+    };
+    section.finish(problems);
+    listen
+}
+
+fn read_bounds(mut section: Section, problems: &mut Problems) -> Bounds {
+    let usual = Bounds::default();
+    let mut seconds = |key: &str, scale: f64, usual: Duration| {
+        let value: Option<f64> = optional(&mut section, key, problems);
+        let span = value.and_then(|v| Duration::try_from_secs_f64(v * scale).ok());
+        span.unwrap_or(usual)
+    };
+    let grace = seconds("grace-s", 1.0, usual.grace);
+    let keep = seconds("keep-s", 1.0, usual.keep);
+    let rollout = seconds("rollout-ms", 0.001, usual.rollout);
+    let window = seconds("repeat-window-s", 1.0, usual.window);
+    let bounds = Bounds {
+        grace,
+        keep,
+        rollout,
+        window,
+        ratio: optional(&mut section, "repeat-ratio", problems).unwrap_or(usual.ratio),
+        fixed: optional(&mut section, "repeat-allowance", problems).unwrap_or(usual.fixed),
+    };
+    section.finish(problems);
+    bounds
+}
+
+/// Reads a key that may be absent or empty: a template leaves an empty value where there is none.
+fn optional<T>(section: &mut Section, key: &str, problems: &mut Problems) -> Option<T>
+where
+    T: FromStr,
+    T::Err: std::fmt::Display,
+{
+    let (text, line) = section.take(key)?;
+    if text.trim().is_empty() {
+        return None;
+    }
+    match text.trim().parse() {
+        Ok(value) => Some(value),
+        Err(error) => {
+            let what = format!("{key}: {error}; correct the value or remove the line");
+            problems.0.push(section.problem(line, what));
+            None
+        }
+    }
+}
--- /dev/null
+++ b/crates/filbertstack-policy/src/dispatch.rs
@@ -0,0 +1,365 @@
+//! Which target gets a request now, or whether it is refused at once.
+//!
+//! *Load pattern*: demand stays above what the engines can read and write, and arrives at many
+//! entries that do not talk to each other on each request. Sent on without a bound, requests wait
+//! in the engines' queues, every first event comes late, and callers leave while their work still
+//! runs. Bounded by slots alone, an engine that reads long prompts is as full as one that reads
+//! none. So each entry predicts the first event at every target from the published figures of the
+//! engine, the load that its agent reports and its own requests since, and takes the target with
+//! the earliest; if none meets the caller's goal, the request is refused at once, as waiting
+//! would only take the place of one that can be served.
+//!
+//! Decisions take the time and what was observed; they have no clock, network or thread.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use filbertstack_core::Millis;
+use filbertstack_core::serving::EngineModel;
+use rand::RngExt as _;
+use rand_chacha::ChaCha8Rng;
+
+use crate::outlier::Health;
+use crate::outlier::Outlier;
+use crate::units::millis;
+
+/// The part of the goal that a predicted first event may take. The rest covers the way to the
+/// caller and the error of loads that are reported with a lag.
+const GOAL_SHARE: f64 = 0.7;
+
+/// What a target outside the entry's zone must be better by, in milliseconds: the way there and
+/// back, and the price of bytes between zones.
+const FAR_MS: f64 = 8.0;
+
+/// The spread of a random addition to each prediction, in milliseconds. Entries that see the same
+/// report would otherwise all take the same target until the next one.
+const JITTER_MS: f64 = 12.0;
+
+/// A report older than this says nothing: its engine or agent is silent.
+const STALE: Millis = Millis::secs(2);
+
+/// What a plain call is taken to last before one was seen, in milliseconds.
+const FIRST_CALL_MS: f64 = 30.0;
+
+/// The weight of the latest call in the mean time of calls: some ten calls count.
+const CALL_WEIGHT: f64 = 0.1;
+
+/// The least and the most time after which a refused caller is told to come back. The least lets
+/// a place become free, the most leaves the caller time for the answer within its goal.
+const RETURN: [f64; 2] = [60.0, 400.0];
+
+/// A target's identity: the address and the instance there.
+pub type TargetId = Arc<str>;
+
+/// What is known of a target before any request is sent there.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Offered {
+    /// Its identity.
+    pub id: TargetId,
+    /// The service that it belongs to.
+    pub service: Arc<str>,
+    /// Requests that it processes at once.
+    pub slots: u32,
+    /// Whether it is in the entry's zone.
+    pub near: bool,
+    /// How its engine computes, if it is one.
+    pub engine: Option<Arc<EngineModel>>,
+    /// Whether it takes new work.
+    pub open: bool,
+}
+
+/// The load of an engine as its agent reports it.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Load {
+    /// Requests that run.
+    pub running: u32,
+    /// Requests that wait.
+    pub waiting: u32,
+    /// How many times slower than usual the engine is.
+    pub pace: f64,
+}
+
+/// A request that needs a target.
+#[derive(Clone, Copy, Debug)]
+pub struct Wanted<'a> {
+    /// The service.
+    pub service: &'a str,
+    /// Prompt tokens; 0 for a plain call.
+    pub prompt: u32,
+    /// The time left in which its first event is worth most.
+    pub goal: Millis,
+    /// Targets that it was sent to already.
+    pub tried: &'a [TargetId],
+}
+
+/// Why a request gets no target.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Refused {
+    /// The service has no target that takes work.
+    NoTarget {
+        /// When to come back.
+        after: Millis,
+    },
+    /// No target would answer within the goal.
+    Full {
+        /// When to come back.
+        after: Millis,
+    },
+}
+
+impl Refused {
+    /// When the caller may come back.
+    pub fn after(self) -> Millis {
+        match self {
+            Self::NoTarget { after } | Self::Full { after } => after,
+        }
+    }
+}
+
+/// How a request at a target ended, as far as the target's health goes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ended {
+    /// With an answer, after this time.
+    Answered(Millis),
+    /// The target had no room; it is well.
+    Refused,
+    /// Without an answer.
+    Failed,
+    /// The caller left; this says nothing of the target.
+    Left,
+}
+
+#[derive(Clone, Debug)]
+struct Target {
+    offered: Offered,
+    own: u32,
+    /// Prompt tokens sent that have not led to a first event yet.
+    unread: f64,
+    load: Option<(Millis, Load)>,
+    /// Own requests when the load was reported.
+    own_then: u32,
+    call_ms: f64,
+    outlier: Outlier,
+    /// Until when the target takes nothing, as it said itself.
+    shut: Millis,
+}
+
+impl Target {
+    fn new(offered: Offered) -> Self {
+        Self {
+            offered,
+            own: 0,
+            unread: 0.0,
+            load: None,
+            own_then: 0,
+            call_ms: FIRST_CALL_MS,
+            outlier: Outlier::default(),
+            shut: Millis::ZERO,
+        }
+    }
+
+    fn takes_work(&self, now: Millis) -> bool {
+        let well = match self.outlier.health() {
+            Health::Well => true,
+            Health::Ejected { .. } => self.outlier.probe_due(now),
+            Health::Probed => false,
+        };
+        self.offered.open && well && now >= self.shut
+    }
+
+    /// Requests there, those of other entries by the last report.
+    fn occupancy(&self, now: Millis) -> f64 {
+        let fresh = self.load.filter(|(at, _)| now.since(*at) < STALE);
+        let others = fresh.map_or(0, |(_, load)| {
+            (load.running + load.waiting).saturating_sub(self.own_then)
+        });
+        f64::from(self.own + others)
+    }
+
+    fn pace(&self, now: Millis) -> f64 {
+        let fresh = self.load.filter(|(at, _)| now.since(*at) < STALE);
+        fresh.map_or(1.0, |(_, load)| load.pace.max(1.0))
+    }
+
+    /// Milliseconds to the first event, or to the answer of a plain call.
+    fn predict(&self, now: Millis, prompt: f64) -> f64 {
+        let ahead = self.occupancy(now);
+        let slots = f64::from(self.offered.slots.max(1));
+        match &self.offered.engine {
+            Some(engine) => {
+                let wait = (ahead + 1.0 - slots).max(0.0) * turn_ms(engine);
+                let batch = ahead.min(slots);
+                let read = read_ms(engine, prompt) + self.unread / engine.read_rate;
+                (wait + pass_ms(engine, batch) + read) * self.pace(now)
+            }
+            None => {
+                let rounds = ((ahead + 1.0) / slots).max(1.0);
+                self.call_ms * rounds
+            }
+        }
+    }
+}
+
+/// Milliseconds of one pass over a batch of `batch` writers.
+pub fn pass_ms(engine: &EngineModel, batch: f64) -> f64 {
+    let context = (engine.prompt + engine.answer) / 1_000.0 * engine.context_ms;
+    let step = engine.step_ms + batch * (engine.request_ms + context);
+    step * f64::from(engine.stride)
+}
+
+/// Milliseconds that reading a prompt takes, the attention between its tokens included.
+pub fn read_ms(engine: &EngineModel, prompt: f64) -> f64 {
+    let pairs = prompt * prompt / 2.0 / 1e6;
+    prompt / engine.read_rate + pairs * engine.pairs_ms
+}
+
+/// Milliseconds between two requests' ends at a full batch: how long one place is waited for.
+pub fn turn_ms(engine: &EngineModel) -> f64 {
+    let slots = f64::from(engine.slots.max(1));
+    let passes = (engine.answer / f64::from(engine.stride)).max(1.0);
+    passes * pass_ms(engine, slots) / slots + read_ms(engine, engine.prompt)
+}
+
+/// One entry's view of the targets.
+#[derive(Clone, Debug)]
+pub struct Dispatcher {
+    targets: BTreeMap<TargetId, Target>,
+    rng: ChaCha8Rng,
+}
+
+impl Dispatcher {
+    /// A view without targets; `rng` spreads choices and returns.
+    pub fn new(rng: ChaCha8Rng) -> Self {
+        Self {
+            targets: BTreeMap::new(),
+            rng,
+        }
+    }
+
+    /// Replaces what is known of the targets; requests under way and health are kept.
+    pub fn offer(&mut self, offered: Vec<Offered>) {
+        let mut targets = BTreeMap::new();
+        for offered in offered {
+            let known = self.targets.remove(&offered.id);
+            let mut target = known.unwrap_or_else(|| Target::new(offered.clone()));
+            target.offered = offered;
+            targets.insert(target.offered.id.clone(), target);
+        }
+        self.targets = targets;
+    }
+
+    /// Takes in a load report.
+    pub fn report(&mut self, now: Millis, id: &str, load: Load) {
+        if let Some(target) = self.targets.get_mut(id) {
+            target.load = Some((now, load));
+            target.own_then = target.own;
+        }
+    }
+
+    /// Chooses the target with the earliest predicted first event.
+    ///
+    /// # Errors
+    /// [`Refused`], with the time after which the caller may come back.
+    pub fn choose(&mut self, now: Millis, wanted: &Wanted<'_>) -> Result<TargetId, Refused> {
+        let prompt = f64::from(wanted.prompt);
+        let limit = millis_f64(wanted.goal) * GOAL_SHARE;
+        let mut best: Option<(f64, f64, TargetId)> = None;
+        let mut usable = false;
+        for target in self.targets.values() {
+            let id = &target.offered.id;
+            if &*target.offered.service != wanted.service || wanted.tried.contains(id) {
+                continue;
+            }
+            if !target.takes_work(now) {
+                continue;
+            }
+            usable = true;
+            let predicted = target.predict(now, prompt);
+            let far = if target.offered.near { 0.0 } else { FAR_MS };
+            let score = predicted + far + self.rng.random_range(0.0..JITTER_MS);
+            if best.as_ref().is_none_or(|(s, _, _)| score < *s) {
+                best = Some((score, predicted, id.clone()));
+            }
+        }
+        let Some((_, predicted, id)) = best.filter(|_| usable) else {
+            let after = self.spread(RETURN[1]);
+            return Err(Refused::NoTarget { after });
+        };
+        if predicted > limit {
+            let after = self.spread(predicted - limit);
+            return Err(Refused::Full { after });
+        }
+        Ok(id)
+    }
+
+    /// A return time around `expected`, spread so that those refused together do not come back
+    /// together.
+    fn spread(&mut self, expected: f64) -> Millis {
+        let mean = expected.clamp(RETURN[0], RETURN[1]);
+        millis(mean * self.rng.random_range(0.6..1.4) / 1_000.0)
+    }
+
+    /// Counts a request that is sent to `id`.
+    pub fn sent(&mut self, now: Millis, id: &str, prompt: u32) {
+        let Some(target) = self.targets.get_mut(id) else {
+            return;
+        };
+        if target.outlier.probe_due(now) {
+            target.outlier.probe();
+        }
+        target.own += 1;
+        target.unread += f64::from(prompt);
+    }
+
+    /// Counts the first event of a request at `id`.
+    pub fn began(&mut self, id: &str, prompt: u32) {
+        if let Some(target) = self.targets.get_mut(id) {
+            target.unread = (target.unread - f64::from(prompt)).max(0.0);
+        }
+    }
+
+    /// Counts the end of a request at `id`; `unread` is its prompt if no event had come.
+    pub fn ended(&mut self, now: Millis, id: &str, unread: u32, ended: Ended) {
+        let Some(target) = self.targets.get_mut(id) else {
+            return;
+        };
+        target.own = target.own.saturating_sub(1);
+        target.unread = (target.unread - f64::from(unread)).max(0.0);
+        match ended {
+            Ended::Answered(took) => {
+                target.call_ms += (millis_f64(took) - target.call_ms) * CALL_WEIGHT;
+                target.outlier.succeed();
+                if target.outlier.is_out() {
+                    target.outlier.readmit();
+                }
+            }
+            Ended::Failed => {
+                let out = target.outlier.is_out();
+                if target.outlier.fail() || out {
+                    target.outlier.lose(now);
+                }
+            }
+            Ended::Refused | Ended::Left => {
+                if target.outlier.health() == Health::Probed {
+                    target.outlier.withdraw(now);
+                }
+            }
+        }
+    }
+
+    /// Takes a target out for `span`, as it refused for a reason that will not pass at once.
+    pub fn shut(&mut self, now: Millis, id: &str, span: Millis) {
+        if let Some(target) = self.targets.get_mut(id) {
+            target.shut = now + span;
+        }
+    }
+
+    /// Requests that this entry has under way at `id`.
+    pub fn own(&self, id: &str) -> u32 {
+        self.targets.get(id).map_or(0, |target| target.own)
+    }
+}
+
+fn millis_f64(span: Millis) -> f64 {
+    u32::try_from(span.0).map_or(f64::MAX, f64::from)
+}
--- a/crates/filbertstack-policy/src/lib.rs
+++ b/crates/filbertstack-policy/src/lib.rs
@@ -16,6 +16,7 @@
 
 pub mod admission;
 pub mod cost;
+pub mod dispatch;
 pub mod fair;
 pub mod flow;
 pub mod gossip;
@@ -23,7 +24,10 @@
 pub mod outlier;
 pub mod placement;
 pub mod prefix;
+pub mod registry;
+pub mod repeats;
 pub mod retry;
+pub mod rollout;
 pub mod route;
 pub mod spread;
 pub mod subset;
--- /dev/null
+++ b/src/cmd/gateway.rs
@@ -0,0 +1,52 @@
+//! `filbertstack gateway` and `filbertstack gateway-agent`.
+
+use std::path::PathBuf;
+
+use filbertstack_gateway::agent;
+use filbertstack_gateway::entry;
+use filbertstack_gateway::settings::Settings;
+use filbertstack_platform::environment::settings_path;
+use filbertstack_telemetry::Identity;
+use filbertstack_telemetry::Logs;
+use filbertstack_telemetry::Role;
+use filbertstack_telemetry::TelemetrySettings;
+use tokio::runtime::Builder;
+use tokio::runtime::Runtime;
+use tokio::task::LocalSet;
+
+use super::Failure;
+use crate::flags;
+
+pub fn run_entry(flags: &flags::Gateway) -> Result<(), Failure> {
+    let settings = read(flags.settings.as_ref())?;
+    let _logs = start_logs(&settings, Role::Entry)?;
+    let work = LocalSet::new();
+    work.block_on(&event_loop()?, entry::run(settings))?;
+    Ok(())
+}
+
+pub fn run_agent(flags: &flags::GatewayAgent) -> Result<(), Failure> {
+    let settings = read(flags.settings.as_ref())?;
+    let _logs = start_logs(&settings, Role::Agent)?;
+    let work = LocalSet::new();
+    work.block_on(&event_loop()?, agent::run(settings))?;
+    Ok(())
+}
+
+fn read(given: Option<&PathBuf>) -> Result<Settings, Failure> {
+    let path = given.cloned().or_else(settings_path);
+    let path = path.ok_or("no settings file: give --settings FILE")?;
+    Ok(Settings::read(&path)?)
+}
+
+fn start_logs(settings: &Settings, role: Role) -> Result<Logs, Failure> {
+    let identity = Identity::new(role, settings.node.name.as_str());
+    let logs = Logs::start(&TelemetrySettings::default(), &identity)?;
+    logs.make_default();
+    Ok(logs)
+}
+
+/// One thread for everything but the disk: small instances have a part of one core.
+fn event_loop() -> std::io::Result<Runtime> {
+    Builder::new_current_thread().enable_all().build()
+}
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -6,6 +6,7 @@
 mod demo;
 mod drain;
 mod entry;
+mod gateway;
 mod get;
 mod publish;
 mod signals;
@@ -46,6 +47,8 @@
     match command {
         FilbertstackCmd::Entry(flags) => entry::run(&flags),
         FilbertstackCmd::Agent(flags) => agent::run(&flags),
+        FilbertstackCmd::Gateway(flags) => gateway::run_entry(&flags),
+        FilbertstackCmd::GatewayAgent(flags) => gateway::run_agent(&flags),
         FilbertstackCmd::Publish(flags) => publish::run(flags),
         FilbertstackCmd::Apply(flags) => apply::run(flags),
         FilbertstackCmd::Get(flags) => get::run(flags),
--- a/src/flags.rs
+++ b/src/flags.rs
@@ -20,6 +20,18 @@
             required --settings file: PathBuf
         }
 
+        /// Runs an entry on a small instance of the platform: callers, operators and heartbeats.
+        cmd gateway {
+            /// The settings file; by default the one that the platform names.
+            optional --settings file: PathBuf
+        }
+
+        /// Runs the agent beside a model engine of the platform.
+        cmd gateway-agent {
+            /// The settings file; by default the one that the platform names.
+            optional --settings file: PathBuf
+        }
+
         /// Makes a manifest of a folder's files and adds it to the catalogue.
         ///
         /// The manifest is written into the folder, which the origin has to serve.
