--- a/crates/filbertstack-gateway/src/agent/mod.rs
+++ b/crates/filbertstack-gateway/src/agent/mod.rs
@@ -1,14 +1,109 @@
-//! The agent process beside a model engine.
+//! The agent process beside a model engine: it tells the engine's load, passes pieces of weights
+//! on to other agents, and brings its engine from one version to the next.
 
+mod fetch;
+mod peers;
+mod reports;
+mod rollout;
+mod shelf;
+
+use std::net::SocketAddr;
 use std::rc::Rc;
 
+use filbertstack_platform::engine::Holding;
+use spdlog::info;
+use thiserror::Error;
+use tokio::task::spawn_local;
+
+use crate::agent::peers::PieceServer;
+use crate::agent::reports::Engine;
+use crate::agent::shelf::Shelf;
+use crate::clock::Clock;
+use crate::control::follow;
+use crate::control::node::Node;
+use crate::entry::EntryError;
+use crate::entry::server::bind;
+use crate::entry::wait_for_end;
+use crate::link;
+use crate::link::Dialer;
+use crate::link::messages::Interest;
 use crate::settings::Settings;
 
+/// Why an agent could not start.
+#[derive(Debug, Error)]
+pub enum AgentError {
+    /// There is no engine beside it.
+    #[error("the settings name no engine: set 'engine' in [target]")]
+    NoEngine,
+    /// What an entry may fail with, too.
+    #[error(transparent)]
+    Entry(#[from] EntryError),
+}
+
+/// One agent.
+pub(crate) struct Agent {
+    node: Rc<Node>,
+    engine: Engine,
+    shelf: Shelf,
+}
+
+impl Agent {
+    /// The id of its rows.
+    fn id(&self) -> String {
+        format!("agent {}", self.node.settings.node.name)
+    }
+
+    /// The version that its engine should serve: the newest one named, or else the newest that
+    /// any engine serves, as weights that were there from the start are never named.
+    fn wanted(&self) -> Option<Holding> {
+        let served = self.engine.holding();
+        let agents = peers::agents(&self.node);
+        let others = agents.iter().filter(|(_, row)| !row.model.is_empty());
+        let newest = others.max_by_key(|(_, row)| row.version);
+        let model = match (&served, newest) {
+            (Some(own), _) => own.model.clone(),
+            (None, Some((_, row))) => row.model.as_str().into(),
+            (None, None) => return None,
+        };
+        let same = agents.iter().filter(|(_, row)| *row.model == *model);
+        let seen = same.map(|(_, row)| row.version).max().unwrap_or(0);
+        let named = self.node.declared.named(&model);
+        let named = named.last().map_or(0, |named| named.version);
+        let own = served.map_or(0, |own| own.version);
+        let version = seen.max(named).max(own);
+        (version > 0).then_some(Holding { model, version })
+    }
+}
+
 /// Runs an agent until it is told to stop.
 ///
 /// # Errors
-/// [`crate::entry::EntryError`].
-pub async fn run(settings: Settings) -> Result<(), crate::entry::EntryError> {
-    let _ = Rc::new(settings);
-    std::future::pending().await
+/// [`AgentError`] names the remedy.
+pub async fn run(settings: Settings) -> Result<(), AgentError> {
+    let engine: SocketAddr = settings.engine.ok_or(AgentError::NoEngine)?;
+    let link = settings.node.link;
+    let links = bind(link).map_err(|source| EntryError::Bind { addr: link, source })?;
+    info!("agent started", kv: {
+        name = settings.node.name, zone = settings.node.zone, engine = engine.to_string()
+    });
+    let node = Rc::new(Node::new(
+        settings,
+        Clock::default(),
+        Dialer::default(),
+        Interest::Weights,
+        None,
+    ));
+    let agent = Rc::new(Agent {
+        engine: Engine::new(engine),
+        shelf: Shelf::default(),
+        node: node.clone(),
+    });
+    let server = Rc::new(PieceServer::new(agent.clone()));
+    spawn_local(link::serve(links, server));
+    spawn_local(follow::follow_any(node));
+    spawn_local(reports::watch_engine(agent.clone()));
+    spawn_local(rollout::keep_version(agent));
+    wait_for_end().await.map_err(EntryError::Signals)?;
+    info!("stopped");
+    Ok(())
 }
--- /dev/null
+++ b/crates/filbertstack-gateway/src/agent/reports.rs
@@ -0,0 +1,228 @@
+//! What the engine says of itself, and what the voters are told of it.
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use filbertstack_platform::engine::EngineReport;
+use filbertstack_platform::engine::Holding;
+use filbertstack_platform::engine::Outgoing;
+use filbertstack_platform::engine::ask_report;
+use filbertstack_platform::engine::read_report;
+use spdlog::info;
+use tokio::sync::Mutex;
+use tokio::sync::watch;
+use tokio::time::Instant;
+use tokio::time::sleep_until;
+use tokio::time::timeout;
+
+use crate::agent::Agent;
+use crate::client::CallFailure;
+use crate::client::Connection;
+use crate::client::exchange;
+use crate::clock::unix_millis;
+use crate::link::messages::AgentRow;
+use crate::link::messages::Kind;
+use crate::link::messages::LoadRow;
+use crate::link::messages::Row;
+
+/// How often the engine is asked: about two passes of a full batch. More often costs processor
+/// time and tells little; less often, entries send to an engine that has filled up since.
+const PERIOD: Duration = Duration::from_millis(100);
+
+/// How long the engine may take to answer; it is on the same instance.
+const PATIENCE: Duration = Duration::from_millis(500);
+
+/// The longest answer of the engine, in bytes: a piece, or a list of models.
+const LONGEST: usize = 4 << 20;
+
+/// How often what has not changed is told again, so that it counts as alive.
+const AGAIN: Duration = Duration::from_millis(900);
+
+/// The engine beside the agent.
+pub struct Engine {
+    addr: SocketAddr,
+    kept: Mutex<Option<Connection>>,
+    report: RefCell<Option<EngineReport>>,
+    loading: Cell<bool>,
+    news: watch::Sender<u64>,
+}
+
+impl Engine {
+    /// The engine at `addr`, not asked yet.
+    pub fn new(addr: SocketAddr) -> Self {
+        Self {
+            addr,
+            kept: Mutex::default(),
+            report: RefCell::default(),
+            loading: Cell::new(false),
+            news: watch::channel(0).0,
+        }
+    }
+
+    /// What it reported last; `None` while it does not answer.
+    pub fn report(&self) -> Option<EngineReport> {
+        self.report.borrow().clone()
+    }
+
+    /// The weights that it serves.
+    pub fn holding(&self) -> Option<Holding> {
+        self.report.borrow().as_ref()?.holding.clone()
+    }
+
+    /// Notes whether it takes no new work for an order's sake.
+    pub fn set_loading(&self, loading: bool) {
+        self.loading.set(loading);
+    }
+
+    /// Told whenever it serves other weights, or answers again.
+    pub fn watch(&self) -> watch::Receiver<u64> {
+        self.news.subscribe()
+    }
+
+    /// Calls the engine on a kept connection, one call at a time.
+    ///
+    /// # Errors
+    /// [`CallFailure`].
+    pub async fn call(&self, outgoing: Outgoing) -> Result<Bytes, CallFailure> {
+        let mut kept = self.kept.lock().await;
+        let usable = kept.take().filter(Connection::is_ready);
+        let work = async {
+            let mut connection = match usable {
+                Some(connection) => connection,
+                None => Connection::open(self.addr, PATIENCE).await?,
+            };
+            let answer = exchange(&mut connection, self.addr, outgoing, LONGEST).await;
+            // A status is an answer like any other; after any other failure the connection goes.
+            let whole = matches!(answer, Ok(_) | Err(CallFailure::Status(_)));
+            *kept = Some(connection).filter(|_| whole);
+            answer
+        };
+        timeout(PATIENCE, work)
+            .await
+            .unwrap_or(Err(CallFailure::Timeout))
+    }
+
+    async fn ask(&self) {
+        let answer = self.call(ask_report()).await;
+        let read = answer
+            .map_err(|e| e.to_string())
+            .and_then(|body| read_report(&body).map_err(|e| e.to_string()));
+        let before = self.report.borrow().clone();
+        let after = match read {
+            Ok(report) => Some(report),
+            Err(error) => {
+                if before.is_some() {
+                    info!("engine does not report", kv: { error = error });
+                }
+                None
+            }
+        };
+        let held = |report: &Option<EngineReport>| {
+            report.as_ref().map(|r| (r.holding.clone(), r.born))
+        };
+        let changed = held(&before) != held(&after);
+        *self.report.borrow_mut() = after;
+        if changed {
+            self.news.send_modify(|count| *count += 1);
+        }
+    }
+}
+
+/// Asks the engine again and again, and tells the voters what is new.
+pub async fn watch_engine(agent: Rc<Agent>) {
+    let mut teller = Teller::new(&agent);
+    let mut next = Instant::now();
+    loop {
+        agent.engine.ask().await;
+        teller.tell(&agent);
+        // After a pause of the whole instance the reports missed are not made up for.
+        next = (next + PERIOD).max(Instant::now());
+        sleep_until(next).await;
+    }
+}
+
+/// Tells the voters the agent's own rows as they change.
+struct Teller {
+    born: u64,
+    sequence: u64,
+    told: [(Option<Kind>, Instant); 2],
+}
+
+impl Teller {
+    fn new(agent: &Agent) -> Self {
+        let now = Instant::now();
+        info!("rows are told", kv: { id = agent.id() });
+        Self {
+            born: unix_millis(),
+            sequence: 0,
+            told: [(None, now), (None, now)],
+        }
+    }
+
+    fn tell(&mut self, agent: &Agent) {
+        if agent.node.followed().is_none() {
+            return;
+        }
+        let now = Instant::now();
+        let kinds = [agent_row(agent), load_row(agent)];
+        let ids = [agent.id(), format!("load {}", agent.node.settings.node.name)];
+        let mut rows = Vec::new();
+        for ((kind, id), told) in kinds.into_iter().zip(ids).zip(&mut self.told) {
+            if told.0 == kind && now.duration_since(told.1) < AGAIN {
+                continue;
+            }
+            *told = (kind.clone(), now);
+            let Some(kind) = kind else {
+                continue;
+            };
+            self.sequence += 1;
+            rows.push(Row {
+                id,
+                born: self.born,
+                sequence: self.sequence,
+                gone: false,
+                kind: Some(kind),
+            });
+        }
+        if !rows.is_empty() {
+            agent.node.tell_rows(rows);
+        }
+    }
+}
+
+fn agent_row(agent: &Agent) -> Option<Kind> {
+    let node = &agent.node.settings.node;
+    let holding = agent.engine.holding();
+    let shelf = agent.shelf.whole();
+    let model = holding.as_ref().or(shelf.as_ref()).map(|h| h.model.to_string());
+    let served = holding.map_or(0, |h| h.version);
+    Some(Kind::Agent(AgentRow {
+        engine: agent.engine.addr.to_string(),
+        link: node.link.to_string(),
+        zone: node.zone.clone(),
+        model: model.unwrap_or_default(),
+        version: served,
+        loading: agent.engine.loading.get() || agent.engine.report.borrow().is_none(),
+        holds: shelf.map_or(served, |h| h.version.max(served)),
+    }))
+}
+
+fn load_row(agent: &Agent) -> Option<Kind> {
+    let report = agent.engine.report()?;
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "a cast saturates, and a pace of thousands says as much"
+    )]
+    let pace = (report.pace * 100.0) as u32;
+    Some(Kind::Load(LoadRow {
+        engine: agent.engine.addr.to_string(),
+        running: report.running,
+        waiting: report.waiting,
+        pace,
+    }))
+}
--- /dev/null
+++ b/crates/filbertstack-gateway/src/agent/shelf.rs
@@ -0,0 +1,107 @@
+//! Pieces of weights in memory: every one was checked against its digest before it came here.
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::rc::Rc;
+
+use bytes::Bytes;
+use filbertstack_platform::engine::Holding;
+use filbertstack_platform::engine::PieceList;
+use sha2::Digest as _;
+use sha2::Sha256;
+use tokio::sync::watch;
+
+/// The pieces of one version.
+#[derive(Debug)]
+pub struct Set {
+    /// What the pieces must be.
+    pub list: PieceList,
+    pieces: RefCell<BTreeMap<u32, Bytes>>,
+    news: watch::Sender<usize>,
+}
+
+impl Set {
+    /// A set without pieces.
+    pub fn new(list: PieceList) -> Self {
+        Self {
+            list,
+            pieces: RefCell::default(),
+            news: watch::channel(0).0,
+        }
+    }
+
+    /// How many pieces a whole set has.
+    pub fn count(&self) -> u32 {
+        u32::try_from(self.list.digests.len()).unwrap_or(u32::MAX)
+    }
+
+    /// One piece.
+    pub fn piece(&self, number: u32) -> Option<Bytes> {
+        self.pieces.borrow().get(&number).cloned()
+    }
+
+    /// Whether all pieces are there.
+    pub fn is_whole(&self) -> bool {
+        self.pieces.borrow().len() == self.list.digests.len()
+    }
+
+    /// Whether `bytes` are the piece `number`.
+    pub fn fits(&self, number: u32, bytes: &[u8]) -> bool {
+        let digest = self.list.digests.get(number as usize);
+        digest.is_some_and(|digest| Sha256::digest(bytes)[..] == digest[..])
+    }
+
+    /// Keeps a piece if it is what it must be; false otherwise.
+    pub fn put(&self, number: u32, bytes: Bytes) -> bool {
+        if !self.fits(number, &bytes) {
+            return false;
+        }
+        let mut pieces = self.pieces.borrow_mut();
+        pieces.insert(number, bytes);
+        self.news.send_replace(pieces.len());
+        true
+    }
+
+    /// Told whenever a piece comes.
+    pub fn watch(&self) -> watch::Receiver<usize> {
+        self.news.subscribe()
+    }
+}
+
+/// The newest whole set, and the one that is being fetched.
+#[derive(Default)]
+pub struct Shelf {
+    whole: RefCell<Option<Rc<Set>>>,
+    partial: RefCell<Option<Rc<Set>>>,
+}
+
+impl Shelf {
+    /// The version of which all pieces are there.
+    pub fn whole(&self) -> Option<Holding> {
+        let whole = self.whole.borrow();
+        whole.as_ref().map(|set| set.list.weights.clone())
+    }
+
+    /// The set of `weights`, whole or not.
+    pub fn find(&self, weights: &Holding) -> Option<Rc<Set>> {
+        let sets = [self.whole.borrow().clone(), self.partial.borrow().clone()];
+        let mut sets = sets.into_iter().flatten();
+        sets.find(|set| set.list.weights == *weights)
+    }
+
+    /// Begins to gather a set; the one that was being gathered is dropped.
+    pub fn begin(&self, set: Rc<Set>) {
+        *self.partial.borrow_mut() = Some(set);
+    }
+
+    /// Drops the set that was being gathered.
+    pub fn drop_partial(&self) {
+        *self.partial.borrow_mut() = None;
+    }
+
+    /// Keeps a set that has become whole, in place of the older one.
+    pub fn complete(&self, set: Rc<Set>) {
+        *self.whole.borrow_mut() = Some(set);
+        *self.partial.borrow_mut() = None;
+    }
+}
--- a/crates/filbertstack-gateway/src/control/declared.rs
+++ b/crates/filbertstack-gateway/src/control/declared.rs
@@ -3,11 +3,11 @@
 use std::cell::Cell;
 use std::cell::RefCell;
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 
 use filbertstack_control::document::Document;
-use filbertstack_control::document::Weights;
 use filbertstack_core::Millis;
 use filbertstack_core::serving::Catalogue;
 use filbertstack_platform::catalogue;
@@ -16,25 +16,34 @@
 use tokio::sync::watch;
 
 use crate::clock::Clock;
+use crate::link::messages::Declared;
+use crate::link::messages::Interest;
+use crate::link::messages::NamedWeights;
+use crate::link::messages::addr;
 
-/// A version of weights and when this node learned of it.
+/// How many versions of a model's weights are remembered: those that are still being brought to
+/// the engines, as newer ones are named before older ones are in place.
+const VERSIONS: usize = 4;
+
+/// A version of weights and when it was named, as far as this node knows.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Named {
     /// The version.
     pub version: u64,
-    /// When it was learned. A version that was there when the process began may have been named
-    /// long before, and counts as if it had.
+    /// When it was named.
     pub at: Millis,
 }
 
-/// The newest document and versions that this node knows.
+/// The newest document and the latest versions of weights that this node knows.
 #[derive(Debug)]
 pub struct DeclaredState {
     clock: Clock,
     document: RefCell<Document>,
     catalogue: RefCell<Rc<Catalogue>>,
-    weights: RefCell<BTreeMap<Arc<str>, Named>>,
-    /// Whether a voter has told all that is declared since the process began.
+    /// By model, the latest versions in their order.
+    weights: RefCell<BTreeMap<Arc<str>, Vec<Named>>>,
+    origins: RefCell<Vec<SocketAddr>>,
+    /// Whether all that is declared has been told since the process began.
     known: Cell<bool>,
     news: watch::Sender<u64>,
 }
@@ -47,17 +56,13 @@
             document: RefCell::default(),
             catalogue: RefCell::default(),
             weights: RefCell::default(),
+            origins: RefCell::default(),
             known: Cell::new(false),
             news: watch::channel(0).0,
         }
     }
 
-    /// The document in force; its version is 0 if there is none.
-    pub fn document(&self) -> Document {
-        self.document.borrow().clone()
-    }
-
-    /// The document's version.
+    /// The document's version; 0 if there is none.
     pub fn version(&self) -> u64 {
         self.document.borrow().version
     }
@@ -67,14 +72,14 @@
         self.catalogue.borrow().clone()
     }
 
-    /// The newest version of each model's weights.
-    pub fn weights(&self) -> BTreeMap<Arc<str>, Named> {
-        self.weights.borrow().clone()
+    /// The latest versions of a model's weights, in their order.
+    pub fn named(&self, model: &str) -> Vec<Named> {
+        self.weights.borrow().get(model).cloned().unwrap_or_default()
     }
 
-    /// The newest version of a model's weights.
-    pub fn named(&self, model: &str) -> Option<Named> {
-        self.weights.borrow().get(model).copied()
+    /// Where weights come from.
+    pub fn origins(&self) -> Vec<SocketAddr> {
+        self.origins.borrow().clone()
     }
 
     /// Whether requests can be judged: a document has come.
@@ -87,31 +92,73 @@
         self.news.subscribe()
     }
 
-    /// Takes in what a voter says. A lower version than the one held is left out: within one life
-    /// of the process no request may see a document that another has replaced.
-    pub fn take(&self, document: Option<Document>, weights: Vec<Weights>) {
-        let began = !self.known.replace(true);
+    /// What a follower that holds the document `version` needs to be told.
+    pub fn since(&self, version: u64, interest: Interest) -> Declared {
+        let document = self.document.borrow();
+        let wanted = interest == Interest::All && document.version > version;
+        let now = self.clock.now();
+        let mut weights = Vec::new();
+        for (model, versions) in self.weights.borrow().iter() {
+            weights.extend(versions.iter().map(|named| NamedWeights {
+                model: model.to_string(),
+                version: named.version,
+                age_ms: now.since(named.at).0,
+            }));
+        }
+        let origins = self.origins.borrow();
+        Declared {
+            document: wanted.then(|| document.clone()),
+            weights,
+            origins: origins.iter().map(ToString::to_string).collect(),
+        }
+    }
+
+    /// Takes in what the voter that is followed says.
+    pub fn follow(&self, declared: Declared) {
+        let origins = declared.origins.iter().filter_map(|o| addr(o));
+        let origins: Vec<SocketAddr> = origins.collect();
+        if !origins.is_empty() {
+            *self.origins.borrow_mut() = origins;
+        }
+        self.take(declared.document, declared.weights);
+    }
+
+    /// Takes in a document and versions of weights. A lower version than the one held is left
+    /// out: within one life of the process no request may see a document that was replaced.
+    pub fn take(&self, document: Option<Document>, weights: Vec<NamedWeights>) {
+        self.known.set(true);
         let newer = document.filter(|d| d.version > self.version());
         let mut changed = newer.is_some();
         if let Some(document) = newer {
             self.put(document);
         }
-        let now = if began { Millis::ZERO } else { self.clock.now() };
-        let mut held = self.weights.borrow_mut();
-        for weights in weights {
-            let known = held.get(weights.model.as_str()).map_or(0, |n| n.version);
-            if weights.version > known {
-                let (version, at) = (weights.version, now);
-                held.insert(weights.model.into(), Named { version, at });
-                changed = true;
-            }
+        for named in weights {
+            changed |= self.name(named);
         }
-        drop(held);
         if changed {
             self.news.send_modify(|count| *count += 1);
         }
     }
 
+    fn name(&self, named: NamedWeights) -> bool {
+        let now = self.clock.now();
+        let at = Millis(now.0.saturating_sub(named.age_ms));
+        let mut held = self.weights.borrow_mut();
+        let versions = held.entry(named.model.as_str().into()).or_default();
+        let version = named.version;
+        if versions.last().is_some_and(|last| last.version >= version) {
+            return false;
+        }
+        info!("weights named", kv: {
+            model = named.model, version = version, age_ms = named.age_ms
+        });
+        versions.push(Named { version, at });
+        if versions.len() > VERSIONS {
+            versions.remove(0);
+        }
+        true
+    }
+
     fn put(&self, document: Document) {
         let parts = catalogue::read(&document.body);
         let built = parts
@@ -120,6 +167,8 @@
         match built {
             Ok(built) => {
                 info!("configuration in force", kv: { version = document.version });
+                let origins = built.services().filter_map(|s| s.origin);
+                *self.origins.borrow_mut() = origins.collect();
                 *self.catalogue.borrow_mut() = Rc::new(built);
                 *self.document.borrow_mut() = document;
             }
--- a/crates/filbertstack-gateway/src/control/follow.rs
+++ b/crates/filbertstack-gateway/src/control/follow.rs
@@ -8,7 +8,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use filbertstack_control::document::Weights;
 use filbertstack_policy::subset::hash;
 use spdlog::info;
 use tokio::sync::mpsc;
@@ -20,8 +19,9 @@
 use crate::control::node::Node;
 use crate::control::voter::Voter;
 use crate::link::Dialer;
-use crate::link::messages::Declared;
 use crate::link::messages::Follow;
+use crate::link::messages::Interest;
+use crate::link::messages::NamedWeights;
 use crate::link::messages::News;
 use crate::link::messages::Nothing;
 use crate::link::messages::Question;
@@ -50,14 +50,20 @@
     let mut seen = voter.watch();
     loop {
         let documents = seen.borrow_and_update().clone();
-        let document = documents.document().clone();
-        let weights: Vec<Weights> = documents.weights().collect();
-        let newer = document.version > node.declared.version();
-        node.declared.take(Some(document.clone()), weights.clone());
-        node.people.tell(|voter| {
-            let document = newer.then(|| document.clone());
-            let weights = weights.clone();
-            (!voter).then_some(News::Declared(Declared { document, weights }))
+        let held = node.declared.version();
+        let weights = documents.weights().map(|w| NamedWeights {
+            model: w.model,
+            version: w.version,
+            age_ms: 0,
+        });
+        node.declared
+            .take(Some(documents.document().clone()), weights.collect());
+        let entries = node.declared.since(held, Interest::All);
+        let agents = node.declared.since(held, Interest::Weights);
+        node.people.tell(|interest| match interest {
+            Interest::All => Some(News::Declared(entries.clone())),
+            Interest::Weights => Some(News::Declared(agents.clone())),
+            Interest::Registered => None,
         });
         if seen.changed().await.is_err() {
             return;
@@ -128,7 +134,7 @@
     };
     link.tell(News::Follow(Follow {
         version: node.declared.version(),
-        voter: node.voter.is_some(),
+        interest: node.interest.into(),
     }));
     let mut told = false;
     loop {
@@ -158,7 +164,7 @@
 
 fn take(node: &Rc<Node>, news: News) {
     match news {
-        News::Declared(declared) => node.declared.take(declared.document, declared.weights),
+        News::Declared(declared) => node.declared.follow(declared),
         News::Rows(rows) => {
             if rows.whole && node.voter.is_none() {
                 node.people.begin_listing();
@@ -201,7 +207,7 @@
     };
     let follow = Follow {
         version: u64::MAX,
-        voter: true,
+        interest: Interest::Registered.into(),
     };
     link.tell(News::Follow(follow));
     while let Ok(Some(news)) = timeout(SILENT, news.recv()).await {
--- a/crates/filbertstack-gateway/src/control/node.rs
+++ b/crates/filbertstack-gateway/src/control/node.rs
@@ -20,9 +20,9 @@
 use crate::link::Handler;
 use crate::link::LinkError;
 use crate::link::Sender;
-use crate::link::messages::Declared;
 use crate::link::messages::Follow;
 use crate::link::messages::Hop;
+use crate::link::messages::Interest;
 use crate::link::messages::News;
 use crate::link::messages::Nothing;
 use crate::link::messages::Proposal;
@@ -60,6 +60,8 @@
     pub people: People,
     /// Links to peers.
     pub dialer: Dialer,
+    /// What it needs to be told by the voter that it follows.
+    pub interest: Interest,
     /// The voter in this process, if it has a disk.
     pub voter: Option<Rc<Voter>>,
     /// The voter that this node follows, if it is none itself.
@@ -70,13 +72,20 @@
 
 impl Node {
     /// A node that knows nobody yet.
-    pub fn new(settings: Settings, clock: Clock, dialer: Dialer, voter: Option<Rc<Voter>>) -> Self {
+    pub fn new(
+        settings: Settings,
+        clock: Clock,
+        dialer: Dialer,
+        interest: Interest,
+        voter: Option<Rc<Voter>>,
+    ) -> Self {
         Self {
             settings,
             clock,
             declared: DeclaredState::new(clock),
             people: People::new(clock),
             dialer,
+            interest,
             voter,
             followed: Cell::new(None),
             voters: RefCell::default(),
@@ -208,25 +217,26 @@
         }
     }
 
-    /// What is declared, for a follower that holds `version`.
-    fn declared_since(&self, version: u64) -> Option<Declared> {
-        let documents = self.voter.as_ref()?.documents();
-        let document = documents.document();
-        Some(Declared {
-            document: (document.version > version).then(|| document.clone()),
-            weights: documents.weights().collect(),
-        })
-    }
-
     fn attach(&self, follow: &Follow, link: &Sender) {
-        let Some(declared) = self.declared_since(follow.version) else {
+        if self.voter.is_none() {
             return;
-        };
-        link.tell(News::Declared(declared));
-        self.people.follow(link.clone(), follow.voter);
+        }
+        let interest = follow.interest();
+        if interest != Interest::Registered {
+            link.tell(News::Declared(self.declared.since(follow.version, interest)));
+        }
+        self.people.follow(link.clone(), interest);
         link.tell(self.pulse());
     }
 
+    /// Tells the voter that is followed what this process says of itself, without an answer:
+    /// the next statement makes up for one that is lost.
+    pub fn tell_rows(&self, rows: Vec<Row>) {
+        if let Some(voter) = self.followed.get() {
+            self.dialer.tell(voter, News::Rows(Rows { rows, whole: false }));
+        }
+    }
+
     /// The sign of life that followers get.
     pub fn pulse(&self) -> News {
         let voter = self.voter.as_ref();
@@ -274,6 +284,7 @@
                 }
             }
             News::Follow(follow) => self.attach(&follow, sender),
+            News::Rows(rows) if self.voter.is_some() => self.people.take(rows.rows, true),
             News::Declared(_) | News::Rows(_) | News::Pulse(_) => {}
         }
     }
--- a/crates/filbertstack-gateway/src/control/people.rs
+++ b/crates/filbertstack-gateway/src/control/people.rs
@@ -11,6 +11,7 @@
 
 use crate::clock::Clock;
 use crate::link::Sender;
+use crate::link::messages::Interest;
 use crate::link::messages::Kind;
 use crate::link::messages::News;
 use crate::link::messages::Row;
@@ -28,7 +29,7 @@
 
 struct Follower {
     link: Sender,
-    voter: bool,
+    interest: Interest,
 }
 
 /// A row that followers have not been told yet.
@@ -132,9 +133,12 @@
     }
 
     /// Begins to tell a follower on `link`: first all rows, then whatever changes.
-    pub fn follow(&self, link: Sender, voter: bool) {
+    pub fn follow(&self, link: Sender, interest: Interest) {
         let rows = self.rows.borrow();
-        let rows = rows.all().map(|(id, kind, stamp, gone)| row(id, kind, stamp, gone));
+        let rows = rows
+            .all()
+            .filter(|(_, kind, _, _)| concerns(interest, Some(kind)))
+            .map(|(id, kind, stamp, gone)| row(id, kind, stamp, gone));
         let rows = Rows {
             rows: rows.collect(),
             whole: true,
@@ -142,7 +146,7 @@
         link.tell(News::Rows(rows));
         let mut followers = self.followers.borrow_mut();
         followers.retain(|f| !f.link.is_closed());
-        followers.push(Follower { link, voter });
+        followers.push(Follower { link, interest });
     }
 
     /// Tells followers what has changed since the last call.
@@ -151,22 +155,30 @@
         if pending.is_empty() {
             return;
         }
-        let told = |wanted: fn(&&Pending) -> bool| {
-            let rows = pending.iter().filter(wanted);
+        let told = |interest: Interest| {
+            let rows = pending.iter().filter(|p| match interest {
+                Interest::Registered => p.own,
+                _ => p.changed && concerns(interest, p.row.kind.as_ref()),
+            });
             let rows: Vec<Row> = rows.map(|p| p.row.clone()).collect();
             let rows = Rows { rows, whole: false };
             (!rows.rows.is_empty()).then_some(News::Rows(rows))
         };
-        let own = told(|p| p.own);
-        let changed = told(|p| p.changed);
-        self.tell(|voter| if voter { own.clone() } else { changed.clone() });
+        let all = told(Interest::All);
+        let registered = told(Interest::Registered);
+        let weights = told(Interest::Weights);
+        self.tell(|interest| match interest {
+            Interest::All => all.clone(),
+            Interest::Registered => registered.clone(),
+            Interest::Weights => weights.clone(),
+        });
     }
 
     /// Tells each follower the news made for it; one that does not keep up is dropped, and
     /// follows again.
-    pub fn tell(&self, news: impl Fn(bool) -> Option<News>) {
+    pub fn tell(&self, news: impl Fn(Interest) -> Option<News>) {
         let mut followers = self.followers.borrow_mut();
-        followers.retain(|follower| match news(follower.voter) {
+        followers.retain(|follower| match news(follower.interest) {
             Some(news) => follower.link.tell(news) && !follower.link.is_closed(),
             None => !follower.link.is_closed(),
         });
@@ -192,7 +204,7 @@
         let silent = rows.expire(now, |kind| match kind {
             Kind::Target(_) => TARGET_PATIENCE,
             Kind::Entry(_) => ENTRY_PATIENCE,
-            Kind::Agent(_) => AGENT_PATIENCE,
+            Kind::Agent(_) | Kind::Load(_) => AGENT_PATIENCE,
         });
         drop(rows);
         if silent.is_empty() {
@@ -211,6 +223,14 @@
     }
 }
 
+/// Whether a follower needs rows of this kind; one without a kind tells of an end.
+fn concerns(interest: Interest, kind: Option<&Kind>) -> bool {
+    match interest {
+        Interest::All | Interest::Registered => true,
+        Interest::Weights => matches!(kind, None | Some(Kind::Agent(_))),
+    }
+}
+
 fn row(id: &Arc<str>, kind: &Kind, stamp: Stamp, gone: bool) -> Row {
     Row {
         id: id.to_string(),
--- a/crates/filbertstack-gateway/src/entry/mod.rs
+++ b/crates/filbertstack-gateway/src/entry/mod.rs
@@ -29,6 +29,7 @@
 use crate::link;
 use crate::link::Dialer;
 use crate::link::messages::EntryRow;
+use crate::link::messages::Interest;
 use crate::link::messages::Kind;
 use crate::link::messages::Row;
 use crate::request::Requests;
@@ -82,7 +83,13 @@
         Some(data) => Some(Voter::start(&settings.node, data, dialer.clone())?),
         None => None,
     };
-    let node = Rc::new(Node::new(settings.clone(), clock, dialer, voter));
+    let node = Rc::new(Node::new(
+        settings.clone(),
+        clock,
+        dialer,
+        Interest::All,
+        voter,
+    ));
     let requests = Requests::new(node.clone());
     let (leave, leaving) = watch::channel(false);
     serve_all(&node, &requests, &leaving)?;
@@ -190,7 +197,8 @@
     }
 }
 
-async fn wait_for_end() -> io::Result<()> {
+/// Waits for the signal that ends the process.
+pub(crate) async fn wait_for_end() -> io::Result<()> {
     let mut term = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
     let mut hangup = signal(SignalKind::hangup())?;
--- a/crates/filbertstack-gateway/src/link/messages.rs
+++ b/crates/filbertstack-gateway/src/link/messages.rs
@@ -212,9 +212,22 @@
     /// The document's version that the follower holds.
     #[prost(uint64, tag = "1")]
     pub version: u64,
-    /// Whether the follower is a voter, which gets only rows that were registered here.
-    #[prost(bool, tag = "2")]
-    pub voter: bool,
+    /// What the follower is, and so what it needs.
+    #[prost(enumeration = "Interest", tag = "2")]
+    pub interest: i32,
+}
+
+/// What a follower needs to be told.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, prost::Enumeration)]
+#[repr(i32)]
+pub enum Interest {
+    /// An entry: the document, and all rows as they change.
+    All = 0,
+    /// A voter: rows that were registered here, each time.
+    Registered = 1,
+    /// An agent: versions of weights, and who holds them. A document for each of 2,000 agents
+    /// would be too much for their links.
+    Weights = 2,
 }
 
 /// What is declared.
@@ -223,9 +236,26 @@
     /// The newest document, unless the follower holds it.
     #[prost(message, optional, tag = "1")]
     pub document: Option<Document>,
-    /// The newest version of each model's weights.
+    /// The latest versions of each model's weights.
     #[prost(message, repeated, tag = "2")]
-    pub weights: Vec<Weights>,
+    pub weights: Vec<NamedWeights>,
+    /// Where weights come from.
+    #[prost(string, repeated, tag = "3")]
+    pub origins: Vec<String>,
+}
+
+/// A version of weights, and how long ago it was named.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct NamedWeights {
+    /// The model.
+    #[prost(string, tag = "1")]
+    pub model: String,
+    /// The version.
+    #[prost(uint64, tag = "2")]
+    pub version: u64,
+    /// Milliseconds since it was named, as far as the sender knows.
+    #[prost(uint64, tag = "3")]
+    pub age_ms: u64,
 }
 
 /// Rows of the registry.
@@ -255,7 +285,7 @@
     #[prost(bool, tag = "4")]
     pub gone: bool,
     /// What it is.
-    #[prost(oneof = "Kind", tags = "5, 6, 7")]
+    #[prost(oneof = "Kind", tags = "5, 6, 7, 8")]
     pub kind: Option<Kind>,
 }
 
@@ -295,6 +325,9 @@
     /// An agent beside a target.
     #[prost(message, tag = "7")]
     Agent(AgentRow),
+    /// The load of an agent's engine.
+    #[prost(message, tag = "8")]
+    Load(LoadRow),
 }
 
 /// A target, as it announced itself.
@@ -337,7 +370,7 @@
     pub leaving: bool,
 }
 
-/// An agent and the load of its engine.
+/// An agent and the weights that it holds.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct AgentRow {
     /// The engine's address.
@@ -349,24 +382,35 @@
     /// Its availability zone.
     #[prost(string, tag = "3")]
     pub zone: String,
+    /// The model that the engine serves; empty if none yet.
+    #[prost(string, tag = "4")]
+    pub model: String,
+    /// The version of the weights that the engine serves; 0 if none.
+    #[prost(uint64, tag = "5")]
+    pub version: u64,
+    /// Whether the engine takes no new work, as it is being brought to another version.
+    #[prost(bool, tag = "6")]
+    pub loading: bool,
+    /// The newest version of which the agent holds all pieces; 0 if none.
+    #[prost(uint64, tag = "7")]
+    pub holds: u64,
+}
+
+/// The load of an engine.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct LoadRow {
+    /// The engine's address.
+    #[prost(string, tag = "1")]
+    pub engine: String,
     /// Requests that the engine runs.
-    #[prost(uint32, tag = "4")]
+    #[prost(uint32, tag = "2")]
     pub running: u32,
     /// Requests that wait in the engine.
-    #[prost(uint32, tag = "5")]
+    #[prost(uint32, tag = "3")]
     pub waiting: u32,
     /// How many percent of its usual time the engine takes.
-    #[prost(uint32, tag = "6")]
+    #[prost(uint32, tag = "4")]
     pub pace: u32,
-    /// Whether the engine takes no new work, as it is being brought to another version.
-    #[prost(bool, tag = "7")]
-    pub loading: bool,
-    /// The version of the weights that the engine serves; 0 if none.
-    #[prost(uint64, tag = "8")]
-    pub version: u64,
-    /// The newest version of which the agent holds all pieces.
-    #[prost(uint64, tag = "9")]
-    pub holds: u64,
 }
 
 /// A voter's sign of life.
--- a/crates/filbertstack-gateway/src/request/targets.rs
+++ b/crates/filbertstack-gateway/src/request/targets.rs
@@ -7,7 +7,7 @@
 use std::sync::Arc;
 
 use filbertstack_core::Millis;
-use filbertstack_core::serving::Service;
+use filbertstack_core::serving::EngineModel;
 use filbertstack_policy::dispatch::Dispatcher;
 use filbertstack_policy::dispatch::Ended;
 use filbertstack_policy::dispatch::Load;
@@ -18,10 +18,10 @@
 use filbertstack_policy::registry::Stamp;
 use filbertstack_policy::rollout;
 
-use crate::control::declared::Named;
 use crate::control::node::Node;
 use crate::link::messages::AgentRow;
 use crate::link::messages::Kind;
+use crate::link::messages::LoadRow;
 use crate::link::messages::TargetRow;
 use crate::link::messages::addr;
 
@@ -29,12 +29,19 @@
 pub struct Targets {
     node: Rc<Node>,
     dispatcher: RefCell<Dispatcher>,
-    addrs: RefCell<BTreeMap<TargetId, SocketAddr>>,
+    places: RefCell<BTreeMap<TargetId, Place>>,
     /// The last load report of each target that was counted: counted twice, it would hide the
     /// requests sent since.
     counted: RefCell<BTreeMap<TargetId, Stamp>>,
 }
 
+/// Where a target serves, and the version of weights that it must show.
+#[derive(Clone, Copy, Debug)]
+struct Place {
+    addr: SocketAddr,
+    version: Option<u64>,
+}
+
 /// A target that was chosen.
 #[derive(Clone, Debug)]
 pub struct Chosen {
@@ -52,7 +59,7 @@
         Self {
             node,
             dispatcher: RefCell::new(dispatcher),
-            addrs: RefCell::default(),
+            places: RefCell::default(),
             counted: RefCell::default(),
         }
     }
@@ -61,24 +68,32 @@
     pub fn refresh(&self) {
         let rows = self.node.people.present();
         let now = self.node.clock.now();
-        let agents: BTreeMap<&str, (&AgentRow, Stamp)> = rows
+        let agents: BTreeMap<&str, &AgentRow> = rows
+            .iter()
+            .filter_map(|(_, kind, _)| match kind {
+                Kind::Agent(agent) => Some((agent.engine.as_str(), agent)),
+                _ => None,
+            })
+            .collect();
+        let told: BTreeMap<&str, (&LoadRow, Stamp)> = rows
             .iter()
             .filter_map(|(_, kind, stamp)| match kind {
-                Kind::Agent(agent) => Some((agent.engine.as_str(), (agent, *stamp))),
+                Kind::Load(load) => Some((load.engine.as_str(), (load, *stamp))),
                 _ => None,
             })
             .collect();
         let mut offered = Vec::new();
         let mut loads = Vec::new();
-        let mut addrs = BTreeMap::new();
+        let mut places = BTreeMap::new();
         for (id, row, addr) in latest(&rows) {
             let agent = agents.get(row.addr.as_str()).copied();
-            offered.push(self.offered(id, row, agent.map(|(a, _)| a), now));
-            addrs.insert(id.clone(), addr);
-            if let Some((agent, stamp)) = agent
+            let (target, version) = self.offered(id, row, agent, now);
+            offered.push(target);
+            places.insert(id.clone(), Place { addr, version });
+            if let Some((row, stamp)) = told.get(row.addr.as_str()).copied()
                 && self.counted.borrow_mut().insert(id.clone(), stamp) != Some(stamp)
             {
-                loads.push((id.clone(), load(agent)));
+                loads.push((id.clone(), load(row)));
             }
         }
         let mut dispatcher = self.dispatcher.borrow_mut();
@@ -86,59 +101,44 @@
         for (id, load) in loads {
             dispatcher.report(now, &id, load);
         }
-        self.counted.borrow_mut().retain(|id, _| addrs.contains_key(id));
-        *self.addrs.borrow_mut() = addrs;
+        self.counted.borrow_mut().retain(|id, _| places.contains_key(id));
+        *self.places.borrow_mut() = places;
     }
 
+    /// The target as the policy sees it, and the version of weights that it must show.
     fn offered(
         &self,
         id: &TargetId,
         row: &TargetRow,
         agent: Option<&AgentRow>,
         now: Millis,
-    ) -> Offered {
+    ) -> (Offered, Option<u64>) {
         let catalogue = self.node.declared.catalogue();
         let service = catalogue.service(&row.service);
         let engine = service.and_then(|s| s.engine.clone()).map(Arc::new);
-        let open = match &engine {
-            Some(_) => self.serves(row, agent, service, now),
-            None => true,
-        };
-        Offered {
+        // The agent beside the engine knows first.
+        let version = agent.map_or(row.version, |agent| agent.version);
+        let floor = engine.as_deref().map_or(0, |e| self.floor(e, now));
+        let loading = agent.is_some_and(|agent| agent.loading);
+        let serves = engine.is_none() || (version > 0 && version >= floor && !loading);
+        let offered = Offered {
             id: id.clone(),
             service: row.service.as_str().into(),
             slots: row.slots,
             near: row.zone == self.node.settings.node.zone,
             engine,
-            open: open && !row.draining,
-        }
-    }
-
-    /// Whether an engine holds weights that may answer now.
-    fn serves(
-        &self,
-        row: &TargetRow,
-        agent: Option<&AgentRow>,
-        service: Option<&Arc<Service>>,
-        now: Millis,
-    ) -> bool {
-        // The agent beside the engine knows first.
-        let version = agent.map_or(row.version, |a| a.version.max(row.version));
-        if version == 0 || agent.is_some_and(|a| a.loading) {
-            return false;
-        }
-        let named = service.and_then(|s| self.named(s));
-        named.is_none_or(|named| version >= named.version || !self.is_binding(named, now))
-    }
-
-    fn named(&self, service: &Service) -> Option<Named> {
-        let model = service.engine.as_ref()?.models.first()?;
-        self.node.declared.named(model)
+            open: serves && !row.draining,
+        };
+        (offered, (floor > 0).then_some(version))
     }
 
-    fn is_binding(&self, named: Named, now: Millis) -> bool {
+    /// The oldest version of weights that may still answer; 0 if any may.
+    fn floor(&self, engine: &EngineModel, now: Millis) -> u64 {
         let bound = Millis::from(self.node.settings.bounds.rollout);
-        rollout::is_binding(now.since(named.at), bound)
+        let named = engine.models.first().map(|m| self.node.declared.named(m));
+        let named = named.unwrap_or_default().into_iter();
+        let ages = named.map(|named| (named.version, now.since(named.at)));
+        rollout::floor(ages, bound)
     }
 
     /// Chooses a target for a request.
@@ -148,15 +148,16 @@
     pub fn choose(&self, wanted: &Wanted<'_>) -> Result<Chosen, Refused> {
         let now = self.node.clock.now();
         let id = self.dispatcher.borrow_mut().choose(now, wanted)?;
-        let addr = self.addrs.borrow().get(&id).copied();
-        // Both are replaced together, so a target that is offered has an address.
-        let addr = addr.ok_or(Refused::NoTarget {
+        let place = self.places.borrow().get(&id).copied();
+        // Both are replaced together, so a target that is offered has a place.
+        let place = place.ok_or(Refused::NoTarget {
             after: Millis::secs(1),
         })?;
-        let catalogue = self.node.declared.catalogue();
-        let named = catalogue.service(wanted.service).and_then(|s| self.named(s));
-        let version = named.filter(|n| self.is_binding(*n, now)).map(|n| n.version);
-        Ok(Chosen { id, addr, version })
+        Ok(Chosen {
+            id,
+            addr: place.addr,
+            version: place.version,
+        })
     }
 
     /// Counts a request that is sent.
@@ -204,10 +205,10 @@
     by_addr.into_iter().map(|(addr, (_, id, row))| (id, row, addr))
 }
 
-fn load(agent: &AgentRow) -> Load {
+fn load(row: &LoadRow) -> Load {
     Load {
-        running: agent.running,
-        waiting: agent.waiting,
-        pace: f64::from(agent.pace) / 100.0,
+        running: row.running,
+        waiting: row.waiting,
+        pace: f64::from(row.pace) / 100.0,
     }
 }
--- a/crates/filbertstack-policy/src/lib.rs
+++ b/crates/filbertstack-policy/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod gossip;
 pub mod limit;
 pub mod outlier;
+pub mod pieces;
 pub mod placement;
 pub mod prefix;
 pub mod registry;
--- a/crates/filbertstack-policy/src/rollout.rs
+++ b/crates/filbertstack-policy/src/rollout.rs
@@ -10,8 +10,6 @@
 
 use filbertstack_core::Millis;
 
-use crate::subset::hash;
-
 /// The part of the time for a rollout after which a target must hold the new version to be used.
 /// What is left covers a request's way and its wait in the engine.
 const BINDING: f64 = 0.88;
@@ -26,17 +24,19 @@
 /// How many waves: each takes a third of the engines out.
 pub const WAVES: u64 = 3;
 
-/// Whether a version named `since` ago is the only one that may answer.
-pub fn is_binding(since: Millis, bound: Millis) -> bool {
-    since >= part(bound, BINDING)
+/// The oldest version that may still answer, given each version and how long ago it was named.
+/// 0 if any may.
+pub fn floor(named: impl Iterator<Item = (u64, Millis)>, bound: Millis) -> u64 {
+    let binding = named.filter(|(_, since)| *since >= part(bound, BINDING));
+    binding.map(|(version, _)| version).max().unwrap_or(0)
 }
 
-/// How long after a version was named the engine `name` is ordered to load it. `names` are all
-/// engines of the model; which wave one is in goes by its rank, so that waves are of one size.
-pub fn order_after(name: &str, names: &[Arc<str>], bound: Millis) -> Millis {
-    let own = hash(name);
-    let rank = names.iter().filter(|other| hash(other) < own).count();
-    let wave = u64::try_from(rank).unwrap_or(0) % WAVES;
+/// How long after a version was named the engine of `own` is ordered to load it. `agents` are
+/// those of all engines of the model, in one order everywhere; which wave one is in goes by its
+/// place there, so that waves are of one size.
+pub fn order_after(own: &str, agents: &[Arc<str>], bound: Millis) -> Millis {
+    let place = agents.iter().position(|agent| &**agent == own).unwrap_or(0);
+    let wave = u64::try_from(place).unwrap_or(0) % WAVES;
     let (first, last) = (part(bound, FIRST_WAVE), part(bound, LAST_WAVE));
     Millis(first.0 + (last.0 - first.0) * wave / (WAVES - 1))
 }
