--- a/crates/filbertstack-gateway/src/agent/fetch.rs
+++ b/crates/filbertstack-gateway/src/agent/fetch.rs
@@ -1,23 +1,30 @@
 //! Gathering all pieces of one version.
 
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
+use std::time::Instant;
 
 use bytes::Bytes;
 use filbertstack_control::document::Weights;
+use filbertstack_core::Millis;
 use filbertstack_platform::engine::Holding;
 use filbertstack_platform::engine::PieceList;
 use filbertstack_platform::engine::ask_manifest;
 use filbertstack_platform::engine::ask_piece;
 use filbertstack_platform::engine::read_manifest;
-use filbertstack_policy::pieces::Source;
+use filbertstack_policy::pieces::Plan;
 use filbertstack_policy::pieces::order;
-use filbertstack_policy::pieces::sources;
+use filbertstack_policy::pieces::plan;
 use futures_util::StreamExt as _;
 use futures_util::stream;
 use spdlog::info;
 use spdlog::warn;
+use tokio::sync::Semaphore;
 use tokio::time::sleep;
 
 use crate::agent::Agent;
@@ -25,20 +32,41 @@
 use crate::agent::peers::OWNER_WAIT;
 use crate::agent::shelf::Set;
 use crate::client::call;
+use crate::link::LinkError;
 use crate::link::messages::PieceName;
 use crate::link::messages::Question;
 use crate::link::messages::Reply;
 
-/// How many pieces are asked for at once: enough that the link is never idle while an owner still
-/// waits for its own.
-const WINDOW: usize = 12;
+/// How many pieces are looked for at once. Waiting for one costs nothing but a question, and a
+/// piece whose owner is slow must not keep others from being looked for.
+const WINDOW: usize = 64;
 
-/// How long one source may take for a piece: what an owner lets others wait, and the way.
-const PEER: Duration = OWNER_WAIT.saturating_add(Duration::from_millis(400));
+/// How long one agent may take for a piece: a whole copy passes its link meanwhile, as it serves
+/// others too.
+const PEER: Duration = Duration::from_millis(2_500);
+
+/// How long an agent may send nothing at all while it is asked for pieces. One that gets on sends
+/// a piece to somebody each 50 ms, and its turns go round.
+const PEER_SILENT: Duration = Duration::from_millis(1_200);
+
+/// How long an agent may take to say whether it has a piece: what it lets others wait, and the
+/// way.
+const HAS: Duration = OWNER_WAIT.saturating_add(Duration::from_millis(400));
+
+/// The pause before it is asked again whether an owner has a piece, when it has.
+const HAS_AGAIN: Duration = Duration::from_millis(300);
+
+/// How many pieces come in at once. One after the other, the first can be passed on while the next
+/// is on its way.
+const DOWNLOADS: usize = 4;
+
+/// For how long an agent that let a question time out is asked for nothing else: it is frozen or
+/// its link is narrow, and others have what it has.
+const PASSED_OVER: Duration = Duration::from_secs(2);
 
 /// How long the origin may take for a piece while all owners ask at once: a copy of all pieces
 /// takes its link a second or two.
-const ORIGIN: Duration = Duration::from_secs(3);
+const ORIGIN: Duration = Duration::from_millis(2_500);
 
 /// How long a list of pieces may take: it is short.
 const LIST: Duration = Duration::from_millis(800);
@@ -49,55 +77,189 @@
 /// The longest list of pieces, in bytes: those of some thousand pieces.
 const LONGEST_LIST: usize = 1 << 20;
 
-/// After how many rounds without a right piece the list itself is doubted and fetched again.
-const ROUNDS: u32 = 3;
+/// After how many wrong bytes for one piece the list itself is doubted and fetched again.
+const WRONG: u32 = 4;
 
 /// Gathers the pieces of `weights` on the shelf. Ends when they are all there; dropped, it
 /// stops, and what came stays.
 pub async fn gather(agent: &Rc<Agent>, weights: &Holding) -> Rc<Set> {
+    let fetch = Fetch {
+        agent: agent.clone(),
+        weights: weights.clone(),
+        began: Instant::now(),
+        slow: RefCell::default(),
+        downloads: Semaphore::new(DOWNLOADS),
+    };
     loop {
         let set = match agent.shelf.find(weights) {
             Some(set) => set,
-            None => Rc::new(Set::new(fetch_list(agent, weights).await)),
+            None => Rc::new(Set::new(fetch.list().await)),
         };
         agent.shelf.begin(set.clone());
-        let own = agent.id();
-        let zone = &agent.node.settings.node.zone;
-        let peers = peers::peers(&agent.node, weights);
-        let wanted = order(&own, zone, &peers, set.count());
-        let missing = wanted.into_iter().filter(|n| set.piece(*n).is_none());
-        let all = stream::iter(missing)
-            .map(|number| fetch_piece(agent, &set, number))
-            .buffer_unordered(WINDOW)
-            .all(|came| async move { came })
-            .await;
-        if all && set.is_whole() {
+        if fetch.pieces(&set).await {
             agent.shelf.complete(set.clone());
-            info!("all pieces are there", kv: { version = weights.version });
+            info!("all pieces are there", kv: {
+                version = weights.version, took_ms = fetch.began.elapsed().as_millis()
+            });
             return set;
         }
         warn!("pieces do not fit their list, which is fetched again",
             kv: { version = weights.version });
         agent.shelf.drop_partial();
-        sleep(PAUSE).await;
     }
 }
 
-async fn fetch_list(agent: &Rc<Agent>, weights: &Holding) -> PieceList {
-    loop {
-        let own = agent.id();
-        let zone = &agent.node.settings.node.zone;
-        let peers = peers::peers(&agent.node, weights);
-        for source in sources(&own, zone, &peers, 0) {
-            let list = match source {
-                Source::Peer(id) => list_of_peer(agent, weights, &id).await,
-                Source::Origin => list_of_origin(agent, weights).await,
-            };
-            if let Some(list) = list {
+/// One agent's fetch of one version.
+struct Fetch {
+    agent: Rc<Agent>,
+    weights: Holding,
+    began: Instant,
+    /// Agents that did not answer in time, and when.
+    slow: RefCell<BTreeMap<Arc<str>, Instant>>,
+    downloads: Semaphore,
+}
+
+impl Fetch {
+    fn plan(&self, piece: u32) -> Plan {
+        let peers = peers::peers(&self.agent.node, &self.weights);
+        let zone = &self.agent.node.settings.node.zone;
+        plan(&self.agent.id(), zone, &peers, piece)
+    }
+
+    async fn list(&self) -> PieceList {
+        loop {
+            let plan = self.plan(0);
+            for id in plan.near.iter().chain(&plan.far) {
+                if let Some(list) = list_of_peer(&self.agent, &self.weights, id).await {
+                    return list;
+                }
+            }
+            if let Some(list) = list_of_origin(&self.agent, &self.weights).await {
                 return list;
             }
+            sleep(PAUSE).await;
+        }
+    }
+
+    /// Fetches all pieces; false if some do not fit the list.
+    async fn pieces(&self, set: &Rc<Set>) -> bool {
+        let peers = peers::peers(&self.agent.node, &self.weights);
+        let zone = &self.agent.node.settings.node.zone;
+        let wanted = order(&self.agent.id(), zone, &peers, set.count());
+        let missing = wanted.into_iter().filter(|n| set.piece(*n).is_none());
+        let all = stream::iter(missing)
+            .map(|number| self.piece(set, number))
+            .buffer_unordered(WINDOW)
+            .all(|fits| async move { fits })
+            .await;
+        all && set.is_whole()
+    }
+
+    /// Fetches one piece from other agents and, when it may be asked, from the origin at the same
+    /// time; false if what comes never fits the list.
+    async fn piece(&self, set: &Rc<Set>, number: u32) -> bool {
+        let wrong = Cell::new(0);
+        tokio::select! {
+            () = self.from_peers(set, number) => true,
+            () = self.from_origin(set, number, &wrong) => wrong.get() < WRONG,
+        }
+    }
+
+    async fn from_peers(&self, set: &Rc<Set>, number: u32) {
+        loop {
+            for id in self.asked(number) {
+                let bytes = self.from_peer(number, &id).await;
+                if bytes.is_some_and(|bytes| set.put(number, bytes)) {
+                    return;
+                }
+            }
+            sleep(PAUSE).await;
+        }
+    }
+
+    /// The agents to ask for a piece now.
+    fn asked(&self, number: u32) -> Vec<Arc<str>> {
+        let plan = self.plan(number);
+        let spent = Millis::from(self.began.elapsed());
+        let mut asked = plan.near;
+        asked.retain(|id| !self.is_slow(id));
+        if asked.is_empty() || spent >= plan.far_after {
+            asked.extend(plan.far.into_iter().filter(|id| !self.is_slow(id)));
+        }
+        asked
+    }
+
+    fn is_slow(&self, id: &str) -> bool {
+        let slow = self.slow.borrow();
+        slow.get(id).is_some_and(|at| at.elapsed() < PASSED_OVER)
+    }
+
+    async fn from_peer(&self, number: u32, id: &Arc<str>) -> Option<Bytes> {
+        let place = peers::place(&self.agent.node, id)?;
+        let weights = named(&self.weights);
+        let name = PieceName { weights, number };
+        let dialer = &self.agent.node.dialer;
+        let has = dialer.ask(place, Question::Has(name.clone()), HAS).await;
+        if let Err(error) = has {
+            if !matches!(error, LinkError::Failed(_)) {
+                self.slow.borrow_mut().insert(id.clone(), Instant::now());
+            }
+            return None;
+        }
+        let _slot = self.downloads.acquire().await.ok()?;
+        let question = Question::Piece(name);
+        match dialer.ask_patiently(place, question, PEER, PEER_SILENT).await {
+            Ok(Reply::Piece(bytes)) => Some(bytes),
+            Err(LinkError::Timeout | LinkError::Broken { .. }) => {
+                self.slow.borrow_mut().insert(id.clone(), Instant::now());
+                None
+            }
+            _ => None,
+        }
+    }
+
+    /// Whether one of the owners has the piece: then it comes from there, and the origin's link is
+    /// left to those pieces that nobody has.
+    async fn has_any(&self, number: u32, owners: &[Arc<str>]) -> bool {
+        let asked = owners.iter().map(|id| async move {
+            let Some(place) = peers::place(&self.agent.node, id) else {
+                return false;
+            };
+            let weights = named(&self.weights);
+            let question = Question::Has(PieceName { weights, number });
+            let answer = self.agent.node.dialer.ask(place, question, HAS).await;
+            answer.is_ok()
+        });
+        let answers = futures_util::future::join_all(asked).await;
+        answers.contains(&true)
+    }
+
+    /// Ends when the piece came, or when what came was wrong too often.
+    async fn from_origin(&self, set: &Rc<Set>, number: u32, wrong: &Cell<u32>) {
+        loop {
+            let plan = self.plan(number);
+            let after = Duration::from(plan.origin_after);
+            let spent = self.began.elapsed();
+            if spent < after {
+                sleep((after - spent).min(PAUSE)).await;
+                continue;
+            }
+            if self.has_any(number, &plan.owners).await {
+                sleep(HAS_AGAIN).await;
+                continue;
+            }
+            if let Some(bytes) = piece_of_origin(&self.agent, set, number).await {
+                if set.put(number, bytes) {
+                    return;
+                }
+                wrong.set(wrong.get() + 1);
+                info!("piece of the origin is wrong", kv: { number = number });
+                if wrong.get() >= WRONG {
+                    return;
+                }
+            }
+            sleep(PAUSE).await;
         }
-        sleep(PAUSE).await;
     }
 }
 
@@ -133,46 +295,6 @@
     }
 }
 
-/// Fetches one piece from one source after the other; false if none gave the right bytes in
-/// several rounds.
-async fn fetch_piece(agent: &Rc<Agent>, set: &Rc<Set>, number: u32) -> bool {
-    let weights = &set.list.weights;
-    let own = agent.id();
-    let zone = &agent.node.settings.node.zone;
-    for _ in 0..ROUNDS {
-        let peers = peers::peers(&agent.node, weights);
-        for source in sources(&own, zone, &peers, number) {
-            if set.piece(number).is_some() {
-                return true;
-            }
-            let bytes = match &source {
-                Source::Peer(id) => piece_of_peer(agent, weights, number, id).await,
-                Source::Origin => piece_of_origin(agent, set, number).await,
-            };
-            if bytes.is_some_and(|bytes| set.put(number, bytes)) {
-                return true;
-            }
-        }
-        sleep(PAUSE).await;
-    }
-    false
-}
-
-async fn piece_of_peer(
-    agent: &Rc<Agent>,
-    weights: &Holding,
-    number: u32,
-    id: &str,
-) -> Option<Bytes> {
-    let place = peers::place(&agent.node, id)?;
-    let weights = named(weights);
-    let question = Question::Piece(PieceName { weights, number });
-    match agent.node.dialer.ask(place, question, PEER).await {
-        Ok(Reply::Piece(bytes)) => Some(bytes),
-        _ => None,
-    }
-}
-
 async fn piece_of_origin(agent: &Rc<Agent>, set: &Rc<Set>, number: u32) -> Option<Bytes> {
     let longest = set.list.bytes as usize;
     let outgoing = ask_piece(&set.list.weights, number);
--- a/crates/filbertstack-gateway/src/agent/mod.rs
+++ b/crates/filbertstack-gateway/src/agent/mod.rs
@@ -29,6 +29,9 @@
 use crate::link::messages::Interest;
 use crate::settings::Settings;
 
+/// The version of weights that were there before any was named.
+const FIRST_VERSION: u64 = 1;
+
 /// Why an agent could not start.
 #[derive(Debug, Error)]
 pub enum AgentError {
@@ -57,21 +60,19 @@
     /// any engine serves, as weights that were there from the start are never named.
     fn wanted(&self) -> Option<Holding> {
         let served = self.engine.holding();
-        let agents = peers::agents(&self.node);
-        let others = agents.iter().filter(|(_, row)| !row.model.is_empty());
-        let newest = others.max_by_key(|(_, row)| row.version);
-        let model = match (&served, newest) {
-            (Some(own), _) => own.model.clone(),
-            (None, Some((_, row))) => row.model.as_str().into(),
-            (None, None) => return None,
+        let declared = &self.node.declared;
+        let model = match &served {
+            Some(own) => own.model.clone(),
+            None => declared.model(&self.node.settings.target.service)?,
         };
+        let agents = peers::agents(&self.node);
         let same = agents.iter().filter(|(_, row)| *row.model == *model);
         let seen = same.map(|(_, row)| row.version).max().unwrap_or(0);
-        let named = self.node.declared.named(&model);
+        let named = declared.named(&model);
         let named = named.last().map_or(0, |named| named.version);
         let own = served.map_or(0, |own| own.version);
-        let version = seen.max(named).max(own);
-        (version > 0).then_some(Holding { model, version })
+        let version = seen.max(named).max(own).max(FIRST_VERSION);
+        Some(Holding { model, version })
     }
 }
 
@@ -80,7 +81,7 @@
 /// # Errors
 /// [`AgentError`] names the remedy.
 pub async fn run(settings: Settings) -> Result<(), AgentError> {
-    let engine: SocketAddr = settings.engine.ok_or(AgentError::NoEngine)?;
+    let engine: SocketAddr = settings.target.engine.ok_or(AgentError::NoEngine)?;
     let link = settings.node.link;
     let links = bind(link).map_err(|source| EntryError::Bind { addr: link, source })?;
     info!("agent started", kv: {
--- a/crates/filbertstack-gateway/src/agent/peers.rs
+++ b/crates/filbertstack-gateway/src/agent/peers.rs
@@ -15,24 +15,26 @@
 use crate::agent::Agent;
 use crate::agent::shelf::Set;
 use crate::control::node::Node;
+use crate::link::Given;
 use crate::link::Handler;
 use crate::link::Sender;
 use crate::link::messages::AgentRow;
 use crate::link::messages::Kind;
 use crate::link::messages::Manifest;
 use crate::link::messages::News;
+use crate::link::messages::Nothing;
 use crate::link::messages::PieceName;
 use crate::link::messages::Question;
 use crate::link::messages::Reply;
 use crate::link::messages::addr;
 
-/// How long an owner that has a piece under way lets others wait for it. Its asker's patience is
-/// a little longer, so that it learns that it is not there yet.
-pub const OWNER_WAIT: Duration = Duration::from_millis(1_800);
+/// How long an owner that has a piece under way lets others wait for it, before it says that the
+/// piece is not there yet.
+pub const OWNER_WAIT: Duration = Duration::from_millis(700);
 
-/// The most pieces that are handed out at once: beyond it they wait their turn, or the pieces in
-/// memory for slow links would pile up.
-const UPLOADS: usize = 6;
+/// The most pieces that go out at once. One after the other, the first can be passed on while the
+/// next is on its way; all at once, each arrives when all do.
+const UPLOADS: usize = 3;
 
 /// The agents that are there, with their ids.
 pub fn agents(node: &Node) -> Vec<(Arc<str>, AgentRow)> {
@@ -66,7 +68,7 @@
 /// Answers other agents.
 pub struct PieceServer {
     agent: Rc<Agent>,
-    uploads: Semaphore,
+    uploads: Arc<Semaphore>,
 }
 
 impl PieceServer {
@@ -74,22 +76,20 @@
     pub fn new(agent: Rc<Agent>) -> Self {
         Self {
             agent,
-            uploads: Semaphore::new(UPLOADS),
+            uploads: Arc::new(Semaphore::new(UPLOADS)),
         }
     }
 
-    async fn piece(&self, name: PieceName) -> Reply {
+    async fn piece(&self, name: PieceName) -> Given {
         let weights = holding(&name.weights);
         let found = match self.agent.shelf.find(&weights) {
-            Some(set) => await_piece(&set, name.number).await,
+            Some(set) => set.piece(name.number),
             None => self.staged(&weights, name.number).await,
         };
-        let Ok(_slot) = self.uploads.acquire().await else {
-            return Reply::Failed("the agent ends; ask another".into());
-        };
-        match found {
-            Some(bytes) => Reply::Piece(bytes),
-            None => Reply::Failed("the piece is not here yet; ask another agent".into()),
+        let slot = self.uploads.clone().acquire_owned().await;
+        match found.zip(slot.ok()) {
+            Some((bytes, slot)) => Given::slowly(Reply::Piece(bytes), slot),
+            None => Reply::Failed("the piece is not here; ask another agent".into()).into(),
         }
     }
 
@@ -103,6 +103,19 @@
         staged.await.ok()
     }
 
+    /// Whether a piece is here, or comes while the asker waits.
+    async fn has(&self, name: &PieceName) -> Reply {
+        let weights = holding(&name.weights);
+        let here = match self.agent.shelf.find(&weights) {
+            Some(set) => await_piece(&set, name.number).await,
+            None => self.agent.engine.holding().as_ref() == Some(&weights),
+        };
+        if here {
+            return Reply::Done(Nothing {});
+        }
+        Reply::Failed("the piece is not here; ask another agent".into())
+    }
+
     fn manifest(&self, weights: &Holding) -> Reply {
         let Some(set) = self.agent.shelf.find(weights) else {
             return Reply::Failed("the list of pieces is not here; ask another agent".into());
@@ -114,17 +127,16 @@
     }
 }
 
-async fn await_piece(set: &Rc<Set>, number: u32) -> Option<Bytes> {
+async fn await_piece(set: &Rc<Set>, number: u32) -> bool {
     let mut news = set.watch();
     let wait = async {
-        loop {
-            if let Some(bytes) = set.piece(number) {
-                return Some(bytes);
+        while set.piece(number).is_none() {
+            if news.changed().await.is_err() {
+                return;
             }
-            news.changed().await.ok()?;
         }
     };
-    timeout(OWNER_WAIT, wait).await.ok()?
+    timeout(OWNER_WAIT, wait).await.is_ok()
 }
 
 fn holding(weights: &filbertstack_control::document::Weights) -> Holding {
@@ -135,10 +147,11 @@
 }
 
 impl Handler for PieceServer {
-    async fn answer(self: Rc<Self>, question: Question) -> Reply {
+    async fn answer(self: Rc<Self>, question: Question) -> Given {
         match question {
             Question::Piece(name) => self.piece(name).await,
-            Question::Manifest(weights) => self.manifest(&holding(&weights)),
+            Question::Has(name) => self.has(&name).await.into(),
+            Question::Manifest(weights) => self.manifest(&holding(&weights)).into(),
             question => self.agent.node.clone().answer(question).await,
         }
     }
--- a/crates/filbertstack-gateway/src/control/declared.rs
+++ b/crates/filbertstack-gateway/src/control/declared.rs
@@ -19,6 +19,7 @@
 use crate::link::messages::Declared;
 use crate::link::messages::Interest;
 use crate::link::messages::NamedWeights;
+use crate::link::messages::ServedModel;
 use crate::link::messages::addr;
 
 /// How many versions of a model's weights are remembered: those that are still being brought to
@@ -43,6 +44,7 @@
     /// By model, the latest versions in their order.
     weights: RefCell<BTreeMap<Arc<str>, Vec<Named>>>,
     origins: RefCell<Vec<SocketAddr>>,
+    models: RefCell<Vec<ServedModel>>,
     /// Whether all that is declared has been told since the process began.
     known: Cell<bool>,
     news: watch::Sender<u64>,
@@ -57,6 +59,7 @@
             catalogue: RefCell::default(),
             weights: RefCell::default(),
             origins: RefCell::default(),
+            models: RefCell::default(),
             known: Cell::new(false),
             news: watch::channel(0).0,
         }
@@ -82,6 +85,13 @@
         self.origins.borrow().clone()
     }
 
+    /// The model that the engines of `service` serve.
+    pub fn model(&self, service: &str) -> Option<Arc<str>> {
+        let models = self.models.borrow();
+        let served = models.iter().find(|m| m.service == service)?;
+        Some(served.model.as_str().into())
+    }
+
     /// Whether requests can be judged: a document has come.
     pub fn is_known(&self) -> bool {
         self.known.get() && self.version() > 0
@@ -110,6 +120,7 @@
             document: wanted.then(|| document.clone()),
             weights,
             origins: origins.iter().map(ToString::to_string).collect(),
+            models: self.models.borrow().clone(),
         }
     }
 
@@ -120,6 +131,9 @@
         if !origins.is_empty() {
             *self.origins.borrow_mut() = origins;
         }
+        if !declared.models.is_empty() {
+            *self.models.borrow_mut() = declared.models;
+        }
         self.take(declared.document, declared.weights);
     }
 
@@ -169,6 +183,7 @@
                 info!("configuration in force", kv: { version = document.version });
                 let origins = built.services().filter_map(|s| s.origin);
                 *self.origins.borrow_mut() = origins.collect();
+                *self.models.borrow_mut() = served_models(&built);
                 *self.catalogue.borrow_mut() = Rc::new(built);
                 *self.document.borrow_mut() = document;
             }
@@ -179,3 +194,16 @@
         }
     }
 }
+
+fn served_models(catalogue: &Catalogue) -> Vec<ServedModel> {
+    let engines = catalogue
+        .services()
+        .filter_map(|s| Some((s, s.engine.as_ref()?)));
+    let models = engines.flat_map(|(service, engine)| {
+        engine.models.iter().map(|model| ServedModel {
+            service: service.name.to_string(),
+            model: model.to_string(),
+        })
+    });
+    models.collect()
+}
--- a/crates/filbertstack-gateway/src/control/node.rs
+++ b/crates/filbertstack-gateway/src/control/node.rs
@@ -17,6 +17,7 @@
 use crate::control::people::People;
 use crate::control::voter::Voter;
 use crate::link::Dialer;
+use crate::link::Given;
 use crate::link::Handler;
 use crate::link::LinkError;
 use crate::link::Sender;
@@ -248,12 +249,12 @@
 }
 
 impl Handler for Node {
-    async fn answer(self: Rc<Self>, question: Question) -> Reply {
+    async fn answer(self: Rc<Self>, question: Question) -> Given {
         let done = |result: Result<(), GroupError>| match result {
             Ok(()) => Reply::Done(Nothing {}),
             Err(error) => Reply::Failed(error.to_string()),
         };
-        match question {
+        let reply = match question {
             Question::Standing(_) => Reply::Standing(self.standing()),
             Question::Join(standing) => match &self.voter {
                 Some(voter) if voter.leads() => {
@@ -270,10 +271,11 @@
                 Err(error) => Reply::Failed(error.to_string()),
             },
             Question::Register(rows) => done(self.register(rows.rows).await),
-            Question::Piece(_) | Question::Manifest(_) => {
+            Question::Piece(_) | Question::Manifest(_) | Question::Has(_) => {
                 Reply::Failed("this node holds no weights; ask an agent".into())
             }
-        }
+        };
+        reply.into()
     }
 
     fn take(self: Rc<Self>, news: News, sender: &Sender) {
--- a/crates/filbertstack-gateway/src/link/dial.rs
+++ b/crates/filbertstack-gateway/src/link/dial.rs
@@ -10,6 +10,8 @@
 
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
+use tokio::time::Instant;
+use tokio::time::sleep_until;
 use tokio::time::timeout;
 
 use crate::link::LinkError;
@@ -70,6 +72,35 @@
         answer
     }
 
+    /// Asks `peer` as [`Dialer::ask`] does, but gives up sooner if nothing at all comes from it
+    /// for `silent`. The link is kept: other answers may be on their way.
+    ///
+    /// # Errors
+    /// [`LinkError`]; see [`Sender::ask`].
+    pub async fn ask_patiently(
+        &self,
+        peer: SocketAddr,
+        question: Question,
+        patience: Duration,
+        silent: Duration,
+    ) -> Result<Reply, LinkError> {
+        let link = self.link(peer).await?;
+        let asked = Instant::now();
+        let answer = link.ask(question, patience);
+        let mut answer = std::pin::pin!(answer);
+        loop {
+            let since = link.heard().max(asked);
+            tokio::select! {
+                answer = &mut answer => return answer,
+                () = sleep_until(since + silent) => {
+                    if link.heard() <= since {
+                        return Err(LinkError::Timeout);
+                    }
+                }
+            }
+        }
+    }
+
     /// Sends news to `peer` if there is a link; else drops them and begins to dial.
     pub fn tell(&self, peer: SocketAddr, news: News) {
         let kept = self.links.borrow().get(&peer).cloned();
@@ -107,6 +138,7 @@
     let closing = sender.clone();
     tokio::task::spawn_local(async move {
         while let Some(frame) = next(&mut reader).await {
+            closing.hear();
             match frame.body {
                 Some(Body::Answer(answer)) => {
                     let asker = waiting.borrow_mut().remove(&frame.id);
--- a/crates/filbertstack-gateway/src/link/messages.rs
+++ b/crates/filbertstack-gateway/src/link/messages.rs
@@ -35,7 +35,7 @@
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct Ask {
     /// What is asked.
-    #[prost(oneof = "Question", tags = "1, 2, 3, 4, 5, 6, 7")]
+    #[prost(oneof = "Question", tags = "1, 2, 3, 4, 5, 6, 7, 8")]
     pub question: Option<Question>,
 }
 
@@ -63,6 +63,9 @@
     /// The list of a version's pieces.
     #[prost(message, tag = "7")]
     Manifest(Weights),
+    /// Whether a piece is there.
+    #[prost(message, tag = "8")]
+    Has(PieceName),
 }
 
 /// Nothing more to say.
@@ -242,6 +245,20 @@
     /// Where weights come from.
     #[prost(string, repeated, tag = "3")]
     pub origins: Vec<String>,
+    /// Which models the engines of each service serve.
+    #[prost(message, repeated, tag = "4")]
+    pub models: Vec<ServedModel>,
+}
+
+/// A model that the engines of a service serve.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct ServedModel {
+    /// The service.
+    #[prost(string, tag = "1")]
+    pub service: String,
+    /// The model.
+    #[prost(string, tag = "2")]
+    pub model: String,
 }
 
 /// A version of weights, and how long ago it was named.
--- a/crates/filbertstack-gateway/src/link/mod.rs
+++ b/crates/filbertstack-gateway/src/link/mod.rs
@@ -25,11 +25,14 @@
 use tokio::net::tcp::OwnedWriteHalf;
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
+use tokio::sync::watch;
+use tokio::time::Instant;
 use tokio_util::codec::FramedRead;
 use tokio_util::codec::FramedWrite;
 use tokio_util::codec::LengthDelimitedCodec;
 
 pub use dial::Dialer;
+pub use serve::Given;
 pub use serve::Handler;
 pub use serve::serve;
 
@@ -94,6 +97,10 @@
     waiting: Waiting,
     next: Rc<Cell<u64>>,
     ended: Rc<Cell<bool>>,
+    heard: Rc<Cell<Instant>>,
+    /// Frames that were handed to the writer and have not gone out.
+    unsent: watch::Receiver<usize>,
+    added: Rc<watch::Sender<usize>>,
 }
 
 impl Sender {
@@ -107,13 +114,33 @@
         self.ended.get() || self.frames.is_closed()
     }
 
+    /// When the peer was last heard.
+    fn heard(&self) -> Instant {
+        self.heard.get()
+    }
+
+    fn hear(&self) {
+        self.heard.set(Instant::now());
+    }
+
     fn end(&self) {
         self.ended.set(true);
     }
 
     fn send(&self, id: u64, body: Body) -> bool {
         let body = Some(body);
-        self.frames.try_send(Frame { id, body }).is_ok()
+        let sent = self.frames.try_send(Frame { id, body }).is_ok();
+        if sent {
+            self.added.send_modify(|count| *count += 1);
+        }
+        sent
+    }
+
+    /// Waits until all that was sent so far has gone out, or the link has ended.
+    async fn drained(&self) {
+        let mut unsent = self.unsent.clone();
+        // An error means that the writer has ended, and nothing more goes out.
+        let _ = unsent.wait_for(|count| *count == 0).await;
     }
 
     /// Asks and waits for the answer.
@@ -158,12 +185,17 @@
     tune(&stream);
     let (read, write) = stream.into_split();
     let (frames, queue) = mpsc::channel(QUEUE);
-    tokio::task::spawn_local(write_frames(write, queue));
+    let (added, unsent) = watch::channel(0);
+    let added = Rc::new(added);
+    tokio::task::spawn_local(write_frames(write, queue, added.clone()));
     let sender = Sender {
         frames,
         waiting: Waiting::default(),
         next: Rc::default(),
         ended: Rc::default(),
+        heard: Rc::new(Cell::new(Instant::now())),
+        unsent,
+        added,
     };
     (sender, FramedRead::new(read, codec()))
 }
@@ -174,18 +206,26 @@
         .new_codec()
 }
 
-async fn write_frames(write: OwnedWriteHalf, mut queue: mpsc::Receiver<Frame>) {
+async fn write_frames(
+    write: OwnedWriteHalf,
+    mut queue: mpsc::Receiver<Frame>,
+    unsent: Rc<watch::Sender<usize>>,
+) {
     let mut sink = FramedWrite::new(write, codec());
     while let Some(frame) = queue.recv().await {
+        let mut count = 1;
         let mut sent = sink.feed(Bytes::from(frame.encode_to_vec())).await;
         // Frames that wait together share one write.
         while let (Ok(()), Ok(frame)) = (&sent, queue.try_recv()) {
+            count += 1;
             sent = sink.feed(Bytes::from(frame.encode_to_vec())).await;
         }
         let flushed = SinkExt::<Bytes>::flush(&mut sink).await;
         if sent.is_err() || flushed.is_err() {
+            unsent.send_replace(0);
             return;
         }
+        unsent.send_modify(|left| *left = left.saturating_sub(count));
     }
 }
 
--- a/crates/filbertstack-gateway/src/link/serve.rs
+++ b/crates/filbertstack-gateway/src/link/serve.rs
@@ -4,6 +4,7 @@
 
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
+use tokio::sync::OwnedSemaphorePermit;
 
 use crate::link::Sender;
 use crate::link::messages::Answer;
@@ -14,10 +15,30 @@
 use crate::link::next;
 use crate::link::open;
 
+/// An answer, and the slot that it holds until it has gone out.
+pub struct Given {
+    reply: Reply,
+    slot: Option<OwnedSemaphorePermit>,
+}
+
+impl Given {
+    /// An answer that is long: while it goes out, it holds a slot.
+    pub fn slowly(reply: Reply, slot: OwnedSemaphorePermit) -> Self {
+        let slot = Some(slot);
+        Self { reply, slot }
+    }
+}
+
+impl From<Reply> for Given {
+    fn from(reply: Reply) -> Self {
+        Self { reply, slot: None }
+    }
+}
+
 /// What a node does with what its peers say.
 pub trait Handler: 'static {
     /// Answers a question.
-    fn answer(self: Rc<Self>, question: Question) -> impl Future<Output = Reply>;
+    fn answer(self: Rc<Self>, question: Question) -> impl Future<Output = Given>;
 
     /// Takes news; `sender` leads back to the peer.
     fn take(self: Rc<Self>, news: News, sender: &Sender);
@@ -53,9 +74,12 @@
                 };
                 let (handler, sender) = (handler.clone(), sender.clone());
                 tokio::task::spawn_local(async move {
-                    let reply: Reply = handler.answer(question).await;
+                    let Given { reply, slot } = handler.answer(question).await;
                     let reply = Some(reply);
                     sender.send(frame.id, Body::Answer(Answer { reply }));
+                    if slot.is_some() {
+                        sender.drained().await;
+                    }
                 });
             }
             Some(Body::Answer(_)) | None => {}
--- a/crates/filbertstack-gateway/src/settings.rs
+++ b/crates/filbertstack-gateway/src/settings.rs
@@ -22,8 +22,8 @@
     pub node: Node,
     /// What it serves.
     pub listen: Listen,
-    /// The engine beside it, if it is an agent.
-    pub engine: Option<SocketAddr>,
+    /// What it stands beside, if it is an agent.
+    pub target: Target,
     /// The bounds that the operator promises.
     pub bounds: Bounds,
 }
@@ -58,6 +58,15 @@
     pub directory: Option<SocketAddr>,
 }
 
+/// What an agent stands beside.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Target {
+    /// The engine's address.
+    pub engine: Option<SocketAddr>,
+    /// The service that the engine belongs to.
+    pub service: String,
+}
+
 /// What the operator promises, in the product's terms.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Bounds {
@@ -107,10 +116,14 @@
         let node = node.and_then(|s| read_node(s, &mut problems));
         let listen = document.take("listen");
         let listen = listen.map(|s| read_listen(s, &mut problems));
-        let engine = document.take("target").and_then(|mut section| {
-            let addr = optional(&mut section, "engine", &mut problems);
+        let target = document.take("target").map(|mut section| {
+            let engine = optional(&mut section, "engine", &mut problems);
+            let service: Option<String> = optional(&mut section, "service", &mut problems);
             section.finish(&mut problems);
-            addr
+            Target {
+                engine,
+                service: service.unwrap_or_default(),
+            }
         });
         let bounds = document.take("bounds");
         let bounds = bounds.map(|s| read_bounds(s, &mut problems));
@@ -121,7 +134,7 @@
         problems.into_result(Self {
             node,
             listen: listen.unwrap_or_default(),
-            engine,
+            target: target.unwrap_or_default(),
             bounds: bounds.unwrap_or_default(),
         })
     }
--- a/crates/filbertstack-policy/src/pieces.rs
+++ b/crates/filbertstack-policy/src/pieces.rs
@@ -8,11 +8,14 @@
 //! the pieces, so that all links carry about one copy in and one out, and one copy crosses each
 //! boundary between zones.
 //!
-//! The owners follow from the list of agents alone; nobody assigns them. An owner that is dead or
-//! slow is passed over after a while: the next source is asked, and at last the origin.
+//! The owners follow from the list of agents alone; nobody assigns them. The origin may fail soon
+//! after a version is named, so a piece whose owner is frozen or has a narrow link must not wait
+//! for it: a second agent fetches it from the origin when a copy has had time to pass.
 
 use std::sync::Arc;
 
+use filbertstack_core::Millis;
+
 use crate::subset::hash;
 use crate::subset::mix;
 
@@ -31,42 +34,83 @@
     pub holds: bool,
 }
 
-/// Where a piece may come from.
+/// How long after it began an agent may ask the origin for a piece that another owns first. A
+/// copy passes the origin's link in 1.3 s today; the pieces still missing by then have an owner
+/// that does not get on.
+const SECOND_AFTER: Millis = Millis(1_100);
+
+/// How long after it began any agent may ask the origin: by then neither owner has brought the
+/// piece, and other agents have not passed it on.
+const ANY_AFTER: Millis = Millis(3_500);
+
+/// How long after it began an agent asks other zones for a piece that one in its own zone owns.
+/// Sooner, all of a zone would fetch from outside what one of them is about to pass on, and the
+/// links between zones would carry a copy for each.
+const FAR_AFTER: Millis = Millis(2_000);
+
+/// Where an agent gets one piece.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Source {
-    /// Another agent.
-    Peer(Arc<str>),
-    /// The origin of weights.
-    Origin,
+pub struct Plan {
+    /// The agents of its zone to ask, best first.
+    pub near: Vec<Arc<str>>,
+    /// Those elsewhere, best first.
+    pub far: Vec<Arc<str>>,
+    /// How long after the fetch began those elsewhere are asked, unless nobody near answers.
+    pub far_after: Millis,
+    /// How long after the fetch began the origin may be asked, if no owner has the piece by then.
+    pub origin_after: Millis,
+    /// Those that ask the origin sooner, and whether they got it is asked first.
+    pub owners: Vec<Arc<str>>,
 }
 
-/// The sources of one piece, best first; the origin is always the last.
-pub fn sources(own: &str, zone: &str, peers: &[Peer], piece: u32) -> Vec<Source> {
-    let mut sources: Vec<Source> = Vec::new();
-    let mut add = |id: &Arc<str>| {
-        let source = Source::Peer(id.clone());
-        if &**id != own && !sources.contains(&source) {
-            sources.push(source);
-        }
-    };
+/// Where the agent `own` gets a piece.
+pub fn plan(own: &str, zone: &str, peers: &[Peer], piece: u32) -> Plan {
     let near: Vec<&Peer> = peers.iter().filter(|p| &*p.zone == zone).collect();
     let all: Vec<&Peer> = peers.iter().collect();
-    for holder in holders(own, &near, piece) {
-        add(&holder.id);
-    }
-    let own_here = |owner: Option<&&Peer>| owner.is_some_and(|o| &*o.id == own);
-    let (here, there) = (owner(&near, piece), owner(&all, piece));
-    if !own_here(here.as_ref()) {
-        here.iter().for_each(|peer| add(&peer.id));
-    }
-    for holder in holders(own, &all, piece) {
-        add(&holder.id);
+    let owner_here = owner(&near, piece);
+    let owners = [owner(&all, piece), second_owner(&all, piece)];
+    let is_own = |peer: Option<&Peer>| peer.is_some_and(|p| &*p.id == own);
+    let origin_after = match (is_own(owners[0]), is_own(owners[1])) {
+        (true, _) => Millis::ZERO,
+        (false, true) => SECOND_AFTER,
+        (false, false) => ANY_AFTER,
+    };
+    let sooner = if is_own(owners[1]) { 1 } else { 2 };
+    let sooner = if is_own(owners[0]) { 0 } else { sooner };
+    let before = owners[..sooner].iter().flatten();
+    let before = before.map(|peer| peer.id.clone()).collect();
+    let near_ranked = holders(own, &near, piece).into_iter().chain(owner_here);
+    let near_ranked = others(own, near_ranked, &[]);
+    let far_ranked = holders(own, &all, piece).into_iter();
+    let far_ranked = far_ranked.chain(owners.into_iter().flatten());
+    let far_ranked = others(own, far_ranked, &near_ranked);
+    Plan {
+        far_after: if is_own(owner_here) || near_ranked.is_empty() {
+            Millis::ZERO
+        } else {
+            FAR_AFTER
+        },
+        near: near_ranked,
+        far: far_ranked,
+        origin_after,
+        owners: before,
     }
-    if !own_here(there.as_ref()) {
-        there.iter().for_each(|peer| add(&peer.id));
+}
+
+/// The ids of those ranked, each once, without the agent itself and those `known`.
+fn others<'a>(
+    own: &str,
+    ranked: impl Iterator<Item = &'a Peer>,
+    known: &[Arc<str>],
+) -> Vec<Arc<str>> {
+    let mut ids: Vec<Arc<str>> = Vec::new();
+    for peer in ranked {
+        let new = !ids.contains(&peer.id) && !known.contains(&peer.id);
+        if &*peer.id != own && new {
+            ids.push(peer.id.clone());
+        }
     }
-    sources.push(Source::Origin);
-    sources
+    ids
 }
 
 /// Those that hold the whole version, in an order that spreads the askers over them.
@@ -80,10 +124,23 @@
 
 /// The owner of a piece: agents in the order of their hashes take turns.
 fn owner<'a>(peers: &[&'a Peer], piece: u32) -> Option<&'a Peer> {
+    turn(peers, piece, 0)
+}
+
+/// Who fetches a piece if its owner does not get on: another half way round, so that the pieces
+/// of one lost owner go to several.
+fn second_owner<'a>(peers: &[&'a Peer], piece: u32) -> Option<&'a Peer> {
+    let count = peers.len().max(1);
+    let lap = usize::try_from(piece).unwrap_or(0) / count;
+    turn(peers, piece, 1 + (count / 2 + lap) % count.saturating_sub(1).max(1))
+}
+
+fn turn<'a>(peers: &[&'a Peer], piece: u32, shift: usize) -> Option<&'a Peer> {
     let mut ranked: Vec<&Peer> = peers.to_vec();
     ranked.sort_by_key(|p| hash(&p.id));
     let count = ranked.len().max(1);
-    ranked.get(usize::try_from(piece).unwrap_or(0) % count).copied()
+    let place = usize::try_from(piece).unwrap_or(0) + shift;
+    ranked.get(place % count).copied()
 }
 
 /// The order in which an agent asks for the pieces: those that it owns for all come first, as the
