--- a/crates/filbertstack-gateway/src/agent/fetch.rs
+++ b/crates/filbertstack-gateway/src/agent/fetch.rs
@@ -18,12 +18,14 @@
 use filbertstack_platform::engine::ask_piece;
 use filbertstack_platform::engine::read_manifest;
 use filbertstack_policy::pieces::Plan;
+use filbertstack_policy::pieces::Window;
 use filbertstack_policy::pieces::order;
 use filbertstack_policy::pieces::plan;
 use futures_util::StreamExt as _;
 use futures_util::stream;
 use spdlog::info;
 use spdlog::warn;
+use tokio::sync::Notify;
 use tokio::sync::Semaphore;
 use tokio::time::sleep;
 
@@ -53,12 +55,16 @@
 /// way.
 const HAS: Duration = OWNER_WAIT.saturating_add(Duration::from_millis(400));
 
+/// How long an owner may take to say whether it has a piece now. One that is frozen has nothing
+/// to give, and the origin may be gone soon.
+const HAS_NOW: Duration = Duration::from_millis(300);
+
 /// The pause before it is asked again whether an owner has a piece, when it has.
 const HAS_AGAIN: Duration = Duration::from_millis(300);
 
-/// How many pieces come in at once. One after the other, the first can be passed on while the next
-/// is on its way.
-const DOWNLOADS: usize = 4;
+/// How many pieces are fetched from the origin at once: an agent owns some two or three, and on a
+/// narrow link more would keep live requests waiting behind them.
+const ORIGIN_DOWNLOADS: usize = 2;
 
 /// For how long an agent that let a question time out is asked for nothing else: it is frozen or
 /// its link is narrow, and others have what it has.
@@ -88,7 +94,10 @@
         weights: weights.clone(),
         began: Instant::now(),
         slow: RefCell::default(),
-        downloads: Semaphore::new(DOWNLOADS),
+        origin_slots: Semaphore::new(ORIGIN_DOWNLOADS),
+        window: RefCell::default(),
+        under_way: Cell::new(0),
+        freed: Notify::new(),
     };
     loop {
         let set = match agent.shelf.find(weights) {
@@ -116,7 +125,30 @@
     began: Instant,
     /// Agents that did not answer in time, and when.
     slow: RefCell<BTreeMap<Arc<str>, Instant>>,
-    downloads: Semaphore,
+    origin_slots: Semaphore,
+    window: RefCell<Window>,
+    under_way: Cell<u32>,
+    freed: Notify,
+}
+
+/// A piece that is under way to this agent.
+struct Slot<'a>(&'a Fetch);
+
+impl<'a> Slot<'a> {
+    async fn take(fetch: &'a Fetch) -> Self {
+        while fetch.under_way.get() >= fetch.window.borrow().size() {
+            fetch.freed.notified().await;
+        }
+        fetch.under_way.set(fetch.under_way.get() + 1);
+        Self(fetch)
+    }
+}
+
+impl Drop for Slot<'_> {
+    fn drop(&mut self) {
+        self.0.under_way.set(self.0.under_way.get() - 1);
+        self.0.freed.notify_waiters();
+    }
 }
 
 impl Fetch {
@@ -206,11 +238,17 @@
             }
             return None;
         }
-        let _slot = self.downloads.acquire().await.ok()?;
+        let _slot = Slot::take(self).await;
+        let began = Instant::now();
         let question = Question::Piece(name);
         match dialer.ask_patiently(place, question, PEER, PEER_SILENT).await {
-            Ok(Reply::Piece(bytes)) => Some(bytes),
+            Ok(Reply::Piece(bytes)) => {
+                let took = Millis::from(began.elapsed());
+                self.window.borrow_mut().arrived(took);
+                Some(bytes)
+            }
             Err(LinkError::Timeout | LinkError::Broken { .. }) => {
+                self.window.borrow_mut().stalled();
                 self.slow.borrow_mut().insert(id.clone(), Instant::now());
                 None
             }
@@ -226,8 +264,8 @@
                 return false;
             };
             let weights = named(&self.weights);
-            let question = Question::Has(PieceName { weights, number });
-            let answer = self.agent.node.dialer.ask(place, question, HAS).await;
+            let question = Question::HasNow(PieceName { weights, number });
+            let answer = self.agent.node.dialer.ask(place, question, HAS_NOW).await;
             answer.is_ok()
         });
         let answers = futures_util::future::join_all(asked).await;
@@ -248,7 +286,12 @@
                 sleep(HAS_AGAIN).await;
                 continue;
             }
-            if let Some(bytes) = piece_of_origin(&self.agent, set, number).await {
+            let Ok(slot) = self.origin_slots.acquire().await else {
+                return;
+            };
+            let fetched = piece_of_origin(&self.agent, set, number).await;
+            drop(slot);
+            if let Some(bytes) = fetched {
                 if set.put(number, bytes) {
                     return;
                 }
--- a/crates/filbertstack-gateway/src/agent/peers.rs
+++ b/crates/filbertstack-gateway/src/agent/peers.rs
@@ -104,10 +104,10 @@
     }
 
     /// Whether a piece is here, or comes while the asker waits.
-    async fn has(&self, name: &PieceName) -> Reply {
+    async fn has(&self, name: &PieceName, wait: Duration) -> Reply {
         let weights = holding(&name.weights);
         let here = match self.agent.shelf.find(&weights) {
-            Some(set) => await_piece(&set, name.number).await,
+            Some(set) => await_piece(&set, name.number, wait).await,
             None => self.agent.engine.holding().as_ref() == Some(&weights),
         };
         if here {
@@ -127,7 +127,7 @@
     }
 }
 
-async fn await_piece(set: &Rc<Set>, number: u32) -> bool {
+async fn await_piece(set: &Rc<Set>, number: u32, span: Duration) -> bool {
     let mut news = set.watch();
     let wait = async {
         while set.piece(number).is_none() {
@@ -136,7 +136,7 @@
             }
         }
     };
-    timeout(OWNER_WAIT, wait).await.is_ok()
+    timeout(span, wait).await.is_ok()
 }
 
 fn holding(weights: &filbertstack_control::document::Weights) -> Holding {
@@ -150,7 +150,8 @@
     async fn answer(self: Rc<Self>, question: Question) -> Given {
         match question {
             Question::Piece(name) => self.piece(name).await,
-            Question::Has(name) => self.has(&name).await.into(),
+            Question::Has(name) => self.has(&name, OWNER_WAIT).await.into(),
+            Question::HasNow(name) => self.has(&name, Duration::ZERO).await.into(),
             Question::Manifest(weights) => self.manifest(&holding(&weights)).into(),
             question => self.agent.node.clone().answer(question).await,
         }
--- a/crates/filbertstack-gateway/src/client.rs
+++ b/crates/filbertstack-gateway/src/client.rs
@@ -13,6 +13,7 @@
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
+use socket2::SockRef;
 use thiserror::Error;
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
@@ -75,6 +76,11 @@
         let stream = stream.map_err(|_| failed(io::ErrorKind::TimedOut.into()))?;
         let stream = stream.map_err(failed)?;
         tune(&stream);
+        // What is dropped is reset: bytes that wait behind a cut or narrow link would else reach
+        // the target seconds later, and run for a caller who has left.
+        if let Err(error) = SockRef::from(&stream).set_linger(Some(Duration::ZERO)) {
+            return Err(failed(error));
+        }
         let made = http1::Builder::new()
             .max_buf_size(MAX_HEAD)
             .handshake(TokioIo::new(stream))
--- a/crates/filbertstack-gateway/src/control/follow.rs
+++ b/crates/filbertstack-gateway/src/control/follow.rs
@@ -39,6 +39,9 @@
 /// seconds, and rows that change together share one frame.
 const FLUSH: Duration = Duration::from_millis(40);
 
+/// How often a voter tells its seeds who the voters are.
+const SEEDS: Duration = Duration::from_secs(1);
+
 /// The pause before another voter is tried.
 const RETRY: Duration = Duration::from_millis(100);
 
@@ -86,6 +89,20 @@
     }
 }
 
+/// Tells the seeds who the voters are. Seeds may be nodes without a disk: when all processes start
+/// again at once, those know nobody either, and nobody would find the voters.
+pub async fn tell_seeds(node: Rc<Node>) {
+    loop {
+        let pulse = node.pulse();
+        for seed in &node.settings.node.seeds {
+            if *seed != node.settings.node.link {
+                node.dialer.tell(*seed, pulse.clone());
+            }
+        }
+        sleep(SEEDS).await;
+    }
+}
+
 /// Follows one voter after the other, until the process ends.
 pub async fn follow_any(node: Rc<Node>) {
     let mut turn = 0;
--- a/crates/filbertstack-gateway/src/control/node.rs
+++ b/crates/filbertstack-gateway/src/control/node.rs
@@ -33,6 +33,7 @@
 use crate::link::messages::Row;
 use crate::link::messages::Rows;
 use crate::link::messages::Standing;
+use crate::link::messages::addr;
 use crate::settings::Settings;
 
 /// Why the group could not do what was asked; asked again, it may.
@@ -271,7 +272,10 @@
                 Err(error) => Reply::Failed(error.to_string()),
             },
             Question::Register(rows) => done(self.register(rows.rows).await),
-            Question::Piece(_) | Question::Manifest(_) | Question::Has(_) => {
+            Question::Piece(_)
+            | Question::Manifest(_)
+            | Question::Has(_)
+            | Question::HasNow(_) => {
                 Reply::Failed("this node holds no weights; ask an agent".into())
             }
         };
@@ -287,7 +291,11 @@
             }
             News::Follow(follow) => self.attach(&follow, sender),
             News::Rows(rows) if self.voter.is_some() => self.people.take(rows.rows, true),
-            News::Declared(_) | News::Rows(_) | News::Pulse(_) => {}
+            // A voter tells its seeds who the voters are.
+            News::Pulse(pulse) => {
+                self.learn_voters(pulse.voters.iter().filter_map(|v| addr(v)).collect());
+            }
+            News::Declared(_) | News::Rows(_) => {}
         }
     }
 }
@@ -298,5 +306,6 @@
         return;
     };
     spawn_local(crate::control::follow::show_documents(node.clone(), voter));
+    spawn_local(crate::control::follow::tell_seeds(node.clone()));
     spawn_local(crate::control::follow::keep_followers(node.clone()));
 }
--- a/crates/filbertstack-gateway/src/link/messages.rs
+++ b/crates/filbertstack-gateway/src/link/messages.rs
@@ -35,7 +35,7 @@
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct Ask {
     /// What is asked.
-    #[prost(oneof = "Question", tags = "1, 2, 3, 4, 5, 6, 7, 8")]
+    #[prost(oneof = "Question", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9")]
     pub question: Option<Question>,
 }
 
@@ -63,9 +63,12 @@
     /// The list of a version's pieces.
     #[prost(message, tag = "7")]
     Manifest(Weights),
-    /// Whether a piece is there.
+    /// Whether a piece is there, or comes shortly.
     #[prost(message, tag = "8")]
     Has(PieceName),
+    /// Whether a piece is there now.
+    #[prost(message, tag = "9")]
+    HasNow(PieceName),
 }
 
 /// Nothing more to say.
--- a/crates/filbertstack-policy/src/pieces.rs
+++ b/crates/filbertstack-policy/src/pieces.rs
@@ -37,7 +37,7 @@
 /// How long after it began an agent may ask the origin for a piece that another owns first. A
 /// copy passes the origin's link in 1.3 s today; the pieces still missing by then have an owner
 /// that does not get on.
-const SECOND_AFTER: Millis = Millis(1_100);
+const SECOND_AFTER: Millis = Millis(1_000);
 
 /// How long after it began any agent may ask the origin: by then neither owner has brought the
 /// piece, and other agents have not passed it on.
@@ -164,3 +164,51 @@
     order.sort_by_key(rank);
     order
 }
+
+/// The most pieces under way to one agent: enough to fill its link from several uploaders.
+const MOST: u32 = 4;
+
+/// A piece that took less came over a link with room: four at once on today's link take 170 ms.
+const QUICK: Millis = Millis(250);
+
+/// A piece that took more kept live requests to the engine on the same link waiting as long: they
+/// come behind it. Callers' first events are due within 300 ms.
+const SLOW: Millis = Millis(500);
+
+/// How many pieces may be under way to one agent.
+///
+/// *Load pattern*: a link turns narrow while weights come in. Every piece that is under way waits
+/// in the link's queue, and with four of them a request to the engine arrives a second or more
+/// after it was sent, when its caller has left or another version is due. So the window shrinks
+/// to one piece as soon as one is slow, and grows again by one for each that is quick.
+#[derive(Clone, Debug)]
+pub struct Window {
+    size: u32,
+}
+
+impl Default for Window {
+    fn default() -> Self {
+        Self { size: 2 }
+    }
+}
+
+impl Window {
+    /// How many may be under way.
+    pub fn size(&self) -> u32 {
+        self.size
+    }
+
+    /// Counts a piece that came.
+    pub fn arrived(&mut self, took: Millis) {
+        if took > SLOW {
+            self.size = 1;
+        } else if took < QUICK {
+            self.size = (self.size + 1).min(MOST);
+        }
+    }
+
+    /// Counts a piece that did not come in time.
+    pub fn stalled(&mut self) {
+        self.size = 1;
+    }
+}
