--- a/crates/filbertstack-gateway/src/control/node.rs
+++ b/crates/filbertstack-gateway/src/control/node.rs
@@ -243,7 +243,7 @@
     pub fn pulse(&self) -> News {
         let voter = self.voter.as_ref();
         News::Pulse(Pulse {
-            current: voter.is_some_and(|v| v.is_current()),
+            current: voter.is_some_and(|v| v.is_current() && !v.is_leaving()),
             voters: voter.map_or_else(Vec::new, |v| v.standing().voters),
         })
     }
--- a/crates/filbertstack-gateway/src/control/voter.rs
+++ b/crates/filbertstack-gateway/src/control/voter.rs
@@ -5,6 +5,7 @@
 //! leader to take it in. A voter that lost its disk, or that stays silent while a newcomer waits,
 //! is taken out first: its place counts for nothing, and the newcomer's then does.
 
+use std::cell::Cell;
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -64,8 +65,8 @@
 /// The longest command: a document of 4 MiB and its frame.
 const COMMAND_BYTES: usize = 5 << 20;
 
-/// How long a stop tries to pass the leadership on.
-const STOP: Duration = Duration::from_millis(1_500);
+/// How long a leaving voter tries to pass the leadership on.
+const HAND_OVER: Duration = Duration::from_millis(1_500);
 
 enum Outgoing {
     Message(NodeId, Message),
@@ -96,6 +97,7 @@
     places: RefCell<BTreeMap<NodeId, SocketAddr>>,
     /// When each replica was last heard.
     heard: RefCell<BTreeMap<NodeId, Instant>>,
+    leaving: Cell<bool>,
     /// Nodes with a disk that asked to be taken in, and when.
     newcomers: RefCell<BTreeMap<NodeId, (Newcomer, Instant)>>,
 }
@@ -131,6 +133,7 @@
             places: RefCell::default(),
             heard: RefCell::default(),
             newcomers: RefCell::default(),
+            leaving: Cell::new(false),
         });
         spawn_local(voter.clone().carry(outgoing));
         spawn_local(voter.clone().tend());
@@ -256,11 +259,28 @@
         newcomers.insert(node, (newcomer, Instant::now()));
     }
 
-    /// Passes the leadership on and stops.
-    pub async fn stop(&self) {
+    /// Passes the leadership on, if this voter has it, so that the others need no election when
+    /// it ends. Until then it goes on as a follower.
+    pub async fn hand_over(&self) {
+        self.leaving.set(true);
+        if !self.leads() {
+            return;
+        }
         let replica = self.replica.clone();
-        // The task fails only if the runtime ends, and then the process does as well.
-        let _ = spawn_blocking(move || replica.stop(STOP)).await;
+        let until = Instant::now() + HAND_OVER;
+        let passed = spawn_blocking(move || replica.transfer_leader(None, until)).await;
+        match passed {
+            Ok(Ok(())) => info!("leadership passed on"),
+            Ok(Err(error)) => {
+                info!("leadership not passed on", kv: { error = error.to_string() });
+            }
+            Err(error) => warn!("leadership not passed on", kv: { error = error.to_string() }),
+        }
+    }
+
+    /// Whether this voter is about to end: those that follow it go to another.
+    pub fn is_leaving(&self) -> bool {
+        self.leaving.get()
     }
 
     async fn carry(self: Rc<Self>, mut outgoing: mpsc::Receiver<Outgoing>) {
--- a/crates/filbertstack-gateway/src/entry/mod.rs
+++ b/crates/filbertstack-gateway/src/entry/mod.rs
@@ -219,12 +219,16 @@
     let started = Instant::now();
     info!("leaving", kv: { grace_ms = grace.as_millis(), requests = requests.under_way() });
     leave.send_replace(true);
-    if let Some(voter) = &node.voter {
-        voter.stop().await;
-    }
+    let voter = node.voter.clone();
+    let handing = spawn_local(async move {
+        if let Some(voter) = voter {
+            voter.hand_over().await;
+        }
+    });
     loop {
         let spent = started.elapsed();
-        let done = requests.under_way() == 0 && spent >= LINGER.min(grace);
+        let idle = requests.under_way() == 0 && handing.is_finished();
+        let done = idle && spent >= LINGER.min(grace);
         if done || spent >= grace {
             break;
         }
