Trial: gather older versions beside newer ones, rank agents once

Cause: an origin that fails right after a second version is named left no version that could be in place in time. Ranking agents once for all pieces is kept: at 65 agents the rankings took an agent's whole share of a core.

--- a/crates/filbertstack-gateway/src/agent/fetch.rs
+++ b/crates/filbertstack-gateway/src/agent/fetch.rs
@@ -17,10 +17,9 @@
 use filbertstack_platform::engine::ask_manifest;
 use filbertstack_platform::engine::ask_piece;
 use filbertstack_platform::engine::read_manifest;
+use filbertstack_policy::pieces::Layout;
 use filbertstack_policy::pieces::Plan;
 use filbertstack_policy::pieces::Window;
-use filbertstack_policy::pieces::order;
-use filbertstack_policy::pieces::plan;
 use futures_util::StreamExt as _;
 use futures_util::stream;
 use spdlog::info;
@@ -80,6 +79,10 @@
 /// The pause before sources are asked again that all failed.
 const PAUSE: Duration = Duration::from_millis(100);
 
+/// For how long the layout of the agents is kept: ranking them for each of some dozen pieces and
+/// rounds took an agent's whole share of a core at 65 agents.
+const LAYOUT: Duration = Duration::from_millis(400);
+
 /// The longest list of pieces, in bytes: those of some thousand pieces.
 const LONGEST_LIST: usize = 1 << 20;
 
@@ -88,33 +91,34 @@
 
 /// Gathers the pieces of `weights` on the shelf. Ends when they are all there; dropped, it
 /// stops, and what came stays.
-pub async fn gather(agent: &Rc<Agent>, weights: &Holding) -> Rc<Set> {
+pub async fn gather(agent: Rc<Agent>, weights: Holding) {
     let fetch = Fetch {
         agent: agent.clone(),
         weights: weights.clone(),
         began: Instant::now(),
         slow: RefCell::default(),
+        layout: RefCell::default(),
         origin_slots: Semaphore::new(ORIGIN_DOWNLOADS),
         window: RefCell::default(),
         under_way: Cell::new(0),
         freed: Notify::new(),
     };
     loop {
-        let set = match agent.shelf.find(weights) {
+        let set = match agent.shelf.find(&weights) {
             Some(set) => set,
             None => Rc::new(Set::new(fetch.list().await)),
         };
         agent.shelf.begin(set.clone());
         if fetch.pieces(&set).await {
-            agent.shelf.complete(set.clone());
+            agent.shelf.complete(&set);
             info!("all pieces are there", kv: {
                 version = weights.version, took_ms = fetch.began.elapsed().as_millis()
             });
-            return set;
+            return;
         }
         warn!("pieces do not fit their list, which is fetched again",
             kv: { version = weights.version });
-        agent.shelf.drop_partial();
+        agent.shelf.forget(&weights);
     }
 }
 
@@ -125,6 +129,7 @@
     began: Instant,
     /// Agents that did not answer in time, and when.
     slow: RefCell<BTreeMap<Arc<str>, Instant>>,
+    layout: RefCell<Option<(Rc<Layout>, Instant)>>,
     origin_slots: Semaphore,
     window: RefCell<Window>,
     under_way: Cell<u32>,
@@ -152,10 +157,21 @@
 }
 
 impl Fetch {
-    fn plan(&self, piece: u32) -> Plan {
+    /// The layout of the agents that are there, ranked anew from time to time.
+    fn layout(&self) -> Rc<Layout> {
+        let kept = self.layout.borrow().clone();
+        if let Some((layout, _)) = kept.filter(|(_, at)| at.elapsed() < LAYOUT) {
+            return layout;
+        }
         let peers = peers::peers(&self.agent.node, &self.weights);
         let zone = &self.agent.node.settings.node.zone;
-        plan(&self.agent.id(), zone, &peers, piece)
+        let layout = Rc::new(Layout::new(&self.agent.id(), zone, &peers));
+        *self.layout.borrow_mut() = Some((layout.clone(), Instant::now()));
+        layout
+    }
+
+    fn plan(&self, piece: u32) -> Plan {
+        self.layout().plan(piece)
     }
 
     async fn list(&self) -> PieceList {
@@ -175,9 +191,7 @@
 
     /// Fetches all pieces; false if some do not fit the list.
     async fn pieces(&self, set: &Rc<Set>) -> bool {
-        let peers = peers::peers(&self.agent.node, &self.weights);
-        let zone = &self.agent.node.settings.node.zone;
-        let wanted = order(&self.agent.id(), zone, &peers, set.count());
+        let wanted = self.layout().order(set.count());
         let missing = wanted.into_iter().filter(|n| set.piece(*n).is_none());
         let all = stream::iter(missing)
             .map(|number| self.piece(set, number))
--- a/crates/filbertstack-gateway/src/agent/mod.rs
+++ b/crates/filbertstack-gateway/src/agent/mod.rs
@@ -56,26 +56,38 @@
         format!("agent {}", self.node.settings.node.name)
     }
 
-    /// The version that its engine should serve: the newest one named, or else the newest that
-    /// any engine serves, as weights that were there from the start are never named.
-    fn wanted(&self) -> Option<Holding> {
-        let served = self.engine.holding();
+    /// The versions that its engine should be brought to: those named, or else the newest that any
+    /// engine serves, as weights that were there from the start are never named.
+    fn wanted(&self) -> Vec<Holding> {
         let declared = &self.node.declared;
-        let model = match &served {
-            Some(own) => own.model.clone(),
-            None => declared.model(&self.node.settings.target.service)?,
+        let model = match self.engine.holding() {
+            Some(own) => Some(own.model),
+            None => declared.model(&self.node.settings.target.service),
+        };
+        let Some(model) = model else {
+            return Vec::new();
         };
         let agents = peers::agents(&self.node);
         let same = agents.iter().filter(|(_, row)| *row.model == *model);
         let seen = same.map(|(_, row)| row.version).max().unwrap_or(0);
-        let named = declared.named(&model);
-        let named = named.last().map_or(0, |named| named.version);
-        let own = served.map_or(0, |own| own.version);
-        let version = seen.max(named).max(own).max(FIRST_VERSION);
-        Some(Holding { model, version })
+        let named = declared.named(&model).into_iter();
+        let mut versions: Vec<u64> = named.map(|named| named.version).collect();
+        if versions.is_empty() {
+            versions.push(seen.max(FIRST_VERSION));
+        }
+        // Older ones are gone from the origin.
+        let latest = versions.len().saturating_sub(GATHERED);
+        let holding = |version| Holding {
+            model: model.clone(),
+            version,
+        };
+        versions.drain(latest..).map(holding).collect()
     }
 }
 
+/// How many of the latest versions are gathered at once: an origin keeps two.
+const GATHERED: usize = 2;
+
 /// Runs an agent until it is told to stop.
 ///
 /// # Errors
--- a/crates/filbertstack-gateway/src/agent/rollout.rs
+++ b/crates/filbertstack-gateway/src/agent/rollout.rs
@@ -13,6 +13,8 @@
 use filbertstack_policy::subset::hash;
 use spdlog::info;
 use spdlog::warn;
+use tokio::task::JoinHandle;
+use tokio::task::spawn_local;
 use tokio::time::sleep;
 
 use crate::agent::Agent;
@@ -34,46 +36,60 @@
 const LOADED: Duration = Duration::from_secs(12);
 
 /// Keeps the engine at the version that it should serve, until the process ends.
+///
+/// Every named version that the engine does not serve yet is gathered, also those that a newer one
+/// has followed: the origin may fail right after a version is named, and then the one before is
+/// all that can be brought in time.
 pub async fn keep_version(agent: Rc<Agent>) {
+    let mut gathering = Gathering::default();
     loop {
-        if let Some(wanted) = missing(&agent) {
-            // A newer version that is named in the middle goes before this one.
-            tokio::select! {
-                () = bring(&agent, &wanted) => {}
-                () = superseded(&agent, &wanted) => {
-                    info!("a newer version is named", kv: { left = wanted.version });
-                }
+        if let Some(report) = agent.engine.report() {
+            let served = report.holding.map_or(0, |holding| holding.version);
+            gathering.follow(&agent, served);
+            if let Some(set) = agent.shelf.newest().filter(|s| is_due(&agent, s, served)) {
+                bring(&agent, &set).await;
+                agent.engine.set_loading(false);
             }
-            agent.engine.set_loading(false);
         }
         sleep(LOOK).await;
     }
 }
 
-/// The version that the engine should serve and does not.
-fn missing(agent: &Agent) -> Option<Holding> {
-    let report = agent.engine.report()?;
-    let wanted = agent.wanted()?;
-    (report.holding.as_ref() != Some(&wanted)).then_some(wanted)
-}
+/// The versions that are being gathered.
+#[derive(Default)]
+struct Gathering(Vec<(Holding, JoinHandle<()>)>);
 
-async fn superseded(agent: &Agent, wanted: &Holding) {
-    while agent.wanted().is_none_or(|now| now == *wanted) {
-        sleep(LOOK).await;
+impl Gathering {
+    /// Begins to gather what is missing, and stops gathering what is no longer needed.
+    fn follow(&mut self, agent: &Rc<Agent>, served: u64) {
+        let whole = agent.shelf.whole().map_or(0, |holding| holding.version);
+        let needed = |weights: &Holding| weights.version > served.max(whole);
+        self.0.retain(|(weights, task)| {
+            if !needed(weights) {
+                task.abort();
+            }
+            needed(weights) && !task.is_finished()
+        });
+        for weights in agent.wanted().into_iter().filter(needed) {
+            if self.0.iter().any(|(other, _)| *other == weights) {
+                continue;
+            }
+            info!("pieces are gathered", kv: { version = weights.version });
+            let task = spawn_local(gather(agent.clone(), weights.clone()));
+            self.0.push((weights, task));
+        }
     }
 }
 
-async fn bring(agent: &Rc<Agent>, wanted: &Holding) {
-    let set = gather(agent, wanted).await;
-    loop {
-        let wait = time_to_order(agent, wanted);
-        if wait > Millis::ZERO {
-            sleep(Duration::from(wait).min(LOOK)).await;
-            continue;
-        }
-        if stage(agent, &set).await && order(agent, wanted).await {
-            return;
-        }
+/// Whether the engine is to be brought to the version of a whole set now.
+fn is_due(agent: &Agent, set: &Set, served: u64) -> bool {
+    let weights = &set.list.weights;
+    weights.version > served && time_to_order(agent, weights) == Millis::ZERO
+}
+
+async fn bring(agent: &Agent, set: &Set) {
+    let weights = &set.list.weights;
+    if !stage(agent, set).await || !order(agent, weights).await {
         sleep(AGAIN).await;
     }
 }
--- a/crates/filbertstack-gateway/src/agent/shelf.rs
+++ b/crates/filbertstack-gateway/src/agent/shelf.rs
@@ -68,40 +68,50 @@
     }
 }
 
-/// The newest whole set, and the one that is being fetched.
+/// The newest whole set, and those newer ones that are being gathered.
 #[derive(Default)]
 pub struct Shelf {
-    whole: RefCell<Option<Rc<Set>>>,
-    partial: RefCell<Option<Rc<Set>>>,
+    sets: RefCell<Vec<Rc<Set>>>,
 }
 
 impl Shelf {
+    /// The newest whole set.
+    pub fn newest(&self) -> Option<Rc<Set>> {
+        let sets = self.sets.borrow();
+        let whole = sets.iter().filter(|set| set.is_whole());
+        whole.max_by_key(|set| set.list.weights.version).cloned()
+    }
+
     /// The version of which all pieces are there.
     pub fn whole(&self) -> Option<Holding> {
-        let whole = self.whole.borrow();
-        whole.as_ref().map(|set| set.list.weights.clone())
+        self.newest().map(|set| set.list.weights.clone())
     }
 
     /// The set of `weights`, whole or not.
     pub fn find(&self, weights: &Holding) -> Option<Rc<Set>> {
-        let sets = [self.whole.borrow().clone(), self.partial.borrow().clone()];
-        let mut sets = sets.into_iter().flatten();
-        sets.find(|set| set.list.weights == *weights)
+        let sets = self.sets.borrow();
+        sets.iter()
+            .find(|set| set.list.weights == *weights)
+            .cloned()
     }
 
-    /// Begins to gather a set; the one that was being gathered is dropped.
+    /// Begins to gather a set, unless it is there.
     pub fn begin(&self, set: Rc<Set>) {
-        *self.partial.borrow_mut() = Some(set);
+        if self.find(&set.list.weights).is_none() {
+            self.sets.borrow_mut().push(set);
+        }
     }
 
-    /// Drops the set that was being gathered.
-    pub fn drop_partial(&self) {
-        *self.partial.borrow_mut() = None;
+    /// Drops a set.
+    pub fn forget(&self, weights: &Holding) {
+        let mut sets = self.sets.borrow_mut();
+        sets.retain(|set| set.list.weights != *weights);
     }
 
-    /// Keeps a set that has become whole, in place of the older one.
-    pub fn complete(&self, set: Rc<Set>) {
-        *self.whole.borrow_mut() = Some(set);
-        *self.partial.borrow_mut() = None;
+    /// Drops all sets that are older than one that has become whole.
+    pub fn complete(&self, whole: &Set) {
+        let version = whole.list.weights.version;
+        let mut sets = self.sets.borrow_mut();
+        sets.retain(|set| set.list.weights.version >= version);
     }
 }
--- a/crates/filbertstack-policy/src/pieces.rs
+++ b/crates/filbertstack-policy/src/pieces.rs
@@ -63,73 +63,123 @@
     pub owners: Vec<Arc<str>>,
 }
 
-/// Where the agent `own` gets a piece.
-pub fn plan(own: &str, zone: &str, peers: &[Peer], piece: u32) -> Plan {
-    let near: Vec<&Peer> = peers.iter().filter(|p| &*p.zone == zone).collect();
-    let all: Vec<&Peer> = peers.iter().collect();
-    let owner_here = owner(&near, piece);
-    let owners = [owner(&all, piece), second_owner(&all, piece)];
-    let is_own = |peer: Option<&Peer>| peer.is_some_and(|p| &*p.id == own);
-    let origin_after = match (is_own(owners[0]), is_own(owners[1])) {
-        (true, _) => Millis::ZERO,
-        (false, true) => SECOND_AFTER,
-        (false, false) => ANY_AFTER,
-    };
-    let sooner = if is_own(owners[1]) { 1 } else { 2 };
-    let sooner = if is_own(owners[0]) { 0 } else { sooner };
-    let before = owners[..sooner].iter().flatten();
-    let before = before.map(|peer| peer.id.clone()).collect();
-    let near_ranked = holders(own, &near, piece).into_iter().chain(owner_here);
-    let near_ranked = others(own, near_ranked, &[]);
-    let far_ranked = holders(own, &all, piece).into_iter();
-    let far_ranked = far_ranked.chain(owners.into_iter().flatten());
-    let far_ranked = others(own, far_ranked, &near_ranked);
-    Plan {
-        far_after: if is_own(owner_here) || near_ranked.is_empty() {
-            Millis::ZERO
-        } else {
-            FAR_AFTER
-        },
-        near: near_ranked,
-        far: far_ranked,
-        origin_after,
-        owners: before,
-    }
+/// The agents in the order that their ownership follows from, ranked once for all pieces.
+#[derive(Clone, Debug)]
+pub struct Layout {
+    own: Ranked,
+    near: Vec<Ranked>,
+    all: Vec<Ranked>,
+}
+
+#[derive(Clone, Debug)]
+struct Ranked {
+    id: Arc<str>,
+    rank: u64,
+    holds: bool,
 }
 
-/// The ids of those ranked, each once, without the agent itself and those `known`.
-fn others<'a>(
-    own: &str,
-    ranked: impl Iterator<Item = &'a Peer>,
-    known: &[Arc<str>],
-) -> Vec<Arc<str>> {
-    let mut ids: Vec<Arc<str>> = Vec::new();
-    for peer in ranked {
-        let new = !ids.contains(&peer.id) && !known.contains(&peer.id);
-        if &*peer.id != own && new {
-            ids.push(peer.id.clone());
+impl Layout {
+    /// The layout as the agent `own` in `zone` sees it; `peers` may list it as well.
+    pub fn new(own: &str, zone: &str, peers: &[Peer]) -> Self {
+        let ranked = |peer: &Peer| Ranked {
+            id: peer.id.clone(),
+            rank: hash(&peer.id),
+            holds: peer.holds,
+        };
+        let mut all: Vec<Ranked> = peers.iter().map(ranked).collect();
+        let near = peers.iter().filter(|peer| &*peer.zone == zone);
+        let mut near: Vec<Ranked> = near.map(ranked).collect();
+        all.sort_by_key(|peer| peer.rank);
+        near.sort_by_key(|peer| peer.rank);
+        let own = Ranked {
+            id: own.into(),
+            rank: hash(own),
+            holds: false,
+        };
+        Self { own, near, all }
+    }
+
+    /// Where the agent gets a piece.
+    pub fn plan(&self, piece: u32) -> Plan {
+        let owner_here = owner(&self.near, piece);
+        let owners = [owner(&self.all, piece), second_owner(&self.all, piece)];
+        let (first, second) = (self.is_own(owners[0]), self.is_own(owners[1]));
+        let (origin_after, sooner) = match (first, second) {
+            (true, _) => (Millis::ZERO, 0),
+            (false, true) => (SECOND_AFTER, 1),
+            (false, false) => (ANY_AFTER, 2),
+        };
+        let before = owners[..sooner].iter().flatten();
+        let before = before.map(|peer| peer.id.clone()).collect();
+        let near = self.holders(&self.near, piece).into_iter();
+        let near = self.others(near.chain(owner_here), &[]);
+        let far = self.holders(&self.all, piece).into_iter();
+        let far = self.others(far.chain(owners.into_iter().flatten()), &near);
+        let alone = self.is_own(owner_here) || near.is_empty();
+        Plan {
+            far_after: if alone { Millis::ZERO } else { FAR_AFTER },
+            near,
+            far,
+            origin_after,
+            owners: before,
         }
     }
-    ids
-}
 
-/// Those that hold the whole version, in an order that spreads the askers over them.
-fn holders<'a>(own: &str, peers: &[&'a Peer], piece: u32) -> Vec<&'a Peer> {
-    let mut holders: Vec<&Peer> = peers.iter().copied().filter(|p| p.holds).collect();
-    let turn = hash(own) ^ u64::from(piece);
-    holders.sort_by_key(|p| mix(hash(&p.id) ^ mix(turn)));
-    holders.truncate(HOLDERS);
-    holders
+    fn is_own(&self, peer: Option<&Ranked>) -> bool {
+        peer.is_some_and(|peer| peer.id == self.own.id)
+    }
+
+    /// The ids of those ranked, each once, without the agent itself and those `known`.
+    fn others<'a>(
+        &self,
+        ranked: impl Iterator<Item = &'a Ranked>,
+        known: &[Arc<str>],
+    ) -> Vec<Arc<str>> {
+        let mut ids: Vec<Arc<str>> = Vec::new();
+        for peer in ranked {
+            let new = !ids.contains(&peer.id) && !known.contains(&peer.id);
+            if peer.id != self.own.id && new {
+                ids.push(peer.id.clone());
+            }
+        }
+        ids
+    }
+
+    /// Some that hold the whole version, spread so that askers and pieces meet different ones.
+    fn holders<'a>(&self, peers: &'a [Ranked], piece: u32) -> Vec<&'a Ranked> {
+        let turn = mix(self.own.rank ^ u64::from(piece));
+        let mut holders: Vec<&Ranked> = peers.iter().filter(|p| p.holds).collect();
+        holders.sort_by_key(|p| mix(p.rank ^ turn));
+        holders.truncate(HOLDERS);
+        holders
+    }
+
+    /// The order in which the agent asks for the pieces: those that it owns for all come first, as
+    /// the others wait for them, then those of its zone, then the rest from a place of its own, so
+    /// that agents do not all ask the same owner first.
+    pub fn order(&self, pieces: u32) -> Vec<u32> {
+        let count = u64::from(pieces.max(1));
+        let start = self.own.rank % count;
+        let rank = |piece: &u32| {
+            let turn = (u64::from(*piece) + count - start) % count;
+            let first = self.is_own(owner(&self.all, *piece));
+            let second = self.is_own(owner(&self.near, *piece));
+            (!first, !second, turn)
+        };
+        let mut order: Vec<u32> = (0..pieces).collect();
+        order.sort_by_key(rank);
+        order
+    }
 }
 
-/// The owner of a piece: agents in the order of their hashes take turns.
-fn owner<'a>(peers: &[&'a Peer], piece: u32) -> Option<&'a Peer> {
+/// The owner of a piece: agents in the order of their ranks take turns.
+fn owner(peers: &[Ranked], piece: u32) -> Option<&Ranked> {
     turn(peers, piece, 0)
 }
 
-/// Who fetches a piece if its owner does not get on: another half way round, so that the pieces
-/// of one lost owner go to several.
-fn second_owner<'a>(peers: &[&'a Peer], piece: u32) -> Option<&'a Peer> {
+/// Who fetches a piece if its owner does not get on: another about half way round, so that the
+/// pieces of one lost owner go to several.
+fn second_owner(peers: &[Ranked], piece: u32) -> Option<&Ranked> {
     let count = peers.len().max(1);
     let lap = usize::try_from(piece).unwrap_or(0) / count;
     turn(
@@ -139,34 +189,9 @@
     )
 }
 
-fn turn<'a>(peers: &[&'a Peer], piece: u32, shift: usize) -> Option<&'a Peer> {
-    let mut ranked: Vec<&Peer> = peers.to_vec();
-    ranked.sort_by_key(|p| hash(&p.id));
-    let count = ranked.len().max(1);
+fn turn(peers: &[Ranked], piece: u32, shift: usize) -> Option<&Ranked> {
     let place = usize::try_from(piece).unwrap_or(0) + shift;
-    ranked.get(place % count).copied()
-}
-
-/// The order in which an agent asks for the pieces: those that it owns for all come first, as the
-/// others wait for them, then those of its zone, then the rest from a place of its own, so that
-/// agents do not all ask the same owner first.
-pub fn order(own: &str, zone: &str, peers: &[Peer], pieces: u32) -> Vec<u32> {
-    let near: Vec<&Peer> = peers.iter().filter(|p| &*p.zone == zone).collect();
-    let all: Vec<&Peer> = peers.iter().collect();
-    let is_own = |owner: Option<&Peer>| owner.is_some_and(|o| &*o.id == own);
-    let start = hash(own) % u64::from(pieces.max(1));
-    let rank = |piece: &u32| {
-        let turn = (u64::from(*piece) + u64::from(pieces) - start) % u64::from(pieces.max(1));
-        let class = match (is_own(owner(&all, *piece)), is_own(owner(&near, *piece))) {
-            (true, _) => 0,
-            (false, true) => 1,
-            (false, false) => 2,
-        };
-        (class, turn)
-    };
-    let mut order: Vec<u32> = (0..pieces).collect();
-    order.sort_by_key(rank);
-    order
+    peers.get(place % peers.len().max(1))
 }
 
 /// The most pieces under way to one agent: enough to fill its link from several uploaders.
