--- a/crates/filbertstack-gateway/src/agent/fetch.rs
+++ b/crates/filbertstack-gateway/src/agent/fetch.rs
@@ -235,6 +235,15 @@
         asked
     }
 
+    /// Waits while a newer version gets on. Both at once would slow each other, and bring every
+    /// engine to two versions one after the other. The older one goes on if the newer stalls, as
+    /// it does when the origin fails right after it was named.
+    async fn yield_to_newer(&self) {
+        while self.agent.shelf.is_newer_moving(self.weights.version) {
+            sleep(PAUSE).await;
+        }
+    }
+
     fn is_slow(&self, id: &str) -> bool {
         let slow = self.slow.borrow();
         slow.get(id).is_some_and(|at| at.elapsed() < PASSED_OVER)
@@ -252,6 +261,7 @@
             }
             return None;
         }
+        self.yield_to_newer().await;
         let _slot = Slot::take(self).await;
         let asked = self.agent.node.clock.now();
         let question = Question::Piece(name);
@@ -292,6 +302,7 @@
     /// Ends when the piece came, or when what came was wrong too often.
     async fn ask_origin(&self, set: &Rc<Set>, number: u32, wrong: &Cell<u32>) {
         loop {
+            self.yield_to_newer().await;
             let plan = self.plan(number);
             let after = Duration::from(plan.origin_after);
             let spent = self.began.elapsed();
--- a/crates/filbertstack-gateway/src/agent/rollout.rs
+++ b/crates/filbertstack-gateway/src/agent/rollout.rs
@@ -9,6 +9,7 @@
 use filbertstack_platform::engine::order_start;
 use filbertstack_platform::engine::read_staged;
 use filbertstack_platform::engine::stage_piece;
+use filbertstack_policy::rollout::Haste;
 use filbertstack_policy::rollout::order_after;
 use filbertstack_policy::subset::hash;
 use spdlog::info;
@@ -110,7 +111,12 @@
         .collect();
     ids.sort_by_key(|id| hash(id));
     let bound = Millis::from(agent.node.settings.bounds.rollout);
-    let turn = first.at + order_after(&agent.id(), &ids, bound);
+    let haste = if agent.shelf.is_newer_moving(wanted.version) {
+        Haste::LastCall
+    } else {
+        Haste::Usual
+    };
+    let turn = first.at + order_after(&agent.id(), &ids, bound, haste);
     turn.since(agent.node.clock.now())
 }
 
--- a/crates/filbertstack-gateway/src/agent/shelf.rs
+++ b/crates/filbertstack-gateway/src/agent/shelf.rs
@@ -1,8 +1,11 @@
 //! Pieces of weights in memory: every one was checked against its digest before it came here.
 
+use std::cell::Cell;
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::rc::Rc;
+use std::time::Duration;
+use std::time::Instant;
 
 use bytes::Bytes;
 use filbertstack_platform::engine::Holding;
@@ -11,6 +14,10 @@
 use sha2::Sha256;
 use tokio::sync::watch;
 
+/// A set to which nothing came for this long does not get on: its source has failed. Pieces of a
+/// set that does come in each 100 ms.
+const STILL: Duration = Duration::from_millis(700);
+
 /// The pieces of one version.
 #[derive(Debug)]
 pub struct Set {
@@ -18,6 +25,8 @@
     pub list: PieceList,
     pieces: RefCell<BTreeMap<u32, Bytes>>,
     news: watch::Sender<usize>,
+    /// When the last piece came.
+    grown: Cell<Option<Instant>>,
 }
 
 impl Set {
@@ -27,6 +36,7 @@
             list,
             pieces: RefCell::default(),
             news: watch::channel(0).0,
+            grown: Cell::new(None),
         }
     }
 
@@ -59,9 +69,16 @@
         let mut pieces = self.pieces.borrow_mut();
         pieces.insert(number, bytes);
         self.news.send_replace(pieces.len());
+        self.grown.set(Some(Instant::now()));
         true
     }
 
+    /// Whether a piece came lately and more are to come.
+    fn is_moving(&self) -> bool {
+        let lately = self.grown.get().is_some_and(|at| at.elapsed() < STILL);
+        lately && !self.is_whole()
+    }
+
     /// Told whenever a piece comes.
     pub fn watch(&self) -> watch::Receiver<usize> {
         self.news.subscribe()
@@ -95,6 +112,13 @@
             .cloned()
     }
 
+    /// Whether a version newer than `version` is being gathered and gets on.
+    pub fn is_newer_moving(&self, version: u64) -> bool {
+        let sets = self.sets.borrow();
+        let mut newer = sets.iter().filter(|s| s.list.weights.version > version);
+        newer.any(|set| set.is_moving())
+    }
+
     /// Begins to gather a set, unless it is there.
     pub fn begin(&self, set: Rc<Set>) {
         if self.find(&set.list.weights).is_none() {
--- a/crates/filbertstack-gateway/src/request/targets.rs
+++ b/crates/filbertstack-gateway/src/request/targets.rs
@@ -162,6 +162,11 @@
         })
     }
 
+    /// Learns how many entries send to the same targets.
+    pub fn share(&self, entries: u32) {
+        self.dispatcher.borrow_mut().share(entries);
+    }
+
     /// Counts a request that is sent.
     pub fn sent(&self, id: &str, prompt: u32) {
         let now = self.node.clock.now();
--- a/crates/filbertstack-policy/src/dispatch.rs
+++ b/crates/filbertstack-policy/src/dispatch.rs
@@ -9,6 +9,10 @@
 //! the earliest; if none meets the caller's goal, the request is refused at once, as waiting
 //! would only take the place of one that can be served.
 //!
+//! Between two reports other entries send as well. Counting only what was reported, all of them
+//! take the same few engines for free when most are out, and 15 requests too many wait 1.3 s there
+//! before any entry knows. So each adds what the others have likely sent, by its own rate.
+//!
 //! Decisions take the time and what was observed; they have no clock, network or thread.
 
 use std::collections::BTreeMap;
@@ -21,6 +25,7 @@
 
 use crate::outlier::Health;
 use crate::outlier::Outlier;
+use crate::units::count;
 use crate::units::millis;
 
 /// The part of the goal that a predicted first event may take. The rest covers the way to the
@@ -38,6 +43,14 @@
 /// A report older than this says nothing: its engine or agent is silent.
 const STALE: Millis = Millis::secs(2);
 
+/// The age of a report when it arrives, in milliseconds: half of the agent's period, and the way
+/// over a voter that gathers rows.
+const LAG_MS: f64 = 90.0;
+
+/// The time over which an entry's own rate of sends is taken, in milliseconds: some ten sends of
+/// a busy entry, and short against a burst.
+const RATE_MS: f64 = 500.0;
+
 /// What a plain call is taken to last before one was seen, in milliseconds.
 const FIRST_CALL_MS: f64 = 30.0;
 
@@ -173,13 +186,18 @@
         self.offered.open && well && now >= self.shut
     }
 
-    /// Requests there, those of other entries by the last report.
-    fn occupancy(&self, now: Millis) -> f64 {
+    /// Requests there, those of other entries by the last report and what they have likely sent
+    /// since, at `rate` requests a second.
+    fn occupancy(&self, now: Millis, rate: f64) -> f64 {
         let fresh = self.load.filter(|(at, _)| now.since(*at) < STALE);
-        let others = fresh.map_or(0, |(_, load)| {
-            (load.running + load.waiting).saturating_sub(self.own_then)
-        });
-        f64::from(self.own + others)
+        let Some((at, load)) = fresh else {
+            return f64::from(self.own);
+        };
+        let others = (load.running + load.waiting).saturating_sub(self.own_then);
+        let turn = self.offered.engine.as_deref().map_or(f64::MAX, turn_ms);
+        let age = millis_f64(now.since(at)) + LAG_MS;
+        let drift = (rate / 1_000.0 - 1.0 / turn) * age;
+        f64::from(self.own + others) + drift.max(0.0)
     }
 
     fn pace(&self, now: Millis) -> f64 {
@@ -188,8 +206,8 @@
     }
 
     /// Milliseconds to the first event, or to the answer of a plain call.
-    fn predict(&self, now: Millis, prompt: f64) -> f64 {
-        let ahead = self.occupancy(now);
+    fn predict(&self, now: Millis, prompt: f64, rate: f64) -> f64 {
+        let ahead = self.occupancy(now, rate);
         let slots = f64::from(self.offered.slots.max(1));
         let Some(engine) = &self.offered.engine else {
             let rounds = ((ahead + 1.0) / slots).max(1.0);
@@ -226,18 +244,62 @@
 #[derive(Clone, Debug)]
 pub struct Dispatcher {
     targets: BTreeMap<TargetId, Target>,
+    /// How fast this entry sends to each service.
+    rates: BTreeMap<Arc<str>, Rate>,
+    entries: f64,
     rng: ChaCha8Rng,
 }
 
+/// A rate of events that forgets exponentially.
+#[derive(Clone, Copy, Debug, Default)]
+struct Rate {
+    count: f64,
+    at: Millis,
+}
+
+impl Rate {
+    fn decayed(self, now: Millis) -> f64 {
+        self.count * (-millis_f64(now.since(self.at)) / RATE_MS).exp()
+    }
+
+    fn add(&mut self, now: Millis) {
+        self.count = self.decayed(now) + 1.0;
+        self.at = now;
+    }
+
+    /// Events a second.
+    fn value(self, now: Millis) -> f64 {
+        self.decayed(now) * 1_000.0 / RATE_MS
+    }
+}
+
 impl Dispatcher {
     /// A view without targets; `rng` spreads choices and returns.
     pub fn new(rng: ChaCha8Rng) -> Self {
         Self {
             targets: BTreeMap::new(),
+            rates: BTreeMap::new(),
+            entries: 1.0,
             rng,
         }
     }
 
+    /// Learns how many entries send to the same targets.
+    pub fn share(&mut self, entries: u32) {
+        self.entries = f64::from(entries.max(1));
+    }
+
+    /// How many requests a second each open target of `service` gets from the other entries, if
+    /// they send as much as this one.
+    fn rate_of_others(&self, now: Millis, service: &str) -> f64 {
+        let own = self.rates.get(service).map_or(0.0, |rate| rate.value(now));
+        let open = self
+            .targets
+            .values()
+            .filter(|target| &*target.offered.service == service && target.takes_work(now));
+        own * (self.entries - 1.0) / count(open.count()).max(1.0)
+    }
+
     /// Replaces what is known of the targets; requests under way and health are kept.
     pub fn offer(&mut self, offered: Vec<Offered>) {
         let mut targets = BTreeMap::new();
@@ -265,6 +327,7 @@
     pub fn choose(&mut self, now: Millis, wanted: &Wanted<'_>) -> Result<TargetId, Refused> {
         let prompt = f64::from(wanted.prompt);
         let limit = millis_f64(wanted.goal) * GOAL_SHARE;
+        let rate = self.rate_of_others(now, wanted.service);
         let mut best: Option<(f64, f64, TargetId)> = None;
         let mut usable = false;
         for target in self.targets.values() {
@@ -276,7 +339,7 @@
                 continue;
             }
             usable = true;
-            let predicted = target.predict(now, prompt);
+            let predicted = target.predict(now, prompt, rate);
             let far = if target.offered.near { 0.0 } else { FAR_MS };
             let score = predicted + far + self.rng.random_range(0.0..JITTER_MS);
             if best.as_ref().is_none_or(|(s, _, _)| score < *s) {
@@ -310,6 +373,8 @@
             target.outlier.probe();
         }
         target.own += 1;
+        let service = target.offered.service.clone();
+        self.rates.entry(service).or_default().add(now);
         target.unread += f64::from(prompt);
     }
 
--- a/crates/filbertstack-policy/src/rollout.rs
+++ b/crates/filbertstack-policy/src/rollout.rs
@@ -13,15 +13,27 @@
 /// The part of the time for a rollout after which a target must hold the new version to be used.
 /// What is left covers a request's way and its wait in an engine that few share the load with:
 /// 1.3 s were seen where the origin had failed and most engines were out.
-const BINDING: f64 = 0.86;
+const BINDING: f64 = 0.89;
 
 /// The part after which the last engine is ordered: the order must have reached it, so that it
 /// begins nothing on the old version, before [`BINDING`].
-const LAST: f64 = 0.81;
+const LAST: f64 = 0.84;
 
 /// The part at which the first engine is ordered, if its pieces are there by then.
 const FIRST: f64 = 0.28;
 
+/// The part at which the first engine is ordered to load a version that another has followed.
+const LAST_CALL: f64 = 0.68;
+
+/// When a version should be loaded.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Haste {
+    /// As evenly as there is time.
+    Usual,
+    /// As late as it may: a newer one is on its way, and an engine that waits for it loads once.
+    LastCall,
+}
+
 /// The oldest version that may still answer, given each version and how long ago it was named.
 /// 0 if any may.
 pub fn floor(named: impl Iterator<Item = (u64, Millis)>, bound: Millis) -> u64 {
@@ -31,13 +43,17 @@
 
 /// How long after a version was named the engine of `own` is ordered to load it. `agents` are
 /// those of all engines of the model, in one order everywhere.
-pub fn order_after(own: &str, agents: &[Arc<str>], bound: Millis) -> Millis {
+pub fn order_after(own: &str, agents: &[Arc<str>], bound: Millis, haste: Haste) -> Millis {
     let place = agents.iter().position(|agent| &**agent == own).unwrap_or(0);
     let steps = u64::try_from(agents.len().saturating_sub(1))
         .unwrap_or(1)
         .max(1);
     let place = u64::try_from(place).unwrap_or(0);
-    let (first, last) = (part(bound, FIRST), part(bound, LAST));
+    let first = match haste {
+        Haste::Usual => FIRST,
+        Haste::LastCall => LAST_CALL,
+    };
+    let (first, last) = (part(bound, first), part(bound, LAST));
     Millis(first.0 + (last.0 - first.0) * place / steps)
 }
 
