--- a/crates/filbertstack-gateway/src/agent/peers.rs
+++ b/crates/filbertstack-gateway/src/agent/peers.rs
@@ -34,7 +34,7 @@
 
 /// The most pieces that go out at once. One after the other, the first can be passed on while the
 /// next is on its way; all at once, each arrives when all do.
-const UPLOADS: usize = 3;
+const UPLOADS: usize = 2;
 
 /// The agents that are there, with their ids.
 pub fn agents(node: &Node) -> Vec<(Arc<str>, AgentRow)> {
--- a/crates/filbertstack-policy/src/dispatch.rs
+++ b/crates/filbertstack-policy/src/dispatch.rs
@@ -30,15 +30,25 @@
 
 /// The part of the goal that a predicted first event may take. The rest covers the way to the
 /// caller and the error of loads that are reported with a lag.
-const GOAL_SHARE: f64 = 0.7;
+const GOAL_SHARE: f64 = 0.72;
 
 /// What a target outside the entry's zone must be better by, in milliseconds: the way there and
 /// back, and the price of bytes between zones.
 const FAR_MS: f64 = 8.0;
 
-/// The spread of a random addition to each prediction, in milliseconds. Entries that see the same
-/// report would otherwise all take the same target until the next one.
-const JITTER_MS: f64 = 12.0;
+/// How many passes a request lasts to its first event, its reading aside: the rest of the one that
+/// is under way, which is half of one in the mean, and one of its own.
+const PASSES: f64 = 1.5;
+
+/// The most of an engine's time that is taken to go into reading. Above it a prediction would be
+/// without bound, and is far beyond any goal anyway.
+const MOST_READING: f64 = 0.7;
+
+/// How many targets, drawn at random, a choice is made among. With all of them, every entry would
+/// take the one that was the freest in the last report, such as one that has just loaded, and its
+/// queue would be a second long before the next. With three, none gets more than three times its
+/// share, and a full one is still taken by one request in a thousand only.
+const CHOICES: usize = 3;
 
 /// A report older than this says nothing: its engine or agent is silent.
 const STALE: Millis = Millis::secs(2);
@@ -214,9 +224,12 @@
             return self.call_ms * rounds;
         };
         let wait = (ahead + 1.0 - slots).max(0.0) * turn_ms(engine);
-        let batch = ahead.min(slots);
+        // The engine reads what others send in the same passes.
+        let reading = rate / 1_000.0 * read_ms(engine, engine.prompt);
+        let slowed = 1.0 / (1.0 - reading.min(MOST_READING));
+        let passes = PASSES * pass_ms(engine, ahead.min(slots));
         let read = read_ms(engine, prompt) + self.unread / engine.read_rate;
-        (wait + pass_ms(engine, batch) + read) * self.pace(now)
+        (wait + passes * slowed + read) * self.pace(now)
     }
 }
 
@@ -328,34 +341,42 @@
         let prompt = f64::from(wanted.prompt);
         let limit = millis_f64(wanted.goal) * GOAL_SHARE;
         let rate = self.rate_of_others(now, wanted.service);
-        let mut best: Option<(f64, f64, TargetId)> = None;
-        let mut usable = false;
+        let mut fit: Vec<(f64, TargetId)> = Vec::new();
+        let mut least = f64::MAX;
         for target in self.targets.values() {
             let id = &target.offered.id;
-            if &*target.offered.service != wanted.service || wanted.tried.contains(id) {
+            let other = &*target.offered.service != wanted.service || wanted.tried.contains(id);
+            if other || !target.takes_work(now) {
                 continue;
             }
-            if !target.takes_work(now) {
-                continue;
-            }
-            usable = true;
             let predicted = target.predict(now, prompt, rate);
-            let far = if target.offered.near { 0.0 } else { FAR_MS };
-            let score = predicted + far + self.rng.random_range(0.0..JITTER_MS);
-            if best.as_ref().is_none_or(|(s, _, _)| score < *s) {
-                best = Some((score, predicted, id.clone()));
+            least = least.min(predicted);
+            if predicted <= limit {
+                let far = if target.offered.near { 0.0 } else { FAR_MS };
+                fit.push((predicted + far, id.clone()));
             }
         }
-        let Some((_, predicted, id)) = best.filter(|_| usable) else {
+        if least == f64::MAX {
             let after = self.spread(NO_TARGET);
             return Err(Refused::NoTarget { after });
-        };
-        if predicted > limit {
-            let wait = (predicted - limit).clamp(RETURN[0], RETURN[1]);
+        }
+        self.draw(fit).ok_or_else(|| {
+            let wait = (least - limit).clamp(RETURN[0], RETURN[1]);
             let after = self.spread(wait);
-            return Err(Refused::Full { after });
+            Refused::Full { after }
+        })
+    }
+
+    /// The best of some targets drawn at random.
+    fn draw(&mut self, mut fit: Vec<(f64, TargetId)>) -> Option<TargetId> {
+        let mut best: Option<(f64, TargetId)> = None;
+        for _ in 0..CHOICES.min(fit.len()) {
+            let (score, id) = fit.swap_remove(self.rng.random_range(0..fit.len()));
+            if best.as_ref().is_none_or(|(least, _)| score < *least) {
+                best = Some((score, id));
+            }
         }
-        Ok(id)
+        best.map(|(_, id)| id)
     }
 
     /// A return time around `mean`, spread so that those refused together do not come back
--- a/crates/filbertstack-policy/src/pieces.rs
+++ b/crates/filbertstack-policy/src/pieces.rs
@@ -194,8 +194,9 @@
     peers.get(place % peers.len().max(1))
 }
 
-/// The most pieces under way to one agent: enough to fill its link from several uploaders.
-const MOST: u32 = 4;
+/// The most pieces under way to one agent: enough to fill its link. More would only wait in its
+/// queue, before requests to the engine and the reports of its load.
+const MOST: u32 = 3;
 
 /// A piece that came so soon after the one before, or after it was asked for, came over a link with
 /// room: today's link carries one in 42 ms, beside live requests.
