Logs of the small instances go to standard output as JSON; tests over real processes

Cause: logs went to standard error, and a voter that came back empty could be taken in once more under its lost identity.

--- a/crates/filbertstack-gateway/src/control/voter.rs
+++ b/crates/filbertstack-gateway/src/control/voter.rs
@@ -277,6 +277,9 @@
             addr,
         };
         let mut newcomers = self.newcomers.borrow_mut();
+        // One that came back empty asks under a new identity: its old one, asked for a moment ago,
+        // would be taken in again though nobody can answer for it.
+        newcomers.retain(|_, (other, _)| other.addr != addr);
         newcomers.insert(node, (newcomer, Instant::now()));
     }
 
--- a/crates/filbertstack-policy/src/dispatch.rs
+++ b/crates/filbertstack-policy/src/dispatch.rs
@@ -337,7 +337,7 @@
         let prompt = f64::from(wanted.prompt);
         let limit = millis_f64(wanted.goal) * GOAL_SHARE;
         let mut fit: Vec<(f64, TargetId)> = Vec::new();
-        let mut least = f64::MAX;
+        let mut least = f64::INFINITY;
         for target in self.targets.values() {
             let id = &target.offered.id;
             let other = &*target.offered.service != wanted.service || wanted.tried.contains(id);
@@ -351,7 +351,7 @@
                 fit.push((predicted + far, id.clone()));
             }
         }
-        if least == f64::MAX {
+        if least.is_infinite() {
             let after = self.spread(NO_TARGET);
             return Err(Refused::NoTarget { after });
         }
--- a/crates/filbertstack-policy/tests/dispatch.rs
+++ b/crates/filbertstack-policy/tests/dispatch.rs
@@ -32,6 +32,7 @@
     Dispatcher,
 }
 
+#[derive(Clone, Copy)]
 struct Replay {
     way: Way,
     engines: usize,
--- a/crates/filbertstack-telemetry/src/logs.rs
+++ b/crates/filbertstack-telemetry/src/logs.rs
@@ -30,6 +30,7 @@
 use crate::error::TelemetryError;
 use crate::identity::Identity;
 use crate::settings::LogFormat;
+use crate::settings::LogStream;
 use crate::settings::TelemetrySettings;
 
 /// How long a line may stay in the buffer of a log file.
@@ -87,7 +88,10 @@
 fn open_sink(settings: &TelemetrySettings) -> Result<Arc<dyn Sink>, TelemetryError> {
     let Some(path) = &settings.log_file else {
         let sink = StdStreamSink::builder()
-            .std_stream(StdStream::Stderr)
+            .std_stream(match settings.stream {
+                LogStream::Error => StdStream::Stderr,
+                LogStream::Output => StdStream::Stdout,
+            })
             .style_mode(StyleMode::Never)
             .build_arc();
         return Ok(sink.map_err(|e| TelemetryError::Logger(Box::new(e)))?);
--- a/crates/filbertstack-telemetry/src/settings.rs
+++ b/crates/filbertstack-telemetry/src/settings.rs
@@ -122,8 +122,10 @@
     pub level: Level,
     /// `log-format`
     pub format: LogFormat,
-    /// `log-file`: the file that logs are appended to; standard error without it.
+    /// `log-file`: the file that logs are appended to; without it they go to `stream`.
     pub log_file: Option<PathBuf>,
+    /// Where logs go without a file.
+    pub stream: LogStream,
     /// `trace-file`: the file that spans are appended to, one JSON object a line.
     pub trace_file: Option<PathBuf>,
     /// `trace-endpoint`: the collector that spans are sent to by OTLP over HTTP.
@@ -132,12 +134,23 @@
     pub sample: Sample,
 }
 
+/// The standard stream that logs go to.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum LogStream {
+    /// Standard error, beside what a command prints.
+    #[default]
+    Error,
+    /// Standard output, for processes that print nothing else there.
+    Output,
+}
+
 impl Default for TelemetrySettings {
     fn default() -> Self {
         Self {
             level: Level::Info,
             format: LogFormat::default(),
             log_file: None,
+            stream: LogStream::default(),
             trace_file: None,
             endpoint: None,
             sample: Sample::ALL,
@@ -174,6 +187,7 @@
             level: level.unwrap_or(defaults.level),
             format: format.unwrap_or_default(),
             log_file,
+            stream: LogStream::default(),
             trace_file,
             endpoint,
             sample: sample.unwrap_or(defaults.sample),
--- a/src/cmd/gateway.rs
+++ b/src/cmd/gateway.rs
@@ -10,6 +10,8 @@
 use filbertstack_telemetry::Logs;
 use filbertstack_telemetry::Role;
 use filbertstack_telemetry::TelemetrySettings;
+use filbertstack_telemetry::settings::LogFormat;
+use filbertstack_telemetry::settings::LogStream;
 use tokio::runtime::Builder;
 use tokio::runtime::Runtime;
 use tokio::task::LocalSet;
@@ -41,7 +43,12 @@
 
 fn start_logs(settings: &Settings, role: Role) -> Result<Logs, Failure> {
     let identity = Identity::new(role, settings.node.name.as_str());
-    let logs = Logs::start(&TelemetrySettings::default(), &identity)?;
+    let telemetry = TelemetrySettings {
+        format: LogFormat::Json,
+        stream: LogStream::Output,
+        ..TelemetrySettings::default()
+    };
+    let logs = Logs::start(&telemetry, &identity)?;
     logs.make_default();
     Ok(logs)
 }
--- /dev/null
+++ b/tests/gateway/engine.rs
@@ -0,0 +1,131 @@
+//! A stand-in for an engine: it answers each request as it is told to.
+
+use std::io::BufRead as _;
+use std::io::BufReader;
+use std::io::Read as _;
+use std::io::Write as _;
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::net::TcpStream;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::thread;
+
+/// A request as the engine saw it.
+#[derive(Clone, Debug)]
+pub struct Seen {
+    /// Its first line.
+    pub line: String,
+    /// Its headers, names in lower case.
+    pub headers: Vec<(String, String)>,
+    /// Its body.
+    pub body: Vec<u8>,
+}
+
+impl Seen {
+    /// One header's value; empty if it isn't there.
+    pub fn header(&self, name: &str) -> &str {
+        let found = self.headers.iter().find(|(n, _)| n == name);
+        found.map_or("", |(_, value)| value)
+    }
+}
+
+/// What the engine does with a request: the bytes that it sends, after which it closes.
+pub type Behaviour = Box<dyn Fn(&Seen) -> Vec<u8> + Send + Sync>;
+
+/// A running engine.
+pub struct Engine {
+    /// Where it serves.
+    pub addr: SocketAddr,
+    seen: Arc<Mutex<Vec<Seen>>>,
+}
+
+impl Engine {
+    /// Starts an engine at a free port.
+    pub fn start(behaviour: Behaviour) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+        let addr = listener.local_addr().expect("bound");
+        let seen = Arc::new(Mutex::new(Vec::new()));
+        let kept = seen.clone();
+        let behaviour = Arc::new(behaviour);
+        thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let (kept, behaviour) = (kept.clone(), behaviour.clone());
+                thread::spawn(move || serve(stream, &kept, &behaviour));
+            }
+        });
+        Self { addr, seen }
+    }
+
+    /// All requests so far.
+    pub fn seen(&self) -> Vec<Seen> {
+        self.seen.lock().expect("not poisoned").clone()
+    }
+}
+
+fn serve(mut stream: TcpStream, kept: &Mutex<Vec<Seen>>, behaviour: &Behaviour) {
+    let mut reader = BufReader::new(stream.try_clone().expect("a second handle"));
+    let mut line = String::new();
+    if reader.read_line(&mut line).unwrap_or(0) == 0 {
+        return;
+    }
+    let mut headers = Vec::new();
+    loop {
+        let mut text = String::new();
+        reader.read_line(&mut text).expect("a header");
+        let Some((name, value)) = text.trim_end().split_once(": ") else {
+            break;
+        };
+        headers.push((name.to_lowercase(), value.to_owned()));
+    }
+    let mut seen = Seen {
+        line: line.trim_end().into(),
+        headers,
+        body: Vec::new(),
+    };
+    let length = seen.header("content-length").parse().unwrap_or(0);
+    seen.body = vec![0; length];
+    reader.read_exact(&mut seen.body).expect("the body");
+    let answer = behaviour(&seen);
+    kept.lock().expect("not poisoned").push(seen);
+    // A caller that has left is part of some tests.
+    let _ = stream.write_all(&answer);
+}
+
+/// A whole answer of the engine, sealed.
+pub fn answer(seen: &Seen, status: &str, body: &str) -> Vec<u8> {
+    let id = seen.header("x-filbertstack-attempt-id");
+    format!(
+        "HTTP/1.1 {status}\r\nX-Filbertstack-Attempt-Id: {id}\r\n\
+         X-Filbertstack-Response-Seal: sealed\r\nContent-Length: {}\r\n\r\n{body}",
+        body.len()
+    )
+    .into_bytes()
+}
+
+/// The engine has no room and says that it did not run the request.
+pub fn no_room(_: &Seen) -> Vec<u8> {
+    b"HTTP/1.1 503 Service Unavailable\r\nX-Filbertstack-Not-Executed: 1\r\n\
+      Content-Length: 0\r\n\r\n"
+        .to_vec()
+}
+
+/// A stream of the events after the one that the request resumes, up to `last`; it breaks off
+/// `cut` bytes before its end.
+pub fn stream(seen: &Seen, last: u64, cut: usize) -> Vec<u8> {
+    let id = seen.header("x-filbertstack-attempt-id");
+    let after: u64 = seen.header("last-event-id").parse().unwrap_or(0);
+    let mut bytes = format!(
+        "HTTP/1.1 200 OK\r\nX-Filbertstack-Attempt-Id: {id}\r\n\
+         X-Filbertstack-Response-Seal: sealed\r\nContent-Type: text/event-stream\r\n\
+         Transfer-Encoding: chunked\r\n\r\n"
+    );
+    for n in after + 1..=last {
+        let event = format!("id: {n}\ndata: piece {n}\n\n");
+        let chunk = format!("{:x}\r\n{event}\r\n", event.len());
+        bytes.push_str(&chunk);
+    }
+    bytes.push_str("0\r\n\r\n");
+    let whole = bytes.into_bytes();
+    whole[..whole.len() - cut].to_vec()
+}
--- /dev/null
+++ b/tests/gateway/requests.rs
@@ -0,0 +1,225 @@
+//! A caller's request, before engines that refuse, fail and break off.
+
+use crate::engine::Engine;
+use crate::engine::answer;
+use crate::engine::no_room;
+use crate::engine::stream;
+use crate::world::World;
+use crate::world::document;
+use crate::world::get;
+
+/// One entry that knows the engines given, by service.
+fn serving(engines: &[(&str, &str, &Engine)]) -> World {
+    let world = World::start(1, 0);
+    world.put(&[0], &document(1));
+    for (id, service, engine) in engines {
+        world.report(0, id, service, engine.addr);
+    }
+    world
+}
+
+#[test]
+fn a_request_goes_on_unchanged_and_its_answer_comes_back() {
+    let engine = Engine::start(Box::new(|seen| answer(seen, "200 OK", "booked")));
+    let world = serving(&[("i-1", "once", &engine)]);
+    let request = "POST /once/a?b=c HTTP/1.1\r\nHost: h.example\r\nConnection: close\r\n\
+                   X-Filbertstack-Attempt-Id: a1\r\nX-Filbertstack-Deadline-Ms: 900\r\n\
+                   X-Filbertstack-Tenant: forged\r\nContent-Length: 4\r\n\r\nbody";
+    crate::world::until("it is served", || world.call(0, request).status == 200);
+    let got = world.call(0, request);
+    assert_eq!((got.status, got.body.as_str()), (200, "booked"));
+    assert!(
+        got.head.contains("x-filbertstack-response-seal: sealed"),
+        "{}",
+        got.head
+    );
+    let seen = engine.seen().pop().expect("it was asked");
+    assert_eq!(seen.line, "POST /once/a?b=c HTTP/1.1");
+    assert_eq!(seen.body, b"body");
+    assert_eq!(seen.header("x-filbertstack-expect-instance"), "i-1");
+    assert_eq!(
+        seen.header("x-filbertstack-tenant"),
+        "",
+        "no key, no organisation"
+    );
+    let left: u64 = seen
+        .header("x-filbertstack-deadline-ms")
+        .parse()
+        .expect("a number");
+    assert!(left <= 900);
+}
+
+/// The only engine has no room. The caller must learn that its request has not run, and when to
+/// come back; the request must not run later.
+#[test]
+fn a_request_that_has_not_run_is_refused_with_a_return() {
+    let engine = Engine::start(Box::new(no_room));
+    let world = serving(&[("i-1", "once", &engine)]);
+    crate::world::until("it is asked", || {
+        let _ = world.call(0, &get("/once/", "a1", ""));
+        !engine.seen().is_empty()
+    });
+    let got = world.call(0, &get("/once/", "a2", ""));
+    assert_eq!(got.status, 503);
+    assert!(got.head.contains("retry-after: "), "{}", got.head);
+    assert!(
+        got.head.contains("x-filbertstack-attempt-id: a2"),
+        "{}",
+        got.head
+    );
+}
+
+/// An engine takes a request and closes without an answer: it may have run. A request that may
+/// run once only must not go to another engine, and the caller must not be told "not run".
+#[test]
+fn an_unknown_outcome_is_neither_repeated_nor_denied() {
+    let engines = [(); 2].map(|()| {
+        Engine::start(Box::new(|seen| {
+            if seen.header("x-filbertstack-attempt-id") == "a1" {
+                return Vec::new();
+            }
+            answer(seen, "200 OK", "ok")
+        }))
+    });
+    let world = serving(&[("i-1", "once", &engines[0]), ("i-2", "once", &engines[1])]);
+    world.await_service(0, "/once/");
+    let got = world.call(0, &get("/once/", "a1", ""));
+    assert_eq!(got.status, 502);
+    let runs = |e: &Engine| {
+        let seen = e.seen().into_iter();
+        seen.filter(|s| s.header("x-filbertstack-attempt-id") == "a1")
+            .count()
+    };
+    assert_eq!(runs(&engines[0]) + runs(&engines[1]), 1);
+}
+
+/// The same loss of an idempotent request: another engine answers, and the caller sees no failure.
+#[test]
+fn an_idempotent_request_is_repeated_elsewhere() {
+    let broken = Engine::start(Box::new(|_| Vec::new()));
+    let whole = Engine::start(Box::new(|seen| answer(seen, "200 OK", "whole")));
+    let world = serving(&[("i-1", "safe", &broken), ("i-2", "safe", &whole)]);
+    world.await_service(0, "/safe/");
+    for n in 0..8 {
+        let got = world.call(0, &get("/safe/", &format!("a{n}"), ""));
+        assert_eq!(
+            (got.status, got.body.as_str()),
+            (200, "whole"),
+            "request {n}"
+        );
+    }
+}
+
+/// An engine breaks off a stream in the middle of an event. Another goes on after the last whole
+/// event; the caller sees each event once, in order, and the end.
+#[test]
+fn a_broken_stream_goes_on_at_another_engine() {
+    let first = Engine::start(Box::new(|seen| {
+        let resumes = !seen.header("last-event-id").is_empty();
+        stream(seen, 6, if resumes { 0 } else { 70 })
+    }));
+    let second = Engine::start(Box::new(|seen| {
+        let resumes = !seen.header("last-event-id").is_empty();
+        stream(seen, 6, if resumes { 0 } else { 70 })
+    }));
+    let world = serving(&[("i-1", "stream", &first), ("i-2", "stream", &second)]);
+    crate::world::until("it is served", || {
+        world.call(0, &get("/stream/", "probe", "")).status == 200
+    });
+    let got = world.call(0, &get("/stream/", "a1", ""));
+    let events: Vec<&str> = got
+        .body
+        .lines()
+        .filter(|l| l.starts_with("data: "))
+        .collect();
+    let expected: Vec<String> = (1..=6).map(|n| format!("data: piece {n}")).collect();
+    assert_eq!(events, expected, "{}", got.body);
+    assert!(
+        got.body.ends_with("0\r\n\r\n"),
+        "it looks complete: {:?}",
+        got.body
+    );
+    let resumed = first.seen().into_iter().chain(second.seen());
+    let resumed = resumed.filter(|s| s.header("x-filbertstack-attempt-id") == "a1");
+    let after: Vec<String> = resumed
+        .map(|s| s.header("last-event-id").to_owned())
+        .collect();
+    assert!(after.iter().any(|id| !id.is_empty()), "{after:?}");
+}
+
+/// Nobody can go on with a broken stream. It must not look complete.
+#[test]
+fn a_stream_that_nobody_goes_on_with_does_not_look_complete() {
+    let engine = Engine::start(Box::new(|seen| stream(seen, 6, 70)));
+    let world = serving(&[("i-1", "stream", &engine)]);
+    crate::world::until("it is served", || {
+        world.call(0, &get("/stream/", "probe", "")).status == 200
+    });
+    let got = world.call(0, &get("/stream/", "a1", ""));
+    assert!(!got.body.ends_with("0\r\n\r\n"), "{:?}", got.body);
+}
+
+/// An answer without the engine's seal, or to another request, must not reach the caller as a
+/// success: it may be somebody else's.
+#[test]
+fn an_answer_that_is_not_this_requests_is_not_given_back() {
+    let engine = Engine::start(Box::new(|seen| {
+        match seen.header("x-filbertstack-attempt-id") {
+            "unsealed" => b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nbad".to_vec(),
+            "crossed" => b"HTTP/1.1 200 OK\r\nX-Filbertstack-Attempt-Id: other\r\n\
+                           X-Filbertstack-Response-Seal: s\r\nContent-Length: 3\r\n\r\nbad"
+                .to_vec(),
+            "garbage" => b"\x00\x01\x02\r\n\r\n".to_vec(),
+            _ => answer(seen, "200 OK", "ok"),
+        }
+    }));
+    let world = serving(&[("i-1", "once", &engine)]);
+    world.await_service(0, "/once/");
+    for attempt in ["unsealed", "crossed", "garbage"] {
+        let got = world.call(0, &get("/once/", attempt, ""));
+        assert_eq!(got.status, 502, "{attempt}");
+        assert!(!got.body.contains("bad"), "{attempt}");
+    }
+}
+
+#[test]
+fn what_no_route_takes_is_not_found() {
+    let world = World::start(1, 0);
+    let before = world.call(0, &get("/safe/", "a1", ""));
+    assert_eq!(
+        before.status, 503,
+        "an entry that knows nothing yet denies nothing"
+    );
+    world.put(&[0], &document(1));
+    crate::world::until("it is known", || {
+        world.call(0, &get("/other/", "a1", "")).status == 404
+    });
+}
+
+/// An entry is told to end while a request is being answered. The request gets its whole answer,
+/// and the process ends by itself.
+#[test]
+fn a_planned_end_cuts_off_nothing() {
+    let engine = Engine::start(Box::new(|seen| {
+        if seen.header("x-filbertstack-attempt-id") == "slow" {
+            std::thread::sleep(std::time::Duration::from_millis(600));
+        }
+        answer(seen, "200 OK", "whole")
+    }));
+    let mut world = serving(&[("i-1", "once", &engine)]);
+    world.await_service(0, "/once/");
+    let got = std::thread::scope(|scope| {
+        let before = engine.seen().len();
+        let request = get("/once/", "slow", "");
+        let addr = world.front(0);
+        let call = scope.spawn(move || crate::world::exchange(&addr, &request));
+        crate::world::until("it is under way or done", || {
+            engine.seen().len() > before || !call.is_finished()
+        });
+        std::thread::sleep(std::time::Duration::from_millis(100));
+        assert!(world.stop(0), "it ends by itself, in order");
+        call.join().expect("the caller")
+    });
+    let got = got.expect("an answer");
+    assert_eq!((got.status, got.body.as_str()), (200, "whole"));
+}
--- /dev/null
+++ b/tests/gateway/world.rs
@@ -0,0 +1,278 @@
+//! Entries on loopback: each has an address of its own, all have the same ports.
+
+use std::fs;
+use std::io::Read as _;
+use std::io::Write as _;
+use std::net::SocketAddr;
+use std::net::TcpStream;
+use std::path::PathBuf;
+use std::process::Child;
+use std::process::Command;
+use std::process::Stdio;
+use std::sync::atomic::AtomicU32;
+use std::sync::atomic::Ordering;
+use std::thread::sleep;
+use std::time::Duration;
+use std::time::Instant;
+
+use serde_json::Value;
+use serde_json::json;
+use tempfile::TempDir;
+
+/// How long a state is waited for that must come: far beyond what it takes, so that it only
+/// bounds a test that has failed.
+const PATIENCE: Duration = Duration::from_secs(60);
+
+/// What a leader logs when it made somebody a voter.
+const PROMOTED: &str = "\"change\":\"Promote";
+
+/// Worlds of this process so far: each gets a part of loopback of its own, and so all its ports.
+static WORLDS: AtomicU32 = AtomicU32::new(0);
+
+/// Some entries that know each other.
+pub struct World {
+    folder: TempDir,
+    ips: Vec<String>,
+    entries: Vec<Option<Child>>,
+}
+
+/// An answer over HTTP.
+#[derive(Debug)]
+pub struct Answer {
+    /// The status.
+    pub status: u16,
+    /// The headers, names in lower case.
+    pub head: String,
+    /// Everything after the head that came before the connection ended.
+    pub body: String,
+}
+
+impl World {
+    /// Starts `voters` entries with a disk and `others` without.
+    pub fn start(voters: usize, others: usize) -> Self {
+        let number = WORLDS.fetch_add(1, Ordering::Relaxed);
+        let process = std::process::id();
+        let net = format!(
+            "127.{}.{}",
+            16 + process % 200,
+            (process / 200 + number * 37) % 250
+        );
+        let count = voters + others;
+        let mut world = Self {
+            folder: TempDir::new().expect("a folder"),
+            ips: (1..=count).map(|n| format!("{net}.{n}")).collect(),
+            entries: (0..count).map(|_| None).collect(),
+        };
+        for n in 0..count {
+            world.write_settings(n, n < voters, true);
+            world.launch(n);
+        }
+        world
+    }
+
+    fn path(&self, n: usize) -> PathBuf {
+        self.folder.path().join(format!("node-{n}.ini"))
+    }
+
+    fn write_settings(&self, n: usize, disk: bool, first: bool) {
+        let ip = &self.ips[n];
+        let seeds: Vec<String> = self
+            .ips
+            .iter()
+            .take(3)
+            .map(|ip| format!("{ip}:8000"))
+            .collect();
+        let data = self.folder.path().join(format!("data-{n}"));
+        let data = if disk {
+            data.display().to_string()
+        } else {
+            String::new()
+        };
+        let text = format!(
+            "[node]\nname = node-{n}\nzone = z{n}\nlink = {ip}:7700\nseeds = {}\n\
+             first-start = {first}\ndata = {data}\n\
+             [listen]\nfront = {ip}:8005\nready = {ip}:8002\ncontrol = {ip}:8000\n\
+             directory = {ip}:8009\n",
+            seeds.join(",")
+        );
+        fs::write(self.path(n), text).expect("the settings");
+    }
+
+    fn log(&self, n: usize) -> Stdio {
+        let path = self.folder.path().join(format!("log-{n}"));
+        fs::File::create(path).expect("a log").into()
+    }
+
+    /// How often a leader made somebody a voter, by the logs of all entries but `n`.
+    fn promotions(&self, n: usize) -> usize {
+        let others = (0..self.ips.len()).filter(|other| *other != n);
+        let logs = others.map(|other| {
+            let path = self.folder.path().join(format!("log-{other}"));
+            fs::read_to_string(path).unwrap_or_default()
+        });
+        let count = |log: String| log.matches(PROMOTED).count();
+        logs.map(count).sum()
+    }
+
+    /// Starts an entry.
+    pub fn launch(&mut self, n: usize) {
+        let child = Command::new(env!("CARGO_BIN_EXE_filbertstack"))
+            .arg("gateway")
+            .arg("--settings")
+            .arg(self.path(n))
+            .stdout(self.log(n))
+            .stderr(Stdio::null())
+            .spawn();
+        self.entries[n] = Some(child.expect("the program starts"));
+    }
+
+    /// Kills an entry at once.
+    pub fn kill(&mut self, n: usize) {
+        if let Some(mut child) = self.entries[n].take() {
+            child.kill().expect("it is ours");
+            child.wait().expect("it ends");
+        }
+    }
+
+    /// Kills an entry, takes its disk away, starts it again and waits until it is a voter again.
+    pub fn wipe(&mut self, n: usize) {
+        self.kill(n);
+        let before = self.promotions(n);
+        fs::remove_dir_all(self.folder.path().join(format!("data-{n}"))).expect("its disk");
+        self.write_settings(n, true, false);
+        self.launch(n);
+        until(&format!("node {n} is a voter again"), || {
+            self.promotions(n) > before
+        });
+    }
+
+    /// Asks an entry to end and waits until it has.
+    pub fn stop(&mut self, n: usize) -> bool {
+        let mut child = self.entries[n].take().expect("it runs");
+        let asked = Command::new("kill").arg(child.id().to_string()).status();
+        asked.expect("kill runs");
+        child.wait().expect("it ends").success()
+    }
+
+    /// Calls the control address of an entry.
+    pub fn control(&self, n: usize, method: &str, path: &str, body: &str) -> Option<Answer> {
+        let request = format!(
+            "{method} {path} HTTP/1.1\r\nHost: control\r\nConnection: close\r\n\
+             Content-Length: {}\r\n\r\n{body}",
+            body.len()
+        );
+        exchange(&format!("{}:8000", self.ips[n]), &request)
+    }
+
+    /// Where callers reach an entry.
+    pub fn front(&self, n: usize) -> String {
+        format!("{}:8005", self.ips[n])
+    }
+
+    /// Sends a caller's request to an entry and reads until the connection ends.
+    pub fn call(&self, n: usize, request: &str) -> Answer {
+        let addr = self.front(n);
+        until("the entry listens", || TcpStream::connect(&addr).is_ok());
+        exchange(&addr, request).expect("the entry answers")
+    }
+
+    /// Puts a document at any of the entries given until one takes it.
+    pub fn put(&self, entries: &[usize], document: &Value) {
+        let text = document.to_string();
+        until("the document is accepted", || {
+            let mut tried = entries.iter();
+            tried.any(|n| {
+                let answer = self.control(*n, "PUT", "/config", &text);
+                answer.is_some_and(|a| a.status == 200)
+            })
+        });
+    }
+
+    /// The version that an entry reads back, if it is sure.
+    pub fn version(&self, n: usize) -> Option<u64> {
+        let answer = self.control(n, "GET", "/config", "")?;
+        let document: Value = serde_json::from_str(&answer.body).ok()?;
+        (answer.status == 200).then(|| document["version"].as_u64())?
+    }
+
+    /// Reports a target to an entry until it is acknowledged.
+    pub fn report(&self, n: usize, id: &str, service: &str, addr: SocketAddr) {
+        let body = json!({
+            "service": service, "address": addr.to_string(), "zone": "z0", "version": "v1",
+            "slots": 4, "state": "ready", "sequence": 1, "born": 1,
+            "models": [{"name": "m", "version": 1}]
+        });
+        let path = format!("/instances/{id}");
+        until("the report is acknowledged", || {
+            let answer = self.control(n, "PUT", &path, &body.to_string());
+            answer.is_some_and(|a| a.status == 200)
+        });
+    }
+
+    /// Waits until an entry serves requests on `path`.
+    pub fn await_service(&self, n: usize, path: &str) {
+        until("requests are served", || {
+            let answer = exchange(&format!("{}:8005", self.ips[n]), &get(path, "probe", ""));
+            answer.is_some_and(|a| a.status == 200)
+        });
+    }
+}
+
+impl Drop for World {
+    fn drop(&mut self) {
+        for n in 0..self.entries.len() {
+            self.kill(n);
+        }
+    }
+}
+
+/// Waits for a state that must come.
+pub fn until(what: &str, state: impl Fn() -> bool) {
+    let began = Instant::now();
+    while !state() {
+        assert!(began.elapsed() < PATIENCE, "never: {what}");
+        sleep(Duration::from_millis(20));
+    }
+}
+
+/// A caller's request without a body, with the headers given.
+pub fn get(path: &str, attempt: &str, headers: &str) -> String {
+    format!(
+        "GET {path} HTTP/1.1\r\nHost: h.example\r\nX-Filbertstack-Attempt-Id: {attempt}\r\n\
+         X-Filbertstack-Deadline-Ms: 5000\r\nConnection: close\r\n{headers}\r\n"
+    )
+}
+
+/// Sends a request and reads until the connection ends.
+pub fn exchange(addr: &str, request: &str) -> Option<Answer> {
+    let mut stream = TcpStream::connect(addr).ok()?;
+    stream.set_read_timeout(Some(PATIENCE)).ok()?;
+    stream.write_all(request.as_bytes()).ok()?;
+    let mut bytes = Vec::new();
+    // A connection that is reset ends what came before.
+    let _ = stream.read_to_end(&mut bytes);
+    let text = String::from_utf8_lossy(&bytes).into_owned();
+    let (head, body) = text.split_once("\r\n\r\n")?;
+    Some(Answer {
+        status: head.split(' ').nth(1)?.parse().ok()?,
+        head: head.to_lowercase(),
+        body: body.to_owned(),
+    })
+}
+
+/// A document with a route a kind, each to its own service.
+pub fn document(version: u64) -> Value {
+    let route = |name: &str, kind: &str, resumable: bool| {
+        json!({
+            "name": name, "host": "h.example", "pathPrefix": format!("/{name}/"), "kind": kind,
+            "timeoutMs": 5000, "goalMs": 1000, "priority": 1, "service": name,
+            "maxAttempts": 2, "public": true, "resumable": resumable, "itlTargetMs": 1000
+        })
+    };
+    json!({
+        "version": version,
+        "routes": [route("safe", "idempotent", false), route("once", "non_idempotent", false),
+                   route("stream", "streaming", true)],
+        "services": [{"name": "safe"}, {"name": "once"}, {"name": "stream"}]
+    })
+}
