--- a/crates/filbertstack-gateway/src/control/follow.rs
+++ b/crates/filbertstack-gateway/src/control/follow.rs
@@ -157,8 +157,11 @@
     loop {
         match timeout(SILENT, news.recv()).await {
             Ok(Some(News::Pulse(pulse))) if !pulse.current => {
-                info!("voter left: it has no contact with its group",
-                    kv: { voter = voter.to_string() });
+                // While a group forms or elects, every voter is tried many times a second.
+                if told {
+                    info!("voter left: it has no contact with its group",
+                        kv: { voter = voter.to_string() });
+                }
                 return;
             }
             Ok(Some(News::Pulse(pulse))) => {
--- a/crates/filbertstack-gateway/src/settings.rs
+++ b/crates/filbertstack-gateway/src/settings.rs
@@ -11,6 +11,7 @@
 use filbertstack_core::ini::Problems;
 use filbertstack_core::ini::Section;
 use filbertstack_core::settings::SettingsError;
+use filbertstack_core::settings::parse_addr;
 use filbertstack_core::settings::parse_addrs;
 use filbertstack_core::settings::read_document;
 use filbertstack_core::settings::require_section;
@@ -140,7 +141,7 @@
 fn read_node(mut section: Section, problems: &mut Problems) -> Option<Node> {
     let name = section.require::<String, _>("name", problems);
     let zone = section.require::<String, _>("zone", problems);
-    let link: Option<SocketAddr> = section.require("link", problems);
+    let link: Option<SocketAddr> = section.require_with("link", problems, parse_addr);
     let seeds = section.read_with("seeds", problems, parse_addrs);
     let first: Option<bool> = optional(&mut section, "first-start", problems);
     let data: Option<PathBuf> = optional(&mut section, "data", problems);
--- a/crates/filbertstack-policy/src/dispatch.rs
+++ b/crates/filbertstack-policy/src/dispatch.rs
@@ -441,11 +441,6 @@
             target.shut = now + span;
         }
     }
-
-    /// Requests that this entry has under way at `id`.
-    pub fn own(&self, id: &str) -> u32 {
-        self.targets.get(id).map_or(0, |target| target.own)
-    }
 }
 
 fn millis_f64(span: Millis) -> f64 {
