--- a/crates/filbertstack-gateway/tests/settings.rs
+++ b/crates/filbertstack-gateway/tests/settings.rs
@@ -22,7 +22,12 @@
     assert_eq!(settings.target.engine, None);
     assert_eq!(settings.bounds.grace, Bounds::default().grace);
     assert_eq!(settings.bounds.rollout.as_millis(), 9_700);
-    let ports: Vec<u16> = settings.node.seeds.iter().map(|s| s.port()).collect();
+    let ports: Vec<u16> = settings
+        .node
+        .seeds
+        .iter()
+        .map(std::net::SocketAddr::port)
+        .collect();
     assert_eq!(
         ports,
         [7_700, 7_700],
