--- a/crates/filbertstack-entry/src/lease.rs
+++ b/crates/filbertstack-entry/src/lease.rs
@@ -36,6 +36,7 @@
 use crate::question::LeaseRequest;
 use crate::question::ask;
 use crate::traffic::Traffic;
+use crate::view::Views;
 use crate::voter::Voter;
 
 /// How often it is looked whether something is to be told or asked.
@@ -58,6 +59,8 @@
     granter: Granter,
     /// The term that this entry led when its granter began.
     term: Option<u64>,
+    /// The term in which this entry, as its leader, has applied all that was accepted before.
+    caught_up: Option<u64>,
     /// When each of the last revisions was first in use here.
     accepted: BTreeMap<u64, Millis>,
 }
@@ -69,6 +72,7 @@
     voter: Option<Arc<Voter>>,
     ledger: Arc<Ledger>,
     traffic: Traffic,
+    views: Arc<Views>,
     state: Mutex<State>,
 }
 
@@ -87,11 +91,13 @@
         voter: Option<Arc<Voter>>,
         ledger: Arc<Ledger>,
         traffic: Traffic,
+        views: Arc<Views>,
     ) -> Self {
         let state = State {
             holder: Holder::default(),
             granter: Granter::new(CLOCK_START),
             term: None,
+            caught_up: None,
             accepted: BTreeMap::new(),
         };
         let (start, state) = (Instant::now(), Mutex::new(state));
@@ -101,6 +107,7 @@
             voter,
             ledger,
             traffic,
+            views,
             state,
         }
     }
@@ -119,6 +126,7 @@
         let mut due = Millis::ZERO;
         while !stopped.load(Ordering::Relaxed) {
             thread::sleep(TICK);
+            self.catch_up();
             let ask = self.prepare();
             let news = (ask.revision, ask.lowest);
             if self.leads() {
@@ -136,6 +144,20 @@
         }
     }
 
+    /// As a new leader, applies all that was accepted before its term.
+    ///
+    /// A leader has its quorum lease before that: after a restart of all voters it would grant
+    /// leases on the empty table that it starts with, and callers would get "no rule" for rules
+    /// that were accepted.
+    fn catch_up(&self) {
+        let Some((voter, term)) = self.voter.as_ref().and_then(|v| Some((v, v.leads()?))) else {
+            return;
+        };
+        if self.lock().caught_up != Some(term) && voter.read_barrier(ASK_TIMEOUT).is_ok() {
+            self.lock().caught_up = Some(term);
+        }
+    }
+
     /// What this entry asks now: the revision is that of the routing table in use.
     fn prepare(&self) -> LeaseAsk {
         let (now, revision) = (self.now(), self.traffic.table().revision());
@@ -247,11 +269,15 @@
         })
     }
 
-    /// Whether this entry leads and a majority confirmed it a moment ago.
+    /// Whether this entry leads, a majority confirmed it a moment ago, and its routing table shows
+    /// all that was accepted before its term.
     fn leads(&self) -> bool {
-        self.voter
-            .as_ref()
-            .is_some_and(|voter| voter.has_quorum_lease())
+        let Some(voter) = &self.voter else {
+            return false;
+        };
+        let caught_up = self.lock().caught_up;
+        let shown = self.traffic.table().revision() >= self.views.get().revision();
+        voter.has_quorum_lease() && caught_up.is_some() && caught_up == voter.leads() && shown
     }
 
     fn now(&self) -> Millis {
--- a/crates/filbertstack-entry/src/process.rs
+++ b/crates/filbertstack-entry/src/process.rs
@@ -223,6 +223,7 @@
             voter.clone(),
             ledger.clone(),
             traffic.clone(),
+            views.clone(),
         ));
         let calls = Calls {
             callers: settings.callers.clone(),
