--- a/crates/filbertstack-policy/src/dispatch.rs
+++ b/crates/filbertstack-policy/src/dispatch.rs
@@ -5,9 +5,9 @@
 //! in the engines' queues, every first event comes late, and callers leave while their work still
 //! runs. Bounded by slots alone, an engine that reads long prompts is as full as one that reads
 //! none. So each entry predicts the first event at every target from the published figures of the
-//! engine, the load that its agent reports and its own requests since, and takes the target with
-//! the earliest; if none meets the caller's goal, the request is refused at once, as waiting
-//! would only take the place of one that can be served.
+//! engine, the load that its agent reports and its own requests since, and takes the earliest of
+//! some drawn by lot from those that meet the caller's goal. If none does, the request is refused
+//! at once, as waiting would only take the place of one that can be served.
 //!
 //! Between two reports other entries send as well. If each took what room a report shows, all of
 //! them would fill the few places that come free at once: at three times the load that engines
