An agent's call that fails on a kept connection is made again on a new one

Cause: an engine may drop an idle connection without notice; the next call on it failed, was taken for a bad piece (fetched again, never loaded: the pieces read back alternated) or for a silent engine.

Ruled out: wrong bytes at the stage (digests fit when read on a new connection).

--- a/crates/filbertstack-gateway/src/agent/reports.rs
+++ b/crates/filbertstack-gateway/src/agent/reports.rs
@@ -85,27 +85,44 @@
 
     /// Calls the engine on a kept connection, one call at a time.
     ///
+    /// An engine may drop an idle connection without notice. A call that fails on a kept one is
+    /// made again on a new one: taken for a failure of the engine, it would make an agent report it
+    /// as gone, and fetch again what lies staged there. Every call may be made twice: pieces are
+    /// put and read by number, and an order that was taken is not begun again.
+    ///
     /// # Errors
     /// [`CallFailure`].
     pub async fn call(&self, outgoing: Outgoing) -> Result<Bytes, CallFailure> {
         let mut kept = self.kept.lock().await;
-        let usable = kept.take().filter(Connection::is_ready);
         let work = async {
-            let mut connection = match usable {
-                Some(connection) => connection,
-                None => Connection::open(self.addr, PATIENCE).await?,
-            };
-            let answer = exchange(&mut connection, self.addr, outgoing, LONGEST).await;
-            // A status is an answer like any other; after any other failure the connection goes.
-            let whole = matches!(answer, Ok(_) | Err(CallFailure::Status(_)));
-            *kept = Some(connection).filter(|_| whole);
-            answer
+            if let Some(usable) = kept.take().filter(Connection::is_ready) {
+                let answer = self.exchange(&mut kept, usable, outgoing.clone()).await;
+                if !matches!(answer, Err(CallFailure::Broken(_))) {
+                    return answer;
+                }
+            }
+            let opened = Connection::open(self.addr, PATIENCE).await?;
+            self.exchange(&mut kept, opened, outgoing).await
         };
         timeout(PATIENCE, work)
             .await
             .unwrap_or(Err(CallFailure::Timeout))
     }
 
+    /// Makes one call and keeps the connection if it may be used again.
+    async fn exchange(
+        &self,
+        kept: &mut Option<Connection>,
+        mut connection: Connection,
+        outgoing: Outgoing,
+    ) -> Result<Bytes, CallFailure> {
+        let answer = exchange(&mut connection, self.addr, outgoing, LONGEST).await;
+        // A status is an answer like any other; after any other failure the connection goes.
+        let whole = matches!(answer, Ok(_) | Err(CallFailure::Status(_)));
+        *kept = Some(connection).filter(|_| whole);
+        answer
+    }
+
     async fn ask(&self) {
         let answer = self.call(ask_report()).await;
         let read = answer
