Logs on standard output are written from a queue, with a budget a kind

Cause: each line was written by the event loop itself; a reader of standard output that stops held up every request once the pipe was full, and an overload wrote a line for each refusal.

Now a bounded queue and a thread of its own (spdlog's own asynchronous sink neither counts by kind nor tells what it drops); at most 100 lines a second of a kind, the rest is counted and told. Failed first: the test's logger without the queue never returns.

--- a/crates/filbertstack-telemetry/src/error.rs
+++ b/crates/filbertstack-telemetry/src/error.rs
@@ -19,6 +19,9 @@
     /// The logger cannot be built.
     #[error("cannot build the logger: {0}; use an instance name of letters, digits and '-'")]
     Logger(#[source] Box<spdlog::Error>),
+    /// The thread that writes lines cannot be started.
+    #[error("cannot start the thread that writes logs: {0}; raise the limit of threads")]
+    LogThread(#[source] io::Error),
     /// The trace file cannot be opened.
     #[error("cannot open the trace file {path}: {source}; correct 'trace-file' in [telemetry]")]
     TraceFile {
--- a/crates/filbertstack-telemetry/src/lib.rs
+++ b/crates/filbertstack-telemetry/src/lib.rs
@@ -32,6 +32,7 @@
 pub mod identity;
 pub mod logs;
 pub mod metrics;
+pub mod queue;
 pub mod secret;
 pub mod settings;
 pub mod traces;
--- a/crates/filbertstack-telemetry/src/logs.rs
+++ b/crates/filbertstack-telemetry/src/logs.rs
@@ -11,6 +11,7 @@
 use serde::Serialize;
 use serde::Serializer;
 use serde::ser::SerializeMap;
+use serde_json::json;
 use spdlog::Level;
 use spdlog::LevelFilter;
 use spdlog::Logger;
@@ -29,6 +30,8 @@
 
 use crate::error::TelemetryError;
 use crate::identity::Identity;
+use crate::queue::QueueSink;
+use crate::queue::unix_millis;
 use crate::settings::LogFormat;
 use crate::settings::LogStream;
 use crate::settings::TelemetrySettings;
@@ -50,7 +53,7 @@
         settings: &TelemetrySettings,
         identity: &Identity,
     ) -> Result<Self, TelemetryError> {
-        let sink = open_sink(settings)?;
+        let sink = open_sink(settings, identity)?;
         match settings.format {
             LogFormat::Json => sink.set_formatter(Box::new(JsonLines::new(identity))),
             LogFormat::Text => sink.set_formatter(Box::new(text_lines())),
@@ -59,11 +62,13 @@
         let logger = Logger::builder()
             .name(format!("{} {}", identity.role, identity.instance))
             .level_filter(LevelFilter::MoreSevereEqual(settings.level))
-            .flush_level_filter(LevelFilter::MoreSevereEqual(Level::Warn))
+            .flush_level_filter(flush_level(settings))
             .sink(sink)
             .build_arc()
             .map_err(failed)?;
-        logger.set_flush_period(Some(FLUSH_PERIOD));
+        if !is_queued(settings) {
+            logger.set_flush_period(Some(FLUSH_PERIOD));
+        }
         Ok(Self { logger })
     }
 
@@ -85,13 +90,33 @@
     }
 }
 
-fn open_sink(settings: &TelemetrySettings) -> Result<Arc<dyn Sink>, TelemetryError> {
+/// Whether lines are written by a thread of their own.
+fn is_queued(settings: &TelemetrySettings) -> bool {
+    settings.log_file.is_none() && settings.stream == LogStream::Output
+}
+
+/// From which level on a line is flushed. A queue is written out at once, and a flush would wait
+/// for its reader.
+fn flush_level(settings: &TelemetrySettings) -> LevelFilter {
+    if is_queued(settings) {
+        return LevelFilter::Off;
+    }
+    LevelFilter::MoreSevereEqual(Level::Warn)
+}
+
+fn open_sink(
+    settings: &TelemetrySettings,
+    identity: &Identity,
+) -> Result<Arc<dyn Sink>, TelemetryError> {
+    if is_queued(settings) {
+        let lines = JsonLines::new(identity);
+        let tell = Box::new(move |kind: &str, count| lines.left_out(kind, count));
+        let sink = QueueSink::start(std::io::stdout(), tell);
+        return Ok(Arc::new(sink.map_err(TelemetryError::LogThread)?));
+    }
     let Some(path) = &settings.log_file else {
         let sink = StdStreamSink::builder()
-            .std_stream(match settings.stream {
-                LogStream::Error => StdStream::Stderr,
-                LogStream::Output => StdStream::Stdout,
-            })
+            .std_stream(StdStream::Stderr)
             .style_mode(StyleMode::Never)
             .build_arc();
         return Ok(sink.map_err(|e| TelemetryError::Logger(Box::new(e)))?);
@@ -125,6 +150,18 @@
     }
 }
 
+impl JsonLines {
+    /// The line that tells how many of a kind were left out.
+    fn left_out(&self, kind: &str, count: u64) -> String {
+        let line = json!({
+            "timestamp": unix_millis(), "level": "warn", "role": self.role,
+            "instance": &*self.instance, "message": "lines left out",
+            "fields": {"kind": kind, "count": count}
+        });
+        format!("{line}\n")
+    }
+}
+
 #[derive(Serialize)]
 struct Line<'a> {
     /// Milliseconds since 1970, UTC.
