A voter that was frozen or cut off takes nobody out for it

Cause: a voter that wakes from 5 s of freeze found every row older than its patience, its own included, took all targets out and told its followers; an entry refuses all requests until each target has reported again.

Ruled out: silence of the others (they were told of the whole time). Spans in which the node could hear nobody no longer count.

--- a/crates/filbertstack-gateway/src/control/follow.rs
+++ b/crates/filbertstack-gateway/src/control/follow.rs
@@ -8,6 +8,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use filbertstack_core::Millis;
 use filbertstack_policy::subset::hash;
 use spdlog::info;
 use tokio::sync::mpsc;
@@ -39,6 +40,10 @@
 /// seconds, and rows that change together share one frame.
 const FLUSH: Duration = Duration::from_millis(40);
 
+/// A turn that took so long shows that the process was paused: a turn takes [`FLUSH`] and some
+/// milliseconds, and the shortest patience with others is four times this.
+const PAUSED: Millis = Millis(400);
+
 /// How often a voter tells its seeds who the voters are.
 const SEEDS: Duration = Duration::from_secs(1);
 
@@ -77,8 +82,15 @@
 /// Tells followers changed rows and signs of life.
 pub async fn keep_followers(node: Rc<Node>) {
     let mut pulse_at = Instant::now();
+    let mut last = node.clock.now();
     loop {
         sleep(FLUSH).await;
+        let now = node.clock.now();
+        let span = now.since(last);
+        last = now;
+        if span > PAUSED || !node.is_current() {
+            node.people.defer(span);
+        }
         node.people.flush();
         if Instant::now() >= pulse_at {
             pulse_at = Instant::now() + PULSE;
--- a/crates/filbertstack-gateway/src/control/people.rs
+++ b/crates/filbertstack-gateway/src/control/people.rs
@@ -201,6 +201,11 @@
         }
     }
 
+    /// Does not count a span in which this node could hear nobody.
+    pub fn defer(&self, span: Millis) {
+        self.rows.borrow_mut().defer(span);
+    }
+
     /// Drops those that have been silent for too long, and tells followers. For voters, who hear
     /// of every statement.
     pub fn expire(&self) {
--- a/crates/filbertstack-policy/src/registry.rs
+++ b/crates/filbertstack-policy/src/registry.rs
@@ -182,6 +182,15 @@
         silent
     }
 
+    /// Does not count a span in which nobody could be heard: the node itself was frozen or cut off.
+    /// Counted, it would take out every process there is, and refuse all requests, until each has
+    /// made its next statement.
+    pub fn defer(&mut self, span: Millis) {
+        for row in self.rows.values_mut() {
+            row.heard = row.heard + span;
+        }
+    }
+
     /// Forgets a process as if it had never been heard of; false if it wasn't known.
     pub fn forget(&mut self, id: &str) -> bool {
         self.rows.remove(id).is_some_and(|row| !row.gone)
--- a/crates/filbertstack-policy/tests/registry.rs
+++ b/crates/filbertstack-policy/tests/registry.rs
@@ -98,3 +98,17 @@
     let again = registry.offer(&id("i"), at(1, 2), "a", false, Millis(1));
     assert_eq!(again, Offer::Refreshed);
 }
+
+/// A voter is frozen for five seconds, with all that it knows. When it wakes, the last statement of
+/// every process is five seconds old: taken for silence, callers would be refused until each target
+/// has reported again. Who is silent from then on is taken out as before.
+#[test]
+fn a_node_that_could_hear_nobody_takes_nobody_out() {
+    let mut registry = Registry::default();
+    registry.offer(&id("i"), at(1, 1), "a", false, Millis(0));
+    let patience = |_: &&str| Millis(100);
+    registry.defer(Millis(5_000));
+    assert_eq!(registry.expire(Millis(5_100), patience).len(), 0);
+    assert_eq!(registry.present().count(), 1);
+    assert_eq!(registry.expire(Millis(5_101), patience).len(), 1);
+}
