Metrics, a line for each attempt, explain; answers of known length end in time

Metrics on an address of the settings; sent and attempt ended with what they rest on (prediction, age of the report, versions); the reason where a stream is not resumed; filbertstack explain joins logs of many processes.

The test of the metrics showed that no plain call counted as answered: its body's end is known with its last byte, nobody polls further, and its connection was closed as if the caller had left. Now it ends there.

--- a/crates/filbertstack-gateway/src/agent/gather.rs
+++ b/crates/filbertstack-gateway/src/agent/gather.rs
@@ -105,10 +105,12 @@
     let Some(bytes) = fetch.piece(list, number).await else {
         return Got::Unfit;
     };
+    let length = bytes.len() as u64;
     let put = stage_piece(&list.weights.model, number, bytes);
     match agent.engine.call(put).await {
         Ok(_) => {
             agent.stage.put(number);
+            agent.metrics.weights.fetched.add("staged", length);
             Got::Staged
         }
         Err(error) => {
--- a/crates/filbertstack-gateway/src/agent/mod.rs
+++ b/crates/filbertstack-gateway/src/agent/mod.rs
@@ -11,6 +11,7 @@
 use std::rc::Rc;
 
 use filbertstack_platform::engine::Holding;
+use filbertstack_telemetry::Metrics;
 use spdlog::info;
 use thiserror::Error;
 use tokio::task::spawn_local;
@@ -27,6 +28,7 @@
 use crate::link;
 use crate::link::Dialer;
 use crate::link::messages::Interest;
+use crate::metrics;
 use crate::settings::Settings;
 use crate::weights;
 use crate::weights::FIRST_VERSION;
@@ -48,6 +50,7 @@
     node: Rc<Node>,
     engine: Engine,
     stage: Stage,
+    metrics: Rc<Metrics>,
 }
 
 impl Agent {
@@ -106,13 +109,15 @@
 ///
 /// # Errors
 /// [`AgentError`] names the remedy.
-pub async fn run(settings: Settings) -> Result<(), AgentError> {
+pub async fn run(settings: Settings, metrics: Metrics) -> Result<(), AgentError> {
     let engine: SocketAddr = settings.target.engine.ok_or(AgentError::NoEngine)?;
     let link = settings.node.link;
     let links = bind(link).map_err(|source| EntryError::Bind { addr: link, source })?;
     info!("agent started", kv: {
         name = settings.node.name, zone = settings.node.zone, engine = engine.to_string()
     });
+    let metrics = Rc::new(metrics);
+    metrics::serve(settings.listen.metrics, &metrics)?;
     let node = Rc::new(Node::new(
         settings,
         Clock::default(),
@@ -123,6 +128,7 @@
     let agent = Rc::new(Agent {
         engine: Engine::new(engine),
         stage: Stage::default(),
+        metrics,
         node: node.clone(),
     });
     let server = Rc::new(PieceServer::new(agent.clone()));
--- a/crates/filbertstack-gateway/src/agent/rollout.rs
+++ b/crates/filbertstack-gateway/src/agent/rollout.rs
@@ -197,6 +197,12 @@
     info!("engine ordered to load", kv: {
         version = wanted.version, breaks_off = running == Running::BreakOff
     });
+    let outcome = match running {
+        Running::Finish => "finishes",
+        Running::BreakOff => "breaks off",
+    };
+    agent.metrics.agent.orders.add(outcome, 1);
+    let began = agent.node.clock.now();
     let mut news = agent.engine.watch();
     let loaded = async {
         while agent.engine.holding().as_ref() != Some(wanted) {
@@ -208,7 +214,9 @@
     let done = tokio::time::timeout(LOADED, loaded).await.is_ok();
     agent.engine.set_loading(false);
     if done {
-        info!("engine serves", kv: { version = wanted.version });
+        let took = agent.node.clock.now().since(began);
+        agent.metrics.weights.load.record(took.into());
+        info!("engine serves", kv: { version = wanted.version, took_ms = took.0 });
     }
     done
 }
--- a/crates/filbertstack-gateway/src/entry/mod.rs
+++ b/crates/filbertstack-gateway/src/entry/mod.rs
@@ -10,6 +10,7 @@
 
 use filbertstack_control::document::Weights;
 use filbertstack_log::StartError;
+use filbertstack_telemetry::Metrics;
 use spdlog::info;
 use thiserror::Error;
 use tokio::signal::unix::SignalKind;
@@ -33,6 +34,7 @@
 use crate::link::messages::Interest;
 use crate::link::messages::Kind;
 use crate::link::messages::Row;
+use crate::metrics;
 use crate::request::Requests;
 use crate::settings::Settings;
 use crate::weights::cache::Cache;
@@ -78,7 +80,7 @@
 ///
 /// # Errors
 /// [`EntryError`] names the remedy.
-pub async fn run(settings: Settings) -> Result<(), EntryError> {
+pub async fn run(settings: Settings, metrics: Metrics) -> Result<(), EntryError> {
     let clock = Clock::default();
     let dialer = Dialer::default();
     let voter = match &settings.node.data {
@@ -92,7 +94,9 @@
         Interest::All,
         voter,
     ));
-    let requests = Requests::new(node.clone());
+    let metrics = Rc::new(metrics);
+    metrics::serve(settings.listen.metrics, &metrics)?;
+    let requests = Requests::new(node.clone(), metrics);
     let (leave, leaving) = watch::channel(false);
     let cache = Rc::new(Cache::new(node.clone(), &own_id(&node)));
     serve_all(&node, &requests, &cache, &leaving)?;
--- a/crates/filbertstack-gateway/src/lib.rs
+++ b/crates/filbertstack-gateway/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod control;
 pub mod entry;
 pub mod link;
+pub mod metrics;
 pub mod request;
 pub mod settings;
 pub mod weights;
--- a/crates/filbertstack-gateway/src/request/answer.rs
+++ b/crates/filbertstack-gateway/src/request/answer.rs
@@ -69,7 +69,8 @@
     pub status: StatusCode,
     /// When the caller may come back: only where the request certainly has not run.
     pub after: Option<Duration>,
-    why: &'static str,
+    /// Why, for logs and metrics.
+    pub why: &'static str,
 }
 
 impl Refusal {
@@ -106,11 +107,12 @@
         Bytes::from_static(self.why.as_bytes())
     }
 
-    /// Logs the refusal of the request `id`.
-    pub fn log(&self, id: &str) {
+    /// Logs the refusal of the request `id`, judged by that version of the configuration.
+    pub fn log(&self, id: &str, configuration: u64) {
         let after = self.after.map_or(0, |a| a.as_millis());
         spdlog::info!("refused", kv: {
-            request = id, status = self.status.as_u16(), why = self.why, after_ms = after
+            request = id, status = self.status.as_u16(), why = self.why, after_ms = after,
+            configuration = configuration
         });
     }
 }
--- a/crates/filbertstack-gateway/src/request/attempt.rs
+++ b/crates/filbertstack-gateway/src/request/attempt.rs
@@ -69,12 +69,15 @@
 /// unless it was kept, so that the target stops work for a caller who has left.
 pub struct Lease {
     requests: Rc<Requests>,
+    call: Rc<Call>,
     id: TargetId,
     addr: SocketAddr,
     connection: Option<Connection>,
     idle: Option<Duration>,
     closes: bool,
     unread: u32,
+    /// Whether the first bytes of the answer's body came.
+    began: bool,
     sent: Instant,
     ended: Ended,
 }
@@ -92,6 +95,11 @@
 
     /// Notes that the first bytes of the answer's body came.
     pub fn began(&mut self) {
+        if !self.began {
+            self.began = true;
+            let first = self.sent.elapsed();
+            self.requests.metrics.entry.first_token.record(first);
+        }
         if self.unread > 0 {
             self.requests.targets.began(&self.id, self.unread);
             self.unread = 0;
@@ -103,10 +111,13 @@
         self.ended = Ended::Failed;
     }
 
-    /// Notes that the answer is whole, and keeps the connection.
+    /// Notes that the answer is whole, and keeps the connection if a later request may use it:
+    /// those that may run once only go on new ones, and a target resets connections beyond the
+    /// number that it takes, idle ones included.
     pub fn finish(&mut self) {
         self.ended = Ended::Answered(Millis::from(self.sent.elapsed()));
-        let kept = self.connection.take().filter(|_| !self.closes);
+        let keep = !self.closes && self.call.may_repeat();
+        let kept = self.connection.take().filter(|_| keep);
         if let Some(connection) = kept {
             self.requests.pool.put(self.addr, connection, self.idle);
         }
@@ -115,6 +126,18 @@
 
 impl Drop for Lease {
     fn drop(&mut self) {
+        let outcome = match self.ended {
+            Ended::Answered(_) => "answered",
+            Ended::Refused => "not taken",
+            Ended::Failed => "failed",
+            Ended::Left => "caller left",
+        };
+        let took = self.sent.elapsed();
+        self.requests.metrics.entry.duration.record(outcome, took);
+        info!("attempt ended", kv: {
+            request = self.call.head.id(), target = self.id.to_string(), outcome = outcome,
+            took_ms = took.as_millis()
+        });
         self.requests
             .targets
             .ended(&self.id, self.unread, self.ended);
@@ -153,7 +176,10 @@
             }
         };
         match send(requests, call, &chosen, &mut tries, None).await {
-            Outcome::Answer(response, lease) => return Ok(relay(call, response, lease, tries)),
+            Outcome::Answer(response, lease) => {
+                requests.metrics.entry.requests.add("target's answer", 1);
+                return Ok(relay(call, response, lease, tries));
+            }
             Outcome::Failed(response, lease) => failed = Some((response, lease)),
             Outcome::NotRun => {}
             Outcome::Unknown if call.may_repeat() => unknown = true,
@@ -178,6 +204,7 @@
 /// nothing of the budget.
 fn again(requests: &Rc<Requests>, call: &Call, tries: &Tries) -> bool {
     let most = call.route.attempts;
+    requests.metrics.entry.retries.add("attempt", 1);
     // Targets that were not reached are tried past the most, but not all of a large service.
     if tries.sent >= most || tries.targets.len() >= 4 + most as usize {
         return false;
@@ -198,6 +225,19 @@
     } else {
         goal.max(call.route.goal)
     };
+    choose_within(requests, call, tries, goal)
+}
+
+/// Chooses the next target that answers within `goal` from now.
+///
+/// # Errors
+/// A [`Refusal`] that says when to come back.
+pub fn choose_within(
+    requests: &Rc<Requests>,
+    call: &Call,
+    tries: &Tries,
+    goal: Duration,
+) -> Result<Chosen, Refusal> {
     let wanted = Wanted {
         service: &call.service,
         prompt: call.prompt(),
@@ -224,12 +264,14 @@
     let resume_after = resume_after.or(call.head.resumes);
     let mut lease = Lease {
         requests: requests.clone(),
+        call: call.clone(),
         id: chosen.id.clone(),
         addr: chosen.addr,
         connection: None,
         idle: None,
         closes: false,
         unread: call.prompt(),
+        began: false,
         sent: Instant::now(),
         ended: Ended::Left,
     };
@@ -249,6 +291,7 @@
         return Outcome::NotRun;
     }
     tries.sent += 1;
+    log_sent(requests, call, chosen, tries);
     let onward = Onward {
         left,
         instance: &chosen.id,
@@ -289,6 +332,18 @@
     }
 }
 
+/// Tells where a request goes and what that rests on. An age of -1 means that there was no load
+/// report, weights of 0 that any version may answer.
+fn log_sent(requests: &Requests, call: &Call, chosen: &Chosen, tries: &Tries) {
+    let age = chosen.report_age.and_then(|age| i64::try_from(age.0).ok());
+    info!("sent", kv: {
+        request = call.head.id(), target = chosen.id.to_string(), attempt = tries.sent,
+        waited_ms = call.came.elapsed().as_millis(), predicted_ms = chosen.predicted.round(),
+        report_age_ms = age.unwrap_or(-1),
+        configuration = requests.node.declared.version(), weights = chosen.version.unwrap_or(0)
+    });
+}
+
 /// Whether another target could take the request now, within its attempts.
 fn can_ask_another(requests: &Rc<Requests>, call: &Call, tries: &Tries) -> bool {
     tries.sent < call.route.attempts && choose(requests, call, tries).is_ok()
--- a/crates/filbertstack-gateway/src/request/mod.rs
+++ b/crates/filbertstack-gateway/src/request/mod.rs
@@ -24,6 +24,7 @@
 use filbertstack_policy::dispatch::Dispatcher;
 use filbertstack_policy::repeats::Allowance;
 use filbertstack_policy::repeats::Repeats;
+use filbertstack_telemetry::Metrics;
 use http::HeaderMap;
 use http::Method;
 use http::Request;
@@ -63,6 +64,7 @@
     pool: Pool,
     rng: RefCell<ChaCha8Rng>,
     under_way: Rc<Cell<usize>>,
+    metrics: Rc<Metrics>,
 }
 
 /// One request, taken in whole.
@@ -126,7 +128,7 @@
 
 impl Requests {
     /// Requests of callers of `node`.
-    pub fn new(node: Rc<Node>) -> Rc<Self> {
+    pub fn new(node: Rc<Node>, metrics: Rc<Metrics>) -> Rc<Self> {
         let bounds = node.settings.bounds;
         let allowance = Allowance {
             ratio: bounds.ratio,
@@ -140,6 +142,7 @@
             pool: Pool::default(),
             rng: RefCell::new(rng),
             under_way: Rc::default(),
+            metrics,
             node,
         })
     }
@@ -279,10 +282,15 @@
     async fn answer(self: Rc<Self>, request: Request<Incoming>) -> Response<AnswerBody> {
         let head = CallHead::read(request.headers());
         let (attempt, id) = (head.attempt.clone(), head.id().to_owned());
-        match self.handle(request, head).await {
+        let answer = self.handle(request, head).await;
+        let under_way = i64::try_from(self.under_way()).unwrap_or(i64::MAX);
+        self.metrics.entry.in_flight.set(under_way);
+        match answer {
             Ok(response) => response,
             Err(refusal) => {
-                refusal.log(&id);
+                refusal.log(&id, self.node.declared.version());
+                self.metrics.entry.requests.add("own answer", 1);
+                self.metrics.entry.refusals.add(refusal.why, 1);
                 let body = AnswerBody::whole(Full::new(refusal.body()));
                 let mut response = Response::new(body);
                 *response.status_mut() = refusal.status;
--- a/crates/filbertstack-gateway/src/request/relay.rs
+++ b/crates/filbertstack-gateway/src/request/relay.rs
@@ -27,6 +27,7 @@
 use crate::request::attempt::Tries;
 use crate::request::attempt::broken;
 use crate::request::attempt::choose;
+use crate::request::attempt::choose_within;
 use crate::request::attempt::send;
 use crate::request::events::Events;
 
@@ -37,13 +38,19 @@
 /// The pause of a route that names none.
 const USUAL_PAUSE: Duration = Duration::from_millis(300);
 
+/// Within what another target must go on with a stream. Its caller has waited for the first event
+/// and leaves after two seconds without another: an answer that pauses is worth more than one that
+/// breaks off because no target would be as quick as for a new request.
+const RESUMED: Duration = Duration::from_millis(1_200);
+
 /// The time left below which a stream isn't resumed: reading the prompt anew takes it.
 const TOO_LATE: Duration = Duration::from_millis(150);
 
 /// What a poll leads to: bytes, the end (`None`) or the break of the answer.
 type Step = Option<Result<Frame<Bytes>, io::Error>>;
 
-type Resuming = Pin<Box<dyn Future<Output = Option<Resumed>>>>;
+/// Another target goes on, or why none does.
+type Resuming = Pin<Box<dyn Future<Output = Result<Resumed, &'static str>>>>;
 
 struct Resumed {
     body: Incoming,
@@ -138,6 +145,7 @@
                     lease.began();
                 }
                 let data = self.pass(data);
+                self.finish_if_whole();
                 if data.is_empty() {
                     return Next::Again;
                 }
@@ -157,6 +165,20 @@
         }
     }
 
+    /// Ends with the last byte of an answer whose length is known. Whoever sends it on asks for
+    /// nothing after that byte: left to the next poll, the connection would not be kept, and the
+    /// target would count as left by its caller.
+    fn finish_if_whole(&mut self) {
+        let half = self.events.as_ref().is_some_and(Events::is_half);
+        if let Source::Target(body, lease) = &mut self.source
+            && body.is_end_stream()
+            && !half
+        {
+            lease.finish();
+            self.source = Source::Ended;
+        }
+    }
+
     fn pass(&mut self, data: Bytes) -> Bytes {
         let Some(events) = &mut self.events else {
             return data;
@@ -208,11 +230,16 @@
         Next::Again
     }
 
-    fn go_on(&mut self, resumed: Option<Resumed>) -> Next {
-        let Some(resumed) = resumed else {
-            self.source = Source::Ended;
-            return Next::Ready(Some(Err(broken("no target goes on with the stream"))));
+    fn go_on(&mut self, resumed: Result<Resumed, &'static str>) -> Next {
+        let resumed = match resumed {
+            Ok(resumed) => resumed,
+            Err(why) => {
+                info!("stream not resumed", kv: { request = self.call.head.id(), why = why });
+                self.source = Source::Ended;
+                return Next::Ready(Some(Err(broken(why))));
+            }
         };
+        self.requests.metrics.entry.retries.add("resumed", 1);
         info!("stream resumed", kv: {
             request = self.call.head.id(), target = resumed.lease.target().to_string(),
             after = self.events.as_ref().and_then(Events::last).unwrap_or(0)
@@ -237,19 +264,23 @@
     call: Rc<Call>,
     mut tries: Tries,
     last: Option<u64>,
-) -> Option<Resumed> {
-    while tries.sent < call.route.attempts && call.left() > TOO_LATE {
+) -> Result<Resumed, &'static str> {
+    while tries.sent < call.route.attempts {
+        if call.left() <= TOO_LATE {
+            return Err("too little time is left");
+        }
         if !requests.spend(&call.service) {
-            return None;
+            return Err("the budget of repeated sends is used up");
         }
-        let chosen = choose(&requests, &call, &tries).ok()?;
+        let chosen = choose_within(&requests, &call, &tries, RESUMED.min(call.left()));
+        let chosen = chosen.map_err(|refusal| refusal.why)?;
         let outcome = send(&requests, &call, &chosen, &mut tries, last).await;
         if let Outcome::Answer(response, lease) = outcome
             && response.status().is_success()
         {
             let body = response.into_body();
-            return Some(Resumed { body, lease, tries });
+            return Ok(Resumed { body, lease, tries });
         }
     }
-    None
+    Err("the route allows no more attempts")
 }
--- a/crates/filbertstack-gateway/src/request/targets.rs
+++ b/crates/filbertstack-gateway/src/request/targets.rs
@@ -51,6 +51,10 @@
     pub addr: SocketAddr,
     /// The version of weights that it must hold, where an older one may no longer answer.
     pub version: Option<u64>,
+    /// The predicted milliseconds to the first event.
+    pub predicted: f64,
+    /// The age of the load report that the prediction rests on.
+    pub report_age: Option<Millis>,
 }
 
 impl Targets {
@@ -149,7 +153,9 @@
     /// [`Refused`] if none can serve it in time.
     pub fn choose(&self, wanted: &Wanted<'_>) -> Result<Chosen, Refused> {
         let now = self.node.clock.now();
-        let id = self.dispatcher.borrow_mut().choose(now, wanted)?;
+        let mut dispatcher = self.dispatcher.borrow_mut();
+        let id = dispatcher.choose(now, wanted)?;
+        let (predicted, report_age) = dispatcher.grounds(now, &id, wanted.prompt);
         let place = self.places.borrow().get(&id).copied();
         // Both are replaced together, so a target that is offered has a place.
         let place = place.ok_or(Refused::NoTarget {
@@ -159,6 +165,8 @@
             id,
             addr: place.addr,
             version: place.version,
+            predicted,
+            report_age,
         })
     }
 
--- a/crates/filbertstack-gateway/src/settings.rs
+++ b/crates/filbertstack-gateway/src/settings.rs
@@ -57,6 +57,8 @@
     pub control: Option<SocketAddr>,
     /// Callers' question where to connect.
     pub directory: Option<SocketAddr>,
+    /// The process's metrics.
+    pub metrics: Option<SocketAddr>,
 }
 
 /// What an agent stands beside.
@@ -168,6 +170,7 @@
         ready: optional(&mut section, "ready", problems),
         control: optional(&mut section, "control", problems),
         directory: optional(&mut section, "directory", problems),
+        metrics: optional(&mut section, "metrics", problems),
     };
     section.finish(problems);
     listen
--- a/crates/filbertstack-policy/src/dispatch.rs
+++ b/crates/filbertstack-policy/src/dispatch.rs
@@ -374,6 +374,16 @@
         })
     }
 
+    /// What a choice of `id` rests on: the predicted milliseconds to the first event of a prompt,
+    /// and the age of the load report, if there is one that still says something.
+    pub fn grounds(&self, now: Millis, id: &str, prompt: u32) -> (f64, Option<Millis>) {
+        let Some(target) = self.targets.get(id) else {
+            return (0.0, None);
+        };
+        let age = target.fresh(now).map(|(at, _)| now.since(at) + LAG);
+        (target.predict(now, f64::from(prompt)), age)
+    }
+
     /// The best of some targets drawn at random.
     fn draw(&mut self, mut fit: Vec<(f64, TargetId)>) -> Option<(f64, TargetId)> {
         let mut best: Option<(f64, TargetId)> = None;
--- a/src/cmd/gateway.rs
+++ b/src/cmd/gateway.rs
@@ -8,6 +8,7 @@
 use filbertstack_platform::environment::settings_path;
 use filbertstack_telemetry::Identity;
 use filbertstack_telemetry::Logs;
+use filbertstack_telemetry::Metrics;
 use filbertstack_telemetry::Role;
 use filbertstack_telemetry::TelemetrySettings;
 use filbertstack_telemetry::settings::LogFormat;
@@ -21,17 +22,21 @@
 
 pub fn run_entry(flags: &flags::Gateway) -> Result<(), Failure> {
     let settings = read(flags.settings.as_ref())?;
-    let _logs = start_logs(&settings, Role::Entry)?;
+    let identity = Identity::new(Role::Entry, settings.node.name.as_str());
+    let _logs = start_logs(&identity)?;
+    let metrics = Metrics::new(&identity)?;
     let work = LocalSet::new();
-    work.block_on(&event_loop()?, entry::run(settings))?;
+    work.block_on(&event_loop()?, entry::run(settings, metrics))?;
     Ok(())
 }
 
 pub fn run_agent(flags: &flags::GatewayAgent) -> Result<(), Failure> {
     let settings = read(flags.settings.as_ref())?;
-    let _logs = start_logs(&settings, Role::Agent)?;
+    let identity = Identity::new(Role::Agent, settings.node.name.as_str());
+    let _logs = start_logs(&identity)?;
+    let metrics = Metrics::new(&identity)?;
     let work = LocalSet::new();
-    work.block_on(&event_loop()?, agent::run(settings))?;
+    work.block_on(&event_loop()?, agent::run(settings, metrics))?;
     Ok(())
 }
 
@@ -41,14 +46,13 @@
     Ok(Settings::read(&path)?)
 }
 
-fn start_logs(settings: &Settings, role: Role) -> Result<Logs, Failure> {
-    let identity = Identity::new(role, settings.node.name.as_str());
+fn start_logs(identity: &Identity) -> Result<Logs, Failure> {
     let telemetry = TelemetrySettings {
         format: LogFormat::Json,
         stream: LogStream::Output,
         ..TelemetrySettings::default()
     };
-    let logs = Logs::start(&telemetry, &identity)?;
+    let logs = Logs::start(&telemetry, identity)?;
     logs.make_default();
     Ok(logs)
 }
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -6,6 +6,7 @@
 mod demo;
 mod drain;
 mod entry;
+mod explain;
 mod gateway;
 mod get;
 mod publish;
@@ -55,6 +56,7 @@
         FilbertstackCmd::Status(flags) => status::run(flags),
         FilbertstackCmd::Drain(flags) => drain::run(flags),
         FilbertstackCmd::Check(flags) => check::run(&flags),
+        FilbertstackCmd::Explain(flags) => explain::run(&flags),
         FilbertstackCmd::Demo(flags) => demo::run(&flags),
     }
 }
--- a/src/flags.rs
+++ b/src/flags.rs
@@ -114,6 +114,16 @@
             required file: PathBuf
         }
 
+        /// Joins the logs of many processes into the story of one request or one process.
+        cmd explain {
+            /// The logs, in any order; lines that are cut off are left out.
+            repeated files: PathBuf
+            /// The request's id.
+            optional --request id: String
+            /// The process's name.
+            optional --node name: String
+        }
+
         /// Shows the whole system at work on this machine: needs no settings.
         cmd demo {
             /// How many model engines; 24 by default.
--- a/tests/cli/main.rs
+++ b/tests/cli/main.rs
@@ -1,5 +1,7 @@
 //! The command line: what it prints of wrong files, and its exit codes.
 
+mod explain;
+
 use std::fs;
 use std::path::Path;
 use std::process::Command;
--- a/tests/gateway/requests.rs
+++ b/tests/gateway/requests.rs
@@ -223,3 +223,24 @@
     let got = got.expect("an answer");
     assert_eq!((got.status, got.body.as_str()), (200, "whole"));
 }
+
+/// An answer goes through, and a request that no target can take is refused: the metrics tell both,
+/// with the reason, so that a rise of refusals shows its cause without a log.
+#[test]
+fn metrics_tell_how_requests_ended() {
+    let engine = Engine::start(Box::new(|seen| answer(seen, "200 OK", "done")));
+    let world = serving(&[("i-1", "safe", &engine)]);
+    world.await_service(0, "/safe/");
+    let refused = world.call(0, &get("/once/", "a1", ""));
+    assert_eq!(refused.status, 503);
+    let metrics = world.metrics(0);
+    let told = [
+        "filbertstack_entry_requests_total{outcome=\"target's answer\"}",
+        "filbertstack_entry_refusals_total{reason=\"no target can serve it in time\"}",
+        "filbertstack_entry_duration_seconds_bucket{outcome=\"answered\"",
+        "# HELP filbertstack_entry_requests_total",
+    ];
+    for line in told {
+        assert!(metrics.contains(line), "{line} is not in {metrics}");
+    }
+}
--- a/tests/gateway/world.rs
+++ b/tests/gateway/world.rs
@@ -103,7 +103,7 @@
         };
         let text = format!(
             "{}[listen]\nfront = {ip}:8005\nready = {ip}:8002\ncontrol = {ip}:8000\n\
-             directory = {ip}:8009\n",
+             directory = {ip}:8009\nmetrics = {ip}:8010\n",
             self.node_settings(n, first, &data)
         );
         fs::write(self.path(n), text).expect("the settings");
@@ -229,6 +229,13 @@
         format!("{}:8000", self.ips[n])
     }
 
+    /// What an entry's metrics say.
+    pub fn metrics(&self, n: usize) -> String {
+        let addr = format!("{}:8010", self.ips[n]);
+        let request = "GET /metrics HTTP/1.1\r\nHost: m\r\nConnection: close\r\n\r\n";
+        exchange(&addr, request).map_or(String::new(), |answer| answer.body)
+    }
+
     /// Where callers reach an entry.
     pub fn front(&self, n: usize) -> String {
         format!("{}:8005", self.ips[n])
