--- a/crates/filbertstack-gateway/src/agent/rollout.rs
+++ b/crates/filbertstack-gateway/src/agent/rollout.rs
@@ -28,7 +28,8 @@
 use crate::weights::count;
 use crate::weights::is_here;
 
-/// How often it is looked whether the engine serves what it should.
+/// How often it is looked whether the engine serves what it should, beside whenever something
+/// changes: turns to load come with time.
 const LOOK: Duration = Duration::from_millis(150);
 
 /// How often it is looked whether an engine that takes nothing new has finished what it runs.
@@ -52,6 +53,8 @@
 /// brought in time.
 pub async fn keep_version(agent: Rc<Agent>) {
     let mut gathering = Gathering::default();
+    let mut declared = agent.node.declared.watch();
+    let mut engine = agent.engine.watch();
     loop {
         if let Some(report) = agent.engine.report() {
             let served = report.holding.map_or(0, |holding| holding.version);
@@ -63,7 +66,12 @@
                 agent.engine.set_loading(false);
             }
         }
-        sleep(LOOK).await;
+        tokio::select! {
+            () = sleep(LOOK) => {}
+            _ = declared.changed() => {}
+            _ = engine.changed() => {}
+            () = agent.stage.becomes_whole() => {}
+        }
     }
 }
 
--- a/crates/filbertstack-gateway/src/agent/stage.rs
+++ b/crates/filbertstack-gateway/src/agent/stage.rs
@@ -9,12 +9,17 @@
 
 use filbertstack_platform::engine::Holding;
 use filbertstack_platform::engine::PieceList;
+use tokio::sync::Notify;
 
 use crate::weights::count;
 
 /// The pieces staged.
 #[derive(Debug, Default)]
-pub struct Stage(RefCell<Option<Staged>>);
+pub struct Stage {
+    staged: RefCell<Option<Staged>>,
+    /// Told when all pieces of a version lie there.
+    whole: Notify,
+}
 
 #[derive(Debug)]
 struct Staged {
@@ -22,57 +27,71 @@
     there: BTreeSet<u32>,
 }
 
+impl Staged {
+    fn is_whole(&self) -> bool {
+        self.there.len() == count(&self.list) as usize
+    }
+}
+
 impl Stage {
     /// Begins to stage a version over whatever lies there, unless it is the one.
     pub fn begin(&self, list: Rc<PieceList>) {
         if self.weights().as_ref() != Some(&list.weights) {
             let there = BTreeSet::new();
-            *self.0.borrow_mut() = Some(Staged { list, there });
+            *self.staged.borrow_mut() = Some(Staged { list, there });
         }
     }
 
     /// Forgets everything, so that the list is fetched anew.
     pub fn forget(&self) {
-        *self.0.borrow_mut() = None;
+        *self.staged.borrow_mut() = None;
     }
 
     /// The version that is being staged, or was last.
     pub fn weights(&self) -> Option<Holding> {
-        let staged = self.0.borrow();
+        let staged = self.staged.borrow();
         staged.as_ref().map(|staged| staged.list.weights.clone())
     }
 
     /// The list of the pieces of `weights`, if that is the version.
     pub fn list(&self, weights: &Holding) -> Option<Rc<PieceList>> {
-        let staged = self.0.borrow();
+        let staged = self.staged.borrow();
         let staged = staged.as_ref().filter(|s| s.list.weights == *weights);
         staged.map(|staged| staged.list.clone())
     }
 
     /// Notes that a piece lies there and was right.
     pub fn put(&self, number: u32) {
-        if let Some(staged) = self.0.borrow_mut().as_mut() {
+        if let Some(staged) = self.staged.borrow_mut().as_mut() {
             staged.there.insert(number);
+            if staged.is_whole() {
+                self.whole.notify_one();
+            }
         }
     }
 
     /// Notes that a piece is not there or turned bad.
     pub fn lose(&self, number: u32) {
-        if let Some(staged) = self.0.borrow_mut().as_mut() {
+        if let Some(staged) = self.staged.borrow_mut().as_mut() {
             staged.there.remove(&number);
         }
     }
 
     /// Whether a piece of the version lies there.
     pub fn has(&self, number: u32) -> bool {
-        let staged = self.0.borrow();
+        let staged = self.staged.borrow();
         staged.as_ref().is_some_and(|s| s.there.contains(&number))
     }
 
     /// The version of which all pieces lie there, with its list.
     pub fn whole(&self) -> Option<Rc<PieceList>> {
-        let staged = self.0.borrow();
-        let whole = |s: &&Staged| s.there.len() == count(&s.list) as usize;
-        staged.as_ref().filter(whole).map(|s| s.list.clone())
+        let staged = self.staged.borrow();
+        let whole = staged.as_ref().filter(|staged| staged.is_whole());
+        whole.map(|staged| staged.list.clone())
+    }
+
+    /// Ends when all pieces of a version lie there that did not before.
+    pub async fn becomes_whole(&self) {
+        self.whole.notified().await;
     }
 }
--- a/crates/filbertstack-gateway/src/control/calls.rs
+++ b/crates/filbertstack-gateway/src/control/calls.rs
@@ -117,11 +117,18 @@
     }
 
     async fn hear(&self, heartbeat: Heartbeat) -> Result<Bytes, Failed> {
-        let row = row(&heartbeat);
-        self.node.register(vec![row]).await?;
+        self.register(row(&heartbeat)).await?;
         Ok(heartbeat_answer(self.nearer()))
     }
 
+    async fn register(&self, row: Row) -> Result<(), Failed> {
+        let registered = self.node.register(vec![row.clone()]).await;
+        if registered.is_err() {
+            self.node.unregistered.put(row, self.node.clock.now());
+        }
+        Ok(registered?)
+    }
+
     /// Where heartbeats go without a detour: a voter takes them in itself.
     fn nearer(&self) -> Option<SocketAddr> {
         let control = self.node.settings.listen.control?;
@@ -133,7 +140,7 @@
     }
 
     async fn leave(&self, id: &Arc<str>) -> Result<Bytes, Failed> {
-        self.node.register(vec![Row::left(id)]).await?;
+        self.register(Row::left(id)).await?;
         info!("target left", kv: { id = id.to_string() });
         Ok(Bytes::from_static(b"{}"))
     }
--- a/crates/filbertstack-gateway/src/control/mod.rs
+++ b/crates/filbertstack-gateway/src/control/mod.rs
@@ -11,6 +11,7 @@
 pub mod membership;
 pub mod node;
 pub mod people;
+pub mod unregistered;
 pub mod voter;
 
 use std::time::Duration;
--- a/crates/filbertstack-gateway/src/control/node.rs
+++ b/crates/filbertstack-gateway/src/control/node.rs
@@ -15,6 +15,7 @@
 use crate::control::ASK;
 use crate::control::declared::DeclaredState;
 use crate::control::people::People;
+use crate::control::unregistered::Unregistered;
 use crate::control::voter::Voter;
 use crate::link::Dialer;
 use crate::link::Given;
@@ -60,6 +61,8 @@
     pub declared: DeclaredState,
     /// Who is there.
     pub people: People,
+    /// Statements that no voter could take yet.
+    pub unregistered: Unregistered,
     /// Links to peers.
     pub dialer: Dialer,
     /// What it needs to be told by the voter that it follows.
@@ -86,6 +89,7 @@
             clock,
             declared: DeclaredState::new(clock),
             people: People::new(clock),
+            unregistered: Unregistered::default(),
             dialer,
             interest,
             voter,
--- a/crates/filbertstack-gateway/src/entry/mod.rs
+++ b/crates/filbertstack-gateway/src/entry/mod.rs
@@ -26,6 +26,7 @@
 use crate::control::follow;
 use crate::control::node::Node;
 use crate::control::node::lead_followers;
+use crate::control::unregistered::register_later;
 use crate::control::voter::Voter;
 use crate::entry::directory::Directory;
 use crate::link;
@@ -101,6 +102,7 @@
     let cache = Rc::new(Cache::new(node.clone(), &own_id(&node)));
     serve_all(&node, &requests, &cache, &leaving)?;
     start_control(&node);
+    spawn_local(register_later(node.clone()));
     spawn_local(keep_targets(node.clone(), requests.clone()));
     spawn_local(cache.clone().keep());
     spawn_local(tell_own_row(node.clone(), leaving.clone(), cache.held()));
@@ -203,8 +205,9 @@
                 holds: held.borrow_and_update().clone(),
             })),
         };
-        if let Err(error) = node.register(vec![row]).await {
+        if let Err(error) = node.register(vec![row.clone()]).await {
             info!("own row not registered", kv: { error = error.to_string() });
+            node.unregistered.put(row, node.clock.now());
         }
         tokio::select! {
             () = sleep(OWN_ROW) => {}
--- a/tests/gateway/requests.rs
+++ b/tests/gateway/requests.rs
@@ -244,3 +244,23 @@
         assert!(metrics.contains(line), "{line} is not in {metrics}");
     }
 }
+
+/// All entries start again at once, and an engine announces itself before they have a leader. It is
+/// told to come back, as nothing was registered; but callers are not refused until its next turn:
+/// the entry passes its statement on when there is a leader.
+#[test]
+fn an_engine_that_came_too_early_is_known_when_there_is_a_leader() {
+    let engine = Engine::start(Box::new(|seen| answer(seen, "200 OK", "done")));
+    let mut world = World::start(3, 0);
+    world.put(&[0], &document(1));
+    world.kill(1);
+    world.kill(2);
+    crate::world::until("there is no leader", || {
+        let read = world.control(0, "GET", "/config", "");
+        read.is_some_and(|a| a.status == 503)
+    });
+    assert_eq!(world.announce(0, "i-1", "safe", engine.addr), Some(503));
+    world.launch(1);
+    world.launch(2);
+    world.await_service(0, "/safe/");
+}
--- a/tests/gateway/world.rs
+++ b/tests/gateway/world.rs
@@ -267,17 +267,22 @@
         (answer.status == 200).then(|| document["version"].as_u64())?
     }
 
-    /// Reports a target to an entry until it is acknowledged.
-    pub fn report(&self, n: usize, id: &str, service: &str, addr: SocketAddr) {
+    /// Reports a target to an entry once; the status of the answer.
+    pub fn announce(&self, n: usize, id: &str, service: &str, addr: SocketAddr) -> Option<u16> {
         let body = json!({
             "service": service, "address": addr.to_string(), "zone": "z0", "version": "v1",
             "slots": 4, "state": "ready", "sequence": 1, "born": 1,
             "models": [{"name": "m", "version": 1}]
         });
         let path = format!("/instances/{id}");
+        let answer = self.control(n, "PUT", &path, &body.to_string());
+        answer.map(|answer| answer.status)
+    }
+
+    /// Reports a target to an entry until it is acknowledged.
+    pub fn report(&self, n: usize, id: &str, service: &str, addr: SocketAddr) {
         until("the report is acknowledged", || {
-            let answer = self.control(n, "PUT", &path, &body.to_string());
-            answer.is_some_and(|a| a.status == 200)
+            self.announce(n, id, service, addr) == Some(200)
         });
     }
 
