--- a/crates/filbertstack-gateway/src/weights/mod.rs
+++ b/crates/filbertstack-gateway/src/weights/mod.rs
@@ -5,6 +5,7 @@
 
 pub mod cache;
 pub mod fetch;
+pub mod stock;
 
 use std::net::SocketAddr;
 use std::rc::Rc;
