What an engine is ordered to load is read back just before, and nothing overwrites it

Now what is whole never gives way to an older version, nothing is ordered while pieces come in, and all are read back once more right before the order.

Tests: what_is_whole_does_not_give_way (policy); a_piece_that_turns_bad_while_the_engine_drains fails without the second reading (1 wrong load) and passes with it.

--- a/crates/filbertstack-gateway/src/agent/rollout.rs
+++ b/crates/filbertstack-gateway/src/agent/rollout.rs
@@ -60,7 +60,8 @@
             let served = report.holding.map_or(0, |holding| holding.version);
             let needed = needed(&agent, served);
             gathering.follow(&agent, &needed);
-            let whole = agent.stage.whole();
+            // While pieces of another version come in, what lies there is no longer whole.
+            let whole = agent.stage.whole().filter(|_| gathering.is_idle());
             if let Some(list) = whole.filter(|list| is_due(&agent, list, &needed)) {
                 bring(&agent, &list).await;
                 agent.engine.set_loading(false);
@@ -86,6 +87,10 @@
 struct Gathering(Option<(Holding, JoinHandle<()>)>);
 
 impl Gathering {
+    fn is_idle(&self) -> bool {
+        self.0.as_ref().is_none_or(|(_, task)| task.is_finished())
+    }
+
     /// Gathers what is missing, and stops gathering what is no longer needed.
     fn follow(&mut self, agent: &Rc<Agent>, needed: &[Holding]) {
         let versions: Vec<u64> = needed.iter().map(|weights| weights.version).collect();
@@ -94,7 +99,8 @@
             let weights = needed.iter().find(|weights| weights.version == version);
             weights.is_some_and(|weights| is_here(&agent.node, weights))
         };
-        let chosen = staged_now(&versions, begun, here);
+        let whole = agent.stage.whole().map(|list| list.weights.clone());
+        let chosen = staged_now(&versions, begun, whole.is_some(), here);
         let chosen = needed
             .iter()
             .find(|weights| Some(weights.version) == chosen);
@@ -105,7 +111,6 @@
             }
             keep && !task.is_finished()
         });
-        let whole = agent.stage.whole().map(|list| list.weights.clone());
         let Some(weights) = chosen.filter(|w| self.0.is_none() && whole.as_ref() != Some(w)) else {
             return;
         };
@@ -136,7 +141,8 @@
 }
 
 async fn bring(agent: &Agent, list: &PieceList) {
-    if !verify(agent, list).await || !order(agent, &list.weights).await {
+    // Read back before the engine stops taking requests, so that it does not for nothing.
+    if !verify(agent, list).await || !order(agent, list).await {
         sleep(AGAIN).await;
     }
 }
@@ -193,10 +199,15 @@
     Running::Finish
 }
 
-/// Orders the engine to serve the version, and waits until it does.
-async fn order(agent: &Agent, wanted: &Holding) -> bool {
+/// Orders the engine to serve the version, and waits until it does. What lies there may have turned
+/// bad while the engine finished its work, so it is read back once more just before the order.
+async fn order(agent: &Agent, list: &PieceList) -> bool {
+    let wanted = &list.weights;
     agent.engine.set_loading(true);
     let running = drained(agent, wanted).await;
+    if !verify(agent, list).await {
+        return false;
+    }
     if let Err(error) = agent.engine.call(order_start(wanted, running)).await {
         info!("order not taken", kv: { version = wanted.version, error = error.to_string() });
         agent.engine.set_loading(false);
--- a/crates/filbertstack-policy/src/rollout.rs
+++ b/crates/filbertstack-policy/src/rollout.rs
@@ -96,16 +96,24 @@
 }
 
 /// Which of the versions wanted, in their order, is staged at an engine that keeps the pieces of one
-/// only. `begun` is the one that lies there, whole or in part; `here` tells whether the entries
-/// hold all of a version.
+/// only. `begun` is the one that lies there, and `whole` tells whether all of it does; `here` tells
+/// whether the entries hold all of a version.
 ///
 /// *Load pattern*: a second version is named while the first is on its way, and the origin fails
 /// right after. Did the agents begin on the second at once, its first pieces would overwrite the
 /// first, and no version would be whole in time. So they go on with what they have begun until all
-/// of a newer one can be had without the origin.
-pub fn staged_now(wanted: &[u64], begun: Option<u64>, here: impl Fn(u64) -> bool) -> Option<u64> {
-    let newest_here = wanted.iter().rev().copied().find(|version| here(*version));
+/// of a newer one can be had without the origin. What is whole never gives way to an older one: an
+/// entry that starts again has lost its share, so that nothing is all here for a moment.
+pub fn staged_now(
+    wanted: &[u64],
+    begun: Option<u64>,
+    whole: bool,
+    here: impl Fn(u64) -> bool,
+) -> Option<u64> {
     let begun = begun.filter(|version| wanted.contains(version));
+    let least = begun.filter(|_| whole).unwrap_or(0);
+    let newer = wanted.iter().rev().copied();
+    let newest_here = newer.filter(|version| *version >= least).find(|v| here(*v));
     newest_here.or(begun).or(wanted.last().copied())
 }
 
--- a/crates/filbertstack-policy/tests/rollout.rs
+++ b/crates/filbertstack-policy/tests/rollout.rs
@@ -70,25 +70,25 @@
 /// entries hold all of the second.
 #[test]
 fn a_version_gives_way_only_to_one_that_is_here() {
-    assert_eq!(staged_now(&[2, 3], Some(2), |_| false), Some(2));
-    assert_eq!(staged_now(&[2, 3], Some(2), |v| v == 2), Some(2));
-    assert_eq!(staged_now(&[2, 3], Some(2), |v| v == 3), Some(3));
+    assert_eq!(staged_now(&[2, 3], Some(2), true, |_| false), Some(2));
+    assert_eq!(staged_now(&[2, 3], Some(2), true, |v| v == 2), Some(2));
+    assert_eq!(staged_now(&[2, 3], Some(2), true, |v| v == 3), Some(3));
 }
 
 /// The second version was begun while it was to be had; then entries started again and the origin
 /// is gone, but the first is still here. The engine gets what can be had in time.
 #[test]
 fn a_version_that_cannot_be_had_gives_way_to_an_older_that_can() {
-    assert_eq!(staged_now(&[2, 3], Some(3), |v| v == 2), Some(2));
-    assert_eq!(staged_now(&[2, 3], Some(3), |_| false), Some(3));
+    assert_eq!(staged_now(&[2, 3], Some(3), false, |v| v == 2), Some(2));
+    assert_eq!(staged_now(&[2, 3], Some(3), false, |_| false), Some(3));
 }
 
 #[test]
 fn the_only_version_wanted_is_begun_at_once() {
-    assert_eq!(staged_now(&[], Some(2), |_| true), None);
-    assert_eq!(staged_now(&[2], None, |_| false), Some(2));
-    assert_eq!(staged_now(&[3], Some(2), |_| false), Some(3));
-    assert_eq!(staged_now(&[2, 3], None, |_| false), Some(3));
+    assert_eq!(staged_now(&[], Some(2), true, |_| true), None);
+    assert_eq!(staged_now(&[2], None, false, |_| false), Some(2));
+    assert_eq!(staged_now(&[3], Some(2), true, |_| false), Some(3));
+    assert_eq!(staged_now(&[2, 3], None, false, |_| false), Some(3));
 }
 
 /// How long an engine is out whose answers end at the times given, and how many break off.
@@ -126,3 +126,12 @@
     assert!(out <= 100, "{out} ms");
     assert_eq!(broken, 0);
 }
+
+/// The newer of two versions lies whole at the engine when an entry starts again and has lost its
+/// share of it. An agent that went back to the older one would overwrite pieces that the engine is
+/// just being ordered to load, and callers would get answers from a mix of both.
+#[test]
+fn what_is_whole_does_not_give_way_to_an_older_version() {
+    assert_eq!(staged_now(&[2, 3], Some(3), true, |v| v == 2), Some(3));
+    assert_eq!(staged_now(&[2, 3, 4], Some(3), true, |v| v != 3), Some(4));
+}
--- a/tests/gateway/model.rs
+++ b/tests/gateway/model.rs
@@ -59,11 +59,22 @@
     pub version: u64,
     /// The pieces staged.
     pub staged: BTreeMap<u32, Vec<u8>>,
+    /// Requests that it says it runs.
+    pub running: u32,
+    /// How many more reports spoil a staged piece when all of them lie there.
+    pub spoils: u32,
     /// How many orders to load came when a staged piece was missing, spoilt or another version's.
     pub wrong_orders: u32,
 }
 
 impl Held {
+    fn spoil(&mut self) {
+        if self.spoils > 0 && self.staged.len() == PIECES as usize {
+            self.spoils -= 1;
+            self.staged.insert(5, b"rot".to_vec());
+        }
+    }
+
     fn start(&mut self, version: u64) {
         let right = |n| self.staged.get(&n) == Some(&piece(version, n));
         if !(0..PIECES).all(right) {
@@ -88,7 +99,9 @@
         let path = path(seen);
         let mut held = self.held();
         let answer = if path == "/report" {
-            plain("200 OK", report(held.version).to_string().as_bytes())
+            held.spoil();
+            let report = report(held.version, held.running);
+            plain("200 OK", report.to_string().as_bytes())
         } else if path.starts_with("/stage-put/") {
             held.staged.insert(number(seen), seen.body.clone());
             plain("200 OK", b"")
@@ -108,12 +121,12 @@
     }
 }
 
-fn report(version: u64) -> Value {
+fn report(version: u64, running: u32) -> Value {
     let models = match version {
         0 => json!([]),
         version => json!([{"name": "m", "version": version}]),
     };
-    json!({"models": models, "busy": false, "waiting": 0, "running": 0, "pace": 1.0})
+    json!({"models": models, "busy": false, "waiting": 0, "running": running, "pace": 1.0})
 }
 
 /// The origin of weights, which counts the pieces that it sent.
--- a/tests/gateway/weights.rs
+++ b/tests/gateway/weights.rs
@@ -120,3 +120,21 @@
     fleet.await_version(2);
     assert_eq!(fleet.wrong_orders(), 0);
 }
+
+/// An engine is to load a version that lies there whole, and finishes its work first. Meanwhile one
+/// of the pieces turns bad, again and again. Loaded as they were read back before, answers would
+/// come from spoilt weights; they are read back once more just before the order.
+#[test]
+fn a_piece_that_turns_bad_while_the_engine_drains_is_not_loaded() {
+    let fleet = Fleet::start(1);
+    fleet.name(2);
+    fleet.await_version(2);
+    {
+        let mut held = fleet.models[0].held();
+        held.running = 4;
+        held.spoils = 30;
+    }
+    fleet.name(3);
+    fleet.await_version(3);
+    assert_eq!(fleet.wrong_orders(), 0);
+}
