The old version is out of use at 0.80 of the time for a rollout, not 0.85

Ruled out: the version that requests name (the engine checks it on arrival), a shorter deadline (it would cut answers that run). The last order follows to 0.76, the last call to 0.63. Test: began 33 ms late at 0.85.

--- a/crates/filbertstack-policy/src/rollout.rs
+++ b/crates/filbertstack-policy/src/rollout.rs
@@ -16,18 +16,18 @@
 
 /// The part of the time for a rollout after which a target must hold the new version to be used.
 /// What is left covers a request's way and its wait in an engine that few share the load with:
-/// 1.3 s were seen where the origin had failed and most engines were out.
-const BINDING: f64 = 0.85;
+/// 1.6 s were seen, 0.7 s of it on the narrow link over which the engine's new weights came late.
+const BINDING: f64 = 0.8;
 
 /// The part after which the last engine is ordered: the order must have reached it, so that it
 /// begins nothing on the old version, before [`BINDING`].
-const LAST: f64 = 0.81;
+const LAST: f64 = 0.76;
 
 /// The part at which the first engine is ordered, if its pieces are there by then.
 const FIRST: f64 = 0.28;
 
 /// The part at which the first engine is ordered to load a version that another has followed.
-const LAST_CALL: f64 = 0.68;
+const LAST_CALL: f64 = 0.63;
 
 /// When a version should be loaded.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/filbertstack-policy/tests/rollout.rs
+++ b/crates/filbertstack-policy/tests/rollout.rs
@@ -135,3 +135,15 @@
     assert_eq!(staged_now(&[2, 3], Some(3), true, |v| v == 2), Some(3));
     assert_eq!(staged_now(&[2, 3, 4], Some(3), true, |v| v != 3), Some(4));
 }
+
+/// An engine's link is narrow, so that its new weights come last and a request takes 0.7 s to reach
+/// it and waits 0.9 s there. Sent just before the old version may no longer be used, it must begin
+/// within the time that operators promise; with 85% of that time it began 33 ms late.
+#[test]
+fn a_request_on_a_narrow_link_begins_before_the_time_is_over() {
+    let bound = Millis(9_700);
+    let wait = Millis(1_620);
+    let binding = (0..bound.0).find(|ms| floor([(2, Millis(*ms))].into_iter(), bound) == 2);
+    let began = Millis(binding.expect("it binds before the bound")) + wait;
+    assert!(began < bound, "{began:?}");
+}
