A wiped voter searches for the leader over more than one step; seeds are read again

Cause: a newcomer asked its seeds for the leader and nobody else. A seed without a disk knows the voters, not the leader, so a voter that lost its disk after the seeds were exchanged for such entries stayed outside for ever, and the next loss took an acknowledged configuration with it. Running voters told the seeds of their own start.

Ruled out: a second group (one cluster id in all logs), a refusal by the leader (never reached). A founder now also stops where a seed without a disk names voters.

Now the search goes on to whoever is named, at most 19 nodes, with jitter; seeds are read again on SIGHUP and whenever the file changed; whatever else changed is refused by name; a node outside for 5 s says whom it asked and what each said; the leader shows and says that its group is short of voters.

--- a/crates/filbertstack-gateway/src/agent/mod.rs
+++ b/crates/filbertstack-gateway/src/agent/mod.rs
@@ -8,6 +8,7 @@
 mod stage;
 
 use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::rc::Rc;
 
 use filbertstack_platform::engine::Holding;
@@ -29,6 +30,7 @@
 use crate::link::Dialer;
 use crate::link::messages::Interest;
 use crate::metrics;
+use crate::reload::Reload;
 use crate::settings::Settings;
 use crate::weights;
 use crate::weights::FIRST_VERSION;
@@ -109,7 +111,7 @@
 ///
 /// # Errors
 /// [`AgentError`] names the remedy.
-pub async fn run(settings: Settings, metrics: Metrics) -> Result<(), AgentError> {
+pub async fn run(settings: Settings, path: PathBuf, metrics: Metrics) -> Result<(), AgentError> {
     let engine: SocketAddr = settings.target.engine.ok_or(AgentError::NoEngine)?;
     let link = settings.node.link;
     let links = bind(link).map_err(|source| EntryError::Bind { addr: link, source })?;
@@ -118,8 +120,9 @@
     });
     let metrics = Rc::new(metrics);
     metrics::serve(settings.listen.metrics, &metrics)?;
+    let reload = Rc::new(Reload::new(path, settings.clone()));
     let node = Rc::new(Node::new(
-        settings,
+        (settings, reload.seeds()),
         Clock::default(),
         Dialer::default(),
         Interest::Weights,
@@ -136,7 +139,8 @@
     spawn_local(follow::follow_any(node));
     spawn_local(reports::watch_engine(agent.clone()));
     spawn_local(rollout::keep_version(agent));
-    wait_for_end().await.map_err(EntryError::Signals)?;
+    spawn_local(reload.clone().watch_file());
+    wait_for_end(&reload).await.map_err(EntryError::Signals)?;
     info!("stopped");
     Ok(())
 }
--- a/crates/filbertstack-gateway/src/control/follow.rs
+++ b/crates/filbertstack-gateway/src/control/follow.rs
@@ -10,23 +10,25 @@
 
 use filbertstack_core::Millis;
 use filbertstack_policy::subset::hash;
+use rand::RngExt as _;
 use spdlog::info;
+use spdlog::warn;
 use tokio::sync::mpsc;
 use tokio::task::spawn_local;
 use tokio::time::Instant;
 use tokio::time::sleep;
 use tokio::time::timeout;
 
+use crate::control::EXPLAIN;
 use crate::control::node::Node;
+use crate::control::search::Search;
+use crate::control::seek::seek_leader;
 use crate::control::voter::Voter;
 use crate::link::Dialer;
 use crate::link::messages::Follow;
 use crate::link::messages::Interest;
 use crate::link::messages::NamedWeights;
 use crate::link::messages::News;
-use crate::link::messages::Nothing;
-use crate::link::messages::Question;
-use crate::link::messages::Reply;
 use crate::link::messages::addr;
 
 /// How often followers hear from their voter.
@@ -50,8 +52,13 @@
 /// The pause before another voter is tried.
 const RETRY: Duration = Duration::from_millis(100);
 
-/// How long a node is waited for when it is asked who the voters are.
-const STANDING: Duration = Duration::from_millis(500);
+/// The least pause between two searches for the voters, in the mean: while a group elects, nodes
+/// try each voter many times a second, and need not ask all others as often.
+const SEARCH: Duration = Duration::from_secs(1);
+
+/// The part of [`SEARCH`] that is drawn by lot, so that nodes that lost their voter together do not
+/// search together.
+const JITTER: f64 = 0.3;
 
 /// Shows each committed state to this process and its followers.
 pub async fn show_documents(node: Rc<Node>, voter: Rc<Voter>) {
@@ -106,26 +113,32 @@
 pub async fn tell_seeds(node: Rc<Node>) {
     loop {
         let pulse = node.pulse();
-        for seed in &node.settings.node.seeds {
-            if *seed != node.settings.node.link {
-                node.dialer.tell(*seed, pulse.clone());
+        for seed in node.seeds.now() {
+            if seed != node.settings.node.link {
+                node.dialer.tell(seed, pulse.clone());
             }
         }
         sleep(SEEDS).await;
     }
 }
 
-/// Follows one voter after the other, until the process ends.
+/// Follows one voter after the other, until the process ends. Once all that are known were tried in
+/// vain, as when they were replaced while this node was cut off, voters are searched for anew.
 pub async fn follow_any(node: Rc<Node>) {
     let mut turn = 0;
+    let mut vain = 0;
+    let mut finder = Finder::new();
     loop {
-        let voters = find_voters(&node).await;
+        if vain >= node.voters().len() && finder.find(&node).await {
+            vain = 0;
+        }
         let own = &node.settings.node;
         // Each node has an order of its own, so that voters share the followers.
-        let mut ranked = voters;
+        let mut ranked = node.voters();
         ranked.sort_by_key(|voter| hash(&format!("{} {voter}", own.name)));
         if let Some(voter) = ranked.get(turn % ranked.len().max(1)) {
-            follow(&node, *voter).await;
+            let followed = follow(&node, *voter).await;
+            vain = if followed { 0 } else { vain + 1 };
             node.set_followed(None);
         }
         turn += 1;
@@ -133,32 +146,62 @@
     }
 }
 
-/// The voters known, or those that a seed names.
-async fn find_voters(node: &Rc<Node>) -> Vec<SocketAddr> {
-    let known = node.voters();
-    if !known.is_empty() {
-        return known;
+/// Finds the voters for a node without a disk.
+struct Finder {
+    next: Instant,
+    /// Since when no voter could be followed, or when that was said last.
+    outside: Instant,
+}
+
+impl Finder {
+    fn new() -> Self {
+        let now = Instant::now();
+        Self {
+            next: now,
+            outside: now,
+        }
+    }
+
+    /// Asks the seeds and the voters that were known, and whoever these name. Returns whether it
+    /// is time to, at most once in about [`SEARCH`].
+    async fn find(&mut self, node: &Rc<Node>) -> bool {
+        let now = Instant::now();
+        if now < self.next {
+            return false;
+        }
+        let part = rand::rng().random_range(1.0 - JITTER..1.0 + JITTER);
+        self.next = now + SEARCH.mul_f64(part);
+        let starts = node.seeds.now().into_iter().chain(node.voters());
+        let mut search = Search::new(node.settings.node.link, starts);
+        seek_leader(&node.dialer, &mut search).await;
+        node.learn_voters(search.voters().to_vec());
+        self.explain(node, &search);
+        true
     }
-    for seed in node.settings.node.seeds.clone() {
-        let asked = node
-            .dialer
-            .ask(seed, Question::Standing(Nothing {}), STANDING);
-        if let Ok(Reply::Standing(standing)) = asked.await {
-            let voters: Vec<_> = standing.voters.iter().filter_map(|v| addr(v)).collect();
-            node.learn_voters(voters);
+
+    fn explain(&mut self, node: &Node, search: &Search) {
+        let now = Instant::now();
+        if node.is_current() || search.leader().is_some() {
+            self.outside = now;
+        } else if now.duration_since(self.outside) >= EXPLAIN {
+            self.outside = now;
+            warn!("no voter is in contact with its group", kv: {
+                for_s = EXPLAIN.as_secs(), asked = search.account()
+            });
         }
     }
-    node.voters()
 }
 
 /// Follows `voter` until it is silent or out of contact with its group.
-async fn follow(node: &Rc<Node>, voter: SocketAddr) {
+///
+/// Returns whether it was in contact for a while.
+async fn follow(node: &Rc<Node>, voter: SocketAddr) -> bool {
     let (sender, mut news) = mpsc::unbounded_channel();
     let link = match Dialer::subscribe(voter, sender).await {
         Ok(link) => link,
         Err(error) => {
             info!("voter not reached", kv: { voter = voter.to_string(), error = error.to_string() });
-            return;
+            return false;
         }
     };
     link.tell(News::Follow(Follow {
@@ -174,7 +217,7 @@
                     info!("voter left: it has no contact with its group",
                         kv: { voter = voter.to_string() });
                 }
-                return;
+                return told;
             }
             Ok(Some(News::Pulse(pulse))) => {
                 node.learn_voters(pulse.voters.iter().filter_map(|v| addr(v)).collect());
@@ -188,7 +231,7 @@
             Ok(Some(news)) => take(node, news),
             Ok(None) | Err(_) => {
                 info!("voter left: it is silent", kv: { voter = voter.to_string() });
-                return;
+                return told;
             }
         }
     }
--- a/crates/filbertstack-gateway/src/control/membership.rs
+++ b/crates/filbertstack-gateway/src/control/membership.rs
@@ -17,7 +17,7 @@
 /// After which silence a voter makes room for a newcomer that waits. Above an election with its
 /// pauses, below the time in which a replaced voter must count again. One that comes back asks
 /// to be taken in again.
-const REPLACED: Duration = Duration::from_millis(2_500);
+pub const REPLACED: Duration = Duration::from_millis(2_500);
 
 /// After which silence a voter is taken out without a newcomer, as it was one too many: a planned
 /// replacement adds the new one first. Above a restart and above a machine frozen for seconds.
@@ -50,7 +50,9 @@
     seeds: &[SocketAddr],
     heard: &[Standing],
 ) -> Option<u32> {
-    let grouped = heard.iter().any(|s| s.cluster != 0 || !s.leader.is_empty());
+    // A seed without a disk is in no group, but may know one.
+    let knows = |s: &Standing| s.cluster != 0 || !s.leader.is_empty() || !s.voters.is_empty();
+    let grouped = heard.iter().any(knows);
     if !first || grouped {
         return None;
     }
--- a/crates/filbertstack-gateway/src/control/mod.rs
+++ b/crates/filbertstack-gateway/src/control/mod.rs
@@ -11,6 +11,9 @@
 pub mod membership;
 pub mod node;
 pub mod people;
+pub mod search;
+pub mod seek;
+pub mod shortage;
 pub mod unregistered;
 pub mod voter;
 
@@ -22,3 +25,8 @@
 
 /// How long a change may take to be committed: the questioner's patience less the way.
 pub const COMMIT: Duration = Duration::from_millis(750);
+
+/// After how long a node that has no contact with the group says whom it asked, and how often it
+/// does so then: an election, a lost disk's repair and a start of all nodes take less than three
+/// seconds.
+pub const EXPLAIN: Duration = Duration::from_secs(5);
--- a/crates/filbertstack-gateway/src/control/node.rs
+++ b/crates/filbertstack-gateway/src/control/node.rs
@@ -35,6 +35,7 @@
 use crate::link::messages::Rows;
 use crate::link::messages::Standing;
 use crate::link::messages::addr;
+use crate::reload::Seeds;
 use crate::settings::Settings;
 
 /// Why the group could not do what was asked; asked again, it may.
@@ -53,8 +54,10 @@
 
 /// One node of the system.
 pub struct Node {
-    /// Its settings.
+    /// Its settings, as they were at its start.
     pub settings: Settings,
+    /// The seeds, which may change.
+    pub seeds: Seeds,
     /// Its clock.
     pub clock: Clock,
     /// What is declared.
@@ -78,7 +81,7 @@
 impl Node {
     /// A node that knows nobody yet.
     pub fn new(
-        settings: Settings,
+        (settings, seeds): (Settings, Seeds),
         clock: Clock,
         dialer: Dialer,
         interest: Interest,
@@ -86,6 +89,7 @@
     ) -> Self {
         Self {
             settings,
+            seeds,
             clock,
             declared: DeclaredState::new(clock),
             people: People::new(clock),
@@ -297,7 +301,11 @@
             News::Rows(rows) if self.voter.is_some() => self.people.take(rows.rows, true),
             // A voter tells its seeds who the voters are.
             News::Pulse(pulse) => {
-                self.learn_voters(pulse.voters.iter().filter_map(|v| addr(v)).collect());
+                let voters: Vec<_> = pulse.voters.iter().filter_map(|v| addr(v)).collect();
+                if let Some(voter) = &self.voter {
+                    voter.learn_voters(&voters);
+                }
+                self.learn_voters(voters);
             }
             News::Declared(_) | News::Rows(_) => {}
         }
--- a/crates/filbertstack-gateway/src/control/voter.rs
+++ b/crates/filbertstack-gateway/src/control/voter.rs
@@ -1,8 +1,8 @@
 //! A voter on the event loop: the replica of the log, its messages on links, and its membership.
 //!
 //! Seeds are all that a node is told of the others. The first of them that has a disk creates the
-//! group when the whole system starts for the first time; every other node with a disk asks the
-//! leader to take it in. A voter that lost its disk, or that stays silent while a newcomer waits,
+//! group when the whole system starts for the first time; every other node with a disk searches for
+//! the leader, over more than one step, and asks it to be taken in. A voter that lost its disk, or that stays silent while a newcomer waits,
 //! is taken out first: its place counts for nothing, and the newcomer's then does.
 
 use std::cell::Cell;
@@ -31,6 +31,8 @@
 use filbertstack_log::Timing;
 use filbertstack_log::Transport;
 use filbertstack_log::storage::disk::Folder;
+use filbertstack_telemetry::Metrics;
+use rand::RngExt as _;
 use spdlog::info;
 use spdlog::warn;
 use tokio::sync::mpsc;
@@ -39,23 +41,32 @@
 use tokio::task::spawn_local;
 
 use crate::control::COMMIT;
+use crate::control::EXPLAIN;
 use crate::control::machine::DocumentMachine;
 use crate::control::membership;
 use crate::control::membership::Newcomer;
+use crate::control::search::Search;
+use crate::control::seek::hear_all;
+use crate::control::seek::seek_leader;
+use crate::control::shortage::Shortage;
+use crate::control::shortage::Told;
 use crate::link::Dialer;
 use crate::link::messages::LogMessage;
 use crate::link::messages::News;
-use crate::link::messages::Nothing;
 use crate::link::messages::Question;
-use crate::link::messages::Reply;
 use crate::link::messages::Standing;
+use crate::reload::Seeds;
 use crate::settings::Node as NodeSettings;
 
-/// How often a voter looks after the membership.
+/// How often a voter looks after the membership, in the mean.
 const TEND: Duration = Duration::from_millis(250);
 
-/// How long a node is waited for when it is asked who it is.
-const STANDING: Duration = Duration::from_millis(600);
+/// The part of [`TEND`] that is drawn by lot, so that nodes that started together do not ask
+/// together.
+const JITTER: f64 = 0.4;
+
+/// How long the leader is waited for when it is asked to take this node in.
+const JOIN: Duration = Duration::from_millis(600);
 
 /// How long a change of membership may take.
 const CHANGE: Duration = Duration::from_secs(2);
@@ -100,19 +111,36 @@
     }
 }
 
+/// What a voter needs of the process around it.
+pub struct Around {
+    /// Links to peers.
+    pub dialer: Dialer,
+    /// The seeds, which may change.
+    pub seeds: Seeds,
+    /// Where it shows how the group fares.
+    pub metrics: Rc<Metrics>,
+}
+
 /// A node with a disk.
 pub struct Voter {
     replica: Arc<Replica<DocumentMachine>>,
     documents: watch::Receiver<Arc<Documents>>,
     settings: NodeSettings,
+    seeds: Seeds,
     dialer: Dialer,
+    metrics: Rc<Metrics>,
     /// Where the replicas of the group are reached.
     places: RefCell<BTreeMap<NodeId, SocketAddr>>,
+    /// The voters that this node was told of, as one of their seeds.
+    told: RefCell<Vec<SocketAddr>>,
     /// When each replica was last heard.
     heard: RefCell<BTreeMap<NodeId, Instant>>,
     leaving: Cell<bool>,
     /// Nodes with a disk that asked to be taken in, and when.
     newcomers: RefCell<BTreeMap<NodeId, (Newcomer, Instant)>>,
+    /// When this node began to wait to be taken in, or said last why it is not.
+    outside: Cell<Option<Instant>>,
+    watched: RefCell<Shortage>,
 }
 
 impl Voter {
@@ -123,7 +151,7 @@
     pub fn start(
         settings: &NodeSettings,
         folder: &std::path::Path,
-        dialer: Dialer,
+        around: Around,
     ) -> Result<Rc<Self>, StartError> {
         let (machine, documents) = DocumentMachine::new();
         // If the folder can't be made, opening it says so.
@@ -143,10 +171,15 @@
             replica: Arc::new(replica),
             documents,
             settings: settings.clone(),
-            dialer,
+            seeds: around.seeds,
+            dialer: around.dialer,
+            metrics: around.metrics,
             places: RefCell::default(),
+            told: RefCell::default(),
             heard: RefCell::default(),
             newcomers: RefCell::default(),
+            outside: Cell::new(None),
+            watched: RefCell::new(Shortage::default()),
             leaving: Cell::new(false),
         });
         spawn_local(voter.clone().carry(outgoing));
@@ -264,6 +297,13 @@
         }
     }
 
+    /// Notes voters that told this node of themselves.
+    pub fn learn_voters(&self, voters: &[SocketAddr]) {
+        if !voters.is_empty() {
+            *self.told.borrow_mut() = voters.to_vec();
+        }
+    }
+
     /// Notes a node that wants to be taken in.
     pub fn meet(&self, standing: &Standing) {
         let Ok(addr) = standing.addr.parse() else {
@@ -343,7 +383,8 @@
 
     async fn tend(self: Rc<Self>) {
         loop {
-            tokio::time::sleep(TEND).await;
+            let part = rand::rng().random_range(1.0 - JITTER..1.0 + JITTER);
+            tokio::time::sleep(TEND.mul_f64(part)).await;
             let status = self.status();
             if let Some(why) = &status.failed {
                 // Only a new start finds out what is on the disk.
@@ -353,22 +394,36 @@
             if status.cluster.is_none() {
                 self.form().await;
             } else if self.leads() {
+                self.watch_shortage(&status);
                 self.repair(&status).await;
             } else if status.node.leader.is_none() {
                 self.ask_in().await;
+            } else {
+                self.outside.set(None);
             }
         }
     }
 
     /// A node without a group creates one, or asks to be taken in.
     async fn form(&self) {
-        let heard = self.hear(&self.settings.seeds).await;
-        let own = self.settings.link;
-        let wanted = membership::founder(self.settings.first, own, &self.settings.seeds, &heard);
-        let Some(wanted) = wanted else {
-            self.join(&heard).await;
-            return;
-        };
+        let seeds = self.seeds.now();
+        if self.settings.first {
+            let heard = hear_all(&self.dialer, self.settings.link, &seeds).await;
+            let own = self.settings.link;
+            if let Some(wanted) = membership::founder(true, own, &seeds, &heard) {
+                self.found(wanted).await;
+                return;
+            }
+        }
+        // A node may be the only seed itself: then those that tell it of themselves are asked.
+        let told = self.told.borrow().clone();
+        let starts = seeds.into_iter().chain(told);
+        let mut search = Search::new(self.settings.link, starts);
+        seek_leader(&self.dialer, &mut search).await;
+        self.join(&search, search.leader()).await;
+    }
+
+    async fn found(&self, wanted: u32) {
         let replica = self.replica.clone();
         let member = self.member();
         let until = Instant::now() + CHANGE;
@@ -383,38 +438,72 @@
     /// A member without a leader may have been taken out while it was away.
     async fn ask_in(&self) {
         let known: Vec<SocketAddr> = self.places.borrow().values().copied().collect();
-        let heard = self.hear(&known).await;
+        let starts = known.into_iter().chain(self.seeds.now());
+        let mut search = Search::new(self.settings.link, starts);
+        seek_leader(&self.dialer, &mut search).await;
         let own = self.status().id.0;
-        let group = heard.iter().find(|s| !s.leader.is_empty());
-        if group.is_some_and(|s| !s.members.contains(&own)) {
-            self.join(&heard).await;
-        }
+        let leader = search.leader_without(own);
+        self.join(&search, leader).await;
     }
 
-    async fn join(&self, heard: &[Standing]) {
-        let leader = heard.iter().find_map(|s| s.leader.parse().ok());
-        let Some(leader) = leader else {
+    /// Asks the leader to be taken in, and says after a while why that did not come about.
+    async fn join(&self, search: &Search, leader: Option<SocketAddr>) {
+        let mut refused = None;
+        if let Some(leader) = leader {
+            let asked = Question::Join(self.standing());
+            let answer = self.dialer.ask(leader, asked, JOIN).await;
+            refused = answer.err().map(|error| format!("{leader}: {error}"));
+        }
+        let now = Instant::now();
+        let since = self.outside.get().unwrap_or(now);
+        if now.duration_since(since) < EXPLAIN {
+            self.outside.set(Some(since));
             return;
-        };
-        let asked = Question::Join(self.standing());
-        if let Err(error) = self.dialer.ask(leader, asked, STANDING).await {
-            info!("not taken in yet", kv: { error = error.to_string() });
         }
+        self.outside.set(Some(now));
+        warn!("no leader takes this node in", kv: {
+            for_s = EXPLAIN.as_secs(), asked = search.account(),
+            leader = leader.map_or("none named".to_owned(), |l| l.to_string()),
+            refused = refused.unwrap_or_default()
+        });
     }
 
-    async fn hear(&self, addrs: &[SocketAddr]) -> Vec<Standing> {
-        let others = addrs.iter().filter(|addr| **addr != self.settings.link);
-        let asked = others.map(|addr| {
-            let question = Question::Standing(Nothing {});
-            self.dialer.ask(*addr, question, STANDING)
-        });
-        let answers = futures_util::future::join_all(asked).await;
-        let standings = answers.into_iter().filter_map(|answer| match answer {
-            Ok(Reply::Standing(standing)) => Some(standing),
-            // Whoever does not answer is asked again in the next round.
-            _ => None,
-        });
-        standings.collect()
+    /// Shows how many voters hold the log, and says when they are fewer than the group is declared
+    /// for: it bears as many losses less.
+    fn watch_shortage(&self, status: &ReplicaStatus) {
+        let now = Instant::now();
+        let membership = &status.node.membership;
+        let heard = self.heard.borrow();
+        let lately = |node: &NodeId| {
+            let at = heard.get(node);
+            at.is_none_or(|at| now.duration_since(*at) < membership::REPLACED)
+        };
+        let others = membership.voters.iter().map(Member::id);
+        let silent: Vec<NodeId> = others
+            .filter(|node| *node != status.id && !lately(node))
+            .collect();
+        let holding = membership.voters.len() - silent.len();
+        let mut watched = self.watched.borrow_mut();
+        let seen = watched.watch(now, membership.voters.len(), holding);
+        let level = |count: usize| i64::try_from(count).unwrap_or(i64::MAX);
+        let control = &self.metrics.control;
+        control.voters.set("declared", level(seen.declared));
+        control.voters.set("holding", level(holding));
+        match seen.told {
+            Some(Told::Short) => {
+                warn!("fewer voters hold the log than the group is declared for", kv: {
+                    declared = seen.declared, holding = holding,
+                    members = membership.voters.len(), silent = format!("{silent:?}"),
+                    learners = membership.learners.len()
+                });
+            }
+            Some(Told::Whole) => {
+                info!("as many voters hold the log as the group is declared for", kv: {
+                    declared = seen.declared
+                });
+            }
+            None => {}
+        }
     }
 
     /// The leader brings the membership one step nearer to those that are there.
@@ -429,6 +518,10 @@
         };
         let step = membership::next(status.id, &status.node.membership, &waiting, silent);
         if let Some(change) = step {
+            let spare = waiting.is_empty() && status.node.membership.learners.is_empty();
+            if spare && matches!(change, Change::Remove(_)) {
+                self.watched.borrow_mut().release();
+            }
             self.change(change).await;
         }
     }
--- a/crates/filbertstack-gateway/src/entry/mod.rs
+++ b/crates/filbertstack-gateway/src/entry/mod.rs
@@ -5,6 +5,7 @@
 
 use std::io;
 use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -22,11 +23,13 @@
 
 use crate::clock::Clock;
 use crate::clock::unix_millis;
+use crate::control::EXPLAIN;
 use crate::control::calls::Calls;
 use crate::control::follow;
 use crate::control::node::Node;
 use crate::control::node::lead_followers;
 use crate::control::unregistered::register_later;
+use crate::control::voter::Around;
 use crate::control::voter::Voter;
 use crate::entry::directory::Directory;
 use crate::link;
@@ -36,6 +39,7 @@
 use crate::link::messages::Kind;
 use crate::link::messages::Row;
 use crate::metrics;
+use crate::reload::Reload;
 use crate::request::Requests;
 use crate::settings::Settings;
 use crate::weights::cache::Cache;
@@ -81,21 +85,27 @@
 ///
 /// # Errors
 /// [`EntryError`] names the remedy.
-pub async fn run(settings: Settings, metrics: Metrics) -> Result<(), EntryError> {
+pub async fn run(settings: Settings, path: PathBuf, metrics: Metrics) -> Result<(), EntryError> {
     let clock = Clock::default();
     let dialer = Dialer::default();
+    let metrics = Rc::new(metrics);
+    let reload = Rc::new(Reload::new(path, settings.clone()));
+    let around = Around {
+        dialer: dialer.clone(),
+        seeds: reload.seeds(),
+        metrics: metrics.clone(),
+    };
     let voter = match &settings.node.data {
-        Some(data) => Some(Voter::start(&settings.node, data, dialer.clone())?),
+        Some(data) => Some(Voter::start(&settings.node, data, around)?),
         None => None,
     };
     let node = Rc::new(Node::new(
-        settings.clone(),
+        (settings.clone(), reload.seeds()),
         clock,
         dialer,
         Interest::All,
         voter,
     ));
-    let metrics = Rc::new(metrics);
     metrics::serve(settings.listen.metrics, &metrics)?;
     let requests = Requests::new(node.clone(), metrics);
     let (leave, leaving) = watch::channel(false);
@@ -110,7 +120,8 @@
     info!("entry started", kv: {
         name = settings.node.name, zone = settings.node.zone, voter = node.voter.is_some()
     });
-    wait_for_end().await.map_err(EntryError::Signals)?;
+    spawn_local(reload.clone().watch_file());
+    wait_for_end(&reload).await.map_err(EntryError::Signals)?;
     leave_system(&node, &requests, &leave).await;
     Ok(())
 }
@@ -190,6 +201,7 @@
         return;
     };
     let born = unix_millis();
+    let mut complained: Option<Instant> = None;
     for sequence in 1.. {
         let leaves = *leaving.borrow_and_update();
         let row = Row {
@@ -205,9 +217,15 @@
                 holds: held.borrow_and_update().clone(),
             })),
         };
-        if let Err(error) = node.register(vec![row.clone()]).await {
-            info!("own row not registered", kv: { error = error.to_string() });
-            node.unregistered.put(row, node.clock.now());
+        match node.register(vec![row.clone()]).await {
+            Ok(()) => complained = None,
+            Err(error) => {
+                if complained.is_none_or(|at| at.elapsed() >= EXPLAIN) {
+                    complained = Some(Instant::now());
+                    info!("own row not registered", kv: { error = error.to_string() });
+                }
+                node.unregistered.put(row, node.clock.now());
+            }
         }
         tokio::select! {
             () = sleep(OWN_ROW) => {}
@@ -224,8 +242,8 @@
     }
 }
 
-/// Waits for the signal that ends the process.
-pub(crate) async fn wait_for_end() -> io::Result<()> {
+/// Waits for the signal that ends the process; reads the settings again on SIGHUP.
+pub(crate) async fn wait_for_end(reload: &Reload) -> io::Result<()> {
     let mut term = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
     let mut hangup = signal(SignalKind::hangup())?;
@@ -233,8 +251,7 @@
         tokio::select! {
             _ = term.recv() => return Ok(()),
             _ = interrupt.recv() => return Ok(()),
-            // Addresses and bounds stay as they are for the life of a process.
-            _ = hangup.recv() => info!("told to read the settings again: none may change"),
+            _ = hangup.recv() => reload.read_again(),
         }
     }
 }
--- a/crates/filbertstack-gateway/src/lib.rs
+++ b/crates/filbertstack-gateway/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod entry;
 pub mod link;
 pub mod metrics;
+pub mod reload;
 pub mod request;
 pub mod settings;
 pub mod weights;
--- a/crates/filbertstack-telemetry/src/metrics/groups.rs
+++ b/crates/filbertstack-telemetry/src/metrics/groups.rs
@@ -170,6 +170,8 @@
     pub refusals: TotalBy,
     /// Followers, by state.
     pub followers: LevelBy,
+    /// Voters that the group is declared for, and those that hold its log now.
+    pub voters: LevelBy,
     /// The time of a sync of the log.
     pub sync: Timing,
     /// The time from the proposal to the commit.
@@ -191,6 +193,12 @@
             commits: Total::new(m, "control_commits", "Entries committed"),
             refusals: TotalBy::new(m, "control_refusals", "reason", "Proposals refused"),
             followers: LevelBy::new(m, "control_followers", "state", "Followers"),
+            voters: LevelBy::new(
+                m,
+                "control_voters",
+                "count",
+                "Voters declared, and those that hold the log",
+            ),
             sync: Timing::new(m, "control_sync", "Time of a sync of the log"),
             commit: Timing::new(m, "control_commit", "Time from proposal to commit"),
             in_force: Timing::new(m, "control_in_force", "Time from commit to being in force"),
--- a/src/cmd/gateway.rs
+++ b/src/cmd/gateway.rs
@@ -21,29 +21,29 @@
 use crate::flags;
 
 pub fn run_entry(flags: &flags::Gateway) -> Result<(), Failure> {
-    let settings = read(flags.settings.as_ref())?;
+    let (settings, path) = read(flags.settings.as_ref())?;
     let identity = Identity::new(Role::Entry, settings.node.name.as_str());
     let _logs = start_logs(&identity)?;
     let metrics = Metrics::new(&identity)?;
     let work = LocalSet::new();
-    work.block_on(&event_loop()?, entry::run(settings, metrics))?;
+    work.block_on(&event_loop()?, entry::run(settings, path, metrics))?;
     Ok(())
 }
 
 pub fn run_agent(flags: &flags::GatewayAgent) -> Result<(), Failure> {
-    let settings = read(flags.settings.as_ref())?;
+    let (settings, path) = read(flags.settings.as_ref())?;
     let identity = Identity::new(Role::Agent, settings.node.name.as_str());
     let _logs = start_logs(&identity)?;
     let metrics = Metrics::new(&identity)?;
     let work = LocalSet::new();
-    work.block_on(&event_loop()?, agent::run(settings, metrics))?;
+    work.block_on(&event_loop()?, agent::run(settings, path, metrics))?;
     Ok(())
 }
 
-fn read(given: Option<&PathBuf>) -> Result<Settings, Failure> {
+fn read(given: Option<&PathBuf>) -> Result<(Settings, PathBuf), Failure> {
     let path = given.cloned().or_else(settings_path);
     let path = path.ok_or("no settings file: give --settings FILE")?;
-    Ok(Settings::read(&path)?)
+    Ok((Settings::read(&path)?, path))
 }
 
 fn start_logs(identity: &Identity) -> Result<Logs, Failure> {
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -5,5 +5,6 @@
 mod engine;
 mod model;
 mod requests;
+mod seeds;
 mod weights;
 mod world;
--- a/tests/gateway/world.rs
+++ b/tests/gateway/world.rs
@@ -36,6 +36,8 @@
     ips: Vec<String>,
     processes: Vec<Option<Child>>,
     entries: usize,
+    /// The nodes that settings written from now on name as seeds.
+    seeds: Vec<usize>,
     /// Whether it has ended, and nothing starts any more.
     over: bool,
 }
@@ -67,6 +69,7 @@
             ips: (1..=count).map(|n| format!("{net}.{n}")).collect(),
             processes: (0..count).map(|_| None).collect(),
             entries: count,
+            seeds: (0..count.min(3)).collect(),
             over: false,
         };
         for n in 0..count {
@@ -113,7 +116,7 @@
     }
 
     fn node_settings(&self, n: usize, first: bool, data: &str) -> String {
-        let seeds = self.ips.iter().take(3.min(self.entries));
+        let seeds = self.seeds.iter().map(|seed| &self.ips[*seed]);
         let seeds: Vec<String> = seeds.map(|ip| format!("{ip}:8000")).collect();
         let ip = &self.ips[n];
         format!(
@@ -199,6 +202,28 @@
         }
     }
 
+    /// Writes other seeds into the settings of all entries, of which the first `voters` have a disk.
+    /// No process is told by a signal.
+    pub fn name_seeds(&mut self, seeds: &[usize], voters: usize) {
+        self.seeds = seeds.to_vec();
+        for n in 0..self.entries {
+            self.write_settings(n, n < voters, false);
+        }
+    }
+
+    /// Writes another port for metrics into the settings of an entry.
+    pub fn move_metrics(&self, n: usize, port: u16) {
+        let text = fs::read_to_string(self.path(n)).expect("the settings");
+        let moved = text.replace(":8010", &format!(":{port}"));
+        fs::write(self.path(n), moved).expect("the settings");
+    }
+
+    /// Whether the log of a process holds `text`.
+    pub fn has_logged(&self, n: usize, text: &str) -> bool {
+        let path = self.folder.path().join(format!("log-{n}"));
+        fs::read_to_string(path).is_ok_and(|log| log.contains(text))
+    }
+
     /// Kills an entry, takes its disk away and starts it again; tells how often somebody had been
     /// made a voter before.
     pub fn lose_disk(&mut self, n: usize) -> usize {
