filbertstack account: where requests were lost, by moment and reason

Adds up the entries' logs: answered, slow, failed, left and refused in each span of time, and the reasons. It replaces counting by hand; the reading of logs is shared with explain.

--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -1,5 +1,6 @@
 //! The subcommands, a file each.
 
+mod account;
 mod agent;
 mod apply;
 mod check;
@@ -9,6 +10,7 @@
 mod explain;
 mod gateway;
 mod get;
+mod logs;
 mod publish;
 mod signals;
 mod stand_in;
@@ -56,6 +58,7 @@
         FilbertstackCmd::Status(flags) => status::run(flags),
         FilbertstackCmd::Drain(flags) => drain::run(flags),
         FilbertstackCmd::Check(flags) => check::run(&flags),
+        FilbertstackCmd::Account(flags) => account::run(&flags),
         FilbertstackCmd::Explain(flags) => explain::run(&flags),
         FilbertstackCmd::Demo(flags) => demo::run(&flags),
     }
--- a/src/flags.rs
+++ b/src/flags.rs
@@ -114,6 +114,16 @@
             required file: PathBuf
         }
 
+        /// Adds up from the logs of the entries where requests were lost, by moment and reason.
+        cmd account {
+            /// The logs, in any order; lines that are cut off are left out.
+            repeated files: PathBuf
+            /// The seconds that a row adds up. Default: 2.
+            optional --span seconds: u64
+            /// The milliseconds after which a first event counts as slow. Default: 400.
+            optional --slow ms: i64
+        }
+
         /// Joins the logs of many processes into the story of one request or one process.
         cmd explain {
             /// The logs, in any order; lines that are cut off are left out.
--- a/tests/cli/main.rs
+++ b/tests/cli/main.rs
@@ -1,5 +1,6 @@
 //! The command line: what it prints of wrong files, and its exit codes.
 
+mod account;
 mod explain;
 
 use std::fs;
