--- a/crates/filbertstack-gateway/src/control/mod.rs
+++ b/crates/filbertstack-gateway/src/control/mod.rs
@@ -15,6 +15,7 @@
 pub mod seek;
 pub mod shortage;
 pub mod unregistered;
+pub mod upkeep;
 pub mod voter;
 
 use std::time::Duration;
