The origin is asked once for a piece while its owner answers

Who stands in for an owner asked the origin for the same pieces after a second, and every agent after 3.5 s, so that no version was whole when the origin failed, and dozens of copies were on their way when it was back.

Ruled out: the order of the two versions alone.

--- a/crates/filbertstack-gateway/src/weights/fetch.rs
+++ b/crates/filbertstack-gateway/src/weights/fetch.rs
@@ -18,6 +18,7 @@
 use filbertstack_platform::engine::read_manifest;
 use filbertstack_policy::pieces::Layout;
 use filbertstack_policy::pieces::Window;
+use filbertstack_policy::pieces::asks_origin;
 use spdlog::info;
 use tokio::sync::Notify;
 use tokio::sync::Semaphore;
@@ -94,6 +95,14 @@
     freed: Notify,
 }
 
+/// What nodes said that were asked for a piece.
+struct Asked {
+    /// One that has it, and where.
+    has: Option<(Arc<str>, SocketAddr)>,
+    /// Whether any of them answered.
+    answered: bool,
+}
+
 /// A piece that is under way to this node.
 struct Slot<'a>(&'a Fetch);
 
@@ -266,16 +275,16 @@
         }
     }
 
-    /// One of `nodes` that has the piece now: then it comes from there, and the origin's link is
-    /// left to those pieces that nobody has.
-    async fn who_has(&self, number: u32, nodes: &[Arc<str>]) -> Option<(Arc<str>, SocketAddr)> {
+    /// Which of `nodes` has the piece now: then it comes from there, and the origin's link is left to
+    /// those pieces that nobody has.
+    async fn who_has(&self, number: u32, nodes: &[Arc<str>]) -> Asked {
         let asked = nodes.iter().filter(|id| !self.is_slow(id));
         let asked = asked.map(|id| async move {
             let place = weights::place(&self.node, id)?;
             let question = Question::HasNow(self.name(number));
             match self.node.dialer.ask(place, question, HAS_NOW).await {
-                Ok(_) => Some((id.clone(), place)),
-                Err(LinkError::Failed(_)) => None,
+                Ok(_) => Some(Some((id.clone(), place))),
+                Err(LinkError::Failed(_)) => Some(None),
                 Err(_) => {
                     self.pass_over(id);
                     None
@@ -283,7 +292,11 @@
             }
         });
         let answers = futures_util::future::join_all(asked).await;
-        answers.into_iter().flatten().next()
+        let answers: Vec<_> = answers.into_iter().flatten().collect();
+        Asked {
+            answered: !answers.is_empty(),
+            has: answers.into_iter().flatten().next(),
+        }
     }
 
     /// The piece from the origin; `None` when what came was wrong too often.
@@ -297,7 +310,8 @@
                 sleep(after.saturating_sub(spent).clamp(PAUSE / 2, PAUSE)).await;
                 continue;
             }
-            if let Some((id, place)) = self.who_has(number, &plan.before).await {
+            let asked = self.who_has(number, &plan.before).await;
+            if let Some((id, place)) = asked.has {
                 let bytes = self.take_piece(number, &id, place).await;
                 if let Some(bytes) = bytes.filter(|bytes| weights::fits(list, number, bytes)) {
                     return Some(bytes);
@@ -305,6 +319,11 @@
                 sleep(HAS_AGAIN).await;
                 continue;
             }
+            let part = self.layout(list).part(number);
+            if !asks_origin(part, asked.answered, Millis::from(began.elapsed())) {
+                sleep(HAS_AGAIN).await;
+                continue;
+            }
             let Ok(slot) = self.origin_slots.acquire().await else {
                 return None;
             };
--- a/crates/filbertstack-policy/src/pieces.rs
+++ b/crates/filbertstack-policy/src/pieces.rs
@@ -179,6 +179,16 @@
             .is_some_and(|id| *id == self.own.id)
     }
 
+    /// What the node does for a piece.
+    pub fn part(&self, piece: u32) -> Part {
+        let owners = self.owners(piece);
+        match owners.iter().position(|id| *id == self.own.id) {
+            Some(0) => Part::Leads,
+            Some(_) => Part::StandsIn,
+            None => Part::Asks,
+        }
+    }
+
     /// The owner of a piece among all entries, and who stands in for it.
     fn owners(&self, piece: u32) -> Vec<Arc<str>> {
         let owners = self.all.get(piece as usize);
@@ -255,6 +265,33 @@
     assigned.collect()
 }
 
+/// What a node does for a piece.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Part {
+    /// It is the one that asks the origin.
+    Leads,
+    /// It asks the origin if the one that leads does not get on.
+    StandsIn,
+    /// It asks others.
+    Asks,
+}
+
+/// Whether a node asks the origin for a piece that nobody asked has, `spent` after it began.
+/// `owner_answers` tells whether an owner that was asked answered.
+///
+/// *Load pattern*: the origin's link is narrow, and all pieces come at the end of a copy's time, as
+/// they share it. Did who stands in ask as soon as a piece is late, each would be sent twice, and all
+/// of them come twice as late; did agents ask while the origin fails, dozens of copies would be on
+/// their way when it is back: 9 were sent for one, and none was whole for six seconds. An owner that
+/// answers is fetching its piece.
+pub fn asks_origin(part: Part, owner_answers: bool, spent: Millis) -> bool {
+    match part {
+        Part::Leads => true,
+        Part::StandsIn => !owner_answers || spent >= ANY_AFTER,
+        Part::Asks => !owner_answers,
+    }
+}
+
 /// How long before a newer one a version must have been named to be finished first: about half of a
 /// copy's way through the origin's link, 1.3 to 2.1 s today.
 const BEGUN: Millis = Millis(1_000);
--- a/crates/filbertstack-policy/tests/pieces.rs
+++ b/crates/filbertstack-policy/tests/pieces.rs
@@ -5,9 +5,11 @@
 
 use filbertstack_core::Millis;
 use filbertstack_policy::pieces::Layout;
+use filbertstack_policy::pieces::Part;
 use filbertstack_policy::pieces::Peer;
 use filbertstack_policy::pieces::Window;
 use filbertstack_policy::pieces::Yields;
+use filbertstack_policy::pieces::asks_origin;
 use filbertstack_policy::pieces::yields;
 
 const PIECES: u32 = 48;
@@ -328,3 +330,20 @@
     assert_eq!(yields(secs(5), secs(3), false, false), Yields::None);
     assert_eq!(yields(Millis(2_100), Millis(100), true, true), Yields::None);
 }
+
+/// 48 pieces share the origin's link, and all come at the end of a copy's time. Who stands in for the
+/// owners asks for them as well from the second on: left to that, each piece is sent twice. An owner
+/// that is frozen is stood in for at once, and one that does not get on after some seconds. Agents
+/// ask only where no owner answers: dozens of them would keep the origin from everybody.
+#[test]
+fn a_piece_is_asked_of_the_origin_once_while_its_owner_answers() {
+    let asked = |part, spent: u64, answers: bool| asks_origin(part, answers, Millis(spent));
+    assert!(!asked(Part::StandsIn, 1_100, true) && !asked(Part::StandsIn, 3_400, true));
+    assert!(asked(Part::StandsIn, 1_100, false), "the owner is frozen");
+    assert!(
+        asked(Part::StandsIn, 3_500, true),
+        "the owner does not get on"
+    );
+    assert!(!asked(Part::Asks, 60_000, true) && asked(Part::Asks, 3_500, false));
+    assert!(asked(Part::Leads, 0, true), "its own piece");
+}
