--- a/tests/gateway/seeds.rs
+++ b/tests/gateway/seeds.rs
@@ -56,6 +56,10 @@
     let mut world = World::start(3, 1);
     world.put(&[0], &document(5));
     world.name_seeds(&[3], 3);
+    // Until then the voters go on telling the wiped one of themselves, as one of their seeds.
+    until("the voters know the new seeds", || {
+        (0..2).all(|n| world.has_logged(n, "seeds taken over"))
+    });
     world.signal(3, "STOP");
     let before = world.lose_disk(2);
     until("it explains itself", || {
