--- a/crates/filbertstack-gateway/src/control/follow.rs
+++ b/crates/filbertstack-gateway/src/control/follow.rs
@@ -142,8 +142,9 @@
 /// that are known were tried in vain, as when they were replaced while this node was cut off, voters
 /// are searched for anew.
 ///
-/// Each follower is told of every engine's load several times a second: told from another region, 12
-/// entries and 24 agents send a sixth of all that crosses between regions.
+/// Each follower is told of every engine's load several times a second, and much of what crosses
+/// between regions is that: 0.11 GB for 90 nodes and some 1,300 requests a second in a minute, where
+/// with voters of any zone 0.20 GB crossed.
 pub async fn follow_any(node: Rc<Node>) {
     let mut vain = 0;
     let mut finder = Finder::new();
