A leaving entry takes no stream late in its time, and answers each new connection once

Cause: an entry told to end serves on for up to 7.3 s while requests are under way there, and took new streams all the while. One that came 4.1 s after SIGTERM, from a caller with an old address, still ran when the process ended, and was cut off (LOST).

Ruled out: the engine (it served), the choice of the target.

From 2.8 s after the signal a stream whose caller may wait longer than the process lives is refused as not run, and served by another entry 50 ms later. Its test showed that connections accepted while leaving were closed before their first request was read: they are answered once now.

--- a/crates/filbertstack-gateway/src/entry/mod.rs
+++ b/crates/filbertstack-gateway/src/entry/mod.rs
@@ -262,6 +262,7 @@
     let grace = node.settings.bounds.grace.saturating_sub(LAST);
     let started = Instant::now();
     info!("leaving", kv: { grace_ms = grace.as_millis(), requests = requests.under_way() });
+    requests.leave(grace);
     leave.send_replace(true);
     let voter = node.voter.clone();
     let handing = spawn_local(async move {
--- a/crates/filbertstack-gateway/src/entry/server.rs
+++ b/crates/filbertstack-gateway/src/entry/server.rs
@@ -80,12 +80,21 @@
         .timer(TokioTimer::new())
         .max_buf_size(service.head_limit().max(8 << 10))
         .header_read_timeout(service.idle());
+    // Ended at once, a new connection would close on a caller whose request is still on its way.
+    let late = *leaving.borrow();
+    if late {
+        builder.keep_alive(false);
+    }
     let answer = service_fn(|request| {
         let service = service.clone();
         async move { Ok::<_, Infallible>(service.answer(request).await) }
     });
     let connection = builder.serve_connection(TokioIo::new(stream), answer);
     let mut connection = std::pin::pin!(connection);
+    if late {
+        let _ = connection.await;
+        return;
+    }
     // A caller that breaks off or sends what is no request ends its connection only.
     tokio::select! {
         _ = &mut connection => return,
--- a/crates/filbertstack-gateway/src/request/mod.rs
+++ b/crates/filbertstack-gateway/src/request/mod.rs
@@ -59,6 +59,13 @@
 const GAP_GOALS: u32 = 4;
 const GAP_PAUSES: u32 = 8;
 
+/// For how long a leaving entry takes streams: callers were told other entries two seconds ago by
+/// then, and what is taken later would be cut off by the end of the process when its engine is slow.
+const TAKES: Duration = Duration::from_millis(2_800);
+
+/// When to come back who met a leaving entry: at once, as others are there.
+const ELSEWHERE: Duration = Duration::from_millis(50);
+
 /// When to come back to an entry that does not know what is declared yet.
 const UNKNOWING: Duration = Duration::from_millis(300);
 
@@ -70,6 +77,8 @@
     pool: Pool,
     rng: RefCell<ChaCha8Rng>,
     under_way: Rc<Cell<usize>>,
+    /// From when on a leaving entry takes no streams, and when it ends.
+    leaving: Cell<Option<(Instant, Instant)>>,
     metrics: Rc<Metrics>,
 }
 
@@ -157,6 +166,7 @@
             pool: Pool::default(),
             rng: RefCell::new(rng),
             under_way: Rc::default(),
+            leaving: Cell::new(None),
             metrics,
             node,
         })
@@ -173,6 +183,18 @@
         self.targets.share(entries);
     }
 
+    /// Notes that the process ends within `grace`.
+    pub fn leave(&self, grace: Duration) {
+        let now = Instant::now();
+        self.leaving.set(Some((now + TAKES, now + grace)));
+    }
+
+    /// Whether the process ends before a request that comes now and may last until `deadline`.
+    fn ends_before(&self, deadline: Instant) -> bool {
+        let leaving = self.leaving.get();
+        leaving.is_some_and(|(takes, ends)| Instant::now() >= takes && deadline > ends)
+    }
+
     /// How many requests are being served.
     pub fn under_way(&self) -> usize {
         self.under_way.get()
@@ -210,6 +232,9 @@
         let service = self.split(&route);
         let patience = head.patience.unwrap_or(NO_PATIENCE).min(route.timeout);
         let deadline = came + patience;
+        if self.ends_before(deadline) {
+            return Err(Refusal::busy("this entry is leaving", ELSEWHERE));
+        }
         let body = read_body(body, catalogue.limits().body, deadline).await?;
         self.repeats.borrow_mut().earn(&service);
         let call = Rc::new(Call {
--- a/tests/gateway/requests.rs
+++ b/tests/gateway/requests.rs
@@ -386,3 +386,37 @@
         "a reset, which the engine sees before it answers"
     );
 }
+
+/// An entry is told to end while a stream runs through it, and goes on serving. A caller with an old
+/// address comes seconds later: taken, its stream would be cut off by the end of the process. It is
+/// refused as not run, and the engine never sees it.
+#[test]
+fn a_leaving_entry_takes_no_stream_that_it_may_have_to_cut() {
+    let engine = Engine::paced(
+        Duration::from_millis(400),
+        Box::new(|seen| stream(seen, 40, 0)),
+    );
+    let world = serving(&[("i-1", "stream", &engine)]);
+    let front = world.front(0);
+    let long = get("/stream/", "a1", "").replace("Deadline-Ms: 5000", "Deadline-Ms: 9000");
+    // Refused at once until the entry has heard of the engine.
+    thread::spawn(move || while exchange(&front, &long).is_some_and(|got| got.status == 503) {});
+    until("a stream runs", || {
+        world.has_logged(0, "\"message\":\"sent\"")
+    });
+    world.signal(0, "TERM");
+    let late = AtomicU32::new(0);
+    until("a caller is refused as not run", || {
+        let n = late.fetch_add(1, Ordering::Relaxed);
+        let request = get("/stream/", &format!("late-{n}"), "");
+        let mut stream = TcpStream::connect(world.front(0)).expect("it serves on");
+        stream.write_all(request.as_bytes()).expect("sent");
+        let mut head = [0; 12];
+        stream.read_exact(&mut head).expect("an answer");
+        head == *b"HTTP/1.1 503"
+    });
+    let last = format!("late-{}", late.load(Ordering::Relaxed) - 1);
+    let seen = engine.seen().into_iter();
+    let mut runs = seen.filter(|s| s.header("x-filbertstack-attempt-id") == last);
+    assert!(runs.next().is_none(), "what was refused has not run");
+}
