The agent logs when its engine begins an order

Cause: an order that got no answer may be carried out at any time, and no line told when; the timeline of the incident needed the platform's own list of orders. The engine's report counts the orders begun since its start; the agent now reads that count and logs each change, and each start of the engine. No decision uses it yet. Ruled out: a metric beside it, as the line has the moment.

--- a/crates/filbertstack-gateway/src/agent/reports.rs
+++ b/crates/filbertstack-gateway/src/agent/reports.rs
@@ -142,6 +142,7 @@
                 None
             }
         };
+        tell_changes(before.as_ref(), after.as_ref());
         let held =
             |report: &Option<EngineReport>| report.as_ref().map(|r| (r.holding.clone(), r.born));
         let changed = held(&before) != held(&after);
@@ -152,6 +153,20 @@
     }
 }
 
+/// Logs what an engine did since it was last asked: an order that got no answer may be begun at any
+/// time, and only its count of orders shows when.
+fn tell_changes(before: Option<&EngineReport>, after: Option<&EngineReport>) {
+    let Some(after) = after else {
+        return;
+    };
+    let known = before.filter(|before| before.born == after.born);
+    if known.is_none() {
+        info!("engine reports", kv: { born = after.born, sequence = after.sequence });
+    } else if known.is_some_and(|before| before.sequence != after.sequence) {
+        info!("engine began an order", kv: { born = after.born, sequence = after.sequence });
+    }
+}
+
 /// Asks the engine again and again, and tells the voters what is new.
 pub async fn watch_engine(agent: Rc<Agent>) {
     let mut teller = Teller::new(&agent);
