An order reaches only the start of the engine at which the pieces were read

What callers would see: tokens from weights of which pieces are missing. Cause: a call that fails on a kept connection was repeated on a new one, an order too; between the last reading and the order an engine may lose its power, and the new start at its address takes the order and loads what nobody has read.

Mend: reading back and order are one visit: its connections belong to one start of the engine, which is asked on each new one; the order is sent once, and expects that no other order was begun since. Ruled out: the id of the engine in the order, as an engine may start again under its id; the visit on the kept connection, as its 48 readings would hold up the reports of the load.

--- a/crates/filbertstack-gateway/src/agent/gather.rs
+++ b/crates/filbertstack-gateway/src/agent/gather.rs
@@ -81,7 +81,7 @@
 }
 
 /// Whether a piece lies at the engine as it must be.
-pub async fn lies_there(agent: &Agent, list: &PieceList, number: u32) -> bool {
+async fn lies_there(agent: &Agent, list: &PieceList, number: u32) -> bool {
     let staged = agent.engine.call(read_staged(&list.weights.model, number));
     let staged = staged.await;
     staged.is_ok_and(|bytes| weights::fits(list, number, &bytes))
--- a/crates/filbertstack-gateway/src/agent/mod.rs
+++ b/crates/filbertstack-gateway/src/agent/mod.rs
@@ -6,6 +6,7 @@
 mod reports;
 mod rollout;
 mod stage;
+mod visit;
 
 use std::net::SocketAddr;
 use std::path::PathBuf;
--- a/crates/filbertstack-gateway/src/agent/reports.rs
+++ b/crates/filbertstack-gateway/src/agent/reports.rs
@@ -20,6 +20,8 @@
 use tokio::time::timeout;
 
 use crate::agent::Agent;
+use crate::agent::visit::LONGEST;
+use crate::agent::visit::PATIENCE;
 use crate::client::CallFailure;
 use crate::client::Connection;
 use crate::client::exchange;
@@ -33,12 +35,6 @@
 /// time and tells little; less often, entries send to an engine that has filled up since.
 const PERIOD: Duration = Duration::from_millis(100);
 
-/// How long the engine may take to answer; it is on the same instance.
-const PATIENCE: Duration = Duration::from_millis(500);
-
-/// The longest answer of the engine, in bytes: a piece, or a list of models.
-const LONGEST: usize = 4 << 20;
-
 /// How often what has not changed is told again, so that it counts as alive.
 const AGAIN: Duration = Duration::from_millis(900);
 
@@ -72,6 +68,11 @@
         self.report.borrow().clone()
     }
 
+    /// Where it is called.
+    pub fn addr(&self) -> SocketAddr {
+        self.addr
+    }
+
     /// The weights that it serves.
     pub fn holding(&self) -> Option<Holding> {
         self.report.borrow().as_ref()?.holding.clone()
@@ -91,8 +92,10 @@
     ///
     /// An engine may drop an idle connection without notice. A call that fails on a kept one is
     /// made again on a new one: taken for a failure of the engine, it would make an agent report it
-    /// as gone, and fetch again what lies staged there. Every call may be made twice: pieces are
-    /// put and read by number, and an order that was taken is not begun again.
+    /// as gone, and fetch again what lies staged there. These calls may be made twice, and at two
+    /// starts of the engine: pieces are put and read by number. An order may not; it has a [`Visit`].
+    ///
+    /// [`Visit`]: crate::agent::visit::Visit
     ///
     /// # Errors
     /// [`CallFailure`].
--- a/crates/filbertstack-gateway/src/agent/rollout.rs
+++ b/crates/filbertstack-gateway/src/agent/rollout.rs
@@ -8,7 +8,6 @@
 use filbertstack_platform::engine::Holding;
 use filbertstack_platform::engine::PieceList;
 use filbertstack_platform::engine::Running;
-use filbertstack_platform::engine::order_start;
 use filbertstack_policy::rollout::Drain;
 use filbertstack_policy::rollout::Haste;
 use filbertstack_policy::rollout::drain;
@@ -23,9 +22,11 @@
 
 use crate::agent::Agent;
 use crate::agent::gather::gather;
-use crate::agent::gather::lies_there;
+use crate::agent::visit::Found;
+use crate::agent::visit::Outcome;
+use crate::agent::visit::Visit;
+use crate::agent::visit::Whole;
 use crate::weights;
-use crate::weights::count;
 use crate::weights::is_here;
 
 /// How often it is looked whether the engine serves what it should, beside whenever something
@@ -142,7 +143,8 @@
 
 async fn bring(agent: &Agent, list: &PieceList) {
     // Read back before the engine stops taking requests, so that it does not for nothing.
-    if !verify(agent, list).await || !order(agent, list).await {
+    let whole = read_back(agent, list).await.is_some();
+    if !whole || !order(agent, list).await {
         sleep(AGAIN).await;
     }
 }
@@ -168,17 +170,26 @@
 }
 
 /// Reads all staged pieces back. What lies at an engine may turn bad there, so that the order must
-/// follow at once on a version that was read back whole; what is bad is gathered again.
-async fn verify(agent: &Agent, list: &PieceList) -> bool {
-    let mut whole = true;
-    for number in 0..count(list) {
-        if !lies_there(agent, list, number).await {
-            warn!("piece turned bad where it lies", kv: { number = number });
-            agent.stage.lose(number);
-            whole = false;
+/// follow at once on a visit that found all; what is bad is gathered again.
+async fn read_back(agent: &Agent, list: &PieceList) -> Option<Whole> {
+    let found = match Visit::begin(agent.engine.addr()).await {
+        Ok(visit) => visit.read_back(list).await,
+        Err(error) => Err(error),
+    };
+    match found {
+        Ok(Found::Whole(whole)) => return Some(whole),
+        Ok(Found::Bad(numbers)) => {
+            for number in numbers {
+                warn!("piece turned bad where it lies", kv: { number = number });
+                agent.stage.lose(number);
+            }
+        }
+        Err(error) => {
+            let version = list.weights.version;
+            info!("pieces not read back", kv: { version = version, error = error.to_string() });
         }
     }
-    whole
+    None
 }
 
 /// Waits until the engine is to be ordered to load, and tells what becomes of what it runs then. One
@@ -205,16 +216,23 @@
     let wanted = &list.weights;
     agent.engine.set_loading(true);
     let running = drained(agent, wanted).await;
-    if !verify(agent, list).await {
+    let Some(whole) = read_back(agent, list).await else {
         return false;
-    }
-    if let Err(error) = agent.engine.call(order_start(wanted, running)).await {
-        info!("order not taken", kv: { version = wanted.version, error = error.to_string() });
-        agent.engine.set_loading(false);
+    };
+    let progress = whole.progress();
+    let refused = match whole.order(running).await {
+        Outcome::Begun => None,
+        Outcome::Refused(status) => Some(format!("answered {status}")),
+        Outcome::NotSent(error) => Some(error.to_string()),
+        Outcome::Unknown(error) => Some(error.to_string()),
+    };
+    if let Some(error) = refused {
+        info!("order not taken", kv: { version = wanted.version, error = error });
         return false;
     }
     info!("engine ordered to load", kv: {
-        version = wanted.version, breaks_off = running == Running::BreakOff
+        version = wanted.version, breaks_off = running == Running::BreakOff,
+        born = progress.born, sequence = progress.sequence
     });
     let outcome = match running {
         Running::Finish => "finishes",
--- /dev/null
+++ b/crates/filbertstack-gateway/src/agent/visit.rs
@@ -0,0 +1,203 @@
+//! Reading back what lies at the engine, and the order to load it.
+//!
+//! An engine loads what lies there when it begins the order. An order that reached another start of
+//! the engine than the one at which the pieces were read, or came after another order, would load
+//! what nobody has read. So both are one [`Visit`]: its connections belong to one start of the
+//! engine, and the order expects that nothing was begun since.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use filbertstack_platform::engine::EngineReport;
+use filbertstack_platform::engine::Outgoing;
+use filbertstack_platform::engine::PieceList;
+use filbertstack_platform::engine::Running;
+use filbertstack_platform::engine::ask_report;
+use filbertstack_platform::engine::order_start;
+use filbertstack_platform::engine::read_report;
+use filbertstack_platform::engine::read_staged;
+use http::StatusCode;
+use thiserror::Error;
+use tokio::time::timeout;
+
+use crate::client::CallFailure;
+use crate::client::Connection;
+use crate::client::exchange;
+use crate::weights;
+
+/// How long the engine may take to answer; it is on the same instance.
+pub const PATIENCE: Duration = Duration::from_millis(500);
+
+/// The longest answer of the engine, in bytes: a piece, or a list of models.
+pub const LONGEST: usize = 4 << 20;
+
+/// How far an engine has come: where two of them are equal, it has neither started again nor begun
+/// an order in between.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Progress {
+    /// The Unix millisecond of its start.
+    pub born: u64,
+    /// How many orders it has begun since.
+    pub sequence: u64,
+}
+
+impl From<&EngineReport> for Progress {
+    fn from(report: &EngineReport) -> Self {
+        Self {
+            born: report.born,
+            sequence: report.sequence,
+        }
+    }
+}
+
+/// Why a visit came to nothing.
+#[derive(Debug, Error)]
+pub enum VisitError {
+    /// A call failed.
+    #[error(transparent)]
+    Call(#[from] CallFailure),
+    /// The engine's report can't be read.
+    #[error("the engine's report can't be read: {0}; it is visited again")]
+    Report(String),
+    /// It has started again or begun an order since the visit began.
+    #[error("the engine has started again or begun an order meanwhile; it is visited again")]
+    Changed,
+}
+
+/// One start of the engine, as far as it has come when the visit begins.
+#[derive(Debug)]
+pub struct Visit {
+    addr: SocketAddr,
+    connection: Connection,
+    progress: Progress,
+}
+
+/// What was found of the pieces of a version.
+#[derive(Debug)]
+pub enum Found {
+    /// All lie there as they must be.
+    Whole(Whole),
+    /// These do not.
+    Bad(Vec<u32>),
+}
+
+/// A visit on which all pieces of a version were found.
+#[derive(Debug)]
+pub struct Whole {
+    visit: Visit,
+    list: PieceList,
+}
+
+/// What became of an order.
+#[derive(Debug)]
+pub enum Outcome {
+    /// The engine has begun it, or has what it orders.
+    Begun,
+    /// The engine refused it, and will not begin it.
+    Refused(StatusCode),
+    /// It was not sent.
+    NotSent(VisitError),
+    /// It may have been begun, or will be.
+    Unknown(CallFailure),
+}
+
+impl Visit {
+    /// Begins a visit of the engine at `addr`.
+    ///
+    /// # Errors
+    /// [`VisitError`]; nothing was changed.
+    pub async fn begin(addr: SocketAddr) -> Result<Self, VisitError> {
+        let (connection, progress) = meet(addr).await?;
+        Ok(Self {
+            addr,
+            connection,
+            progress,
+        })
+    }
+
+    /// Reads all pieces of `list` back.
+    ///
+    /// # Errors
+    /// [`VisitError`]; then it is not known what lies there.
+    pub async fn read_back(mut self, list: &PieceList) -> Result<Found, VisitError> {
+        let mut bad = Vec::new();
+        for number in 0..weights::count(list) {
+            let staged = self.call(read_staged(&list.weights.model, number)).await;
+            let fits = match staged {
+                Ok(bytes) => weights::fits(list, number, &bytes),
+                // It lies there not at all.
+                Err(VisitError::Call(CallFailure::Status(_))) => false,
+                Err(error) => return Err(error),
+            };
+            if !fits {
+                bad.push(number);
+            }
+        }
+        if !bad.is_empty() {
+            return Ok(Found::Bad(bad));
+        }
+        Ok(Found::Whole(Whole {
+            visit: self,
+            list: list.clone(),
+        }))
+    }
+
+    async fn call(&mut self, outgoing: Outgoing) -> Result<Bytes, VisitError> {
+        self.stay().await?;
+        Ok(ask(&mut self.connection, self.addr, outgoing).await?)
+    }
+
+    /// Makes sure of a connection to the same start of the engine: it closes one now and then.
+    async fn stay(&mut self) -> Result<(), VisitError> {
+        if self.connection.becomes_ready().await {
+            return Ok(());
+        }
+        let (connection, progress) = meet(self.addr).await?;
+        if progress != self.progress {
+            return Err(VisitError::Changed);
+        }
+        self.connection = connection;
+        Ok(())
+    }
+}
+
+impl Whole {
+    /// How far the engine had come when the visit began.
+    pub fn progress(&self) -> Progress {
+        self.visit.progress
+    }
+
+    /// Orders the engine to load the pieces that were found. It is sent once: on a new connection it
+    /// may reach another start of the engine.
+    pub async fn order(mut self, running: Running) -> Outcome {
+        if let Err(error) = self.visit.stay().await {
+            return Outcome::NotSent(error);
+        }
+        let expected = self.visit.progress.sequence;
+        let order = order_start(&self.list.weights, running, expected);
+        match ask(&mut self.visit.connection, self.visit.addr, order).await {
+            Ok(_) => Outcome::Begun,
+            Err(CallFailure::Status(status)) => Outcome::Refused(status),
+            Err(error) => Outcome::Unknown(error),
+        }
+    }
+}
+
+/// Opens a connection and asks the engine on it how far it has come.
+async fn meet(addr: SocketAddr) -> Result<(Connection, Progress), VisitError> {
+    let mut connection = Connection::open(addr, PATIENCE).await?;
+    let body = ask(&mut connection, addr, ask_report()).await?;
+    let report = read_report(&body).map_err(|e| VisitError::Report(e.to_string()))?;
+    Ok((connection, Progress::from(&report)))
+}
+
+async fn ask(
+    connection: &mut Connection,
+    addr: SocketAddr,
+    outgoing: Outgoing,
+) -> Result<Bytes, CallFailure> {
+    timeout(PATIENCE, exchange(connection, addr, outgoing, LONGEST))
+        .await
+        .unwrap_or(Err(CallFailure::Timeout))
+}
--- a/crates/filbertstack-gateway/src/client.rs
+++ b/crates/filbertstack-gateway/src/client.rs
@@ -99,6 +99,11 @@
         self.sender.is_ready()
     }
 
+    /// Waits until another request can be sent; false once it has ended.
+    pub async fn becomes_ready(&mut self) -> bool {
+        self.sender.ready().await.is_ok()
+    }
+
     /// Sends a request and waits for the head of its answer.
     ///
     /// # Errors
--- a/tests/gateway/orders.rs
+++ b/tests/gateway/orders.rs
@@ -44,3 +44,18 @@
     fleet.await_version(4);
     assert_eq!(fleet.wrong_orders(), 0);
 }
+
+/// An engine loses its power right after its agent has read all pieces back, and starts again with
+/// nothing staged. The order, repeated on a new connection, reached the new start, which loaded
+/// what was not there. An order belongs to the start at which the pieces were read.
+#[test]
+fn an_order_does_not_reach_another_start_than_the_pieces_were_read_at() {
+    let fleet = Fleet::start(1);
+    fleet.name(2);
+    fleet.await_version(2);
+    // Once before the engine stops taking requests, and once right before the order.
+    fleet.models[0].held().restarts_after = Some(2);
+    fleet.name(3);
+    fleet.await_version(3);
+    assert_eq!(fleet.wrong_orders(), 0);
+}
