A visit of an engine is one connection

Cause: the visit took a connection that was closed for one that the engine closes now and then, and went on with another at the same start; but the users' engines do not say in their reports when they started, so a new start that has begun nothing looks like the old one.

--- a/crates/filbertstack-gateway/src/agent/visit.rs
+++ b/crates/filbertstack-gateway/src/agent/visit.rs
@@ -2,7 +2,7 @@
 //!
 //! An engine loads what lies there when it begins the order. An order that reached another start of
 //! the engine than the one at which the pieces were read, or came after another order, would load
-//! what nobody has read. So both are one [`Visit`]: its connections belong to one start of the
+//! what nobody has read. So both are one [`Visit`]: its one connection ends with the start of the
 //! engine, and the order expects that nothing was begun since.
 
 use std::net::SocketAddr;
@@ -32,11 +32,11 @@
 /// The longest answer of the engine, in bytes: a piece, or a list of models.
 pub const LONGEST: usize = 4 << 20;
 
-/// How far an engine has come: where two of them are equal, it has neither started again nor begun
-/// an order in between.
+/// How far an engine has come. While it changes, the engine has begun an order or started again; of a
+/// start that it does not tell, an engine that has begun nothing shows nothing.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Progress {
-    /// The Unix millisecond of its start.
+    /// The Unix millisecond of its start; 0 if it does not say.
     pub born: u64,
     /// How many orders it has begun since.
     pub sequence: u64,
@@ -60,9 +60,9 @@
     /// The engine's report can't be read.
     #[error("the engine's report can't be read: {0}; it is visited again")]
     Report(String),
-    /// It has started again or begun an order since the visit began.
-    #[error("the engine has started again or begun an order meanwhile; it is visited again")]
-    Changed,
+    /// The engine closed the connection.
+    #[error("the engine closed the connection; it is visited again")]
+    Closed,
 }
 
 /// One start of the engine, as far as it has come when the visit begins.
@@ -108,11 +108,13 @@
     /// # Errors
     /// [`VisitError`]; nothing was changed.
     pub async fn begin(addr: SocketAddr) -> Result<Self, VisitError> {
-        let (connection, progress) = meet(addr).await?;
+        let mut connection = Connection::open(addr, PATIENCE).await?;
+        let body = ask(&mut connection, addr, ask_report()).await?;
+        let report = read_report(&body).map_err(|e| VisitError::Report(e.to_string()))?;
         Ok(Self {
             addr,
             connection,
-            progress,
+            progress: Progress::from(&report),
         })
     }
 
@@ -148,17 +150,12 @@
         Ok(ask(&mut self.connection, self.addr, outgoing).await?)
     }
 
-    /// Makes sure of a connection to the same start of the engine: it closes one now and then.
+    /// Makes sure that the connection is still open.
     async fn stay(&mut self) -> Result<(), VisitError> {
         if self.connection.becomes_ready().await {
             return Ok(());
         }
-        let (connection, progress) = meet(self.addr).await?;
-        if progress != self.progress {
-            return Err(VisitError::Changed);
-        }
-        self.connection = connection;
-        Ok(())
+        Err(VisitError::Closed)
     }
 }
 
@@ -184,14 +181,6 @@
     }
 }
 
-/// Opens a connection and asks the engine on it how far it has come.
-async fn meet(addr: SocketAddr) -> Result<(Connection, Progress), VisitError> {
-    let mut connection = Connection::open(addr, PATIENCE).await?;
-    let body = ask(&mut connection, addr, ask_report()).await?;
-    let report = read_report(&body).map_err(|e| VisitError::Report(e.to_string()))?;
-    Ok((connection, Progress::from(&report)))
-}
-
 async fn ask(
     connection: &mut Connection,
     addr: SocketAddr,
