Nothing is staged over weights that an engine may yet load

What callers saw: tokens from weights that were no version's, as version 2. Cause: an order that got no answer in 0.5 s was taken for not carried out; the agent staged the next version over the pieces, and the engine began the order 3.8 s after it was sent, on half of each version. The class: a call of unknown outcome taken for a call that failed.

Mend: the order counts as open until the engine has answered it or one of its copies, or has begun another order; while it is open, only its own version is staged. Copies expect the same count of orders begun, so that the engine refuses all but one. An engine that carries out an order takes no new work, whoever knows of the order.

Why it holds: the engine loads what lies there when it begins the order, and until then nothing but pieces of that version, checked by digest, is written there. Ruled out: a wait before the next version is staged, as nobody says how late an order may be begun (2 to 12 s were seen); the expected count alone, as no other order comes between.

--- a/crates/filbertstack-gateway/src/agent/reports.rs
+++ b/crates/filbertstack-gateway/src/agent/reports.rs
@@ -83,6 +83,13 @@
         self.loading.set(loading);
     }
 
+    /// Whether it takes no new work: for an order's sake, as it carries one out, or as it does not
+    /// answer.
+    fn takes_nothing(&self) -> bool {
+        let report = self.report.borrow();
+        self.loading.get() || report.as_ref().is_none_or(|report| report.busy)
+    }
+
     /// Told whenever it serves other weights, or answers again.
     pub fn watch(&self) -> watch::Receiver<u64> {
         self.news.subscribe()
@@ -130,11 +137,18 @@
         answer
     }
 
-    async fn ask(&self) {
+    /// Asks for a report now.
+    ///
+    /// # Errors
+    /// Why there is none.
+    pub async fn ask_now(&self) -> Result<EngineReport, String> {
         let answer = self.call(ask_report()).await;
-        let read = answer
-            .map_err(|e| e.to_string())
-            .and_then(|body| read_report(&body).map_err(|e| e.to_string()));
+        let body = answer.map_err(|e| e.to_string())?;
+        read_report(&body).map_err(|e| e.to_string())
+    }
+
+    async fn ask(&self) {
+        let read = self.ask_now().await;
         let before = self.report.borrow().clone();
         let after = match read {
             Ok(report) => Some(report),
@@ -258,7 +272,7 @@
         zone: node.zone.clone(),
         model: model.unwrap_or_default(),
         version: served,
-        loading: agent.engine.loading.get() || agent.engine.report.borrow().is_none(),
+        loading: agent.engine.takes_nothing(),
         holds: held.map_or(0, |h| h.version),
     })
 }
--- a/crates/filbertstack-gateway/src/agent/rollout.rs
+++ b/crates/filbertstack-gateway/src/agent/rollout.rs
@@ -10,8 +10,10 @@
 use filbertstack_platform::engine::Running;
 use filbertstack_policy::rollout::Drain;
 use filbertstack_policy::rollout::Haste;
+use filbertstack_policy::rollout::Staged;
 use filbertstack_policy::rollout::drain;
 use filbertstack_policy::rollout::order_after;
+use filbertstack_policy::rollout::repeat_after;
 use filbertstack_policy::rollout::staged_now;
 use filbertstack_policy::subset::hash;
 use spdlog::info;
@@ -19,11 +21,14 @@
 use tokio::task::JoinHandle;
 use tokio::task::spawn_local;
 use tokio::time::sleep;
+use tokio::time::timeout;
 
 use crate::agent::Agent;
 use crate::agent::gather::gather;
+use crate::agent::stage::OpenOrder;
 use crate::agent::visit::Found;
 use crate::agent::visit::Outcome;
+use crate::agent::visit::Progress;
 use crate::agent::visit::Visit;
 use crate::agent::visit::Whole;
 use crate::weights;
@@ -57,12 +62,16 @@
     let mut declared = agent.node.declared.watch();
     let mut engine = agent.engine.watch();
     loop {
+        settle(&agent).await;
         if let Some(report) = agent.engine.report() {
             let served = report.holding.map_or(0, |holding| holding.version);
             let needed = needed(&agent, served);
             gathering.follow(&agent, &needed);
             // While pieces of another version come in, what lies there is no longer whole.
-            let whole = agent.stage.whole().filter(|_| gathering.is_idle());
+            let whole = agent
+                .stage
+                .whole()
+                .filter(|_| gathering.is_idle() && !report.busy);
             if let Some(list) = whole.filter(|list| is_due(&agent, list, &needed)) {
                 bring(&agent, &list).await;
                 agent.engine.set_loading(false);
@@ -95,15 +104,21 @@
     /// Gathers what is missing, and stops gathering what is no longer needed.
     fn follow(&mut self, agent: &Rc<Agent>, needed: &[Holding]) {
         let versions: Vec<u64> = needed.iter().map(|weights| weights.version).collect();
-        let begun = agent.stage.weights().map(|weights| weights.version);
         let here = |version: u64| {
             let weights = needed.iter().find(|weights| weights.version == version);
             weights.is_some_and(|weights| is_here(&agent.node, weights))
         };
         let whole = agent.stage.whole().map(|list| list.weights.clone());
-        let chosen = staged_now(&versions, begun, whole.is_some(), here);
+        let lying = agent.stage.weights();
+        let staged = lying.as_ref().map(|weights| Staged {
+            version: weights.version,
+            whole: whole.is_some(),
+            ordered: agent.stage.open_order().is_some(),
+        });
+        let chosen = staged_now(&versions, staged, here);
         let chosen = needed
             .iter()
+            .chain(&lying)
             .find(|weights| Some(weights.version) == chosen);
         self.0 = self.0.take().filter(|(weights, task)| {
             let keep = Some(weights) == chosen;
@@ -121,8 +136,12 @@
     }
 }
 
-/// Whether the engine is to be brought to the version that lies there now.
+/// Whether the engine is to be brought to the version that lies there now. An order without an outcome
+/// is sent again: the answer to any of its copies makes the engine refuse all the others.
 fn is_due(agent: &Agent, list: &PieceList, needed: &[Holding]) -> bool {
+    if agent.stage.open_order().is_some() {
+        return true;
+    }
     let newer = |weights: &&Holding| weights.version > list.weights.version;
     let haste = match needed.iter().find(newer) {
         Some(newer) if is_on_its_way(agent, newer) => Haste::LastCall,
@@ -144,8 +163,41 @@
 async fn bring(agent: &Agent, list: &PieceList) {
     // Read back before the engine stops taking requests, so that it does not for nothing.
     let whole = read_back(agent, list).await.is_some();
-    if !whole || !order(agent, list).await {
-        sleep(AGAIN).await;
+    if whole && order(agent, list).await {
+        return;
+    }
+    agent.engine.set_loading(false);
+    match agent.stage.open_order() {
+        Some(order) => await_outcome(agent, repeat_after(order.sent)).await,
+        None => sleep(AGAIN).await,
+    }
+}
+
+/// Waits until the outcome of an order is known, or it is time to send it again.
+async fn await_outcome(agent: &Agent, pause: Millis) {
+    let known = async {
+        while agent.stage.open_order().is_some() {
+            sleep(LOOK).await;
+            settle(agent).await;
+        }
+    };
+    // Whether it is known is seen at the stage.
+    let _ = timeout(pause.into(), known).await;
+}
+
+/// Finds out whether an order whose outcome is not known still may be begun: an engine that has begun
+/// any other since refuses it.
+async fn settle(agent: &Agent) {
+    let Some(order) = agent.stage.open_order() else {
+        return;
+    };
+    // An engine that does not answer may begin it later.
+    let Ok(report) = agent.engine.ask_now().await else {
+        return;
+    };
+    if Progress::from(&report) != order.made {
+        info!("order settled", kv: { born = report.born, sequence = report.sequence });
+        agent.stage.set_open_order(None);
     }
 }
 
@@ -220,14 +272,36 @@
         return false;
     };
     let progress = whole.progress();
-    let refused = match whole.order(running).await {
-        Outcome::Begun => None,
-        Outcome::Refused(status) => Some(format!("answered {status}")),
-        Outcome::NotSent(error) => Some(error.to_string()),
-        Outcome::Unknown(error) => Some(error.to_string()),
+    let earlier = agent.stage.open_order();
+    let earlier = earlier.filter(|order| order.made == progress);
+    // Noted before it is sent: whatever becomes of this task, the engine may begin it.
+    agent.stage.set_open_order(Some(OpenOrder {
+        made: progress,
+        sent: earlier.map_or(0, |order| order.sent) + 1,
+    }));
+    let failed = match whole.order(running).await {
+        Outcome::Begun => {
+            agent.stage.set_open_order(None);
+            None
+        }
+        Outcome::Refused(status) => {
+            agent.stage.set_open_order(earlier);
+            Some(format!("answered {status}"))
+        }
+        Outcome::NotSent(error) => {
+            agent.stage.set_open_order(earlier);
+            Some(error.to_string())
+        }
+        Outcome::Unknown(error) => {
+            agent.metrics.agent.orders.add("unknown", 1);
+            Some(error.to_string())
+        }
     };
-    if let Some(error) = refused {
-        info!("order not taken", kv: { version = wanted.version, error = error });
+    if let Some(error) = failed {
+        let open = agent.stage.open_order().is_some();
+        info!("order not known to be taken", kv: {
+            version = wanted.version, may_be_begun = open, error = error
+        });
         return false;
     }
     info!("engine ordered to load", kv: {
@@ -248,7 +322,7 @@
             }
         }
     };
-    let done = tokio::time::timeout(LOADED, loaded).await.is_ok();
+    let done = timeout(LOADED, loaded).await.is_ok();
     agent.engine.set_loading(false);
     if done {
         let took = agent.node.clock.now().since(began);
--- a/crates/filbertstack-gateway/src/agent/stage.rs
+++ b/crates/filbertstack-gateway/src/agent/stage.rs
@@ -3,6 +3,7 @@
 //! The engine keeps one copy of a model's pieces, beside the version that it serves. The agent keeps
 //! none itself: what others need of it, it reads back from there.
 
+use std::cell::Cell;
 use std::cell::RefCell;
 use std::collections::BTreeSet;
 use std::rc::Rc;
@@ -11,16 +12,30 @@
 use filbertstack_platform::engine::PieceList;
 use tokio::sync::Notify;
 
+use crate::agent::visit::Progress;
 use crate::weights::count;
 
 /// The pieces staged.
 #[derive(Debug, Default)]
 pub struct Stage {
     staged: RefCell<Option<Staged>>,
+    /// The order to load them whose outcome is not known.
+    order: Cell<Option<OpenOrder>>,
     /// Told when all pieces of a version lie there.
     whole: Notify,
 }
 
+/// An order whose outcome is not known. Until it is, nothing else may be staged: the engine loads what
+/// lies there when it begins the order, and was seen to begin one 2 to 12 s after it was sent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct OpenOrder {
+    /// What the engine had begun when the order was made; once it has begun anything else, it
+    /// refuses the order.
+    pub made: Progress,
+    /// How often the order was sent; 0 where only an earlier process may have sent it.
+    pub sent: u32,
+}
+
 #[derive(Debug)]
 struct Staged {
     list: Rc<PieceList>,
@@ -60,6 +75,16 @@
         staged.map(|staged| staged.list.clone())
     }
 
+    /// The order to load what lies there whose outcome is not known.
+    pub fn open_order(&self) -> Option<OpenOrder> {
+        self.order.get()
+    }
+
+    /// Notes the order whose outcome is not known, or that there is none.
+    pub fn set_open_order(&self, order: Option<OpenOrder>) {
+        self.order.set(order);
+    }
+
     /// Notes that a piece lies there and was right.
     pub fn put(&self, number: u32) {
         if let Some(staged) = self.staged.borrow_mut().as_mut() {
--- a/crates/filbertstack-gateway/src/agent/visit.rs
+++ b/crates/filbertstack-gateway/src/agent/visit.rs
@@ -175,7 +175,9 @@
         let order = order_start(&self.list.weights, running, expected);
         match ask(&mut self.visit.connection, self.visit.addr, order).await {
             Ok(_) => Outcome::Begun,
-            Err(CallFailure::Status(status)) => Outcome::Refused(status),
+            Err(CallFailure::Status(status)) if status.is_client_error() => {
+                Outcome::Refused(status)
+            }
             Err(error) => Outcome::Unknown(error),
         }
     }
--- a/crates/filbertstack-policy/src/rollout.rs
+++ b/crates/filbertstack-policy/src/rollout.rs
@@ -95,25 +95,54 @@
     Millis(first.0 + (last.0 - first.0) * place / steps)
 }
 
+/// The pause before an order that got no answer is sent again, and the longest. An engine that lost
+/// one answer gives the next at once; one that is behind with its orders gets few more of them.
+const REPEAT: Millis = Millis(200);
+const LONGEST_REPEAT: Millis = Millis(3_200);
+
+/// How long to wait for the outcome of an order that was sent `sent` times before it is sent again.
+pub fn repeat_after(sent: u32) -> Millis {
+    let doubled = REPEAT.0 << sent.saturating_sub(1).min(8);
+    Millis(doubled).min(LONGEST_REPEAT)
+}
+
+/// What lies staged at an engine.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Staged {
+    /// The version that is being staged, or was last.
+    pub version: u64,
+    /// Whether all of it lies there.
+    pub whole: bool,
+    /// Whether the engine may yet begin an order to load it.
+    pub ordered: bool,
+}
+
 /// Which of the versions wanted, in their order, is staged at an engine that keeps the pieces of one
-/// only. `begun` is the one that lies there, and `whole` tells whether all of it does; `here` tells
-/// whether the entries hold all of a version.
+/// only. `here` tells whether the entries hold all of a version.
 ///
 /// *Load pattern*: a second version is named while the first is on its way, and the origin fails
 /// right after. Did the agents begin on the second at once, its first pieces would overwrite the
 /// first, and no version would be whole in time. So they go on with what they have begun until all
 /// of a newer one can be had without the origin. What is whole never gives way to an older one: an
 /// entry that starts again has lost its share, so that nothing is all here for a moment.
+///
+/// What an engine may yet be loading gives way to nothing: an order that got no answer was seen to be
+/// begun 2 to 12 s later, and loads whatever lies there then. Callers got tokens from half of one
+/// version and half of the next.
 pub fn staged_now(
     wanted: &[u64],
-    begun: Option<u64>,
-    whole: bool,
+    staged: Option<Staged>,
     here: impl Fn(u64) -> bool,
 ) -> Option<u64> {
-    let begun = begun.filter(|version| wanted.contains(version));
-    let least = begun.filter(|_| whole).unwrap_or(0);
+    if let Some(ordered) = staged.filter(|staged| staged.ordered) {
+        return Some(ordered.version);
+    }
+    let begun = staged.filter(|staged| wanted.contains(&staged.version));
+    let least = begun.filter(|staged| staged.whole);
+    let least = least.map_or(0, |staged| staged.version);
     let newer = wanted.iter().rev().copied();
     let newest_here = newer.filter(|version| *version >= least).find(|v| here(*v));
+    let begun = begun.map(|staged| staged.version);
     newest_here.or(begun).or(wanted.last().copied())
 }
 
--- a/crates/filbertstack-policy/tests/rollout.rs
+++ b/crates/filbertstack-policy/tests/rollout.rs
@@ -5,9 +5,11 @@
 use filbertstack_core::Millis;
 use filbertstack_policy::rollout::Drain;
 use filbertstack_policy::rollout::Haste;
+use filbertstack_policy::rollout::Staged;
 use filbertstack_policy::rollout::drain;
 use filbertstack_policy::rollout::floor;
 use filbertstack_policy::rollout::order_after;
+use filbertstack_policy::rollout::repeat_after;
 use filbertstack_policy::rollout::staged_now;
 
 const BOUND: Millis = Millis(8_000);
@@ -16,6 +18,21 @@
     (0..count).map(|n| format!("agent {n}").into()).collect()
 }
 
+fn begun(version: u64) -> Staged {
+    Staged {
+        version,
+        whole: false,
+        ordered: false,
+    }
+}
+
+fn whole(version: u64) -> Staged {
+    Staged {
+        whole: true,
+        ..begun(version)
+    }
+}
+
 /// Twenty engines are full when a version is named; each is out for two seconds while it loads.
 /// All at once, nobody is served for two seconds. In turn, over the time that there is, fewer than
 /// half are out at any moment, and the last is ordered before the old version may answer no more.
@@ -70,25 +87,25 @@
 /// entries hold all of the second.
 #[test]
 fn a_version_gives_way_only_to_one_that_is_here() {
-    assert_eq!(staged_now(&[2, 3], Some(2), true, |_| false), Some(2));
-    assert_eq!(staged_now(&[2, 3], Some(2), true, |v| v == 2), Some(2));
-    assert_eq!(staged_now(&[2, 3], Some(2), true, |v| v == 3), Some(3));
+    assert_eq!(staged_now(&[2, 3], Some(whole(2)), |_| false), Some(2));
+    assert_eq!(staged_now(&[2, 3], Some(whole(2)), |v| v == 2), Some(2));
+    assert_eq!(staged_now(&[2, 3], Some(whole(2)), |v| v == 3), Some(3));
 }
 
 /// The second version was begun while it was to be had; then entries started again and the origin
 /// is gone, but the first is still here. The engine gets what can be had in time.
 #[test]
 fn a_version_that_cannot_be_had_gives_way_to_an_older_that_can() {
-    assert_eq!(staged_now(&[2, 3], Some(3), false, |v| v == 2), Some(2));
-    assert_eq!(staged_now(&[2, 3], Some(3), false, |_| false), Some(3));
+    assert_eq!(staged_now(&[2, 3], Some(begun(3)), |v| v == 2), Some(2));
+    assert_eq!(staged_now(&[2, 3], Some(begun(3)), |_| false), Some(3));
 }
 
 #[test]
 fn the_only_version_wanted_is_begun_at_once() {
-    assert_eq!(staged_now(&[], Some(2), true, |_| true), None);
-    assert_eq!(staged_now(&[2], None, false, |_| false), Some(2));
-    assert_eq!(staged_now(&[3], Some(2), true, |_| false), Some(3));
-    assert_eq!(staged_now(&[2, 3], None, false, |_| false), Some(3));
+    assert_eq!(staged_now(&[], Some(whole(2)), |_| true), None);
+    assert_eq!(staged_now(&[2], None, |_| false), Some(2));
+    assert_eq!(staged_now(&[3], Some(whole(2)), |_| false), Some(3));
+    assert_eq!(staged_now(&[2, 3], None, |_| false), Some(3));
 }
 
 /// How long an engine is out whose answers end at the times given, and how many break off.
@@ -132,8 +149,8 @@
 /// just being ordered to load, and callers would get answers from a mix of both.
 #[test]
 fn what_is_whole_does_not_give_way_to_an_older_version() {
-    assert_eq!(staged_now(&[2, 3], Some(3), true, |v| v == 2), Some(3));
-    assert_eq!(staged_now(&[2, 3, 4], Some(3), true, |v| v != 3), Some(4));
+    assert_eq!(staged_now(&[2, 3], Some(whole(3)), |v| v == 2), Some(3));
+    assert_eq!(staged_now(&[2, 3, 4], Some(whole(3)), |v| v != 3), Some(4));
 }
 
 /// An engine's link is narrow, so that its new weights come last and a request takes 0.7 s to reach
@@ -147,3 +164,32 @@
     let began = Millis(binding.expect("it binds before the bound")) + wait;
     assert!(began < bound, "{began:?}");
 }
+
+/// An engine left the order to load a version without an answer and may begin it at any time. Then
+/// the next version comes, and the one before is no longer wanted. Were the next staged, the engine
+/// would load some of each; so its pieces wait, also while some of the ordered ones are bad.
+#[test]
+fn a_version_that_an_engine_may_yet_load_gives_way_to_nothing() {
+    let ordered = |staged| {
+        Some(Staged {
+            ordered: true,
+            ..staged
+        })
+    };
+    assert_eq!(staged_now(&[2, 3], ordered(whole(2)), |_| true), Some(2));
+    assert_eq!(staged_now(&[3, 4], ordered(begun(2)), |_| true), Some(2));
+    assert_eq!(staged_now(&[], ordered(whole(2)), |_| true), Some(2));
+}
+
+/// An engine is twelve seconds behind with its orders. Each repeat takes it out of service while it
+/// finishes its work, so there are few; one whose first answer was lost is asked again at once.
+#[test]
+fn an_order_without_an_answer_is_repeated_soon_and_then_seldom() {
+    assert_eq!(repeat_after(1), Millis(200));
+    let waits = (1..).map(repeat_after).scan(Millis(0), |at, wait| {
+        *at = *at + wait;
+        Some(*at)
+    });
+    let within = waits.take_while(|at| *at < Millis(12_000)).count();
+    assert!(within <= 7, "{within} repeats");
+}
