An agent that starts stages nothing over what an earlier process may have ordered

Mend: when an agent starts, it compares what lies at the engine with the lists of the versions wanted, once; what is whole counts as ordered until the engine has begun an order. Only what lay whole was ever ordered, and nothing else was staged over it since, so that what is not whole is free. It is ordered in its turn, not at once: after many agents were killed together, all engines would load at the same time. Ruled out: a record at the voters, which may come after the order. Open: a version of which nobody has the list any more is not recognised.

--- a/crates/filbertstack-gateway/src/agent/rollout.rs
+++ b/crates/filbertstack-gateway/src/agent/rollout.rs
@@ -25,6 +25,7 @@
 
 use crate::agent::Agent;
 use crate::agent::gather::gather;
+use crate::agent::ordered::find_ordered;
 use crate::agent::stage::OpenOrder;
 use crate::agent::visit::Found;
 use crate::agent::visit::Outcome;
@@ -61,12 +62,18 @@
     let mut gathering = Gathering::default();
     let mut declared = agent.node.declared.watch();
     let mut engine = agent.engine.watch();
+    let mut compared = false;
     loop {
         settle(&agent).await;
         if let Some(report) = agent.engine.report() {
             let served = report.holding.map_or(0, |holding| holding.version);
             let needed = needed(&agent, served);
-            gathering.follow(&agent, &needed);
+            if !compared && !needed.is_empty() {
+                compared = compare(&agent, &needed).await;
+            }
+            if compared {
+                gathering.follow(&agent, &needed);
+            }
             // While pieces of another version come in, what lies there is no longer whole.
             let whole = agent
                 .stage
@@ -86,6 +93,17 @@
     }
 }
 
+/// Whether what lies at the engine is known to be ordered or not.
+async fn compare(agent: &Agent, needed: &[Holding]) -> bool {
+    match find_ordered(agent, needed).await {
+        Ok(()) => true,
+        Err(error) => {
+            info!("pieces not compared", kv: { error = error.to_string() });
+            false
+        }
+    }
+}
+
 /// The versions that the engine should be brought to and does not serve, in their order.
 fn needed(agent: &Agent, served: u64) -> Vec<Holding> {
     let wanted = agent.wanted().into_iter();
@@ -137,9 +155,11 @@
 }
 
 /// Whether the engine is to be brought to the version that lies there now. An order without an outcome
-/// is sent again: the answer to any of its copies makes the engine refuse all the others.
+/// is sent again: the answer to any of its copies makes the engine refuse all the others. One that an
+/// earlier process may have sent waits for its turn, as long as there is one.
 fn is_due(agent: &Agent, list: &PieceList, needed: &[Holding]) -> bool {
-    if agent.stage.open_order().is_some() {
+    let open = agent.stage.open_order();
+    if open.is_some_and(|order| order.sent > 0 || !needed.contains(&list.weights)) {
         return true;
     }
     let newer = |weights: &&Holding| weights.version > list.weights.version;
--- a/crates/filbertstack-gateway/src/agent/stage.rs
+++ b/crates/filbertstack-gateway/src/agent/stage.rs
@@ -21,6 +21,8 @@
     staged: RefCell<Option<Staged>>,
     /// The order to load them whose outcome is not known.
     order: Cell<Option<OpenOrder>>,
+    /// Lists that came before any version was begun.
+    known: RefCell<Vec<Rc<PieceList>>>,
     /// Told when all pieces of a version lie there.
     whole: Notify,
 }
@@ -57,9 +59,15 @@
         }
     }
 
-    /// Forgets everything, so that the list is fetched anew.
+    /// Forgets everything that lies there, so that the list is fetched anew.
     pub fn forget(&self) {
         *self.staged.borrow_mut() = None;
+        self.known.borrow_mut().clear();
+    }
+
+    /// Keeps a list for when its version is begun.
+    pub fn know(&self, list: Rc<PieceList>) {
+        self.known.borrow_mut().push(list);
     }
 
     /// The version that is being staged, or was last.
@@ -68,11 +76,13 @@
         staged.as_ref().map(|staged| staged.list.weights.clone())
     }
 
-    /// The list of the pieces of `weights`, if that is the version.
+    /// The list of the pieces of `weights`, if it came.
     pub fn list(&self, weights: &Holding) -> Option<Rc<PieceList>> {
         let staged = self.staged.borrow();
-        let staged = staged.as_ref().filter(|s| s.list.weights == *weights);
-        staged.map(|staged| staged.list.clone())
+        let known = self.known.borrow();
+        let lists = staged.iter().map(|staged| &staged.list).chain(known.iter());
+        let mut found = lists.filter(|list| list.weights == *weights);
+        found.next().cloned()
     }
 
     /// The order to load what lies there whose outcome is not known.
