An open order outlives the list of its pieces

Cause: an open order was known by the version that is staged; where that version's list was doubted and forgotten (pieces that did not fit it four times), nothing held the next version back. Found by reading, not seen. The order now names its weights itself. What is done about orders until their outcome is known stands in a module of its own.

Test: the last lines of a_version_that_an_engine_may_yet_load_gives_way_to_nothing.

--- a/crates/filbertstack-gateway/src/agent/mod.rs
+++ b/crates/filbertstack-gateway/src/agent/mod.rs
@@ -2,7 +2,7 @@
 //! one version of the weights to the next.
 
 mod gather;
-mod ordered;
+mod orders;
 mod peers;
 mod reports;
 mod rollout;
--- /dev/null
+++ b/crates/filbertstack-gateway/src/agent/orders.rs
@@ -0,0 +1,132 @@
+//! Orders to load, until their outcome is known.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use filbertstack_core::Millis;
+use filbertstack_platform::engine::Holding;
+use filbertstack_platform::engine::PieceList;
+use filbertstack_platform::engine::Running;
+use spdlog::info;
+use tokio::time::sleep;
+use tokio::time::timeout;
+
+use crate::agent::Agent;
+use crate::agent::stage::OpenOrder;
+use crate::agent::visit::Found;
+use crate::agent::visit::Outcome;
+use crate::agent::visit::Progress;
+use crate::agent::visit::Visit;
+use crate::agent::visit::VisitError;
+use crate::agent::visit::Whole;
+use crate::weights;
+use crate::weights::fetch::Fetch;
+
+/// How long the list of a version is waited for. Entries that start again have it within a second; a
+/// list that nobody has keeps the engine from newer versions no longer.
+const LIST: Duration = Duration::from_secs(2);
+
+/// How often the engine is asked whether it has begun an order: as often as it reports anyway.
+const LOOK: Duration = Duration::from_millis(100);
+
+/// Sends the order to load what was found, and notes what is known of its outcome.
+///
+/// # Errors
+/// Why it is not known to be taken.
+pub async fn send(agent: &Agent, whole: Whole, running: Running) -> Result<(), String> {
+    let made = whole.progress();
+    let weights = whole.weights().clone();
+    let earlier = agent.stage.open_order().filter(|order| order.made == made);
+    let sent = earlier.as_ref().map_or(0, |order| order.sent) + 1;
+    // Noted before it is sent: whatever becomes of this task, the engine may begin it.
+    agent.stage.set_open_order(Some(OpenOrder {
+        weights,
+        made,
+        sent,
+    }));
+    match whole.order(running).await {
+        Outcome::Begun => {
+            agent.stage.set_open_order(None);
+            Ok(())
+        }
+        Outcome::Refused(status) => {
+            agent.stage.set_open_order(earlier);
+            Err(format!("answered {status}"))
+        }
+        Outcome::NotSent(error) => {
+            agent.stage.set_open_order(earlier);
+            Err(error.to_string())
+        }
+        Outcome::Unknown(error) => {
+            agent.metrics.agent.orders.add("unknown", 1);
+            Err(error.to_string())
+        }
+    }
+}
+
+/// Finds out whether an order whose outcome is not known still may be begun: an engine that has begun
+/// any other since refuses it.
+pub async fn settle(agent: &Agent) {
+    let Some(order) = agent.stage.open_order() else {
+        return;
+    };
+    // An engine that does not answer may begin it later.
+    let Ok(report) = agent.engine.ask_now().await else {
+        return;
+    };
+    if Progress::from(&report) != order.made {
+        info!("order settled", kv: { born = report.born, sequence = report.sequence });
+        agent.stage.set_open_order(None);
+    }
+}
+
+/// Waits until the outcome of an order is known, or it is time to send it again.
+pub async fn await_outcome(agent: &Agent, pause: Millis) {
+    let known = async {
+        while agent.stage.open_order().is_some() {
+            sleep(LOOK).await;
+            settle(agent).await;
+        }
+    };
+    // Whether it is known is seen at the stage.
+    let _ = timeout(pause.into(), known).await;
+}
+
+/// Looks once, when the process starts, which of `needed` lies whole at the engine, and counts it as
+/// ordered: the process before may have been killed while an order was without an answer, and staged
+/// over it, the next version would be loaded with it. Only what lies whole is ever ordered.
+///
+/// # Errors
+/// [`VisitError`]: the engine could not be asked; nothing may be staged yet.
+pub async fn find_ordered(agent: &Agent, needed: &[Holding]) -> Result<(), VisitError> {
+    for wanted in needed {
+        let fetch = Fetch::new(agent.node.clone(), &agent.id(), wanted.clone(), 1);
+        let Ok(list) = timeout(LIST, fetch.list()).await else {
+            info!("no list of pieces, not compared with what is staged", kv: {
+                version = wanted.version
+            });
+            continue;
+        };
+        let list = Rc::new(list);
+        agent.stage.know(list.clone());
+        let visit = Visit::begin(agent.engine.addr()).await?;
+        if let Found::Whole(whole) = visit.read_back(&list).await? {
+            count_as_ordered(agent, &list, &whole);
+            return Ok(());
+        }
+    }
+    Ok(())
+}
+
+fn count_as_ordered(agent: &Agent, list: &Rc<PieceList>, whole: &Whole) {
+    info!("pieces found, may be ordered", kv: { version = list.weights.version });
+    agent.stage.begin(list.clone());
+    for number in 0..weights::count(list) {
+        agent.stage.put(number);
+    }
+    agent.stage.set_open_order(Some(OpenOrder {
+        weights: list.weights.clone(),
+        made: whole.progress(),
+        sent: 0,
+    }));
+}
--- a/crates/filbertstack-gateway/src/agent/rollout.rs
+++ b/crates/filbertstack-gateway/src/agent/rollout.rs
@@ -25,11 +25,8 @@
 
 use crate::agent::Agent;
 use crate::agent::gather::gather;
-use crate::agent::ordered::find_ordered;
-use crate::agent::stage::OpenOrder;
+use crate::agent::orders;
 use crate::agent::visit::Found;
-use crate::agent::visit::Outcome;
-use crate::agent::visit::Progress;
 use crate::agent::visit::Visit;
 use crate::agent::visit::Whole;
 use crate::weights;
@@ -64,7 +61,7 @@
     let mut engine = agent.engine.watch();
     let mut compared = false;
     loop {
-        settle(&agent).await;
+        orders::settle(&agent).await;
         if let Some(report) = agent.engine.report() {
             let served = report.holding.map_or(0, |holding| holding.version);
             let needed = needed(&agent, served);
@@ -95,7 +92,7 @@
 
 /// Whether what lies at the engine is known to be ordered or not.
 async fn compare(agent: &Agent, needed: &[Holding]) -> bool {
-    match find_ordered(agent, needed).await {
+    match orders::find_ordered(agent, needed).await {
         Ok(()) => true,
         Err(error) => {
             info!("pieces not compared", kv: { error = error.to_string() });
@@ -127,16 +124,16 @@
             weights.is_some_and(|weights| is_here(&agent.node, weights))
         };
         let whole = agent.stage.whole().map(|list| list.weights.clone());
-        let lying = agent.stage.weights();
-        let staged = lying.as_ref().map(|weights| Staged {
+        let staged = agent.stage.weights().map(|weights| Staged {
             version: weights.version,
             whole: whole.is_some(),
-            ordered: agent.stage.open_order().is_some(),
         });
-        let chosen = staged_now(&versions, staged, here);
+        let ordered = agent.stage.open_order().map(|order| order.weights);
+        let version = ordered.as_ref().map(|weights| weights.version);
+        let chosen = staged_now(&versions, staged, version, here);
         let chosen = needed
             .iter()
-            .chain(&lying)
+            .chain(&ordered)
             .find(|weights| Some(weights.version) == chosen);
         self.0 = self.0.take().filter(|(weights, task)| {
             let keep = Some(weights) == chosen;
@@ -188,39 +185,11 @@
     }
     agent.engine.set_loading(false);
     match agent.stage.open_order() {
-        Some(order) => await_outcome(agent, repeat_after(order.sent)).await,
+        Some(order) => orders::await_outcome(agent, repeat_after(order.sent)).await,
         None => sleep(AGAIN).await,
     }
 }
 
-/// Waits until the outcome of an order is known, or it is time to send it again.
-async fn await_outcome(agent: &Agent, pause: Millis) {
-    let known = async {
-        while agent.stage.open_order().is_some() {
-            sleep(LOOK).await;
-            settle(agent).await;
-        }
-    };
-    // Whether it is known is seen at the stage.
-    let _ = timeout(pause.into(), known).await;
-}
-
-/// Finds out whether an order whose outcome is not known still may be begun: an engine that has begun
-/// any other since refuses it.
-async fn settle(agent: &Agent) {
-    let Some(order) = agent.stage.open_order() else {
-        return;
-    };
-    // An engine that does not answer may begin it later.
-    let Ok(report) = agent.engine.ask_now().await else {
-        return;
-    };
-    if Progress::from(&report) != order.made {
-        info!("order settled", kv: { born = report.born, sequence = report.sequence });
-        agent.stage.set_open_order(None);
-    }
-}
-
 /// How long until it is this engine's turn; none for an engine that serves nothing.
 fn time_to_order(agent: &Agent, wanted: &Holding, haste: Haste) -> Millis {
     let Some(served) = agent.engine.holding() else {
@@ -292,32 +261,7 @@
         return false;
     };
     let progress = whole.progress();
-    let earlier = agent.stage.open_order();
-    let earlier = earlier.filter(|order| order.made == progress);
-    // Noted before it is sent: whatever becomes of this task, the engine may begin it.
-    agent.stage.set_open_order(Some(OpenOrder {
-        made: progress,
-        sent: earlier.map_or(0, |order| order.sent) + 1,
-    }));
-    let failed = match whole.order(running).await {
-        Outcome::Begun => {
-            agent.stage.set_open_order(None);
-            None
-        }
-        Outcome::Refused(status) => {
-            agent.stage.set_open_order(earlier);
-            Some(format!("answered {status}"))
-        }
-        Outcome::NotSent(error) => {
-            agent.stage.set_open_order(earlier);
-            Some(error.to_string())
-        }
-        Outcome::Unknown(error) => {
-            agent.metrics.agent.orders.add("unknown", 1);
-            Some(error.to_string())
-        }
-    };
-    if let Some(error) = failed {
+    if let Err(error) = orders::send(agent, whole, running).await {
         let open = agent.stage.open_order().is_some();
         info!("order not known to be taken", kv: {
             version = wanted.version, may_be_begun = open, error = error
--- a/crates/filbertstack-gateway/src/agent/stage.rs
+++ b/crates/filbertstack-gateway/src/agent/stage.rs
@@ -3,7 +3,6 @@
 //! The engine keeps one copy of a model's pieces, beside the version that it serves. The agent keeps
 //! none itself: what others need of it, it reads back from there.
 
-use std::cell::Cell;
 use std::cell::RefCell;
 use std::collections::BTreeSet;
 use std::rc::Rc;
@@ -20,7 +19,7 @@
 pub struct Stage {
     staged: RefCell<Option<Staged>>,
     /// The order to load them whose outcome is not known.
-    order: Cell<Option<OpenOrder>>,
+    order: RefCell<Option<OpenOrder>>,
     /// Lists that came before any version was begun.
     known: RefCell<Vec<Rc<PieceList>>>,
     /// Told when all pieces of a version lie there.
@@ -29,8 +28,10 @@
 
 /// An order whose outcome is not known. Until it is, nothing else may be staged: the engine loads what
 /// lies there when it begins the order, and was seen to begin one 2 to 12 s after it was sent.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub struct OpenOrder {
+    /// What it orders to load.
+    pub weights: Holding,
     /// What the engine had begun when the order was made; once it has begun anything else, it
     /// refuses the order.
     pub made: Progress,
@@ -87,12 +88,12 @@
 
     /// The order to load what lies there whose outcome is not known.
     pub fn open_order(&self) -> Option<OpenOrder> {
-        self.order.get()
+        self.order.borrow().clone()
     }
 
     /// Notes the order whose outcome is not known, or that there is none.
     pub fn set_open_order(&self, order: Option<OpenOrder>) {
-        self.order.set(order);
+        *self.order.borrow_mut() = order;
     }
 
     /// Notes that a piece lies there and was right.
--- a/crates/filbertstack-gateway/src/agent/visit.rs
+++ b/crates/filbertstack-gateway/src/agent/visit.rs
@@ -10,6 +10,7 @@
 
 use bytes::Bytes;
 use filbertstack_platform::engine::EngineReport;
+use filbertstack_platform::engine::Holding;
 use filbertstack_platform::engine::Outgoing;
 use filbertstack_platform::engine::PieceList;
 use filbertstack_platform::engine::Running;
@@ -165,6 +166,11 @@
         self.visit.progress
     }
 
+    /// Whose pieces.
+    pub fn weights(&self) -> &Holding {
+        &self.list.weights
+    }
+
     /// Orders the engine to load the pieces that were found. It is sent once: on a new connection it
     /// may reach another start of the engine.
     pub async fn order(mut self, running: Running) -> Outcome {
--- a/crates/filbertstack-policy/src/rollout.rs
+++ b/crates/filbertstack-policy/src/rollout.rs
@@ -113,12 +113,11 @@
     pub version: u64,
     /// Whether all of it lies there.
     pub whole: bool,
-    /// Whether the engine may yet begin an order to load it.
-    pub ordered: bool,
 }
 
 /// Which of the versions wanted, in their order, is staged at an engine that keeps the pieces of one
-/// only. `here` tells whether the entries hold all of a version.
+/// only. `ordered` is one that the engine may yet be told to load by an order under way; `here` tells
+/// whether the entries hold all of a version.
 ///
 /// *Load pattern*: a second version is named while the first is on its way, and the origin fails
 /// right after. Did the agents begin on the second at once, its first pieces would overwrite the
@@ -132,10 +131,11 @@
 pub fn staged_now(
     wanted: &[u64],
     staged: Option<Staged>,
+    ordered: Option<u64>,
     here: impl Fn(u64) -> bool,
 ) -> Option<u64> {
-    if let Some(ordered) = staged.filter(|staged| staged.ordered) {
-        return Some(ordered.version);
+    if ordered.is_some() {
+        return ordered;
     }
     let begun = staged.filter(|staged| wanted.contains(&staged.version));
     let least = begun.filter(|staged| staged.whole);
--- a/crates/filbertstack-policy/tests/rollout.rs
+++ b/crates/filbertstack-policy/tests/rollout.rs
@@ -22,7 +22,6 @@
     Staged {
         version,
         whole: false,
-        ordered: false,
     }
 }
 
@@ -87,25 +86,40 @@
 /// entries hold all of the second.
 #[test]
 fn a_version_gives_way_only_to_one_that_is_here() {
-    assert_eq!(staged_now(&[2, 3], Some(whole(2)), |_| false), Some(2));
-    assert_eq!(staged_now(&[2, 3], Some(whole(2)), |v| v == 2), Some(2));
-    assert_eq!(staged_now(&[2, 3], Some(whole(2)), |v| v == 3), Some(3));
+    assert_eq!(
+        staged_now(&[2, 3], Some(whole(2)), None, |_| false),
+        Some(2)
+    );
+    assert_eq!(
+        staged_now(&[2, 3], Some(whole(2)), None, |v| v == 2),
+        Some(2)
+    );
+    assert_eq!(
+        staged_now(&[2, 3], Some(whole(2)), None, |v| v == 3),
+        Some(3)
+    );
 }
 
 /// The second version was begun while it was to be had; then entries started again and the origin
 /// is gone, but the first is still here. The engine gets what can be had in time.
 #[test]
 fn a_version_that_cannot_be_had_gives_way_to_an_older_that_can() {
-    assert_eq!(staged_now(&[2, 3], Some(begun(3)), |v| v == 2), Some(2));
-    assert_eq!(staged_now(&[2, 3], Some(begun(3)), |_| false), Some(3));
+    assert_eq!(
+        staged_now(&[2, 3], Some(begun(3)), None, |v| v == 2),
+        Some(2)
+    );
+    assert_eq!(
+        staged_now(&[2, 3], Some(begun(3)), None, |_| false),
+        Some(3)
+    );
 }
 
 #[test]
 fn the_only_version_wanted_is_begun_at_once() {
-    assert_eq!(staged_now(&[], Some(whole(2)), |_| true), None);
-    assert_eq!(staged_now(&[2], None, |_| false), Some(2));
-    assert_eq!(staged_now(&[3], Some(whole(2)), |_| false), Some(3));
-    assert_eq!(staged_now(&[2, 3], None, |_| false), Some(3));
+    assert_eq!(staged_now(&[], Some(whole(2)), None, |_| true), None);
+    assert_eq!(staged_now(&[2], None, None, |_| false), Some(2));
+    assert_eq!(staged_now(&[3], Some(whole(2)), None, |_| false), Some(3));
+    assert_eq!(staged_now(&[2, 3], None, None, |_| false), Some(3));
 }
 
 /// How long an engine is out whose answers end at the times given, and how many break off.
@@ -149,8 +163,14 @@
 /// just being ordered to load, and callers would get answers from a mix of both.
 #[test]
 fn what_is_whole_does_not_give_way_to_an_older_version() {
-    assert_eq!(staged_now(&[2, 3], Some(whole(3)), |v| v == 2), Some(3));
-    assert_eq!(staged_now(&[2, 3, 4], Some(whole(3)), |v| v != 3), Some(4));
+    assert_eq!(
+        staged_now(&[2, 3], Some(whole(3)), None, |v| v == 2),
+        Some(3)
+    );
+    assert_eq!(
+        staged_now(&[2, 3, 4], Some(whole(3)), None, |v| v != 3),
+        Some(4)
+    );
 }
 
 /// An engine's link is narrow, so that its new weights come last and a request takes 0.7 s to reach
@@ -170,15 +190,11 @@
 /// would load some of each; so its pieces wait, also while some of the ordered ones are bad.
 #[test]
 fn a_version_that_an_engine_may_yet_load_gives_way_to_nothing() {
-    let ordered = |staged| {
-        Some(Staged {
-            ordered: true,
-            ..staged
-        })
-    };
-    assert_eq!(staged_now(&[2, 3], ordered(whole(2)), |_| true), Some(2));
-    assert_eq!(staged_now(&[3, 4], ordered(begun(2)), |_| true), Some(2));
-    assert_eq!(staged_now(&[], ordered(whole(2)), |_| true), Some(2));
+    let held = |wanted: &[u64], staged| staged_now(wanted, staged, Some(2), |_| true);
+    assert_eq!(held(&[2, 3], Some(whole(2))), Some(2));
+    assert_eq!(held(&[3, 4], Some(begun(2))), Some(2));
+    assert_eq!(held(&[3], None), Some(2), "its list is fetched again");
+    assert_eq!(held(&[], Some(whole(2))), Some(2));
 }
 
 /// An engine is twelve seconds behind with its orders. Each repeat takes it out of service while it
