Failing test: files that an engine may be reading are written anew under it

The same cause in the other agent: an order to load without an answer, or one of a process that was killed, counts as not taken, and what it loads is prepared once more. The files are removed and written under the engine.

--- a/crates/filbertstack-weights/tests/version.rs
+++ b/crates/filbertstack-weights/tests/version.rs
@@ -76,3 +76,43 @@
     assert!(serving.answers(root) && !serving.answers(Digest::of(b"other")));
     assert_eq!(serving.drain().end().root(), root);
 }
+
+// An engine is ordered to load a version and begins to list its files. Its answer comes too late, or
+// the agent is killed: the order counts as failed, and the files are prepared once more. They were
+// removed and written anew under the engine, which saw a part of them, and callers would have got
+// answers from partial weights under the version's name.
+#[test]
+fn files_that_an_engine_may_be_reading_stay_as_they_are() {
+    let sample = sample(1);
+    let store = Arc::new(Store::memory(10_000));
+    fill(&store, &sample, 13);
+    let version = Version::declare(sample.manifest.clone(), store).unwrap();
+    let verified = version.fetch().verify().unwrap();
+    let out = tempfile::tempdir().unwrap();
+    let written = verified.write_to(out.path()).unwrap();
+    let whole = fs::read_dir(&written).unwrap().count();
+    let seen_by_engine = fs::read_dir(&written).unwrap();
+    assert_eq!(verified.write_to(out.path()).unwrap(), written);
+    assert_eq!(seen_by_engine.count(), whole);
+}
+
+#[test]
+fn files_that_turned_bad_where_they_were_written_are_written_again() {
+    let sample = sample(1);
+    let store = Arc::new(Store::memory(10_000));
+    fill(&store, &sample, 13);
+    let version = Version::declare(sample.manifest.clone(), store).unwrap();
+    let verified = version.fetch().verify().unwrap();
+    let out = tempfile::tempdir().unwrap();
+    let file = verified.write_to(out.path()).unwrap().join("layers/0.bin");
+    let right = fs::read(&file).unwrap();
+    for bad in [
+        flip(&right).to_vec(),
+        right[1..].to_vec(),
+        [&right[..], b"x"].concat(),
+    ] {
+        fs::write(&file, bad).unwrap();
+        verified.write_to(out.path()).unwrap();
+        assert_eq!(fs::read(&file).unwrap(), right);
+    }
+}
