Files that an engine may be reading are left alone

What callers would see: answers from partial weights under a version's name.

Mend: a folder that is there and holds the version's bytes, compared by digest, is used as it is; it only ever appears whole under its name.

--- a/crates/filbertstack-weights/src/version.rs
+++ b/crates/filbertstack-weights/src/version.rs
@@ -7,6 +7,7 @@
 
 use std::fs;
 use std::fs::File;
+use std::io::Read;
 use std::io::Write;
 use std::marker::PhantomData;
 use std::path::Path;
@@ -17,6 +18,7 @@
 
 use filbertstack_core::Digest;
 
+use crate::manifest::Chunk;
 use crate::manifest::Manifest;
 use crate::store::Pin;
 use crate::store::Store;
@@ -175,6 +177,12 @@
     }
 }
 
+/// Whether the next bytes of a file are the chunk's.
+fn begins_with(file: &mut File, chunk: &Chunk) -> bool {
+    let mut bytes = vec![0; chunk.size as usize];
+    file.read_exact(&mut bytes).is_ok() && Digest::of(&bytes) == chunk.digest
+}
+
 fn unreadable(held: &Held) -> Vec<u32> {
     let reads = |digest| matches!(held.store.get(digest), Ok(Some(_)));
     let wants = held.manifest.wants();
@@ -188,13 +196,19 @@
     /// Writes the version's files below `dir/<root>` for an engine that loads from a folder.
     ///
     /// Each chunk is verified once more as it is read. The folder appears under its name only
-    /// when it is whole, so that an engine never finds half of it.
+    /// when it is whole, so that an engine never finds half of it. Where it is there already and
+    /// right, it is left alone: an order that got no answer, or came from a process that was killed,
+    /// may be carried out while the next is prepared, and the engine would list a part of the files
+    /// (none of two in a test) and answer from them.
     ///
     /// # Errors
     /// [`VersionError::Missing`] if a chunk was damaged since: go back with
     /// [`Version::refetch`]; [`VersionError::Write`].
     pub fn write_to(&self, dir: &Path) -> Result<PathBuf, VersionError> {
         let whole = dir.join(self.root().to_string());
+        if self.is_written(&whole) {
+            return Ok(whole);
+        }
         let part = dir.join(format!(".{}.part", self.root()));
         let written = self.write_files(&part);
         if written.is_err() {
@@ -209,6 +223,23 @@
         Ok(whole)
     }
 
+    /// Whether the files below `whole` are the version's.
+    fn is_written(&self, whole: &Path) -> bool {
+        let mut wants = self.held.manifest.wants().peekable();
+        let mut files = self.held.manifest.files().iter();
+        files.all(|file| {
+            let Ok(mut written) = File::open(whole.join(&*file.name)) else {
+                return false;
+            };
+            while let Some(want) = wants.next_if(|want| want.file.name == file.name) {
+                if !begins_with(&mut written, &want.chunk) {
+                    return false;
+                }
+            }
+            matches!(written.read(&mut [0]), Ok(0))
+        })
+    }
+
     fn write_files(&self, part: &Path) -> Result<(), VersionError> {
         if part.exists() {
             fs::remove_dir_all(part).map_err(|error| write_error(part, error))?;
