An order whose answer is lost is not reported as one that was not sent

What operators saw: 'the target can't be reached' of an engine that had taken the order and may be loading. Cause: every failure of the call was given as 'nothing was sent', a time-out and a broken connection too. Orders tell the two apart now, as requests did.

Test: an_order_without_an_answer_has_an_unknown_outcome (Unreached before, Broken after).

--- a/crates/filbertstack-agent/src/target.rs
+++ b/crates/filbertstack-agent/src/target.rs
@@ -105,7 +105,7 @@
     /// Orders the engine to load the files below `dir` as `version` of `model`.
     ///
     /// # Errors
-    /// If the engine can't be reached or refuses.
+    /// If the engine can't be reached or refuses; after [`TargetError::Broken`] it may load.
     pub fn load(
         &self,
         model: &str,
@@ -134,7 +134,7 @@
         let call = call.header("content-type", "application/json");
         let response = call
             .send(order.to_string().as_bytes())
-            .map_err(|error| unreached(&error))?;
+            .map_err(|error| sending_error(&error))?;
         match response.status().as_u16() {
             200..300 => Ok(()),
             status => Err(TargetError::Refused(status)),
@@ -177,7 +177,7 @@
             .build();
         self.agent
             .run(request)
-            .map_err(|error| dispatch_error(&error))
+            .map_err(|error| sending_error(&error))
     }
 }
 
@@ -191,7 +191,7 @@
 }
 
 /// Only what fails before a byte is sent is certain not to have run.
-fn dispatch_error(error: &ureq::Error) -> TargetError {
+fn sending_error(error: &ureq::Error) -> TargetError {
     let text = error.to_string();
     let refused = |kind| matches!(kind, std::io::ErrorKind::ConnectionRefused);
     match error {
--- /dev/null
+++ b/crates/filbertstack-agent/tests/target.rs
@@ -0,0 +1,46 @@
+//! What an agent makes of its engine's answers, or of none.
+
+use std::io::Read as _;
+use std::net::TcpListener;
+use std::path::Path;
+use std::thread;
+
+use filbertstack_agent::target::Target;
+use filbertstack_agent::target::TargetError;
+use filbertstack_core::Digest;
+use filbertstack_wire::messages::Fence;
+
+fn load(url: &str) -> Result<(), TargetError> {
+    let version = Digest::of(b"version");
+    Target::new(url).load("m", version, Path::new("weights"), Fence::default())
+}
+
+// An engine takes an order to load and its connection ends before the answer. It may load; told that
+// the engine can't be reached, the operator would look for an engine that is down.
+#[test]
+fn an_order_without_an_answer_has_an_unknown_outcome() {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let url = format!("http://{}", listener.local_addr().unwrap());
+    let engine = thread::spawn(move || {
+        let (mut stream, _) = listener.accept().unwrap();
+        stream.read(&mut [0; 16]).unwrap()
+    });
+    let outcome = load(&url);
+    assert!(
+        matches!(outcome, Err(TargetError::Broken(_))),
+        "{outcome:?}"
+    );
+    assert!(engine.join().unwrap() > 0, "the order was sent");
+}
+
+#[test]
+fn an_order_to_an_engine_that_is_down_was_not_sent() {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let url = format!("http://{}", listener.local_addr().unwrap());
+    drop(listener);
+    let outcome = load(&url);
+    assert!(
+        matches!(outcome, Err(TargetError::Unreached(_))),
+        "{outcome:?}"
+    );
+}
