The soak has engines that carry out orders late; failing test of a version no longer wanted

Beside all other faults, model engines leave orders without an answer now and then and carry them out as soon as a piece of another version is staged. It is drawn from a generator of its own, so that older seeds play the same faults. An agent was killed while its order of the first weights had no answer; the version that was then wanted was the second alone, so that the first was not recognised.

--- a/tests/gateway/fleet.rs
+++ b/tests/gateway/fleet.rs
@@ -45,7 +45,11 @@
 
     /// Starts one more engine and its agent.
     pub fn add_engine(&mut self) {
-        let model = Model::default();
+        self.add_model(Model::default());
+    }
+
+    /// Starts one more engine, which holds what `model` does, and its agent.
+    pub fn add_model(&mut self, model: Model) {
         let held = model.clone();
         let engine = Engine::start(Box::new(move |seen| held.answer(seen).unwrap_or_default()));
         self.agents
--- a/tests/gateway/model.rs
+++ b/tests/gateway/model.rs
@@ -132,16 +132,20 @@
         if number + 1 == PIECES {
             self.readings += 1;
             if self.restarts_after == Some(self.readings) {
-                self.restart();
+                self.restarts_after = None;
+                self.restart(true);
                 return close_after(&answer);
             }
         }
         answer
     }
 
-    fn restart(&mut self) {
-        self.restarts_after = None;
-        self.staged.clear();
+    /// Starts again and serves nothing; orders not yet begun are gone, and without power, so are the
+    /// staged pieces.
+    pub fn restart(&mut self, power: bool) {
+        if power {
+            self.staged.clear();
+        }
         self.late.clear();
         self.version = 0;
         self.sequence = 0;
--- a/tests/gateway/orders.rs
+++ b/tests/gateway/orders.rs
@@ -1,6 +1,7 @@
 //! Orders to load weights whose outcome is not known.
 
 use crate::fleet::Fleet;
+use crate::model::Model;
 use crate::world::until;
 
 /// Callers got tokens that no version of the weights makes. Three versions were named within nine
@@ -45,6 +46,25 @@
     assert_eq!(fleet.wrong_orders(), 0);
 }
 
+/// The same with an engine that is new: the version that it was ordered to load is the first, which
+/// nobody names, and no longer wanted when the agent starts again.
+#[test]
+fn an_agent_that_starts_again_knows_versions_that_are_no_longer_wanted() {
+    let mut fleet = Fleet::start(0);
+    let model = Model::default();
+    model.held().late_orders = 1;
+    fleet.add_model(model);
+    until("an order is left without an answer", || {
+        fleet.models[0].held().unanswered == 1
+    });
+    let agent = fleet.agents[0];
+    fleet.world.kill(agent);
+    fleet.name(2);
+    fleet.world.launch_again(agent);
+    fleet.await_version(2);
+    assert_eq!(fleet.wrong_orders(), 0);
+}
+
 /// An engine loses its power right after its agent has read all pieces back, and starts again with
 /// nothing staged. The order, repeated on a new connection, reached the new start, which loaded
 /// what was not there. An order belongs to the start at which the pieces were read.
--- a/tests/soak/faults.rs
+++ b/tests/soak/faults.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use rand::RngExt as _;
+use rand::SeedableRng as _;
 use rand_chacha::ChaCha8Rng;
 
 use crate::fleet::ENTRIES;
@@ -57,6 +58,21 @@
     faults
 }
 
+/// Now and then, a model engine leaves an order without an answer and carries it out late, beside all
+/// other faults, until they are over. Drawn by itself, so that older seeds play the same faults.
+pub fn delay_orders(fleet: &Fleet, seed: u64) -> thread::JoinHandle<()> {
+    let fleet = fleet.clone();
+    let mut rng = ChaCha8Rng::seed_from_u64(seed ^ 0x6c61_7465);
+    thread::spawn(move || {
+        while !fleet.is_over() {
+            let models: Vec<_> = fleet.models().collect();
+            let target = models[rng.random_range(0..models.len())];
+            target.model.held().late_orders = rng.random_range(0..3);
+            thread::sleep(Duration::from_millis(rng.random_range(200..1_500)));
+        }
+    })
+}
+
 fn draw(fleet: &Fleet, rng: &mut ChaCha8Rng) -> Fault {
     let entry = rng.random_range(0..ENTRIES);
     let process = rng.random_range(0..ENTRIES + fleet.agents().len());
--- a/tests/soak/fleet.rs
+++ b/tests/soak/fleet.rs
@@ -118,6 +118,11 @@
         &self.0.targets
     }
 
+    /// The model engines.
+    pub fn models(&self) -> impl Iterator<Item = &Target> {
+        self.0.targets.iter().filter(|t| t.service == "stream")
+    }
+
     /// The numbers of the agents' processes.
     pub fn agents(&self) -> &[usize] {
         &self.0.agents
@@ -258,8 +263,8 @@
         self.origin().set(Harm::None);
         self.await_service();
         until("every engine serves the newest weights", || {
-            let mut models = self.targets().iter().filter(|t| t.service == "stream");
-            models.all(|t| t.model.held().version == self.weights())
+            self.models()
+                .all(|t| t.model.held().version == self.weights())
         });
         self.0.over.store(true, Ordering::SeqCst);
     }
@@ -273,8 +278,7 @@
 
     /// Orders to load that came while a staged piece was not what it must be.
     pub fn wrong_orders(&self) -> Vec<String> {
-        let targets = self.targets().iter();
-        let wrong: u32 = targets.map(|t| t.model.held().wrong_orders).sum();
+        let wrong: u32 = self.models().map(|t| t.model.held().wrong_orders).sum();
         let told = (wrong > 0).then(|| format!("{wrong} loads of spoilt or missing pieces"));
         told.into_iter().collect()
     }
@@ -324,11 +328,7 @@
 
     /// The engine starts again and serves no weights; without power, staged pieces are lost too.
     pub fn restart(&self, power: bool) {
-        let mut held = self.model.held();
-        held.version = 0;
-        if power {
-            held.staged.clear();
-        }
+        self.model.held().restart(power);
         self.born.store(unix_millis(), Ordering::SeqCst);
         self.sequence.store(1, Ordering::SeqCst);
     }
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -30,11 +30,14 @@
 use rand_chacha::ChaCha8Rng;
 
 /// The seeds of CI: those that ever failed, each with its cause.
-const SEEDS: [u64; 3] = [
+const SEEDS: [u64; 4] = [
     // An engine dropped an idle connection; the agent took that for pieces that turned bad.
     1, 2,
     // The soak's own: it waited for the end of a process that another fault had started again.
     2025,
+    // An agent was killed while its order of the first weights had no answer; the one in its place
+    // staged the next over them, and the engine loaded both.
+    3002,
 ];
 
 /// How many seeds are played at a time: each runs eight processes.
@@ -46,8 +49,10 @@
     let _ends = Ends(fleet.clone());
     let callers = callers::start(&fleet, seed);
     let operator = operator::start(&fleet, seed);
+    let delaying = faults::delay_orders(&fleet, seed);
     let told = faults::play(&fleet, &mut rng);
     fleet.heal();
+    delaying.join().expect("orders are delayed no more");
     let mut broken = operator.finish(&fleet);
     broken.extend(callers.finish(&fleet));
     broken.extend(fleet.wrong_orders());
@@ -77,8 +82,8 @@
 }
 
 /// Processes are killed, frozen, stopped and started, disks are lost, connections are delayed, reset,
-/// cut one way and silenced, engines crash and lose their weights, versions and configurations
-/// change. Every caller gets its own whole answer or knows that it did not; what was acknowledged
+/// cut one way and silenced, engines crash and lose their weights, or carry out orders late and
+/// without an answer, versions and configurations change. Every caller gets its own whole answer or knows that it did not; what was acknowledged
 /// stays; and all is served when the faults are over.
 #[test]
 fn promises_hold_under_random_faults() {
