An agent that starts knows all versions that may have been ordered

It is compared with all newer than the one served that were named, and with the first. Where nobody has a list any more and no other version lies there, nothing is staged until orders of the process before are 15 s old: the latest seen to be begun was 12 s old. An engine at which a piece is missing, or lies of a version known, has nothing whole there, and nothing is held back.

--- a/crates/filbertstack-gateway/src/agent/mod.rs
+++ b/crates/filbertstack-gateway/src/agent/mod.rs
@@ -9,6 +9,7 @@
 mod stage;
 mod visit;
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::rc::Rc;
@@ -91,13 +92,10 @@
         let Some(model) = model else {
             return Vec::new();
         };
-        let agents = weights::agents(&self.node);
-        let same = agents.iter().filter(|(_, row)| *row.model == *model);
-        let seen = same.map(|(_, row)| row.version).max().unwrap_or(0);
         let named = declared.named(&model).into_iter();
         let mut versions: Vec<u64> = named.map(|named| named.version).collect();
         if versions.is_empty() {
-            versions.push(seen.max(FIRST_VERSION));
+            versions.push(self.seen(&model).max(FIRST_VERSION));
         }
         // Older ones are gone from the origin.
         let latest = versions.len().saturating_sub(GATHERED);
@@ -107,6 +105,32 @@
         };
         versions.drain(latest..).map(holding).collect()
     }
+
+    /// The newest version that an engine serves.
+    fn seen(&self, model: &str) -> u64 {
+        let agents = weights::agents(&self.node);
+        let same = agents.iter().filter(|(_, row)| *row.model == *model);
+        same.map(|(_, row)| row.version).max().unwrap_or(0)
+    }
+
+    /// The versions newer than the one `served` that its engine may have been ordered to load, in
+    /// their order: those named, and those that may have been wanted before any was.
+    fn candidates(&self, served: u64) -> Vec<Holding> {
+        let wanted = self.wanted();
+        let Some(model) = wanted.last().map(|weights| weights.model.clone()) else {
+            return Vec::new();
+        };
+        let named = self.node.declared.named(&model).into_iter();
+        let mut versions: BTreeSet<u64> = named.map(|named| named.version).collect();
+        versions.insert(FIRST_VERSION);
+        versions.extend(wanted.iter().map(|weights| weights.version));
+        let newer = versions.into_iter().filter(|version| *version > served);
+        let holding = |version| Holding {
+            model: model.clone(),
+            version,
+        };
+        newer.map(holding).collect()
+    }
 }
 
 /// Runs an agent until it is told to stop.
--- a/crates/filbertstack-gateway/src/agent/orders.rs
+++ b/crates/filbertstack-gateway/src/agent/orders.rs
@@ -22,10 +22,13 @@
 use crate::weights;
 use crate::weights::fetch::Fetch;
 
-/// How long the list of a version is waited for. Entries that start again have it within a second; a
-/// list that nobody has keeps the engine from newer versions no longer.
+/// How long the list of a version is waited for: entries that start again have it within a second.
 const LIST: Duration = Duration::from_secs(2);
 
+/// How long after its start an agent that does not know what may be ordered stages nothing. The latest
+/// order seen to be begun without an answer was 12 s old.
+pub const UNKNOWN: Millis = Millis(15_000);
+
 /// How often the engine is asked whether it has begun an order: as often as it reports anyway.
 const LOOK: Duration = Duration::from_millis(100);
 
@@ -92,30 +95,47 @@
     let _ = timeout(pause.into(), known).await;
 }
 
-/// Looks once, when the process starts, which of `needed` lies whole at the engine, and counts it as
+/// Looks, when the process starts, which of `candidates` lies whole at the engine, and counts it as
 /// ordered: the process before may have been killed while an order was without an answer, and staged
-/// over it, the next version would be loaded with it. Only what lies whole is ever ordered.
+/// over it, the next version would be loaded with it. Only what lies whole is ever ordered, and where
+/// pieces of another lie over it, its outcome was known.
+///
+/// Whether it is known now what may be ordered: not where nobody has the list of a candidate and no
+/// other lies there.
 ///
 /// # Errors
-/// [`VisitError`]: the engine could not be asked; nothing may be staged yet.
-pub async fn find_ordered(agent: &Agent, needed: &[Holding]) -> Result<(), VisitError> {
-    for wanted in needed {
-        let fetch = Fetch::new(agent.node.clone(), &agent.id(), wanted.clone(), 1);
-        let Ok(list) = timeout(LIST, fetch.list()).await else {
-            info!("no list of pieces, not compared with what is staged", kv: {
-                version = wanted.version
-            });
+/// [`VisitError`]: the engine could not be asked.
+pub async fn find_ordered(agent: &Agent, candidates: &[Holding]) -> Result<bool, VisitError> {
+    let mut known = true;
+    for candidate in candidates.iter().rev() {
+        let Some(list) = list_of(agent, candidate).await else {
+            info!("no list of pieces to compare with", kv: { version = candidate.version });
+            known = false;
             continue;
         };
-        let list = Rc::new(list);
-        agent.stage.know(list.clone());
         let visit = Visit::begin(agent.engine.addr()).await?;
-        if let Found::Whole(whole) = visit.read_back(&list).await? {
-            count_as_ordered(agent, &list, &whole);
-            return Ok(());
+        match visit.read_back(&list).await? {
+            Found::Whole(whole) => {
+                count_as_ordered(agent, &list, &whole);
+                return Ok(true);
+            }
+            // Nothing lies whole there.
+            Found::Bad(bad) if bad.absent > 0 => return Ok(true),
+            Found::Bad(bad) if bad.numbers.len() < list.digests.len() => return Ok(true),
+            Found::Bad(_) => {}
         }
     }
-    Ok(())
+    Ok(known)
+}
+
+async fn list_of(agent: &Agent, weights: &Holding) -> Option<Rc<PieceList>> {
+    if let Some(list) = agent.stage.list(weights) {
+        return Some(list);
+    }
+    let fetch = Fetch::new(agent.node.clone(), &agent.id(), weights.clone(), 1);
+    let list = Rc::new(timeout(LIST, fetch.list()).await.ok()?);
+    agent.stage.know(list.clone());
+    Some(list)
 }
 
 fn count_as_ordered(agent: &Agent, list: &Rc<PieceList>, whole: &Whole) {
--- a/crates/filbertstack-gateway/src/agent/rollout.rs
+++ b/crates/filbertstack-gateway/src/agent/rollout.rs
@@ -59,6 +59,7 @@
     let mut gathering = Gathering::default();
     let mut declared = agent.node.declared.watch();
     let mut engine = agent.engine.watch();
+    let began = agent.node.clock.now();
     let mut compared = false;
     loop {
         orders::settle(&agent).await;
@@ -66,7 +67,8 @@
             let served = report.holding.map_or(0, |holding| holding.version);
             let needed = needed(&agent, served);
             if !compared && !needed.is_empty() {
-                compared = compare(&agent, &needed).await;
+                let spent = agent.node.clock.now().since(began);
+                compared = compare(&agent, served).await || spent >= orders::UNKNOWN;
             }
             if compared {
                 gathering.follow(&agent, &needed);
@@ -90,10 +92,10 @@
     }
 }
 
-/// Whether what lies at the engine is known to be ordered or not.
-async fn compare(agent: &Agent, needed: &[Holding]) -> bool {
-    match orders::find_ordered(agent, needed).await {
-        Ok(()) => true,
+/// Whether it is known which version an earlier process may have ordered, if any.
+async fn compare(agent: &Agent, served: u64) -> bool {
+    match orders::find_ordered(agent, &agent.candidates(served)).await {
+        Ok(known) => known,
         Err(error) => {
             info!("pieces not compared", kv: { error = error.to_string() });
             false
@@ -219,8 +221,8 @@
     };
     match found {
         Ok(Found::Whole(whole)) => return Some(whole),
-        Ok(Found::Bad(numbers)) => {
-            for number in numbers {
+        Ok(Found::Bad(bad)) => {
+            for number in bad.numbers {
                 warn!("piece turned bad where it lies", kv: { number = number });
                 agent.stage.lose(number);
             }
--- a/crates/filbertstack-gateway/src/agent/visit.rs
+++ b/crates/filbertstack-gateway/src/agent/visit.rs
@@ -79,8 +79,17 @@
 pub enum Found {
     /// All lie there as they must be.
     Whole(Whole),
-    /// These do not.
-    Bad(Vec<u32>),
+    /// Some do not.
+    Bad(Bad),
+}
+
+/// The pieces of a version that do not lie at the engine as they must be.
+#[derive(Debug, Default)]
+pub struct Bad {
+    /// Their numbers.
+    pub numbers: Vec<u32>,
+    /// How many of them do not lie there at all.
+    pub absent: usize,
 }
 
 /// A visit on which all pieces of a version were found.
@@ -124,20 +133,18 @@
     /// # Errors
     /// [`VisitError`]; then it is not known what lies there.
     pub async fn read_back(mut self, list: &PieceList) -> Result<Found, VisitError> {
-        let mut bad = Vec::new();
+        let mut bad = Bad::default();
         for number in 0..weights::count(list) {
             let staged = self.call(read_staged(&list.weights.model, number)).await;
-            let fits = match staged {
-                Ok(bytes) => weights::fits(list, number, &bytes),
-                // It lies there not at all.
-                Err(VisitError::Call(CallFailure::Status(_))) => false,
+            match staged {
+                Ok(bytes) if weights::fits(list, number, &bytes) => continue,
+                Ok(_) => {}
+                Err(VisitError::Call(CallFailure::Status(_))) => bad.absent += 1,
                 Err(error) => return Err(error),
-            };
-            if !fits {
-                bad.push(number);
             }
+            bad.numbers.push(number);
         }
-        if !bad.is_empty() {
+        if !bad.numbers.is_empty() {
             return Ok(Found::Bad(bad));
         }
         Ok(Found::Whole(Whole {
