--- a/crates/filbertstack-gateway/src/agent/mod.rs
+++ b/crates/filbertstack-gateway/src/agent/mod.rs
@@ -1,6 +1,7 @@
 //! The agent process beside a model engine: it tells the engine's load and brings its engine from
 //! one version of the weights to the next.
 
+mod engine;
 mod gather;
 mod orders;
 mod peers;
@@ -20,8 +21,8 @@
 use thiserror::Error;
 use tokio::task::spawn_local;
 
+use crate::agent::engine::Engine;
 use crate::agent::peers::PieceServer;
-use crate::agent::reports::Engine;
 use crate::agent::stage::Stage;
 use crate::clock::Clock;
 use crate::control::follow;
--- a/crates/filbertstack-gateway/src/agent/visit.rs
+++ b/crates/filbertstack-gateway/src/agent/visit.rs
@@ -6,7 +6,6 @@
 //! engine, and the order expects that nothing was begun since.
 
 use std::net::SocketAddr;
-use std::time::Duration;
 
 use bytes::Bytes;
 use filbertstack_platform::engine::EngineReport;
@@ -22,17 +21,13 @@
 use thiserror::Error;
 use tokio::time::timeout;
 
+use crate::agent::engine::LONGEST;
+use crate::agent::engine::PATIENCE;
 use crate::client::CallFailure;
 use crate::client::Connection;
 use crate::client::exchange;
 use crate::weights;
 
-/// How long the engine may take to answer; it is on the same instance.
-pub const PATIENCE: Duration = Duration::from_millis(500);
-
-/// The longest answer of the engine, in bytes: a piece, or a list of models.
-pub const LONGEST: usize = 4 << 20;
-
 /// How far an engine has come. While it changes, the engine has begun an order or started again; of a
 /// start that it does not tell, an engine that has begun nothing shows nothing.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/filbertstack-weights/tests/version.rs
+++ b/crates/filbertstack-weights/tests/version.rs
@@ -7,6 +7,7 @@
 
 use filbertstack_core::Digest;
 use filbertstack_weights::Store;
+use filbertstack_weights::version::Verified;
 use filbertstack_weights::version::Version;
 use filbertstack_weights::version::VersionError;
 
@@ -20,6 +21,15 @@
     }
 }
 
+/// A version of which the store holds every chunk.
+fn verified() -> Version<Verified> {
+    let sample = sample(1);
+    let store = Arc::new(Store::memory(10_000));
+    fill(&store, &sample, 13);
+    let version = Version::declare(sample.manifest, store).unwrap();
+    version.fetch().verify().unwrap()
+}
+
 #[test]
 fn a_version_with_a_hole_is_not_verified() {
     let sample = sample(1);
@@ -83,11 +93,7 @@
 // answers from partial weights under the version's name.
 #[test]
 fn files_that_an_engine_may_be_reading_stay_as_they_are() {
-    let sample = sample(1);
-    let store = Arc::new(Store::memory(10_000));
-    fill(&store, &sample, 13);
-    let version = Version::declare(sample.manifest.clone(), store).unwrap();
-    let verified = version.fetch().verify().unwrap();
+    let verified = verified();
     let out = tempfile::tempdir().unwrap();
     let written = verified.write_to(out.path()).unwrap();
     let whole = fs::read_dir(&written).unwrap().count();
@@ -98,11 +104,7 @@
 
 #[test]
 fn files_that_turned_bad_where_they_were_written_are_written_again() {
-    let sample = sample(1);
-    let store = Arc::new(Store::memory(10_000));
-    fill(&store, &sample, 13);
-    let version = Version::declare(sample.manifest.clone(), store).unwrap();
-    let verified = version.fetch().verify().unwrap();
+    let verified = verified();
     let out = tempfile::tempdir().unwrap();
     let file = verified.write_to(out.path()).unwrap().join("layers/0.bin");
     let right = fs::read(&file).unwrap();
--- a/tests/gateway/orders.rs
+++ b/tests/gateway/orders.rs
@@ -4,6 +4,23 @@
 use crate::model::Model;
 use crate::world::until;
 
+/// Waits until the engine has left an order without an answer.
+fn await_open_order(fleet: &Fleet) {
+    until("an order is left without an answer", || {
+        fleet.models[0].held().unanswered == 1
+    });
+}
+
+/// Kills the agent, names a version and starts the agent again, which is to load that alone.
+fn start_again_for(fleet: &mut Fleet, version: u64) {
+    let agent = fleet.agents[0];
+    fleet.world.kill(agent);
+    fleet.name(version);
+    fleet.world.launch_again(agent);
+    fleet.await_version(version);
+    assert_eq!(fleet.wrong_orders(), 0);
+}
+
 /// Callers got tokens that no version of the weights makes. Three versions were named within nine
 /// seconds. An engine left its agent's order to load the first without an answer and carried it out
 /// four seconds later; the agent had taken it for not carried out and was staging the second over
@@ -18,9 +35,7 @@
     fleet.await_version(2);
     fleet.models[0].held().late_orders = 1;
     fleet.name(3);
-    until("an order is left without an answer", || {
-        fleet.models[0].held().unanswered == 1
-    });
+    await_open_order(&fleet);
     fleet.name(4);
     fleet.await_version(4);
     assert_eq!(fleet.wrong_orders(), 0);
@@ -35,15 +50,8 @@
     fleet.await_version(2);
     fleet.models[0].held().late_orders = 1;
     fleet.name(3);
-    until("an order is left without an answer", || {
-        fleet.models[0].held().unanswered == 1
-    });
-    let agent = fleet.agents[0];
-    fleet.world.kill(agent);
-    fleet.name(4);
-    fleet.world.launch_again(agent);
-    fleet.await_version(4);
-    assert_eq!(fleet.wrong_orders(), 0);
+    await_open_order(&fleet);
+    start_again_for(&mut fleet, 4);
 }
 
 /// The same with an engine that is new: the version that it was ordered to load is the first, which
@@ -54,15 +62,8 @@
     let model = Model::default();
     model.held().late_orders = 1;
     fleet.add_model(model);
-    until("an order is left without an answer", || {
-        fleet.models[0].held().unanswered == 1
-    });
-    let agent = fleet.agents[0];
-    fleet.world.kill(agent);
-    fleet.name(2);
-    fleet.world.launch_again(agent);
-    fleet.await_version(2);
-    assert_eq!(fleet.wrong_orders(), 0);
+    await_open_order(&fleet);
+    start_again_for(&mut fleet, 2);
 }
 
 /// An engine loses its power right after its agent has read all pieces back, and starts again with
