An agent that ends waits until its last answers are written

Cause: a request counts as ended when its last reply stands in the link's queue; the process then ended and closed its links, and what the writing thread had not taken was dropped.

Mend: a stop writes out all links that it accepted before they close; a far end that does not read holds it up until its link is given up. Ruled out: holding the slot until the answer is written, which takes places while chunks pass the same link.

--- a/crates/filbertstack-agent/src/process.rs
+++ b/crates/filbertstack-agent/src/process.rs
@@ -157,12 +157,14 @@
         self.listener.addr()
     }
 
-    /// Takes nothing new, and returns when the requests in progress have ended; false if some had
-    /// not when the stop timeout ran out.
+    /// Takes nothing new, and returns when the requests in progress have ended and their answers are
+    /// on their way; false if some had not ended when the stop timeout ran out.
     pub fn stop(self) -> bool {
         self.gate.leave();
         self.announcer.announce_once();
-        self.gate.wait_idle(self.settings.stop_timeout.into())
+        let idle = self.gate.wait_idle(self.settings.stop_timeout.into());
+        self.listener.flush();
+        idle
     }
 }
 
--- a/crates/filbertstack-wire/src/link.rs
+++ b/crates/filbertstack-wire/src/link.rs
@@ -251,6 +251,7 @@
 impl Writer {
     fn run(mut self) {
         while let Some(mut frames) = self.shared.outbox.take(HEARTBEAT) {
+            let taken = frames.len();
             if frames.is_empty() {
                 frames.push(Frame {
                     item: Some(Item::Ping(Empty {})),
@@ -260,6 +261,7 @@
             if self.write(&frames).is_err() {
                 break;
             }
+            self.shared.outbox.note_written(taken);
         }
         self.shared.close();
     }
--- a/crates/filbertstack-wire/src/listener.rs
+++ b/crates/filbertstack-wire/src/listener.rs
@@ -83,6 +83,20 @@
     }
 }
 
+impl Listener {
+    /// Waits until all that was sent so far on the links accepted is written. A process that ends
+    /// when nothing is in progress must: a reply that is sent stands in its link's queue, and the
+    /// caller's stream would break off. A far end that does not read holds this up for
+    /// [`SILENCE`](crate::link::SILENCE) at most, after which its link is closed.
+    pub fn flush(&self) {
+        let links = self.state.links.lock();
+        let links = links.unwrap_or_else(PoisonError::into_inner).clone();
+        for link in links {
+            link.shared.outbox.flush();
+        }
+    }
+}
+
 impl Drop for Listener {
     fn drop(&mut self) {
         self.state.stopped.store(true, Ordering::Relaxed);
--- a/crates/filbertstack-wire/src/outbox.rs
+++ b/crates/filbertstack-wire/src/outbox.rs
@@ -19,9 +19,20 @@
 struct Queue {
     frames: VecDeque<Frame>,
     bytes: usize,
+    /// How many frames were added, and how many of them are written.
+    added: u64,
+    written: u64,
     closed: bool,
 }
 
+impl Queue {
+    fn add(&mut self, frame: Frame, size: usize) {
+        self.bytes += size;
+        self.added += 1;
+        self.frames.push_back(frame);
+    }
+}
+
 /// The frames of one link that wait for the socket.
 #[derive(Debug, Default)]
 pub(crate) struct Outbox {
@@ -43,8 +54,7 @@
         if queue.closed {
             return Err(WireError::Lost);
         }
-        queue.bytes += size;
-        queue.frames.push_back(frame);
+        queue.add(frame, size);
         self.changed.notify_all();
         Ok(())
     }
@@ -59,8 +69,7 @@
         if queue.bytes > MAX_WAITING {
             return Err(WireError::Overflow);
         }
-        queue.bytes += size;
-        queue.frames.push_back(frame);
+        queue.add(frame, size);
         self.changed.notify_all();
         Ok(())
     }
@@ -85,6 +94,25 @@
         Some(queue.frames.drain(..).collect())
     }
 
+    /// Notes that so many frames that were taken are written.
+    pub(crate) fn note_written(&self, frames: usize) {
+        let mut queue = self.queue.lock().unwrap_or_else(PoisonError::into_inner);
+        queue.written += frames as u64;
+        self.changed.notify_all();
+    }
+
+    /// Waits until all that was added so far is written, or the link is closed.
+    pub(crate) fn flush(&self) {
+        let mut queue = self.queue.lock().unwrap_or_else(PoisonError::into_inner);
+        let added = queue.added;
+        while queue.written < added && !queue.closed {
+            queue = self
+                .changed
+                .wait(queue)
+                .unwrap_or_else(PoisonError::into_inner);
+        }
+    }
+
     /// Ends every wait; what has not been taken is dropped.
     pub(crate) fn close(&self) {
         let mut queue = self.queue.lock().unwrap_or_else(PoisonError::into_inner);
--- a/crates/filbertstack-wire/tests/links.rs
+++ b/crates/filbertstack-wire/tests/links.rs
@@ -375,3 +375,29 @@
     };
     assert!(matches!(error, WireError::Overflow), "{error}");
 }
+
+// The caller gets the whole answer of a process that ends right after it.
+// The handler gives the last piece, and its process ends as nothing is in progress any more. The
+// pieces still wait for the socket; ended then, the caller's stream would break off.
+#[test]
+fn what_was_sent_is_written_before_the_end() {
+    const PIECES: usize = 64;
+    let (listener, calls) = serve(good_keys());
+    let dialer = dialer(good_keys());
+    let link = dialer.link(listener.addr(), Role::Peer).expect("connects");
+    let mut replies = link.call(Ask::Term(Empty {})).expect("sent");
+    let (_, mut responder) = calls.recv_timeout(PATIENCE).expect("the call arrives");
+    for _ in 1..PIECES {
+        responder
+            .send(payload(vec![7; 100_000]))
+            .expect("it stands");
+    }
+    responder.finish(payload("end")).expect("it stands");
+    listener.flush();
+    drop(listener);
+    let deadline = Instant::now() + PATIENCE;
+    for _ in 0..PIECES {
+        assert!(replies.next(deadline).expect("a piece").is_some());
+    }
+    assert_eq!(replies.next(deadline).expect("the end"), None);
+}
