--- a/crates/filbertstack-gateway/src/agent/rollout.rs
+++ b/crates/filbertstack-gateway/src/agent/rollout.rs
@@ -60,17 +60,17 @@
     let mut declared = agent.node.declared.watch();
     let mut engine = agent.engine.watch();
     let began = agent.node.clock.now();
-    let mut compared = false;
+    let mut known = false;
     loop {
         orders::settle(&agent).await;
         if let Some(report) = agent.engine.report() {
             let served = report.holding.map_or(0, |holding| holding.version);
             let needed = needed(&agent, served);
-            if !compared && !needed.is_empty() {
+            if !known && !needed.is_empty() {
                 let spent = agent.node.clock.now().since(began);
-                compared = compare(&agent, served).await || spent >= orders::UNKNOWN;
+                known = knows_ordered(&agent, served).await || spent >= orders::UNKNOWN;
             }
-            if compared {
+            if known {
                 gathering.follow(&agent, &needed);
             }
             // While pieces of another version come in, what lies there is no longer whole.
@@ -93,7 +93,7 @@
 }
 
 /// Whether it is known which version an earlier process may have ordered, if any.
-async fn compare(agent: &Agent, served: u64) -> bool {
+async fn knows_ordered(agent: &Agent, served: u64) -> bool {
     match orders::find_ordered(agent, &agent.candidates(served)).await {
         Ok(known) => known,
         Err(error) => {
