Only a piece that is not found counts as absent

Cause: any status counted; an engine that was busy for a moment (503) looked as if nothing lay there, and an agent that starts would have taken it for free to stage. Found by reading, not seen.

--- a/crates/filbertstack-gateway/src/agent/visit.rs
+++ b/crates/filbertstack-gateway/src/agent/visit.rs
@@ -134,7 +134,9 @@
             match staged {
                 Ok(bytes) if weights::fits(list, number, &bytes) => continue,
                 Ok(_) => {}
-                Err(VisitError::Call(CallFailure::Status(_))) => bad.absent += 1,
+                Err(VisitError::Call(CallFailure::Status(StatusCode::NOT_FOUND))) => {
+                    bad.absent += 1;
+                }
                 Err(error) => return Err(error),
             }
             bad.numbers.push(number);
