--- a/crates/filbertstack-policy/src/rollout.rs
+++ b/crates/filbertstack-policy/src/rollout.rs
@@ -95,9 +95,11 @@
     Millis(first.0 + (last.0 - first.0) * place / steps)
 }
 
-/// The pause before an order that got no answer is sent again, and the longest. An engine that lost
-/// one answer gives the next at once; one that is behind with its orders gets few more of them.
+/// The first pause before an order that got no answer is sent again: an engine that lost one answer
+/// gives the next at once. It doubles each time.
 const REPEAT: Millis = Millis(200);
+
+/// The longest pause: an engine that is 12 s behind with its orders, as was seen, gets seven of them.
 const LONGEST_REPEAT: Millis = Millis(3_200);
 
 /// How long to wait for the outcome of an order that was sent `sent` times before it is sent again.
