--- a/crates/filbertstack-wire/src/link.rs
+++ b/crates/filbertstack-wire/src/link.rs
@@ -2,6 +2,7 @@
 
 use std::collections::HashMap;
 use std::fmt;
+use std::io;
 use std::io::ErrorKind;
 use std::io::Read;
 use std::io::Write;
@@ -22,6 +23,9 @@
 
 use bytes::BytesMut;
 use prost::Message;
+use spdlog::info;
+use spdlog::warn;
+use thiserror::Error;
 
 use crate::error::WireError;
 use crate::frame::Opener;
@@ -80,10 +84,37 @@
     }
 }
 
+/// Why a link ended, as its log line says it.
+#[derive(Debug, Error)]
+enum End {
+    #[error("this process closed it")]
+    Closed,
+    #[error("the far end closed it")]
+    Left,
+    #[error("the far end was silent for {SILENCE:?}")]
+    Silent,
+    #[error("reading failed: {0}")]
+    Read(io::Error),
+    #[error("writing failed: {0}")]
+    Write(WireError),
+    #[error("{0}")]
+    Frame(WireError),
+}
+
+impl From<io::Error> for End {
+    fn from(error: io::Error) -> Self {
+        match error.kind() {
+            ErrorKind::WouldBlock | ErrorKind::TimedOut => Self::Silent,
+            _ => Self::Read(error),
+        }
+    }
+}
+
 /// What a link's threads, calls and responders share.
 pub(crate) struct Shared {
     pub(crate) outbox: Outbox,
     socket: TcpStream,
+    remote: Remote,
     closed: AtomicBool,
     inboxes: Mutex<HashMap<u64, Inbox>>,
     incoming: Mutex<HashMap<u64, Arc<AtomicBool>>>,
@@ -103,30 +134,45 @@
         lock(&self.incoming).remove(&stream);
     }
 
-    fn close(&self) {
-        self.closed.store(true, Ordering::Relaxed);
+    fn close(&self, end: &End) {
+        let ended = self.closed.swap(true, Ordering::Relaxed);
         self.outbox.close();
         let _ = self.socket.shutdown(Shutdown::Both);
-        for (_, inbox) in lock(&self.inboxes).drain() {
+        let mut inboxes = lock(&self.inboxes);
+        if !ended {
+            self.explain(end, inboxes.len());
+        }
+        for (_, inbox) in inboxes.drain() {
             inbox.fail(WireError::Lost);
         }
+        drop(inboxes);
         for (_, flag) in lock(&self.incoming).drain() {
             flag.store(true, Ordering::Relaxed);
         }
     }
+
+    /// Says why the link ended, and how many calls broke off with it.
+    fn explain(&self, end: &End, calls: usize) {
+        let Remote { role, name } = &self.remote;
+        let cause = end.to_string();
+        if calls == 0 {
+            info!("link ended", kv: { role:?, peer = name.as_ref(), cause });
+        } else {
+            warn!("link ended, calls broken off", kv: { role:?, peer = name.as_ref(), cause, calls });
+        }
+    }
 }
 
 /// One connection that carries many calls both ways; clones share it.
 #[derive(Clone)]
 pub struct Link {
     pub(crate) shared: Arc<Shared>,
-    remote: Remote,
 }
 
 impl fmt::Debug for Link {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.debug_struct("Link")
-            .field("remote", &self.remote)
+            .field("remote", &self.shared.remote)
             .finish_non_exhaustive()
     }
 }
@@ -149,6 +195,7 @@
         let shared = Arc::new(Shared {
             outbox: Outbox::default(),
             socket: socket.try_clone()?,
+            remote,
             closed: AtomicBool::new(false),
             inboxes: Mutex::default(),
             incoming: Mutex::default(),
@@ -162,14 +209,12 @@
         spawn("link-writer", move || writer.run())?;
         let link = Self {
             shared: shared.clone(),
-            remote: remote.clone(),
         };
         let reader = Reader {
             shared,
             socket,
             opener,
             input,
-            remote,
             handler,
         };
         spawn("link-reader", move || reader.run())?;
@@ -177,8 +222,8 @@
     }
 
     /// Who is at the far end.
-    pub const fn remote(&self) -> &Remote {
-        &self.remote
+    pub fn remote(&self) -> &Remote {
+        &self.shared.remote
     }
 
     /// Whether the link is gone.
@@ -188,7 +233,7 @@
 
     /// Closes the link; calls in progress end as lost.
     pub fn close(&self) {
-        self.shared.close();
+        self.shared.close(&End::Closed);
     }
 
     /// Starts a call.
@@ -250,6 +295,12 @@
 
 impl Writer {
     fn run(mut self) {
+        let end = self.write_all().map_or_else(End::Write, |()| End::Closed);
+        self.shared.close(&end);
+    }
+
+    /// Writes what is sent until the link is closed.
+    fn write_all(&mut self) -> Result<(), WireError> {
         while let Some(mut frames) = self.shared.outbox.take(HEARTBEAT) {
             let taken = frames.len();
             if frames.is_empty() {
@@ -258,12 +309,10 @@
                     ..Frame::default()
                 });
             }
-            if self.write(&frames).is_err() {
-                break;
-            }
+            self.write(&frames)?;
             self.shared.outbox.note_written(taken);
         }
-        self.shared.close();
+        Ok(())
     }
 
     fn write(&mut self, frames: &[Frame]) -> Result<(), WireError> {
@@ -284,23 +333,30 @@
     socket: TcpStream,
     opener: Opener,
     input: BytesMut,
-    remote: Remote,
     handler: Arc<dyn Handler>,
 }
 
 impl Reader {
     fn run(mut self) {
+        let end = self.read_all();
+        self.shared.close(&end);
+    }
+
+    /// Takes what comes until the link ends, and says why it ended.
+    fn read_all(&mut self) -> End {
         let mut buffer = vec![0; READ_BUFFER];
-        while self.take_frames().is_ok() && !self.shared.is_closed() {
-            let n = match self.socket.read(&mut buffer) {
-                Ok(0) => break,
-                Ok(n) => n,
-                Err(error) if error.kind() == ErrorKind::Interrupted => continue,
-                Err(_) => break,
-            };
-            self.input.extend_from_slice(&buffer[..n]);
+        while !self.shared.is_closed() {
+            if let Err(error) = self.take_frames() {
+                return End::Frame(error);
+            }
+            match self.socket.read(&mut buffer) {
+                Ok(0) => return End::Left,
+                Ok(n) => self.input.extend_from_slice(&buffer[..n]),
+                Err(error) if error.kind() == ErrorKind::Interrupted => {}
+                Err(error) => return error.into(),
+            }
         }
-        self.shared.close();
+        End::Closed
     }
 
     fn take_frames(&mut self) -> Result<(), WireError> {
@@ -342,7 +398,7 @@
             incoming.insert(stream, cancelled);
         }
         match call.ask {
-            Some(ask) => self.handler.handle(&self.remote, ask, responder),
+            Some(ask) => self.handler.handle(&self.shared.remote, ask, responder),
             None => responder.refuse("a call of a later release: upgrade this end", 0),
         }
     }
--- a/tests/system/leaving.rs
+++ b/tests/system/leaving.rs
@@ -51,6 +51,20 @@
     );
 }
 
+// The designer's streamed answer arrives whole although its own agent is stopped at the first token.
+// With one target alone, the agent that is stopped surely holds the stream. It writes the last pieces
+// and ends; a heartbeat that the entry then writes fails, while the pieces still wait to be read.
+#[test]
+fn the_agent_that_holds_a_stream_finishes_it_before_it_ends() {
+    let mut served = Served::start(1);
+    let addr = served.system.entries[0].http;
+    let agent = &served.agents[0];
+    let text = stream(addr, "held by one", || agent.signal("TERM"));
+    assert_eq!(text, Ok(served.weights.answer("held by one", TOKENS)));
+    let status = served.agents[0].wait();
+    assert!(status.success(), "{status}");
+}
+
 // A drained target finishes the answer in progress, and new requests go elsewhere.
 #[test]
 fn a_drained_target_gets_nothing_new() {
