--- a/crates/filbertstack-wire/src/link.rs
+++ b/crates/filbertstack-wire/src/link.rs
@@ -1,11 +1,11 @@
 //! One connection that carries many calls both ways.
 
+mod end;
+mod reader;
+mod writer;
+
 use std::collections::HashMap;
 use std::fmt;
-use std::io;
-use std::io::ErrorKind;
-use std::io::Read;
-use std::io::Write;
 use std::net::Shutdown;
 use std::net::TcpStream;
 use std::sync::Arc;
@@ -21,21 +21,17 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use bytes::BytesMut;
-use prost::Message;
 use spdlog::info;
 use spdlog::warn;
-use thiserror::Error;
 
 use crate::error::WireError;
-use crate::frame::Opener;
-use crate::frame::Sealer;
 use crate::handshake::Session;
 use crate::keys::Role;
+use crate::link::end::End;
+use crate::link::reader::Reader;
+use crate::link::writer::Writer;
 use crate::messages::Ask;
 use crate::messages::Call;
-use crate::messages::Empty;
-use crate::messages::Fault;
 use crate::messages::Frame;
 use crate::messages::Item;
 use crate::messages::Tell;
@@ -56,10 +52,8 @@
 /// The stack of a link's threads and of handlers, in bytes.
 pub const STACK: usize = 512 << 10;
 
-/// How many calls of the far end may be in progress at once.
-const MAX_CALLS: usize = 4096;
-
-const READ_BUFFER: usize = 64 << 10;
+/// How many bytes are read, and about how many are written, at once.
+const BUFFER: usize = 64 << 10;
 
 /// Who is at the far end of a link.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -84,46 +78,26 @@
     }
 }
 
-/// Why a link ended, as its log line says it.
-#[derive(Debug, Error)]
-enum End {
-    #[error("this process closed it")]
-    Closed,
-    #[error("the far end closed it")]
-    Left,
-    #[error("the far end was silent for {SILENCE:?}")]
-    Silent,
-    #[error("reading failed: {0}")]
-    Read(io::Error),
-    #[error("writing failed: {0}")]
-    Write(WireError),
-    #[error("{0}")]
-    Frame(WireError),
-}
-
-impl From<io::Error> for End {
-    fn from(error: io::Error) -> Self {
-        match error.kind() {
-            ErrorKind::WouldBlock | ErrorKind::TimedOut => Self::Silent,
-            _ => Self::Read(error),
-        }
-    }
-}
-
 /// What a link's threads, calls and responders share.
 pub(crate) struct Shared {
     pub(crate) outbox: Outbox,
     socket: TcpStream,
     remote: Remote,
-    closed: AtomicBool,
+    ended: AtomicBool,
     inboxes: Mutex<HashMap<u64, Inbox>>,
     incoming: Mutex<HashMap<u64, Arc<AtomicBool>>>,
     next: AtomicU64,
 }
 
 impl Shared {
+    /// Whether nothing can be sent any more.
     pub(crate) fn is_closed(&self) -> bool {
-        self.closed.load(Ordering::Relaxed)
+        self.outbox.is_closed()
+    }
+
+    /// Whether nothing is read any more either.
+    fn has_ended(&self) -> bool {
+        self.ended.load(Ordering::Relaxed)
     }
 
     pub(crate) fn forget(&self, stream: u64) {
@@ -134,9 +108,43 @@
         lock(&self.incoming).remove(&stream);
     }
 
+    /// Ends the sending side after a write failed; `unsent` was taken from the outbox and not written.
+    ///
+    /// A failed write says nothing of what the far end sent before it: a process that ends writes its
+    /// last answers and closes the connection, and the next heartbeat to it fails while they still wait
+    /// to be read. So the reader goes on; calls that were never written can get no answer and fail now.
+    fn stop_sending(&self, end: &End, unsent: impl IntoIterator<Item = Frame>) {
+        let Remote { role, name } = &self.remote;
+        let cause = end.to_string();
+        info!("link sends no more", kv: { role:?, peer = name.as_ref(), cause });
+        let waiting = self.outbox.close();
+        self.fail_unsent(unsent.into_iter().chain(waiting));
+        self.cancel_incoming();
+        // Tells the far end, if it lives, that nothing more comes.
+        let _ = self.socket.shutdown(Shutdown::Write);
+    }
+
+    /// Withdraws the far end's calls: their replies can't reach it.
+    fn cancel_incoming(&self) {
+        for (_, flag) in lock(&self.incoming).drain() {
+            flag.store(true, Ordering::Relaxed);
+        }
+    }
+
+    /// Fails the calls among `frames`, none of which was written.
+    fn fail_unsent(&self, frames: impl IntoIterator<Item = Frame>) {
+        let calls = frames.into_iter();
+        let calls = calls.filter(|frame| matches!(frame.item, Some(Item::Call(_))));
+        let mut inboxes = lock(&self.inboxes);
+        for inbox in calls.filter_map(|frame| inboxes.remove(&frame.stream)) {
+            inbox.fail(WireError::Lost);
+        }
+    }
+
     fn close(&self, end: &End) {
-        let ended = self.closed.swap(true, Ordering::Relaxed);
-        self.outbox.close();
+        let ended = self.ended.swap(true, Ordering::Relaxed);
+        let waiting = self.outbox.close();
+        self.fail_unsent(waiting);
         let _ = self.socket.shutdown(Shutdown::Both);
         let mut inboxes = lock(&self.inboxes);
         if !ended {
@@ -146,9 +154,7 @@
             inbox.fail(WireError::Lost);
         }
         drop(inboxes);
-        for (_, flag) in lock(&self.incoming).drain() {
-            flag.store(true, Ordering::Relaxed);
-        }
+        self.cancel_incoming();
     }
 
     /// Says why the link ended, and how many calls broke off with it.
@@ -196,7 +202,7 @@
             outbox: Outbox::default(),
             socket: socket.try_clone()?,
             remote,
-            closed: AtomicBool::new(false),
+            ended: AtomicBool::new(false),
             inboxes: Mutex::default(),
             incoming: Mutex::default(),
             next: AtomicU64::new(1),
@@ -226,7 +232,7 @@
         &self.shared.remote
     }
 
-    /// Whether the link is gone.
+    /// Whether the link takes no more calls. What the far end sent before may still be read.
     pub fn is_closed(&self) -> bool {
         self.shared.is_closed()
     }
@@ -287,158 +293,6 @@
     }
 }
 
-struct Writer {
-    shared: Arc<Shared>,
-    socket: TcpStream,
-    sealer: Sealer,
-}
-
-impl Writer {
-    fn run(mut self) {
-        let end = self.write_all().map_or_else(End::Write, |()| End::Closed);
-        self.shared.close(&end);
-    }
-
-    /// Writes what is sent until the link is closed.
-    fn write_all(&mut self) -> Result<(), WireError> {
-        while let Some(mut frames) = self.shared.outbox.take(HEARTBEAT) {
-            let taken = frames.len();
-            if frames.is_empty() {
-                frames.push(Frame {
-                    item: Some(Item::Ping(Empty {})),
-                    ..Frame::default()
-                });
-            }
-            self.write(&frames)?;
-            self.shared.outbox.note_written(taken);
-        }
-        Ok(())
-    }
-
-    fn write(&mut self, frames: &[Frame]) -> Result<(), WireError> {
-        let mut out = BytesMut::new();
-        for frame in frames {
-            self.sealer.seal(frame, &mut out)?;
-            if out.len() >= READ_BUFFER {
-                self.socket.write_all(&out)?;
-                out.clear();
-            }
-        }
-        Ok(self.socket.write_all(&out)?)
-    }
-}
-
-struct Reader {
-    shared: Arc<Shared>,
-    socket: TcpStream,
-    opener: Opener,
-    input: BytesMut,
-    handler: Arc<dyn Handler>,
-}
-
-impl Reader {
-    fn run(mut self) {
-        let end = self.read_all();
-        self.shared.close(&end);
-    }
-
-    /// Takes what comes until the link ends, and says why it ended.
-    fn read_all(&mut self) -> End {
-        let mut buffer = vec![0; READ_BUFFER];
-        while !self.shared.is_closed() {
-            if let Err(error) = self.take_frames() {
-                return End::Frame(error);
-            }
-            match self.socket.read(&mut buffer) {
-                Ok(0) => return End::Left,
-                Ok(n) => self.input.extend_from_slice(&buffer[..n]),
-                Err(error) if error.kind() == ErrorKind::Interrupted => {}
-                Err(error) => return error.into(),
-            }
-        }
-        End::Closed
-    }
-
-    fn take_frames(&mut self) -> Result<(), WireError> {
-        while let Some(frame) = self.opener.open(&mut self.input)? {
-            self.take(frame);
-        }
-        Ok(())
-    }
-
-    fn take(&self, frame: Frame) {
-        let Frame {
-            stream,
-            seq,
-            last,
-            item,
-        } = frame;
-        match item {
-            Some(Item::Call(call)) => self.take_call(stream, call),
-            Some(Item::Reply(reply)) => self.take_reply(stream, seq, last, reply),
-            Some(Item::Fault(fault)) => self.take_fault(stream, fault),
-            Some(Item::Cancel(_)) => {
-                if let Some(flag) = lock(&self.shared.incoming).get(&stream) {
-                    flag.store(true, Ordering::Relaxed);
-                }
-            }
-            Some(Item::Ping(_)) | None => {}
-        }
-    }
-
-    fn take_call(&self, stream: u64, call: Call) {
-        let cancelled = Arc::new(AtomicBool::new(false));
-        let responder = Responder::new(self.shared.clone(), stream, cancelled.clone());
-        if stream != 0 {
-            let mut incoming = lock(&self.shared.incoming);
-            if incoming.len() >= MAX_CALLS {
-                drop(incoming);
-                return responder.refuse("too many calls on this link: come back", 1000);
-            }
-            incoming.insert(stream, cancelled);
-        }
-        match call.ask {
-            Some(ask) => self.handler.handle(&self.shared.remote, ask, responder),
-            None => responder.refuse("a call of a later release: upgrade this end", 0),
-        }
-    }
-
-    /// A reply to a call that is no longer waited for is dropped here: it has no inbox.
-    fn take_reply(&self, stream: u64, seq: u32, last: bool, reply: crate::messages::Reply) {
-        let mut inboxes = lock(&self.shared.inboxes);
-        let Some(inbox) = inboxes.get_mut(&stream) else {
-            return;
-        };
-        let size = reply.encoded_len();
-        let delivered = inbox.deliver(seq, last, reply, size);
-        if let Err(error) = delivered {
-            inbox.fail(error);
-            inboxes.remove(&stream);
-        } else if last {
-            inboxes.remove(&stream);
-        }
-    }
-
-    fn take_fault(&self, stream: u64, fault: Fault) {
-        let Some(inbox) = lock(&self.shared.inboxes).remove(&stream) else {
-            return;
-        };
-        let cause = fault.cause();
-        let Fault {
-            text,
-            after,
-            not_run,
-            ..
-        } = fault;
-        let error = if not_run {
-            WireError::Refused { text, after, cause }
-        } else {
-            WireError::Lost
-        };
-        inbox.fail(error);
-    }
-}
-
 fn spawn(name: &str, body: impl FnOnce() + Send + 'static) -> Result<(), WireError> {
     let builder = thread::Builder::new().name(name.into()).stack_size(STACK);
     builder.spawn(body)?;
--- /dev/null
+++ b/crates/filbertstack-wire/src/link/writer.rs
@@ -0,0 +1,62 @@
+//! The thread that writes a link's frames.
+
+use std::collections::VecDeque;
+use std::io::Write;
+use std::net::TcpStream;
+use std::sync::Arc;
+
+use bytes::BytesMut;
+
+use crate::error::WireError;
+use crate::frame::Sealer;
+use crate::link::BUFFER;
+use crate::link::HEARTBEAT;
+use crate::link::Shared;
+use crate::link::end::End;
+use crate::messages::Empty;
+use crate::messages::Frame;
+use crate::messages::Item;
+
+pub struct Writer {
+    pub shared: Arc<Shared>,
+    pub socket: TcpStream,
+    pub sealer: Sealer,
+}
+
+impl Writer {
+    /// Writes what is sent until nothing more can be.
+    pub fn run(mut self) {
+        while let Some(mut frames) = self.shared.outbox.take(HEARTBEAT) {
+            let taken = frames.len();
+            if frames.is_empty() {
+                frames.push_back(ping());
+            }
+            if let Err(error) = self.write(&mut frames) {
+                self.shared.stop_sending(&End::Write(error), frames);
+                return;
+            }
+            self.shared.outbox.note_written(taken);
+        }
+    }
+
+    /// Writes `frames`. After an error, those are left of which nothing was written.
+    fn write(&mut self, frames: &mut VecDeque<Frame>) -> Result<(), WireError> {
+        while !frames.is_empty() {
+            let mut out = BytesMut::new();
+            while out.len() < BUFFER
+                && let Some(frame) = frames.pop_front()
+            {
+                self.sealer.seal(&frame, &mut out)?;
+            }
+            self.socket.write_all(&out)?;
+        }
+        Ok(())
+    }
+}
+
+fn ping() -> Frame {
+    Frame {
+        item: Some(Item::Ping(Empty {})),
+        ..Frame::default()
+    }
+}
--- a/crates/filbertstack-wire/src/outbox.rs
+++ b/crates/filbertstack-wire/src/outbox.rs
@@ -1,6 +1,7 @@
 //! Frames that wait for the socket, bounded by bytes.
 
 use std::collections::VecDeque;
+use std::mem;
 use std::sync::Condvar;
 use std::sync::Mutex;
 use std::sync::PoisonError;
@@ -22,7 +23,7 @@
     /// How many frames were added, and how many of them are written.
     added: u64,
     written: u64,
-    closed: bool,
+    closed: Option<Instant>,
 }
 
 impl Queue {
@@ -45,13 +46,13 @@
     pub(crate) fn push(&self, frame: Frame) -> Result<(), WireError> {
         let size = frame.encoded_len();
         let mut queue = self.queue.lock().unwrap_or_else(PoisonError::into_inner);
-        while queue.bytes > MAX_WAITING && !queue.closed {
+        while queue.bytes > MAX_WAITING && queue.closed.is_none() {
             queue = self
                 .changed
                 .wait(queue)
                 .unwrap_or_else(PoisonError::into_inner);
         }
-        if queue.closed {
+        if queue.closed.is_some() {
             return Err(WireError::Lost);
         }
         queue.add(frame, size);
@@ -63,7 +64,7 @@
     pub(crate) fn offer(&self, frame: Frame) -> Result<(), WireError> {
         let size = frame.encoded_len();
         let mut queue = self.queue.lock().unwrap_or_else(PoisonError::into_inner);
-        if queue.closed {
+        if queue.closed.is_some() {
             return Err(WireError::Lost);
         }
         if queue.bytes > MAX_WAITING {
@@ -75,23 +76,23 @@
     }
 
     /// Takes what waits, after up to `wait`; `None` once closed.
-    pub(crate) fn take(&self, wait: Duration) -> Option<Vec<Frame>> {
+    pub(crate) fn take(&self, wait: Duration) -> Option<VecDeque<Frame>> {
         let until = Instant::now() + wait;
         let mut queue = self.queue.lock().unwrap_or_else(PoisonError::into_inner);
-        while queue.frames.is_empty() && !queue.closed {
+        while queue.frames.is_empty() && queue.closed.is_none() {
             let left = until.saturating_duration_since(Instant::now());
             if left.is_zero() {
-                return Some(Vec::new());
+                return Some(VecDeque::new());
             }
             let waited = self.changed.wait_timeout(queue, left);
             queue = waited.unwrap_or_else(PoisonError::into_inner).0;
         }
-        if queue.closed {
+        if queue.closed.is_some() {
             return None;
         }
         queue.bytes = 0;
         self.changed.notify_all();
-        Some(queue.frames.drain(..).collect())
+        Some(mem::take(&mut queue.frames))
     }
 
     /// Notes that so many frames that were taken are written.
@@ -105,7 +106,7 @@
     pub(crate) fn flush(&self) {
         let mut queue = self.queue.lock().unwrap_or_else(PoisonError::into_inner);
         let added = queue.added;
-        while queue.written < added && !queue.closed {
+        while queue.written < added && queue.closed.is_none() {
             queue = self
                 .changed
                 .wait(queue)
@@ -113,11 +114,22 @@
         }
     }
 
-    /// Ends every wait; what has not been taken is dropped.
-    pub(crate) fn close(&self) {
+    /// Ends every wait, and gives what has not been taken.
+    pub(crate) fn close(&self) -> VecDeque<Frame> {
         let mut queue = self.queue.lock().unwrap_or_else(PoisonError::into_inner);
-        queue.closed = true;
-        queue.frames.clear();
+        queue.closed.get_or_insert_with(Instant::now);
         self.changed.notify_all();
+        mem::take(&mut queue.frames)
+    }
+
+    /// Whether nothing can be added any more.
+    pub(crate) fn is_closed(&self) -> bool {
+        self.closed_at().is_some()
+    }
+
+    /// When it was closed.
+    pub(crate) fn closed_at(&self) -> Option<Instant> {
+        let queue = self.queue.lock();
+        queue.unwrap_or_else(PoisonError::into_inner).closed
     }
 }
--- a/crates/filbertstack-wire/tests/links.rs
+++ b/crates/filbertstack-wire/tests/links/calls.rs
@@ -1,4 +1,4 @@
-//! Links over loopback: calls, cancellation, keys, forged and oversized frames, silence.
+//! Calls: replies in order, cancellation, keys, forged and oversized frames, silence.
 
 use std::io::Read;
 use std::io::Write;
@@ -6,95 +6,33 @@
 use std::net::TcpListener;
 use std::net::TcpStream;
 use std::sync::Arc;
-use std::sync::mpsc::Sender;
 use std::sync::mpsc::channel;
 use std::time::Duration;
 use std::time::Instant;
 
-use bytes::Bytes;
 use bytes::BytesMut;
-use filbertstack_wire::Dialer;
-use filbertstack_wire::Handler;
 use filbertstack_wire::Key;
 use filbertstack_wire::Keyring;
-use filbertstack_wire::Listener;
-use filbertstack_wire::Remote;
-use filbertstack_wire::Responder;
 use filbertstack_wire::Role;
 use filbertstack_wire::WireError;
 use filbertstack_wire::frame::Opener;
 use filbertstack_wire::frame::Sealer;
-use filbertstack_wire::handshake;
 use filbertstack_wire::link::Link;
 use filbertstack_wire::messages::Ask;
-use filbertstack_wire::messages::Call;
 use filbertstack_wire::messages::Empty;
 use filbertstack_wire::messages::Frame;
 use filbertstack_wire::messages::Item;
-use filbertstack_wire::messages::Payload;
-use filbertstack_wire::messages::Reply;
 use filbertstack_wire::stream::payload;
 
-const PATIENCE: Duration = Duration::from_secs(20);
-
-fn keys(text: &str) -> Keyring {
-    let key = Key::of(text).expect("long enough");
-    Keyring {
-        peer: Some(key),
-        agent: None,
-    }
-}
-
-fn good_keys() -> Keyring {
-    keys("a key of the peers")
-}
-
-struct Silent;
-
-impl Handler for Silent {
-    fn handle(&self, _: &Remote, _: Ask, responder: Responder) {
-        responder.refuse("nothing is served here", 0);
-    }
-}
-
-/// Answers `Propose` by its own payload, thrice; passes every other call to the test.
-struct Echo {
-    calls: Sender<(Ask, Responder)>,
-}
-
-impl Handler for Echo {
-    fn handle(&self, _: &Remote, ask: Ask, mut responder: Responder) {
-        match ask {
-            Ask::Propose(Payload { body }) => {
-                responder
-                    .send(payload(body.clone()))
-                    .expect("the link stands");
-                responder
-                    .send(payload(body.clone()))
-                    .expect("the link stands");
-                responder.finish(payload(body)).expect("the link stands");
-            }
-            ask => self.calls.send((ask, responder)).expect("the test waits"),
-        }
-    }
-}
-
-fn serve(keys: Keyring) -> (Listener, std::sync::mpsc::Receiver<(Ask, Responder)>) {
-    let socket = TcpListener::bind("127.0.0.1:0").expect("a free port");
-    let (calls, received) = channel();
-    let listener = Listener::start(socket, "server", keys, Arc::new(Echo { calls }));
-    (listener.expect("starts"), received)
-}
-
-fn dialer(keys: Keyring) -> Dialer {
-    Dialer::new("caller", keys, Arc::new(Silent))
-}
-
-fn propose(text: &str) -> Ask {
-    Ask::Propose(Payload {
-        body: Bytes::copy_from_slice(text.as_bytes()),
-    })
-}
+use crate::support::PATIENCE;
+use crate::support::dialer;
+use crate::support::first_call;
+use crate::support::good_keys;
+use crate::support::keys;
+use crate::support::propose;
+use crate::support::reply;
+use crate::support::scripted;
+use crate::support::serve;
 
 #[test]
 fn replies_come_in_order_and_end() {
@@ -255,42 +193,6 @@
     Opener::new(key).open(&mut huge).expect_err("oversized");
 }
 
-/// A far end that completes the handshake and then answers as the test says.
-fn scripted(script: impl FnOnce(handshake::Session) + Send + 'static) -> SocketAddr {
-    let socket = TcpListener::bind("127.0.0.1:0").expect("a free port");
-    let addr = socket.local_addr().expect("bound");
-    std::thread::spawn(move || {
-        let (connection, _) = socket.accept().expect("the caller connects");
-        script(handshake::accept(connection, "server", &good_keys()).expect("the same key"));
-    });
-    addr
-}
-
-fn reply(stream: u64, seq: u32, last: bool, text: &str) -> Frame {
-    let told = Reply {
-        tell: Some(payload(text.to_owned())),
-    };
-    Frame {
-        stream,
-        seq,
-        last,
-        item: Some(Item::Reply(told)),
-    }
-}
-
-fn first_call(session: &mut handshake::Session) -> (u64, Call) {
-    let mut buffer = [0; 4096];
-    loop {
-        let frame = session.opener.open(&mut session.input).expect("sealed");
-        let frame = frame.unwrap_or_default();
-        if let Some(Item::Call(call)) = frame.item {
-            return (frame.stream, call);
-        }
-        let n = session.socket.read(&mut buffer).expect("the caller writes");
-        session.input.extend_from_slice(&buffer[..n]);
-    }
-}
-
 // The caller sees its call break off instead of an answer with a piece doubled or swapped.
 // The far end sends reply 0, then 0 again (or 2); a frame for a call that nobody made comes
 // between. Without the numbers the second piece would be joined to the answer.
--- /dev/null
+++ b/crates/filbertstack-wire/tests/links/ending.rs
@@ -0,0 +1,162 @@
+//! How links end: what has arrived is still read, and nothing waits for a far end that is gone.
+
+use std::io::Write;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::mpsc::Receiver;
+use std::sync::mpsc::Sender;
+use std::sync::mpsc::channel;
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
+
+use bytes::BytesMut;
+use filbertstack_wire::Dialer;
+use filbertstack_wire::Handler;
+use filbertstack_wire::Link;
+use filbertstack_wire::Remote;
+use filbertstack_wire::Responder;
+use filbertstack_wire::Role;
+use filbertstack_wire::WireError;
+use filbertstack_wire::handshake::Session;
+use filbertstack_wire::messages::Ask;
+use filbertstack_wire::messages::Empty;
+use filbertstack_wire::messages::Frame;
+use filbertstack_wire::messages::Item;
+use filbertstack_wire::stream::call;
+use filbertstack_wire::stream::payload;
+
+use crate::support::PATIENCE;
+use crate::support::dialer;
+use crate::support::first_call;
+use crate::support::good_keys;
+use crate::support::reply;
+use crate::support::scripted;
+
+/// Holds up the reading thread of its link at each call, until the test lets go.
+struct Held {
+    entered: Sender<()>,
+    release: Mutex<Receiver<()>>,
+}
+
+impl Handler for Held {
+    fn handle(&self, _: &Remote, _: Ask, responder: Responder) {
+        self.entered.send(()).expect("the script waits");
+        let release = self.release.lock().expect("one reader");
+        let _ = release.recv_timeout(PATIENCE);
+        responder.refuse("nothing is served here", 0);
+    }
+}
+
+fn send(session: &mut Session, frames: &[Frame]) {
+    let mut out = BytesMut::new();
+    for frame in frames {
+        session.sealer.seal(frame, &mut out).expect("small");
+    }
+    session.socket.write_all(&out).expect("the link stands");
+}
+
+/// A call of the far end.
+fn asked(stream: u64) -> Frame {
+    Frame {
+        stream,
+        item: Some(Item::Call(call(Ask::Term(Empty {})))),
+        ..Frame::default()
+    }
+}
+
+fn ping() -> Frame {
+    Frame {
+        item: Some(Item::Ping(Empty {})),
+        ..Frame::default()
+    }
+}
+
+fn connect(dialer: &Dialer, addr: SocketAddr) -> Link {
+    dialer.link(addr, Role::Peer).expect("connects")
+}
+
+/// Writes to `link` until it sends no more.
+fn wait_for_failed_write(link: &Link) {
+    let until = Instant::now() + PATIENCE;
+    while link.tell(Ask::Term(Empty {})).is_ok() {
+        assert!(Instant::now() < until, "writing did not fail");
+        thread::yield_now();
+    }
+}
+
+// The caller gets the whole answer of a process that wrote it and ended.
+// The answer waits in the socket behind something that the reader is at; this end's next heartbeat
+// meets a closed connection. A write that fails says nothing of what the far end sent before it:
+// with the link closed at once, the caller's stream breaks off ("cause=writing failed ... calls=1").
+#[test]
+fn an_answer_that_has_arrived_is_read_although_writing_fails() {
+    const PIECES: u32 = 4;
+    let (entered, is_held) = channel();
+    let (release, released) = channel();
+    let (gone, far_gone) = channel();
+    let addr = scripted(move |mut session| {
+        let (stream, _) = first_call(&mut session);
+        send(&mut session, &[asked(1)]);
+        is_held
+            .recv_timeout(PATIENCE)
+            .expect("the reader is held up");
+        let pieces: Vec<_> = (0..PIECES)
+            .map(|seq| reply(stream, seq, seq + 1 == PIECES, "a piece"))
+            .collect();
+        send(&mut session, &pieces);
+        drop(session);
+        gone.send(()).expect("the test waits");
+    });
+    let release_reader = Mutex::new(released);
+    let held = Held {
+        entered,
+        release: release_reader,
+    };
+    let dialer = Dialer::new("caller", good_keys(), Arc::new(held));
+    let link = connect(&dialer, addr);
+    let mut replies = link.call(Ask::Term(Empty {})).expect("sent");
+    far_gone.recv_timeout(PATIENCE).expect("the far end ends");
+    wait_for_failed_write(&link);
+    assert!(link.is_closed(), "a link that can't send takes new calls");
+    release.send(()).expect("the reader is held up");
+    let deadline = Instant::now() + PATIENCE;
+    for _ in 0..PIECES {
+        let piece = replies.next(deadline).expect("what has arrived");
+        assert_eq!(piece, Some(payload("a piece")));
+    }
+    assert_eq!(replies.next(deadline).expect("the end"), None);
+}
+
+// The caller sees its call end as lost, and the link's threads end.
+// The far end sends heartbeats but never reads: the write times out, and the far end shows no end of
+// its stream. Without a bound the reader would go on for as long as heartbeats come.
+#[test]
+fn a_far_end_that_sends_but_never_reads_is_given_up() {
+    let (stop, stopped) = channel::<()>();
+    let addr = scripted(move |mut session| {
+        let mut out = BytesMut::new();
+        while stopped.recv_timeout(Duration::from_millis(100)).is_err() {
+            session.sealer.seal(&ping(), &mut out).expect("small");
+            if session.socket.write_all(&out.split()).is_err() {
+                return;
+            }
+        }
+    });
+    let dialer = dialer(good_keys());
+    let link = connect(&dialer, addr);
+    let mut written = link.call(Ask::Term(Empty {})).expect("sent");
+    // More than the buffers of both sockets hold.
+    let large = payload(vec![7; 512 << 10]);
+    let filbertstack_wire::messages::Tell::Payload(large) = large else {
+        unreachable!("a payload")
+    };
+    for _ in 0..64 {
+        let _ = link.tell(Ask::Gossip(large.clone()));
+    }
+    let error = written.next(Instant::now() + PATIENCE).expect_err("lost");
+    assert!(matches!(error, WireError::Lost), "{error}");
+    assert!(link.is_closed());
+    drop(stop);
+}
