--- a/crates/filbertstack-wire/src/link.rs
+++ b/crates/filbertstack-wire/src/link.rs
@@ -131,13 +131,14 @@
         }
     }
 
-    /// Fails the calls among `frames`, none of which was written.
+    /// Fails the calls among `frames`, none of which was written: the far end can't have run them.
+    /// Told "unknown" instead, a caller whose request must not run twice would get no second try.
     fn fail_unsent(&self, frames: impl IntoIterator<Item = Frame>) {
         let calls = frames.into_iter();
         let calls = calls.filter(|frame| matches!(frame.item, Some(Item::Call(_))));
         let mut inboxes = lock(&self.inboxes);
         for inbox in calls.filter_map(|frame| inboxes.remove(&frame.stream)) {
-            inbox.fail(WireError::Lost);
+            inbox.fail(WireError::Unsent);
         }
     }
 
@@ -245,8 +246,7 @@
     /// Starts a call.
     ///
     /// # Errors
-    /// [`WireError::Lost`] if the link is gone; the call may then be made on another one only if
-    /// it is idempotent or the far end can't have received it.
+    /// [`WireError::Unsent`] if the link is closed.
     pub fn call(&self, ask: Ask) -> Result<Replies, WireError> {
         let stream = self.shared.next.fetch_add(1, Ordering::Relaxed);
         let (sender, receiver) = channel();
@@ -262,12 +262,15 @@
             done: false,
         };
         let item = Some(Item::Call(Call { ask: Some(ask) }));
-        self.shared.outbox.push(Frame {
+        let frame = Frame {
             stream,
             item,
             ..Frame::default()
-        })?;
-        Ok(replies)
+        };
+        match self.shared.outbox.push(frame) {
+            Ok(()) => Ok(replies),
+            Err(_) => Err(WireError::Unsent),
+        }
     }
 
     /// Makes a call that has one reply, and waits for it.
--- a/crates/filbertstack-wire/tests/links/ending.rs
+++ b/crates/filbertstack-wire/tests/links/ending.rs
@@ -11,6 +11,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use bytes::Bytes;
 use bytes::BytesMut;
 use filbertstack_wire::Dialer;
 use filbertstack_wire::Handler;
@@ -24,6 +25,7 @@
 use filbertstack_wire::messages::Empty;
 use filbertstack_wire::messages::Frame;
 use filbertstack_wire::messages::Item;
+use filbertstack_wire::messages::Payload;
 use filbertstack_wire::stream::call;
 use filbertstack_wire::stream::payload;
 
@@ -77,6 +79,14 @@
     dialer.link(addr, Role::Peer).expect("connects")
 }
 
+/// Sends more than the buffers of both sockets hold.
+fn fill(link: &Link) {
+    let body = Bytes::from(vec![7; 512 << 10]);
+    for _ in 0..64 {
+        let _ = link.tell(Ask::Gossip(Payload { body: body.clone() }));
+    }
+}
+
 /// Writes to `link` until it sends no more.
 fn wait_for_failed_write(link: &Link) {
     let until = Instant::now() + PATIENCE;
@@ -147,16 +157,32 @@
     let dialer = dialer(good_keys());
     let link = connect(&dialer, addr);
     let mut written = link.call(Ask::Term(Empty {})).expect("sent");
-    // More than the buffers of both sockets hold.
-    let large = payload(vec![7; 512 << 10]);
-    let filbertstack_wire::messages::Tell::Payload(large) = large else {
-        unreachable!("a payload")
-    };
-    for _ in 0..64 {
-        let _ = link.tell(Ask::Gossip(large.clone()));
-    }
+    fill(&link);
     let error = written.next(Instant::now() + PATIENCE).expect_err("lost");
     assert!(matches!(error, WireError::Lost), "{error}");
     assert!(link.is_closed());
     drop(stop);
 }
+
+// The caller's request, which no target has seen, goes to another target instead of ending as unknown.
+// The far end reads nothing; a call waits behind more than the sockets hold, and another is made
+// after writing has failed. Not a byte of either left this process, so both certainly did not run.
+#[test]
+fn a_call_of_which_nothing_was_written_certainly_did_not_run() {
+    let (stop, stopped) = channel::<()>();
+    let addr = scripted(move |session| {
+        let _session = session;
+        let _ = stopped.recv_timeout(PATIENCE);
+    });
+    let dialer = dialer(good_keys());
+    let link = connect(&dialer, addr);
+    fill(&link);
+    let mut waiting = link.call(Ask::Term(Empty {})).expect("queued");
+    let error = waiting
+        .next(Instant::now() + PATIENCE)
+        .expect_err("never written");
+    assert!(error.not_run(), "{error}");
+    let late = link.call(Ask::Term(Empty {})).expect_err("closed");
+    assert!(late.not_run(), "{late}");
+    drop(stop);
+}
