--- a/crates/filbertstack-agent/src/process.rs
+++ b/crates/filbertstack-agent/src/process.rs
@@ -9,6 +9,7 @@
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::thread;
+use std::time::Duration;
 
 use filbertstack_telemetry::Telemetry;
 use filbertstack_weights::Store;
@@ -35,6 +36,10 @@
 use crate::settings::Settings;
 use crate::target::Target;
 
+/// How long calls that hold no place at the target may take when the process ends, such as pieces for
+/// other agents: a wait of a second for the upload, and the upload.
+const LAST_CALLS: Duration = Duration::from_secs(2);
+
 /// Why an agent did not start.
 #[derive(Debug, Error)]
 pub enum StartError {
@@ -163,7 +168,7 @@
         self.gate.leave();
         self.announcer.announce_once();
         let idle = self.gate.wait_idle(self.settings.stop_timeout.into());
-        self.listener.flush();
+        self.listener.finish(LAST_CALLS);
         idle
     }
 }
--- a/crates/filbertstack-wire/src/link.rs
+++ b/crates/filbertstack-wire/src/link.rs
@@ -1,18 +1,20 @@
 //! One connection that carries many calls both ways.
 
 mod end;
+mod incoming;
 mod reader;
 mod writer;
 
 use std::collections::HashMap;
 use std::fmt;
+use std::mem;
 use std::net::Shutdown;
 use std::net::TcpStream;
 use std::sync::Arc;
+use std::sync::Condvar;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
-use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
@@ -28,6 +30,7 @@
 use crate::handshake::Session;
 use crate::keys::Role;
 use crate::link::end::End;
+use crate::link::incoming::Incoming;
 use crate::link::reader::Reader;
 use crate::link::writer::Writer;
 use crate::messages::Ask;
@@ -83,9 +86,11 @@
     pub(crate) outbox: Outbox,
     socket: TcpStream,
     remote: Remote,
-    ended: AtomicBool,
+    /// Whether nothing is read any more.
+    ended: Mutex<bool>,
+    end: Condvar,
     inboxes: Mutex<HashMap<u64, Inbox>>,
-    incoming: Mutex<HashMap<u64, Arc<AtomicBool>>>,
+    incoming: Incoming,
     next: AtomicU64,
 }
 
@@ -97,7 +102,20 @@
 
     /// Whether nothing is read any more either.
     fn has_ended(&self) -> bool {
-        self.ended.load(Ordering::Relaxed)
+        *lock(&self.ended)
+    }
+
+    /// Waits until nothing is read any more, until `until` at most.
+    fn await_end(&self, until: Instant) {
+        let mut ended = lock(&self.ended);
+        while !*ended {
+            let left = until.saturating_duration_since(Instant::now());
+            if left.is_zero() {
+                return;
+            }
+            let waited = self.end.wait_timeout(ended, left);
+            ended = waited.unwrap_or_else(PoisonError::into_inner).0;
+        }
     }
 
     pub(crate) fn forget(&self, stream: u64) {
@@ -105,7 +123,7 @@
     }
 
     pub(crate) fn finished(&self, stream: u64) {
-        lock(&self.incoming).remove(&stream);
+        self.incoming.end(stream);
     }
 
     /// Ends the sending side after a write failed; `unsent` was taken from the outbox and not written.
@@ -119,16 +137,16 @@
         info!("link sends no more", kv: { role:?, peer = name.as_ref(), cause });
         let waiting = self.outbox.close();
         self.fail_unsent(unsent.into_iter().chain(waiting));
-        self.cancel_incoming();
+        // Their replies can't reach the far end.
+        self.incoming.cancel_all();
         // Tells the far end, if it lives, that nothing more comes.
         let _ = self.socket.shutdown(Shutdown::Write);
     }
 
-    /// Withdraws the far end's calls: their replies can't reach it.
-    fn cancel_incoming(&self) {
-        for (_, flag) in lock(&self.incoming).drain() {
-            flag.store(true, Ordering::Relaxed);
-        }
+    /// Ends the sending side after all was written, which tells the far end that nothing more comes.
+    fn end_writing(&self) {
+        self.outbox.close();
+        let _ = self.socket.shutdown(Shutdown::Write);
     }
 
     /// Fails the calls among `frames`, none of which was written: the far end can't have run them.
@@ -143,7 +161,8 @@
     }
 
     fn close(&self, end: &End) {
-        let ended = self.ended.swap(true, Ordering::Relaxed);
+        let ended = mem::replace(&mut *lock(&self.ended), true);
+        self.end.notify_all();
         let waiting = self.outbox.close();
         self.fail_unsent(waiting);
         let _ = self.socket.shutdown(Shutdown::Both);
@@ -155,7 +174,7 @@
             inbox.fail(WireError::Lost);
         }
         drop(inboxes);
-        self.cancel_incoming();
+        self.incoming.cancel_all();
     }
 
     /// Says why the link ended, and how many calls broke off with it.
@@ -203,9 +222,10 @@
             outbox: Outbox::default(),
             socket: socket.try_clone()?,
             remote,
-            ended: AtomicBool::new(false),
+            ended: Mutex::new(false),
+            end: Condvar::new(),
             inboxes: Mutex::default(),
-            incoming: Mutex::default(),
+            incoming: Incoming::default(),
             next: AtomicU64::new(1),
         });
         let writer = Writer {
@@ -243,6 +263,26 @@
         self.shared.close(&End::Closed);
     }
 
+    /// Takes no more calls of the far end, and refuses them as not run.
+    pub(crate) fn refuse_new(&self) {
+        self.shared.incoming.refuse_new();
+    }
+
+    /// Waits until the far end's calls have their answers, until `until` at most; then sends nothing
+    /// more than what waits.
+    pub(crate) fn end_sending(&self, until: Instant) {
+        self.shared.incoming.await_none(until);
+        self.shared.outbox.finish();
+    }
+
+    /// Waits until all is written and the far end has read it and closed the link. One that does not
+    /// is given up after [`SILENCE`].
+    pub(crate) fn await_end(&self) {
+        self.shared.outbox.flush();
+        self.shared.await_end(Instant::now() + SILENCE);
+        self.close();
+    }
+
     /// Starts a call.
     ///
     /// # Errors
--- a/crates/filbertstack-wire/src/link/reader.rs
+++ b/crates/filbertstack-wire/src/link/reader.rs
@@ -5,7 +5,6 @@
 use std::net::TcpStream;
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
-use std::sync::atomic::Ordering;
 
 use bytes::BytesMut;
 use prost::Message;
@@ -17,16 +16,18 @@
 use crate::link::SILENCE;
 use crate::link::Shared;
 use crate::link::end::End;
+use crate::link::incoming::NotTaken;
 use crate::link::lock;
 use crate::messages::Call;
+use crate::messages::Cause;
 use crate::messages::Fault;
 use crate::messages::Frame;
 use crate::messages::Item;
 use crate::messages::Reply;
 use crate::stream::Responder;
 
-/// How many calls of the far end may be in progress at once.
-const MAX_CALLS: usize = 4096;
+/// When a far end with too many calls in progress may come back, in milliseconds: most take less.
+const FULL_AFTER: u64 = 1000;
 
 pub struct Reader {
     pub shared: Arc<Shared>,
@@ -89,11 +90,7 @@
             Some(Item::Call(call)) => self.take_call(stream, call),
             Some(Item::Reply(reply)) => self.take_reply(stream, seq, last, reply),
             Some(Item::Fault(fault)) => self.take_fault(stream, fault),
-            Some(Item::Cancel(_)) => {
-                if let Some(flag) = lock(&self.shared.incoming).get(&stream) {
-                    flag.store(true, Ordering::Relaxed);
-                }
-            }
+            Some(Item::Cancel(_)) => self.shared.incoming.cancel(stream),
             Some(Item::Ping(_)) | None => {}
         }
     }
@@ -102,12 +99,16 @@
         let cancelled = Arc::new(AtomicBool::new(false));
         let responder = Responder::new(self.shared.clone(), stream, cancelled.clone());
         if stream != 0 {
-            let mut incoming = lock(&self.shared.incoming);
-            if incoming.len() >= MAX_CALLS {
-                drop(incoming);
-                return responder.refuse("too many calls on this link: come back", 1000);
+            match self.shared.incoming.begin(stream, cancelled) {
+                Ok(()) => {}
+                Err(NotTaken::Full) => {
+                    return responder.refuse("too many calls on this link: come back", FULL_AFTER);
+                }
+                Err(NotTaken::Ending) => {
+                    let text = "this process is ending: ask another";
+                    return responder.refuse_as(Cause::Leaving, text, 0);
+                }
             }
-            incoming.insert(stream, cancelled);
         }
         match call.ask {
             Some(ask) => self.handler.handle(&self.shared.remote, ask, responder),
--- a/crates/filbertstack-wire/src/link/writer.rs
+++ b/crates/filbertstack-wire/src/link/writer.rs
@@ -37,6 +37,7 @@
             }
             self.shared.outbox.note_written(taken);
         }
+        self.shared.end_writing();
     }
 
     /// Writes `frames`. After an error, those are left of which nothing was written.
--- a/crates/filbertstack-wire/src/listener.rs
+++ b/crates/filbertstack-wire/src/listener.rs
@@ -5,12 +5,14 @@
 use std::net::TcpStream;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::MutexGuard;
 use std::sync::PoisonError;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::Duration;
+use std::time::Instant;
 
 use crate::error::WireError;
 use crate::handshake;
@@ -84,36 +86,52 @@
 }
 
 impl Listener {
-    /// Waits until all that was sent so far on the links accepted is written. A process that ends
-    /// when nothing is in progress must: a reply that is sent stands in its link's queue, and the
-    /// caller's stream would break off. A far end that does not read holds this up for
-    /// [`SILENCE`](crate::link::SILENCE) at most, after which its link is closed.
-    pub fn flush(&self) {
-        let links = self.state.links.lock();
-        let links = links.unwrap_or_else(PoisonError::into_inner).clone();
-        for link in links {
-            link.shared.outbox.flush();
+    /// Ends the links so that what was sent on them arrives; a process that ends must.
+    ///
+    /// A reply that is sent stands in its link's queue, then in this system's buffers. Ended then, the
+    /// process answers each byte that still comes (a heartbeat will do) with a reset, which throws
+    /// away what has not arrived, and the caller's stream breaks off. So new calls are refused as not
+    /// run, those in progress get up to `wait` to end, and each link ends its sending side and waits
+    /// for the far end to close. One that does not read or close holds this up for twice
+    /// [`SILENCE`](crate::link::SILENCE) at most.
+    pub fn finish(&self, wait: Duration) {
+        self.stop_accepting();
+        let links = self.state.lock().clone();
+        for link in &links {
+            link.refuse_new();
+        }
+        let until = Instant::now() + wait;
+        for link in &links {
+            link.end_sending(until);
+        }
+        for link in &links {
+            link.await_end();
         }
     }
+
+    fn stop_accepting(&self) {
+        if self.state.stopped.swap(true, Ordering::Relaxed) {
+            return;
+        }
+        // Wakes the accepting thread, which then sees that it is to stop.
+        let _ = TcpStream::connect_timeout(&self.addr, Duration::from_millis(200));
+    }
 }
 
 impl Drop for Listener {
     fn drop(&mut self) {
-        self.state.stopped.store(true, Ordering::Relaxed);
-        // Wakes the accepting thread, which then sees that it is to stop.
-        let _ = TcpStream::connect_timeout(&self.addr, Duration::from_millis(200));
-        let mut links = self
-            .state
-            .links
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner);
-        for link in links.drain(..) {
+        self.stop_accepting();
+        for link in self.state.lock().drain(..) {
             link.close();
         }
     }
 }
 
 impl State {
+    fn lock(&self) -> MutexGuard<'_, Vec<Link>> {
+        self.links.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn accept(self: &Arc<Self>, socket: &TcpListener) {
         for connection in socket.incoming() {
             if self.stopped.load(Ordering::Relaxed) {
@@ -151,7 +169,7 @@
     fn open(&self, connection: TcpStream) -> Result<(), WireError> {
         let session = handshake::accept(connection, &self.name, &self.keys)?;
         let link = Link::start(session, self.handler.clone())?;
-        let mut links = self.links.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut links = self.lock();
         links.retain(|link| !link.is_closed());
         links.push(link.clone());
         if self.stopped.load(Ordering::Relaxed) {
--- a/crates/filbertstack-wire/src/outbox.rs
+++ b/crates/filbertstack-wire/src/outbox.rs
@@ -23,10 +23,16 @@
     /// How many frames were added, and how many of them are written.
     added: u64,
     written: u64,
+    /// Whether nothing more may be added; what waits is still written.
+    finishing: bool,
     closed: Option<Instant>,
 }
 
 impl Queue {
+    const fn takes_none(&self) -> bool {
+        self.finishing || self.closed.is_some()
+    }
+
     fn add(&mut self, frame: Frame, size: usize) {
         self.bytes += size;
         self.added += 1;
@@ -46,13 +52,13 @@
     pub(crate) fn push(&self, frame: Frame) -> Result<(), WireError> {
         let size = frame.encoded_len();
         let mut queue = self.queue.lock().unwrap_or_else(PoisonError::into_inner);
-        while queue.bytes > MAX_WAITING && queue.closed.is_none() {
+        while queue.bytes > MAX_WAITING && !queue.takes_none() {
             queue = self
                 .changed
                 .wait(queue)
                 .unwrap_or_else(PoisonError::into_inner);
         }
-        if queue.closed.is_some() {
+        if queue.takes_none() {
             return Err(WireError::Lost);
         }
         queue.add(frame, size);
@@ -64,7 +70,7 @@
     pub(crate) fn offer(&self, frame: Frame) -> Result<(), WireError> {
         let size = frame.encoded_len();
         let mut queue = self.queue.lock().unwrap_or_else(PoisonError::into_inner);
-        if queue.closed.is_some() {
+        if queue.takes_none() {
             return Err(WireError::Lost);
         }
         if queue.bytes > MAX_WAITING {
@@ -75,11 +81,11 @@
         Ok(())
     }
 
-    /// Takes what waits, after up to `wait`; `None` once closed.
+    /// Takes what waits, after up to `wait`; `None` once closed, or finished and empty.
     pub(crate) fn take(&self, wait: Duration) -> Option<VecDeque<Frame>> {
         let until = Instant::now() + wait;
         let mut queue = self.queue.lock().unwrap_or_else(PoisonError::into_inner);
-        while queue.frames.is_empty() && queue.closed.is_none() {
+        while queue.frames.is_empty() && !queue.takes_none() {
             let left = until.saturating_duration_since(Instant::now());
             if left.is_zero() {
                 return Some(VecDeque::new());
@@ -87,7 +93,7 @@
             let waited = self.changed.wait_timeout(queue, left);
             queue = waited.unwrap_or_else(PoisonError::into_inner).0;
         }
-        if queue.closed.is_some() {
+        if queue.closed.is_some() || queue.frames.is_empty() {
             return None;
         }
         queue.bytes = 0;
@@ -114,6 +120,13 @@
         }
     }
 
+    /// Adds nothing more; what waits is still written.
+    pub(crate) fn finish(&self) {
+        let mut queue = self.queue.lock().unwrap_or_else(PoisonError::into_inner);
+        queue.finishing = true;
+        self.changed.notify_all();
+    }
+
     /// Ends every wait, and gives what has not been taken.
     pub(crate) fn close(&self) -> VecDeque<Frame> {
         let mut queue = self.queue.lock().unwrap_or_else(PoisonError::into_inner);
@@ -124,7 +137,8 @@
 
     /// Whether nothing can be added any more.
     pub(crate) fn is_closed(&self) -> bool {
-        self.closed_at().is_some()
+        let queue = self.queue.lock();
+        queue.unwrap_or_else(PoisonError::into_inner).takes_none()
     }
 
     /// When it was closed.
--- a/crates/filbertstack-wire/tests/links/calls.rs
+++ b/crates/filbertstack-wire/tests/links/calls.rs
@@ -295,7 +295,7 @@
             .expect("it stands");
     }
     responder.finish(payload("end")).expect("it stands");
-    listener.flush();
+    listener.finish(PATIENCE);
     drop(listener);
     let deadline = Instant::now() + PATIENCE;
     for _ in 0..PIECES {
--- a/crates/filbertstack-wire/tests/links/ending.rs
+++ b/crates/filbertstack-wire/tests/links/ending.rs
@@ -1,7 +1,9 @@
 //! How links end: what has arrived is still read, and nothing waits for a far end that is gone.
 
+use std::io::Read;
 use std::io::Write;
 use std::net::SocketAddr;
+use std::net::TcpStream;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::mpsc::Receiver;
@@ -20,6 +22,7 @@
 use filbertstack_wire::Responder;
 use filbertstack_wire::Role;
 use filbertstack_wire::WireError;
+use filbertstack_wire::handshake;
 use filbertstack_wire::handshake::Session;
 use filbertstack_wire::messages::Ask;
 use filbertstack_wire::messages::Empty;
@@ -33,8 +36,10 @@
 use crate::support::dialer;
 use crate::support::first_call;
 use crate::support::good_keys;
+use crate::support::propose;
 use crate::support::reply;
 use crate::support::scripted;
+use crate::support::serve;
 
 /// Holds up the reading thread of its link at each call, until the test lets go.
 struct Held {
@@ -186,3 +191,94 @@
     assert!(late.not_run(), "{late}");
     drop(stop);
 }
+
+// The caller gets the whole answer although the process that gave it ends while part of the answer
+// still waits in its kernel, and the caller's end goes on sending.
+// A process that ends with its sockets open answers each further byte with a reset, and a reset throws
+// away what has not arrived. So the process ends its side first, and waits for the caller's end.
+#[test]
+fn what_was_sent_arrives_although_the_caller_sends_on() {
+    const PIECES: usize = 64;
+    let (listener, calls) = serve(good_keys());
+    let mut session = connected(listener.addr());
+    send(&mut session, &[asked(1)]);
+    let (_, mut responder) = calls.recv_timeout(PATIENCE).expect("the call arrives");
+    let reader = thread::spawn(move || read_slowly(&mut session));
+    for _ in 1..PIECES {
+        let sent = responder.send(payload(vec![7; 64 << 10]));
+        sent.expect("the link stands");
+    }
+    responder.finish(payload("end")).expect("the link stands");
+    listener.finish(PATIENCE);
+    drop(listener);
+    assert_eq!(reader.join().expect("reads to the end"), PIECES);
+}
+
+/// A link's connection to `addr`, without the link's threads.
+fn connected(addr: SocketAddr) -> Session {
+    let key = good_keys().peer.expect("a key");
+    let socket = TcpStream::connect(addr).expect("connects");
+    handshake::connect(socket, Role::Peer, "caller", &key).expect("the same key")
+}
+
+/// Reads replies in small pieces to the end of the stream, sending a heartbeat after each of them, and
+/// counts the replies.
+fn read_slowly(session: &mut Session) -> usize {
+    let mut replies = 0;
+    let mut buffer = [0; 4 << 10];
+    loop {
+        while let Some(frame) = session.opener.open(&mut session.input).expect("sealed") {
+            replies += usize::from(matches!(frame.item, Some(Item::Reply(_))));
+        }
+        let mut out = BytesMut::new();
+        session.sealer.seal(&ping(), &mut out).expect("small");
+        // It fails once the far end is gone; what has arrived is read all the same.
+        let _ = session.socket.write_all(&out);
+        match session.socket.read(&mut buffer) {
+            Ok(0) | Err(_) => return replies,
+            Ok(n) => session.input.extend_from_slice(&buffer[..n]),
+        }
+    }
+}
+
+// An agent's stop ends although one of its callers is frozen.
+// The far end neither reads on nor closes. Without a bound the process would wait for it for good.
+#[test]
+fn a_far_end_that_does_not_close_holds_up_no_stop() {
+    let (listener, _calls) = serve(good_keys());
+    let session = connected(listener.addr());
+    listener.finish(Duration::ZERO);
+    drop(session);
+}
+
+// The caller of a process that ends learns at once that its call did not run, and asks another.
+// A call comes while the last answers are still being made. Taken, it would be cut off by the end of
+// the process and its outcome be unknown.
+#[test]
+fn a_call_that_comes_during_the_end_is_refused() {
+    let (listener, calls) = serve(good_keys());
+    let dialer = dialer(good_keys());
+    let link = connect(&dialer, listener.addr());
+    let mut first = link.call(Ask::Term(Empty {})).expect("sent");
+    let (_, responder) = calls.recv_timeout(PATIENCE).expect("the call arrives");
+    let addr = listener.addr();
+    let ending = thread::spawn(move || listener.finish(PATIENCE));
+    let until = Instant::now() + PATIENCE;
+    let late = loop {
+        let error = link.ask(propose("late"), PATIENCE);
+        match error {
+            Ok(_) => assert!(Instant::now() < until, "still taken"),
+            Err(error) => break error,
+        }
+    };
+    assert!(late.not_run(), "{late}");
+    responder.finish(payload("the last")).expect("it stands");
+    let deadline = Instant::now() + PATIENCE;
+    assert_eq!(
+        first.next(deadline).expect("in time"),
+        Some(payload("the last"))
+    );
+    ending.join().expect("ends");
+    let again = self::dialer(good_keys()).link(addr, Role::Peer);
+    assert!(again.expect_err("nobody listens").not_run());
+}
