--- a/crates/filbertstack-entry/src/process.rs
+++ b/crates/filbertstack-entry/src/process.rs
@@ -58,6 +58,10 @@
 /// How often a stop looks whether it is over.
 const STOP_POLL: Duration = Duration::from_millis(20);
 
+/// How long what peers have asked may take when the entry ends. Its voter has ended by then, so that
+/// proposals have their outcome, and questions that are held are answered.
+const LAST_CALLS: Duration = Duration::from_secs(1);
+
 /// The stack of a request's thread, in bytes.
 const STACK: usize = 512 << 10;
 
@@ -92,7 +96,7 @@
 pub struct Entry {
     inner: Arc<Inner>,
     guard: Arc<Guard>,
-    _listener: Listener,
+    listener: Listener,
     server: Arc<Server>,
 }
 
@@ -152,7 +156,7 @@
         Ok(Self {
             inner,
             guard,
-            _listener: listener,
+            listener,
             server,
         })
     }
@@ -188,6 +192,8 @@
             voter.stop();
         }
         inner.membership.part();
+        inner.views.end_waits();
+        self.listener.finish(LAST_CALLS);
         done
     }
 }
--- a/crates/filbertstack-entry/src/view.rs
+++ b/crates/filbertstack-entry/src/view.rs
@@ -9,6 +9,8 @@
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -153,6 +155,8 @@
 pub struct Views {
     newest: Mutex<Arc<View>>,
     changed: Condvar,
+    /// Whether this entry ends, so that nobody is to wait for a change here.
+    ending: AtomicBool,
 }
 
 impl Views {
@@ -180,7 +184,10 @@
     pub fn wait_beyond(&self, reached: Reached, term: u64, wait: Duration) -> Arc<View> {
         let until = Instant::now() + wait;
         let mut newest = self.lock();
-        while newest.reached() == reached && newest.term() == term {
+        while newest.reached() == reached
+            && newest.term() == term
+            && !self.ending.load(Ordering::SeqCst)
+        {
             let left = until.saturating_duration_since(Instant::now());
             if left.is_zero() {
                 break;
@@ -191,6 +198,15 @@
         newest.clone()
     }
 
+    /// Ends every wait for a change, and those to come: this entry ends, and whoever waits is told
+    /// what there is.
+    pub fn end_waits(&self) {
+        // Under the lock, so that no wait begins between its look at the flag and the wake-up.
+        let _newest = self.lock();
+        self.ending.store(true, Ordering::SeqCst);
+        self.changed.notify_all();
+    }
+
     fn lock(&self) -> MutexGuard<'_, Arc<View>> {
         self.newest.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/tests/system/leaving.rs
+++ b/tests/system/leaving.rs
@@ -1,12 +1,35 @@
 //! Planned stops cut nothing off, and leave nothing new behind.
 
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use filbertstack_entry::view::Reached;
+use filbertstack_entry::view::Update;
+use filbertstack_wire::Dialer;
+use filbertstack_wire::Key;
+use filbertstack_wire::Keyring;
+use filbertstack_wire::Link;
+use filbertstack_wire::Remote;
+use filbertstack_wire::Replies;
+use filbertstack_wire::Responder;
+use filbertstack_wire::Role;
+use filbertstack_wire::WireError;
+use filbertstack_wire::messages::Ask;
+use filbertstack_wire::messages::Payload;
+use filbertstack_wire::messages::Tell;
+use filbertstack_wire::messages::Watch;
+use prost::Message;
 use serde_json::Value;
 use serde_json::json;
 
 use crate::served::Served;
 use crate::served::TOKENS;
 use crate::served::stream;
+use crate::support::PATIENCE;
+use crate::support::PEER_KEY;
 use crate::support::Process;
+use crate::support::System;
 use crate::support::post;
 
 // The designer's streamed answer, begun before the stop, arrives whole; the process then ends by
@@ -65,6 +88,55 @@
     assert!(status.success(), "{status}");
 }
 
+// A peer gets the answer to what it asked an entry that is stopped meanwhile.
+// Another entry's question is held by a voter until something changes, or a proposal waits there for its
+// outcome; the voter gets SIGTERM. Ended without an answer, a proposal's caller must take the outcome for
+// unknown although it is known.
+#[test]
+fn what_a_peer_asked_of_an_entry_is_answered_before_it_ends() {
+    let system = System::new(1);
+    let mut entry = system.start_entry(0);
+    system.wait_status("a leader", |status| status["leader"].is_string());
+    let key = Key::of(PEER_KEY).expect("long enough");
+    let keys = Keyring {
+        peer: Some(key),
+        agent: None,
+    };
+    let refuse = |_: &Remote, _: Ask, responder: Responder| responder.refuse("a test", 0);
+    let dialer = Dialer::new("entry-9", keys, Arc::new(refuse));
+    let link = dialer.link(system.entries[0].links, Role::Peer);
+    let mut held = hold_question(&link.expect("connects"));
+    entry.signal("TERM");
+    let answer = held.next(Instant::now() + PATIENCE);
+    assert!(matches!(answer, Ok(Some(Tell::Payload(_)))), "{answer:?}");
+    assert!(entry.wait().success());
+}
+
+/// Asks for updates beyond the newest, until the question is held.
+fn hold_question(link: &Link) -> Replies {
+    let mut reached = Reached::default();
+    let until = Instant::now() + PATIENCE;
+    while Instant::now() < until {
+        let ask = Ask::Watch(Watch {
+            since: reached.revision,
+            sequence: reached.sequence,
+            follower: "entry-9".into(),
+            wait: 60_000,
+        });
+        let mut replies = link.call(ask).expect("the link stands");
+        match replies.next(Instant::now() + Duration::from_secs(1)) {
+            Ok(Some(Tell::Payload(Payload { body }))) => {
+                let update = Update::decode(body).expect("an update");
+                reached.revision = update.delta.to;
+                reached.sequence = update.sequence;
+            }
+            Err(WireError::Timeout) => return replies,
+            other => panic!("{other:?}"),
+        }
+    }
+    panic!("the question was not held");
+}
+
 // A drained target finishes the answer in progress, and new requests go elsewhere.
 #[test]
 fn a_drained_target_gets_nothing_new() {
--- a/tests/system/support.rs
+++ b/tests/system/support.rs
@@ -31,6 +31,9 @@
 /// The organisations' secrets in these tests.
 pub const CALLER_KEY: &str = "acme-secret-0123456789";
 
+/// The key between entries in these tests.
+pub const PEER_KEY: &str = "the key between entries";
+
 /// A process of the system, killed when dropped.
 pub struct Process {
     child: Child,
@@ -169,7 +172,7 @@
         let dir = tempfile::tempdir().expect("a folder");
         let file =
             |name: &str, text: &str| fs::write(dir.path().join(name), text).expect("written");
-        file("peer.key", "the key between entries");
+        file("peer.key", PEER_KEY);
         file("agent.key", "the key on links with agents");
         file(
             "callers.keys",
