--- a/crates/filbertstack-agent/src/process.rs
+++ b/crates/filbertstack-agent/src/process.rs
@@ -18,6 +18,7 @@
 use filbertstack_wire::Dialer;
 use filbertstack_wire::Listener;
 use filbertstack_wire::WireError;
+use spdlog::warn;
 use thiserror::Error;
 
 use crate::announce::Announcer;
@@ -168,7 +169,13 @@
         self.gate.leave();
         self.announcer.announce_once();
         let idle = self.gate.wait_idle(self.settings.stop_timeout.into());
-        self.listener.finish(LAST_CALLS);
+        if idle {
+            self.listener.finish(LAST_CALLS);
+        } else {
+            let requests = self.gate.running();
+            warn!("stop timeout ran out, requests break off", kv: { requests });
+            self.listener.finish(Duration::ZERO);
+        }
         idle
     }
 }
--- a/crates/filbertstack-entry/src/process.rs
+++ b/crates/filbertstack-entry/src/process.rs
@@ -20,6 +20,7 @@
 use rand::Rng;
 use serde_json::json;
 use spdlog::info;
+use spdlog::warn;
 use thiserror::Error;
 use tiny_http::Method;
 use tiny_http::Request;
@@ -187,14 +188,17 @@
         while inner.serving.load(Ordering::SeqCst) > 0 && Instant::now() < until {
             thread::sleep(STOP_POLL);
         }
-        let done = inner.serving.load(Ordering::SeqCst) == 0;
+        let requests = inner.serving.load(Ordering::SeqCst);
+        if requests > 0 {
+            warn!("stop timeout ran out, requests break off", kv: { requests });
+        }
         if let Some(voter) = &inner.voter {
             voter.stop();
         }
         inner.membership.part();
         inner.views.end_waits();
         self.listener.finish(LAST_CALLS);
-        done
+        requests == 0
     }
 }
 
--- a/tests/system/leaving.rs
+++ b/tests/system/leaving.rs
@@ -1,5 +1,7 @@
 //! Planned stops cut nothing off, and leave nothing new behind.
 
+use std::fs;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
@@ -88,6 +90,46 @@
     assert!(status.success(), "{status}");
 }
 
+// The designer's stream breaks off visibly, and the agent's log says that its own stop did it.
+// The agent gets SIGTERM at the first token and may take a tenth of a second; the answer takes more than
+// one. Without the line, nothing tells this cut from one by the network or the engine.
+#[test]
+fn a_stop_that_runs_out_of_time_says_what_it_breaks_off() {
+    let mut served = Served::start(1);
+    let addr = served.system.entries[0].http;
+    served.agents[0].signal("TERM");
+    served.agents[0].wait();
+    let log = served.system.dir.path().join("engine-0.log");
+    let settings = served.system.dir.path().join("engine-0.ini");
+    let text = fs::read_to_string(&settings).expect("readable");
+    let text = text.replace("stop-timeout = 20s", "stop-timeout = 100ms");
+    let text = format!("{text}log-file = {}\n", log.display());
+    fs::write(&settings, text).expect("written");
+    let path = settings.to_str().expect("UTF-8");
+    served.agents[0] = Process::start(&["agent", "--settings", path]);
+    wait_served(addr);
+    let agent = &served.agents[0];
+    let text = stream(addr, "too long", || agent.signal("TERM"));
+    assert!(text.is_err(), "{text:?}");
+    assert!(
+        !served.agents[0].wait().success(),
+        "it says so by its exit code"
+    );
+    let lines = fs::read_to_string(&log).expect("a log");
+    let line = "stop timeout ran out, requests break off requests=1";
+    assert!(lines.contains(line), "{lines}");
+}
+
+/// Waits until requests are served.
+fn wait_served(entry: SocketAddr) {
+    let body = json!({ "model": "draft-model", "prompt": "hi", "max_tokens": 1 }).to_string();
+    let until = Instant::now() + PATIENCE;
+    while post(entry, "/v1/completions", &[], &body).status != 200 {
+        assert!(Instant::now() < until, "nothing is served");
+        std::thread::sleep(Duration::from_millis(50));
+    }
+}
+
 // A peer gets the answer to what it asked an entry that is stopped meanwhile.
 // Another entry's question is held by a voter until something changes, or a proposal waits there for its
 // outcome; the voter gets SIGTERM. Ended without an answer, a proposal's caller must take the outcome for
