--- a/crates/filbertstack-entry/src/settings.rs
+++ b/crates/filbertstack-entry/src/settings.rs
@@ -26,6 +26,7 @@
 use filbertstack_telemetry::settings::TelemetrySettings;
 use filbertstack_wire::Key;
 use filbertstack_wire::Keyring;
+use filbertstack_wire::frame::MAX_BODY;
 
 /// How long callers keep an entry's address by default.
 pub const DEFAULT_MAX_AGE: Millis = Millis::secs(30);
@@ -225,6 +226,14 @@
         );
         problems.0.push(section.problem(section.line, what));
     }
+    let max_body = usize::try_from(max_body.unwrap_or(DEFAULT_MAX_BODY)).unwrap_or(usize::MAX);
+    if max_body > MAX_BODY {
+        let what = format!(
+            "max-body is more than links carry: give at most {}MiB",
+            MAX_BODY >> 20
+        );
+        problems.0.push(section.problem(section.line, what));
+    }
     section.finish(problems);
     Some(EntrySection {
         name: name?,
@@ -234,7 +243,7 @@
         links: links?,
         max_age,
         stop_timeout,
-        max_body: usize::try_from(max_body.unwrap_or(DEFAULT_MAX_BODY)).unwrap_or(usize::MAX),
+        max_body,
         max_connections: max_connections.unwrap_or(DEFAULT_MAX_CONNECTIONS) as usize,
     })
 }
--- a/crates/filbertstack-wire/src/error.rs
+++ b/crates/filbertstack-wire/src/error.rs
@@ -5,6 +5,7 @@
 
 use thiserror::Error;
 
+use crate::frame::MAX_FRAME;
 use crate::messages::Cause;
 
 /// A failure of a link or of a call on it.
@@ -33,6 +34,12 @@
     /// No reply came in time.
     #[error("no reply within the deadline; the outcome is unknown")]
     Timeout,
+    /// A call or reply is larger than a frame may be. It is not sent, and the link stands.
+    #[error("a frame of {size} bytes is over the limit of {MAX_FRAME}: send less at once")]
+    TooLarge {
+        /// Its size, in bytes.
+        size: usize,
+    },
     /// Replies came faster than they were taken.
     #[error("replies came faster than they were read; read them faster or ask for less")]
     Overflow,
@@ -59,7 +66,11 @@
     pub const fn not_run(&self) -> bool {
         matches!(
             self,
-            Self::Connect { .. } | Self::Handshake(_) | Self::Refused { .. } | Self::Unsent
+            Self::Connect { .. }
+                | Self::Handshake(_)
+                | Self::Refused { .. }
+                | Self::TooLarge { .. }
+                | Self::Unsent
         )
     }
 }
--- a/crates/filbertstack-wire/src/frame.rs
+++ b/crates/filbertstack-wire/src/frame.rs
@@ -11,8 +11,11 @@
 use crate::keys::Key;
 use crate::messages::Frame;
 
-/// The largest frame, in bytes: a piece of a chunk and its head fit four times over.
-pub const MAX_FRAME: usize = 1 << 20;
+/// The largest body that a frame carries, in bytes: a caller's request, or all declarations at once.
+pub const MAX_BODY: usize = 8 << 20;
+
+/// The largest frame, in bytes: a body, and four times the largest head of a request.
+pub const MAX_FRAME: usize = MAX_BODY + (64 << 10);
 
 /// The length of the authentication tag, in bytes.
 pub const TAG_LEN: usize = 16;
--- a/crates/filbertstack-wire/src/link.rs
+++ b/crates/filbertstack-wire/src/link.rs
@@ -286,7 +286,7 @@
     /// Starts a call.
     ///
     /// # Errors
-    /// [`WireError::Unsent`] if the link is closed.
+    /// [`WireError::Unsent`] if the link is closed; [`WireError::TooLarge`].
     pub fn call(&self, ask: Ask) -> Result<Replies, WireError> {
         let stream = self.shared.next.fetch_add(1, Ordering::Relaxed);
         let (sender, receiver) = channel();
@@ -309,7 +309,8 @@
         };
         match self.shared.outbox.push(frame) {
             Ok(()) => Ok(replies),
-            Err(_) => Err(WireError::Unsent),
+            Err(WireError::Lost) => Err(WireError::Unsent),
+            Err(error) => Err(error),
         }
     }
 
@@ -326,7 +327,7 @@
     /// Sends a call that takes no reply; it is dropped if the link is full.
     ///
     /// # Errors
-    /// [`WireError::Lost`] or [`WireError::Overflow`].
+    /// [`WireError::Lost`], [`WireError::Overflow`] or [`WireError::TooLarge`].
     pub fn tell(&self, ask: Ask) -> Result<(), WireError> {
         let item = Some(Item::Call(Call { ask: Some(ask) }));
         self.shared.outbox.offer(Frame {
--- a/crates/filbertstack-wire/src/outbox.rs
+++ b/crates/filbertstack-wire/src/outbox.rs
@@ -11,6 +11,8 @@
 use prost::Message;
 
 use crate::error::WireError;
+use crate::frame::MAX_FRAME;
+use crate::frame::TAG_LEN;
 use crate::messages::Frame;
 
 /// How many bytes may wait: a frozen far end must not grow this process without bound.
@@ -50,7 +52,7 @@
 impl Outbox {
     /// Adds a frame, and waits while the queue is full.
     pub(crate) fn push(&self, frame: Frame) -> Result<(), WireError> {
-        let size = frame.encoded_len();
+        let size = size_of(&frame)?;
         let mut queue = self.queue.lock().unwrap_or_else(PoisonError::into_inner);
         while queue.bytes > MAX_WAITING && !queue.takes_none() {
             queue = self
@@ -68,7 +70,7 @@
 
     /// Adds a frame unless the queue is full; such a frame is dropped.
     pub(crate) fn offer(&self, frame: Frame) -> Result<(), WireError> {
-        let size = frame.encoded_len();
+        let size = size_of(&frame)?;
         let mut queue = self.queue.lock().unwrap_or_else(PoisonError::into_inner);
         if queue.takes_none() {
             return Err(WireError::Lost);
@@ -147,3 +149,13 @@
         queue.unwrap_or_else(PoisonError::into_inner).closed
     }
 }
+
+/// The size of a frame that a link can carry. One that is refused here ends its own call; found when
+/// it is written, it would end the link, and with it every other call.
+fn size_of(frame: &Frame) -> Result<usize, WireError> {
+    let size = frame.encoded_len();
+    if size + TAG_LEN > MAX_FRAME {
+        return Err(WireError::TooLarge { size });
+    }
+    Ok(size)
+}
--- a/crates/filbertstack-wire/src/stream.rs
+++ b/crates/filbertstack-wire/src/stream.rs
@@ -193,7 +193,7 @@
     /// Sends a reply that is not the last.
     ///
     /// # Errors
-    /// [`WireError::Lost`] once the link is closed.
+    /// [`WireError::Lost`] once the link is closed; [`WireError::TooLarge`].
     pub fn send(&mut self, tell: Tell) -> Result<(), WireError> {
         self.reply(tell, false)
     }
@@ -201,7 +201,7 @@
     /// Sends the last reply.
     ///
     /// # Errors
-    /// [`WireError::Lost`] once the link is closed.
+    /// [`WireError::Lost`] once the link is closed; [`WireError::TooLarge`].
     pub fn finish(mut self, tell: Tell) -> Result<(), WireError> {
         self.reply(tell, true)
     }
@@ -244,7 +244,6 @@
     }
 
     fn reply(&mut self, tell: Tell, last: bool) -> Result<(), WireError> {
-        self.done |= last;
         if self.stream == 0 {
             return Ok(());
         }
@@ -254,8 +253,10 @@
             item,
             ..self.head()
         };
+        self.shared.outbox.push(frame)?;
         self.seq += 1;
-        self.shared.outbox.push(frame)
+        self.done |= last;
+        Ok(())
     }
 
     fn head(&self) -> Frame {
--- a/crates/filbertstack-wire/tests/links/calls.rs
+++ b/crates/filbertstack-wire/tests/links/calls.rs
@@ -15,6 +15,7 @@
 use filbertstack_wire::Keyring;
 use filbertstack_wire::Role;
 use filbertstack_wire::WireError;
+use filbertstack_wire::frame::MAX_BODY;
 use filbertstack_wire::frame::Opener;
 use filbertstack_wire::frame::Sealer;
 use filbertstack_wire::link::Link;
@@ -303,3 +304,36 @@
     }
     assert_eq!(replies.next(deadline).expect("the end"), None);
 }
+
+// Other callers' streams go on when one caller sends a body that a link can't carry; that one call alone
+// fails, as not run.
+// The frame is over the limit, so that the link can't send it. Ended by it, the link would break off
+// every call on it, and each repeat would end another link.
+#[test]
+fn a_call_that_is_too_large_breaks_no_other() {
+    let (listener, calls) = serve(good_keys());
+    let dialer = dialer(good_keys());
+    let link = dialer.link(listener.addr(), Role::Peer).expect("connects");
+    let mut other = link.call(Ask::Term(Empty {})).expect("sent");
+    let (_, mut responder) = calls.recv_timeout(PATIENCE).expect("the call arrives");
+    let large = "x".repeat(MAX_BODY + (1 << 20));
+    let error = link.call(propose(&large)).expect_err("too large");
+    assert!(matches!(error, WireError::TooLarge { .. }), "{error}");
+    assert!(error.not_run());
+    let reply = responder.send(payload(large)).expect_err("too large");
+    assert!(matches!(reply, WireError::TooLarge { .. }), "{reply}");
+    responder.finish(payload("the answer")).expect("it stands");
+    let deadline = Instant::now() + PATIENCE;
+    let answer = other.next(deadline).expect("the link stands");
+    assert_eq!(answer, Some(payload("the answer")));
+}
+
+// The largest body that callers may send passes.
+#[test]
+fn the_largest_body_passes() {
+    let (listener, _calls) = serve(good_keys());
+    let dialer = dialer(good_keys());
+    let body = "x".repeat(MAX_BODY);
+    let told = dialer.ask(listener.addr(), Role::Peer, propose(&body), PATIENCE);
+    assert_eq!(told.expect("a reply"), payload(body));
+}
