--- a/crates/filbertstack-entry/src/guard.rs
+++ b/crates/filbertstack-entry/src/guard.rs
@@ -16,6 +16,7 @@
 use std::net::TcpStream;
 use std::os::fd::OwnedFd;
 use std::sync::Arc;
+use std::sync::Condvar;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
@@ -109,6 +110,7 @@
     opening: Mutex<()>,
     /// By the guard's own port on loopback, which the library sees as the caller's.
     served: Mutex<HashMap<u16, Served>>,
+    answered: Condvar,
 }
 
 impl Guard {
@@ -131,6 +133,7 @@
             stopped: AtomicBool::new(false),
             opening: Mutex::default(),
             served: Mutex::default(),
+            answered: Condvar::new(),
         });
         let accepting = shared.clone();
         let builder = thread::Builder::new()
@@ -185,6 +188,24 @@
         }
     }
 
+    /// Waits until every request that came has its whole answer passed on, until `until` at most, and
+    /// says whether it is so.
+    ///
+    /// The library is done with an answer once it has written it to the guard. A caller that reads
+    /// slowly has yet to take a part of it then, which the end of the process would cut off.
+    pub fn await_answers(&self, until: Instant) -> bool {
+        let mut served = lock(&self.shared.served);
+        while !served.is_empty() {
+            let left = until.saturating_duration_since(Instant::now());
+            if left.is_zero() {
+                return false;
+            }
+            let waited = self.shared.answered.wait_timeout(served, left);
+            served = waited.unwrap_or_else(PoisonError::into_inner).0;
+        }
+        true
+    }
+
     /// The connections open now.
     pub fn connections(&self) -> usize {
         self.shared.connections.load(Ordering::Relaxed)
@@ -352,6 +373,7 @@
 impl Drop for Watched<'_> {
     fn drop(&mut self) {
         lock(&self.shared.served).remove(&self.port);
+        self.shared.answered.notify_all();
     }
 }
 
--- a/crates/filbertstack-entry/src/process.rs
+++ b/crates/filbertstack-entry/src/process.rs
@@ -188,9 +188,10 @@
         while inner.serving.load(Ordering::SeqCst) > 0 && Instant::now() < until {
             thread::sleep(STOP_POLL);
         }
+        let passed_on = self.guard.await_answers(until);
         let requests = inner.serving.load(Ordering::SeqCst);
-        if requests > 0 {
-            warn!("stop timeout ran out, requests break off", kv: { requests });
+        if requests > 0 || !passed_on {
+            warn!("stop timeout ran out, requests break off", kv: { requests, passed_on });
         }
         if let Some(voter) = &inner.voter {
             voter.stop();
@@ -198,7 +199,7 @@
         inner.membership.part();
         inner.views.end_waits();
         self.listener.finish(LAST_CALLS);
-        requests == 0
+        requests == 0 && passed_on
     }
 }
 
--- a/tests/system/leaving.rs
+++ b/tests/system/leaving.rs
@@ -1,7 +1,10 @@
 //! Planned stops cut nothing off, and leave nothing new behind.
 
 use std::fs;
+use std::io::Read;
+use std::io::Write;
 use std::net::SocketAddr;
+use std::net::TcpStream;
 use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
@@ -28,6 +31,7 @@
 use crate::served::Served;
 use crate::served::TOKENS;
 use crate::served::stream;
+use crate::support::CALLER_KEY;
 use crate::support::PATIENCE;
 use crate::support::PEER_KEY;
 use crate::support::Process;
@@ -130,6 +134,46 @@
     }
 }
 
+// A caller that reads slowly gets its whole answer from an entry that is stopped.
+// The entry has made the answer to its end, and no request is in progress any more; a part of it still
+// waits in the entry for the caller to take it. Ended then, the entry cuts it off.
+#[test]
+fn an_entry_that_is_stopped_waits_for_a_slow_caller() {
+    let system = System::new(1);
+    let mut entry = system.start_entry(0);
+    let service = Process::start(&["stand-in", "service", "desk"]);
+    let addr = service.addr("listening");
+    let _desk = system.start_agent("desk-0", "service", addr, "role=desk");
+    system.apply(
+        "[rule desk]\norder = 20\npath = /desk/\ninstances = role=desk\nidempotent = true\n",
+    );
+    let addr = system.entries[0].http;
+    post(addr, "/desk/0", &[], "the way is there");
+    // The answer holds it once more; both fit the buffers of two connections, not those of one.
+    let body = "x".repeat(4 << 20);
+    let mut caller = TcpStream::connect(addr).expect("connects");
+    let head = format!(
+        "POST /desk/1 HTTP/1.1\r\nhost: test\r\nauthorization: Bearer {CALLER_KEY}\r\n\
+         content-length: {}\r\n\r\n",
+        body.len()
+    );
+    caller.write_all(head.as_bytes()).expect("sent");
+    caller.write_all(body.as_bytes()).expect("sent");
+    caller.read_exact(&mut [0]).expect("the answer begins");
+    entry.signal("TERM");
+    // Reads on when the entry has ended, or has had the time to.
+    std::thread::sleep(Duration::from_secs(15));
+    let mut answer = Vec::new();
+    caller.read_to_end(&mut answer).expect("no reset");
+    let text = String::from_utf8_lossy(&answer[..answer.len().min(400)]);
+    assert!(
+        answer.len() > body.len(),
+        "{} bytes came: {text}",
+        answer.len()
+    );
+    assert!(entry.wait().success());
+}
+
 // A peer gets the answer to what it asked an entry that is stopped meanwhile.
 // Another entry's question is held by a voter until something changes, or a proposal waits there for its
 // outcome; the voter gets SIGTERM. Ended without an answer, a proposal's caller must take the outcome for
