--- a/crates/filbertstack-gateway/src/agent/gather.rs
+++ b/crates/filbertstack-gateway/src/agent/gather.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use bytes::Bytes;
 use filbertstack_platform::engine::Holding;
 use filbertstack_platform::engine::PieceList;
 use filbertstack_platform::engine::read_staged;
@@ -12,9 +13,11 @@
 use futures_util::stream;
 use spdlog::info;
 use spdlog::warn;
+use tokio::task::spawn_local;
 use tokio::time::sleep;
 
 use crate::agent::Agent;
+use crate::client::CallFailure;
 use crate::weights;
 use crate::weights::fetch::Fetch;
 
@@ -87,7 +90,7 @@
     staged.is_ok_and(|bytes| weights::fits(list, number, &bytes))
 }
 
-async fn fetch_missing(agent: &Agent, fetch: &Fetch, list: &PieceList) -> Got {
+async fn fetch_missing(agent: &Rc<Agent>, fetch: &Fetch, list: &Rc<PieceList>) -> Got {
     let order = fetch.layout(list).order(weights::count(list));
     let missing = order.into_iter().filter(|n| !agent.stage.has(*n));
     let mut pieces = stream::iter(missing)
@@ -101,20 +104,47 @@
     Got::Staged
 }
 
-async fn fetch_one(agent: &Agent, fetch: &Fetch, list: &PieceList, number: u32) -> Got {
+async fn fetch_one(agent: &Rc<Agent>, fetch: &Fetch, list: &Rc<PieceList>, number: u32) -> Got {
     let Some(bytes) = fetch.piece(list, number).await else {
         return Got::Unfit;
     };
+    // On a task of its own: left half way, as another version is gathered, it would have no outcome.
+    let put = spawn_local(put_piece(agent.clone(), list.clone(), number, bytes));
+    put.await.unwrap_or(Got::NotTaken)
+}
+
+/// Puts a piece at the engine, unless another version is staged by now.
+async fn put_piece(agent: Rc<Agent>, list: Rc<PieceList>, number: u32, bytes: Bytes) -> Got {
+    let stage = &agent.stage;
+    let weights = &list.weights;
+    if stage.weights().as_ref() != Some(weights) {
+        return Got::NotTaken;
+    }
     let length = bytes.len() as u64;
-    let put = stage_piece(&list.weights.model, number, bytes);
-    match agent.engine.call(put).await {
+    let born = agent.engine.report().map_or(0, |report| report.born);
+    let open = stage.open_put(weights, born, agent.node.clock.now());
+    let answer = agent
+        .engine
+        .call(stage_piece(&weights.model, number, bytes));
+    let answer = answer.await;
+    let certain = answer
+        .as_ref()
+        .map_or_else(CallFailure::is_certain, |_| true);
+    if certain {
+        stage.settle_put(open);
+    }
+    match answer {
         Ok(_) => {
-            agent.stage.put(number);
+            if stage.weights().as_ref() == Some(weights) {
+                stage.put(number);
+            }
             agent.metrics.weights.fetched.add("staged", length);
             Got::Staged
         }
         Err(error) => {
-            warn!("piece not staged", kv: { number = number, error = error.to_string() });
+            warn!("piece not staged", kv: {
+                number, version = weights.version, may_be_put = !certain, error = error.to_string()
+            });
             Got::NotTaken
         }
     }
--- a/crates/filbertstack-gateway/src/agent/orders.rs
+++ b/crates/filbertstack-gateway/src/agent/orders.rs
@@ -12,6 +12,7 @@
 use tokio::time::timeout;
 
 use crate::agent::Agent;
+use crate::agent::stage::LATEST;
 use crate::agent::stage::OpenOrder;
 use crate::agent::visit::Found;
 use crate::agent::visit::Outcome;
@@ -25,9 +26,8 @@
 /// How long the list of a version is waited for: entries that start again have it within a second.
 const LIST: Duration = Duration::from_secs(2);
 
-/// How long after its start an agent that does not know what may be ordered stages nothing. The latest
-/// order seen to be begun without an answer was 12 s old.
-pub const UNKNOWN: Millis = Millis(15_000);
+/// How long after its start an agent that does not know what may be ordered stages nothing.
+pub const UNKNOWN: Millis = LATEST;
 
 /// How often the engine is asked whether it has begun an order: as often as it reports anyway.
 const LOOK: Duration = Duration::from_millis(100);
--- a/crates/filbertstack-gateway/src/agent/rollout.rs
+++ b/crates/filbertstack-gateway/src/agent/rollout.rs
@@ -157,6 +157,16 @@
 /// is sent again: the answer to any of its copies makes the engine refuse all the others. One that an
 /// earlier process may have sent waits for its turn, as long as there is one.
 fn is_due(agent: &Agent, list: &PieceList, needed: &[Holding]) -> bool {
+    let Some(report) = agent.engine.report() else {
+        return false;
+    };
+    let now = agent.node.clock.now();
+    if agent
+        .stage
+        .may_be_overwritten(&list.weights, report.born, now)
+    {
+        return false;
+    }
     let open = agent.stage.open_order();
     if open.is_some_and(|order| order.sent > 0 || !needed.contains(&list.weights)) {
         return true;
--- a/crates/filbertstack-gateway/src/agent/stage.rs
+++ b/crates/filbertstack-gateway/src/agent/stage.rs
@@ -7,19 +7,33 @@
 use std::collections::BTreeSet;
 use std::rc::Rc;
 
+use filbertstack_core::Millis;
 use filbertstack_platform::engine::Holding;
 use filbertstack_platform::engine::PieceList;
+use slotmap::SlotMap;
+use slotmap::new_key_type;
 use tokio::sync::Notify;
 
 use crate::agent::visit::Progress;
 use crate::weights::count;
 
+/// How long after it was sent a call without an answer may be carried out: the latest order seen was
+/// begun 12 s after.
+pub const LATEST: Millis = Millis(15_000);
+
+new_key_type! {
+    /// Names a put whose outcome is not known.
+    pub struct PutKey;
+}
+
 /// The pieces staged.
 #[derive(Debug, Default)]
 pub struct Stage {
     staged: RefCell<Option<Staged>>,
     /// The order to load them whose outcome is not known.
     order: RefCell<Option<OpenOrder>>,
+    /// Puts of pieces whose outcome is not known.
+    puts: RefCell<SlotMap<PutKey, OpenPut>>,
     /// Lists that came before any version was begun.
     known: RefCell<Vec<Rc<PieceList>>>,
     /// Told when all pieces of a version lie there.
@@ -39,6 +53,17 @@
     pub sent: u32,
 }
 
+/// A put of a piece whose outcome is not known. Carried out after another version was read back, it
+/// would lie over one of its pieces when the engine begins to load them.
+#[derive(Debug)]
+struct OpenPut {
+    weights: Holding,
+    /// The start of the engine that it was sent to. It is sent on the connection that the reports come
+    /// on, which ends with that start.
+    born: u64,
+    sent: Millis,
+}
+
 #[derive(Debug)]
 struct Staged {
     list: Rc<PieceList>,
@@ -96,6 +121,29 @@
         *self.order.borrow_mut() = order;
     }
 
+    /// Notes that a piece of `weights` is being put at the engine started at `born`.
+    pub fn open_put(&self, weights: &Holding, born: u64, now: Millis) -> PutKey {
+        let weights = weights.clone();
+        self.puts.borrow_mut().insert(OpenPut {
+            weights,
+            born,
+            sent: now,
+        })
+    }
+
+    /// Notes that the outcome of a put is known.
+    pub fn settle_put(&self, put: PutKey) {
+        self.puts.borrow_mut().remove(put);
+    }
+
+    /// Whether a put of another version than `weights` may yet be carried out by the engine started at
+    /// `born`.
+    pub fn may_be_overwritten(&self, weights: &Holding, born: u64, now: Millis) -> bool {
+        let mut puts = self.puts.borrow_mut();
+        puts.retain(|_, put| put.born == born && now.since(put.sent) < LATEST);
+        puts.values().any(|put| put.weights != *weights)
+    }
+
     /// Notes that a piece lies there and was right.
     pub fn put(&self, number: u32) {
         if let Some(staged) = self.staged.borrow_mut().as_mut() {
--- a/crates/filbertstack-gateway/src/client.rs
+++ b/crates/filbertstack-gateway/src/client.rs
@@ -52,6 +52,13 @@
     Body(String),
 }
 
+impl CallFailure {
+    /// Whether the far end certainly does not carry the call out, now or later.
+    pub const fn is_certain(&self) -> bool {
+        matches!(self, Self::Connect { .. } | Self::Status(_))
+    }
+}
+
 /// One connection. Dropping it closes it, and with it whatever is under way there.
 #[derive(Debug)]
 pub struct Connection {
--- a/tests/gateway/model.rs
+++ b/tests/gateway/model.rs
@@ -6,6 +6,7 @@
 use std::sync::MutexGuard;
 use std::thread;
 use std::time::Duration;
+use std::time::Instant;
 
 use serde_json::Value;
 use serde_json::json;
@@ -57,6 +58,17 @@
 /// How long an engine is silent that does not answer: longer than an agent waits for it.
 const SILENT: Duration = Duration::from_secs(1);
 
+/// How long after it was sent an engine may carry out a call that it left without an answer.
+const LATEST: Duration = Duration::from_secs(12);
+
+/// A piece that was put and left without an answer.
+#[derive(Debug)]
+struct LatePut {
+    number: u32,
+    bytes: Vec<u8>,
+    sent: Instant,
+}
+
 /// An order to load.
 #[derive(Clone, Copy, Debug)]
 struct Order {
@@ -82,6 +94,10 @@
     /// How many orders are yet to be left without an answer, and carried out late: at the worst
     /// moment, as soon as a piece of another version is staged.
     pub late_orders: u32,
+    /// How many puts of a piece are yet to be left without an answer, and carried out late: at the
+    /// worst moment, as an order begins, or else at the latest.
+    pub late_puts: u32,
+    late_put: Option<LatePut>,
     /// How many orders were left without an answer.
     pub unanswered: u32,
     /// After how many readings of the last piece since that was staged it loses its power and starts
@@ -110,6 +126,35 @@
         })
     }
 
+    /// Carries out a put that was left without an answer.
+    fn put_late(&mut self) {
+        if let Some(late) = self.late_put.take() {
+            self.staged.insert(late.number, late.bytes);
+        }
+    }
+
+    /// Carries out what can't be put off any longer.
+    fn put_overdue(&mut self) {
+        let late = self.late_put.as_ref();
+        if late.is_some_and(|late| late.sent.elapsed() >= LATEST) {
+            self.put_late();
+        }
+    }
+
+    /// Whether the put of a piece is to be left without an answer.
+    fn leaves(&mut self, number: u32, bytes: &[u8]) -> bool {
+        if self.late_puts == 0 {
+            return false;
+        }
+        self.late_puts -= 1;
+        self.late_put = Some(LatePut {
+            number,
+            bytes: bytes.to_vec(),
+            sent: Instant::now(),
+        });
+        true
+    }
+
     fn stage(&mut self, number: u32, bytes: &[u8]) {
         self.staged.insert(number, bytes.to_vec());
         if number + 1 == PIECES {
@@ -125,6 +170,7 @@
 
     /// Reads a staged piece, and starts again after it where it is to.
     fn read(&mut self, number: u32) -> Vec<u8> {
+        self.put_overdue();
         let answer = match self.staged.get(&number) {
             Some(bytes) => plain("200 OK", bytes),
             None => plain("404 Not Found", b""),
@@ -147,6 +193,7 @@
             self.staged.clear();
         }
         self.late.clear();
+        self.late_put = None;
         self.version = 0;
         self.sequence = 0;
         self.born += 1;
@@ -159,6 +206,10 @@
         if order.version == self.version {
             return plain("200 OK", b"");
         }
+        let late = self.late_put.as_ref();
+        if late.is_some_and(|late| late.bytes != piece(order.version, late.number)) {
+            self.put_late();
+        }
         let right = |n| self.staged.get(&n) == Some(&piece(order.version, n));
         if !(0..PIECES).all(right) {
             self.wrong_orders += 1;
@@ -192,8 +243,7 @@
             let report = self.held().report();
             plain("200 OK", report.to_string().as_bytes())
         } else if path.starts_with("/stage-put/") {
-            self.held().stage(number(seen), &seen.body);
-            plain("200 OK", b"")
+            self.put(seen)
         } else if path.starts_with("/stage-get/") {
             self.held().read(number(seen))
         } else if path == "/order" {
@@ -204,6 +254,17 @@
         Some(answer)
     }
 
+    fn put(&self, seen: &Seen) -> Vec<u8> {
+        let mut held = self.held();
+        if !held.leaves(number(seen), &seen.body) {
+            held.stage(number(seen), &seen.body);
+            return plain("200 OK", b"");
+        }
+        drop(held);
+        thread::sleep(SILENT);
+        Vec::new()
+    }
+
     fn order(&self, seen: &Seen) -> Vec<u8> {
         let body: Value = serde_json::from_slice(&seen.body).expect("JSON");
         let order = Order {
--- a/tests/gateway/orders.rs
+++ b/tests/gateway/orders.rs
@@ -80,3 +80,20 @@
     fleet.await_version(3);
     assert_eq!(fleet.wrong_orders(), 0);
 }
+
+/// Callers would get tokens that no version of the weights makes. An engine leaves the put of a piece
+/// without an answer; the agent puts it again, and the engine loads that version. The next version is
+/// staged and read back whole, and the first copy of the put is carried out seconds after it was sent,
+/// between the last reading and the moment at which the engine begins the order.
+#[test]
+fn a_piece_that_is_put_late_gets_into_no_other_version() {
+    let fleet = Fleet::start(1);
+    fleet.name(2);
+    fleet.await_version(2);
+    fleet.models[0].held().late_puts = 1;
+    fleet.name(3);
+    fleet.await_version(3);
+    fleet.name(4);
+    fleet.await_version(4);
+    assert_eq!(fleet.wrong_orders(), 0);
+}
