--- a/crates/filbertstack-agent/src/keeper.rs
+++ b/crates/filbertstack-agent/src/keeper.rs
@@ -32,6 +32,9 @@
 use crate::target::Phase;
 use crate::target::Report;
 use crate::target::Target;
+use crate::target::TargetError;
+use crate::unanswered::Order;
+use crate::unanswered::Unanswered;
 
 /// How often versions are looked at when nothing wakes the keeper.
 const TICK: Duration = Duration::from_millis(100);
@@ -98,6 +101,7 @@
     dir: PathBuf,
     fetcher: F,
     kept: BTreeMap<Digest, Kept>,
+    unanswered: Unanswered,
     checked: Instant,
 }
 
@@ -111,7 +115,9 @@
         dir: PathBuf,
         fetcher: F,
     ) -> Self {
-        let (kept, checked) = (BTreeMap::new(), Instant::now());
+        let kept = BTreeMap::new();
+        let unanswered = Unanswered::default();
+        let checked = Instant::now();
         Self {
             desk,
             gate,
@@ -120,6 +126,7 @@
             dir,
             fetcher,
             kept,
+            unanswered,
             checked,
         }
     }
@@ -236,7 +243,7 @@
         }
     }
 
-    fn load(&self, kept: &mut Kept, version: Version<Verified>, fence: Fence) -> Option<Held> {
+    fn load(&mut self, kept: &mut Kept, version: Version<Verified>, fence: Fence) -> Option<Held> {
         match kept.duty() {
             None => return None,
             Some(Duty::Serve) => {}
@@ -247,6 +254,11 @@
         if kept.is_waiting() || occupied || self.gate.running() > 0 {
             return Some(Held::Verified(version));
         }
+        let order = Order::Load(version.root());
+        if !self.unanswered.allows(order, Instant::now()) {
+            kept.trouble = "an earlier order may yet be carried out: it is waited for".into();
+            return Some(Held::Verified(version));
+        }
         let dir = match version.write_to(&self.dir) {
             Ok(dir) => dir,
             Err(error) => {
@@ -262,6 +274,7 @@
         {
             Ok(()) => Some(Held::Loading(version.load(), Instant::now())),
             Err(error) => {
+                self.note_unanswered(order, &error);
                 kept.fail(error.to_string());
                 Some(Held::Verified(version))
             }
@@ -325,11 +338,17 @@
         Held::Verified(version.lose())
     }
 
-    fn drain(&self, version: Version<Serving>, duty: Option<Duty>, fence: Fence) -> Option<Held> {
+    fn drain(
+        &mut self,
+        version: Version<Serving>,
+        duty: Option<Duty>,
+        fence: Fence,
+    ) -> Option<Held> {
         if self.gate.running() > 0 {
             return Some(Held::Draining(version));
         }
         if let Err(error) = self.target.unload(fence) {
+            self.note_unanswered(Order::Unload, &error);
             warn!("unload: {error}");
         }
         let _ = std::fs::remove_dir_all(self.dir.join(version.root().to_string()));
@@ -337,6 +356,12 @@
         duty.map(|_| Held::Verified(version.lose()))
     }
 
+    fn note_unanswered(&mut self, order: Order, error: &TargetError) {
+        if matches!(error, TargetError::Broken(_)) {
+            self.unanswered.note(order, Instant::now());
+        }
+    }
+
     fn show(&self) {
         let copies = self.kept.values().map(Kept::copy).collect();
         let known = |version: &Digest| self.kept.contains_key(version);
--- a/crates/filbertstack-agent/src/lib.rs
+++ b/crates/filbertstack-agent/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod settings;
 pub mod source;
 pub mod target;
+pub mod unanswered;
 
 pub use process::Agent;
 pub use settings::Settings;
