--- a/crates/filbertstack-gateway/src/entry/mod.rs
+++ b/crates/filbertstack-gateway/src/entry/mod.rs
@@ -32,6 +32,7 @@
 use crate::control::voter::Around;
 use crate::control::voter::Voter;
 use crate::entry::directory::Directory;
+use crate::entry::server::Answering;
 use crate::link;
 use crate::link::Dialer;
 use crate::link::messages::EntryRow;
@@ -109,8 +110,9 @@
     metrics::serve(settings.listen.metrics, &metrics)?;
     let requests = Requests::new(node.clone(), metrics);
     let (leave, leaving) = watch::channel(false);
+    let answering = Answering::default();
     let cache = Rc::new(Cache::new(node.clone(), &own_id(&node)));
-    serve_all(&node, &requests, &cache, &leaving)?;
+    serve_all(&node, &requests, &cache, &leaving, &answering)?;
     start_control(&node);
     spawn_local(register_later(node.clone()));
     spawn_local(keep_targets(node.clone(), requests.clone()));
@@ -122,7 +124,7 @@
     });
     spawn_local(reload.clone().watch_file());
     wait_for_end(&reload).await.map_err(EntryError::Signals)?;
-    leave_system(&node, &requests, &leave).await;
+    leave_system(&node, &requests, &leave, &answering).await;
     Ok(())
 }
 
@@ -131,6 +133,7 @@
     requests: &Rc<Requests>,
     cache: &Rc<Cache>,
     leaving: &watch::Receiver<bool>,
+    answering: &Answering,
 ) -> Result<(), EntryError> {
     let listen = &node.settings.listen;
     let bind =
@@ -141,15 +144,26 @@
             bind(addr)?,
             requests.clone(),
             leaving.clone(),
+            answering.clone(),
         ));
     }
     let directory = Rc::new(Directory::new(node.clone(), leaving.clone()));
     for addr in [listen.ready, listen.directory].into_iter().flatten() {
-        spawn_local(server::serve(bind(addr)?, directory.clone(), never.clone()));
+        spawn_local(server::serve(
+            bind(addr)?,
+            directory.clone(),
+            never.clone(),
+            Answering::default(),
+        ));
     }
     if let Some(addr) = listen.control {
         let calls = Rc::new(Calls::new(node.clone()));
-        spawn_local(server::serve(bind(addr)?, calls, never));
+        spawn_local(server::serve(
+            bind(addr)?,
+            calls,
+            never,
+            Answering::default(),
+        ));
     }
     let links = bind(node.settings.node.link)?;
     spawn_local(link::serve(links, cache.clone()));
@@ -258,7 +272,12 @@
 
 /// Ends without cutting off a request: no new callers are sent here, those who come still are
 /// served, and the process ends when all have their answers.
-async fn leave_system(node: &Rc<Node>, requests: &Rc<Requests>, leave: &watch::Sender<bool>) {
+async fn leave_system(
+    node: &Rc<Node>,
+    requests: &Rc<Requests>,
+    leave: &watch::Sender<bool>,
+    answering: &Answering,
+) {
     let grace = node.settings.bounds.grace.saturating_sub(LAST);
     let started = Instant::now();
     info!("leaving", kv: { grace_ms = grace.as_millis(), requests = requests.under_way() });
@@ -272,12 +291,13 @@
     });
     loop {
         let spent = started.elapsed();
-        let idle = requests.under_way() == 0 && handing.is_finished();
+        let answered = requests.under_way() == 0 && answering.count() == 0;
+        let idle = answered && handing.is_finished();
         let done = idle && spent >= LINGER.min(grace);
         if done || spent >= grace {
             break;
         }
         sleep(LEAVE_POLL).await;
     }
-    info!("stopped", kv: { requests = requests.under_way() });
+    info!("stopped", kv: { requests = requests.under_way(), unread = answering.count() });
 }
--- a/crates/filbertstack-gateway/src/entry/server.rs
+++ b/crates/filbertstack-gateway/src/entry/server.rs
@@ -1,5 +1,7 @@
 //! Accepting HTTP connections.
 
+use std::cell::Cell;
+use std::cell::OnceCell;
 use std::convert::Infallible;
 use std::io;
 use std::net::SocketAddr;
@@ -42,6 +44,36 @@
     fn idle(&self) -> Duration;
 }
 
+/// Counts the connections whose caller has asked for something, until they end. A connection ends once
+/// its last answer is passed on, as soon as the process leaves.
+///
+/// A request is done when the body of its answer has been handed over. A caller that reads slowly has
+/// yet to take a part of it then, which the end of the process would cut off.
+#[derive(Clone, Debug, Default)]
+pub struct Answering(Rc<Cell<usize>>);
+
+impl Answering {
+    /// How many there are.
+    pub fn count(&self) -> usize {
+        self.0.get()
+    }
+
+    fn begin(&self) -> Asked {
+        self.0.set(self.0.get() + 1);
+        Asked(self.clone())
+    }
+}
+
+/// Counts one connection for as long as it lives.
+struct Asked(Answering);
+
+impl Drop for Asked {
+    fn drop(&mut self) {
+        let count = &self.0.0;
+        count.set(count.get() - 1);
+    }
+}
+
 /// Opens a listening socket whose queue holds a burst of new connections.
 ///
 /// # Errors
@@ -54,16 +86,19 @@
 }
 
 /// Accepts connections until the process ends. Once `leaving` is true each connection ends with
-/// the answer in progress, and new ones are told to close after theirs.
+/// the answer in progress, and new ones are told to close after theirs; `answering` counts those that
+/// have yet to.
 pub async fn serve<S: Service>(
     listener: TcpListener,
     service: Rc<S>,
     leaving: watch::Receiver<bool>,
+    answering: Answering,
 ) {
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
-                spawn_local(attend(stream, service.clone(), leaving.clone()));
+                let (leaving, answering) = (leaving.clone(), answering.clone());
+                spawn_local(attend(stream, service.clone(), leaving, answering));
             }
             Err(error) => {
                 spdlog::warn!("connection not accepted", kv: { error = error.to_string() });
@@ -73,7 +108,13 @@
     }
 }
 
-async fn attend<S: Service>(stream: TcpStream, service: Rc<S>, mut leaving: watch::Receiver<bool>) {
+async fn attend<S: Service>(
+    stream: TcpStream,
+    service: Rc<S>,
+    mut leaving: watch::Receiver<bool>,
+    answering: Answering,
+) {
+    let asked = OnceCell::new();
     tune(&stream);
     let mut builder = http1::Builder::new();
     builder
@@ -87,6 +128,7 @@
     }
     let answer = service_fn(|request| {
         let service = service.clone();
+        asked.get_or_init(|| answering.begin());
         async move { Ok::<_, Infallible>(service.answer(request).await) }
     });
     let connection = builder.serve_connection(TokioIo::new(stream), answer);
--- a/crates/filbertstack-gateway/src/metrics.rs
+++ b/crates/filbertstack-gateway/src/metrics.rs
@@ -19,6 +19,7 @@
 
 use crate::entry::EntryError;
 use crate::entry::server;
+use crate::entry::server::Answering;
 use crate::entry::server::Service;
 use crate::request::answer::AnswerBody;
 
@@ -76,6 +77,7 @@
         listener,
         Rc::new(Text(metrics.clone())),
         never,
+        Answering::default(),
     ));
     Ok(())
 }
