--- /dev/null
+++ b/crates/filbertstack-gateway/tests/links.rs
@@ -0,0 +1,116 @@
+//! How links of the event loop end: what has arrived is still read.
+
+use std::future::poll_fn;
+use std::io::Read;
+use std::io::Write;
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::net::TcpStream;
+use std::sync::mpsc::Receiver;
+use std::sync::mpsc::Sender;
+use std::sync::mpsc::channel;
+use std::task::Poll;
+use std::thread;
+use std::time::Duration;
+
+use filbertstack_gateway::link::Dialer;
+use filbertstack_gateway::link::messages::Answer;
+use filbertstack_gateway::link::messages::Body;
+use filbertstack_gateway::link::messages::Frame;
+use filbertstack_gateway::link::messages::News;
+use filbertstack_gateway::link::messages::Nothing;
+use filbertstack_gateway::link::messages::Question;
+use filbertstack_gateway::link::messages::Reply;
+use filbertstack_gateway::link::messages::Rows;
+use prost::Message;
+use tokio::task::LocalSet;
+use tokio::task::spawn_local;
+use tokio::time::sleep;
+
+const PATIENCE: Duration = Duration::from_secs(20);
+
+fn read_frame(socket: &mut TcpStream) -> Frame {
+    let mut length = [0; 4];
+    socket.read_exact(&mut length).expect("a length");
+    let mut body = vec![0; u32::from_be_bytes(length) as usize];
+    socket.read_exact(&mut body).expect("a frame");
+    Frame::decode(&body[..]).expect("it decodes")
+}
+
+fn write_frame(socket: &mut TcpStream, frame: &Frame) {
+    let body = frame.encode_to_vec();
+    let length = u32::try_from(body.len()).expect("short");
+    let sent = [&length.to_be_bytes()[..], &body].concat();
+    socket.write_all(&sent).expect("the link stands");
+}
+
+/// Lets tasks that are ready run, but none that waits for its socket: that is not looked at.
+async fn let_others_run() {
+    let mut ran = false;
+    poll_fn(|cx| {
+        if ran {
+            return Poll::Ready(());
+        }
+        ran = true;
+        cx.waker().wake_by_ref();
+        Poll::Pending
+    })
+    .await;
+}
+
+/// A peer that answers one question, once told to, and ends.
+fn peer(asked: Sender<()>, told: Receiver<()>, gone: Sender<()>) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let addr = listener.local_addr().expect("bound");
+    thread::spawn(move || {
+        let (mut socket, _) = listener.accept().expect("it dials");
+        let question = read_frame(&mut socket);
+        asked.send(()).expect("the test waits");
+        told.recv_timeout(PATIENCE).expect("told");
+        let reply = Some(Reply::Done(Nothing {}));
+        let answer = Frame {
+            id: question.id,
+            body: Some(Body::Answer(Answer { reply })),
+        };
+        write_frame(&mut socket, &answer);
+        drop(socket);
+        gone.send(()).expect("the test waits");
+    });
+    addr
+}
+
+// Whoever asked a peer that answers and ends gets the answer.
+// The answer waits in the socket while this end writes to a connection that is closed by then. A write
+// that fails says nothing of what the peer sent before it; with the link ended at once, the outcome of
+// what was asked would be unknown.
+#[test]
+fn an_answer_that_has_arrived_is_read_although_writing_fails() {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .expect("a runtime");
+    LocalSet::new().block_on(&runtime, async {
+        let (asked, was_asked) = channel();
+        let (tell, told) = channel();
+        let (gone, has_gone) = channel();
+        let dialer = Dialer::default();
+        let link = dialer.link(peer(asked, told, gone)).await.expect("dialled");
+        let asking = link.clone();
+        let question = Question::Standing(Nothing {});
+        let answer = spawn_local(async move { asking.ask(question, PATIENCE).await });
+        while was_asked.try_recv().is_err() {
+            sleep(Duration::from_millis(1)).await;
+        }
+        tell.send(()).expect("the peer waits");
+        // Holds up this thread, and with it the reader, until the peer has ended.
+        has_gone.recv_timeout(PATIENCE).expect("it ends");
+        let telling = spawn_local(async move {
+            while link.tell(News::Rows(Rows::default())) {
+                let_others_run().await;
+            }
+        });
+        telling.await.expect("no panic");
+        let reply = answer.await.expect("no panic").expect("an answer");
+        assert_eq!(reply, Reply::Done(Nothing {}));
+    });
+}
