--- a/crates/filbertstack-gateway/src/agent/orders.rs
+++ b/crates/filbertstack-gateway/src/agent/orders.rs
@@ -14,7 +14,9 @@
 use crate::agent::Agent;
 use crate::agent::stage::LATEST;
 use crate::agent::stage::OpenOrder;
+use crate::agent::visit::Bad;
 use crate::agent::visit::Found;
+use crate::agent::visit::Other;
 use crate::agent::visit::Outcome;
 use crate::agent::visit::Progress;
 use crate::agent::visit::Visit;
@@ -22,6 +24,7 @@
 use crate::agent::visit::Whole;
 use crate::weights;
 use crate::weights::fetch::Fetch;
+use crate::weights::is_piece;
 
 /// How long the list of a version is waited for: entries that start again have it within a second.
 const LIST: Duration = Duration::from_secs(2);
@@ -41,11 +44,14 @@
     let weights = whole.weights().clone();
     let earlier = agent.stage.open_order().filter(|order| order.made == made);
     let sent = earlier.as_ref().map_or(0, |order| order.sent) + 1;
+    let now = agent.node.clock.now();
+    let noted = earlier.as_ref().map_or(now, |order| order.noted);
     // Noted before it is sent: whatever becomes of this task, the engine may begin it.
     agent.stage.set_open_order(Some(OpenOrder {
         weights,
         made,
         sent,
+        noted,
     }));
     match whole.order(running).await {
         Outcome::Begun => {
@@ -73,6 +79,13 @@
     let Some(order) = agent.stage.open_order() else {
         return;
     };
+    let age = agent.node.clock.now().since(order.noted);
+    if order.sent == 0 && agent.stage.whole().is_none() && age >= LATEST {
+        // Its pieces can't be had any more, and nobody would wait for them for good.
+        info!("order given up", kv: { version = order.weights.version, age_ms = age.0 });
+        agent.stage.set_open_order(None);
+        return;
+    }
     // An engine that does not answer may begin it later.
     let Ok(report) = agent.engine.ask_now().await else {
         return;
@@ -95,10 +108,10 @@
     let _ = timeout(pause.into(), known).await;
 }
 
-/// Looks, when the process starts, which of `candidates` lies whole at the engine, and counts it as
-/// ordered: the process before may have been killed while an order was without an answer, and staged
-/// over it, the next version would be loaded with it. Only what lies whole is ever ordered, and where
-/// pieces of another lie over it, its outcome was known.
+/// Looks, when the process starts, which of `candidates` lies at the engine, and counts it as ordered:
+/// the process before may have been killed while an order was without an answer, and staged over it,
+/// the next version would be loaded with it. Only what lies whole is ever ordered. Of that, a piece may
+/// have turned bad since; where pieces of another version lie over it, its outcome was known.
 ///
 /// Whether it is known now what may be ordered: not where nobody has the list of a candidate and no
 /// other lies there.
@@ -114,20 +127,39 @@
             continue;
         };
         let visit = Visit::begin(agent.engine.addr()).await?;
-        match visit.read_back(&list).await? {
-            Found::Whole(whole) => {
-                count_as_ordered(agent, &list, &whole);
-                return Ok(true);
-            }
-            // Nothing lies whole there.
-            Found::Bad(bad) if bad.absent > 0 => return Ok(true),
-            Found::Bad(bad) if bad.numbers.len() < list.digests.len() => return Ok(true),
-            Found::Bad(_) => {}
+        let made = visit.progress();
+        let bad = match visit.read_back(&list).await? {
+            Found::Whole(_) => Bad::default(),
+            // Nothing lies whole there since the engine lost its power.
+            Found::Bad(bad) if bad.absent() > 0 => return Ok(true),
+            Found::Bad(bad) if bad.numbers.len() == list.digests.len() => continue,
+            Found::Bad(bad) => bad,
+        };
+        if bad.numbers.is_empty() || !is_staged_over(agent, candidates, &bad).await {
+            count_as_ordered(agent, &list, made, &bad);
         }
+        return Ok(true);
     }
     Ok(known)
 }
 
+/// Whether pieces of other versions lie in all the places of `bad`: one was being staged over another.
+async fn is_staged_over(agent: &Agent, candidates: &[Holding], bad: &Bad) -> bool {
+    let served = agent.engine.holding();
+    let mut left: Vec<&Other> = bad.others.iter().collect();
+    // The newest first: most often it is the one before, and lists of older ones may be gone, which
+    // takes a while to find out.
+    for weights in candidates.iter().rev().chain(&served) {
+        if left.is_empty() {
+            break;
+        }
+        if let Some(list) = list_of(agent, weights).await {
+            left.retain(|other| !is_piece(&list, other.number, &other.digest));
+        }
+    }
+    left.is_empty()
+}
+
 async fn list_of(agent: &Agent, weights: &Holding) -> Option<Rc<PieceList>> {
     if let Some(list) = agent.stage.list(weights) {
         return Some(list);
@@ -138,15 +170,20 @@
     Some(list)
 }
 
-fn count_as_ordered(agent: &Agent, list: &Rc<PieceList>, whole: &Whole) {
-    info!("pieces found, may be ordered", kv: { version = list.weights.version });
+/// Counts a version as ordered, of which all but the pieces of `bad` lie at the engine.
+fn count_as_ordered(agent: &Agent, list: &Rc<PieceList>, made: Progress, bad: &Bad) {
+    let weights = list.weights.clone();
+    info!("pieces found, may be ordered", kv: {
+        version = weights.version, bad = bad.numbers.len()
+    });
     agent.stage.begin(list.clone());
-    for number in 0..weights::count(list) {
+    for number in (0..weights::count(list)).filter(|number| !bad.numbers.contains(number)) {
         agent.stage.put(number);
     }
     agent.stage.set_open_order(Some(OpenOrder {
-        weights: list.weights.clone(),
-        made: whole.progress(),
+        weights,
+        made,
         sent: 0,
+        noted: agent.node.clock.now(),
     }));
 }
--- a/crates/filbertstack-gateway/src/agent/stage.rs
+++ b/crates/filbertstack-gateway/src/agent/stage.rs
@@ -51,6 +51,8 @@
     pub made: Progress,
     /// How often the order was sent; 0 where only an earlier process may have sent it.
     pub sent: u32,
+    /// When it was first noted.
+    pub noted: Millis,
 }
 
 /// A put of a piece whose outcome is not known. Carried out after another version was read back, it
--- a/crates/filbertstack-gateway/src/agent/visit.rs
+++ b/crates/filbertstack-gateway/src/agent/visit.rs
@@ -27,6 +27,7 @@
 use crate::client::Connection;
 use crate::client::exchange;
 use crate::weights;
+use crate::weights::PieceDigest;
 
 /// How far an engine has come. While it changes, the engine has begun an order or started again; of a
 /// start that it does not tell, an engine that has begun nothing shows nothing.
@@ -83,8 +84,24 @@
 pub struct Bad {
     /// Their numbers.
     pub numbers: Vec<u32>,
+    /// What lies there in their place.
+    pub others: Vec<Other>,
+}
+
+impl Bad {
     /// How many of them do not lie there at all.
-    pub absent: usize,
+    pub fn absent(&self) -> usize {
+        self.numbers.len() - self.others.len()
+    }
+}
+
+/// What lies in the place of a piece.
+#[derive(Debug)]
+pub struct Other {
+    /// The piece's number.
+    pub number: u32,
+    /// The digest of what lies there.
+    pub digest: PieceDigest,
 }
 
 /// A visit on which all pieces of a version were found.
@@ -123,6 +140,11 @@
         })
     }
 
+    /// How far the engine had come when the visit began.
+    pub fn progress(&self) -> Progress {
+        self.progress
+    }
+
     /// Reads all pieces of `list` back.
     ///
     /// # Errors
@@ -132,11 +154,14 @@
         for number in 0..weights::count(list) {
             let staged = self.call(read_staged(&list.weights.model, number)).await;
             match staged {
-                Ok(bytes) if weights::fits(list, number, &bytes) => continue,
-                Ok(_) => {}
-                Err(VisitError::Call(CallFailure::Status(StatusCode::NOT_FOUND))) => {
-                    bad.absent += 1;
+                Ok(bytes) => {
+                    let digest = weights::digest(&bytes);
+                    if weights::is_piece(list, number, &digest) {
+                        continue;
+                    }
+                    bad.others.push(Other { number, digest });
                 }
+                Err(VisitError::Call(CallFailure::Status(StatusCode::NOT_FOUND))) => {}
                 Err(error) => return Err(error),
             }
             bad.numbers.push(number);
--- a/crates/filbertstack-gateway/src/weights/mod.rs
+++ b/crates/filbertstack-gateway/src/weights/mod.rs
@@ -33,10 +33,22 @@
 /// How many of the latest versions are gathered at once: an origin keeps two.
 pub const GATHERED: usize = 2;
 
+/// The digest of a piece.
+pub type PieceDigest = [u8; 32];
+
+/// The digest of `bytes`.
+pub fn digest(bytes: &[u8]) -> PieceDigest {
+    Sha256::digest(bytes).into()
+}
+
+/// Whether `digest` is that of the piece `number` of a version.
+pub fn is_piece(list: &PieceList, number: u32, digest: &PieceDigest) -> bool {
+    list.digests.get(number as usize) == Some(digest)
+}
+
 /// Whether `bytes` are the piece `number` of a version.
 pub fn fits(list: &PieceList, number: u32, bytes: &[u8]) -> bool {
-    let digest = list.digests.get(number as usize);
-    digest.is_some_and(|digest| Sha256::digest(bytes)[..] == digest[..])
+    is_piece(list, number, &digest(bytes))
 }
 
 /// How many pieces a version has.
--- a/tests/gateway/model.rs
+++ b/tests/gateway/model.rs
@@ -82,6 +82,8 @@
 pub struct Held {
     /// The version that it serves; 0 if none.
     pub version: u64,
+    /// The versions that it has loaded, in their order.
+    pub loaded: Vec<u64>,
     /// The pieces staged.
     pub staged: BTreeMap<u32, Vec<u8>>,
     /// Requests that it says it runs.
@@ -215,6 +217,7 @@
             self.wrong_orders += 1;
         }
         self.version = order.version;
+        self.loaded.push(order.version);
         self.sequence += 1;
         plain("202 Accepted", b"")
     }
--- a/tests/gateway/orders.rs
+++ b/tests/gateway/orders.rs
@@ -2,6 +2,8 @@
 
 use crate::fleet::Fleet;
 use crate::model::Model;
+use crate::model::PIECES;
+use crate::model::piece;
 use crate::world::until;
 
 /// Waits until the engine has left an order without an answer.
@@ -14,6 +16,7 @@
 /// Kills the agent, names a version and starts the agent again, which is to load that alone.
 fn start_again_for(fleet: &mut Fleet, version: u64) {
     let agent = fleet.agents[0];
+    // It may have been killed before.
     fleet.world.kill(agent);
     fleet.name(version);
     fleet.world.launch_again(agent);
@@ -54,6 +57,38 @@
     start_again_for(&mut fleet, 4);
 }
 
+/// The same, and one of the pieces turns bad where it lies while no agent runs. All others show that the
+/// version may be ordered; taken for one that was never whole, it gave way to the next.
+#[test]
+fn an_agent_that_starts_again_knows_an_ordered_version_by_its_other_pieces() {
+    let mut fleet = Fleet::start(1);
+    fleet.name(2);
+    fleet.await_version(2);
+    fleet.models[0].held().late_orders = 1;
+    fleet.name(3);
+    await_open_order(&fleet);
+    fleet.world.kill(fleet.agents[0]);
+    fleet.models[0].held().staged.insert(5, b"rot".to_vec());
+    start_again_for(&mut fleet, 4);
+}
+
+/// An agent is killed while it stages a version over the one before. What lies there is some of each,
+/// which was never ordered: the next version is staged at once, and nothing else is loaded before it.
+#[test]
+fn an_agent_that_starts_again_over_two_versions_brings_the_newest() {
+    let mut fleet = Fleet::start(1);
+    fleet.name(2);
+    fleet.await_version(2);
+    fleet.world.kill(fleet.agents[0]);
+    for number in 0..PIECES / 2 {
+        let bytes = piece(3, number);
+        fleet.models[0].held().staged.insert(number, bytes);
+    }
+    fleet.name(3);
+    start_again_for(&mut fleet, 4);
+    assert_eq!(fleet.models[0].held().loaded, [2, 4]);
+}
+
 /// The same with an engine that is new: the version that it was ordered to load is the first, which
 /// nobody names, and no longer wanted when the agent starts again.
 #[test]
