--- a/crates/filbertstack-agent/src/unanswered.rs
+++ b/crates/filbertstack-agent/src/unanswered.rs
@@ -1,13 +1,10 @@
 //! Orders that the engine left without an answer.
 
-use std::time::Duration;
 use std::time::Instant;
 
 use filbertstack_core::Digest;
-
-/// How long after it was sent an order without an answer may be carried out. The latest seen was begun
-/// 12 s after.
-pub const LATEST: Duration = Duration::from_secs(15);
+use filbertstack_core::Millis;
+use filbertstack_policy::rollout::LATE_CALL;
 
 /// What an engine is told.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -37,9 +34,9 @@
 
     /// Whether `order` may be given.
     pub fn allows(&self, order: Order, now: Instant) -> bool {
-        let open = |sent: &Instant| now.saturating_duration_since(*sent) < LATEST;
+        let age = |sent: &Instant| Millis::from(now.saturating_duration_since(*sent));
         self.sent
             .iter()
-            .all(|(known, sent)| *known == order || !open(sent))
+            .all(|(known, sent)| *known == order || age(sent) >= LATE_CALL)
     }
 }
--- a/crates/filbertstack-gateway/src/agent/orders.rs
+++ b/crates/filbertstack-gateway/src/agent/orders.rs
@@ -7,12 +7,12 @@
 use filbertstack_platform::engine::Holding;
 use filbertstack_platform::engine::PieceList;
 use filbertstack_platform::engine::Running;
+use filbertstack_policy::rollout::LATE_CALL;
 use spdlog::info;
 use tokio::time::sleep;
 use tokio::time::timeout;
 
 use crate::agent::Agent;
-use crate::agent::stage::LATEST;
 use crate::agent::stage::OpenOrder;
 use crate::agent::visit::Bad;
 use crate::agent::visit::Found;
@@ -30,7 +30,7 @@
 const LIST: Duration = Duration::from_secs(2);
 
 /// How long after its start an agent that does not know what may be ordered stages nothing.
-pub const UNKNOWN: Millis = LATEST;
+pub const UNKNOWN: Millis = LATE_CALL;
 
 /// How often the engine is asked whether it has begun an order: as often as it reports anyway.
 const LOOK: Duration = Duration::from_millis(100);
@@ -80,7 +80,7 @@
         return;
     };
     let age = agent.node.clock.now().since(order.noted);
-    if order.sent == 0 && agent.stage.whole().is_none() && age >= LATEST {
+    if order.sent == 0 && agent.stage.whole().is_none() && age >= LATE_CALL {
         // Its pieces can't be had any more, and nobody would wait for them for good.
         info!("order given up", kv: { version = order.weights.version, age_ms = age.0 });
         agent.stage.set_open_order(None);
--- a/crates/filbertstack-gateway/src/agent/stage.rs
+++ b/crates/filbertstack-gateway/src/agent/stage.rs
@@ -10,6 +10,7 @@
 use filbertstack_core::Millis;
 use filbertstack_platform::engine::Holding;
 use filbertstack_platform::engine::PieceList;
+use filbertstack_policy::rollout::LATE_CALL;
 use slotmap::SlotMap;
 use slotmap::new_key_type;
 use tokio::sync::Notify;
@@ -17,10 +18,6 @@
 use crate::agent::visit::Progress;
 use crate::weights::count;
 
-/// How long after it was sent a call without an answer may be carried out: the latest order seen was
-/// begun 12 s after.
-pub const LATEST: Millis = Millis(15_000);
-
 new_key_type! {
     /// Names a put whose outcome is not known.
     pub struct PutKey;
@@ -142,7 +139,7 @@
     /// `born`.
     pub fn may_be_overwritten(&self, weights: &Holding, born: u64, now: Millis) -> bool {
         let mut puts = self.puts.borrow_mut();
-        puts.retain(|_, put| put.born == born && now.since(put.sent) < LATEST);
+        puts.retain(|_, put| put.born == born && now.since(put.sent) < LATE_CALL);
         puts.values().any(|put| put.weights != *weights)
     }
 
--- a/crates/filbertstack-policy/src/rollout.rs
+++ b/crates/filbertstack-policy/src/rollout.rs
@@ -29,6 +29,10 @@
 /// The part at which the first engine is ordered to load a version that another has followed.
 const LAST_CALL: f64 = 0.63;
 
+/// How long after it was sent a call that an engine left without an answer may be carried out. The
+/// latest order seen to be begun so was 12 s old.
+pub const LATE_CALL: Millis = Millis(15_000);
+
 /// When a version should be loaded.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Haste {
