--- a/crates/filbertstack-wire/src/dialer.rs
+++ b/crates/filbertstack-wire/src/dialer.rs
@@ -135,7 +135,12 @@
             .ok_or(WireError::Handshake("this process lacks its key"))?;
         let connected = TcpStream::connect_timeout(&addr, CONNECT_TIMEOUT);
         let socket = connected.map_err(|source| WireError::Connect { addr, source })?;
-        let session = handshake::connect(socket, role, &self.name, key)?;
+        // No call is sent before the link stands: whatever ends it here, none has run.
+        let greeted = handshake::connect(socket, role, &self.name, key);
+        let session = greeted.map_err(|error| match error {
+            WireError::Io(source) => WireError::Connect { addr, source },
+            error => error,
+        })?;
         Link::start(session, self.handler.clone())
     }
 }
--- a/crates/filbertstack-wire/src/link.rs
+++ b/crates/filbertstack-wire/src/link.rs
@@ -132,9 +132,11 @@
     /// last answers and closes the connection, and the next heartbeat to it fails while they still wait
     /// to be read. So the reader goes on; calls that were never written can get no answer and fail now.
     fn stop_sending(&self, end: &End, unsent: impl IntoIterator<Item = Frame>) {
-        let Remote { role, name } = &self.remote;
-        let cause = end.to_string();
-        info!("link sends no more", kv: { role:?, peer = name.as_ref(), cause });
+        if !self.has_ended() {
+            let Remote { role, name } = &self.remote;
+            let cause = end.to_string();
+            info!("link sends no more", kv: { role:?, peer = name.as_ref(), cause });
+        }
         let waiting = self.outbox.close();
         self.fail_unsent(unsent.into_iter().chain(waiting));
         // Their replies can't reach the far end.
--- a/crates/filbertstack-wire/tests/links/calls.rs
+++ b/crates/filbertstack-wire/tests/links/calls.rs
@@ -118,6 +118,20 @@
     assert!(matches!(error, WireError::Handshake(_)), "{error}");
 }
 
+// The caller's request goes to another target when a process ends while it is dialled.
+// The connection is taken and closed before both ends know each other. No call was sent on it, so its
+// outcome is known: it did not run.
+#[test]
+fn a_call_on_a_link_that_did_not_open_certainly_did_not_run() {
+    let socket = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let addr = socket.local_addr().expect("bound");
+    std::thread::spawn(move || drop(socket.accept()));
+    let dialer = dialer(good_keys());
+    let told = dialer.ask(addr, Role::Peer, propose("hello"), PATIENCE);
+    let error = told.expect_err("nobody answers");
+    assert!(error.not_run(), "{error}");
+}
+
 /// Passes bytes between a caller and `to`; the first frame behind the handshake goes twice.
 fn replaying_proxy(to: SocketAddr) -> SocketAddr {
     let socket = TcpListener::bind("127.0.0.1:0").expect("a free port");
