--- a/crates/filbertstack-agent/src/unanswered.rs
+++ b/crates/filbertstack-agent/src/unanswered.rs
@@ -28,15 +28,19 @@
 impl Unanswered {
     /// Notes an order that got no answer.
     pub fn note(&mut self, order: Order, now: Instant) {
-        self.sent.retain(|(known, _)| *known != order);
+        self.sent
+            .retain(|(known, sent)| *known != order && may_come(*sent, now));
         self.sent.push((order, now));
     }
 
     /// Whether `order` may be given.
     pub fn allows(&self, order: Order, now: Instant) -> bool {
-        let age = |sent: &Instant| Millis::from(now.saturating_duration_since(*sent));
-        self.sent
-            .iter()
-            .all(|(known, sent)| *known == order || age(sent) >= LATE_CALL)
+        let mut others = self.sent.iter().filter(|(known, _)| *known != order);
+        !others.any(|(_, sent)| may_come(*sent, now))
     }
 }
+
+/// Whether an order without an answer, sent then, may yet be carried out.
+fn may_come(sent: Instant, now: Instant) -> bool {
+    Millis::from(now.saturating_duration_since(sent)) < LATE_CALL
+}
--- a/crates/filbertstack-entry/src/guard.rs
+++ b/crates/filbertstack-entry/src/guard.rs
@@ -6,8 +6,9 @@
 //! loopback. While a request is in progress it watches the caller's side, so that work for a
 //! caller who has left can be cancelled.
 
+mod head;
+
 use std::collections::HashMap;
-use std::io::ErrorKind;
 use std::io::Read;
 use std::io::Write;
 use std::net::Shutdown;
@@ -27,11 +28,11 @@
 use std::time::Duration;
 use std::time::Instant;
 
-/// The largest head of a request, in bytes: what common servers allow.
-pub const MAX_HEAD: usize = 16 << 10;
-
-/// How long a head may take to arrive.
-pub const HEAD_TIMEOUT: Duration = Duration::from_secs(10);
+pub use head::HEAD_TIMEOUT;
+use head::HeadError;
+pub use head::MAX_HEAD;
+use head::closing;
+use head::read_head;
 
 /// How long a sent byte may wait for the caller to take it, and a body for its next byte.
 pub const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
@@ -401,55 +402,6 @@
     }
 }
 
-/// The head with word that the connection ends with the answer.
-///
-/// The library otherwise keeps the connection for a next request, and the caller, told that it is
-/// closed, would wait for an end that does not come. It goes by the first header of that name.
-fn closing(head: &[u8]) -> Vec<u8> {
-    const CLOSE: &[u8] = b"connection: close\r\n";
-    let line = head.windows(2).position(|window| window == b"\r\n");
-    let (line, rest) = head.split_at(line.map_or(head.len(), |at| at + 2));
-    [line, CLOSE, rest].concat()
-}
-
-enum HeadError {
-    Slow,
-    Large,
-    Closed,
-}
-
-fn read_head(caller: &mut TcpStream) -> Result<Vec<u8>, HeadError> {
-    let until = Instant::now() + HEAD_TIMEOUT;
-    let mut head = Vec::new();
-    let mut buffer = [0; 2048];
-    loop {
-        let left = until.saturating_duration_since(Instant::now());
-        if left.is_zero() {
-            return Err(HeadError::Slow);
-        }
-        caller
-            .set_read_timeout(Some(left))
-            .map_err(|_| HeadError::Closed)?;
-        let n = match caller.read(&mut buffer) {
-            Ok(0) => return Err(HeadError::Closed),
-            Ok(n) => n,
-            Err(error) if is_timeout(&error) => return Err(HeadError::Slow),
-            Err(_) => return Err(HeadError::Closed),
-        };
-        let searched = head.len().saturating_sub(3);
-        head.extend_from_slice(&buffer[..n]);
-        if head[searched..]
-            .windows(4)
-            .any(|window| window == b"\r\n\r\n")
-        {
-            return Ok(head);
-        }
-        if head.len() > MAX_HEAD {
-            return Err(HeadError::Large);
-        }
-    }
-}
-
 /// Passes what the caller sends until it leaves, says too much or stalls for good.
 fn pass_body(caller: &mut TcpStream, inner: &mut TcpStream, budget: usize) {
     // Once the body is through, a caller that waits for its answer says nothing: silence is no
@@ -469,10 +421,6 @@
     }
 }
 
-fn is_timeout(error: &std::io::Error) -> bool {
-    matches!(error.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut)
-}
-
 fn answer(caller: &mut TcpStream, status: &str, text: &str) {
     let body = format!("{{\"error\":{{\"message\":\"{text}\",\"type\":\"not_run\"}}}}\n");
     let head = format!(
--- a/crates/filbertstack-gateway/src/agent/gather.rs
+++ b/crates/filbertstack-gateway/src/agent/gather.rs
@@ -123,13 +123,10 @@
     let length = bytes.len() as u64;
     let born = agent.engine.report().map_or(0, |report| report.born);
     let open = stage.open_put(weights, born, agent.node.clock.now());
-    let answer = agent
-        .engine
-        .call(stage_piece(&weights.model, number, bytes));
-    let answer = answer.await;
-    let certain = answer
-        .as_ref()
-        .map_or_else(CallFailure::is_certain, |_| true);
+    let put = stage_piece(&weights.model, number, bytes);
+    let answer = agent.engine.call(put).await;
+    let failure = answer.as_ref().err();
+    let certain = failure.is_none_or(CallFailure::is_certain);
     if certain {
         stage.settle_put(open);
     }
--- a/crates/filbertstack-gateway/src/agent/stage.rs
+++ b/crates/filbertstack-gateway/src/agent/stage.rs
@@ -63,6 +63,13 @@
     sent: Millis,
 }
 
+impl OpenPut {
+    /// Whether the engine started at `born` may yet carry it out.
+    fn may_come(&self, born: u64, now: Millis) -> bool {
+        self.born == born && now.since(self.sent) < LATE_CALL
+    }
+}
+
 #[derive(Debug)]
 struct Staged {
     list: Rc<PieceList>,
@@ -120,14 +127,17 @@
         *self.order.borrow_mut() = order;
     }
 
-    /// Notes that a piece of `weights` is being put at the engine started at `born`.
+    /// Notes that a piece of `weights` is being put at the engine started at `born`. Puts of earlier
+    /// starts, and those too old to be carried out, are forgotten.
     pub fn open_put(&self, weights: &Holding, born: u64, now: Millis) -> PutKey {
-        let weights = weights.clone();
-        self.puts.borrow_mut().insert(OpenPut {
-            weights,
+        let put = OpenPut {
+            weights: weights.clone(),
             born,
             sent: now,
-        })
+        };
+        let mut puts = self.puts.borrow_mut();
+        puts.retain(|_, put| put.may_come(born, now));
+        puts.insert(put)
     }
 
     /// Notes that the outcome of a put is known.
@@ -138,9 +148,9 @@
     /// Whether a put of another version than `weights` may yet be carried out by the engine started at
     /// `born`.
     pub fn may_be_overwritten(&self, weights: &Holding, born: u64, now: Millis) -> bool {
-        let mut puts = self.puts.borrow_mut();
-        puts.retain(|_, put| put.born == born && now.since(put.sent) < LATE_CALL);
-        puts.values().any(|put| put.weights != *weights)
+        let puts = self.puts.borrow();
+        let mut others = puts.values().filter(|put| put.weights != *weights);
+        others.any(|put| put.may_come(born, now))
     }
 
     /// Notes that a piece lies there and was right.
--- a/tests/gateway/orders.rs
+++ b/tests/gateway/orders.rs
@@ -6,6 +6,17 @@
 use crate::model::piece;
 use crate::world::until;
 
+/// An engine that serves version 2 and has left the order to load version 3 without an answer.
+fn with_open_order() -> Fleet {
+    let fleet = Fleet::start(1);
+    fleet.name(2);
+    fleet.await_version(2);
+    fleet.models[0].held().late_orders = 1;
+    fleet.name(3);
+    await_open_order(&fleet);
+    fleet
+}
+
 /// Waits until the engine has left an order without an answer.
 fn await_open_order(fleet: &Fleet) {
     until("an order is left without an answer", || {
@@ -33,12 +44,7 @@
 /// that had been sent 3.7 s later.
 #[test]
 fn nothing_is_staged_over_weights_that_an_engine_may_yet_load() {
-    let fleet = Fleet::start(1);
-    fleet.name(2);
-    fleet.await_version(2);
-    fleet.models[0].held().late_orders = 1;
-    fleet.name(3);
-    await_open_order(&fleet);
+    let fleet = with_open_order();
     fleet.name(4);
     fleet.await_version(4);
     assert_eq!(fleet.wrong_orders(), 0);
@@ -48,12 +54,7 @@
 /// has no record of the order, which the engine still may carry out.
 #[test]
 fn an_agent_that_starts_again_stages_nothing_over_what_may_yet_be_loaded() {
-    let mut fleet = Fleet::start(1);
-    fleet.name(2);
-    fleet.await_version(2);
-    fleet.models[0].held().late_orders = 1;
-    fleet.name(3);
-    await_open_order(&fleet);
+    let mut fleet = with_open_order();
     start_again_for(&mut fleet, 4);
 }
 
@@ -61,12 +62,7 @@
 /// version may be ordered; taken for one that was never whole, it gave way to the next.
 #[test]
 fn an_agent_that_starts_again_knows_an_ordered_version_by_its_other_pieces() {
-    let mut fleet = Fleet::start(1);
-    fleet.name(2);
-    fleet.await_version(2);
-    fleet.models[0].held().late_orders = 1;
-    fleet.name(3);
-    await_open_order(&fleet);
+    let mut fleet = with_open_order();
     fleet.world.kill(fleet.agents[0]);
     fleet.models[0].held().staged.insert(5, b"rot".to_vec());
     start_again_for(&mut fleet, 4);
