The latest four versions of weights outlast a restart of all entries

Cause: the control state kept the newest version of a model alone; older ones lived in the memory of processes. After a restart of all of them an agent took version 2, which its engine had been ordered to load without an answer, for nothing that may be ordered, and staged version 3 over it. Ruled out: late puts and orders of the new process (it had sent none). The agent finds version 2 whole and brings its engine to it first. It holds because an order is made only for a version that was committed, and none stays open for longer than 15 s. Weighed: to wait 15 s whenever what lies there fits no version known; agents that restart after a second rollout would all wait, as the list of a version two back is gone at the origin.

--- a/crates/filbertstack-control/src/document.rs
+++ b/crates/filbertstack-control/src/document.rs
@@ -10,6 +10,10 @@
 use prost::Message as _;
 use thiserror::Error;
 
+/// How many of the latest versions of a model's weights are remembered. Newer ones are named before
+/// older ones are in place, and an order of an older one may still be carried out.
+pub const VERSIONS: usize = 4;
+
 /// A command of the machine.
 #[derive(Clone, PartialEq, Eq, Hash, prost::Message)]
 pub struct Change {
@@ -62,11 +66,12 @@
     Unreadable,
 }
 
-/// The state: the newest document, and the newest version of each model's weights.
+/// The state: the newest document, and the latest versions of each model's weights.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Documents {
     document: Document,
-    weights: BTreeMap<String, u64>,
+    /// By model, the latest [`VERSIONS`], in their order.
+    weights: BTreeMap<String, Vec<u64>>,
 }
 
 #[derive(Clone, PartialEq, prost::Message)]
@@ -88,11 +93,13 @@
         &self.document
     }
 
-    /// The newest version of each model's weights.
+    /// The latest versions of each model's weights, those of one model in their order.
     pub fn weights(&self) -> impl Iterator<Item = Weights> {
-        self.weights.iter().map(|(model, version)| Weights {
-            model: model.clone(),
-            version: *version,
+        self.weights.iter().flat_map(|(model, versions)| {
+            versions.iter().map(|version| Weights {
+                model: model.clone(),
+                version: *version,
+            })
         })
     }
 
@@ -117,11 +124,14 @@
     }
 
     fn name(&mut self, weights: Weights) -> Effect {
-        let held = self.weights.entry(weights.model).or_default();
-        if weights.version <= *held {
+        let versions = self.weights.entry(weights.model).or_default();
+        let newest = versions.last().copied().unwrap_or(0);
+        if weights.version <= newest {
             return Effect::Superseded;
         }
-        *held = weights.version;
+        versions.push(weights.version);
+        let oldest = versions.len().saturating_sub(VERSIONS);
+        versions.drain(..oldest);
         Effect::InForce
     }
 
@@ -141,8 +151,10 @@
     pub fn restore(&mut self, bytes: &[u8]) -> Result<(), ImageError> {
         let image = Image::decode(bytes)?;
         self.document = image.document;
-        let weights = image.weights.into_iter();
-        self.weights = weights.map(|w| (w.model, w.version)).collect();
+        self.weights.clear();
+        for weights in image.weights {
+            self.name(weights);
+        }
         Ok(())
     }
 }
--- a/crates/filbertstack-control/tests/document.rs
+++ b/crates/filbertstack-control/tests/document.rs
@@ -43,6 +43,21 @@
     assert_eq!(documents.document().version, 1);
 }
 
+/// Guards against an agent that takes an older version, which an engine may yet load, for unknown.
+#[test]
+fn older_versions_of_weights_outlast_a_restart() {
+    let mut documents = Documents::default();
+    for version in [2, 3, 5, 5, 4, 9, 10, 12] {
+        documents.apply(&name("m", version));
+    }
+    let image = documents.snapshot();
+    let mut restarted = Documents::default();
+    restarted.restore(&image).expect("its own snapshot");
+    let named: Vec<u64> = restarted.weights().map(|w| w.version).collect();
+    assert_eq!(named, [5, 9, 10, 12]);
+    assert_eq!(restarted, documents);
+}
+
 proptest! {
     /// Against the simplest oracle: the maximum so far, with the body that came with it first.
     /// Snapshots are taken and restored at any moment, as after a restart.
--- a/crates/filbertstack-gateway/src/control/declared.rs
+++ b/crates/filbertstack-gateway/src/control/declared.rs
@@ -8,6 +8,7 @@
 use std::sync::Arc;
 
 use filbertstack_control::document::Document;
+use filbertstack_control::document::VERSIONS;
 use filbertstack_core::Millis;
 use filbertstack_core::serving::Catalogue;
 use filbertstack_platform::catalogue;
@@ -22,10 +23,6 @@
 use crate::link::messages::ServedModel;
 use crate::link::messages::addr;
 
-/// How many versions of a model's weights are remembered: those that are still being brought to
-/// the engines, as newer ones are named before older ones are in place.
-const VERSIONS: usize = 4;
-
 /// A version of weights and when it was named, as far as this node knows.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Named {
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -105,12 +105,7 @@
     assert!(broken.is_empty(), "{}", broken.join("\n"));
 }
 
-/// Callers get tokens that no version of the weights makes. An engine leaves the order to load version 2
-/// without an answer; then every process is killed. The agent that starts again is told of version 3
-/// alone, and looks for that one at its engine. What lies there is version 2, which nobody names any
-/// more; the agent takes that for nothing that may be ordered, stages version 3 over it, and the engine
-/// begins the old order on some of each. (The agent's log: `weights named version=3`, `pieces are gathered
-/// version=3`, `engine began an order` with no order of its own before it.)
+/// Guards against staging a newer version over one that an engine may yet be told to load.
 #[test]
 fn a_version_that_nobody_names_any_more_may_be_ordered() {
     let broken = play(5000);
