Loads of engines go to the entries that use them, apart from the registry

Cause: a load was a row of the registry, told to all as it changes. Now: an entry names the engines of its subset (48 at most, own zone first) and is told of these alone; a row is 15 bytes; a load touches its own target and arranges nothing anew; with four frames waiting loads are left out, as the next comes in 0.1 to 0.3 s. Rows of the registry are shared, not copied.

--- a/crates/filbertstack-gateway/src/agent/mod.rs
+++ b/crates/filbertstack-gateway/src/agent/mod.rs
@@ -5,7 +5,7 @@
 mod gather;
 mod orders;
 mod peers;
-mod reports;
+pub(crate) mod reports;
 mod rollout;
 mod stage;
 mod visit;
--- a/crates/filbertstack-gateway/src/agent/reports.rs
+++ b/crates/filbertstack-gateway/src/agent/reports.rs
@@ -13,13 +13,14 @@
 use crate::link::messages::Kind;
 use crate::link::messages::LoadRow;
 use crate::link::messages::Row;
+use crate::link::messages::pack;
 
 /// How often the engine is asked: about two passes of a full batch. More often costs processor
 /// time and tells little; less often, entries send to an engine that has filled up since.
 const PERIOD: Duration = Duration::from_millis(100);
 
 /// How often what has not changed is told again, so that it counts as alive.
-const AGAIN: Duration = Duration::from_millis(900);
+pub const AGAIN: Duration = Duration::from_millis(900);
 
 /// How often a load that has not changed is told again: entries miss an engine after 700 ms, and one
 /// report may be lost or late.
@@ -38,24 +39,23 @@
     }
 }
 
-/// Tells the voters the agent's own rows as they change.
+/// Tells the voters the agent's own row and its engine's load as they change.
 struct Teller {
     born: u64,
     sequence: u64,
-    /// How often a load was told.
-    loads: u32,
-    told: [(Option<Kind>, Instant); 2],
+    /// What was told last, and when.
+    row: Option<(Kind, Instant)>,
+    load: Option<(LoadRow, Instant)>,
 }
 
 impl Teller {
     fn new(agent: &Agent) -> Self {
-        let now = Instant::now();
         info!("rows are told", kv: { id = agent.id() });
         Self {
             born: unix_millis(),
             sequence: 0,
-            loads: 0,
-            told: [(None, now), (None, now)],
+            row: None,
+            load: None,
         }
     }
 
@@ -63,43 +63,43 @@
         if agent.node.followed().is_none() {
             return;
         }
-        let now = Instant::now();
-        let kinds = [Some(agent_row(agent)), load_row(agent, self.loads)];
-        let ids = [
-            agent.id(),
-            format!("load {}", agent.node.settings.node.name),
-        ];
-        let mut rows = Vec::new();
-        let again = [AGAIN, LOAD_AGAIN];
-        let rows_told = kinds.into_iter().zip(ids).zip(again).zip(&mut self.told);
-        for (((kind, id), again), told) in rows_told {
-            if told.0 == kind && now.duration_since(told.1) < again {
-                continue;
-            }
-            let Some(mut kind) = kind else {
-                *told = (None, now);
-                continue;
-            };
-            if let Kind::Load(load) = &mut kind {
-                self.loads += 1;
-                load.turn = self.loads;
-            }
-            *told = (Some(kind.clone()), now);
-            self.sequence += 1;
-            rows.push(Row {
-                id,
-                born: self.born,
-                sequence: self.sequence,
-                gone: false,
-                kind: Some(kind),
-            });
+        self.tell_row(agent);
+        self.tell_load(agent);
+    }
+
+    fn tell_row(&mut self, agent: &Agent) {
+        let kind = agent_row(agent);
+        if is_told(self.row.as_ref(), &kind, AGAIN) {
+            return;
         }
-        if !rows.is_empty() {
-            agent.node.tell_rows(rows);
+        self.row = Some((kind.clone(), Instant::now()));
+        self.sequence += 1;
+        agent.node.tell_rows(vec![Row {
+            id: agent.id(),
+            born: self.born,
+            sequence: self.sequence,
+            gone: false,
+            kind: Some(kind),
+        }]);
+    }
+
+    fn tell_load(&mut self, agent: &Agent) {
+        let Some(load) = load_row(agent) else {
+            self.load = None;
+            return;
+        };
+        if !is_told(self.load.as_ref(), &load, LOAD_AGAIN) {
+            self.load = Some((load, Instant::now()));
+            agent.node.tell_load(load);
         }
     }
 }
 
+/// Whether `now` was told less than `again` ago.
+fn is_told<T: PartialEq>(told: Option<&(T, Instant)>, now: &T, again: Duration) -> bool {
+    told.is_some_and(|(told, at)| told == now && at.elapsed() < again)
+}
+
 fn agent_row(agent: &Agent) -> Kind {
     let node = &agent.node.settings.node;
     let holding = agent.engine.holding();
@@ -118,7 +118,7 @@
     })
 }
 
-fn load_row(agent: &Agent, turn: u32) -> Option<Kind> {
+fn load_row(agent: &Agent) -> Option<LoadRow> {
     let report = agent.engine.report()?;
     #[expect(
         clippy::cast_possible_truncation,
@@ -126,11 +126,10 @@
         reason = "a cast saturates, and a pace of thousands says as much"
     )]
     let pace = (report.pace * 100.0) as u32;
-    Some(Kind::Load(LoadRow {
-        engine: agent.engine.addr().to_string(),
+    Some(LoadRow {
+        engine: pack(agent.engine.addr())?,
         running: report.running,
         waiting: report.waiting,
         pace,
-        turn,
-    }))
+    })
 }
--- a/crates/filbertstack-gateway/src/control/follow.rs
+++ b/crates/filbertstack-gateway/src/control/follow.rs
@@ -18,6 +18,7 @@
 use tokio::time::Instant;
 use tokio::time::sleep;
 use tokio::time::timeout;
+use tokio::time::timeout_at;
 
 use crate::control::EXPLAIN;
 use crate::control::node::Node;
@@ -30,6 +31,7 @@
 use crate::link::messages::Kind;
 use crate::link::messages::NamedWeights;
 use crate::link::messages::News;
+use crate::link::messages::Watch;
 use crate::link::messages::addr;
 
 /// How often followers hear from their voter.
@@ -104,6 +106,7 @@
             node.people.defer(span);
         }
         node.people.flush();
+        node.loads.flush();
         if Instant::now() >= pulse_at {
             pulse_at = Instant::now() + PULSE;
             node.people.expire();
@@ -142,9 +145,8 @@
 /// that are known were tried in vain, as when they were replaced while this node was cut off, voters
 /// are searched for anew.
 ///
-/// Each follower is told of every engine's load several times a second, and much of what crosses
-/// between regions is that: 0.11 GB for 90 nodes and some 1,300 requests a second in a minute, where
-/// with voters of any zone 0.20 GB crossed.
+/// Each follower is told of its engines' loads several times a second, which a voter of another
+/// region would send over the narrow links between regions.
 pub async fn follow_any(node: Rc<Node>) {
     let mut vain = 0;
     let mut finder = Finder::new();
@@ -187,7 +189,7 @@
 /// Whether a voter is known to be in this node's zone and to stay.
 fn is_near(node: &Node, voter: SocketAddr) -> bool {
     let rows = node.people.present();
-    rows.iter().any(|(_, kind, _)| match kind {
+    rows.iter().any(|(_, kind, _)| match &**kind {
         Kind::Entry(row) => {
             row.zone == node.settings.node.zone && !row.leaving && addr(&row.link) == Some(voter)
         }
@@ -257,10 +259,23 @@
         version: node.declared.version(),
         interest: node.interest.into(),
     }));
+    let mut wanted = node.loads.wanted();
+    wanted.mark_changed();
     let mut told = false;
     let left = |told| if told { Left::Lost } else { Left::Unfollowed };
+    let mut heard = Instant::now();
     loop {
-        match timeout(SILENT, news.recv()).await {
+        let came = tokio::select! {
+            came = timeout_at(heard + SILENT, news.recv()) => came,
+            // The sender is the node's own, and outlives this.
+            _ = wanted.changed() => {
+                let engines = wanted.borrow_and_update().iter().copied().collect();
+                link.tell(News::Watch(Watch { engines }));
+                continue;
+            }
+        };
+        heard = Instant::now();
+        match came {
             Ok(Some(News::Pulse(pulse))) if !pulse.current => {
                 // While a group forms or elects, every voter is tried many times a second.
                 if told {
@@ -305,7 +320,8 @@
             }
             node.people.take(rows.rows, false);
         }
-        News::Log(_) | News::Follow(_) | News::Pulse(_) => {}
+        News::Loads(loads) => node.loads.take(loads.rows, false),
+        News::Log(_) | News::Follow(_) | News::Pulse(_) | News::Watch(_) => {}
     }
 }
 
@@ -345,8 +361,10 @@
     };
     link.tell(News::Follow(follow));
     while let Ok(Some(news)) = timeout(SILENT, news.recv()).await {
-        if let News::Rows(rows) = news {
-            node.people.take(rows.rows, false);
+        match news {
+            News::Rows(rows) => node.people.take(rows.rows, false),
+            News::Loads(loads) => node.loads.take(loads.rows, false),
+            _ => {}
         }
     }
 }
--- a/crates/filbertstack-gateway/src/control/node.rs
+++ b/crates/filbertstack-gateway/src/control/node.rs
@@ -14,6 +14,8 @@
 use crate::clock::Clock;
 use crate::control::ASK;
 use crate::control::declared::DeclaredState;
+use crate::control::loads::Loads;
+use crate::control::loads::Wants;
 use crate::control::people::People;
 use crate::control::unregistered::Unregistered;
 use crate::control::voter::Voter;
@@ -25,6 +27,8 @@
 use crate::link::messages::Follow;
 use crate::link::messages::Hop;
 use crate::link::messages::Interest;
+use crate::link::messages::LoadRow;
+use crate::link::messages::Loads as Told;
 use crate::link::messages::News;
 use crate::link::messages::Nothing;
 use crate::link::messages::Proposal;
@@ -64,6 +68,8 @@
     pub declared: DeclaredState,
     /// Who is there.
     pub people: People,
+    /// The loads of engines.
+    pub loads: Loads,
     /// Statements that no voter could take yet.
     pub unregistered: Unregistered,
     /// Links to peers.
@@ -93,6 +99,7 @@
             clock,
             declared: DeclaredState::new(clock),
             people: People::new(clock),
+            loads: Loads::default(),
             unregistered: Unregistered::default(),
             dialer,
             interest,
@@ -237,6 +244,9 @@
                 self.declared.since(follow.version, interest),
             ));
         }
+        if interest == Interest::Registered {
+            self.loads.follow(link, Wants::Own);
+        }
         self.people.follow(link.clone(), interest);
         link.tell(self.pulse());
     }
@@ -250,6 +260,14 @@
         }
     }
 
+    /// Tells the voter that is followed the load of this process's engine.
+    pub fn tell_load(&self, row: LoadRow) {
+        if let Some(voter) = self.followed.get() {
+            self.dialer
+                .tell(voter, News::Loads(Told { rows: vec![row] }));
+        }
+    }
+
     /// The sign of life that followers get.
     pub fn pulse(&self) -> News {
         let voter = self.voter.as_ref();
@@ -299,6 +317,11 @@
             }
             News::Follow(follow) => self.attach(&follow, sender),
             News::Rows(rows) if self.voter.is_some() => self.people.take(rows.rows, true),
+            News::Loads(loads) if self.voter.is_some() => self.loads.take(loads.rows, true),
+            News::Watch(watch) if self.voter.is_some() => {
+                let engines = watch.engines.into_iter().collect();
+                self.loads.follow(sender, Wants::Engines(engines));
+            }
             // A voter tells its seeds who the voters are.
             News::Pulse(pulse) => {
                 let voters: Vec<_> = pulse.voters.iter().filter_map(|v| addr(v)).collect();
@@ -307,7 +330,7 @@
                 }
                 self.learn_voters(voters);
             }
-            News::Declared(_) | News::Rows(_) => {}
+            News::Declared(_) | News::Rows(_) | News::Loads(_) | News::Watch(_) => {}
         }
     }
 }
--- a/crates/filbertstack-gateway/src/control/people.rs
+++ b/crates/filbertstack-gateway/src/control/people.rs
@@ -1,6 +1,7 @@
 //! Who is there: targets, entries and agents, as they were heard of.
 
 use std::cell::RefCell;
+use std::rc::Rc;
 use std::sync::Arc;
 
 use filbertstack_core::Millis;
@@ -24,7 +25,7 @@
 /// An entry reports each [`OWN_ROW`](crate::entry::OWN_ROW): three missed.
 const ENTRY_PATIENCE: Millis = Millis(1_600);
 
-/// An agent reports several times a second while it lives.
+/// An agent reports each [`AGAIN`](crate::agent::reports::AGAIN): three missed.
 const AGENT_PATIENCE: Millis = Millis::secs(3);
 
 struct Follower {
@@ -44,7 +45,7 @@
 /// The registry of one node, and the links of those that follow it.
 pub struct People {
     clock: Clock,
-    rows: RefCell<Registry<Kind>>,
+    rows: RefCell<Registry<Rc<Kind>>>,
     followers: RefCell<Vec<Follower>>,
     /// Rows that followers have not been told yet.
     pending: RefCell<Vec<Pending>>,
@@ -69,7 +70,7 @@
     }
 
     /// All that are there.
-    pub fn present(&self) -> Vec<(Arc<str>, Kind, Stamp)> {
+    pub fn present(&self) -> Vec<(Arc<str>, Rc<Kind>, Stamp)> {
         let rows = self.rows.borrow();
         let present = rows.present();
         present
@@ -78,7 +79,7 @@
     }
 
     /// What is known of `id`, gone or not.
-    pub fn find(&self, id: &str) -> Option<(Kind, Stamp, bool)> {
+    pub fn find(&self, id: &str) -> Option<(Rc<Kind>, Stamp, bool)> {
         let rows = self.rows.borrow();
         rows.get(id)
             .map(|(kind, stamp, gone)| (kind.clone(), stamp, gone))
@@ -112,7 +113,7 @@
             let silent = known.get(&id).is_some_and(|(_, s, _)| s <= stamp);
             return silent && known.forget(&id);
         };
-        let offer = known.offer(&id, stamp, kind, row.gone, now);
+        let offer = known.offer(&id, stamp, Rc::new(kind), row.gone, now);
         drop(known);
         if offer == Offer::Late {
             return false;
@@ -126,7 +127,7 @@
         changed
     }
 
-    fn leave(&self, id: &Arc<str>, own: bool, now: Millis, known: &mut Registry<Kind>) -> bool {
+    fn leave(&self, id: &Arc<str>, own: bool, now: Millis, known: &mut Registry<Rc<Kind>>) -> bool {
         let changed = known.remove(id, now);
         if changed {
             let row = Row::left(id);
@@ -211,10 +212,10 @@
     pub fn expire(&self) {
         let now = self.clock.now();
         let mut rows = self.rows.borrow_mut();
-        let silent = rows.expire(now, |kind| match kind {
+        let silent = rows.expire(now, |kind| match &**kind {
             Kind::Target(_) => TARGET_PATIENCE,
             Kind::Entry(_) => ENTRY_PATIENCE,
-            Kind::Agent(_) | Kind::Load(_) => AGENT_PATIENCE,
+            Kind::Agent(_) => AGENT_PATIENCE,
         });
         drop(rows);
         if silent.is_empty() {
--- a/crates/filbertstack-gateway/src/entry/directory.rs
+++ b/crates/filbertstack-gateway/src/entry/directory.rs
@@ -52,7 +52,7 @@
     /// node to node, so that callers who take the first do not all take the same.
     fn addrs(&self, place: &Place) -> Vec<SocketAddr> {
         let rows = self.node.people.present();
-        let entries = rows.iter().filter_map(|(_, kind, _)| match kind {
+        let entries = rows.iter().filter_map(|(_, kind, _)| match &**kind {
             Kind::Entry(entry) if !entry.leaving => Some(entry),
             _ => None,
         });
--- a/crates/filbertstack-gateway/src/entry/mod.rs
+++ b/crates/filbertstack-gateway/src/entry/mod.rs
@@ -116,6 +116,7 @@
     start_control(&node);
     spawn_local(register_later(node.clone()));
     spawn_local(keep_targets(node.clone(), requests.clone()));
+    spawn_local(keep_loads(node.clone(), requests.clone()));
     spawn_local(cache.clone().keep());
     spawn_local(tell_own_row(node.clone(), leaving.clone(), cache.held()));
     spawn_local(prune(requests.clone()));
@@ -189,7 +190,9 @@
     loop {
         requests.targets().refresh();
         let rows = node.people.present();
-        let entries = rows.iter().filter(|(_, k, _)| matches!(k, Kind::Entry(_)));
+        let entries = rows
+            .iter()
+            .filter(|(_, k, _)| matches!(**k, Kind::Entry(_)));
         requests.share(u32::try_from(entries.count()).unwrap_or(u32::MAX));
         tokio::select! {
             _ = people.changed() => {}
@@ -201,6 +204,14 @@
     }
 }
 
+/// Keeps the loads of the targets as they are told.
+async fn keep_loads(node: Rc<Node>, requests: Rc<Requests>) {
+    loop {
+        node.loads.come().await;
+        requests.targets().report(&node.loads.drain());
+    }
+}
+
 /// The id of an entry's row.
 fn own_id(node: &Node) -> String {
     format!("entry {}", node.settings.node.name)
--- a/crates/filbertstack-gateway/src/link/messages.rs
+++ b/crates/filbertstack-gateway/src/link/messages.rs
@@ -177,7 +177,7 @@
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct Tell {
     /// What is told.
-    #[prost(oneof = "News", tags = "1, 2, 3, 4, 5")]
+    #[prost(oneof = "News", tags = "1, 2, 3, 4, 5, 6, 7")]
     pub news: Option<News>,
 }
 
@@ -199,6 +199,12 @@
     /// A sign of life.
     #[prost(message, tag = "5")]
     Pulse(Pulse),
+    /// The loads of engines.
+    #[prost(message, tag = "6")]
+    Loads(Loads),
+    /// Tell me on this link the loads of these engines.
+    #[prost(message, tag = "7")]
+    Watch(Watch),
 }
 
 /// A message of the replicated log and where its sender is reached.
@@ -308,7 +314,7 @@
     #[prost(bool, tag = "4")]
     pub gone: bool,
     /// What it is.
-    #[prost(oneof = "Kind", tags = "5, 6, 7, 8")]
+    #[prost(oneof = "Kind", tags = "5, 6, 7")]
     pub kind: Option<Kind>,
 }
 
@@ -348,9 +354,6 @@
     /// An agent beside a target.
     #[prost(message, tag = "7")]
     Agent(AgentRow),
-    /// The load of an agent's engine.
-    #[prost(message, tag = "8")]
-    Load(LoadRow),
 }
 
 /// A target, as it announced itself.
@@ -425,12 +428,20 @@
     pub holds: u64,
 }
 
-/// The load of an engine.
+/// The loads of some engines.
 #[derive(Clone, PartialEq, prost::Message)]
+pub struct Loads {
+    /// One row an engine.
+    #[prost(message, repeated, tag = "1")]
+    pub rows: Vec<LoadRow>,
+}
+
+/// The load of an engine. Hundreds are told ten times a second, so that it names its engine shortly.
+#[derive(Clone, Copy, PartialEq, prost::Message)]
 pub struct LoadRow {
-    /// The engine's address.
-    #[prost(string, tag = "1")]
-    pub engine: String,
+    /// The engine's address, [packed](pack).
+    #[prost(fixed64, tag = "1")]
+    pub engine: u64,
     /// Requests that the engine runs.
     #[prost(uint32, tag = "2")]
     pub running: u32,
@@ -440,10 +451,14 @@
     /// How many percent of its usual time the engine takes.
     #[prost(uint32, tag = "4")]
     pub pace: u32,
-    /// How often the load was told before: followers are told of rows that change only, and one that
-    /// says the same again shows that the engine is there.
-    #[prost(uint32, tag = "5")]
-    pub turn: u32,
+}
+
+/// Whose loads a follower wants to be told, in place of those that it named before.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Watch {
+    /// The engines' addresses, [packed](pack).
+    #[prost(fixed64, repeated, tag = "1")]
+    pub engines: Vec<u64>,
 }
 
 /// A voter's sign of life.
@@ -461,3 +476,11 @@
 pub fn addr(text: &str) -> Option<SocketAddr> {
     text.parse().ok()
 }
+
+/// An address as one number; `None` for one that is not IPv4.
+pub fn pack(addr: SocketAddr) -> Option<u64> {
+    let SocketAddr::V4(addr) = addr else {
+        return None;
+    };
+    Some(u64::from(addr.ip().to_bits()) << 16 | u64::from(addr.port()))
+}
--- a/crates/filbertstack-gateway/src/link/mod.rs
+++ b/crates/filbertstack-gateway/src/link/mod.rs
@@ -114,6 +114,16 @@
         self.ended.get() || self.frames.is_closed()
     }
 
+    /// Whether both lead over the same link.
+    pub fn is_same(&self, other: &Self) -> bool {
+        Rc::ptr_eq(&self.ended, &other.ended)
+    }
+
+    /// How many frames wait to be written.
+    pub fn backlog(&self) -> usize {
+        *self.unsent.borrow()
+    }
+
     /// When the peer was last heard.
     fn heard(&self) -> Instant {
         self.heard.get()
--- a/crates/filbertstack-gateway/src/request/targets.rs
+++ b/crates/filbertstack-gateway/src/request/targets.rs
@@ -2,6 +2,7 @@
 
 use std::cell::RefCell;
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -17,6 +18,8 @@
 use filbertstack_policy::dispatch::Wanted;
 use filbertstack_policy::registry::Stamp;
 use filbertstack_policy::rollout;
+use filbertstack_policy::subset;
+use filbertstack_policy::subset::Candidate;
 
 use crate::control::node::Node;
 use crate::link::messages::AgentRow;
@@ -24,15 +27,15 @@
 use crate::link::messages::LoadRow;
 use crate::link::messages::TargetRow;
 use crate::link::messages::addr;
+use crate::link::messages::pack;
 
 /// The targets that requests may go to.
 pub struct Targets {
     node: Rc<Node>,
     dispatcher: RefCell<Dispatcher>,
     places: RefCell<BTreeMap<TargetId, Place>>,
-    /// The last load report of each target that was counted: counted twice, it would hide the
-    /// requests sent since.
-    counted: RefCell<BTreeMap<TargetId, Stamp>>,
+    /// The engines among them by their packed addresses, as their loads name them.
+    engines: RefCell<BTreeMap<u64, TargetId>>,
 }
 
 /// Where a target serves, and the version of weights that it must show.
@@ -64,51 +67,73 @@
             node,
             dispatcher: RefCell::new(dispatcher),
             places: RefCell::default(),
-            counted: RefCell::default(),
+            engines: RefCell::default(),
         }
     }
 
-    /// Takes over what the registry and the declared state say now.
+    /// Takes over what the registry and the declared state say now. Of the engines of a large service
+    /// this entry uses its subset.
     pub fn refresh(&self) {
         let rows = self.node.people.present();
         let now = self.node.clock.now();
         let agents: BTreeMap<&str, &AgentRow> = rows
             .iter()
-            .filter_map(|(_, kind, _)| match kind {
+            .filter_map(|(_, kind, _)| match &**kind {
                 Kind::Agent(agent) => Some((agent.engine.as_str(), agent)),
                 _ => None,
             })
             .collect();
-        let told: BTreeMap<&str, (&LoadRow, Stamp)> = rows
-            .iter()
-            .filter_map(|(_, kind, stamp)| match kind {
-                Kind::Load(load) => Some((load.engine.as_str(), (load, *stamp))),
-                _ => None,
-            })
-            .collect();
+        let latest: Vec<_> = latest(&rows).collect();
+        let used = self.used(&latest);
         let mut offered = Vec::new();
-        let mut loads = Vec::new();
         let mut places = BTreeMap::new();
-        for (id, row, addr) in latest(&rows) {
+        let mut engines = BTreeMap::new();
+        for (id, row, addr) in latest {
             let agent = agents.get(row.addr.as_str()).copied();
             let (target, version) = self.offered(id, row, agent, now);
+            if target.engine.is_some() {
+                if !used.contains(&addr) {
+                    continue;
+                }
+                engines.extend(pack(addr).map(|packed| (packed, id.clone())));
+            }
             offered.push(target);
             places.insert(id.clone(), Place { addr, version });
-            if let Some((row, stamp)) = told.get(row.addr.as_str()).copied()
-                && self.counted.borrow_mut().insert(id.clone(), stamp) != Some(stamp)
-            {
-                loads.push((id.clone(), load(row)));
-            }
         }
+        self.node.loads.want(engines.keys().copied().collect());
+        self.dispatcher.borrow_mut().offer(offered);
+        *self.places.borrow_mut() = places;
+        *self.engines.borrow_mut() = engines;
+    }
+
+    /// The addresses of the engines that this entry uses, of each service its subset.
+    fn used(&self, latest: &[(&TargetId, &TargetRow, SocketAddr)]) -> BTreeSet<SocketAddr> {
+        let mut services: BTreeMap<&str, Vec<Candidate<'_, SocketAddr>>> = BTreeMap::new();
+        for (_, row, addr) in latest {
+            let candidate = Candidate {
+                key: *addr,
+                name: &row.addr,
+                zone: &row.zone,
+            };
+            services.entry(&row.service).or_default().push(candidate);
+        }
+        let node = &self.node.settings.node;
+        let chosen = services
+            .values()
+            .flat_map(|candidates| subset::choose(&node.name, &node.zone, candidates));
+        chosen.collect()
+    }
+
+    /// Takes in the loads of engines.
+    pub fn report(&self, rows: &[LoadRow]) {
+        let now = self.node.clock.now();
+        let engines = self.engines.borrow();
         let mut dispatcher = self.dispatcher.borrow_mut();
-        dispatcher.offer(offered);
-        for (id, load) in loads {
-            dispatcher.report(now, &id, load);
+        for row in rows {
+            if let Some(id) = engines.get(&row.engine) {
+                dispatcher.report(now, id, load(row));
+            }
         }
-        self.counted
-            .borrow_mut()
-            .retain(|id, _| places.contains_key(id));
-        *self.places.borrow_mut() = places;
     }
 
     /// The target as the policy sees it, and the version of weights that it must show.
@@ -215,11 +240,11 @@
 /// The targets that are there. Of two at one address the one that started last is: the other has
 /// ended, or its address could not have been given away.
 fn latest(
-    rows: &[(Arc<str>, Kind, Stamp)],
+    rows: &[(Arc<str>, Rc<Kind>, Stamp)],
 ) -> impl Iterator<Item = (&TargetId, &TargetRow, SocketAddr)> {
     let mut by_addr: BTreeMap<SocketAddr, (Stamp, &TargetId, &TargetRow)> = BTreeMap::new();
     for (id, kind, stamp) in rows {
-        let Kind::Target(row) = kind else {
+        let Kind::Target(row) = &**kind else {
             continue;
         };
         let Some(addr) = addr(&row.addr) else {
--- a/crates/filbertstack-gateway/src/weights/mod.rs
+++ b/crates/filbertstack-gateway/src/weights/mod.rs
@@ -59,8 +59,8 @@
 /// The agents that are there, with their ids.
 pub fn agents(node: &Node) -> Vec<(Arc<str>, AgentRow)> {
     let rows = node.people.present().into_iter();
-    let agents = rows.filter_map(|(id, kind, _)| match kind {
-        Kind::Agent(row) => Some((id, row)),
+    let agents = rows.filter_map(|(id, kind, _)| match &*kind {
+        Kind::Agent(row) => Some((id, row.clone())),
         _ => None,
     });
     agents.collect()
@@ -69,8 +69,8 @@
 /// The entries that stay, with their ids.
 pub fn entries(node: &Node) -> Vec<(Arc<str>, EntryRow)> {
     let rows = node.people.present().into_iter();
-    let entries = rows.filter_map(|(id, kind, _)| match kind {
-        Kind::Entry(row) if !row.leaving => Some((id, row)),
+    let entries = rows.filter_map(|(id, kind, _)| match &*kind {
+        Kind::Entry(row) if !row.leaving => Some((id, row.clone())),
         _ => None,
     });
     entries.collect()
@@ -102,9 +102,10 @@
 
 /// Where a node is asked for pieces.
 fn place(node: &Node, id: &str) -> Option<SocketAddr> {
-    match node.people.find(id)? {
-        (Kind::Agent(row), _, false) => addr(&row.link),
-        (Kind::Entry(row), _, false) => addr(&row.link),
+    let (kind, _, gone) = node.people.find(id)?;
+    match &*kind {
+        Kind::Agent(row) if !gone => addr(&row.link),
+        Kind::Entry(row) if !gone => addr(&row.link),
         _ => None,
     }
 }
--- a/crates/filbertstack-policy/src/route.rs
+++ b/crates/filbertstack-policy/src/route.rs
@@ -254,11 +254,11 @@
             .filter_map(|key| targets.get(*key).map(|target| (*key, &target.info)))
             .map(|(key, info)| Candidate {
                 key,
-                name: &info.name,
-                zone: &info.zone,
+                name: info.name.as_str(),
+                zone: info.zone.as_str(),
             })
             .collect();
-        let members = subset::choose(&self.name, &self.zone, &known);
+        let members = subset::choose(self.name.as_str(), self.zone.as_str(), &known);
         if let Some(group) = self.groups.get_mut(group) {
             group.members = members;
         }
--- a/crates/filbertstack-policy/src/subset.rs
+++ b/crates/filbertstack-policy/src/subset.rs
@@ -5,9 +5,6 @@
 //! one. Rendezvous hashing gives each entry its own [`SIZE`] targets, without any agreement, and
 //! a target that comes or goes changes one place of the entries that had it.
 
-use filbertstack_core::names::InstanceName;
-use filbertstack_core::names::ZoneName;
-
 /// The targets that one entry uses. At 340 entries and 2,000 targets a target is used by 8.2
 /// entries in the mean, and by none with probability (1 - 48/2000)^340 = 0.03%; with 24 it would
 /// be 1.6%, 33 engines without work. All of today's 12 to 16 engines fit.
@@ -23,17 +20,13 @@
     /// The caller's key.
     pub key: K,
     /// The target's name.
-    pub name: &'a InstanceName,
+    pub name: &'a str,
     /// The target's zone.
-    pub zone: &'a ZoneName,
+    pub zone: &'a str,
 }
 
 /// The targets that `entry` in `zone` uses of `candidates`, in the order of their rank.
-pub fn choose<K: Copy>(
-    entry: &InstanceName,
-    zone: &ZoneName,
-    candidates: &[Candidate<'_, K>],
-) -> Vec<K> {
+pub fn choose<K: Copy>(entry: &str, zone: &str, candidates: &[Candidate<'_, K>]) -> Vec<K> {
     let mut ranked: Vec<_> = candidates
         .iter()
         .map(|candidate| (rank(entry, candidate.name), candidate))
@@ -53,8 +46,8 @@
         .collect()
 }
 
-fn rank(entry: &InstanceName, target: &InstanceName) -> u64 {
-    mix(hash(entry.as_str()) ^ hash(target.as_str()).rotate_left(32))
+fn rank(entry: &str, target: &str) -> u64 {
+    mix(hash(entry) ^ hash(target).rotate_left(32))
 }
 
 /// A 64-bit hash of a name that is the same in every process (FNV-1a).
