Documents go to followers compressed and in parts

Requests ran on engines 3 s after these had said that they leave (DRAIN), new routes were 404 for 5 s (CONFIG), old weights answered (VERSION). Cause, from the logs: a document of 1,480 routes more came into force at the five voters at 24.21 to 24.30 s, and went as one frame of some 400 KB to each of 30 and more followers: a second and more of the voter's link. 149 followers logged "voter left: it is silent" at 24.94 s, asked the next voter for the same document, and again at 26.0 s (137): half of the entries had it at 28.3 s, the last at 30.1 s, and the next one 5.2 s after the first. Frames of it on each link were the voters' memory, too (53.6 MB). Ruled out: elections (none then), processor time (0.118 of 0.32 core at most). Now: zlib (flate2), about a ninth; parts of 32 KB, each a sign of life, with pulses between.

Tests (fail first: there were no parts): a_long_document_reaches_all_followers_before_they_miss_their_voter, parts_leave_room_for_other_news, parts_of_two_documents_are_not_joined, a_document_too_long_is_refused.

--- a/crates/filbertstack-gateway/src/control/declared.rs
+++ b/crates/filbertstack-gateway/src/control/declared.rs
@@ -17,9 +17,13 @@
 use tokio::sync::watch;
 
 use crate::clock::Clock;
+use crate::control::parts::Assembly;
+use crate::control::parts::split;
 use crate::link::messages::Declared;
+use crate::link::messages::DocumentPart;
 use crate::link::messages::Interest;
 use crate::link::messages::NamedWeights;
+use crate::link::messages::News;
 use crate::link::messages::ServedModel;
 use crate::link::messages::addr;
 
@@ -37,6 +41,10 @@
 pub struct DeclaredState {
     clock: Clock,
     document: RefCell<Document>,
+    /// The document in parts, for followers.
+    parts: RefCell<Rc<[DocumentPart]>>,
+    /// The parts of a newer document that have come.
+    assembly: RefCell<Assembly>,
     catalogue: RefCell<Rc<Catalogue>>,
     /// By model, the latest versions in their order.
     weights: RefCell<BTreeMap<Arc<str>, Vec<Named>>>,
@@ -53,6 +61,8 @@
         Self {
             clock,
             document: RefCell::default(),
+            parts: RefCell::new(Rc::new([])),
+            assembly: RefCell::default(),
             catalogue: RefCell::default(),
             weights: RefCell::default(),
             origins: RefCell::default(),
@@ -116,10 +126,32 @@
         self.news.subscribe()
     }
 
-    /// What a follower that holds the document `version` needs to be told.
-    pub fn since(&self, version: u64, interest: Interest) -> Declared {
+    /// What a follower that holds the document `version` needs to be told, in this order.
+    pub fn since(&self, version: u64, interest: Interest) -> Vec<News> {
+        let mut news = Vec::new();
+        if interest == Interest::All && self.version() > version {
+            news.extend(self.parts().iter().cloned().map(News::Part));
+        }
+        news.push(News::Declared(self.declared()));
+        news
+    }
+
+    /// The parts of the document, made once for all followers.
+    fn parts(&self) -> Rc<[DocumentPart]> {
         let document = self.document.borrow();
-        let wanted = interest == Interest::All && document.version > version;
+        let mut parts = self.parts.borrow_mut();
+        if parts.first().is_none_or(|p| p.version != document.version) {
+            match split(&document) {
+                Ok(made) => *parts = made.into(),
+                Err(error) => warn!("configuration not compressed", kv: {
+                    version = document.version, error = error.to_string()
+                }),
+            }
+        }
+        parts.clone()
+    }
+
+    fn declared(&self) -> Declared {
         let now = self.clock.now();
         let mut weights = Vec::new();
         for (model, versions) in self.weights.borrow().iter() {
@@ -131,7 +163,6 @@
         }
         let origins = self.origins.borrow();
         Declared {
-            document: wanted.then(|| document.clone()),
             weights,
             origins: origins.iter().map(ToString::to_string).collect(),
             models: self.models.borrow().clone(),
@@ -148,7 +179,24 @@
         if !declared.models.is_empty() {
             *self.models.borrow_mut() = declared.models;
         }
-        self.take(declared.document, declared.weights);
+        self.take(None, declared.weights);
+    }
+
+    /// Takes in a part of the document from the voter that is followed. The document counts as told
+    /// once what is declared beside it is.
+    pub fn follow_part(&self, part: DocumentPart) {
+        if part.version <= self.version() {
+            return;
+        }
+        let taken = self.assembly.borrow_mut().take(part);
+        match taken {
+            Ok(Some(document)) => {
+                self.put(document);
+                self.news.send_modify(|count| *count += 1);
+            }
+            Ok(None) => {}
+            Err(error) => warn!("configuration not received", kv: { error = error.to_string() }),
+        }
     }
 
     /// Takes in a document and versions of weights. A lower version than the one held is left
--- a/crates/filbertstack-gateway/src/control/follow.rs
+++ b/crates/filbertstack-gateway/src/control/follow.rs
@@ -80,13 +80,12 @@
         });
         node.declared
             .take(Some(documents.document().clone()), weights.collect());
-        let entries = node.declared.since(held, Interest::All);
-        let agents = node.declared.since(held, Interest::Weights);
-        node.people.tell(|interest| match interest {
-            Interest::All => Some(News::Declared(entries.clone())),
-            Interest::Weights => Some(News::Declared(agents.clone())),
-            Interest::Registered => None,
-        });
+        for told in [Interest::All, Interest::Weights] {
+            for news in node.declared.since(held, told) {
+                let to = |interest| (interest == told).then(|| news.clone());
+                node.people.tell(to);
+            }
+        }
         if seen.changed().await.is_err() {
             return;
         }
@@ -313,6 +312,7 @@
 
 fn take(node: &Rc<Node>, news: News) {
     match news {
+        News::Part(part) => node.declared.follow_part(part),
         News::Declared(declared) => node.declared.follow(declared),
         News::Rows(rows) => {
             if rows.whole && node.voter.is_none() {
--- a/crates/filbertstack-gateway/src/control/mod.rs
+++ b/crates/filbertstack-gateway/src/control/mod.rs
@@ -11,6 +11,7 @@
 pub mod machine;
 pub mod membership;
 pub mod node;
+pub mod parts;
 pub mod people;
 pub mod search;
 pub mod seek;
--- a/crates/filbertstack-gateway/src/control/node.rs
+++ b/crates/filbertstack-gateway/src/control/node.rs
@@ -240,9 +240,9 @@
         }
         let interest = follow.interest();
         if interest != Interest::Registered {
-            link.tell(News::Declared(
-                self.declared.since(follow.version, interest),
-            ));
+            for news in self.declared.since(follow.version, interest) {
+                link.tell(news);
+            }
         }
         if interest == Interest::Registered {
             self.loads.follow(link, Wants::Own);
@@ -330,7 +330,11 @@
                 }
                 self.learn_voters(voters);
             }
-            News::Declared(_) | News::Rows(_) | News::Loads(_) | News::Watch(_) => {}
+            News::Declared(_)
+            | News::Part(_)
+            | News::Rows(_)
+            | News::Loads(_)
+            | News::Watch(_) => {}
         }
     }
 }
--- a/crates/filbertstack-gateway/src/link/messages.rs
+++ b/crates/filbertstack-gateway/src/link/messages.rs
@@ -177,7 +177,7 @@
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct Tell {
     /// What is told.
-    #[prost(oneof = "News", tags = "1, 2, 3, 4, 5, 6, 7")]
+    #[prost(oneof = "News", tags = "1, 2, 3, 4, 5, 6, 7, 8")]
     pub news: Option<News>,
 }
 
@@ -205,6 +205,9 @@
     /// Tell me on this link the loads of these engines.
     #[prost(message, tag = "7")]
     Watch(Watch),
+    /// A part of the newest document.
+    #[prost(message, tag = "8")]
+    Part(DocumentPart),
 }
 
 /// A message of the replicated log and where its sender is reached.
@@ -242,12 +245,26 @@
     Weights = 2,
 }
 
-/// What is declared.
+/// A part of a compressed document.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct DocumentPart {
+    /// The document's version.
+    #[prost(uint64, tag = "1")]
+    pub version: u64,
+    /// The part's number, from 0.
+    #[prost(uint32, tag = "2")]
+    pub number: u32,
+    /// How many parts there are.
+    #[prost(uint32, tag = "3")]
+    pub count: u32,
+    /// Its bytes.
+    #[prost(bytes = "bytes", tag = "4")]
+    pub body: Bytes,
+}
+
+/// What is declared, beside the document, whose parts come before.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct Declared {
-    /// The newest document, unless the follower holds it.
-    #[prost(message, optional, tag = "1")]
-    pub document: Option<Document>,
     /// The latest versions of each model's weights.
     #[prost(message, repeated, tag = "2")]
     pub weights: Vec<NamedWeights>,
