--- a/crates/filbertstack-gateway/src/weights/cache.rs
+++ b/crates/filbertstack-gateway/src/weights/cache.rs
@@ -256,9 +256,13 @@
         weights::not_here()
     }
 
-    fn manifest(&self, named: &Weights) -> Reply {
-        let stock = self.stock(&weights::holding(named));
-        weights::manifest(stock.and_then(|stock| stock.list()))
+    /// The list of a version's pieces, if it is here or comes within `wait`.
+    async fn manifest(&self, named: &Weights, wait: Duration) -> Reply {
+        let Some(stock) = self.stock(&weights::holding(named)) else {
+            return weights::manifest(None);
+        };
+        let list = timeout(wait, stock.await_list()).await;
+        weights::manifest(list.ok().flatten())
     }
 }
 
@@ -268,7 +272,7 @@
             Question::Piece(name) => self.piece(&name).await,
             Question::Has(name) => self.has(&name, OWNER_WAIT).await.into(),
             Question::HasNow(name) => self.has_now(&name).into(),
-            Question::Manifest(weights) => self.manifest(&weights).into(),
+            Question::Manifest(weights) => self.manifest(&weights, OWNER_WAIT).await.into(),
             question => self.node.clone().answer(question).await,
         }
     }
--- a/crates/filbertstack-gateway/src/weights/fetch.rs
+++ b/crates/filbertstack-gateway/src/weights/fetch.rs
@@ -17,6 +17,7 @@
 use filbertstack_platform::engine::ask_piece;
 use filbertstack_platform::engine::read_manifest;
 use filbertstack_policy::pieces::Layout;
+use filbertstack_policy::pieces::Part;
 use filbertstack_policy::pieces::Window;
 use filbertstack_policy::pieces::asks_origin;
 use spdlog::info;
@@ -63,7 +64,7 @@
 /// takes its link a second or two.
 const ORIGIN: Duration = Duration::from_millis(2_500);
 
-/// How long a list of pieces may take: it is short.
+/// How long the origin may take for a list of pieces: it is short.
 const LIST: Duration = Duration::from_millis(800);
 
 /// The pause before sources are asked again that all failed.
@@ -103,6 +104,16 @@
     answered: bool,
 }
 
+/// What a node said that was asked for the list of pieces.
+enum Listed {
+    /// The list.
+    Here(PieceList),
+    /// It does not have it yet.
+    NotHere,
+    /// Nothing in time.
+    Silent,
+}
+
 /// A piece that is under way to this node.
 struct Slot<'a>(&'a Fetch);
 
@@ -172,16 +183,32 @@
         ))
     }
 
-    /// The list of the version's pieces, asked for until it comes.
+    /// The list of the version's pieces, asked for until it comes. As with a piece, one node asks the
+    /// origin and the others ask each other: hundreds of lists would take the narrow link from the
+    /// pieces.
     pub async fn list(&self) -> PieceList {
+        let began = Instant::now();
         loop {
-            let plan = self.layout_of(1).plan(0);
+            let layout = self.layout_of(1);
+            if layout.leads(0)
+                && let Some(list) = self.list_of_origin().await
+            {
+                return list;
+            }
+            let plan = layout.plan(0);
+            let mut answered = false;
             for id in plan.near.iter().chain(&plan.before).chain(&plan.far) {
-                if let Some(list) = self.list_of_peer(id).await {
-                    return list;
+                match self.list_of_peer(id).await {
+                    Listed::Here(list) => return list,
+                    Listed::NotHere => answered |= plan.before.contains(id),
+                    Listed::Silent => {}
                 }
             }
-            if let Some(list) = self.list_of_origin().await {
+            let part = layout.part(0);
+            if part != Part::Leads
+                && asks_origin(part, answered, Millis::from(began.elapsed()))
+                && let Some(list) = self.list_of_origin().await
+            {
                 return list;
             }
             sleep(PAUSE).await;
@@ -344,16 +371,22 @@
         None
     }
 
-    async fn list_of_peer(&self, id: &str) -> Option<PieceList> {
-        let place = weights::place(&self.node, id)?;
+    async fn list_of_peer(&self, id: &Arc<str>) -> Listed {
+        let Some(place) = weights::place(&self.node, id).filter(|_| !self.is_slow(id)) else {
+            return Listed::Silent;
+        };
         let question = Question::Manifest(weights::wire_name(&self.weights));
-        let reply = self.node.dialer.ask(place, question, LIST).await.ok()?;
-        let Reply::Manifest(manifest) = reply else {
-            return None;
+        let manifest = match self.node.dialer.ask(place, question, HAS).await {
+            Ok(Reply::Manifest(manifest)) => manifest,
+            Ok(_) | Err(LinkError::Failed(_)) => return Listed::NotHere,
+            Err(_) => {
+                self.pass_over(id);
+                return Listed::Silent;
+            }
         };
         let digests = manifest.digests.chunks_exact(32);
         let digests = digests.filter_map(|digest| digest.try_into().ok());
-        Some(PieceList {
+        Listed::Here(PieceList {
             weights: self.weights.clone(),
             bytes: manifest.bytes,
             digests: digests.collect(),
--- a/crates/filbertstack-gateway/src/weights/stock.rs
+++ b/crates/filbertstack-gateway/src/weights/stock.rs
@@ -142,13 +142,16 @@
         self.pieces.borrow().get(&number).cloned()
     }
 
+    /// Waits for the list of its pieces.
+    pub async fn await_list(&self) -> Option<Rc<PieceList>> {
+        let mut lists = self.list.subscribe();
+        let list = lists.wait_for(Option::is_some).await.ok()?;
+        list.clone()
+    }
+
     /// Waits for a piece; false if there is none of that number.
     pub async fn await_piece(self: &Rc<Self>, number: u32) -> bool {
-        let mut lists = self.list.subscribe();
-        let Ok(list) = lists.wait_for(Option::is_some).await else {
-            return false;
-        };
-        let Some(list) = list.clone() else {
+        let Some(list) = self.await_list().await else {
             return false;
         };
         self.want(&list, number);
--- a/tests/gateway/model.rs
+++ b/tests/gateway/model.rs
@@ -287,9 +287,10 @@
     }
 }
 
-/// The origin of weights, which counts the pieces that it sent.
+/// The origin of weights, which counts the pieces and lists that it sent.
 #[derive(Clone, Default)]
 pub struct Origin {
+    lists: Arc<Mutex<BTreeMap<u64, u32>>>,
     sent: Arc<Mutex<BTreeMap<(u64, u32), u32>>>,
 }
 
@@ -305,9 +306,17 @@
         self.sent.lock().expect("not poisoned").clone()
     }
 
+    /// How often the list of a version's pieces was sent.
+    pub fn lists(&self, version: u64) -> u32 {
+        let lists = self.lists.lock().expect("not poisoned");
+        lists.get(&version).copied().unwrap_or(0)
+    }
+
     fn answer(&self, seen: &Seen) -> Vec<u8> {
         let version = query(seen, "version").unwrap_or(1);
         if path(seen).starts_with("/manifest/") {
+            let mut lists = self.lists.lock().expect("not poisoned");
+            *lists.entry(version).or_default() += 1;
             return plain("200 OK", manifest(version).to_string().as_bytes());
         }
         let number = number(seen);
--- a/tests/gateway/weights.rs
+++ b/tests/gateway/weights.rs
@@ -26,6 +26,19 @@
     assert_eq!(fleet.wrong_orders(), 0);
 }
 
+/// Guards against an origin whose narrow link sends its list of pieces to every node.
+#[test]
+fn one_entry_asks_the_origin_for_the_list_of_pieces() {
+    let fleet = Fleet::start(6);
+    until("all entries know each other", || {
+        (0..3).all(|n| fleet.world.knows_all(n))
+    });
+    fleet.name(2);
+    fleet.await_version(2);
+    // On a busy machine the one that asks may be late, and another asks as well.
+    assert!(fleet.origin.lists(2) <= 2, "{}", fleet.origin.lists(2));
+}
+
 /// A staged piece turns bad at one engine before the next version is loaded there, and all pieces
 /// are lost at another that loses its power. Loaded as they lie, answers would come from spoilt
 /// weights. They are read back before the order, and what is bad is fetched again.
