An entry's share of an engine's room counts its zone's entries, and widens below capacity

Cause: an entry took room x 0.7 / all entries of each engine between two reports, by lot. Of a place for 154 entries each has one in 154, whether others have a caller then or not: 0.4 near places a report for 0.7 callers. Now: 0.55 of a near engine's room is shared by the entries of its zone and 0.3 by all, and a share is widened by as much as the mean room exceeds what all entries ask for, taken from this entry's own requests. In an overload nothing is widened.

Test: hundreds_of_entries_refuse_nobody_below_capacity (fails before: 0.9% refused, 40% crossed).

--- a/crates/filbertstack-gateway/src/control/node.rs
+++ b/crates/filbertstack-gateway/src/control/node.rs
@@ -330,11 +330,8 @@
                 }
                 self.learn_voters(voters);
             }
-            News::Declared(_)
-            | News::Part(_)
-            | News::Rows(_)
-            | News::Loads(_)
-            | News::Watch(_) => {}
+            News::Declared(_) | News::Part(_) | News::Rows(_) | News::Loads(_) | News::Watch(_) => {
+            }
         }
     }
 }
--- a/crates/filbertstack-gateway/src/request/mod.rs
+++ b/crates/filbertstack-gateway/src/request/mod.rs
@@ -177,10 +177,9 @@
         &self.targets
     }
 
-    /// Learns how many entries share the targets and the budget of repeated sends.
+    /// Learns how many entries share the budget of repeated sends.
     pub fn share(&self, entries: u32) {
         self.repeats.borrow_mut().share(entries);
-        self.targets.share(entries);
     }
 
     /// Notes that the process ends within `grace`.
--- a/crates/filbertstack-gateway/src/request/targets.rs
+++ b/crates/filbertstack-gateway/src/request/targets.rs
@@ -14,6 +14,7 @@
 use filbertstack_policy::dispatch::Load;
 use filbertstack_policy::dispatch::Offered;
 use filbertstack_policy::dispatch::Refused;
+use filbertstack_policy::dispatch::Sharers;
 use filbertstack_policy::dispatch::TargetId;
 use filbertstack_policy::dispatch::Wanted;
 use filbertstack_policy::registry::Stamp;
@@ -85,12 +86,14 @@
             .collect();
         let latest: Vec<_> = latest(&rows).collect();
         let used = self.used(&latest);
+        let census = Census::new(&self.node.settings.node.zone, &rows, &latest);
         let mut offered = Vec::new();
         let mut places = BTreeMap::new();
         let mut engines = BTreeMap::new();
         for (id, row, addr) in latest {
             let agent = agents.get(row.addr.as_str()).copied();
-            let (target, version) = self.offered(id, row, agent, now);
+            let sharers = census.sharers(row);
+            let (target, version) = self.offered((id, row), agent, sharers, now);
             if target.engine.is_some() {
                 if !used.contains(&addr) {
                     continue;
@@ -139,9 +142,9 @@
     /// The target as the policy sees it, and the version of weights that it must show.
     fn offered(
         &self,
-        id: &TargetId,
-        row: &TargetRow,
+        (id, row): (&TargetId, &TargetRow),
         agent: Option<&AgentRow>,
+        sharers: Sharers,
         now: Millis,
     ) -> (Offered, Option<u64>) {
         let catalogue = self.node.declared.catalogue();
@@ -157,6 +160,7 @@
             service: row.service.as_str().into(),
             slots: row.slots,
             near: row.zone == self.node.settings.node.zone,
+            sharers,
             engine,
             open: serves && !row.draining,
         };
@@ -195,11 +199,6 @@
         })
     }
 
-    /// Learns how many entries send to the same targets.
-    pub fn share(&self, entries: u32) {
-        self.dispatcher.borrow_mut().share(entries);
-    }
-
     /// Counts a request that is sent.
     pub fn sent(&self, id: &str, prompt: u32) {
         let now = self.node.clock.now();
@@ -237,6 +236,53 @@
     }
 }
 
+/// How many entries and targets there are, in this entry's zone and in all.
+struct Census<'a> {
+    zone: &'a str,
+    entries: [u32; 2],
+    /// By service.
+    targets: BTreeMap<&'a str, [u32; 2]>,
+}
+
+impl<'a> Census<'a> {
+    fn new(
+        zone: &'a str,
+        rows: &[(Arc<str>, Rc<Kind>, Stamp)],
+        latest: &[(&TargetId, &'a TargetRow, SocketAddr)],
+    ) -> Self {
+        let mut census = Self {
+            zone,
+            entries: [0; 2],
+            targets: BTreeMap::new(),
+        };
+        for (_, kind, _) in rows {
+            if let Kind::Entry(row) = &**kind {
+                count(&mut census.entries, row.zone == zone);
+            }
+        }
+        for (_, row, _) in latest {
+            let targets = census.targets.entry(&row.service).or_default();
+            count(targets, row.zone == zone);
+        }
+        census
+    }
+
+    fn sharers(&self, row: &TargetRow) -> Sharers {
+        let part = usize::from(row.zone == self.zone);
+        let targets = self.targets.get(row.service.as_str());
+        Sharers {
+            entries: self.entries[part],
+            targets: targets.map_or(1, |targets| targets[part]),
+        }
+    }
+}
+
+/// Counts one among all, and among those `near`.
+fn count(counts: &mut [u32; 2], near: bool) {
+    counts[0] += 1;
+    counts[1] += u32::from(near);
+}
+
 /// The targets that are there. Of two at one address the one that started last is: the other has
 /// ended, or its address could not have been given away.
 fn latest(
--- a/crates/filbertstack-gateway/tests/parts.rs
+++ b/crates/filbertstack-gateway/tests/parts.rs
@@ -92,10 +92,7 @@
     });
     let newer = newer.expect("compressed");
     let joined = vec![older[0].clone(), newer[1].clone()];
-    assert!(matches!(
-        assemble(joined),
-        Err(PartError::OutOfTurn { .. })
-    ));
+    assert!(matches!(assemble(joined), Err(PartError::OutOfTurn { .. })));
     let began_anew = [&older[..1], &newer[..]].concat();
     let whole = assemble(began_anew).expect("it reads");
     assert_eq!(whole.map(|d| d.version), Some(8));
--- a/crates/filbertstack-policy/src/dispatch.rs
+++ b/crates/filbertstack-policy/src/dispatch.rs
@@ -10,9 +10,8 @@
 //! at once, as waiting would only take the place of one that can be served.
 //!
 //! Between two reports other entries send as well. If each took what room a report shows, all of
-//! them would fill the few places that come free at once: at three times the load that engines
-//! carry, two of three requests taken are late by that. So each entry takes its share of an
-//! engine's room, rounded by lot, and no more before the next report.
+//! them would fill the few places that come free at once. So each entry takes its [share](Sharers)
+//! of an engine's room, rounded by lot, and no more before the next report.
 //!
 //! An engine that freezes keeps the load of its last report, or none once that is old, and looks the
 //! idlest of all: whatever is sent there waits until its caller leaves, and runs when it wakes. So
@@ -21,7 +20,10 @@
 //!
 //! Decisions take the time and what was observed; they have no clock, network or thread.
 
+mod share;
+
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::collections::VecDeque;
 use std::sync::Arc;
 
@@ -34,26 +36,22 @@
 use crate::outlier::Outlier;
 use crate::units::millis;
 
+use self::share::Demand;
+use self::share::Rooms;
+pub use self::share::Sharers;
+
 /// The part of the goal that a predicted first event may take. The rest covers the way to the
 /// caller and the error of loads that are reported with a lag.
 const GOAL_SHARE: f64 = 0.72;
 
 /// What a target outside the entry's zone must be better by, in milliseconds: the way there and
-/// back, and the price of prompts and events between zones. Drawn from all targets alike, with 8 ms
-/// for the way alone, two of three requests crossed a boundary: the sum of worth of twelve days was
-/// 7.76, with 40 ms 7.98, with 90 ms 7.99.
+/// back, and the price of prompts and events between zones.
 const FAR_MS: f64 = 40.0;
 
 /// How many passes a request lasts to its first event, its reading aside: the rest of the one that
 /// is under way, which is half of one in the mean, and one of its own.
 const PASSES: f64 = 1.5;
 
-/// The part of an engine's room that is taken between two reports. What others sent just before a
-/// report is not in it yet, and all of the room would be taken once more: at three times the load
-/// that engines carry, 2,341 first events come on time so, 2,198 with all of the room, and 788
-/// without shares. With half of it, 3% are refused for nothing at two thirds of the load.
-const TAKEN: f64 = 0.7;
-
 /// The most own requests that are remembered as not counted, at a target that reports nothing.
 const UNCOUNTED: usize = 64;
 
@@ -109,6 +107,8 @@
     pub slots: u32,
     /// Whether it is in the entry's zone.
     pub near: bool,
+    /// Who shares its places.
+    pub sharers: Sharers,
     /// How its engine computes, if it is one.
     pub engine: Option<Arc<EngineModel>>,
     /// Whether it takes new work.
@@ -270,25 +270,32 @@
         (wait + start_ms(engine, ahead, prompt) + read) * self.pace(now)
     }
 
-    /// Whether this entry may send another request before the next report, as one of `entries`
-    /// that share the room for first events within `limit` milliseconds.
-    fn has_room(&self, now: Millis, limit: f64, entries: f64) -> bool {
-        let Some(engine) = self.offered.engine.as_deref() else {
-            return true;
-        };
-        let Some((at, load)) = self.fresh(now) else {
-            // Nobody tells what others have there: an even share of its slots.
-            let share = (self.slots() / entries + self.lot).floor().max(1.0);
-            return f64::from(self.own) < share;
-        };
+    /// Requests that would find a place for first events within `limit` milliseconds, less those sent
+    /// since the last report; `None` without a report that still says something.
+    fn room(&self, now: Millis, limit: f64) -> Option<f64> {
+        let engine = self.offered.engine.as_deref()?;
+        let (at, load) = self.fresh(now)?;
         let pace = load.pace.max(1.0);
         let turn = turn_ms(engine) * pace;
         let start = start_ms(engine, self.slots(), engine.prompt) * pace;
         let queue = ((limit - start) / turn).max(0.0);
         let there = f64::from(load.running + load.waiting);
         let ended = millis_f64(now.since(at) + LAG) / turn * (there / self.slots()).min(1.0);
-        let room = (self.slots() + queue - there + ended).max(0.0);
-        f64::from(self.uncounted()) < (room * TAKEN / entries + self.lot).floor()
+        Some((self.slots() + queue - there + ended).max(0.0))
+    }
+
+    /// Whether this entry, which may take `share` of the room, may send another request before the
+    /// next report.
+    fn has_room(&self, now: Millis, limit: f64, share: f64) -> bool {
+        if self.offered.engine.is_none() {
+            return true;
+        }
+        let Some(room) = self.room(now, limit) else {
+            // Nobody tells what others have there: an even share of its slots.
+            let slots = self.offered.sharers.part(self.slots());
+            return f64::from(self.own) < (slots + self.lot).floor().max(1.0);
+        };
+        f64::from(self.uncounted()) < (room * share + self.lot).floor()
     }
 }
 
@@ -325,7 +332,8 @@
 #[derive(Clone, Debug)]
 pub struct Dispatcher {
     targets: BTreeMap<TargetId, Target>,
-    entries: f64,
+    /// By service, the requests that come to this entry.
+    demand: BTreeMap<Arc<str>, Demand>,
     rng: ChaCha8Rng,
 }
 
@@ -334,16 +342,11 @@
     pub fn new(rng: ChaCha8Rng) -> Self {
         Self {
             targets: BTreeMap::new(),
-            entries: 1.0,
+            demand: BTreeMap::new(),
             rng,
         }
     }
 
-    /// Learns how many entries send to the same targets.
-    pub fn share(&mut self, entries: u32) {
-        self.entries = f64::from(entries.max(1));
-    }
-
     /// Replaces what is known of the targets; requests under way and health are kept.
     pub fn offer(&mut self, offered: Vec<Offered>) {
         let mut targets = BTreeMap::new();
@@ -354,6 +357,9 @@
             targets.insert(target.offered.id.clone(), target);
         }
         self.targets = targets;
+        let services = self.targets.values().map(|t| &t.offered.service);
+        let services: BTreeSet<&Arc<str>> = services.collect();
+        self.demand.retain(|service, _| services.contains(service));
     }
 
     /// Takes in a load report.
@@ -378,6 +384,8 @@
         let mut far: Vec<(f64, TargetId)> = Vec::new();
         let mut probes: Vec<(f64, TargetId)> = Vec::new();
         let deaf = self.is_deaf(now, wanted.service);
+        let demand = self.count(now, wanted.service);
+        let rooms = self.rooms(now, wanted.service, limit, deaf);
         let mut least = f64::INFINITY;
         for target in self.targets.values() {
             let id = &target.offered.id;
@@ -393,8 +401,14 @@
                 continue;
             }
             least = least.min(predicted);
-            if predicted <= limit && target.has_room(now, limit, self.entries) {
-                if target.offered.near {
+            let Offered {
+                near: is_near,
+                sharers,
+                ..
+            } = target.offered;
+            let share = rooms[usize::from(is_near)].share(sharers, is_near, demand);
+            if predicted <= limit && target.has_room(now, limit, share) {
+                if is_near {
                     near.push((predicted, id.clone()));
                 } else {
                     far.push((predicted + FAR_MS, id.clone()));
@@ -418,6 +432,33 @@
         })
     }
 
+    /// Counts a request for `service`, and returns how many come.
+    fn count(&mut self, now: Millis, service: &str) -> Demand {
+        let Some(demand) = self.demand.get_mut(service) else {
+            let mut demand = Demand::default();
+            demand.count(now);
+            self.demand.insert(service.into(), demand);
+            return demand;
+        };
+        demand.count(now);
+        *demand
+    }
+
+    /// The room of a service's targets elsewhere, and of those near.
+    fn rooms(&self, now: Millis, service: &str, limit: f64, deaf: bool) -> [Rooms; 2] {
+        let mut rooms = [Rooms::default(); 2];
+        for target in self.targets.values() {
+            let serves = &*target.offered.service == service && target.takes_work(now);
+            if !serves || (!deaf && target.is_silent(now)) {
+                continue;
+            }
+            if let Some(room) = target.room(now, limit) {
+                rooms[usize::from(target.offered.near)].add(room, target.offered.sharers);
+            }
+        }
+        rooms
+    }
+
     /// Whether most of a service's engines are silent: then it is this entry that hears nothing, as
     /// when its voter was lost, and their silence says nothing of them.
     fn is_deaf(&self, now: Millis, service: &str) -> bool {
--- /dev/null
+++ b/crates/filbertstack-policy/src/dispatch/share.rs
@@ -0,0 +1,95 @@
+//! What part of an engine's free places one entry may take between two reports.
+//!
+//! *Load pattern*: hundreds of entries send to the same engines and do not talk to each other. In an
+//! overload each must keep to its share of the few places, or all of them fill each place many times
+//! over. Below capacity the same shares refuse callers for nothing: of a place for 150 entries each
+//! has one in 150, whether the others have a caller at that moment or not. So a share is widened by
+//! as much as there are more places than callers: the others leave the rest free.
+//!
+//! Most of an engine's places are shared by the entries of its zone, and a part by all, so that a
+//! zone with too few engines can spill over though prompts and events stay near by default.
+
+use filbertstack_core::Millis;
+
+use super::millis_f64;
+
+/// The part of an engine's room that the entries of its zone take between two reports. What others
+/// sent just before a report is not in it yet, and all of the room would be taken once more.
+const NEAR_TAKEN: f64 = 0.55;
+
+/// The part that entries of all zones take in addition.
+const FAR_TAKEN: f64 = 0.3;
+
+/// For how long sends go by one report: the time between two, and the age of one when it comes.
+const WINDOW: Millis = Millis(170);
+
+/// Over which time the rate of an entry's requests is taken.
+const MEAN: Millis = Millis(2_000);
+
+/// Who shares a target's places.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Sharers {
+    /// The entries: those of its zone if the target is near, else all.
+    pub entries: u32,
+    /// The targets of its service that these share.
+    pub targets: u32,
+}
+
+impl Sharers {
+    fn entries(self) -> f64 {
+        f64::from(self.entries.max(1))
+    }
+
+    /// Entries for each target.
+    fn crowd(self) -> f64 {
+        self.entries() / f64::from(self.targets.max(1))
+    }
+
+    /// One entry's even part of `places`.
+    pub(super) fn part(self, places: f64) -> f64 {
+        places / self.entries()
+    }
+}
+
+/// How many requests come to this entry, as a mean over the last seconds.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct Demand {
+    per_ms: f64,
+    last: Millis,
+}
+
+impl Demand {
+    /// Counts a request.
+    pub(super) fn count(&mut self, now: Millis) {
+        let mean = millis_f64(MEAN);
+        let faded = (-millis_f64(now.since(self.last)) / mean).exp();
+        self.per_ms = self.per_ms * faded + 1.0 / mean;
+        self.last = now;
+    }
+}
+
+/// The room of the targets of one service, those near or those elsewhere.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct Rooms {
+    sum: f64,
+    count: f64,
+    crowd: f64,
+}
+
+impl Rooms {
+    /// Counts a target with `room` free places.
+    pub(super) fn add(&mut self, room: f64, sharers: Sharers) {
+        self.sum += room;
+        self.count += 1.0;
+        self.crowd = sharers.crowd();
+    }
+
+    /// The part of a target's room that an entry with this demand may take, if others have as much.
+    pub(super) fn share(&self, sharers: Sharers, near: bool, demand: Demand) -> f64 {
+        let taken = if near { NEAR_TAKEN } else { FAR_TAKEN };
+        let wanted = demand.per_ms * self.crowd * millis_f64(WINDOW);
+        let mean = self.sum / self.count.max(1.0);
+        let spare = (NEAR_TAKEN * mean / wanted).max(1.0);
+        (sharers.part(taken) * spare).min(1.0)
+    }
+}
--- a/crates/filbertstack-policy/tests/dispatch.rs
+++ b/crates/filbertstack-policy/tests/dispatch.rs
@@ -11,6 +11,7 @@
 use filbertstack_policy::dispatch::Load;
 use filbertstack_policy::dispatch::Offered;
 use filbertstack_policy::dispatch::Refused;
+use filbertstack_policy::dispatch::Sharers;
 use filbertstack_policy::dispatch::TargetId;
 use filbertstack_policy::dispatch::Wanted;
 use rand::RngExt as _;
@@ -74,6 +75,10 @@
         service: "llm".into(),
         slots: MODEL.slots,
         near: true,
+        sharers: Sharers {
+            entries: 1,
+            targets: 1,
+        },
         engine: Some(MODEL.clone().into()),
         open,
     }
@@ -84,9 +89,6 @@
     let mut entries: Vec<Dispatcher> = (0..replay.entries)
         .map(|_| Dispatcher::new(ChaCha8Rng::from_rng(&mut rng)))
         .collect();
-    for entry in &mut entries {
-        entry.share(u32::try_from(replay.entries).expect("few"));
-    }
     let mut engines: Vec<Engine> = (0..replay.engines)
         .map(|n| Engine::new(if n == 0 { replay.slow } else { 1.0 }))
         .collect();
@@ -115,7 +117,13 @@
         if now % PERIOD == 0 && !(replay.deaf)(now) {
             tell(replay, now, &engines, &mut entries);
         }
-        if rng.random_bool(replay.per_second / 1_000.0) {
+        let mut due = replay.per_second / 1_000.0;
+        while due > 0.0 {
+            let comes = rng.random_bool(due.min(1.0));
+            due -= 1.0;
+            if !comes {
+                continue;
+            }
             received.asked += 1;
             let mut from = rng.random_range(0..replay.entries);
             if rng.random_bool(replay.busy) {
@@ -147,9 +155,18 @@
 fn tell(replay: &Replay, now: u64, engines: &[Engine], entries: &mut [Dispatcher]) {
     for (e, entry) in entries.iter_mut().enumerate() {
         let there = |n: usize| (replay.there_from)(n) <= now;
-        let offered = |n: usize| Offered {
-            near: n % replay.zones == e % replay.zones,
-            ..offered(n, there(n))
+        let offered = |n: usize| {
+            let near = n % replay.zones == e % replay.zones;
+            let zones = if near { replay.zones } else { 1 };
+            let count = |all: usize| u32::try_from(all / zones).expect("few");
+            Offered {
+                near,
+                sharers: Sharers {
+                    entries: count(replay.entries),
+                    targets: count(replay.engines),
+                },
+                ..offered(n, there(n))
+            }
         };
         entry.offer((0..engines.len()).map(offered).collect());
         let told = |n: usize| there(n) && !(replay.frozen)(n, now);
@@ -232,6 +249,23 @@
     assert!(ours.late * 50 < ours.asked, "{ours:?}");
 }
 
+/// Guards against hundreds of entries that keep places free for each other below capacity.
+#[test]
+fn hundreds_of_entries_refuse_nobody_below_capacity() {
+    let large = Replay {
+        engines: 120,
+        entries: 150,
+        zones: 5,
+        per_second: 900.0,
+        seconds: 10,
+        ..FULL
+    };
+    let ours = replay(&large);
+    assert!(ours.refused * 200 < ours.asked, "{ours:?}");
+    assert!(ours.crossed * 20 < ours.asked, "{ours:?}");
+    assert!(ours.late * 50 < ours.asked, "{ours:?}");
+}
+
 /// Three zones, each with as many engines as callers need. Prompts and events that cross a boundary
 /// take longer and are paid for; taken in turn, two of three do. Callers get as many answers on
 /// time from their own zone.
