A follower whose document does not come whole leaves its voter

A part that is out of turn or can't be read (one frame too many for a full queue, another release's compressor) was logged and nothing else: the follower counted as told and kept the older document until the next change. It leaves the voter now and is sent all parts anew.

--- a/crates/filbertstack-gateway/src/control/declared.rs
+++ b/crates/filbertstack-gateway/src/control/declared.rs
@@ -18,6 +18,7 @@
 
 use crate::clock::Clock;
 use crate::control::parts::Assembly;
+use crate::control::parts::PartError;
 use crate::control::parts::split;
 use crate::link::messages::Declared;
 use crate::link::messages::DocumentPart;
@@ -184,19 +185,19 @@
 
     /// Takes in a part of the document from the voter that is followed. The document counts as told
     /// once what is declared beside it is.
-    pub fn follow_part(&self, part: DocumentPart) {
+    ///
+    /// # Errors
+    /// [`PartError`]: the document will not come on this link.
+    pub fn follow_part(&self, part: DocumentPart) -> Result<(), PartError> {
         if part.version <= self.version() {
-            return;
+            return Ok(());
         }
-        let taken = self.assembly.borrow_mut().take(part);
-        match taken {
-            Ok(Some(document)) => {
-                self.put(document);
-                self.news.send_modify(|count| *count += 1);
-            }
-            Ok(None) => {}
-            Err(error) => warn!("configuration not received", kv: { error = error.to_string() }),
+        let document = self.assembly.borrow_mut().take(part)?;
+        if let Some(document) = document {
+            self.put(document);
+            self.news.send_modify(|count| *count += 1);
         }
+        Ok(())
     }
 
     /// Takes in a document and versions of weights. A lower version than the one held is left
--- a/crates/filbertstack-gateway/src/control/follow.rs
+++ b/crates/filbertstack-gateway/src/control/follow.rs
@@ -22,6 +22,7 @@
 
 use crate::control::EXPLAIN;
 use crate::control::node::Node;
+use crate::control::parts::PartError;
 use crate::control::search::Search;
 use crate::control::seek::seek_leader;
 use crate::control::voter::Voter;
@@ -296,7 +297,14 @@
                     return Left::ForNearer;
                 }
             }
-            Ok(Some(news)) => take(node, news),
+            Ok(Some(news)) => {
+                if let Err(error) = take(node, news) {
+                    warn!("voter left: its document did not come", kv: {
+                        voter = voter.to_string(), error = error.to_string()
+                    });
+                    return left(told);
+                }
+            }
             Ok(None) | Err(_) => {
                 info!("voter left: it is silent", kv: { voter = voter.to_string() });
                 return left(told);
@@ -310,9 +318,9 @@
     !is_near(node, voter) && node.voters().iter().any(|other| is_near(node, *other))
 }
 
-fn take(node: &Rc<Node>, news: News) {
+fn take(node: &Rc<Node>, news: News) -> Result<(), PartError> {
     match news {
-        News::Part(part) => node.declared.follow_part(part),
+        News::Part(part) => node.declared.follow_part(part)?,
         News::Declared(declared) => node.declared.follow(declared),
         News::Rows(rows) => {
             if rows.whole && node.voter.is_none() {
@@ -323,6 +331,7 @@
         News::Loads(loads) => node.loads.take(loads.rows, false),
         News::Log(_) | News::Follow(_) | News::Pulse(_) | News::Watch(_) => {}
     }
+    Ok(())
 }
 
 /// A voter follows all others for the rows registered there.
--- a/crates/filbertstack-gateway/src/control/parts.rs
+++ b/crates/filbertstack-gateway/src/control/parts.rs
@@ -27,7 +27,7 @@
 /// The longest document that is taken from parts, in bytes: more than operators may send.
 const LONGEST: u64 = 8 << 20;
 
-/// Why parts make no document. The follower asks for all of them again when it follows anew.
+/// Why parts make no document. The follower leaves its voter and is sent all of them again.
 #[derive(Debug, Error)]
 pub enum PartError {
     /// A part is missing, or comes twice.
