A version that entries no longer keep is asked of the origin at once

Now an entry that keeps nothing of a version says so (Reply::NotKept), and whoever needs its list asks the origin.

--- a/crates/filbertstack-gateway/src/link/messages.rs
+++ b/crates/filbertstack-gateway/src/link/messages.rs
@@ -124,7 +124,7 @@
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct Answer {
     /// What is answered.
-    #[prost(oneof = "Reply", tags = "1, 2, 3, 4, 5, 6")]
+    #[prost(oneof = "Reply", tags = "1, 2, 3, 4, 5, 6, 7")]
     pub reply: Option<Reply>,
 }
 
@@ -149,6 +149,9 @@
     /// The digests of a version's pieces, one after the other.
     #[prost(message, tag = "6")]
     Manifest(Manifest),
+    /// Nothing of that version is kept here, nor will be.
+    #[prost(message, tag = "7")]
+    NotKept(Nothing),
 }
 
 /// The pieces of a version.
--- a/crates/filbertstack-gateway/src/weights/cache.rs
+++ b/crates/filbertstack-gateway/src/weights/cache.rs
@@ -259,7 +259,7 @@
     /// The list of a version's pieces, if it is here or comes within `wait`.
     async fn manifest(&self, named: &Weights, wait: Duration) -> Reply {
         let Some(stock) = self.stock(&weights::holding(named)) else {
-            return weights::manifest(None);
+            return Reply::NotKept(Nothing {});
         };
         let list = timeout(wait, stock.await_list()).await;
         weights::manifest(list.ok().flatten())
--- a/crates/filbertstack-gateway/src/weights/fetch.rs
+++ b/crates/filbertstack-gateway/src/weights/fetch.rs
@@ -110,8 +110,8 @@
     Here(PieceList),
     /// It does not have it yet.
     NotHere,
-    /// Nothing in time.
-    Silent,
+    /// It will not have it, or said nothing in time.
+    Never,
 }
 
 /// A piece that is under way to this node.
@@ -185,7 +185,7 @@
 
     /// The list of the version's pieces, asked for until it comes. As with a piece, one node asks the
     /// origin and the others ask each other: hundreds of lists would take the narrow link from the
-    /// pieces.
+    /// pieces. A version that entries no longer keep is asked of the origin by whoever needs its list.
     pub async fn list(&self) -> PieceList {
         let began = Instant::now();
         loop {
@@ -201,7 +201,7 @@
                 match self.list_of_peer(id).await {
                     Listed::Here(list) => return list,
                     Listed::NotHere => answered |= plan.before.contains(id),
-                    Listed::Silent => {}
+                    Listed::Never => {}
                 }
             }
             let part = layout.part(0);
@@ -373,15 +373,16 @@
 
     async fn list_of_peer(&self, id: &Arc<str>) -> Listed {
         let Some(place) = weights::place(&self.node, id).filter(|_| !self.is_slow(id)) else {
-            return Listed::Silent;
+            return Listed::Never;
         };
         let question = Question::Manifest(weights::wire_name(&self.weights));
         let manifest = match self.node.dialer.ask(place, question, HAS).await {
             Ok(Reply::Manifest(manifest)) => manifest,
-            Ok(_) | Err(LinkError::Failed(_)) => return Listed::NotHere,
+            Err(LinkError::Failed(_)) => return Listed::NotHere,
+            Ok(_) => return Listed::Never,
             Err(_) => {
                 self.pass_over(id);
-                return Listed::Silent;
+                return Listed::Never;
             }
         };
         let digests = manifest.digests.chunks_exact(32);
