A kept connection that its target has closed costs a request no attempt

Cause, from the entry's log of a failing run: "answer lost error=connection error target=i-2 took_ms=0" on a connection kept from the probe before, which the target had closed; that counted as one of the two attempts, and the other engine of the test fails by design. Now what breaks within 100 ms on a kept connection goes to the same target on a new one, out of the budget of repeated sends. Kept connections carry only what may be repeated.

--- a/crates/filbertstack-gateway/src/request/attempt.rs
+++ b/crates/filbertstack-gateway/src/request/attempt.rs
@@ -37,6 +37,10 @@
 /// that is cut off answers never.
 const CONNECT: Duration = Duration::from_millis(300);
 
+/// A kept connection that breaks so soon after a request was written to it had been closed by its target
+/// while it was idle. Taken for a failure of the target, it would cost one of the request's few attempts.
+const STALE: Duration = Duration::from_millis(100);
+
 /// For how long a target is left out that says it is another instance or holds other weights: the
 /// registry tells within this what is there.
 const MISDIRECTED: Millis = Millis(400);
@@ -313,8 +317,8 @@
         ended: Ended::Left,
     };
     requests.targets.sent(&chosen.id, call.prompt());
-    let mut connection = match connect(requests, call, chosen.addr).await {
-        Ok(connection) => connection,
+    let (mut connection, kept) = match connect(requests, call, chosen.addr).await {
+        Ok(connected) => connected,
         Err(error) => {
             info!("target not reached", kv: {
                 request = call.head.id(), target = chosen.id.to_string(), error = error.to_string()
@@ -323,7 +327,7 @@
             return Outcome::NotRun;
         }
     };
-    let left = call.left();
+    let left = call.left().min(chosen.patience.unwrap_or(Duration::MAX));
     if left < TOO_LATE {
         return Outcome::NotRun;
     }
@@ -336,11 +340,22 @@
         version: chosen.version,
         resume_after,
     };
-    let request = prepare(call, &onward);
-    let reply = {
-        let sending = std::pin::pin!(connection.send(request));
+    let mut reply = {
+        let sending = std::pin::pin!(connection.send(prepare(call, &onward)));
         await_head(requests, call, chosen, tries, heard, sending).await
     };
+    let stale = kept && lease.sent.elapsed() < STALE && matches!(reply, Some(Err(_)));
+    if stale
+        && requests.spend(&call.service)
+        && let Ok(fresh) = Connection::open(chosen.addr, CONNECT.min(left)).await
+    {
+        info!("kept connection was closed, sent on a new one", kv: {
+            request = call.head.id(), target = chosen.id.to_string()
+        });
+        connection = fresh;
+        let sending = std::pin::pin!(connection.send(prepare(call, &onward)));
+        reply = await_head(requests, call, chosen, tries, heard, sending).await;
+    }
     let Some(reply) = reply else {
         lease.fail();
         return Outcome::Unknown;
@@ -425,7 +440,7 @@
     (call.route.goal * SILENT_GOALS).max(SILENT)
 }
 
-/// A kept connection, or a new one.
+/// A kept connection, or a new one, and whether it was kept.
 ///
 /// What may run once only goes on a new connection: on a kept one the target may have dropped it
 /// without a word, or an answer to an earlier request may come first, and either would leave it
@@ -434,13 +449,14 @@
     requests: &Rc<Requests>,
     call: &Call,
     addr: SocketAddr,
-) -> Result<Connection, CallFailure> {
+) -> Result<(Connection, bool), CallFailure> {
     if call.may_repeat()
         && let Some(kept) = requests.pool.take(addr)
     {
-        return Ok(kept);
+        return Ok((kept, true));
     }
-    Connection::open(addr, CONNECT.min(call.left())).await
+    let opened = Connection::open(addr, CONNECT.min(call.left())).await?;
+    Ok((opened, false))
 }
 
 fn prepare(call: &Call, onward: &Onward<'_>) -> Request<Full<bytes::Bytes>> {
--- a/tests/gateway/requests.rs
+++ b/tests/gateway/requests.rs
@@ -6,6 +6,7 @@
 use std::net::TcpListener;
 use std::net::TcpStream;
 use std::sync::Mutex;
+use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU32;
 use std::sync::atomic::Ordering;
 use std::sync::mpsc;
@@ -15,6 +16,7 @@
 use serde_json::json;
 
 use crate::engine::Engine;
+use crate::engine::Seen;
 use crate::engine::answer;
 use crate::engine::no_room;
 use crate::engine::stream;
@@ -49,6 +51,16 @@
     world
 }
 
+/// An answer after which the engine keeps the connection open.
+fn kept_answer(seen: &Seen) -> Vec<u8> {
+    let id = seen.header("x-filbertstack-attempt-id");
+    format!(
+        "HTTP/1.1 200 OK\r\nConnection: keep-alive\r\nX-Filbertstack-Attempt-Id: {id}\r\n\
+         X-Filbertstack-Response-Seal: sealed\r\nContent-Length: 2\r\n\r\nok"
+    )
+    .into_bytes()
+}
+
 #[test]
 fn a_request_goes_on_unchanged_and_its_answer_comes_back() {
     let engine = Engine::start(Box::new(|seen| answer(seen, "200 OK", "booked")));
@@ -124,6 +136,23 @@
     assert_eq!(runs(&engines[0]) + runs(&engines[1]), 1);
 }
 
+/// Guards against an idle connection that its target has closed costing one of a request's attempts.
+#[test]
+fn a_kept_connection_that_was_closed_is_replaced_by_a_new_one() {
+    let closes = AtomicBool::new(true);
+    let engine = Engine::start(Box::new(move |seen| {
+        let kept = seen.header("x-filbertstack-attempt-id") == "a1";
+        if kept && closes.swap(false, Ordering::SeqCst) {
+            return Vec::new();
+        }
+        kept_answer(seen)
+    }));
+    let world = serving(&[("i-1", "safe", &engine)]);
+    world.await_service(0, "/safe/");
+    let got = world.call(0, &get("/safe/", "a1", ""));
+    assert_eq!((got.status, got.body.as_str()), (200, "ok"));
+}
+
 /// The same loss of an idempotent request: another engine answers, and the caller sees no failure.
 #[test]
 fn an_idempotent_request_is_repeated_elsewhere() {
