--- a/crates/filbertstack-gateway/src/control/parts.rs
+++ b/crates/filbertstack-gateway/src/control/parts.rs
@@ -4,7 +4,7 @@
 //! anew, and dozens of them are told the whole of it at once. As one frame of some hundred KB to each
 //! it fills the voter's link for a second: signs of life wait behind it, every follower takes its
 //! voter for silent, and asks the next one for the same document. Nobody learned anything new for
-//! ten seconds then. Compressed, a document is about a tenth; in parts, other news goes in between,
+//! ten seconds then. Compressed, a document is a small part of that; in parts, other news goes in between,
 //! and each part is a sign of life.
 
 use std::io;
