A call that a link's writing thread holds, unwritten, is told as not run

Cause of that failure: a race in the test's arrangement. It sends 32 MB and expects the next call to be queued. That held only if the writing thread took what waited after the last of the 17 frames that fit; woken earlier it takes a few, the queue fills again, and the call waits for room until the link ends, and is told Unsent, which is right.

What callers saw: "unknown" instead of another target.

Mend: the writing thread takes one buffer at a time, so all but what is being written stays in the queue, whose calls fail as unsent whoever ends the link. It also bounds what a frozen far end holds at 8 MB and a buffer, not twice 8 MB.

The test's check is unchanged; its arrangement is one state now, and the other state (a call that waits for room on a full link) is a test of its own.

--- a/crates/filbertstack-wire/src/link.rs
+++ b/crates/filbertstack-wire/src/link.rs
@@ -126,19 +126,19 @@
         self.incoming.end(stream);
     }
 
-    /// Ends the sending side after a write failed; `unsent` was taken from the outbox and not written.
+    /// Ends the sending side after a write failed.
     ///
     /// A failed write says nothing of what the far end sent before it: a process that ends writes its
     /// last answers and closes the connection, and the next heartbeat to it fails while they still wait
     /// to be read. So the reader goes on; calls that were never written can get no answer and fail now.
-    fn stop_sending(&self, end: &End, unsent: impl IntoIterator<Item = Frame>) {
+    fn stop_sending(&self, end: &End) {
         if !self.has_ended() {
             let Remote { role, name } = &self.remote;
             let cause = end.to_string();
             info!("link sends no more", kv: { role:?, peer = name.as_ref(), cause });
         }
         let waiting = self.outbox.close();
-        self.fail_unsent(unsent.into_iter().chain(waiting));
+        self.fail_unsent(waiting);
         // Their replies can't reach the far end.
         self.incoming.cancel_all();
         // Tells the far end, if it lives, that nothing more comes.
--- a/crates/filbertstack-wire/src/link/writer.rs
+++ b/crates/filbertstack-wire/src/link/writer.rs
@@ -1,6 +1,5 @@
 //! The thread that writes a link's frames.
 
-use std::collections::VecDeque;
 use std::io::Write;
 use std::net::TcpStream;
 use std::sync::Arc;
@@ -26,13 +25,13 @@
 impl Writer {
     /// Writes what is sent until nothing more can be.
     pub fn run(mut self) {
-        while let Some(mut frames) = self.shared.outbox.take(HEARTBEAT) {
+        while let Some(mut frames) = self.shared.outbox.take(BUFFER, HEARTBEAT) {
             let taken = frames.len();
             if frames.is_empty() {
-                frames.push_back(ping());
+                frames.push(ping());
             }
-            if let Err(error) = self.write(&mut frames) {
-                self.shared.stop_sending(&End::Write(error), frames);
+            if let Err(error) = self.write(&frames) {
+                self.shared.stop_sending(&End::Write(error));
                 return;
             }
             self.shared.outbox.note_written(taken);
@@ -40,17 +39,13 @@
         self.shared.end_writing();
     }
 
-    /// Writes `frames`. After an error, those are left of which nothing was written.
-    fn write(&mut self, frames: &mut VecDeque<Frame>) -> Result<(), WireError> {
-        while !frames.is_empty() {
-            let mut out = BytesMut::new();
-            while out.len() < BUFFER
-                && let Some(frame) = frames.pop_front()
-            {
-                self.sealer.seal(&frame, &mut out)?;
-            }
-            self.socket.write_all(&out)?;
+    /// Writes `frames`. After an error, any of them may have been written.
+    fn write(&mut self, frames: &[Frame]) -> Result<(), WireError> {
+        let mut out = BytesMut::new();
+        for frame in frames {
+            self.sealer.seal(frame, &mut out)?;
         }
+        self.socket.write_all(&out)?;
         Ok(())
     }
 }
--- a/crates/filbertstack-wire/src/outbox.rs
+++ b/crates/filbertstack-wire/src/outbox.rs
@@ -20,7 +20,8 @@
 
 #[derive(Debug, Default)]
 struct Queue {
-    frames: VecDeque<Frame>,
+    /// The frames and the size of each, in bytes.
+    frames: VecDeque<(Frame, usize)>,
     bytes: usize,
     /// How many frames were added, and how many of them are written.
     added: u64,
@@ -38,7 +39,20 @@
     fn add(&mut self, frame: Frame, size: usize) {
         self.bytes += size;
         self.added += 1;
-        self.frames.push_back(frame);
+        self.frames.push_back((frame, size));
+    }
+
+    /// Removes the first frames, until they make `most` bytes.
+    fn remove(&mut self, most: usize) -> Vec<Frame> {
+        let mut removed = Vec::new();
+        let left = self.bytes.saturating_sub(most);
+        while self.bytes > left
+            && let Some((frame, size)) = self.frames.pop_front()
+        {
+            self.bytes -= size;
+            removed.push(frame);
+        }
+        removed
     }
 }
 
@@ -83,14 +97,17 @@
         Ok(())
     }
 
-    /// Takes what waits, after up to `wait`; `None` once closed, or finished and empty.
-    pub(crate) fn take(&self, wait: Duration) -> Option<VecDeque<Frame>> {
+    /// Takes the first frames that wait, until they make `most` bytes, after up to `wait`; `None` once
+    /// closed, or finished and empty.
+    ///
+    /// What is not taken is known to be unwritten when the link ends.
+    pub(crate) fn take(&self, most: usize, wait: Duration) -> Option<Vec<Frame>> {
         let until = Instant::now() + wait;
         let mut queue = self.queue.lock().unwrap_or_else(PoisonError::into_inner);
         while queue.frames.is_empty() && !queue.takes_none() {
             let left = until.saturating_duration_since(Instant::now());
             if left.is_zero() {
-                return Some(VecDeque::new());
+                return Some(Vec::new());
             }
             let waited = self.changed.wait_timeout(queue, left);
             queue = waited.unwrap_or_else(PoisonError::into_inner).0;
@@ -98,9 +115,9 @@
         if queue.closed.is_some() || queue.frames.is_empty() {
             return None;
         }
-        queue.bytes = 0;
+        let taken = queue.remove(most);
         self.changed.notify_all();
-        Some(mem::take(&mut queue.frames))
+        Some(taken)
     }
 
     /// Notes that so many frames that were taken are written.
@@ -130,11 +147,12 @@
     }
 
     /// Ends every wait, and gives what has not been taken.
-    pub(crate) fn close(&self) -> VecDeque<Frame> {
+    pub(crate) fn close(&self) -> Vec<Frame> {
         let mut queue = self.queue.lock().unwrap_or_else(PoisonError::into_inner);
         queue.closed.get_or_insert_with(Instant::now);
         self.changed.notify_all();
-        mem::take(&mut queue.frames)
+        let frames = mem::take(&mut queue.frames);
+        frames.into_iter().map(|(frame, _)| frame).collect()
     }
 
     /// Whether nothing can be added any more.
--- a/crates/filbertstack-wire/tests/links/ending.rs
+++ b/crates/filbertstack-wire/tests/links/ending.rs
@@ -84,11 +84,28 @@
     dialer.link(addr, Role::Peer).expect("connects")
 }
 
-/// Sends more than the buffers of both sockets hold.
+/// Sends more than the buffers of both sockets hold, and less than may wait on a link.
 fn fill(link: &Link) {
     let body = Bytes::from(vec![7; 512 << 10]);
-    for _ in 0..64 {
-        let _ = link.tell(Ask::Gossip(Payload { body: body.clone() }));
+    for _ in 0..15 {
+        let told = link.tell(Ask::Gossip(Payload { body: body.clone() }));
+        told.expect("the link has room");
+    }
+}
+
+/// Sends until as much waits as a link takes, with the writing thread held up by the far end.
+fn fill_up(link: &Link) {
+    let body = Bytes::from(vec![7; 512 << 10]);
+    let gossip = || Ask::Gossip(Payload { body: body.clone() });
+    let mut refused = 0;
+    // The writing thread may take what waits once more between two refusals.
+    while refused < 2 {
+        match link.tell(gossip()) {
+            Ok(()) => refused = 0,
+            Err(WireError::Overflow) => refused += 1,
+            Err(error) => panic!("the link takes nothing: {error}"),
+        }
+        thread::sleep(Duration::from_millis(50));
     }
 }
 
@@ -192,6 +209,22 @@
     drop(stop);
 }
 
+/// Guards against a call that finds the link full, and is told as unknown once the link ends.
+#[test]
+fn a_call_that_waits_for_room_on_a_link_that_ends_certainly_did_not_run() {
+    let (stop, stopped) = channel::<()>();
+    let addr = scripted(move |session| {
+        let _session = session;
+        let _ = stopped.recv_timeout(PATIENCE);
+    });
+    let dialer = dialer(good_keys());
+    let link = connect(&dialer, addr);
+    fill_up(&link);
+    let error = link.call(Ask::Term(Empty {})).expect_err("no room");
+    assert!(error.not_run(), "{error}");
+    drop(stop);
+}
+
 // The caller gets the whole answer although the process that gave it ends while part of the answer
 // still waits in its kernel, and the caller's end goes on sending.
 // A process that ends with its sockets open answers each further byte with a reset, and a reset throws
