A link that takes a third of a second for a piece gets one at a time

Cause: pieces of weights under way to the same agent. One takes 0.33 s of that link. The window shrank to one piece only above 0.4 s a piece, so two were under way and a request waited behind both, 0.66 s.

Ruled out: live streams on that link (eight a second with their events are some 20 of 150 KB/s); the entry's choice (the engine's load was low); the patience itself (0.4 s before the end, as meant).

Mend: two at once keep a request waiting twice as long as one takes, and first events are due within 300 ms, so a piece that takes more than 150 ms makes it one. Today's link carries one in 42 ms. The test of 0.33 s a piece failed before (a window of 2).

What is left: a request behind one piece still waits up to 0.33 s on such a link, less than the 0.4 s that patience ends early.

--- a/crates/filbertstack-policy/src/pieces.rs
+++ b/crates/filbertstack-policy/src/pieces.rs
@@ -331,11 +331,11 @@
 
 /// A piece that came so soon after the one before, or after it was asked for, came over a link with
 /// room: today's link carries one in 42 ms, beside live requests.
-const QUICK: Millis = Millis(200);
+const QUICK: Millis = Millis(100);
 
-/// A piece that came so late kept live requests to the engine on the same link waiting as long: they
-/// come behind it. Callers' first events are due within 300 ms.
-const SLOW: Millis = Millis(400);
+/// A piece that came so late keeps live requests to the engine on the same link waiting as long, and two
+/// at once twice as long. Callers' first events are due within 300 ms.
+const SLOW: Millis = Millis(150);
 
 /// How many pieces may be under way to one node.
 ///
--- a/crates/filbertstack-policy/tests/pieces.rs
+++ b/crates/filbertstack-policy/tests/pieces.rs
@@ -269,6 +269,17 @@
     assert_eq!(window.size(), 1);
 }
 
+/// Guards against two pieces at once on a link that takes a third of a second for each: a request behind
+/// both reaches the engine after its caller's goal, and after an older version's end.
+#[test]
+fn a_link_that_takes_a_third_of_a_second_gets_one_piece_at_a_time() {
+    let mut window = Window::new(2);
+    let (first, second) = (Millis(1_000), Millis(1_000));
+    window.arrived(first, Millis(1_330));
+    window.arrived(second, Millis(1_660));
+    assert_eq!(window.size(), 1);
+}
+
 /// What the origin's link carries in a millisecond, in parts of a copy: 2.1 s for all of it.
 const RATE: f64 = 1.0 / 2_100.0;
 
