A silent engine is probed once a second by all entries together

Cause: each entry probed each silent engine twice a second where no other had room, 154 entries of the large deployment, 15 of the twin.

Mend: the pause between an entry's probes is one second for each entry that uses the engine. An engine that serves though its agent has ended is still found: the test of that is unchanged.

--- a/crates/filbertstack-policy/src/dispatch/share.rs
+++ b/crates/filbertstack-policy/src/dispatch/share.rs
@@ -47,10 +47,14 @@
         f64::from(self.entries) / f64::from(self.targets.max(1))
     }
 
-    /// One entry's even part of `places`, among those that use the target.
+    /// The entries that use the target, in the mean.
+    pub(super) fn users(self) -> f64 {
+        (self.crowd() * f64::from(self.used)).max(1.0)
+    }
+
+    /// One entry's even part of `places`.
     pub(super) fn part(self, places: f64) -> f64 {
-        let users = self.crowd() * f64::from(self.used);
-        places / users.max(1.0)
+        places / self.users()
     }
 }
 
--- a/crates/filbertstack-policy/src/dispatch/target.rs
+++ b/crates/filbertstack-policy/src/dispatch/target.rs
@@ -12,6 +12,8 @@
 use super::millis_f64;
 use crate::outlier::Health;
 use crate::outlier::Outlier;
+use crate::units::millis;
+use crate::units::secs;
 
 /// The most own requests that are remembered as not counted, at a target that reports nothing.
 const UNCOUNTED: usize = 64;
@@ -24,8 +26,10 @@
 /// seconds, 41 of 1,237 first events come late so and 23 callers leave; without it 89 and 34.
 const SILENT: Millis = Millis(700);
 
-/// How often a silent engine is probed with one request, where nobody else can take it.
-const PROBE: Millis = Millis(500);
+/// How often a silent engine is probed with one request by all entries that use it, where nobody else
+/// can take it. An engine that serves though its agent has ended is found, and of those that
+/// are frozen few callers learn.
+const PROBE: Millis = Millis::secs(1);
 
 /// The age of a report when it arrives: the way over a voter that gathers rows. What was sent
 /// since then is not in it.
@@ -220,7 +224,8 @@
 
     /// Whether a silent one may be probed.
     pub(super) fn may_probe(&self, now: Millis) -> bool {
-        self.own == 0 && now.since(self.tried) >= PROBE
+        let pause = millis(secs(PROBE) * self.offered.sharers.users());
+        self.own == 0 && now.since(self.tried) >= pause
     }
 
     /// The last report, if it still says something.
--- a/crates/filbertstack-policy/tests/batch/mod.rs
+++ b/crates/filbertstack-policy/tests/batch/mod.rs
@@ -24,8 +24,18 @@
     models: vec!["m".into()],
 });
 
-/// The passes of an answer of the usual length.
-const PASSES: u32 = 20;
+/// The engines of the users' largest deployment: fewer requests at once, each pass longer.
+pub static EIGHT: LazyLock<EngineModel> = LazyLock::new(|| EngineModel {
+    slots: 8,
+    stride: 7,
+    step_ms: 10.1,
+    request_ms: 0.0328,
+    context_ms: 0.0102,
+    read_rate: 20.4,
+    pairs_ms: 0.971,
+    answer: 91.0,
+    ..MODEL.clone()
+});
 
 /// One request at the engine.
 #[derive(Clone, Copy, Debug)]
@@ -51,6 +61,7 @@
 
 /// One engine.
 pub struct Engine {
+    model: &'static EngineModel,
     /// How many times slower than usual it is.
     pub pace: f64,
     batch: Vec<Request>,
@@ -62,8 +73,9 @@
 
 impl Engine {
     /// An engine without work.
-    pub fn new(pace: f64) -> Self {
+    pub fn new(model: &'static EngineModel, pace: f64) -> Self {
         Self {
+            model,
             pace,
             batch: Vec::new(),
             queue: VecDeque::new(),
@@ -78,10 +90,22 @@
             sent: now,
             entry,
             prompt,
-            left: PASSES,
+            left: self.passes(),
         });
     }
 
+    /// The passes of an answer of the usual length.
+    fn passes(&self) -> u32 {
+        let passes = self.model.answer / f64::from(self.model.stride);
+        #[expect(
+            clippy::cast_possible_truncation,
+            clippy::cast_sign_loss,
+            reason = "some twenty"
+        )]
+        let passes = passes.round() as u32;
+        passes
+    }
+
     /// The load that it had at a millisecond.
     pub fn load_at(&self, at: u64) -> (u32, u32) {
         let at = usize::try_from(at).expect("short");
@@ -102,8 +126,9 @@
     }
 
     fn end_pass(&mut self, done: &mut Vec<Done>) {
+        let passes = self.passes();
         for request in &mut self.batch {
-            let first = request.left == PASSES;
+            let first = request.left == passes;
             request.left -= 1;
             if first || request.left == 0 {
                 done.push(Done {
@@ -119,17 +144,17 @@
 
     fn begin_pass(&mut self, now: u64) {
         let mut reading = 0.0;
-        while self.batch.len() < MODEL.slots as usize
+        while self.batch.len() < self.model.slots as usize
             && let Some(request) = self.queue.pop_front()
         {
-            reading += read_ms(&MODEL, f64::from(request.prompt));
+            reading += read_ms(self.model, f64::from(request.prompt));
             self.batch.push(request);
         }
         if self.batch.is_empty() {
             return;
         }
         let writers = u32::try_from(self.batch.len()).expect("few");
-        let span = (pass_ms(&MODEL, f64::from(writers)) + reading) * self.pace;
+        let span = (pass_ms(self.model, f64::from(writers)) + reading) * self.pace;
         #[expect(
             clippy::cast_possible_truncation,
             clippy::cast_sign_loss,
--- a/crates/filbertstack-policy/tests/dispatch.rs
+++ b/crates/filbertstack-policy/tests/dispatch.rs
@@ -3,9 +3,13 @@
 
 mod batch;
 
+use std::sync::LazyLock;
+
+use batch::EIGHT;
 use batch::Engine;
 use batch::MODEL;
 use filbertstack_core::Millis;
+use filbertstack_core::serving::EngineModel;
 use filbertstack_policy::dispatch::Dispatcher;
 use filbertstack_policy::dispatch::Ended;
 use filbertstack_policy::dispatch::Load;
@@ -20,8 +24,6 @@
 use rand::SeedableRng as _;
 use rand_chacha::ChaCha8Rng;
 
-const GOAL: Millis = Millis(400);
-
 /// How long callers wait for a first event.
 const PATIENCE: u64 = 2_000;
 
@@ -41,6 +43,9 @@
 #[derive(Clone, Copy)]
 struct Replay {
     way: Way,
+    model: &'static LazyLock<EngineModel>,
+    /// In which time a first event is on time.
+    goal: Millis,
     engines: usize,
     entries: usize,
     /// Availability zones, over which entries and engines are spread in turn.
@@ -93,7 +98,7 @@
         .map(|_| Dispatcher::new(ChaCha8Rng::from_rng(&mut rng)))
         .collect();
     let mut engines: Vec<Engine> = (0..replay.engines)
-        .map(|n| Engine::new(if n == 0 { replay.slow } else { 1.0 }))
+        .map(|n| Engine::new(replay.model, if n == 0 { replay.slow } else { 1.0 }))
         .collect();
     let mut received = Received::default();
     let mut turns = vec![0_usize; replay.entries];
@@ -108,7 +113,7 @@
                 if done.first {
                     entry.began(Millis(now), &id, done.prompt);
                     received.left += u32::from(now - done.sent > PATIENCE);
-                    let on_time = now - done.sent <= GOAL.0;
+                    let on_time = now - done.sent <= replay.goal.0;
                     received.on_time += u32::from(on_time);
                     received.late += u32::from(!on_time);
                 } else {
@@ -139,7 +144,7 @@
                 let open: Vec<usize> = (0..replay.engines).filter(|n| there(*n)).collect();
                 Ok(open[(turns[from] + from) % open.len()])
             } else {
-                choose(&mut entries[from], now, prompt)
+                choose_within(&mut entries[from], now, prompt, replay.goal)
             };
             match chosen {
                 Ok(n) => {
@@ -176,6 +181,8 @@
                     targets: counted(&there, is),
                     used: counted(&used, is),
                 },
+                slots: replay.model.slots,
+                engine: Some((*replay.model).clone().into()),
                 ..offered(*n, true)
             }
         };
@@ -212,10 +219,19 @@
 }
 
 fn choose(entry: &mut Dispatcher, now: u64, prompt: u32) -> Result<usize, Refused> {
+    choose_within(entry, now, prompt, FULL.goal)
+}
+
+fn choose_within(
+    entry: &mut Dispatcher,
+    now: u64,
+    prompt: u32,
+    goal: Millis,
+) -> Result<usize, Refused> {
     let wanted = Wanted {
         service: "llm",
         prompt,
-        goal: GOAL,
+        goal,
         tried: &[],
     };
     let id: TargetId = entry.choose(Millis(now), &wanted)?;
@@ -224,6 +240,8 @@
 
 const FULL: Replay = Replay {
     way: Way::Dispatcher,
+    model: &MODEL,
+    goal: Millis(400),
     engines: 12,
     entries: 11,
     zones: 1,
@@ -392,6 +410,28 @@
     assert!(ours.on_time * 100 > ours.asked * 95, "{ours:?}");
 }
 
+/// Guards against probes that grow with the entries: an eighth of the engines stand still for four
+/// seconds in an overload, and each of hundreds of entries would try every one of them.
+#[test]
+fn hundreds_of_entries_probe_a_silent_engine_as_one() {
+    const FROZEN: u32 = 25;
+    const SECONDS: u32 = 4;
+    let frozen = Replay {
+        model: &EIGHT,
+        goal: Millis(500),
+        engines: 200,
+        entries: 150,
+        zones: 5,
+        per_second: 1_400.0,
+        frozen: |n, now| n % 8 == 0 && (3_000..7_000).contains(&now),
+        seconds: 10,
+        ..FULL
+    };
+    let ours = replay(&frozen);
+    // Seven a second go to each until it is missed, within a second, and one a second afterwards.
+    assert!(ours.left < FROZEN * (7 + SECONDS), "{ours:?}");
+}
+
 /// An entry's voter is lost, and nothing is heard of any engine for a second and a half. That says
 /// nothing of the engines: callers are served as before.
 #[test]
