A silent engine is probed from when it was heard last, by each entry at another time

Cause: the pause ran from an entry's last request there, and most entries had never sent one to an engine of another zone: each might probe at once. Now it runs from the last report at least, times 0.5 to 1.5 by lot, so that the entries' probes spread.

The test failed before: an entry that never tried an engine probed it 1 s after its last report, with 20 entries.

--- a/crates/filbertstack-policy/src/dispatch/target.rs
+++ b/crates/filbertstack-policy/src/dispatch/target.rs
@@ -223,10 +223,11 @@
         self.load.is_some() && now.since(self.heard) > SILENT
     }
 
-    /// Whether a silent one may be probed.
+    /// Whether a silent one may be probed: by each entry at another time, by lot.
     pub(super) fn may_probe(&self, now: Millis) -> bool {
-        let pause = millis(secs(PROBE) * self.offered.sharers.users());
-        self.own == 0 && now.since(self.tried) >= pause
+        let turn = 0.5 + self.lot;
+        let pause = millis(secs(PROBE) * self.offered.sharers.users() * turn);
+        self.own == 0 && now.since(self.tried.max(self.heard)) >= pause
     }
 
     /// The last report, if it still says something.
--- a/crates/filbertstack-policy/tests/dispatch.rs
+++ b/crates/filbertstack-policy/tests/dispatch.rs
@@ -520,6 +520,43 @@
     assert_eq!(choose(&mut entry, 3_101, 100), Ok(0), "it answers");
 }
 
+/// Guards against entries that all probe an engine in the moment it falls silent, as none has tried it
+/// lately.
+#[test]
+fn an_engine_that_has_just_fallen_silent_is_not_probed_by_all() {
+    let mut entry = Dispatcher::new(ChaCha8Rng::seed_from_u64(1));
+    let sharers = Sharers {
+        entries: 20,
+        targets: 1,
+        used: 1,
+        beside: 0,
+    };
+    let shared = |n| Offered {
+        sharers,
+        ..offered(n, true)
+    };
+    entry.offer((0..3).map(shared).collect());
+    let load = |running| Load {
+        running,
+        waiting: running,
+        pace: 1.0,
+    };
+    entry.report(Millis(100_000), "e0", load(0));
+    for n in 1..3 {
+        entry.report(Millis(101_000), &format!("e{n}"), load(16));
+    }
+    let at_once = choose(&mut entry, 101_000, 100);
+    assert!(matches!(at_once, Err(Refused::Full { .. })), "{at_once:?}");
+    for n in 1..3 {
+        entry.report(Millis(131_000), &format!("e{n}"), load(16));
+    }
+    assert_eq!(
+        choose(&mut entry, 131_000, 100),
+        Ok(0),
+        "later by one entry"
+    );
+}
+
 /// A service without targets, and one whose targets are all too full: both are refused at once,
 /// the first with a later return, as engines take seconds to come back.
 #[test]
