A follower of the log that answers nothing is sent nothing twice

The leader had sent it the same entries again each 250 ms for 7.9 s: 31 messages of 256 KB, 8 MB, which take 2 s of that link, and the voter read them all first; later stalls (13.2 to 13.8, 14.5 to 15.6) are the answers to these.

Ruled out: its disk and processor (30 documents were applied within 0.4 s at 13 s); elections (one leader all the while).

Mend: what was not answered is sent again only if the follower has answered something since, a heartbeat at least. One that is down, frozen or cut off answers none; one that lost a message does.

The test failed before: 19 messages with entries to a follower silent for 8 s, now none beyond the first. The searches over faults of the log's tests pass unchanged.

--- a/crates/filbertstack-log/src/node/leader.rs
+++ b/crates/filbertstack-log/src/node/leader.rs
@@ -222,7 +222,10 @@
         self.confirm_rounds();
     }
 
-    /// Sends again what was not answered for a while.
+    /// Sends again what was not answered for a while, to followers that have answered anything since.
+    ///
+    /// One that answers no heartbeat either is down, frozen or cut off. What is sent to it waits in
+    /// its link, and a frozen one reads it all, the same entries many times, before anything new.
     fn resend_quiet(&mut self) {
         let now = self.now;
         let wait = self.config.timing.resend;
@@ -231,7 +234,8 @@
             return;
         };
         for peer in leader.peers.values_mut() {
-            if now < peer.touched + wait || peer.held >= last {
+            let silent = peer.heard <= peer.touched;
+            if silent || now < peer.touched + wait || peer.held >= last {
                 continue;
             }
             peer.touched = now;
--- a/crates/filbertstack-log/tests/log/node.rs
+++ b/crates/filbertstack-log/tests/log/node.rs
@@ -314,6 +314,40 @@
     message(OTHER, 5, Body::AppendReply(reply))
 }
 
+/// How many of the messages bring entries to node 1.
+fn with_entries(sent: &[Message]) -> usize {
+    let full = |m: &&Message| match &m.body {
+        Some(Body::Append(append)) => m.to == LEADER && !append.entries.is_empty(),
+        _ => false,
+    };
+    sent.iter().filter(full).count()
+}
+
+/// Guards against a frozen follower whose link fills up with the same entries again and again: once
+/// awake it reads all of them before anything new.
+#[test]
+fn a_follower_that_answers_nothing_is_sent_nothing_twice() {
+    let mut node = leader();
+    for _ in 0..3 {
+        propose(&mut node, 1_000).expect("there is room");
+    }
+    let mut sent = Vec::new();
+    for at in (3_050..11_000).step_by(50) {
+        sent.extend(turn(&mut node, ms(at), heard(at)).1);
+        sent.extend(turn(&mut node, ms(at), Input::Tick).1);
+    }
+    assert_eq!(with_entries(&sent), 0, "the first message waits there");
+    let awake = AppendReply {
+        index: 1,
+        prev_index: 1,
+        round: 2,
+        reject: false,
+    };
+    let awake = message(LEADER, 5, Body::AppendReply(awake));
+    let (_, sent) = turn(&mut node, ms(11_000), awake);
+    assert!(with_entries(&sent) > 0, "it answers and is sent nothing");
+}
+
 /// A voter's instance gets another address; who counts stays the same.
 #[test]
 fn a_member_may_move() {
