--- a/crates/filbertstack-gateway/src/control/node.rs
+++ b/crates/filbertstack-gateway/src/control/node.rs
@@ -128,6 +128,11 @@
         self.voters.borrow().clone()
     }
 
+    /// The id of the row of an entry in this process.
+    pub fn entry_id(&self) -> String {
+        format!("entry {}", self.settings.node.name)
+    }
+
     /// Notes who the voters are.
     pub fn learn_voters(&self, voters: Vec<SocketAddr>) {
         if !voters.is_empty() {
--- a/crates/filbertstack-gateway/src/entry/mod.rs
+++ b/crates/filbertstack-gateway/src/entry/mod.rs
@@ -111,7 +111,7 @@
     let requests = Requests::new(node.clone(), metrics);
     let (leave, leaving) = watch::channel(false);
     let answering = Answering::default();
-    let cache = Rc::new(Cache::new(node.clone(), &own_id(&node)));
+    let cache = Rc::new(Cache::new(node.clone(), &node.entry_id()));
     serve_all(&node, &requests, &cache, &leaving, &answering)?;
     start_control(&node);
     spawn_local(register_later(node.clone()));
@@ -212,11 +212,6 @@
     }
 }
 
-/// The id of an entry's row.
-pub fn own_id(node: &Node) -> String {
-    format!("entry {}", node.settings.node.name)
-}
-
 async fn tell_own_row(
     node: Rc<Node>,
     mut leaving: watch::Receiver<bool>,
@@ -230,7 +225,7 @@
     for sequence in 1.. {
         let leaves = *leaving.borrow_and_update();
         let row = Row {
-            id: own_id(&node),
+            id: node.entry_id(),
             born,
             sequence,
             gone: false,
--- a/crates/filbertstack-gateway/src/request/targets.rs
+++ b/crates/filbertstack-gateway/src/request/targets.rs
@@ -24,7 +24,6 @@
 use filbertstack_policy::subset::Candidate;
 
 use crate::control::node::Node;
-use crate::entry::own_id;
 use crate::link::messages::AgentRow;
 use crate::link::messages::Kind;
 use crate::link::messages::LoadRow;
@@ -131,7 +130,7 @@
             _ => None,
         });
         let entries: Vec<&str> = entries.collect();
-        let own = own_id(&self.node);
+        let own = self.node.entry_id();
         let mut services: BTreeMap<&str, Vec<(&str, SocketAddr)>> = BTreeMap::new();
         for (_, row, addr) in latest.iter().filter(|(_, row, _)| row.zone == node.zone) {
             let targets = services.entry(&row.service).or_default();
--- a/crates/filbertstack-policy/src/dispatch/target.rs
+++ b/crates/filbertstack-policy/src/dispatch/target.rs
@@ -23,8 +23,7 @@
 const STALE: Millis = Millis::secs(2);
 
 /// After which silence an engine that reported before gets no work: seven usual reports, and the
-/// time after which a voter that is silent is left. With four of twelve engines frozen for three
-/// seconds, 41 of 1,237 first events come late so and 23 callers leave; without it 89 and 34.
+/// time after which a voter that is silent is left.
 const SILENT: Millis = Millis(700);
 
 /// How often a silent engine is probed with one request by all entries that use it, where nobody else
