A request waits at its entry for a service that comes back

Cause: until 36.4 to 37.2 s entries know nothing declared, and until 38.0 s no engine has weights, as these take 2.0 s over an agent's link. Callers come back once, told 0.3 or 1.5 s, and are refused again with four seconds of their time left.

Mend: a request waits a quarter of its time, 1.5 s at most, 64 at an entry, for 5 s after the service was last there or the entry began; later the service is down and refuses at once. Within its goal it is sent as if it had just come, later one beside three that are sent as they come, or each 0.3 s where nothing is sent.

--- a/crates/filbertstack-gateway/src/request/attempt.rs
+++ b/crates/filbertstack-gateway/src/request/attempt.rs
@@ -13,6 +13,7 @@
 use filbertstack_platform::request::send_on;
 use filbertstack_platform::request::strip;
 use filbertstack_policy::dispatch::Ended;
+use filbertstack_policy::dispatch::Refused;
 use filbertstack_policy::dispatch::TargetId;
 use filbertstack_policy::dispatch::Wanted;
 use http::Request;
@@ -32,6 +33,7 @@
 use crate::request::connect::Connected;
 use crate::request::relay::Relay;
 use crate::request::targets::Chosen;
+use crate::request::waiting;
 
 /// For how long a target is left out that says it is another instance or holds other weights: the
 /// registry tells within this what is there.
@@ -64,7 +66,7 @@
 
 /// How often it is looked whether another target is to be asked: one may come free, or the one asked
 /// be missed, at any time. One load report.
-const LOOK: Duration = Duration::from_millis(100);
+pub const LOOK: Duration = Duration::from_millis(100);
 
 /// The time left below which nothing is sent any more: no answer could come back in it.
 const TOO_LATE: Duration = Duration::from_millis(5);
@@ -198,7 +200,12 @@
     let mut unknown = false;
     let mut failed = None;
     loop {
-        let chosen = match choose(requests, call, &tries) {
+        let chosen = if tries.targets.is_empty() {
+            waiting::first(requests, call).await.map_err(refuse)
+        } else {
+            choose(requests, call, &tries)
+        };
+        let chosen = match chosen {
             Ok(chosen) => chosen,
             Err(refusal) => {
                 return match failed {
@@ -248,28 +255,25 @@
     tries.sent == 0 || requests.spend(&call.service)
 }
 
-/// Chooses the next target for a request: one that answers within its goal, or, if it was at another
-/// target before, before its caller leaves.
+/// Chooses the next target for a request that was at another before: one that answers before its caller
+/// leaves.
 ///
 /// # Errors
 /// A [`Refusal`] that says when to come back.
 pub fn choose(requests: &Rc<Requests>, call: &Call, tries: &Tries) -> Result<Chosen, Refusal> {
-    let goal = if tries.targets.is_empty() {
-        call.route.goal.saturating_sub(call.came.elapsed())
-    } else {
-        call.route.goal.max(AGAIN).min(call.left())
-    };
+    let goal = call.route.goal.max(AGAIN).min(call.left());
     let wanted = Wanted {
         service: &call.service,
         prompt: call.prompt(),
         goal: Millis::from(goal),
         tried: &tries.targets,
     };
-    let chosen = requests.targets.choose(&wanted);
-    chosen.map_err(|refused| {
-        let after = Duration::from(refused.after());
-        Refusal::busy("no target can serve it in time", after)
-    })
+    requests.targets.choose(&wanted).map_err(refuse)
+}
+
+fn refuse(refused: Refused) -> Refusal {
+    let after = Duration::from(refused.after());
+    Refusal::busy("no target can serve it in time", after)
 }
 
 /// A stream that broke off, and that another target is to go on with.
--- a/crates/filbertstack-gateway/src/request/mod.rs
+++ b/crates/filbertstack-gateway/src/request/mod.rs
@@ -9,6 +9,7 @@
 pub mod pool;
 pub mod relay;
 pub mod targets;
+mod waiting;
 
 use std::cell::Cell;
 use std::cell::RefCell;
@@ -23,6 +24,7 @@
 use filbertstack_platform::request::CallHead;
 use filbertstack_platform::request::own_answer;
 use filbertstack_policy::dispatch::Dispatcher;
+use filbertstack_policy::recovery::Recovery;
 use filbertstack_policy::repeats::Allowance;
 use filbertstack_policy::repeats::Repeats;
 use filbertstack_telemetry::Metrics;
@@ -67,9 +69,6 @@
 /// When to come back who met a leaving entry: at once, as others are there.
 const ELSEWHERE: Duration = Duration::from_millis(50);
 
-/// When to come back to an entry that does not know what is declared yet.
-const UNKNOWING: Duration = Duration::from_millis(300);
-
 /// Callers' requests at one entry.
 pub struct Requests {
     node: Rc<Node>,
@@ -78,6 +77,9 @@
     pool: Pool,
     rng: RefCell<ChaCha8Rng>,
     under_way: Rc<Cell<usize>>,
+    recovery: RefCell<Recovery>,
+    /// How many requests wait for a service to come back.
+    waiting: Rc<Cell<usize>>,
     /// From when on a leaving entry takes no streams, and when it ends.
     leaving: Cell<Option<(Instant, Instant)>>,
     metrics: Rc<Metrics>,
@@ -103,6 +105,8 @@
     pub organisation: Option<Arc<str>>,
     /// When it came.
     pub came: Instant,
+    /// Whether it waited until it was known what is declared.
+    pub waited: bool,
     /// When it must have its final answer.
     pub deadline: Instant,
     /// Counts it among those that are being served.
@@ -167,6 +171,8 @@
             pool: Pool::default(),
             rng: RefCell::new(rng),
             under_way: Rc::default(),
+            recovery: RefCell::new(Recovery::new(node.clock.now())),
+            waiting: Rc::default(),
             leaving: Cell::new(None),
             metrics,
             node,
@@ -222,8 +228,9 @@
     ) -> Result<Response<AnswerBody>, Refusal> {
         let came = Instant::now();
         let under_way = UnderWay::new(&self.under_way);
-        if !self.node.declared.is_known() {
-            return Err(Refusal::busy("nothing is declared here yet", UNKNOWING));
+        let waited = !self.node.declared.is_known();
+        if waited {
+            waiting::declared(self, came, head.patience).await?;
         }
         let catalogue = self.node.declared.catalogue();
         let (parts, body) = request.into_parts();
@@ -247,6 +254,7 @@
             service,
             organisation,
             came,
+            waited,
             deadline,
             under_way,
         });
--- a/crates/filbertstack-policy/src/lib.rs
+++ b/crates/filbertstack-policy/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod pieces;
 pub mod placement;
 pub mod prefix;
+pub mod recovery;
 pub mod registry;
 pub mod repeats;
 pub mod retry;
--- a/tests/gateway/requests.rs
+++ b/tests/gateway/requests.rs
@@ -341,6 +341,28 @@
     });
 }
 
+/// Guards against callers that are refused while a service is away for a moment, with most of their time
+/// left.
+#[test]
+fn a_request_waits_for_a_service_that_comes_back() {
+    let engine = Engine::start(Box::new(|seen| answer(seen, "200 OK", "whole")));
+    let world = serving(&[("i-0", "safe", &engine)]);
+    world.await_service(0, "/safe/");
+    let round = AtomicU32::new(0);
+    until("a request that came before the service is served", || {
+        let gone = round.fetch_add(1, Ordering::Relaxed);
+        world.control(0, "DELETE", &format!("/instances/i-{gone}"), "");
+        thread::sleep(BROKEN);
+        thread::scope(|scope| {
+            let call = scope.spawn(|| world.call(0, &get("/safe/", &format!("a{gone}"), "")));
+            thread::sleep(READING);
+            let waits = !call.is_finished();
+            world.report(0, &format!("i-{}", gone + 1), "safe", engine.addr);
+            waits && call.join().expect("the caller").status == 200
+        })
+    });
+}
+
 /// An entry is told to end while a request is being answered. The request gets its whole answer,
 /// and the process ends by itself.
 #[test]
