--- a/crates/filbertstack-gateway/src/request/targets.rs
+++ b/crates/filbertstack-gateway/src/request/targets.rs
@@ -233,6 +233,12 @@
         ages.collect()
     }
 
+    /// Counts a request for `service` that comes.
+    pub fn come(&self, service: &Arc<str>) {
+        let now = self.node.clock.now();
+        self.dispatcher.borrow_mut().come(now, service);
+    }
+
     /// Chooses a target for a request.
     ///
     /// # Errors
--- a/crates/filbertstack-gateway/src/request/waiting.rs
+++ b/crates/filbertstack-gateway/src/request/waiting.rs
@@ -63,6 +63,7 @@
 /// # Errors
 /// [`Refused`], with the time after which the caller may come back.
 pub async fn first(requests: &Requests, call: &Call) -> Result<Chosen, Refused> {
+    requests.targets.come(&call.service);
     let refused = match choose_in_time(requests, call) {
         Ok(chosen) => return Ok(chosen),
         Err(refused) => refused,
--- a/crates/filbertstack-policy/src/dispatch.rs
+++ b/crates/filbertstack-policy/src/dispatch.rs
@@ -142,6 +142,11 @@
         self.demand.retain(|service, _| services.contains(service));
     }
 
+    /// Counts a request for `service` that comes, once however often a target is chosen for it.
+    pub fn come(&mut self, now: Millis, service: &Arc<str>) {
+        self.demand.entry(service.clone()).or_default().count(now);
+    }
+
     /// Takes in a load report.
     pub fn report(&mut self, now: Millis, id: &str, load: Load) {
         if let Some(target) = self.targets.get_mut(id) {
@@ -161,7 +166,8 @@
         let mut far: Vec<(f64, TargetId)> = Vec::new();
         let mut probes: Vec<(f64, TargetId)> = Vec::new();
         let deaf = self.is_deaf(now, wanted.service);
-        let demand = self.count(now, wanted.service);
+        let demand = self.demand.get(wanted.service).copied();
+        let demand = demand.unwrap_or_default();
         let rooms = self.rooms(now, wanted.service, limit, deaf);
         let mut least = f64::INFINITY;
         for target in self.targets.values() {
@@ -213,18 +219,6 @@
         })
     }
 
-    /// Counts a request for `service`, and returns how many come.
-    fn count(&mut self, now: Millis, service: &str) -> Demand {
-        let Some(demand) = self.demand.get_mut(service) else {
-            let mut demand = Demand::default();
-            demand.count(now);
-            self.demand.insert(service.into(), demand);
-            return demand;
-        };
-        demand.count(now);
-        *demand
-    }
-
     /// The room of a service's targets elsewhere, and of those near.
     fn rooms(&self, now: Millis, service: &str, limit: f64, deaf: bool) -> [Rooms; 2] {
         let mut rooms = [Rooms::default(); 2];
