--- a/crates/filbertstack-gateway/src/request/targets.rs
+++ b/crates/filbertstack-gateway/src/request/targets.rs
@@ -146,8 +146,7 @@
         beside
     }
 
-    /// The addresses of the engines that this entry uses: of each service those beside it, and of its
-    /// subset as many as there is room for.
+    /// The addresses of the targets that this entry uses of each service.
     fn used(
         &self,
         latest: &[(&TargetId, &TargetRow, SocketAddr)],
@@ -163,17 +162,12 @@
             services.entry(&row.service).or_default().push(candidate);
         }
         let node = &self.node.settings.node;
-        let mut used = BTreeSet::new();
-        for candidates in services.values() {
-            let chosen = subset::choose(&node.name, &node.zone, candidates);
-            let own = candidates.iter().map(|candidate| candidate.key);
-            let own: Vec<_> = own.filter(|addr| beside.contains_key(addr)).collect();
-            let others = chosen.into_iter().filter(|addr| !own.contains(addr));
-            let room = subset::SIZE.saturating_sub(own.len());
-            used.extend(others.take(room));
-            used.extend(own);
-        }
-        used
+        let used = services.values().flat_map(|candidates| {
+            subset::used(&node.name, &node.zone, candidates, |addr| {
+                beside.contains_key(&addr)
+            })
+        });
+        used.collect()
     }
 
     /// Takes in the loads of engines.
--- a/crates/filbertstack-policy/src/subset.rs
+++ b/crates/filbertstack-policy/src/subset.rs
@@ -46,6 +46,21 @@
         .collect()
 }
 
+/// The targets that `entry` uses: those beside it, and of its subset as many as there is room for.
+pub fn used<K: Copy>(
+    entry: &str,
+    zone: &str,
+    candidates: &[Candidate<'_, K>],
+    is_beside: impl Fn(K) -> bool,
+) -> Vec<K> {
+    let keys = candidates.iter().map(|candidate| candidate.key);
+    let mut used: Vec<K> = keys.filter(|key| is_beside(*key)).collect();
+    let room = SIZE.saturating_sub(used.len());
+    let others = choose(entry, zone, candidates).into_iter();
+    used.extend(others.filter(|key| !is_beside(*key)).take(room));
+    used
+}
+
 /// A target beside an entry.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Met {
--- a/crates/filbertstack-policy/tests/subset.rs
+++ b/crates/filbertstack-policy/tests/subset.rs
@@ -1,8 +1,12 @@
 //! Which targets an entry takes first: for any number of entries and targets, without agreement.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 
+use filbertstack_policy::subset::Candidate;
+use filbertstack_policy::subset::SIZE;
 use filbertstack_policy::subset::beside;
+use filbertstack_policy::subset::used;
 use proptest::prelude::ProptestConfig;
 use proptest::proptest;
 use proptest::test_runner::RngSeed;
@@ -60,3 +64,21 @@
 fn an_entry_that_is_not_among_the_entries_has_none_beside_it() {
     assert_eq!(beside("entry-9", &["entry-1"], &["engine-1"]), []);
 }
+
+/// Guards against an entry that does not use a target which others leave to it.
+#[test]
+fn an_entry_uses_the_targets_beside_it_and_no_more_than_its_subset() {
+    let targets = names("engine", 200);
+    let candidates: Vec<Candidate<'_, usize>> = (0..targets.len())
+        .map(|key| Candidate {
+            key,
+            name: &targets[key],
+            zone: "z0",
+        })
+        .collect();
+    let chosen = used("entry-1", "z0", &candidates, |key| key < 5);
+    assert_eq!(chosen[..5], [0, 1, 2, 3, 4]);
+    assert_eq!(chosen.len(), SIZE);
+    let different: BTreeSet<_> = chosen.iter().collect();
+    assert_eq!(different.len(), SIZE);
+}
--- a/crates/filbertstack-wire/tests/links/ending.rs
+++ b/crates/filbertstack-wire/tests/links/ending.rs
@@ -84,6 +84,16 @@
     dialer.link(addr, Role::Peer).expect("connects")
 }
 
+/// A far end that reads nothing until the sender is dropped.
+fn reads_nothing() -> (SocketAddr, Sender<()>) {
+    let (stop, stopped) = channel();
+    let addr = scripted(move |session| {
+        let _session = session;
+        let _ = stopped.recv_timeout(PATIENCE);
+    });
+    (addr, stop)
+}
+
 /// Sends more than the buffers of both sockets hold, and less than may wait on a link.
 fn fill(link: &Link) {
     let body = Bytes::from(vec![7; 512 << 10]);
@@ -191,11 +201,7 @@
 // after writing has failed. Not a byte of either left this process, so both certainly did not run.
 #[test]
 fn a_call_of_which_nothing_was_written_certainly_did_not_run() {
-    let (stop, stopped) = channel::<()>();
-    let addr = scripted(move |session| {
-        let _session = session;
-        let _ = stopped.recv_timeout(PATIENCE);
-    });
+    let (addr, stop) = reads_nothing();
     let dialer = dialer(good_keys());
     let link = connect(&dialer, addr);
     fill(&link);
@@ -212,11 +218,7 @@
 /// Guards against a call that finds the link full, and is told as unknown once the link ends.
 #[test]
 fn a_call_that_waits_for_room_on_a_link_that_ends_certainly_did_not_run() {
-    let (stop, stopped) = channel::<()>();
-    let addr = scripted(move |session| {
-        let _session = session;
-        let _ = stopped.recv_timeout(PATIENCE);
-    });
+    let (addr, stop) = reads_nothing();
     let dialer = dialer(good_keys());
     let link = connect(&dialer, addr);
     fill_up(&link);
