The voters keep the list of each version's pieces; an agent knows by them what its engine may yet load

What callers saw: answers of no version. In the soak an engine loaded some pieces of version 7 and some of 19.

With an origin that keeps two versions, as the platform's does, the lists of older ones are gone besides: the agent waited for 15 s and then staged over whatever lay there.

Ruled out: a list that was gone or never came (no such line, and the stand-in of the origin gave all lists); late puts.

Why this holds: a list that is fetched is handed on only when the voters keep it, so that no engine is ordered to load what the voters could not recognize. An agent that starts compares what lies at its engine with the lists kept, the newest first, until each piece is known. What fits none counts as ordered until 15 s after its start, whatever has been forgotten.

--- a/crates/filbertstack-control/src/document.rs
+++ b/crates/filbertstack-control/src/document.rs
@@ -4,6 +4,7 @@
 //! [`ControlState`](crate::ControlState). The document's bytes are kept as they came, so that a
 //! read gives back exactly what was sent under that version.
 
+mod lists;
 mod packed;
 
 use std::collections::BTreeMap;
@@ -12,6 +13,8 @@
 use prost::Message as _;
 use thiserror::Error;
 
+pub use self::lists::List;
+use self::lists::Lists;
 pub use self::packed::Packed;
 pub use self::packed::UnpackError;
 
@@ -23,7 +26,7 @@
 #[derive(Clone, PartialEq, Eq, Hash, prost::Message)]
 pub struct Change {
     /// What changes.
-    #[prost(oneof = "Kind", tags = "1, 2, 3")]
+    #[prost(oneof = "Kind", tags = "1, 2, 3, 4")]
     pub kind: Option<Kind>,
 }
 
@@ -39,6 +42,9 @@
     /// A whole document, checked by whoever proposes it.
     #[prost(message, tag = "3")]
     Packed(Packed),
+    /// The list of a version's pieces. No engine is ordered to load a version before its list is kept.
+    #[prost(message, tag = "4")]
+    List(List),
 }
 
 /// A whole configuration.
@@ -68,18 +74,20 @@
 pub enum Effect {
     /// It is in force now.
     InForce,
-    /// A version at least as high was there already; nothing has changed.
+    /// A version at least as high was there already, or the same list; nothing has changed.
     Superseded,
     /// The command can't be read, by this version of the program at least.
     Unreadable,
 }
 
-/// The state: the newest document, and the latest versions of each model's weights.
+/// The state: the newest document, and the latest versions of each model's weights with the lists of
+/// their pieces.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Documents {
     document: Document,
     /// By model, the latest [`VERSIONS`], in their order.
     weights: BTreeMap<String, Vec<u64>>,
+    lists: Lists,
 }
 
 #[derive(Clone, PartialEq, prost::Message)]
@@ -88,6 +96,8 @@
     document: Document,
     #[prost(message, repeated, tag = "2")]
     weights: Vec<Weights>,
+    #[prost(message, repeated, tag = "3")]
+    lists: Vec<List>,
 }
 
 /// Bytes that are no snapshot of this machine.
@@ -111,6 +121,11 @@
         })
     }
 
+    /// The list of the pieces of the latest version that is kept, no later than `upto`.
+    pub fn list(&self, upto: &Weights) -> Option<&List> {
+        self.lists.latest(upto)
+    }
+
     /// Applies one command.
     pub fn apply(&mut self, command: &[u8]) -> Effect {
         let change = Change::decode(command).ok().and_then(|c| c.kind);
@@ -118,10 +133,19 @@
             Some(Kind::Document(document)) => self.put(document),
             Some(Kind::Weights(weights)) => self.name(weights),
             Some(Kind::Packed(packed)) => self.put_packed(&packed),
+            Some(Kind::List(list)) => self.keep(list),
             None => Effect::Unreadable,
         }
     }
 
+    fn keep(&mut self, list: List) -> Effect {
+        if self.lists.keep(list) {
+            Effect::InForce
+        } else {
+            Effect::Superseded
+        }
+    }
+
     /// A version takes effect only if it is higher. Other content under the version held would
     /// give two callers different routes for one number; a lower one would take back a change.
     fn put(&mut self, document: Document) -> Effect {
@@ -158,6 +182,7 @@
         let image = Image {
             document: self.document.clone(),
             weights: self.weights().collect(),
+            lists: self.lists.iter().cloned().collect(),
         };
         image.encode_to_vec()
     }
@@ -173,6 +198,7 @@
         for weights in image.weights {
             self.name(weights);
         }
+        self.lists = image.lists.into_iter().collect();
         Ok(())
     }
 }
--- a/crates/filbertstack-control/tests/document.rs
+++ b/crates/filbertstack-control/tests/document.rs
@@ -6,6 +6,7 @@
 use filbertstack_control::document::Documents;
 use filbertstack_control::document::Effect;
 use filbertstack_control::document::Kind;
+use filbertstack_control::document::List;
 use filbertstack_control::document::Packed;
 use filbertstack_control::document::Weights;
 use proptest::prelude::*;
@@ -33,6 +34,26 @@
     Change { kind }.encode_to_vec()
 }
 
+fn weights(version: u64) -> Weights {
+    Weights {
+        model: "m".into(),
+        version,
+    }
+}
+
+fn list(version: u64, pieces: usize, digest: u8) -> List {
+    List {
+        weights: weights(version),
+        bytes: 49_152,
+        digests: vec![digest; pieces * 32].into(),
+    }
+}
+
+fn keep(documents: &mut Documents, list: List) -> Effect {
+    let kind = Some(Kind::List(list));
+    documents.apply(&Change { kind }.encode_to_vec())
+}
+
 /// Two operators send different content under one number. One gets in; the other's must never
 /// be read back or obeyed, also when it is sent again.
 #[test]
@@ -115,6 +136,54 @@
     assert_eq!(restarted, documents);
 }
 
+/// Guards against a list of pieces that is gone when all processes start again, so that nobody knows
+/// which version lies at an engine.
+#[test]
+fn lists_of_pieces_outlast_a_restart() {
+    let mut documents = Documents::default();
+    for version in [1, 2, 4] {
+        let kept = keep(&mut documents, list(version, 48, 7));
+        assert_eq!(kept, Effect::InForce);
+    }
+    let mut restarted = Documents::default();
+    restarted
+        .restore(&documents.snapshot())
+        .expect("its own snapshot");
+    assert_eq!(restarted, documents);
+    let latest = |upto| restarted.list(&weights(upto)).map(|l| l.weights.version);
+    assert_eq!(
+        [0, 1, 3, 4, u64::MAX].map(latest),
+        [None, Some(1), Some(2), Some(4), Some(4)]
+    );
+}
+
+/// Guards against a list that came spoilt from the origin and is kept for good.
+#[test]
+fn a_list_takes_the_place_of_an_earlier_one() {
+    let mut documents = Documents::default();
+    keep(&mut documents, list(2, 48, 1));
+    assert_eq!(keep(&mut documents, list(2, 48, 2)), Effect::InForce);
+    assert_eq!(keep(&mut documents, list(2, 48, 2)), Effect::Superseded);
+    assert_eq!(documents.list(&weights(2)), Some(&list(2, 48, 2)));
+}
+
+/// Guards against lists of thousands of pieces that fill the voters' memory.
+#[test]
+fn the_oldest_lists_give_way_when_they_are_long() {
+    let mut documents = Documents::default();
+    for version in 1..=40 {
+        keep(&mut documents, list(version, 128, 1));
+    }
+    assert!(documents.snapshot().len() < 70 << 10);
+    assert_eq!(documents.list(&weights(24)), None);
+    assert_eq!(documents.list(&weights(25)), Some(&list(25, 128, 1)));
+    for version in 41..=43 {
+        keep(&mut documents, list(version, 16_384, 1));
+    }
+    assert_eq!(documents.list(&weights(41)), None);
+    assert!(documents.list(&weights(42)).is_some());
+}
+
 proptest! {
     /// Against the simplest oracle: the maximum so far, with the body that came with it first.
     /// Snapshots are taken and restored at any moment, as after a restart.
--- a/crates/filbertstack-gateway/src/agent/mod.rs
+++ b/crates/filbertstack-gateway/src/agent/mod.rs
@@ -5,12 +5,12 @@
 mod gather;
 mod orders;
 mod peers;
+mod remains;
 pub(crate) mod reports;
 mod rollout;
 mod stage;
 mod visit;
 
-use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::rc::Rc;
@@ -113,25 +113,6 @@
         let same = agents.iter().filter(|(_, row)| *row.model == *model);
         same.map(|(_, row)| row.version).max().unwrap_or(0)
     }
-
-    /// The versions newer than the one `served` that its engine may have been ordered to load, in
-    /// their order: those named, and those that may have been wanted before any was.
-    fn candidates(&self, served: u64) -> Vec<Holding> {
-        let wanted = self.wanted();
-        let Some(model) = wanted.last().map(|weights| weights.model.clone()) else {
-            return Vec::new();
-        };
-        let named = self.node.declared.named(&model).into_iter();
-        let mut versions: BTreeSet<u64> = named.map(|named| named.version).collect();
-        versions.insert(FIRST_VERSION);
-        versions.extend(wanted.iter().map(|weights| weights.version));
-        let newer = versions.into_iter().filter(|version| *version > served);
-        let holding = |version| Holding {
-            model: model.clone(),
-            version,
-        };
-        newer.map(holding).collect()
-    }
 }
 
 /// Runs an agent until it is told to stop.
--- a/crates/filbertstack-gateway/src/agent/rollout.rs
+++ b/crates/filbertstack-gateway/src/agent/rollout.rs
@@ -26,6 +26,7 @@
 use crate::agent::Agent;
 use crate::agent::gather::gather;
 use crate::agent::orders;
+use crate::agent::remains::Predecessor;
 use crate::agent::visit::Found;
 use crate::agent::visit::Visit;
 use crate::agent::visit::Whole;
@@ -59,18 +60,16 @@
     let mut gathering = Gathering::default();
     let mut declared = agent.node.declared.watch();
     let mut engine = agent.engine.watch();
-    let began = agent.node.clock.now();
-    let mut known = false;
+    let mut predecessor = Predecessor::new(agent.node.clock.now());
     loop {
         orders::settle(&agent).await;
         if let Some(report) = agent.engine.report() {
             let served = report.holding.map_or(0, |holding| holding.version);
             let needed = needed(&agent, served);
-            if !known && !needed.is_empty() {
-                let spent = agent.node.clock.now().since(began);
-                known = knows_ordered(&agent, served).await || spent >= orders::UNKNOWN;
+            if let Some(newest) = needed.last() {
+                predecessor.settle(&agent, &newest.model, served).await;
             }
-            if known {
+            if predecessor.is_settled() {
                 gathering.follow(&agent, &needed);
             }
             // While pieces of another version come in, what lies there is no longer whole.
@@ -92,17 +91,6 @@
     }
 }
 
-/// Whether it is known which version an earlier process may have ordered, if any.
-async fn knows_ordered(agent: &Agent, served: u64) -> bool {
-    match orders::find_ordered(agent, &agent.candidates(served)).await {
-        Ok(known) => known,
-        Err(error) => {
-            info!("pieces not compared", kv: { error = error.to_string() });
-            false
-        }
-    }
-}
-
 /// The versions that the engine should be brought to and does not serve, in their order.
 fn needed(agent: &Agent, served: u64) -> Vec<Holding> {
     let wanted = agent.wanted().into_iter();
@@ -232,7 +220,7 @@
     match found {
         Ok(Found::Whole(whole)) => return Some(whole),
         Ok(Found::Bad(bad)) => {
-            for number in bad.numbers {
+            for number in bad {
                 warn!("piece turned bad where it lies", kv: { number = number });
                 agent.stage.lose(number);
             }
--- a/crates/filbertstack-gateway/src/agent/stage.rs
+++ b/crates/filbertstack-gateway/src/agent/stage.rs
@@ -31,8 +31,6 @@
     order: RefCell<Option<OpenOrder>>,
     /// Puts of pieces whose outcome is not known.
     puts: RefCell<SlotMap<PutKey, OpenPut>>,
-    /// Lists that came before any version was begun.
-    known: RefCell<Vec<Rc<PieceList>>>,
     /// Told when all pieces of a version lie there.
     whole: Notify,
 }
@@ -94,12 +92,6 @@
     /// Forgets everything that lies there, so that the list is fetched anew.
     pub fn forget(&self) {
         *self.staged.borrow_mut() = None;
-        self.known.borrow_mut().clear();
-    }
-
-    /// Keeps a list for when its version is begun.
-    pub fn know(&self, list: Rc<PieceList>) {
-        self.known.borrow_mut().push(list);
     }
 
     /// The version that is being staged, or was last.
@@ -111,10 +103,8 @@
     /// The list of the pieces of `weights`, if it came.
     pub fn list(&self, weights: &Holding) -> Option<Rc<PieceList>> {
         let staged = self.staged.borrow();
-        let known = self.known.borrow();
-        let lists = staged.iter().map(|staged| &staged.list).chain(known.iter());
-        let mut found = lists.filter(|list| list.weights == *weights);
-        found.next().cloned()
+        let found = staged.as_ref().map(|staged| &staged.list);
+        found.filter(|list| list.weights == *weights).cloned()
     }
 
     /// The order to load what lies there whose outcome is not known.
--- a/crates/filbertstack-gateway/src/agent/visit.rs
+++ b/crates/filbertstack-gateway/src/agent/visit.rs
@@ -75,33 +75,8 @@
 pub enum Found {
     /// All lie there as they must be.
     Whole(Whole),
-    /// Some do not.
-    Bad(Bad),
-}
-
-/// The pieces of a version that do not lie at the engine as they must be.
-#[derive(Debug, Default)]
-pub struct Bad {
-    /// Their numbers.
-    pub numbers: Vec<u32>,
-    /// What lies there in their place.
-    pub others: Vec<Other>,
-}
-
-impl Bad {
-    /// How many of them do not lie there at all.
-    pub fn absent(&self) -> usize {
-        self.numbers.len() - self.others.len()
-    }
-}
-
-/// What lies in the place of a piece.
-#[derive(Debug)]
-pub struct Other {
-    /// The piece's number.
-    pub number: u32,
-    /// The digest of what lies there.
-    pub digest: PieceDigest,
+    /// These do not.
+    Bad(Vec<u32>),
 }
 
 /// A visit on which all pieces of a version were found.
@@ -150,23 +125,14 @@
     /// # Errors
     /// [`VisitError`]; then it is not known what lies there.
     pub async fn read_back(mut self, list: &PieceList) -> Result<Found, VisitError> {
-        let mut bad = Bad::default();
+        let mut bad = Vec::new();
         for number in 0..weights::count(list) {
-            let staged = self.call(read_staged(&list.weights.model, number)).await;
-            match staged {
-                Ok(bytes) => {
-                    let digest = weights::digest(&bytes);
-                    if weights::is_piece(list, number, &digest) {
-                        continue;
-                    }
-                    bad.others.push(Other { number, digest });
-                }
-                Err(VisitError::Call(CallFailure::Status(StatusCode::NOT_FOUND))) => {}
-                Err(error) => return Err(error),
+            let lying = self.read_place(&list.weights.model, number).await?;
+            if !lying.is_some_and(|digest| weights::is_piece(list, number, &digest)) {
+                bad.push(number);
             }
-            bad.numbers.push(number);
         }
-        if !bad.numbers.is_empty() {
+        if !bad.is_empty() {
             return Ok(Found::Bad(bad));
         }
         Ok(Found::Whole(Whole {
@@ -175,6 +141,37 @@
         }))
     }
 
+    /// Reads on what lies in the places of a model, until `count` of them are in `places`. An engine
+    /// refuses to read more places than its model has.
+    ///
+    /// # Errors
+    /// [`VisitError`]; then it is not known what lies there.
+    pub async fn read_places(
+        &mut self,
+        model: &str,
+        places: &mut Vec<Option<PieceDigest>>,
+        count: usize,
+    ) -> Result<(), VisitError> {
+        for number in places.len()..count {
+            let number = u32::try_from(number).unwrap_or(u32::MAX);
+            places.push(self.read_place(model, number).await?);
+        }
+        Ok(())
+    }
+
+    /// The digest of what lies in the place of a piece.
+    async fn read_place(
+        &mut self,
+        model: &str,
+        number: u32,
+    ) -> Result<Option<PieceDigest>, VisitError> {
+        match self.call(read_staged(model, number)).await {
+            Ok(bytes) => Ok(Some(weights::digest(&bytes))),
+            Err(VisitError::Call(CallFailure::Status(StatusCode::NOT_FOUND))) => Ok(None),
+            Err(error) => Err(error),
+        }
+    }
+
     async fn call(&mut self, outgoing: Outgoing) -> Result<Bytes, VisitError> {
         self.stay().await?;
         Ok(ask(&mut self.connection, self.addr, outgoing).await?)
--- a/crates/filbertstack-gateway/src/control/node.rs
+++ b/crates/filbertstack-gateway/src/control/node.rs
@@ -8,6 +8,8 @@
 use bytes::Bytes;
 use filbertstack_control::document::Document;
 use filbertstack_control::document::Effect;
+use filbertstack_control::document::List;
+use filbertstack_control::document::Weights;
 use thiserror::Error;
 use tokio::task::spawn_local;
 
@@ -208,6 +210,32 @@
         }
     }
 
+    /// The list of pieces that the voters keep of the latest version up to `upto`, as far as the voter
+    /// that is followed knows; `None` if they keep none.
+    ///
+    /// # Errors
+    /// [`GroupError`] if no voter answers.
+    pub async fn kept_list(&self, upto: Weights) -> Result<Option<List>, GroupError> {
+        if let Some(voter) = &self.voter {
+            return Ok(voter.documents().list(&upto).cloned());
+        }
+        match self.ask_group(Question::List(upto), false).await? {
+            Reply::List(list) => Ok(Some(list)),
+            Reply::NotKept(_) => Ok(None),
+            _ => Err(LinkError::Unfit.into()),
+        }
+    }
+
+    fn list(&self, upto: &Weights) -> Reply {
+        let Some(voter) = &self.voter else {
+            return Reply::Failed("this node keeps no lists; ask a voter".into());
+        };
+        match voter.documents().list(upto) {
+            Some(list) => Reply::List(list.clone()),
+            None => Reply::NotKept(Nothing {}),
+        }
+    }
+
     /// Asks the leader, or the voter that this node follows. What was passed on already is not
     /// passed on again: two voters that take each other for the leader would never end.
     async fn ask_group(&self, question: Question, passed: bool) -> Result<Reply, GroupError> {
@@ -323,6 +351,7 @@
                 Err(error) => Reply::Failed(error.to_string()),
             },
             Question::Register(rows) => done(self.register(rows.rows).await),
+            Question::List(upto) => self.list(&upto),
             Question::Piece(_) | Question::Manifest(_) | Question::Has(_) | Question::HasNow(_) => {
                 Reply::Failed("this node holds no weights; ask an entry or agent".into())
             }
--- a/crates/filbertstack-gateway/src/entry/mod.rs
+++ b/crates/filbertstack-gateway/src/entry/mod.rs
@@ -44,6 +44,7 @@
 use crate::request::Requests;
 use crate::settings::Settings;
 use crate::weights::cache::Cache;
+use crate::weights::served::keep_lists;
 
 /// How often an entry tells the voters that it is there.
 pub const OWN_ROW: Duration = Duration::from_millis(500);
@@ -118,6 +119,7 @@
     spawn_local(keep_targets(node.clone(), requests.clone()));
     spawn_local(keep_loads(node.clone(), requests.clone()));
     spawn_local(cache.clone().keep());
+    spawn_local(keep_lists(node.clone(), node.entry_id()));
     spawn_local(tell_own_row(node.clone(), leaving.clone(), cache.held()));
     spawn_local(prune(requests.clone()));
     info!("entry started", kv: {
--- a/crates/filbertstack-gateway/src/link/messages.rs
+++ b/crates/filbertstack-gateway/src/link/messages.rs
@@ -4,6 +4,7 @@
 
 use bytes::Bytes;
 use filbertstack_control::document::Document;
+use filbertstack_control::document::List;
 use filbertstack_control::document::Weights;
 
 /// One frame of a link.
@@ -35,7 +36,7 @@
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct Ask {
     /// What is asked.
-    #[prost(oneof = "Question", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9")]
+    #[prost(oneof = "Question", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10")]
     pub question: Option<Question>,
 }
 
@@ -69,6 +70,9 @@
     /// Whether a piece is there now.
     #[prost(message, tag = "9")]
     HasNow(PieceName),
+    /// Which list of pieces do you keep of the latest version up to this one?
+    #[prost(message, tag = "10")]
+    List(Weights),
 }
 
 /// Nothing more to say.
@@ -124,7 +128,7 @@
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct Answer {
     /// What is answered.
-    #[prost(oneof = "Reply", tags = "1, 2, 3, 4, 5, 6, 7")]
+    #[prost(oneof = "Reply", tags = "1, 2, 3, 4, 5, 6, 7, 8")]
     pub reply: Option<Reply>,
 }
 
@@ -152,6 +156,9 @@
     /// Nothing of that version is kept here, nor will be.
     #[prost(message, tag = "7")]
     NotKept(Nothing),
+    /// A list of pieces that the voters keep.
+    #[prost(message, tag = "8")]
+    List(List),
 }
 
 /// The pieces of a version.
--- a/crates/filbertstack-gateway/src/weights/fetch.rs
+++ b/crates/filbertstack-gateway/src/weights/fetch.rs
@@ -1,5 +1,7 @@
 //! Getting the pieces of one version from other nodes and from the origin.
 
+mod list;
+
 use std::cell::Cell;
 use std::cell::RefCell;
 use std::collections::BTreeMap;
@@ -13,11 +15,8 @@
 use filbertstack_core::Millis;
 use filbertstack_platform::engine::Holding;
 use filbertstack_platform::engine::PieceList;
-use filbertstack_platform::engine::ask_manifest;
 use filbertstack_platform::engine::ask_piece;
-use filbertstack_platform::engine::read_manifest;
 use filbertstack_policy::pieces::Layout;
-use filbertstack_policy::pieces::Part;
 use filbertstack_policy::pieces::Window;
 use filbertstack_policy::pieces::asks_origin;
 use spdlog::info;
@@ -64,9 +63,6 @@
 /// takes its link a second or two.
 const ORIGIN: Duration = Duration::from_millis(2_500);
 
-/// How long the origin may take for a list of pieces: it is short.
-const LIST: Duration = Duration::from_millis(800);
-
 /// The pause before sources are asked again that all failed.
 const PAUSE: Duration = Duration::from_millis(100);
 
@@ -74,9 +70,6 @@
 /// rounds took an agent's whole share of a core at 65 agents.
 const LAYOUT: Duration = Duration::from_millis(400);
 
-/// The longest list of pieces, in bytes: those of some thousand pieces.
-const LONGEST_LIST: usize = 1 << 20;
-
 /// After how many wrong bytes for one piece the list itself is doubted and fetched again.
 const WRONG: u32 = 4;
 
@@ -104,16 +97,6 @@
     answered: bool,
 }
 
-/// What a node said that was asked for the list of pieces.
-enum Listed {
-    /// The list.
-    Here(PieceList),
-    /// It does not have it yet.
-    NotHere,
-    /// It will not have it, or said nothing in time.
-    Never,
-}
-
 /// A piece that is under way to this node.
 struct Slot<'a>(&'a Fetch);
 
@@ -183,38 +166,6 @@
         ))
     }
 
-    /// The list of the version's pieces, asked for until it comes. As with a piece, one node asks the
-    /// origin and the others ask each other: hundreds of lists would take the narrow link from the
-    /// pieces. A version that entries no longer keep is asked of the origin by whoever needs its list.
-    pub async fn list(&self) -> PieceList {
-        let began = Instant::now();
-        loop {
-            let layout = self.layout_of(1);
-            if layout.leads(0)
-                && let Some(list) = self.list_of_origin().await
-            {
-                return list;
-            }
-            let plan = layout.plan(0);
-            let mut answered = false;
-            for id in plan.near.iter().chain(&plan.before).chain(&plan.far) {
-                match self.list_of_peer(id).await {
-                    Listed::Here(list) => return list,
-                    Listed::NotHere => answered |= plan.before.contains(id),
-                    Listed::Never => {}
-                }
-            }
-            let part = layout.part(0);
-            if part != Part::Leads
-                && asks_origin(part, answered, Millis::from(began.elapsed()))
-                && let Some(list) = self.list_of_origin().await
-            {
-                return list;
-            }
-            sleep(PAUSE).await;
-        }
-    }
-
     /// Fetches one piece from other nodes and, when it may be asked, from the origin at the same
     /// time; `None` if what comes never fits the list.
     pub async fn piece(&self, list: &PieceList, number: u32) -> Option<Bytes> {
@@ -371,50 +322,6 @@
         None
     }
 
-    async fn list_of_peer(&self, id: &Arc<str>) -> Listed {
-        let Some(place) = weights::place(&self.node, id).filter(|_| !self.is_slow(id)) else {
-            return Listed::Never;
-        };
-        let question = Question::Manifest(weights::wire_name(&self.weights));
-        let manifest = match self.node.dialer.ask(place, question, HAS).await {
-            Ok(Reply::Manifest(manifest)) => manifest,
-            Err(LinkError::Failed(_)) => return Listed::NotHere,
-            Ok(_) => return Listed::Never,
-            Err(_) => {
-                self.pass_over(id);
-                return Listed::Never;
-            }
-        };
-        let digests = manifest.digests.chunks_exact(32);
-        let digests = digests.filter_map(|digest| digest.try_into().ok());
-        Listed::Here(PieceList {
-            weights: self.weights.clone(),
-            bytes: manifest.bytes,
-            digests: digests.collect(),
-        })
-    }
-
-    async fn list_of_origin(&self) -> Option<PieceList> {
-        let outgoing = ask_manifest(&self.weights);
-        let answer = call(self.origin()?, outgoing, LONGEST_LIST, LIST).await;
-        let read = answer
-            .map_err(|e| e.to_string())
-            .and_then(|body| read_manifest(&body).map_err(|e| e.to_string()));
-        match read {
-            Ok(list) if list.weights == self.weights && !list.digests.is_empty() => Some(list),
-            Ok(list) => {
-                info!("list of pieces is another version's, or empty",
-                    kv: { version = self.weights.version, came = list.weights.version });
-                None
-            }
-            Err(error) => {
-                info!("list of pieces not fetched",
-                    kv: { version = self.weights.version, error = error });
-                None
-            }
-        }
-    }
-
     async fn piece_of_origin(&self, list: &PieceList, number: u32) -> Option<Bytes> {
         let outgoing = ask_piece(&self.weights, number);
         match call(self.origin()?, outgoing, list.bytes as usize, ORIGIN).await {
--- a/crates/filbertstack-gateway/src/weights/mod.rs
+++ b/crates/filbertstack-gateway/src/weights/mod.rs
@@ -5,12 +5,14 @@
 
 pub mod cache;
 pub mod fetch;
+pub mod served;
 pub mod stock;
 
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 
+use filbertstack_control::document::List;
 use filbertstack_control::document::Weights;
 use filbertstack_platform::engine::Holding;
 use filbertstack_platform::engine::PieceList;
@@ -126,6 +128,31 @@
     }
 }
 
+/// A list of pieces as the voters keep it.
+fn packed(list: &PieceList) -> List {
+    List {
+        weights: wire_name(&list.weights),
+        bytes: list.bytes,
+        digests: list.digests.concat().into(),
+    }
+}
+
+/// A list of pieces that the voters keep.
+pub fn unpacked(list: &List) -> PieceList {
+    PieceList {
+        weights: holding(&list.weights),
+        bytes: list.bytes,
+        digests: digests(&list.digests),
+    }
+}
+
+fn digests(bytes: &[u8]) -> Vec<PieceDigest> {
+    let digests = bytes.chunks_exact(size_of::<PieceDigest>());
+    digests
+        .filter_map(|digest| digest.try_into().ok())
+        .collect()
+}
+
 /// The answer to who asks for a list of pieces.
 pub fn manifest(list: Option<Rc<PieceList>>) -> Reply {
     let Some(list) = list else {
--- a/tests/gateway/fleet.rs
+++ b/tests/gateway/fleet.rs
@@ -59,6 +59,7 @@
 
     /// Names a version until it is acknowledged.
     pub fn name(&self, version: u64) {
+        self.origin.publish(version);
         let body = json!({"model": "m", "version": version}).to_string();
         until("the version is named", || {
             let answer = self.world.control(0, "POST", "/version-put", &body);
@@ -66,6 +67,17 @@
         });
     }
 
+    /// Kills all processes at once and starts them again.
+    pub fn restart_all(&mut self) {
+        let all = 0..=self.agents.iter().copied().max().unwrap_or(2);
+        for n in all.clone() {
+            self.world.kill(n);
+        }
+        for n in all {
+            self.world.launch_again(n);
+        }
+    }
+
     /// Waits until all engines serve a version.
     pub fn await_version(&self, version: u64) {
         until(&format!("all engines serve version {version}"), || {
--- a/tests/gateway/model.rs
+++ b/tests/gateway/model.rs
@@ -4,6 +4,8 @@
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::Duration;
 use std::time::Instant;
@@ -19,6 +21,9 @@
 /// Pieces of a version.
 pub const PIECES: u32 = 12;
 
+/// How many versions an origin keeps.
+const KEPT: u64 = 2;
+
 /// Bytes of a piece.
 const PIECE_BYTES: usize = 4 << 10;
 
@@ -59,7 +64,7 @@
 const SILENT: Duration = Duration::from_secs(1);
 
 /// How long after it was sent an engine may carry out a call that it left without an answer.
-const LATEST: Duration = Duration::from_secs(12);
+pub const LATEST: Duration = Duration::from_secs(12);
 
 /// A piece that was put and left without an answer.
 #[derive(Debug)]
@@ -75,6 +80,7 @@
     version: u64,
     /// How many orders the engine must have begun.
     expected: Option<u64>,
+    sent: Instant,
 }
 
 /// What an engine holds.
@@ -96,6 +102,9 @@
     /// How many orders are yet to be left without an answer, and carried out late: at the worst
     /// moment, as soon as a piece of another version is staged.
     pub late_orders: u32,
+    /// How long after it was sent an order without an answer is carried out whatever lies there; `None`
+    /// if only at the worst moment.
+    pub latest: Option<Duration>,
     /// How many puts of a piece are yet to be left without an answer, and carried out late: at the
     /// worst moment, as an order begins, or else at the latest.
     pub late_puts: u32,
@@ -113,7 +122,18 @@
 }
 
 impl Held {
+    /// Leaves an order of an agent that has ended without an answer.
+    pub fn leave_order(&mut self, version: u64) {
+        self.unanswered += 1;
+        self.late.push(Order {
+            version,
+            expected: Some(self.sequence),
+            sent: Instant::now(),
+        });
+    }
+
     fn report(&mut self) -> Value {
+        self.load_overdue();
         if self.spoils > 0 && self.staged.len() == PIECES as usize {
             self.spoils -= 1;
             self.staged.insert(5, b"rot".to_vec());
@@ -143,6 +163,19 @@
         }
     }
 
+    /// Carries out orders that can't be put off any longer.
+    fn load_overdue(&mut self) {
+        let Some(latest) = self.latest else {
+            return;
+        };
+        let overdue = |order: &Order| order.sent.elapsed() >= latest;
+        let (due, late): (Vec<_>, Vec<_>) = self.late.drain(..).partition(overdue);
+        self.late = late;
+        for order in due {
+            self.take(order);
+        }
+    }
+
     /// Whether the put of a piece is to be left without an answer.
     fn leaves(&mut self, number: u32, bytes: &[u8]) -> bool {
         if self.late_puts == 0 {
@@ -175,6 +208,7 @@
         self.put_overdue();
         let answer = match self.staged.get(&number) {
             Some(bytes) => plain("200 OK", bytes),
+            None if number >= PIECES => plain("400 Bad Request", b""),
             None => plain("404 Not Found", b""),
         };
         if number + 1 == PIECES {
@@ -273,6 +307,7 @@
         let order = Order {
             version: body["version"].as_u64().expect("a version"),
             expected: body["expected"].as_u64(),
+            sent: Instant::now(),
         };
         let mut held = self.held();
         if held.late_orders == 0 {
@@ -287,9 +322,11 @@
     }
 }
 
-/// The origin of weights, which counts the pieces and lists that it sent.
+/// The origin of weights, which counts the pieces and lists that it sent. It keeps the newest version
+/// that was named and the one before it.
 #[derive(Clone, Default)]
 pub struct Origin {
+    newest: Arc<AtomicU64>,
     lists: Arc<Mutex<BTreeMap<u64, u32>>>,
     sent: Arc<Mutex<BTreeMap<(u64, u32), u32>>>,
 }
@@ -301,6 +338,11 @@
         Engine::start(Box::new(move |seen| origin.answer(seen)))
     }
 
+    /// Notes that a version is named: older ones than the one before it are gone.
+    pub fn publish(&self, version: u64) {
+        self.newest.fetch_max(version, Ordering::SeqCst);
+    }
+
     /// How often each piece was sent, by version and number.
     pub fn sent(&self) -> BTreeMap<(u64, u32), u32> {
         self.sent.lock().expect("not poisoned").clone()
@@ -314,6 +356,9 @@
 
     fn answer(&self, seen: &Seen) -> Vec<u8> {
         let version = query(seen, "version").unwrap_or(1);
+        if version + KEPT <= self.newest.load(Ordering::SeqCst) {
+            return plain("410 Gone", b"");
+        }
         if path(seen).starts_with("/manifest/") {
             let mut lists = self.lists.lock().expect("not poisoned");
             *lists.entry(version).or_default() += 1;
--- a/tests/gateway/orders.rs
+++ b/tests/gateway/orders.rs
@@ -1,6 +1,7 @@
 //! Orders to load weights whose outcome is not known.
 
 use crate::fleet::Fleet;
+use crate::model::LATEST;
 use crate::model::Model;
 use crate::model::PIECES;
 use crate::model::piece;
@@ -97,6 +98,65 @@
     start_again_for(&mut fleet, 2);
 }
 
+/// Guards against staging over an ordered version that many others followed before all processes
+/// were killed.
+#[test]
+fn an_ordered_version_is_known_however_many_followed_it() {
+    let mut fleet = with_open_order();
+    for version in 4..=12 {
+        fleet.name(version);
+    }
+    fleet.restart_all();
+    fleet.await_version(12);
+    assert_eq!(fleet.wrong_orders(), 0);
+}
+
+/// Guards against staging over an ordered version of which nobody has the list any more.
+#[test]
+fn an_ordered_version_that_nobody_knows_is_waited_for() {
+    let mut fleet = Fleet::start(0);
+    let model = Model::default();
+    {
+        let mut held = model.held();
+        held.staged = (0..PIECES).map(|n| (n, piece(5, n))).collect();
+        held.latest = Some(LATEST);
+        held.leave_order(5);
+    }
+    fleet.add_model(model);
+    fleet.name(6);
+    fleet.await_version(6);
+    assert_eq!(fleet.wrong_orders(), 0);
+    assert_eq!(fleet.models[0].held().loaded, [5, 6]);
+}
+
+/// Guards against engines that wait for nothing after a restart of all, as the lists of older versions
+/// are gone from the origin.
+#[test]
+fn what_an_engine_serves_is_known_after_all_processes_restarted() {
+    let mut fleet = Fleet::start(0);
+    for _ in 0..2 {
+        let model = Model::default();
+        {
+            let mut held = model.held();
+            held.version = 1;
+            held.staged = (0..PIECES).map(|n| (n, piece(1, n))).collect();
+        }
+        fleet.add_model(model);
+    }
+    until("the list of the first version is kept", || {
+        (0..3).any(|n| fleet.world.has_logged(n, "list of pieces kept"))
+    });
+    for version in 2..=4 {
+        fleet.name(version);
+    }
+    fleet.restart_all();
+    fleet.await_version(4);
+    assert_eq!(fleet.wrong_orders(), 0);
+    for agent in fleet.agents {
+        assert!(!fleet.world.has_logged(agent, "pieces of no known version"));
+    }
+}
+
 /// An engine loses its power right after its agent has read all pieces back, and starts again with
 /// nothing staged. The order, repeated on a new connection, reached the new start, which loaded
 /// what was not there. An order belongs to the start at which the pieces were read.
--- a/tests/soak/fleet.rs
+++ b/tests/soak/fleet.rs
@@ -60,6 +60,9 @@
     runs: Arc<Mutex<BTreeMap<String, u32>>>,
 }
 
+/// The pause between two versions of the weights that follow each other.
+const BETWEEN_NAMES: Duration = Duration::from_millis(250);
+
 /// Everything of one play.
 #[derive(Clone)]
 pub struct Fleet(Arc<Parts>);
@@ -68,7 +71,10 @@
     world: Mutex<World>,
     targets: Vec<Target>,
     agents: Vec<usize>,
+    published: Origin,
     origin: Proxy,
+    /// How many versions of the weights are named one after the other where one is.
+    names: u32,
     over: AtomicBool,
     /// The document's version that was acknowledged last, and the newest sent.
     acknowledged: AtomicU64,
@@ -78,10 +84,12 @@
 }
 
 impl Fleet {
-    /// Starts four entries, two engines for each plain service, and two model engines with agents.
-    pub fn start(seed: u64) -> Self {
+    /// Starts four entries, two engines for each plain service, and two model engines with agents. Where
+    /// weights are named, `names` versions follow each other.
+    pub fn start(seed: u64, names: u32) -> Self {
         let mut world = World::start(VOTERS, ENTRIES - VOTERS);
-        let origin = Proxy::start(Origin::default().start().addr);
+        let published = Origin::default();
+        let origin = Proxy::start(published.start().addr);
         let services = ["safe", "safe", "once", "once", "stream", "stream"];
         let targets: Vec<Target> = services.into_iter().map(Target::start).collect();
         let models = targets.iter().filter(|t| t.service == "stream");
@@ -92,7 +100,9 @@
             world: Mutex::new(world),
             targets,
             agents,
+            published,
             origin,
+            names,
             over: AtomicBool::new(false),
             acknowledged: AtomicU64::new(0),
             version: AtomicU64::new(seed % 7),
@@ -196,9 +206,19 @@
         self.acknowledged() >= version
     }
 
-    /// Names the next version of the weights.
+    /// Names the next versions of the weights.
     pub fn name_weights(&self) {
+        for n in 0..self.0.names {
+            if n > 0 {
+                thread::sleep(BETWEEN_NAMES);
+            }
+            self.name_next();
+        }
+    }
+
+    fn name_next(&self) {
         let version = self.weights() + 1;
+        self.0.published.publish(version);
         let body = json!({"model": "m", "version": version}).to_string();
         let fleet = self.clone();
         until("the weights are named", || {
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -5,6 +5,8 @@
 //!
 //!     SOAK_SEEDS=1000-1049 cargo test --test soak -- --nocapture
 //!
+//! With `SOAK_NAMES=6`, six versions of the weights follow each other wherever one is named.
+//!
 //! A seed fixes which faults come in which order, what operators do and what callers ask; the
 //! machine's scheduling is not fixed, so a seed that failed is played again as it is.
 
@@ -43,9 +45,10 @@
 /// How many seeds are played at a time: each runs eight processes.
 const AT_ONCE: usize = 4;
 
-fn play(seed: u64) -> Vec<String> {
+/// Plays a seed in which `names` versions of the weights follow each other where any is named.
+fn play(seed: u64, names: u32) -> Vec<String> {
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
-    let fleet = Fleet::start(seed);
+    let fleet = Fleet::start(seed, names);
     let _ends = Ends(fleet.clone());
     let callers = callers::start(&fleet, seed);
     let operator = operator::start(&fleet, seed);
@@ -72,6 +75,11 @@
     }
 }
 
+fn names() -> u32 {
+    let names = std::env::var("SOAK_NAMES").ok();
+    names.map_or(1, |n| n.parse().expect("SOAK_NAMES=COUNT"))
+}
+
 fn seeds() -> Vec<u64> {
     let Ok(range) = std::env::var("SOAK_SEEDS") else {
         return SEEDS.to_vec();
@@ -92,7 +100,7 @@
     for some in seeds.chunks(AT_ONCE) {
         let plays = some.iter().map(|seed| {
             let seed = *seed;
-            thread::spawn(move || play(seed))
+            thread::spawn(move || play(seed, names()))
         });
         let plays: Vec<_> = plays.collect();
         for play in plays {
@@ -108,6 +116,13 @@
 /// Guards against staging a newer version over one that an engine may yet be told to load.
 #[test]
 fn a_version_that_nobody_names_any_more_may_be_ordered() {
-    let broken = play(5000);
+    let broken = play(5000, 1);
+    assert!(broken.is_empty(), "{}", broken.join("\n"));
+}
+
+/// Guards against staging over an ordered version that six others followed before a restart of all.
+#[test]
+fn a_version_that_many_others_followed_may_be_ordered() {
+    let broken = play(7024, 6);
     assert!(broken.is_empty(), "{}", broken.join("\n"));
 }
