A process that ends tells which calls it took: those that cross its end did not run

What callers saw: "unknown" for a request that may run once and that no target ran, in the last milliseconds of an agent's planned stop; no second try was made for it.

Cause: after the sending side of a link is closed, a call that still arrives is refused, but the refusal can't be sent. Evidence: the frames of the ending side, read to the end of the stream, hold the last answer and nothing after it; the caller's error is "the outcome is unknown". Ruled out: a reset that throws the refusal away; it is never written.

Mend: the last frame names the latest call that was taken; calls after it count as not run when the link ends. A process that refuses new calls takes none any more, and the frame follows the last answer, so none of them can have run.

--- a/crates/filbertstack-wire/src/error.rs
+++ b/crates/filbertstack-wire/src/error.rs
@@ -25,8 +25,8 @@
     /// The far end failed the handshake.
     #[error("the far end is not who it should be ({0}); check that both ends have the same key")]
     Handshake(&'static str),
-    /// The link was closed before anything of the call was written.
-    #[error("the link was closed before the call was sent; it did not run: make it again")]
+    /// The link ended before the far end took the call.
+    #[error("the link ended before the call was taken; it did not run: make it again")]
     Unsent,
     /// The link was closed before the call's last reply.
     #[error("the link was lost before the last reply; the outcome is unknown")]
--- a/crates/filbertstack-wire/src/link.rs
+++ b/crates/filbertstack-wire/src/link.rs
@@ -35,6 +35,7 @@
 use crate::link::writer::Writer;
 use crate::messages::Ask;
 use crate::messages::Call;
+use crate::messages::Ending;
 use crate::messages::Frame;
 use crate::messages::Item;
 use crate::messages::Tell;
@@ -91,6 +92,8 @@
     end: Condvar,
     inboxes: Mutex<HashMap<u64, Inbox>>,
     incoming: Incoming,
+    /// What the far end said of its end.
+    far_end: Mutex<Option<Ending>>,
     next: AtomicU64,
 }
 
@@ -151,6 +154,12 @@
         let _ = self.socket.shutdown(Shutdown::Write);
     }
 
+    /// Notes that the far end ends, as soon as the connection does. Calls that cross its end were not
+    /// taken.
+    fn far_end_ends(&self, ending: Ending) {
+        *lock(&self.far_end) = Some(ending);
+    }
+
     /// Fails the calls among `frames`, none of which was written: the far end can't have run them.
     /// Told "unknown" instead, a caller whose request must not run twice would get no second try.
     fn fail_unsent(&self, frames: impl IntoIterator<Item = Frame>) {
@@ -172,8 +181,14 @@
         if !ended {
             self.explain(end, inboxes.len());
         }
-        for (_, inbox) in inboxes.drain() {
-            inbox.fail(WireError::Lost);
+        let far_end = *lock(&self.far_end);
+        for (stream, inbox) in inboxes.drain() {
+            let crossed = far_end.is_some_and(|ending| stream > ending.last);
+            inbox.fail(if crossed {
+                WireError::Unsent
+            } else {
+                WireError::Lost
+            });
         }
         drop(inboxes);
         self.incoming.cancel_all();
@@ -228,6 +243,7 @@
             end: Condvar::new(),
             inboxes: Mutex::default(),
             incoming: Incoming::default(),
+            far_end: Mutex::default(),
             next: AtomicU64::new(1),
         });
         let writer = Writer {
@@ -271,9 +287,17 @@
     }
 
     /// Waits until the far end's calls have their answers, until `until` at most; then sends nothing
-    /// more than what waits.
+    /// more than what waits, and which calls were taken.
     pub(crate) fn end_sending(&self, until: Instant) {
         self.shared.incoming.await_none(until);
+        let last = self.shared.incoming.last();
+        let ending = Frame {
+            item: Some(Item::Ending(Ending { last })),
+            ..Frame::default()
+        };
+        if let Err(error) = self.shared.outbox.push(ending) {
+            info!("end of a link not told", kv: { error = error.to_string() });
+        }
         self.shared.outbox.finish();
     }
 
--- a/crates/filbertstack-wire/src/link/incoming.rs
+++ b/crates/filbertstack-wire/src/link/incoming.rs
@@ -26,6 +26,8 @@
 struct State {
     /// The calls, each with the flag that says whether it was withdrawn.
     calls: HashMap<u64, Arc<AtomicBool>>,
+    /// The highest number of a call that was taken.
+    last: u64,
     ending: bool,
 }
 
@@ -47,6 +49,7 @@
             return Err(NotTaken::Full);
         }
         state.calls.insert(stream, cancelled);
+        state.last = state.last.max(stream);
         Ok(())
     }
 
@@ -71,6 +74,11 @@
         self.ended.notify_all();
     }
 
+    /// The highest number of a call that was taken; 0 if none was.
+    pub fn last(&self) -> u64 {
+        self.lock().last
+    }
+
     /// Takes no call from here on.
     pub fn refuse_new(&self) {
         self.lock().ending = true;
--- a/crates/filbertstack-wire/src/link/reader.rs
+++ b/crates/filbertstack-wire/src/link/reader.rs
@@ -91,6 +91,7 @@
             Some(Item::Reply(reply)) => self.take_reply(stream, seq, last, reply),
             Some(Item::Fault(fault)) => self.take_fault(stream, fault),
             Some(Item::Cancel(_)) => self.shared.incoming.cancel(stream),
+            Some(Item::Ending(ending)) => self.shared.far_end_ends(ending),
             Some(Item::Ping(_)) | None => {}
         }
     }
--- a/crates/filbertstack-wire/src/messages.rs
+++ b/crates/filbertstack-wire/src/messages.rs
@@ -52,7 +52,7 @@
     #[prost(bool, tag = "3")]
     pub last: bool,
     /// What the frame carries.
-    #[prost(oneof = "Item", tags = "4, 5, 6, 7, 8")]
+    #[prost(oneof = "Item", tags = "4, 5, 6, 7, 8, 9")]
     pub item: Option<Item>,
 }
 
@@ -74,6 +74,17 @@
     /// The caller no longer wants the call's replies.
     #[prost(message, tag = "8")]
     Cancel(Empty),
+    /// The far end ends and sends nothing more.
+    #[prost(message, tag = "9")]
+    Ending(Ending),
+}
+
+/// Which calls a process that ends has taken.
+#[derive(Clone, Copy, PartialEq, Eq, prost::Message)]
+pub struct Ending {
+    /// The stream of the latest; it ran none after it.
+    #[prost(uint64, tag = "1")]
+    pub last: u64,
 }
 
 /// A message without fields.
--- a/crates/filbertstack-wire/tests/links/ending.rs
+++ b/crates/filbertstack-wire/tests/links/ending.rs
@@ -26,6 +26,7 @@
 use filbertstack_wire::handshake::Session;
 use filbertstack_wire::messages::Ask;
 use filbertstack_wire::messages::Empty;
+use filbertstack_wire::messages::Ending;
 use filbertstack_wire::messages::Frame;
 use filbertstack_wire::messages::Item;
 use filbertstack_wire::messages::Payload;
@@ -317,3 +318,62 @@
     let again = self::dialer(good_keys()).link(addr, Role::Peer);
     assert!(again.expect_err("nobody listens").not_run());
 }
+
+fn ending(last: u64) -> Frame {
+    Frame {
+        item: Some(Item::Ending(Ending { last })),
+        ..Frame::default()
+    }
+}
+
+/// The outcome of a call to a far end that has answered one, and then ends without having taken calls
+/// after `last`.
+fn outcome_at_an_end(last: u64) -> WireError {
+    let addr = scripted(move |mut session| {
+        let (stream, _) = first_call(&mut session);
+        send(&mut session, &[reply(stream, 0, true, "answer")]);
+        first_call(&mut session);
+        send(&mut session, &[ending(last)]);
+    });
+    let dialer = dialer(good_keys());
+    let link = connect(&dialer, addr);
+    link.ask(propose("first"), PATIENCE).expect("answered");
+    link.ask(propose("second"), PATIENCE)
+        .expect_err("not answered")
+}
+
+/// Guards against an unknown outcome of a call that crosses the end of the process that it is sent to.
+#[test]
+fn a_call_that_crosses_an_end_did_not_run() {
+    let crossed = outcome_at_an_end(1);
+    assert!(crossed.not_run(), "{crossed}");
+    let taken = outcome_at_an_end(2);
+    assert!(!taken.not_run(), "{taken}");
+}
+
+/// Guards against a process that ends without a word on which calls it took.
+#[test]
+fn a_process_that_ends_tells_which_calls_it_took() {
+    let (listener, calls) = serve(good_keys());
+    let mut session = connected(listener.addr());
+    send(&mut session, &[asked(1), asked(3)]);
+    for _ in 0..2 {
+        let (_, responder) = calls.recv_timeout(PATIENCE).expect("the call arrives");
+        responder.finish(payload("answer")).expect("it stands");
+    }
+    let stopping = thread::spawn(move || listener.finish(PATIENCE));
+    let mut frames = Vec::new();
+    let mut buffer = [0; 4 << 10];
+    loop {
+        while let Some(frame) = session.opener.open(&mut session.input).expect("sealed") {
+            frames.push(frame);
+        }
+        match session.socket.read(&mut buffer).expect("it is closed") {
+            0 => break,
+            n => session.input.extend_from_slice(&buffer[..n]),
+        }
+    }
+    drop(session);
+    stopping.join().expect("ends");
+    assert_eq!(frames.last(), Some(&ending(3)));
+}
