An agent reads once more what its engine began to load; a mix of two versions is not used

What callers would see: answers of two versions. An agent is killed while the put of a piece has no answer; the agent in its place stages the next version and orders it, and the engine carries the put out as it begins.

Cause: an agent knows its own puts without an answer, not those of the process before it.

Tried and reverted: no order for 15 s after the start of an agent that finds two newer versions.

Mend: what lies at the engine is read again after it has begun the order; with a piece of another version there, the engine gets no requests until it serves another version or starts again. It looks at what lies there, not at what was sent, so that it holds for puts of any age and sender. What fits no version has turned bad since, and is left out. A late order is checked as well, and its engine takes nothing until then.

The test judges by what callers get: refused as not run with the mix, served with the next version. It does not pass without the check: nobody notices the mix.

--- a/crates/filbertstack-gateway/src/agent/engine.rs
+++ b/crates/filbertstack-gateway/src/agent/engine.rs
@@ -32,6 +32,8 @@
     kept: Mutex<Option<Connection>>,
     report: RefCell<Option<EngineReport>>,
     loading: Cell<bool>,
+    /// What it serves and must not be used with, and since which start.
+    mixed: RefCell<Option<(Holding, u64)>>,
     news: watch::Sender<u64>,
 }
 
@@ -43,6 +45,7 @@
             kept: Mutex::default(),
             report: RefCell::default(),
             loading: Cell::new(false),
+            mixed: RefCell::default(),
             news: watch::channel(0).0,
         }
     }
@@ -67,11 +70,26 @@
         self.loading.set(loading);
     }
 
-    /// Whether it takes no new work: for an order's sake, as it carries one out, or as it does not
-    /// answer.
+    /// Notes that the engine started at `born` may have loaded `weights` with pieces of another version.
+    pub fn set_mixed(&self, weights: Holding, born: u64) {
+        *self.mixed.borrow_mut() = Some((weights, born));
+    }
+
+    /// Whether it takes no new work: for an order's sake, as it carries one out, as it does not answer, or
+    /// as what it serves may be of two versions.
     pub fn takes_nothing(&self) -> bool {
         let report = self.report.borrow();
-        self.loading.get() || report.as_ref().is_none_or(|report| report.busy)
+        let Some(report) = report.as_ref() else {
+            return true;
+        };
+        self.loading.get() || report.busy || self.is_mixed(report)
+    }
+
+    fn is_mixed(&self, report: &EngineReport) -> bool {
+        let mixed = self.mixed.borrow();
+        mixed.as_ref().is_some_and(|(weights, born)| {
+            report.holding.as_ref() == Some(weights) && report.born == *born
+        })
     }
 
     /// Told whenever it serves other weights, or answers again.
--- a/crates/filbertstack-gateway/src/agent/mod.rs
+++ b/crates/filbertstack-gateway/src/agent/mod.rs
@@ -3,6 +3,7 @@
 
 mod engine;
 mod gather;
+mod lying;
 mod orders;
 mod peers;
 mod remains;
@@ -24,6 +25,7 @@
 use crate::agent::engine::Engine;
 use crate::agent::peers::PieceServer;
 use crate::agent::stage::Stage;
+use crate::agent::visit::Progress;
 use crate::clock::Clock;
 use crate::control::follow;
 use crate::control::node::Node;
@@ -65,6 +67,14 @@
         format!("agent {}", self.node.settings.node.name)
     }
 
+    /// Whether the engine takes no new work. One that has begun an order without an answer takes none until
+    /// it is known what it loaded.
+    fn takes_nothing(&self) -> bool {
+        let begun = self.stage.open_order().zip(self.engine.report());
+        let unchecked = begun.is_some_and(|(order, report)| Progress::from(&report) != order.made);
+        unchecked || self.engine.takes_nothing()
+    }
+
     /// Whether a piece of `weights` lies at the engine, as far as is known. What it serves lay
     /// there from the start, until another version is staged.
     fn lies_at_engine(&self, weights: &Holding, number: u32) -> bool {
--- a/crates/filbertstack-gateway/src/agent/orders.rs
+++ b/crates/filbertstack-gateway/src/agent/orders.rs
@@ -3,13 +3,16 @@
 use std::time::Duration;
 
 use filbertstack_core::Millis;
+use filbertstack_platform::engine::Holding;
 use filbertstack_platform::engine::Running;
 use filbertstack_policy::rollout::LATE_CALL;
 use spdlog::info;
+use spdlog::warn;
 use tokio::time::sleep;
 use tokio::time::timeout;
 
 use crate::agent::Agent;
+use crate::agent::lying::is_mixed;
 use crate::agent::stage::OpenOrder;
 use crate::agent::visit::Outcome;
 use crate::agent::visit::Progress;
@@ -18,6 +21,9 @@
 /// How often the engine is asked whether it has begun an order: as often as it reports anyway.
 const LOOK: Duration = Duration::from_millis(100);
 
+/// How often it is tried to read what an engine began to load, before that counts as mixed.
+const CHECKS: u32 = 10;
+
 /// Sends the order to load what was found, and notes what is known of its outcome.
 ///
 /// # Errors
@@ -75,10 +81,36 @@
     };
     if Progress::from(&report) != order.made {
         info!("order settled", kv: { born = report.born, sequence = report.sequence });
+        if report.born == order.made.born {
+            check_loaded(agent, &order.weights, report.born).await;
+        }
         agent.stage.set_open_order(None);
     }
 }
 
+/// Reads once more what the engine started at `born` began to load. A put that an earlier process left
+/// without an answer may have been carried out after the pieces were read back and before the engine began
+/// the order; then what it serves is of two versions, and it gets no requests until it serves another or
+/// starts again.
+pub async fn check_loaded(agent: &Agent, weights: &Holding, born: u64) {
+    let Some(list) = agent.stage.list(weights) else {
+        return;
+    };
+    for _ in 0..CHECKS {
+        match is_mixed(agent, &list).await {
+            Ok(false) => return,
+            Ok(true) => break,
+            Err(error) => {
+                info!("pieces not compared", kv: { error = error.to_string() });
+                sleep(LOOK).await;
+            }
+        }
+    }
+    warn!("engine may have loaded pieces of two versions: name a newer one, or start it again",
+        kv: { version = weights.version, born = born });
+    agent.engine.set_mixed(weights.clone(), born);
+}
+
 /// Waits until the outcome of an order is known, or it is time to send it again.
 pub async fn await_outcome(agent: &Agent, pause: Millis) {
     let known = async {
--- a/crates/filbertstack-gateway/src/agent/reports.rs
+++ b/crates/filbertstack-gateway/src/agent/reports.rs
@@ -113,7 +113,7 @@
         zone: node.zone.clone(),
         model: model.unwrap_or_default(),
         version: served,
-        loading: agent.engine.takes_nothing(),
+        loading: agent.takes_nothing(),
         holds: held.map_or(0, |h| h.version),
     })
 }
--- a/crates/filbertstack-gateway/src/agent/rollout.rs
+++ b/crates/filbertstack-gateway/src/agent/rollout.rs
@@ -277,6 +277,7 @@
         Running::BreakOff => "breaks off",
     };
     agent.metrics.agent.orders.add(outcome, 1);
+    orders::check_loaded(agent, wanted, progress.born).await;
     let began = agent.node.clock.now();
     let mut news = agent.engine.watch();
     let loaded = async {
--- a/tests/gateway/fleet.rs
+++ b/tests/gateway/fleet.rs
@@ -1,13 +1,19 @@
 //! Entries, agents and stand-ins for engines and for the origin of weights.
 
+use std::cell::Cell;
+use std::net::SocketAddr;
+
 use serde_json::json;
 
 use crate::engine::Engine;
+use crate::engine::answer;
 use crate::model::Model;
 use crate::model::Origin;
 use crate::model::services;
 use crate::world::World;
 use crate::world::document;
+use crate::world::exchange;
+use crate::world::get;
 use crate::world::until;
 
 /// Three entries, an origin, and engines with their agents.
@@ -20,6 +26,8 @@
     pub models: Vec<Model>,
     /// The numbers of the agents, in the order of their engines.
     pub agents: Vec<usize>,
+    /// Where each engine serves.
+    addrs: Vec<SocketAddr>,
 }
 
 impl Fleet {
@@ -36,6 +44,7 @@
             origin,
             models: Vec::new(),
             agents: Vec::new(),
+            addrs: Vec::new(),
         };
         for _ in 0..engines {
             fleet.add_engine();
@@ -51,7 +60,11 @@
     /// Starts one more engine, which holds what `model` does, and its agent.
     pub fn add_model(&mut self, model: Model) {
         let held = model.clone();
-        let engine = Engine::start(Box::new(move |seen| held.answer(seen).unwrap_or_default()));
+        let engine = Engine::start(Box::new(move |seen| {
+            held.answer(seen)
+                .unwrap_or_else(|| answer(seen, "200 OK", "served"))
+        }));
+        self.addrs.push(engine.addr);
         self.agents
             .push(self.world.start_agent("stream", engine.addr));
         self.models.push(model);
@@ -85,6 +98,19 @@
         });
     }
 
+    /// Waits until a caller's request ends with `status`. The first engine announces itself anew before
+    /// each, under an id of its own.
+    pub fn await_answer(&self, status: u16) {
+        let asked = Cell::new(0);
+        until(&format!("a request ends with {status}"), || {
+            asked.set(asked.get() + 1);
+            let id = format!("{status}-{}", asked.get());
+            self.world.announce(0, &id, "stream", self.addrs[0]);
+            let answer = exchange(&self.world.front(0), &get("/stream/", &id, ""));
+            answer.is_some_and(|a| a.status == status)
+        });
+    }
+
     /// How many loads began with pieces that were not the version's.
     pub fn wrong_orders(&self) -> u32 {
         self.models.iter().map(|m| m.held().wrong_orders).sum()
--- a/tests/gateway/orders.rs
+++ b/tests/gateway/orders.rs
@@ -188,3 +188,32 @@
     fleet.await_version(4);
     assert_eq!(fleet.wrong_orders(), 0);
 }
+
+/// Guards against answers of two versions: a piece that a killed agent had put without an answer gets into
+/// the version that the agent in its place has loaded.
+#[test]
+fn an_engine_that_loaded_a_piece_put_before_a_kill_is_not_used() {
+    let mut fleet = Fleet::start(1);
+    fleet.name(2);
+    fleet.await_version(2);
+    fleet.await_answer(200);
+    fleet.models[0].held().late_puts = 1;
+    fleet.name(3);
+    until("a put is left without an answer", || {
+        fleet.models[0].held().late_puts == 0
+    });
+    let agent = fleet.agents[0];
+    fleet.world.kill(agent);
+    fleet.name(4);
+    fleet.world.launch_again(agent);
+    fleet.await_version(4);
+    assert_eq!(fleet.wrong_orders(), 1);
+    until("the agent knows", || {
+        fleet.world.has_logged(agent, "pieces of two versions")
+    });
+    fleet.await_answer(503);
+    fleet.name(5);
+    fleet.await_version(5);
+    fleet.await_answer(200);
+    assert_eq!(fleet.wrong_orders(), 1);
+}
