A version of the weights is remembered until the one after it binds, not by count

What callers saw: answers from weights that were replaced more than eight seconds before.

Cause: entries remembered the latest four versions of a model. Found by looking for what else is remembered by count while a promise rests on it.

Ruled out: requests that wait in engines for seconds.

Mend: a version is forgotten when the one after it has been named for the whole bound; of more than 64 the oldest two count as one named with the earlier. Engines that may not answer get no requests, and until the naming ends none takes a version; that is listed as open.

versions_that_follow_each_other_quickly_still_bind fails with a memory of four (floor 0 where 2 is due), and passes now.

--- a/crates/filbertstack-gateway/src/control/declared.rs
+++ b/crates/filbertstack-gateway/src/control/declared.rs
@@ -12,6 +12,8 @@
 use filbertstack_core::Millis;
 use filbertstack_core::serving::Catalogue;
 use filbertstack_platform::catalogue;
+use filbertstack_policy::rollout::Named;
+use filbertstack_policy::rollout::remember;
 use spdlog::info;
 use spdlog::warn;
 use tokio::sync::watch;
@@ -28,19 +30,12 @@
 use crate::link::messages::ServedModel;
 use crate::link::messages::addr;
 
-/// A version of weights and when it was named, as far as this node knows.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Named {
-    /// The version.
-    pub version: u64,
-    /// When it was named.
-    pub at: Millis,
-}
-
 /// The newest document and the latest versions of weights that this node knows.
 #[derive(Debug)]
 pub struct DeclaredState {
     clock: Clock,
+    /// For how long an older version of weights may answer once a newer is named.
+    rollout: Millis,
     document: RefCell<Document>,
     /// The document in parts, for followers.
     parts: RefCell<Rc<[DocumentPart]>>,
@@ -58,9 +53,10 @@
 
 impl DeclaredState {
     /// A state in which nothing is declared yet.
-    pub fn new(clock: Clock) -> Self {
+    pub fn new(clock: Clock, rollout: Millis) -> Self {
         Self {
             clock,
+            rollout,
             document: RefCell::default(),
             parts: RefCell::new(Rc::new([])),
             assembly: RefCell::default(),
@@ -229,10 +225,7 @@
         info!("weights named", kv: {
             model = named.model.clone(), version = version, age_ms = named.age_ms
         });
-        versions.push(Named { version, at });
-        if versions.len() > VERSIONS {
-            versions.remove(0);
-        }
+        remember(versions, Named { version, at }, VERSIONS, now, self.rollout);
         true
     }
 
--- a/crates/filbertstack-gateway/src/control/node.rs
+++ b/crates/filbertstack-gateway/src/control/node.rs
@@ -98,11 +98,12 @@
         interest: Interest,
         voter: Option<Rc<Voter>>,
     ) -> Self {
+        let rollout = settings.bounds.rollout.into();
         Self {
             settings,
             seeds,
             clock,
-            declared: DeclaredState::new(clock),
+            declared: DeclaredState::new(clock, rollout),
             people: People::new(clock),
             loads: Loads::default(),
             unregistered: Unregistered::default(),
--- a/crates/filbertstack-policy/src/rollout.rs
+++ b/crates/filbertstack-policy/src/rollout.rs
@@ -76,6 +76,37 @@
     }
 }
 
+/// A version of weights and when it was named, as far as a node knows.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Named {
+    /// The version.
+    pub version: u64,
+    /// When it was named.
+    pub at: Millis,
+}
+
+/// The most versions of a model that are remembered: one each eighth of a second for eight seconds.
+const REMEMBERED: usize = 64;
+
+/// Adds a version named now to those of its model, which are in their order, and forgets the oldest that
+/// decide nothing any more: all but the latest `least` whose follower has been named for as long as
+/// `bound`.
+///
+/// *Load pattern*: a script names versions in a loop. Were the latest few remembered alone, none of
+/// them would ever be old enough to bind, and engines would begin requests on a version that was
+/// replaced long ago. Where too many follow each other, two count as one that was named with the
+/// earlier: it binds too early rather than too late.
+pub fn remember(named: &mut Vec<Named>, newest: Named, least: usize, now: Millis, bound: Millis) {
+    named.push(newest);
+    while named.len() > least && now.since(named[1].at) >= bound {
+        named.remove(0);
+    }
+    while named.len() > REMEMBERED {
+        let oldest = named.remove(0);
+        named[0].at = oldest.at;
+    }
+}
+
 /// The oldest version that may still answer, given each version and how long ago it was named.
 /// 0 if any may.
 pub fn floor(named: impl Iterator<Item = (u64, Millis)>, bound: Millis) -> u64 {
--- a/crates/filbertstack-policy/tests/rollout.rs
+++ b/crates/filbertstack-policy/tests/rollout.rs
@@ -5,11 +5,13 @@
 use filbertstack_core::Millis;
 use filbertstack_policy::rollout::Drain;
 use filbertstack_policy::rollout::Haste;
+use filbertstack_policy::rollout::Named;
 use filbertstack_policy::rollout::Staged;
 use filbertstack_policy::rollout::drain;
 use filbertstack_policy::rollout::floor;
 use filbertstack_policy::rollout::order_after;
 use filbertstack_policy::rollout::patience;
+use filbertstack_policy::rollout::remember;
 use filbertstack_policy::rollout::repeat_after;
 use filbertstack_policy::rollout::staged_now;
 
@@ -74,6 +76,50 @@
     assert_eq!(floor([(2, Millis(1_000))].into_iter(), BOUND), 0);
 }
 
+/// The floor after versions 2, 3 and so on were named each `gap`, for `span`, and the version that may
+/// answer no more as it was named the bound ago.
+fn floors(gap: Millis, span: Millis) -> Vec<(u64, u64)> {
+    let mut named = Vec::new();
+    let mut floors = Vec::new();
+    for (version, ms) in (2..).zip((0..span.0).step_by(gap.0 as usize)) {
+        let now = Millis(ms);
+        let newest = Named { version, at: now };
+        remember(&mut named, newest, 4, now, BOUND);
+        let ages = named.iter().map(|n| (n.version, now.since(n.at)));
+        let due = now.0.checked_sub(BOUND.0).map_or(0, |ms| 2 + ms / gap.0);
+        floors.push((floor(ages, BOUND), due));
+    }
+    floors
+}
+
+/// Guards against engines that begin requests on a version that was replaced long ago, as many others
+/// have followed it since.
+#[test]
+fn versions_that_follow_each_other_quickly_still_bind() {
+    for gap in [30, 100, 250, 1_000, 1_500, 5_000] {
+        let floors = floors(Millis(gap), Millis(60_000));
+        let late = floors.iter().find(|(floor, due)| floor < due);
+        assert_eq!(late, None, "a version each {gap} ms");
+    }
+}
+
+/// Guards against versions that are remembered for good.
+#[test]
+fn versions_that_decide_nothing_are_forgotten() {
+    let mut named = Vec::new();
+    for version in 2..200 {
+        let at = Millis(version * 10_000);
+        remember(&mut named, Named { version, at }, 4, at, BOUND);
+    }
+    let versions: Vec<u64> = named.iter().map(|n| n.version).collect();
+    assert_eq!(versions, [196, 197, 198, 199]);
+    for version in 200..1_000 {
+        let at = Millis(2_000_000 + version);
+        remember(&mut named, Named { version, at }, 4, at, BOUND);
+    }
+    assert_eq!(named.len(), 64);
+}
+
 #[test]
 fn a_single_engine_loads_when_it_can() {
     let agents = agents(1);
