Names of the new parts, and a check that waits for a silent engine

What an agent that has ended may have ordered is "inherited", what is staged at its engine its "contents". An engine that is silent after an order was taken for mixed after a second's tries; the check waits until it answers or starts again. Nothing is sent to it meanwhile.

--- a/crates/filbertstack-gateway/src/agent/lying.rs
+++ b/crates/filbertstack-gateway/src/agent/contents.rs
@@ -4,8 +4,8 @@
 
 use filbertstack_control::document::Weights;
 use filbertstack_platform::engine::PieceList;
-use filbertstack_policy::remains::Fit;
-use filbertstack_policy::remains::Others;
+use filbertstack_policy::inherited::Fit;
+use filbertstack_policy::inherited::Others;
 use thiserror::Error;
 
 use crate::agent::Agent;
@@ -18,7 +18,7 @@
 
 /// Why it is not known what lies at the engine.
 #[derive(Debug, Error)]
-pub enum LookError {
+pub enum ContentsError {
     /// The engine could not be asked.
     #[error(transparent)]
     Visit(#[from] VisitError),
@@ -29,9 +29,9 @@
 
 /// What lies at the engine, by place.
 #[derive(Default)]
-pub struct Lying(Vec<Option<PieceDigest>>);
+pub struct Contents(Vec<Option<PieceDigest>>);
 
-impl Lying {
+impl Contents {
     /// Reads on until `count` places are read.
     ///
     /// # Errors
@@ -48,8 +48,8 @@
     /// Whether a piece of `list` lies in its place.
     pub fn fits(&self, list: &PieceList, number: usize) -> bool {
         let number = u32::try_from(number).unwrap_or(u32::MAX);
-        let lying = self.0.get(number as usize).copied().flatten();
-        lying.is_some_and(|digest| is_piece(list, number, &digest))
+        let contents = self.0.get(number as usize).copied().flatten();
+        contents.is_some_and(|digest| is_piece(list, number, &digest))
     }
 
     /// How the pieces of `list` fit.
@@ -65,11 +65,11 @@
     /// The places with no piece of any of `lists`.
     pub fn others(&self, lists: &[Rc<PieceList>]) -> Others {
         let known = |number| lists.iter().any(|list| self.fits(list, number));
-        let empty = self.0.iter().filter(|lying| lying.is_none()).count();
-        let strange = (0..self.0.len()).filter(|n| self.0[*n].is_some() && !known(*n));
+        let empty = self.0.iter().filter(|found| found.is_none()).count();
+        let unknown = (0..self.0.len()).filter(|n| self.0[*n].is_some() && !known(*n));
         Others {
             empty,
-            strange: strange.count(),
+            unknown: unknown.count(),
         }
     }
 }
@@ -95,20 +95,20 @@
 /// What fits no other version has turned bad where it lies.
 ///
 /// # Errors
-/// [`LookError`]; then it is not known.
-pub async fn is_mixed(agent: &Agent, list: &PieceList) -> Result<bool, LookError> {
+/// [`ContentsError`]; then it is not known.
+pub async fn is_mixed(agent: &Agent, list: &PieceList) -> Result<bool, ContentsError> {
     let model = &list.weights.model;
     let mut visit = Visit::begin(agent.engine.addr()).await?;
-    let mut lying = Lying::default();
+    let mut contents = Contents::default();
     let pieces = list.digests.len();
-    lying.read(&mut visit, model, pieces).await?;
-    let wrong: Vec<usize> = (0..pieces).filter(|n| !lying.fits(list, *n)).collect();
+    contents.read(&mut visit, model, pieces).await?;
+    let wrong: Vec<usize> = (0..pieces).filter(|n| !contents.fits(list, *n)).collect();
     if wrong.is_empty() {
         return Ok(false);
     }
     let mut next = list_upto(agent, model, u64::MAX).await?;
     while let Some(other) = next {
-        if wrong.iter().any(|n| lying.fits(&other, *n)) {
+        if wrong.iter().any(|n| contents.fits(&other, *n)) {
             return Ok(true);
         }
         next = match other.weights.version.checked_sub(1) {
--- a/crates/filbertstack-gateway/src/agent/remains.rs
+++ b/crates/filbertstack-gateway/src/agent/inherited.rs
@@ -4,16 +4,16 @@
 
 use filbertstack_core::Millis;
 use filbertstack_platform::engine::PieceList;
-use filbertstack_policy::remains::Fit;
-use filbertstack_policy::remains::Remains;
-use filbertstack_policy::remains::remains;
+use filbertstack_policy::inherited::Fit;
+use filbertstack_policy::inherited::Inherited;
+use filbertstack_policy::inherited::inherited;
 use filbertstack_policy::rollout::LATE_CALL;
 use spdlog::info;
 
 use crate::agent::Agent;
-use crate::agent::lying::LookError;
-use crate::agent::lying::Lying;
-use crate::agent::lying::list_upto;
+use crate::agent::contents::Contents;
+use crate::agent::contents::ContentsError;
+use crate::agent::contents::list_upto;
 use crate::agent::stage::OpenOrder;
 use crate::agent::visit::Progress;
 use crate::agent::visit::Visit;
@@ -57,12 +57,12 @@
             return;
         }
         match look(agent, model, served).await {
-            Ok(Remains::Unknown) => {
+            Ok(Inherited::Unknown) => {
                 info!("pieces of no known version found, may be ordered",
                     kv: { served = served, age_ms = now.since(self.began).0 });
                 self.unknown = Some(now);
             }
-            Ok(Remains::Nothing | Remains::Ordered(_)) => self.settled = true,
+            Ok(Inherited::Nothing | Inherited::Order(_)) => self.settled = true,
             Err(error) => info!("pieces not compared", kv: { error = error.to_string() }),
         }
         self.settled |= now.since(self.began) >= LATE_CALL;
@@ -71,36 +71,36 @@
 
 /// Compares what lies at the engine with the lists that the voters keep, and counts the version that may
 /// be ordered as such. Older lists are asked for only while pieces are not known.
-async fn look(agent: &Agent, model: &str, served: u64) -> Result<Remains, LookError> {
+async fn look(agent: &Agent, model: &str, served: u64) -> Result<Inherited, ContentsError> {
     let mut next = list_upto(agent, model, u64::MAX).await?;
     let mut visit = Visit::begin(agent.engine.addr()).await?;
     let made = visit.progress();
-    let mut lying = Lying::default();
-    lying.read(&mut visit, model, 1).await?;
+    let mut contents = Contents::default();
+    contents.read(&mut visit, model, 1).await?;
     let mut lists: Vec<Rc<PieceList>> = Vec::new();
     while let Some(list) = next {
         let (version, pieces) = (list.weights.version, list.digests.len());
-        lying.read(&mut visit, model, pieces).await?;
+        contents.read(&mut visit, model, pieces).await?;
         lists.push(list);
-        let known = lying.others(&lists).strange == 0;
+        let known = contents.others(&lists).unknown == 0;
         next = match version.checked_sub(1).filter(|_| !known) {
             Some(older) => list_upto(agent, model, older).await?,
             None => None,
         };
     }
-    let fits: Vec<Fit> = lists.iter().map(|list| lying.fit(list)).collect();
-    let judged = remains(served, &fits, lying.others(&lists));
-    if let Remains::Ordered(version) = judged
+    let fits: Vec<Fit> = lists.iter().map(|list| contents.fit(list)).collect();
+    let judged = inherited(served, &fits, contents.others(&lists));
+    if let Inherited::Order(version) = judged
         && let Some(list) = lists.iter().find(|list| list.weights.version == version)
     {
-        count_as_ordered(agent, list, made, &lying);
+        count_as_ordered(agent, list, made, &contents);
     }
     Ok(judged)
 }
 
 /// Counts a version as ordered; the pieces of it that do not lie at the engine are missing.
-fn count_as_ordered(agent: &Agent, list: &Rc<PieceList>, made: Progress, lying: &Lying) {
-    let there = (0..weights::count(list)).filter(|n| lying.fits(list, *n as usize));
+fn count_as_ordered(agent: &Agent, list: &Rc<PieceList>, made: Progress, contents: &Contents) {
+    let there = (0..weights::count(list)).filter(|n| contents.fits(list, *n as usize));
     let there: Vec<u32> = there.collect();
     info!("pieces found, may be ordered", kv: {
         version = list.weights.version, bad = list.digests.len() - there.len()
--- a/crates/filbertstack-gateway/src/agent/mod.rs
+++ b/crates/filbertstack-gateway/src/agent/mod.rs
@@ -1,12 +1,12 @@
 //! The agent process beside a model engine: it tells the engine's load and brings its engine from
 //! one version of the weights to the next.
 
+mod contents;
 mod engine;
 mod gather;
-mod lying;
+mod inherited;
 mod orders;
 mod peers;
-mod remains;
 pub(crate) mod reports;
 mod rollout;
 mod stage;
--- a/crates/filbertstack-gateway/src/agent/orders.rs
+++ b/crates/filbertstack-gateway/src/agent/orders.rs
@@ -12,7 +12,7 @@
 use tokio::time::timeout;
 
 use crate::agent::Agent;
-use crate::agent::lying::is_mixed;
+use crate::agent::contents::is_mixed;
 use crate::agent::stage::OpenOrder;
 use crate::agent::visit::Outcome;
 use crate::agent::visit::Progress;
@@ -21,9 +21,6 @@
 /// How often the engine is asked whether it has begun an order: as often as it reports anyway.
 const LOOK: Duration = Duration::from_millis(100);
 
-/// How often it is tried to read what an engine began to load, before that counts as mixed.
-const CHECKS: u32 = 10;
-
 /// Sends the order to load what was found, and notes what is known of its outcome.
 ///
 /// # Errors
@@ -96,15 +93,17 @@
     let Some(list) = agent.stage.list(weights) else {
         return;
     };
-    for _ in 0..CHECKS {
+    loop {
         match is_mixed(agent, &list).await {
             Ok(false) => return,
             Ok(true) => break,
-            Err(error) => {
-                info!("pieces not compared", kv: { error = error.to_string() });
-                sleep(LOOK).await;
-            }
+            Err(error) => info!("pieces not compared", kv: { error = error.to_string() }),
+        }
+        let report = agent.engine.report();
+        if report.is_some_and(|report| report.born != born) {
+            return;
         }
+        sleep(LOOK).await;
     }
     warn!("engine may have loaded pieces of two versions: name a newer one, or start it again",
         kv: { version = weights.version, born = born });
--- a/crates/filbertstack-gateway/src/agent/rollout.rs
+++ b/crates/filbertstack-gateway/src/agent/rollout.rs
@@ -25,8 +25,8 @@
 
 use crate::agent::Agent;
 use crate::agent::gather::gather;
+use crate::agent::inherited::Predecessor;
 use crate::agent::orders;
-use crate::agent::remains::Predecessor;
 use crate::agent::visit::Found;
 use crate::agent::visit::Visit;
 use crate::agent::visit::Whole;
--- a/crates/filbertstack-gateway/src/agent/visit.rs
+++ b/crates/filbertstack-gateway/src/agent/visit.rs
@@ -127,8 +127,8 @@
     pub async fn read_back(mut self, list: &PieceList) -> Result<Found, VisitError> {
         let mut bad = Vec::new();
         for number in 0..weights::count(list) {
-            let lying = self.read_place(&list.weights.model, number).await?;
-            if !lying.is_some_and(|digest| weights::is_piece(list, number, &digest)) {
+            let contents = self.read_place(&list.weights.model, number).await?;
+            if !contents.is_some_and(|digest| weights::is_piece(list, number, &digest)) {
                 bad.push(number);
             }
         }
--- a/crates/filbertstack-policy/src/remains.rs
+++ b/crates/filbertstack-policy/src/inherited.rs
@@ -28,16 +28,16 @@
     /// Places with nothing in them.
     pub empty: usize,
     /// Places with something that fits no known version.
-    pub strange: usize,
+    pub unknown: usize,
 }
 
 /// What is known of the orders of an agent that has ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Remains {
+pub enum Inherited {
     /// No order may yet be begun.
     Nothing,
     /// An order to load this version may yet be begun.
-    Ordered(u64),
+    Order(u64),
     /// An order of a version that is not known may yet be begun.
     Unknown,
 }
@@ -51,21 +51,21 @@
 /// - A piece that fits nothing may have turned bad: the others tell which version it belonged to. Fit
 ///   they none that is newer than what is served, the version may be one whose list is not kept any
 ///   more.
-pub fn remains(served: u64, fits: &[Fit], others: Others) -> Remains {
+pub fn inherited(served: u64, fits: &[Fit], others: Others) -> Inherited {
     let whole = fits.iter().filter(|fit| fit.is_whole());
     if let Some(version) = whole.map(|fit| fit.version).max() {
-        return ordered_if_newer(served, version).unwrap_or(Remains::Nothing);
+        return ordered_if_newer(served, version).unwrap_or(Inherited::Nothing);
     }
-    if others.empty > 0 || others.strange == 0 {
-        return Remains::Nothing;
+    if others.empty > 0 || others.unknown == 0 {
+        return Inherited::Nothing;
     }
     let begun = fits.iter().filter(|fit| fit.fitting > 0);
     let likeliest = begun.max_by_key(|fit| (fit.fitting, fit.version));
     likeliest
         .and_then(|fit| ordered_if_newer(served, fit.version))
-        .unwrap_or(Remains::Unknown)
+        .unwrap_or(Inherited::Unknown)
 }
 
-fn ordered_if_newer(served: u64, version: u64) -> Option<Remains> {
-    (version > served).then_some(Remains::Ordered(version))
+fn ordered_if_newer(served: u64, version: u64) -> Option<Inherited> {
+    (version > served).then_some(Inherited::Order(version))
 }
--- a/crates/filbertstack-policy/src/lib.rs
+++ b/crates/filbertstack-policy/src/lib.rs
@@ -10,7 +10,7 @@
 //! - [`outlier`]: which targets get none for a while;
 //! - [`retry`]: what may be tried again or twice at once.
 //!
-//! An agent that starts judges with [`remains`] what may yet be loaded.
+//! An agent that starts judges with [`inherited`] what may yet be loaded.
 //!
 //! The leader of the replicated log decides with [`placement`] which instances hold which models, and
 //! with [`spread`] who fetches their weights from whom. Entries tell each other with [`gossip`]
@@ -22,6 +22,7 @@
 pub mod fair;
 pub mod flow;
 pub mod gossip;
+pub mod inherited;
 pub mod limit;
 pub mod outlier;
 pub mod pieces;
@@ -29,7 +30,7 @@
 pub mod prefix;
 pub mod recovery;
 pub mod registry;
-pub mod remains;
+
 pub mod repeats;
 pub mod retry;
 pub mod rollout;
--- a/crates/filbertstack-policy/tests/rollout.rs
+++ b/crates/filbertstack-policy/tests/rollout.rs
@@ -81,7 +81,8 @@
 fn floors(gap: Millis, span: Millis) -> Vec<(u64, u64)> {
     let mut named = Vec::new();
     let mut floors = Vec::new();
-    for (version, ms) in (2..).zip((0..span.0).step_by(gap.0 as usize)) {
+    let times = (0..span.0 / gap.0).map(|n| n * gap.0);
+    for (version, ms) in (2..).zip(times) {
         let now = Millis(ms);
         let newest = Named { version, at: now };
         remember(&mut named, newest, 4, now, BOUND);
