Log the digest of a request whose target was lost

Each attempt of a caller has an id of its own, so that logs could not show that engines end under one and the same request. It is computed only when a target is lost; nothing else changes.

--- a/crates/filbertstack-gateway/src/request/attempt.rs
+++ b/crates/filbertstack-gateway/src/request/attempt.rs
@@ -367,7 +367,8 @@
         Ok(response) => classify_answer(call, response, guard),
         Err(error) => {
             info!("answer lost", kv: {
-                request = call.head.id(), target = chosen.id.to_string(), error = error.to_string()
+                request = call.head.id(), target = chosen.id.to_string(),
+                error = error.to_string(), digest = call.digest().to_string()
             });
             guard.fail();
             Outcome::Unknown
--- a/crates/filbertstack-gateway/src/request/mod.rs
+++ b/crates/filbertstack-gateway/src/request/mod.rs
@@ -12,12 +12,14 @@
 mod waiting;
 
 use std::cell::Cell;
+use std::cell::OnceCell;
 use std::cell::RefCell;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
+use filbertstack_core::RequestDigest;
 use filbertstack_core::serving::Catalogue;
 use filbertstack_core::serving::Repeat;
 use filbertstack_core::serving::Route;
@@ -116,6 +118,8 @@
     pub deadline: Instant,
     /// Counts it among the requests in progress.
     pub in_flight: InFlight,
+    /// Its digest, once it was needed.
+    digest: OnceCell<RequestDigest>,
 }
 
 /// Counts one request until it is dropped.
@@ -154,6 +158,18 @@
         self.head.tokens.map_or(0, |(prompt, _)| prompt)
     }
 
+    /// Returns the digest that all repeats of this request share.
+    pub fn digest(&self) -> RequestDigest {
+        let path = self
+            .target
+            .path_and_query()
+            .map_or("", |path| path.as_str());
+        let organisation = self.organisation.as_deref();
+        *self
+            .digest
+            .get_or_init(|| RequestDigest::of(path, organisation, &self.body))
+    }
+
     /// Returns whether it may run again when it is unknown whether it ran.
     pub fn may_repeat(&self) -> bool {
         self.route.repeat != Repeat::Once
@@ -262,6 +278,7 @@
             waited,
             deadline,
             in_flight,
+            digest: OnceCell::new(),
         });
         let answer = timeout_at(deadline, attempt::run(self, &call)).await;
         answer.unwrap_or(Err(Refusal::late()))
