--- /dev/null
+++ b/tests/gateway/crashes.rs
@@ -0,0 +1,104 @@
+//! Tests requests that crash the engines that run them.
+
+use std::thread::sleep;
+use std::time::Duration;
+
+use crate::cluster::Answer;
+use crate::cluster::Cluster;
+use crate::cluster::document;
+use crate::cluster::wait_until;
+use crate::engine::Engine;
+use crate::engine::Received;
+use crate::engine::answer;
+use crate::engine::stream;
+
+/// An engine that runs a request with this body crashes.
+const CRASHING_BODY: &[u8] = b"crash";
+
+/// The number of engines that such a request may crash before it is sent no more.
+const CRASHES_ALLOWED: usize = 3;
+
+/// How often such a request may still reach engines later on.
+const RETRIES_ALLOWED: usize = 3;
+
+/// The time that entries have to learn of a third crash.
+const LEARN_TIME: Duration = Duration::from_secs(3);
+
+/// Starts engines of the service `stream` that send one event of a crashing request's answer.
+fn start_engines(count: usize) -> Vec<Engine> {
+    let behaviour = |received: &Received| {
+        if received.body == CRASHING_BODY {
+            let after: u64 = received.header("last-event-id").parse().unwrap_or(0);
+            return stream(received, after + 1, b"0\r\n\r\n".len());
+        }
+        answer(received, "200 OK", "ok")
+    };
+    let engines = (0..count).map(|_| Engine::crashed_by(CRASHING_BODY, Box::new(behaviour)));
+    engines.collect()
+}
+
+/// Starts one entry with a disk and `others` without, which know the engines.
+fn start_serving(others: usize, engines: &[Engine]) -> Cluster {
+    let cluster = Cluster::start(1, others);
+    cluster.put_document(&[0], &document(1));
+    for (n, engine) in engines.iter().enumerate() {
+        cluster.register(0, &format!("i-{n}"), "stream", engine.addr);
+    }
+    for n in 0..=others {
+        wait_until("an entry serves", || {
+            post(&cluster, n, "probe", b"probe").status == 200
+        });
+    }
+    cluster
+}
+
+/// Sends a request with `body` to an entry.
+fn post(cluster: &Cluster, n: usize, attempt: &str, body: &[u8]) -> Answer {
+    let request = format!(
+        "POST /stream/ HTTP/1.1\r\nHost: h.example\r\nX-Filbertstack-Attempt-Id: {attempt}\r\n\
+         X-Filbertstack-Deadline-Ms: 5000\r\nConnection: close\r\nContent-Length: {}\r\n\r\n{}",
+        body.len(),
+        String::from_utf8_lossy(body)
+    );
+    cluster.call(n, &request)
+}
+
+fn crashed(engines: &[Engine]) -> usize {
+    engines.iter().filter(|e| e.has_crashed()).count()
+}
+
+/// Returns how often a crashing request reached an engine.
+fn arrivals(engines: &[Engine]) -> usize {
+    let received = engines.iter().flat_map(Engine::received);
+    received.filter(|r| r.body == CRASHING_BODY).count()
+}
+
+/// Guards against a request that crashes one engine after another, as its callers repeat it at every entry.
+#[test]
+fn a_request_that_crashes_engines_is_not_sent_on_by_any_entry() {
+    let engines = start_engines(14);
+    let cluster = start_serving(2, &engines);
+    let mut calls = 0;
+    while crashed(&engines) < CRASHES_ALLOWED {
+        post(&cluster, calls % 3, &format!("a{calls}"), CRASHING_BODY);
+        calls += 1;
+    }
+    sleep(LEARN_TIME);
+    let before = arrivals(&engines);
+    for call in calls..calls + 12 {
+        post(&cluster, call % 3, &format!("a{call}"), CRASHING_BODY);
+    }
+    let retries = arrivals(&engines) - before;
+    assert!(
+        retries <= RETRIES_ALLOWED,
+        "{retries} more arrivals, {} engines crashed",
+        crashed(&engines)
+    );
+    for n in 0..3 {
+        let refused = post(&cluster, n, "last", CRASHING_BODY);
+        assert_eq!(refused.status, 503, "{}", refused.head);
+        assert!(refused.head.contains("retry-after: "), "{}", refused.head);
+        let served = post(&cluster, n, "other", b"another request");
+        assert_eq!(served.status, 200, "{}", served.head);
+    }
+}
--- a/tests/gateway/engine.rs
+++ b/tests/gateway/engine.rs
@@ -9,6 +9,8 @@
 use std::net::TcpStream;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::Duration;
 
@@ -40,28 +42,78 @@
     /// The address at which it serves.
     pub addr: SocketAddr,
     received: Arc<Mutex<Vec<Received>>>,
+    state: Arc<State>,
+}
+
+/// `State` is shared by the connections of an engine.
+struct State {
+    addr: SocketAddr,
+    /// The body of the requests that crash the engine.
+    crashed_by: Option<&'static [u8]>,
+    crashed: AtomicBool,
+}
+
+impl State {
+    /// Ends the engine: it accepts no more connections, and those that are open get no more answers.
+    fn crash(&self) {
+        self.crashed.store(true, Ordering::Relaxed);
+        // The connection wakes the thread that accepts, so that it closes the listener.
+        let _ = TcpStream::connect(self.addr);
+    }
+
+    fn has_crashed(&self) -> bool {
+        self.crashed.load(Ordering::Relaxed)
+    }
 }
 
 impl Engine {
     /// Starts an engine on a free port.
     pub fn start(behaviour: Behaviour) -> Self {
-        Self::paced(Duration::ZERO, behaviour)
+        Self::launch(Duration::ZERO, None, behaviour)
     }
 
     /// Starts an engine that pauses after each event of a stream.
     pub fn paced(pause: Duration, behaviour: Behaviour) -> Self {
+        Self::launch(pause, None, behaviour)
+    }
+
+    /// Starts an engine that crashes when it has sent its answer to a request with this body.
+    pub fn crashed_by(body: &'static [u8], behaviour: Behaviour) -> Self {
+        Self::launch(Duration::ZERO, Some(body), behaviour)
+    }
+
+    fn launch(pause: Duration, crashed_by: Option<&'static [u8]>, behaviour: Behaviour) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
         let addr = listener.local_addr().expect("bound");
         let received = Arc::new(Mutex::new(Vec::new()));
+        let state = Arc::new(State {
+            addr,
+            crashed_by,
+            crashed: AtomicBool::new(false),
+        });
         let recorded = received.clone();
         let behaviour = Arc::new(behaviour);
+        let shared = state.clone();
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
+                if shared.has_crashed() {
+                    return;
+                }
                 let (recorded, behaviour) = (recorded.clone(), behaviour.clone());
-                thread::spawn(move || serve(stream, pause, &recorded, &behaviour));
+                let state = shared.clone();
+                thread::spawn(move || serve(stream, pause, &recorded, &behaviour, &state));
             }
         });
-        Self { addr, received }
+        Self {
+            addr,
+            received,
+            state,
+        }
+    }
+
+    /// Returns whether a request has crashed the engine.
+    pub fn has_crashed(&self) -> bool {
+        self.state.has_crashed()
     }
 
     /// Returns all requests received so far.
@@ -75,11 +127,19 @@
     pause: Duration,
     recorded: &Mutex<Vec<Received>>,
     behaviour: &Behaviour,
+    state: &State,
 ) {
     let mut reader = BufReader::new(stream.try_clone().expect("a second handle"));
     while let Some(received) = read_request(&mut reader) {
+        if state.has_crashed() {
+            return;
+        }
         let answer = behaviour(&received);
+        let crashes = state.crashed_by == Some(&received.body[..]);
         recorded.lock().expect("not poisoned").push(received);
+        if crashes {
+            state.crash();
+        }
         // The caller leaves in some tests, so that a failure to send is expected.
         let sent = send_answer(&mut stream, pause, &answer);
         if sent.is_err() || !keeps_connection(&answer) {
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -3,6 +3,7 @@
 
 mod cluster;
 mod control;
+mod crashes;
 mod engine;
 mod fleet;
 mod model;
