Refuse a request that crashes the engines that run it, at every entry

What callers saw: a request under which three engines had ended was sent to engines 18 to 21 times more; 44 to 47 ended, and over a tenth of all generations with them.

Cause: nothing was remembered of a request once its attempts had ended. Each repeat, by whichever caller and entry, began with all its attempts and all engines. Class: a failure that belongs to a request was counted at its targets alone.

Ruled out: attempts beyond the route's limit (none in the logs); another reason for the ends of the engines (with the digest in the logs, the failing test's engines all end under one digest).

Now entries record by digest of path, organisation and body under which request a target was lost, and share it over the voters: each tells the other voters all losses, and entries only the requests that are refused. From the third lost target on every entry refuses it at once and says when to come back. A loss is refuted when the target is heard again or the same request is answered; one entry probes a refused request three times at most, so that one of many callers is not refused for good because a rack was lost under its copies.

Why it holds: every path to a target (first attempt, retry, resumed stream) asks for the verdict before it chooses and once more before it sends, and a loss counts at its own entry at once, at the others within half a second.

--- /dev/null
+++ b/crates/filbertstack-gateway/src/control/crashes.rs
@@ -0,0 +1,187 @@
+//! Shares the requests that crash targets between entries, over the voters.
+//!
+//! Entries tell their voter under which requests they lost targets. Voters tell each other all of them,
+//! and the other entries only those of the requests that are refused: a rack that is lost takes along
+//! thousands of requests that nobody repeats.
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use filbertstack_core::Millis;
+use filbertstack_core::RequestDigest;
+use filbertstack_policy::crashes::CRASH_LIMIT;
+use filbertstack_policy::crashes::CrashReport;
+use filbertstack_policy::crashes::Crashes;
+use filbertstack_policy::crashes::Verdict;
+use filbertstack_policy::crashes::prober;
+use filbertstack_policy::dispatch::TargetId;
+use spdlog::info;
+use tokio::time::sleep;
+
+use crate::control::node::Node;
+use crate::link::messages::CrashRow;
+use crate::link::messages::Crashes as CrashesMessage;
+use crate::link::messages::Interest;
+use crate::link::messages::Kind;
+use crate::link::messages::Notification;
+
+/// How often a node tells others what has changed. Over two voters, every entry knows a change within a
+/// fifth of a second, in which a request that is repeated ten times a second crashes two more targets.
+const TELL_INTERVAL: Duration = Duration::from_millis(50);
+
+/// The span in which an entry repeats what it told its voter, as a link may break with what was sent.
+const RETELL_SPAN: Millis = Millis(300);
+
+/// The records of one node.
+#[derive(Default)]
+pub struct CrashRecords {
+    crashes: RefCell<Crashes>,
+    /// When this node last told others what had changed.
+    told_at: Cell<Millis>,
+}
+
+impl Node {
+    /// Returns whether a request may be sent.
+    pub fn crash_verdict(&self, request: impl FnOnce() -> RequestDigest) -> Verdict {
+        let crashes = self.crashes.crashes.borrow();
+        if crashes.is_empty() {
+            return Verdict::Allowed;
+        }
+        let request = request();
+        if crashes.count(&request) < CRASH_LIMIT {
+            return Verdict::Allowed;
+        }
+        crashes.verdict(self.clock.now(), &request, self.is_prober(&request))
+    }
+
+    fn is_prober(&self, request: &RequestDigest) -> bool {
+        let rows = self.registry.present();
+        let entries = rows.iter().filter_map(|(id, kind, _)| match &**kind {
+            Kind::Entry(row) if !row.leaving => Some(&**id),
+            _ => None,
+        });
+        prober(request, entries) == Some(&self.entry_id())
+    }
+
+    /// Records that a target was lost while it ran a request.
+    pub fn record_crash(&self, request: RequestDigest, target: &TargetId) {
+        let mut crashes = self.crashes.crashes.borrow_mut();
+        crashes.record_loss(self.clock.now(), request, target);
+        let count = crashes.count(&request);
+        if count >= CRASH_LIMIT {
+            info!("request refused: it was lost with several targets", kv: {
+                digest = request.to_string(), targets = count
+            });
+        }
+    }
+
+    /// Records that a refused request is sent as a probe. Returns whether it may be sent.
+    pub fn record_probe(&self, request: RequestDigest, target: &TargetId) -> bool {
+        info!("refused request probed", kv: {
+            digest = request.to_string(), target = target.to_string()
+        });
+        let mut crashes = self.crashes.crashes.borrow_mut();
+        crashes.record_probe(self.clock.now(), request, target)
+    }
+
+    /// Records that a request was answered completely.
+    pub fn record_answer(&self, request: impl FnOnce() -> RequestDigest) {
+        let mut crashes = self.crashes.crashes.borrow_mut();
+        if !crashes.is_empty() {
+            crashes.record_answer(self.clock.now(), &request());
+        }
+    }
+
+    /// Records that bytes arrived from a target.
+    pub fn record_life(&self, target: &str) {
+        let mut crashes = self.crashes.crashes.borrow_mut();
+        crashes.record_life(self.clock.now(), target);
+    }
+
+    /// Merges the reports of another process.
+    pub fn merge_crashes(&self, message: &CrashesMessage) {
+        let now = self.clock.now();
+        let mut crashes = self.crashes.crashes.borrow_mut();
+        for report in message.rows.iter().filter_map(decode) {
+            let before = crashes.count(&report.request);
+            crashes.merge(now, &report);
+            let count = crashes.count(&report.request);
+            if before < CRASH_LIMIT && count >= CRASH_LIMIT {
+                info!("request refused: it was lost with several targets", kv: {
+                    digest = report.request.to_string(), targets = count
+                });
+            }
+        }
+    }
+
+    /// Returns the reports that a peer with this interest lacks if it has those from before `since`;
+    /// `None` if there are none.
+    pub fn crashes_since(&self, since: Millis, interest: Interest) -> Option<Notification> {
+        let crashes = self.crashes.crashes.borrow();
+        let reports = match interest {
+            Interest::All => crashes.refused_since(since),
+            Interest::Registered => crashes.reports_since(since),
+            Interest::Weights => Vec::new(),
+        };
+        (!reports.is_empty()).then(|| message(&reports))
+    }
+
+    /// Tells others what has changed: the followers if this node is a voter, else the voter that it
+    /// follows.
+    fn tell_crashes(&self) {
+        let now = self.clock.now();
+        let told_at = self.crashes.told_at.replace(now);
+        self.crashes.crashes.borrow_mut().update(now);
+        if self.voter.is_some() {
+            let refused = self.crashes_since(told_at, Interest::All);
+            let registered = self.crashes_since(told_at, Interest::Registered);
+            self.registry.notify(|interest| match interest {
+                Interest::All => refused.clone(),
+                Interest::Registered => registered.clone(),
+                Interest::Weights => None,
+            });
+            return;
+        }
+        let recent = self.crashes_since(now - RETELL_SPAN, Interest::Registered);
+        if let Some((voter, recent)) = self.followed().zip(recent) {
+            self.dialer.tell(voter, recent);
+        }
+    }
+}
+
+/// Tells others of lost targets, until the process ends.
+pub async fn tell_crashes(node: Rc<Node>) {
+    loop {
+        sleep(TELL_INTERVAL).await;
+        if !node.crashes.crashes.borrow().is_empty() {
+            node.tell_crashes();
+        }
+    }
+}
+
+fn message(reports: &[CrashReport]) -> Notification {
+    let rows = reports.iter().map(encode).collect();
+    Notification::Crashes(CrashesMessage { rows })
+}
+
+fn encode(report: &CrashReport) -> CrashRow {
+    CrashRow {
+        request: Bytes::copy_from_slice(report.request.as_bytes()),
+        target: report.target.to_string(),
+        probe: report.probe,
+        refuted: report.refuted,
+    }
+}
+
+/// Decodes a row; `None` if its digest has another length, as a later release may have.
+fn decode(row: &CrashRow) -> Option<CrashReport> {
+    Some(CrashReport {
+        request: RequestDigest::from_slice(&row.request)?,
+        target: row.target.as_str().into(),
+        probe: row.probe,
+        refuted: row.refuted,
+    })
+}
--- a/crates/filbertstack-gateway/src/control/follow.rs
+++ b/crates/filbertstack-gateway/src/control/follow.rs
@@ -266,6 +266,10 @@
         version: node.declared.version(),
         interest: node.interest.into(),
     }));
+    // The voter may have lost its own records.
+    if let Some(crashes) = node.crashes_since(Millis::ZERO, Interest::Registered) {
+        link.tell(crashes);
+    }
     let mut wanted = node.loads.watch_wanted();
     wanted.mark_changed();
     let mut followed = false;
@@ -344,6 +348,7 @@
             node.registry.merge(rows.rows, false);
         }
         Notification::Loads(loads) => node.loads.record(loads.rows, false),
+        Notification::Crashes(crashes) => node.merge_crashes(&crashes),
         Notification::Log(_)
         | Notification::Follow(_)
         | Notification::VoterHeartbeat(_)
@@ -391,6 +396,7 @@
         match news {
             Notification::Rows(rows) => node.registry.merge(rows.rows, false),
             Notification::Loads(loads) => node.loads.record(loads.rows, false),
+            Notification::Crashes(crashes) => node.merge_crashes(&crashes),
             Notification::VoterHeartbeat(pulse) => node.note_document(pulse.document),
             _ => {}
         }
--- a/crates/filbertstack-gateway/src/control/node.rs
+++ b/crates/filbertstack-gateway/src/control/node.rs
@@ -10,11 +10,13 @@
 use filbertstack_control::document::Effect;
 use filbertstack_control::document::KeptList;
 use filbertstack_control::document::Weights;
+use filbertstack_core::Millis;
 use thiserror::Error;
 use tokio::task::spawn_local;
 
 use crate::clock::Clock;
 use crate::control::ASK_TIMEOUT;
+use crate::control::crashes::CrashRecords;
 use crate::control::declared::DeclaredState;
 use crate::control::lag::Lag;
 use crate::control::loads::LoadFilter;
@@ -73,6 +75,8 @@
     pub registry: ProcessRegistry,
     /// The loads of engines.
     pub loads: Loads,
+    /// The requests under which targets were lost.
+    pub crashes: CrashRecords,
     /// The rows that no voter has accepted yet.
     pub unregistered: Unregistered,
     /// The links to other nodes.
@@ -106,6 +110,7 @@
             declared: DeclaredState::new(clock, rollout),
             registry: ProcessRegistry::new(clock),
             loads: Loads::default(),
+            crashes: CrashRecords::default(),
             unregistered: Unregistered::default(),
             dialer,
             interest,
@@ -299,6 +304,9 @@
             self.loads.subscribe(link, LoadFilter::Own);
         }
         self.registry.subscribe(link.clone(), interest);
+        if let Some(crashes) = self.crashes_since(Millis::ZERO, interest) {
+            link.tell(crashes);
+        }
         link.tell(self.pulse());
     }
 
@@ -377,6 +385,9 @@
             Notification::Loads(loads) if self.voter.is_some() => {
                 self.loads.record(loads.rows, true);
             }
+            Notification::Crashes(crashes) if self.voter.is_some() => {
+                self.merge_crashes(&crashes);
+            }
             Notification::Watch(watch) if self.voter.is_some() => {
                 let engines = watch.engines.into_iter().collect();
                 self.loads.subscribe(sender, LoadFilter::Engines(engines));
@@ -393,6 +404,7 @@
             | Notification::Part(_)
             | Notification::Rows(_)
             | Notification::Loads(_)
+            | Notification::Crashes(_)
             | Notification::Watch(_) => {}
         }
     }
--- a/crates/filbertstack-gateway/src/link/messages.rs
+++ b/crates/filbertstack-gateway/src/link/messages.rs
@@ -187,7 +187,7 @@
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct Tell {
     /// The content of the notification.
-    #[prost(oneof = "Notification", tags = "1, 2, 3, 4, 5, 6, 7, 8")]
+    #[prost(oneof = "Notification", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9")]
     pub notification: Option<Notification>,
 }
 
@@ -218,6 +218,9 @@
     /// A part of the newest document.
     #[prost(message, tag = "8")]
     Part(DocumentPart),
+    /// Targets that were lost under certain requests. Earlier releases ignore it.
+    #[prost(message, tag = "9")]
+    Crashes(Crashes),
 }
 
 /// A message of the replicated log, with the address of its sender.
@@ -489,6 +492,31 @@
     pub engines: Vec<u64>,
 }
 
+/// Targets that were lost while they ran certain requests.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Crashes {
+    /// One row for each request and target.
+    #[prost(message, repeated, tag = "1")]
+    pub rows: Vec<CrashRow>,
+}
+
+/// One request's loss of one target.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct CrashRow {
+    /// The digest of the request.
+    #[prost(bytes = "bytes", tag = "1")]
+    pub request: Bytes,
+    /// The id of the target.
+    #[prost(string, tag = "2")]
+    pub target: String,
+    /// Whether the request was sent there as a probe.
+    #[prost(bool, tag = "3")]
+    pub probe: bool,
+    /// Whether the loss has turned out not to be a crash by the request.
+    #[prost(bool, tag = "4")]
+    pub refuted: bool,
+}
+
 /// A voter's heartbeat, which also reports its state.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct VoterHeartbeat {
--- a/crates/filbertstack-gateway/src/request/attempt.rs
+++ b/crates/filbertstack-gateway/src/request/attempt.rs
@@ -12,6 +12,7 @@
 use filbertstack_platform::request::ReplyHead;
 use filbertstack_platform::request::set_forward_headers;
 use filbertstack_platform::request::strip_hop_headers;
+use filbertstack_policy::crashes::Verdict;
 use filbertstack_policy::dispatch::AttemptEnd;
 use filbertstack_policy::dispatch::ChooseError;
 use filbertstack_policy::dispatch::TargetId;
@@ -128,6 +129,7 @@
         if self.notified_at.elapsed() >= CHECK_INTERVAL {
             self.notified_at = Instant::now();
             self.requests.targets.record_bytes(&self.id);
+            self.requests.node.record_life(&self.id);
         }
     }
 
@@ -151,11 +153,19 @@
         self.ended = AttemptEnd::Failed;
     }
 
+    /// Records that the target was lost: its connection ended before the answer was complete.
+    pub fn lose(&mut self) {
+        self.fail();
+        let node = &self.requests.node;
+        node.record_crash(self.call.digest(), &self.id);
+    }
+
     /// Records that the answer is complete, and returns the connection to the pool if a later request may
     /// use it. The connections of requests that may run only once are closed: such requests always open new
     /// ones, and a target resets connections beyond its limit, idle ones included.
     pub fn finish(&mut self) {
         self.ended = AttemptEnd::Answered(Millis::from(self.sent_at.elapsed()));
+        self.requests.node.record_answer(|| self.call.digest());
         let keep = !self.closes_connection && self.call.may_repeat();
         let kept = self.connection.take().filter(|_| keep);
         if let Some(connection) = kept {
@@ -208,7 +218,9 @@
     let mut unknown = false;
     let mut failed = None;
     loop {
-        let chosen = if tries.targets.is_empty() {
+        let chosen = if let Some(refusal) = refuse_crashing(requests, call) {
+            Err(refusal)
+        } else if tries.targets.is_empty() {
             waiting::choose_first(requests, call)
                 .await
                 .map_err(to_refusal)
@@ -287,6 +299,27 @@
     Refusal::busy("no target can serve it in time", after)
 }
 
+/// Returns the refusal of a request that crashes the targets that run it, unless it may be sent.
+pub fn refuse_crashing(requests: &Requests, call: &Call) -> Option<Refusal> {
+    match requests.node.crash_verdict(|| call.digest()) {
+        Verdict::Allowed | Verdict::Probe => None,
+        Verdict::Refused { retry_after } => Some(Refusal::busy(
+            "the request was lost with several targets that ran it",
+            retry_after.into(),
+        )),
+    }
+}
+
+/// Returns whether the request may be sent to `target` now, and records a probe. The verdict may have
+/// changed while the request waited for a target or for its connection.
+fn may_send(requests: &Requests, call: &Call, target: &TargetId) -> bool {
+    match requests.node.crash_verdict(|| call.digest()) {
+        Verdict::Allowed => true,
+        Verdict::Probe => requests.node.record_probe(call.digest(), target),
+        Verdict::Refused { .. } => false,
+    }
+}
+
 /// A stream that broke off and that another target is to resume.
 #[derive(Clone, Copy, Debug)]
 pub struct Resume {
@@ -340,6 +373,10 @@
     if left < MIN_TIME_LEFT {
         return Outcome::NotRun;
     }
+    if !may_send(requests, call, &chosen.id) {
+        guard.ended = AttemptEnd::Refused;
+        return Outcome::NotRun;
+    }
     tries.sent += 1;
     log_sent(requests, call, chosen, tries);
     let onward = ForwardHeaders {
@@ -370,7 +407,12 @@
                 request = call.head.id(), target = chosen.id.to_string(),
                 error = error.to_string(), digest = call.digest().to_string()
             });
-            guard.fail();
+            // A target that sends invalid answers has not crashed.
+            if error.is_parse() {
+                guard.fail();
+            } else {
+                guard.lose();
+            }
             Outcome::Unknown
         }
     }
--- a/crates/filbertstack-gateway/src/request/relay.rs
+++ b/crates/filbertstack-gateway/src/request/relay.rs
@@ -30,6 +30,7 @@
 use crate::request::attempt::Tries;
 use crate::request::attempt::abort_error;
 use crate::request::attempt::choose;
+use crate::request::attempt::refuse_crashing;
 use crate::request::attempt::send;
 use crate::request::events::EventBuffer;
 use crate::request::targets::Chosen;
@@ -174,8 +175,12 @@
                 }
                 Progress::Ready(Some(Ok(Frame::data(data))))
             }
-            Some(Err(_)) => self.handle_loss("the target broke off"),
+            Some(Err(_)) => {
+                self.record_crash();
+                self.handle_loss("the target broke off")
+            }
             None if self.events.as_ref().is_some_and(EventBuffer::has_partial) => {
+                self.record_crash();
                 self.handle_loss("the target ended in mid event")
             }
             None => {
@@ -258,6 +263,12 @@
             && choose(&self.requests, &self.call, &self.tries).is_ok()
     }
 
+    fn record_crash(&mut self) {
+        if let Source::Target(_, guard) = &mut self.source {
+            guard.lose();
+        }
+    }
+
     /// Handles the loss of the target: another target resumes the stream, or the answer breaks off.
     fn handle_loss(&mut self, why: &'static str) -> Progress {
         let source = std::mem::replace(&mut self.source, Source::Ended);
@@ -349,6 +360,9 @@
     until: Instant,
 ) -> Result<Chosen, &'static str> {
     loop {
+        if let Some(refusal) = refuse_crashing(requests, call) {
+            return Err(refusal.why);
+        }
         let why = if requests.may_spend(&call.service) {
             match choose(requests, call, tries) {
                 Ok(chosen) if requests.spend(&call.service) => return Ok(chosen),
--- a/crates/filbertstack-policy/src/lib.rs
+++ b/crates/filbertstack-policy/src/lib.rs
@@ -21,6 +21,7 @@
 
 pub mod admission;
 pub mod cost;
+pub mod crashes;
 pub mod dispatch;
 pub mod fair;
 pub mod flow;
