Keep the requests that crash engines on the voters' disks

What callers would see: all processes are killed at once, and the request crashes engines anew, three and those that run its copies by then.

Cause: the record was in memory alone. Each voter now writes it to a file of its data folder as it changes, synced and renamed, and tells it to the others when it starts.

The stand-in's other answers are whole streams now: `ok` on a route of events counts as a stream that ends in mid event, which looked like a loss.

--- a/crates/filbertstack-gateway/src/control/crashes.rs
+++ b/crates/filbertstack-gateway/src/control/crashes.rs
@@ -98,7 +98,9 @@
     /// Records that bytes arrived from a target.
     pub fn record_life(&self, target: &str) {
         let mut crashes = self.crashes.crashes.borrow_mut();
-        crashes.record_life(self.clock.now(), target);
+        if !crashes.is_empty() {
+            crashes.record_life(self.clock.now(), target);
+        }
     }
 
     /// Merges the reports of another process.
@@ -129,6 +131,21 @@
         (!reports.is_empty()).then(|| message(&reports))
     }
 
+    /// Returns all records, as a message.
+    pub fn crash_records(&self) -> CrashesMessage {
+        let crashes = self.crashes.crashes.borrow();
+        let rows = crashes.reports_since(Millis::ZERO);
+        CrashesMessage {
+            rows: rows.iter().map(encode).collect(),
+        }
+    }
+
+    /// Returns whether a record has changed since `since`.
+    pub fn crashes_changed(&self, since: Millis) -> bool {
+        let crashes = self.crashes.crashes.borrow();
+        !crashes.reports_since(since).is_empty()
+    }
+
     /// Tells others what has changed: the followers if this node is a voter, else the voter that it
     /// follows.
     fn tell_crashes(&self) {
--- a/crates/filbertstack-gateway/src/entry/mod.rs
+++ b/crates/filbertstack-gateway/src/entry/mod.rs
@@ -25,6 +25,7 @@
 use crate::clock::unix_millis;
 use crate::control::EXPLAIN_INTERVAL;
 use crate::control::api::ControlApi;
+use crate::control::crash_file;
 use crate::control::crashes::tell_crashes;
 use crate::control::follow;
 use crate::control::node::Node;
@@ -122,6 +123,10 @@
     spawn_local(refresh_targets(node.clone(), requests.clone()));
     spawn_local(receive_loads(node.clone(), requests.clone()));
     spawn_local(tell_crashes(node.clone()));
+    if let Some(folder) = &settings.node.data {
+        crash_file::load(&node, folder);
+        spawn_local(crash_file::save_changes(node.clone(), folder.clone()));
+    }
     spawn_local(cache.clone().keep());
     spawn_local(keep_lists(node.clone(), node.entry_id()));
     spawn_local(register_own_row(
--- a/crates/filbertstack-gateway/src/request/attempt.rs
+++ b/crates/filbertstack-gateway/src/request/attempt.rs
@@ -165,6 +165,7 @@
     /// ones, and a target resets connections beyond its limit, idle ones included.
     pub fn finish(&mut self) {
         self.ended = AttemptEnd::Answered(Millis::from(self.sent_at.elapsed()));
+        self.requests.node.record_life(&self.id);
         self.requests.node.record_answer(|| self.call.digest());
         let keep = !self.closes_connection && self.call.may_repeat();
         let kept = self.connection.take().filter(|_| keep);
--- a/tests/gateway/crashes.rs
+++ b/tests/gateway/crashes.rs
@@ -9,7 +9,6 @@
 use crate::cluster::wait_until;
 use crate::engine::Engine;
 use crate::engine::Received;
-use crate::engine::answer;
 use crate::engine::stream;
 
 /// An engine that runs a request with this body crashes.
@@ -27,11 +26,10 @@
 /// Starts engines of the service `stream` that send one event of a crashing request's answer.
 fn start_engines(count: usize) -> Vec<Engine> {
     let behaviour = |received: &Received| {
-        if received.body == CRASHING_BODY {
-            let after: u64 = received.header("last-event-id").parse().unwrap_or(0);
-            return stream(received, after + 1, b"0\r\n\r\n".len());
-        }
-        answer(received, "200 OK", "ok")
+        let after: u64 = received.header("last-event-id").parse().unwrap_or(0);
+        let crashes = received.body == CRASHING_BODY;
+        let cut = if crashes { b"0\r\n\r\n".len() } else { 0 };
+        stream(received, after + 1, cut)
     };
     let engines = (0..count).map(|_| Engine::crashed_by(CRASHING_BODY, Box::new(behaviour)));
     engines.collect()
@@ -73,22 +71,33 @@
     received.filter(|r| r.body == CRASHING_BODY).count()
 }
 
-/// Guards against a request that crashes one engine after another, as its callers repeat it at every entry.
-#[test]
-fn a_request_that_crashes_engines_is_not_sent_on_by_any_entry() {
-    let engines = start_engines(14);
-    let cluster = start_serving(2, &engines);
+/// Lets a request crash engines until entries are to refuse it, and returns how often it was sent.
+fn crash_engines(cluster: &Cluster, engines: &[Engine]) -> usize {
     let mut calls = 0;
-    while crashed(&engines) < CRASHES_ALLOWED {
-        post(&cluster, calls % 3, &format!("a{calls}"), CRASHING_BODY);
+    while crashed(engines) < CRASHES_ALLOWED {
+        post(cluster, calls % 3, &format!("a{calls}"), CRASHING_BODY);
         calls += 1;
     }
     sleep(LEARN_TIME);
-    let before = arrivals(&engines);
-    for call in calls..calls + 12 {
-        post(&cluster, call % 3, &format!("a{call}"), CRASHING_BODY);
+    calls
+}
+
+/// Sends a crashing request 12 more times and returns how often it reaches an engine.
+fn count_retries(cluster: &Cluster, engines: &[Engine], sent: usize) -> usize {
+    let before = arrivals(engines);
+    for call in sent..sent + 12 {
+        post(cluster, call % 3, &format!("a{call}"), CRASHING_BODY);
     }
-    let retries = arrivals(&engines) - before;
+    arrivals(engines) - before
+}
+
+/// Guards against a request that crashes one engine after another, as its callers repeat it at every entry.
+#[test]
+fn a_request_that_crashes_engines_is_not_sent_on_by_any_entry() {
+    let engines = start_engines(14);
+    let cluster = start_serving(2, &engines);
+    let sent = crash_engines(&cluster, &engines);
+    let retries = count_retries(&cluster, &engines, sent);
     assert!(
         retries <= RETRIES_ALLOWED,
         "{retries} more arrivals, {} engines crashed",
@@ -102,3 +111,31 @@
         assert_eq!(served.status, 200, "{}", served.head);
     }
 }
+
+/// Guards against a request that crashes engines anew after all processes were killed at once.
+#[test]
+fn a_request_that_crashed_engines_is_refused_after_all_entries_restart() {
+    let engines = start_engines(14);
+    let mut cluster = start_serving(2, &engines);
+    let sent = crash_engines(&cluster, &engines);
+    for n in 0..3 {
+        cluster.kill(n);
+    }
+    for n in 0..3 {
+        cluster.launch(n);
+    }
+    for (n, engine) in engines.iter().enumerate().filter(|(_, e)| !e.has_crashed()) {
+        cluster.register(0, &format!("i-{n}"), "stream", engine.addr);
+    }
+    for n in 0..3 {
+        wait_until("an entry serves again", || {
+            post(&cluster, n, "probe", b"probe").status == 200
+        });
+    }
+    let retries = count_retries(&cluster, &engines, sent);
+    assert!(
+        retries <= RETRIES_ALLOWED,
+        "{retries} more arrivals, {} engines crashed",
+        crashed(&engines)
+    );
+}
