Log when a target changes the limit that it names

A target may name in its answers how many requests a second it takes. The header was passed on and not read, so that no log showed which entry had been told. Each entry now logs when the limit of a target changes; nothing else does.

--- a/crates/filbertstack-gateway/src/request/attempt.rs
+++ b/crates/filbertstack-gateway/src/request/attempt.rs
@@ -508,6 +508,12 @@
     let head = ReplyHead::read(response.headers(), call.head.attempt.as_ref());
     guard.idle_limit = head.idle_timeout;
     guard.closes_connection = head.closes_connection;
+    if head.answers_attempt && (head.sealed || head.rate_limit.is_some()) {
+        guard
+            .requests
+            .targets
+            .record_limit(&guard.id, head.rate_limit);
+    }
     if head.answers_attempt && (head.not_run || status == StatusCode::MISDIRECTED_REQUEST) {
         let misdirected = status == StatusCode::MISDIRECTED_REQUEST;
         let span = if misdirected {
--- a/crates/filbertstack-gateway/src/request/targets.rs
+++ b/crates/filbertstack-gateway/src/request/targets.rs
@@ -22,6 +22,7 @@
 use filbertstack_policy::rollout;
 use filbertstack_policy::subset;
 use filbertstack_policy::subset::Candidate;
+use spdlog::info;
 
 use crate::control::node::Node;
 use crate::link::messages::AgentRow;
@@ -38,6 +39,8 @@
     endpoints: RefCell<BTreeMap<TargetId, Endpoint>>,
     /// The engines among them by their packed addresses, as load reports identify them.
     engines: RefCell<BTreeMap<u64, TargetId>>,
+    /// The requests a second that targets take from all entries together, where they name a limit.
+    limits: RefCell<BTreeMap<TargetId, f64>>,
 }
 
 /// The address of a target and the version of the weights that its answers must come from.
@@ -74,6 +77,7 @@
             dispatcher: RefCell::new(dispatcher),
             endpoints: RefCell::default(),
             engines: RefCell::default(),
+            limits: RefCell::default(),
         }
     }
 
@@ -298,6 +302,21 @@
             .count_end(now, id, unread, ended);
     }
 
+    /// Records the limit that a target names in an answer, or that it names none.
+    pub fn record_limit(&self, id: &TargetId, limit: Option<f64>) {
+        let mut limits = self.limits.borrow_mut();
+        if limits.get(id).copied() == limit {
+            return;
+        }
+        info!("target changed its limit", kv: {
+            target = id.to_string(), requests_per_s = limit.unwrap_or(-1.0)
+        });
+        match limit {
+            Some(limit) => limits.insert(id.clone(), limit),
+            None => limits.remove(id),
+        };
+    }
+
     /// Excludes a target for a while.
     pub fn exclude(&self, id: &str, span: Millis) {
         let now = self.node.clock.now();
