--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -6,6 +6,7 @@
 mod crashes;
 mod engine;
 mod fleet;
+mod limits;
 mod model;
 mod orders;
 mod requests;
