Keep the limit that an engine names, over all entries together

What callers and engines saw: an engine that had named a limit of one request a second got 27 to 35 in 4 s from entries that it had told, where 11 are allowed.

Cause: nothing read the limit. It went to the caller with the other headers, and requests were sent by the engine's reported load, which is low where it needs rest. Class: a figure for all entries together that each would have to keep by itself.

Ruled out: a limit kept by each entry alone, or for first attempts alone: no code read the header, and the failing test had the same rate with and without it.

Now a few entries share a limited engine, one for each request a second and two more, each by a token bucket; the others send nothing there. All rank each other alike. At most 5.5 times the limit and 2 requests go out in four seconds, however the buckets coincide; 6 times and 5 are allowed. Limits, and their ends, are shared over the voters as the lost requests are; both now go through one module. An engine beyond its quota counts as full, not as gone, so that its callers are refused at once if no other can.

Why it holds: every path to an engine asks the dispatcher, which asks the quota.

--- a/crates/filbertstack-gateway/src/control/crashes.rs
+++ b/crates/filbertstack-gateway/src/control/crashes.rs
@@ -4,10 +4,7 @@
 //! and the other entries only those of the requests that are refused: a rack that is lost takes along
 //! thousands of requests that nobody repeats.
 
-use std::cell::Cell;
 use std::cell::RefCell;
-use std::rc::Rc;
-use std::time::Duration;
 
 use bytes::Bytes;
 use filbertstack_core::Millis;
@@ -19,7 +16,6 @@
 use filbertstack_policy::crashes::prober;
 use filbertstack_policy::dispatch::TargetId;
 use spdlog::info;
-use tokio::time::sleep;
 
 use crate::control::node::Node;
 use crate::link::messages::CrashRow;
@@ -28,19 +24,10 @@
 use crate::link::messages::Kind;
 use crate::link::messages::Notification;
 
-/// How often a node tells others what has changed. Over two voters, every entry knows a change within a
-/// fifth of a second, in which a request that is repeated ten times a second crashes two more targets.
-const TELL_INTERVAL: Duration = Duration::from_millis(50);
-
-/// The span in which an entry repeats what it told its voter, as a link may break with what was sent.
-const RETELL_SPAN: Millis = Millis(300);
-
 /// The records of one node.
 #[derive(Default)]
 pub struct CrashRecords {
     crashes: RefCell<Crashes>,
-    /// When this node last told others what had changed.
-    told_at: Cell<Millis>,
 }
 
 impl Node {
@@ -119,8 +106,7 @@
         }
     }
 
-    /// Returns the reports that a peer with this interest lacks if it has those from before `since`;
-    /// `None` if there are none.
+    /// Returns the changes since `since` for a peer with this interest; `None` if there are none.
     pub fn crashes_since(&self, since: Millis, interest: Interest) -> Option<Notification> {
         let crashes = self.crashes.crashes.borrow();
         let reports = match interest {
@@ -131,6 +117,12 @@
         (!reports.is_empty()).then(|| message(&reports))
     }
 
+    /// Reports the losses that have been suspected for long enough, and drops the old ones.
+    pub fn update_crashes(&self) {
+        let mut crashes = self.crashes.crashes.borrow_mut();
+        crashes.update(self.clock.now());
+    }
+
     /// Returns all records, as a message.
     pub fn crash_records(&self) -> CrashesMessage {
         let crashes = self.crashes.crashes.borrow();
@@ -145,38 +137,6 @@
         let crashes = self.crashes.crashes.borrow();
         !crashes.reports_since(since).is_empty()
     }
-
-    /// Tells others what has changed: the followers if this node is a voter, else the voter that it
-    /// follows.
-    fn tell_crashes(&self) {
-        let now = self.clock.now();
-        let told_at = self.crashes.told_at.replace(now);
-        self.crashes.crashes.borrow_mut().update(now);
-        if self.voter.is_some() {
-            let refused = self.crashes_since(told_at, Interest::All);
-            let registered = self.crashes_since(told_at, Interest::Registered);
-            self.registry.notify(|interest| match interest {
-                Interest::All => refused.clone(),
-                Interest::Registered => registered.clone(),
-                Interest::Weights => None,
-            });
-            return;
-        }
-        let recent = self.crashes_since(now - RETELL_SPAN, Interest::Registered);
-        if let Some((voter, recent)) = self.followed().zip(recent) {
-            self.dialer.tell(voter, recent);
-        }
-    }
-}
-
-/// Tells others of lost targets, until the process ends.
-pub async fn tell_crashes(node: Rc<Node>) {
-    loop {
-        sleep(TELL_INTERVAL).await;
-        if !node.crashes.crashes.borrow().is_empty() {
-            node.tell_crashes();
-        }
-    }
 }
 
 fn message(reports: &[CrashReport]) -> Notification {
--- a/crates/filbertstack-gateway/src/control/follow.rs
+++ b/crates/filbertstack-gateway/src/control/follow.rs
@@ -267,9 +267,7 @@
         interest: node.interest.into(),
     }));
     // The voter may have lost its own records.
-    if let Some(crashes) = node.crashes_since(Millis::ZERO, Interest::Registered) {
-        link.tell(crashes);
-    }
+    node.tell_observations(&link, Interest::Registered);
     let mut wanted = node.loads.watch_wanted();
     wanted.mark_changed();
     let mut followed = false;
@@ -349,6 +347,7 @@
         }
         Notification::Loads(loads) => node.loads.record(loads.rows, false),
         Notification::Crashes(crashes) => node.merge_crashes(&crashes),
+        Notification::Limits(limits) => node.merge_limits(&limits),
         Notification::Log(_)
         | Notification::Follow(_)
         | Notification::VoterHeartbeat(_)
@@ -397,6 +396,7 @@
             Notification::Rows(rows) => node.registry.merge(rows.rows, false),
             Notification::Loads(loads) => node.loads.record(loads.rows, false),
             Notification::Crashes(crashes) => node.merge_crashes(&crashes),
+            Notification::Limits(limits) => node.merge_limits(&limits),
             Notification::VoterHeartbeat(pulse) => node.note_document(pulse.document),
             _ => {}
         }
--- a/crates/filbertstack-gateway/src/control/node.rs
+++ b/crates/filbertstack-gateway/src/control/node.rs
@@ -10,7 +10,6 @@
 use filbertstack_control::document::Effect;
 use filbertstack_control::document::KeptList;
 use filbertstack_control::document::Weights;
-use filbertstack_core::Millis;
 use thiserror::Error;
 use tokio::task::spawn_local;
 
@@ -19,6 +18,7 @@
 use crate::control::crashes::CrashRecords;
 use crate::control::declared::DeclaredState;
 use crate::control::lag::Lag;
+use crate::control::limits::TargetLimits;
 use crate::control::loads::LoadFilter;
 use crate::control::loads::Loads;
 use crate::control::registry::ProcessRegistry;
@@ -47,6 +47,14 @@
 use crate::reload::Seeds;
 use crate::settings::Settings;
 
+/// The id of the row of an entry is this prefix and the name of its node.
+const ENTRY_ID_PREFIX: &str = "entry ";
+
+/// Returns the name of the node whose entry has the row `id`.
+pub fn entry_name(id: &str) -> Option<&str> {
+    id.strip_prefix(ENTRY_ID_PREFIX)
+}
+
 /// Why the group could not answer a question. A later attempt may succeed.
 #[derive(Debug, Error)]
 pub enum GroupError {
@@ -77,6 +85,8 @@
     pub loads: Loads,
     /// The requests under which targets were lost.
     pub crashes: CrashRecords,
+    /// The limits that targets name.
+    pub limits: TargetLimits,
     /// The rows that no voter has accepted yet.
     pub unregistered: Unregistered,
     /// The links to other nodes.
@@ -111,6 +121,7 @@
             registry: ProcessRegistry::new(clock),
             loads: Loads::default(),
             crashes: CrashRecords::default(),
+            limits: TargetLimits::default(),
             unregistered: Unregistered::default(),
             dialer,
             interest,
@@ -138,7 +149,7 @@
 
     /// Returns the id of the row of an entry in this process.
     pub fn entry_id(&self) -> String {
-        format!("entry {}", self.settings.node.name)
+        format!("{ENTRY_ID_PREFIX}{}", self.settings.node.name)
     }
 
     /// Records the voters. An empty list is ignored.
@@ -304,9 +315,7 @@
             self.loads.subscribe(link, LoadFilter::Own);
         }
         self.registry.subscribe(link.clone(), interest);
-        if let Some(crashes) = self.crashes_since(Millis::ZERO, interest) {
-            link.tell(crashes);
-        }
+        self.tell_observations(link, interest);
         link.tell(self.pulse());
     }
 
@@ -388,6 +397,9 @@
             Notification::Crashes(crashes) if self.voter.is_some() => {
                 self.merge_crashes(&crashes);
             }
+            Notification::Limits(limits) if self.voter.is_some() => {
+                self.merge_limits(&limits);
+            }
             Notification::Watch(watch) if self.voter.is_some() => {
                 let engines = watch.engines.into_iter().collect();
                 self.loads.subscribe(sender, LoadFilter::Engines(engines));
@@ -405,6 +417,7 @@
             | Notification::Rows(_)
             | Notification::Loads(_)
             | Notification::Crashes(_)
+            | Notification::Limits(_)
             | Notification::Watch(_) => {}
         }
     }
--- a/crates/filbertstack-gateway/src/control/registry.rs
+++ b/crates/filbertstack-gateway/src/control/registry.rs
@@ -31,6 +31,9 @@
 /// [`ROW_REPEAT`](crate::agent::reports::ROW_REPEAT).
 const AGENT_TIMEOUT: Millis = Millis::secs(3);
 
+/// A process that has not left: its id, its kind and state, and the position of its last statement.
+pub type RegistryRow = (Arc<str>, Rc<Kind>, Stamp);
+
 struct Follower {
     link: Sender,
     interest: Interest,
@@ -73,7 +76,7 @@
     }
 
     /// Returns the rows of all processes that have not left.
-    pub fn present(&self) -> Vec<(Arc<str>, Rc<Kind>, Stamp)> {
+    pub fn present(&self) -> Vec<RegistryRow> {
         let rows = self.rows.borrow();
         let present = rows.present();
         present
--- a/crates/filbertstack-gateway/src/entry/mod.rs
+++ b/crates/filbertstack-gateway/src/entry/mod.rs
@@ -26,10 +26,10 @@
 use crate::control::EXPLAIN_INTERVAL;
 use crate::control::api::ControlApi;
 use crate::control::crash_file;
-use crate::control::crashes::tell_crashes;
 use crate::control::follow;
 use crate::control::node::Node;
 use crate::control::node::serve_followers;
+use crate::control::observations::share_observations;
 use crate::control::unregistered::register_pending;
 use crate::control::voter::Voter;
 use crate::control::voter::VoterContext;
@@ -122,7 +122,7 @@
     spawn_local(register_pending(node.clone()));
     spawn_local(refresh_targets(node.clone(), requests.clone()));
     spawn_local(receive_loads(node.clone(), requests.clone()));
-    spawn_local(tell_crashes(node.clone()));
+    spawn_local(share_observations(node.clone()));
     if let Some(folder) = &settings.node.data {
         crash_file::load(&node, folder);
         spawn_local(crash_file::save_changes(node.clone(), folder.clone()));
@@ -202,6 +202,7 @@
 async fn refresh_targets(node: Rc<Node>, requests: Rc<Requests>) {
     let mut people = node.registry.watch();
     let mut declared = node.declared.watch();
+    let mut limits = node.limits.watch();
     loop {
         requests.targets().refresh();
         let rows = node.registry.present();
@@ -212,6 +213,7 @@
         tokio::select! {
             _ = people.changed() => {}
             _ = declared.changed() => {}
+            _ = limits.changed() => {}
             // A version of the weights becomes mandatory by the passing of time, without a change.
             () = sleep(ROW_INTERVAL) => {}
         }
--- a/crates/filbertstack-gateway/src/link/messages.rs
+++ b/crates/filbertstack-gateway/src/link/messages.rs
@@ -187,7 +187,7 @@
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct Tell {
     /// The content of the notification.
-    #[prost(oneof = "Notification", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9")]
+    #[prost(oneof = "Notification", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10")]
     pub notification: Option<Notification>,
 }
 
@@ -221,6 +221,9 @@
     /// Targets that were lost under certain requests. Earlier releases ignore it.
     #[prost(message, tag = "9")]
     Crashes(Crashes),
+    /// The limits that targets name. Earlier releases ignore it.
+    #[prost(message, tag = "10")]
+    Limits(Limits),
 }
 
 /// A message of the replicated log, with the address of its sender.
@@ -517,6 +520,28 @@
     pub refuted: bool,
 }
 
+/// The limits that targets name in their answers.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Limits {
+    /// One row for each target.
+    #[prost(message, repeated, tag = "1")]
+    pub rows: Vec<LimitRow>,
+}
+
+/// The limit of one target.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct LimitRow {
+    /// The id of the target.
+    #[prost(string, tag = "1")]
+    pub target: String,
+    /// The requests a second that it takes from all entries together; absent once it names no limit.
+    #[prost(double, optional, tag = "2")]
+    pub per_s: Option<f64>,
+    /// The number of changes of this limit so far.
+    #[prost(uint64, tag = "3")]
+    pub version: u64,
+}
+
 /// A voter's heartbeat, which also reports its state.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct VoterHeartbeat {
--- a/crates/filbertstack-gateway/src/request/targets.rs
+++ b/crates/filbertstack-gateway/src/request/targets.rs
@@ -18,13 +18,16 @@
 use filbertstack_policy::dispatch::TargetId;
 use filbertstack_policy::dispatch::TargetRequest;
 use filbertstack_policy::dispatch::TargetSpec;
+use filbertstack_policy::quota;
+use filbertstack_policy::quota::Sender;
 use filbertstack_policy::registry::Stamp;
 use filbertstack_policy::rollout;
 use filbertstack_policy::subset;
 use filbertstack_policy::subset::Candidate;
-use spdlog::info;
 
 use crate::control::node::Node;
+use crate::control::node::entry_name;
+use crate::control::registry::RegistryRow;
 use crate::link::messages::AgentRow;
 use crate::link::messages::Kind;
 use crate::link::messages::LoadRow;
@@ -39,8 +42,6 @@
     endpoints: RefCell<BTreeMap<TargetId, Endpoint>>,
     /// The engines among them by their packed addresses, as load reports identify them.
     engines: RefCell<BTreeMap<u64, TargetId>>,
-    /// The requests a second that targets take from all entries together, where they name a limit.
-    limits: RefCell<BTreeMap<TargetId, f64>>,
 }
 
 /// The address of a target and the version of the weights that its answers must come from.
@@ -77,7 +78,6 @@
             dispatcher: RefCell::new(dispatcher),
             endpoints: RefCell::default(),
             engines: RefCell::default(),
-            limits: RefCell::default(),
         }
     }
 
@@ -100,6 +100,7 @@
         let mut offered = Vec::new();
         let mut endpoints = BTreeMap::new();
         let mut engines = BTreeMap::new();
+        let mut quotas = Vec::new();
         for (id, row, addr) in latest {
             let agent = agents.get(row.addr.as_str()).copied();
             let sharers = Sharers {
@@ -113,22 +114,42 @@
                 }
                 engines.extend(pack_addr(addr).map(|packed| (packed, id.clone())));
             }
+            quotas.push((id.clone(), self.quota(&rows, id, row)));
             offered.push(target);
             endpoints.insert(id.clone(), endpoint);
         }
         self.node
             .loads
             .set_wanted(engines.keys().copied().collect());
-        self.dispatcher.borrow_mut().set_targets(offered);
+        let mut dispatcher = self.dispatcher.borrow_mut();
+        dispatcher.set_targets(offered);
+        for (id, per_s) in quotas {
+            dispatcher.set_quota(now, &id, per_s);
+        }
         *self.endpoints.borrow_mut() = endpoints;
         *self.engines.borrow_mut() = engines;
     }
 
+    /// Returns the requests a second that this entry may send to a target, if the target names a limit.
+    fn quota(&self, rows: &[RegistryRow], id: &str, row: &TargetRow) -> Option<f64> {
+        let limit = self.node.limits.limit(id)?;
+        let entries = rows.iter().filter_map(|(id, kind, _)| match &**kind {
+            Kind::Entry(entry) if !entry.leaving => Some(Sender {
+                name: entry_name(id)?,
+                local: entry.zone == row.zone,
+            }),
+            _ => None,
+        });
+        let entries: Vec<Sender<'_>> = entries.collect();
+        let own = &self.node.settings.node.name;
+        Some(quota::share(own, &row.addr, &entries, limit))
+    }
+
     /// Returns the addresses of the targets beside this entry, as the policy's `subset` defines it, each
     /// with the number of entries beside it.
     fn beside(
         &self,
-        rows: &[(Arc<str>, Rc<Kind>, Stamp)],
+        rows: &[RegistryRow],
         latest: &[(&TargetId, &TargetRow, SocketAddr)],
     ) -> BTreeMap<SocketAddr, u32> {
         let node = &self.node.settings.node;
@@ -302,21 +323,6 @@
             .count_end(now, id, unread, ended);
     }
 
-    /// Records the limit that a target names in an answer, or that it names none.
-    pub fn record_limit(&self, id: &TargetId, limit: Option<f64>) {
-        let mut limits = self.limits.borrow_mut();
-        if limits.get(id).copied() == limit {
-            return;
-        }
-        info!("target changed its limit", kv: {
-            target = id.to_string(), requests_per_s = limit.unwrap_or(-1.0)
-        });
-        match limit {
-            Some(limit) => limits.insert(id.clone(), limit),
-            None => limits.remove(id),
-        };
-    }
-
     /// Excludes a target for a while.
     pub fn exclude(&self, id: &str, span: Millis) {
         let now = self.node.clock.now();
@@ -338,7 +344,7 @@
 impl<'a> ZoneCounts<'a> {
     fn new(
         zone: &'a str,
-        rows: &[(Arc<str>, Rc<Kind>, Stamp)],
+        rows: &[RegistryRow],
         latest: &[(&TargetId, &'a TargetRow, SocketAddr)],
         used: &BTreeSet<SocketAddr>,
     ) -> Self {
@@ -386,9 +392,7 @@
 
 /// Returns the registered targets. Of two at one address it returns the one that started last: the other
 /// must have ended, as its address was assigned again.
-fn latest(
-    rows: &[(Arc<str>, Rc<Kind>, Stamp)],
-) -> impl Iterator<Item = (&TargetId, &TargetRow, SocketAddr)> {
+fn latest(rows: &[RegistryRow]) -> impl Iterator<Item = (&TargetId, &TargetRow, SocketAddr)> {
     let mut by_addr: BTreeMap<SocketAddr, (Stamp, &TargetId, &TargetRow)> = BTreeMap::new();
     for (id, kind, stamp) in rows {
         let Kind::Target(row) = &**kind else {
--- a/crates/filbertstack-policy/src/dispatch.rs
+++ b/crates/filbertstack-policy/src/dispatch.rs
@@ -184,6 +184,11 @@
                 continue;
             }
             let predicted = target.predict(now, prompt);
+            if !target.is_available(now) {
+                // The caller may retry soon: the target serves others, or this entry again.
+                lowest = lowest.min(predicted);
+                continue;
+            }
             if !cut_off && target.is_silent(now) {
                 if target.may_probe(now) {
                     probes.push((predicted, id.clone()));
@@ -234,7 +239,7 @@
     fn free_slots(&self, now: Millis, service: &str, limit: f64, cut_off: bool) -> [FreeSlots; 2] {
         let mut free_slots = [FreeSlots::default(); 2];
         for target in self.targets.values() {
-            let serves = &*target.spec.service == service && target.takes_work(now);
+            let serves = &*target.spec.service == service && target.is_available(now);
             if !serves || (!cut_off && target.is_silent(now)) {
                 continue;
             }
@@ -321,6 +326,14 @@
         }
     }
 
+    /// Sets this entry's share of the limit that a target names, in requests a second; `None` if it names
+    /// none.
+    pub fn set_quota(&mut self, now: Millis, id: &str, per_s: Option<f64>) {
+        if let Some(target) = self.targets.get_mut(id) {
+            target.set_quota(now, per_s);
+        }
+    }
+
     /// Suspends a target for `span`, because it refused a request for a reason that will persist for a
     /// while.
     pub fn suspend(&mut self, now: Millis, id: &str, span: Millis) {
--- a/crates/filbertstack-policy/src/dispatch/target.rs
+++ b/crates/filbertstack-policy/src/dispatch/target.rs
@@ -14,6 +14,7 @@
 use super::millis_f64;
 use crate::outlier::Health;
 use crate::outlier::Outlier;
+use crate::quota::Quota;
 use crate::units::millis;
 use crate::units::secs;
 
@@ -109,6 +110,8 @@
     outlier: Outlier,
     /// The time until which the target takes nothing, as it announced itself.
     suspended_until: Millis,
+    /// This entry's share of the limit that the target names, if it names one.
+    quota: Option<Quota>,
 }
 
 impl Target {
@@ -125,6 +128,20 @@
             mean_call_ms: INITIAL_CALL_MS,
             outlier: Outlier::default(),
             suspended_until: Millis::ZERO,
+            quota: None,
+        }
+    }
+
+    /// Returns whether the target takes work and this entry may send it a request now.
+    pub(super) fn is_available(&self, now: Millis) -> bool {
+        self.takes_work(now) && self.quota.is_none_or(|quota| quota.may_send(now))
+    }
+
+    /// Sets this entry's share of the target's limit, in requests a second.
+    pub(super) fn set_quota(&mut self, now: Millis, per_s: Option<f64>) {
+        match (&mut self.quota, per_s) {
+            (Some(quota), Some(per_s)) => quota.set_rate(now, per_s),
+            (quota, per_s) => *quota = per_s.map(|per_s| Quota::new(now, per_s)),
         }
     }
 
@@ -161,6 +178,9 @@
         if self.outlier.probe_due(now) {
             self.outlier.start_probe();
         }
+        if let Some(quota) = &mut self.quota {
+            quota.take(now);
+        }
         self.in_flight += 1;
         self.last_sent = now;
         self.unreported_sends.push_back(now);
--- a/crates/filbertstack-policy/src/lib.rs
+++ b/crates/filbertstack-policy/src/lib.rs
@@ -32,6 +32,7 @@
 pub mod pieces;
 pub mod placement;
 pub mod prefix;
+pub mod quota;
 pub mod recovery;
 pub mod registry;
 
--- a/crates/filbertstack-policy/src/subset.rs
+++ b/crates/filbertstack-policy/src/subset.rs
@@ -113,7 +113,8 @@
     a * other_parts < (b + 1) * parts && b * parts < (a + 1) * other_parts
 }
 
-fn rank(entry: &str, target: &str) -> u64 {
+/// Returns the rank of a target for an entry: an entry uses the targets of the highest ranks.
+pub(crate) fn rank(entry: &str, target: &str) -> u64 {
     mix(hash(entry) ^ hash(target).rotate_left(32))
 }
 
--- a/tests/gateway/limits.rs
+++ b/tests/gateway/limits.rs
@@ -2,6 +2,8 @@
 
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::thread;
 use std::thread::sleep;
 use std::time::Duration;
@@ -26,6 +28,9 @@
 const SPAN: Duration = Duration::from_secs(4);
 const ALLOWED: usize = 11;
 
+/// How often engines report, so that they stay registered.
+const HEARTBEAT: Duration = Duration::from_secs(1);
+
 /// How long callers send requests, and the pause of each between two.
 const LOAD_TIME: Duration = Duration::from_secs(12);
 const CALL_PAUSE: Duration = Duration::from_millis(50);
@@ -33,20 +38,48 @@
 /// The arrivals at an engine.
 type Arrivals = Arc<Mutex<Vec<Instant>>>;
 
-/// Starts an engine whose answers have the header lines `extra`, and records when requests reach it.
-fn start_engine(extra: &'static str) -> (Engine, Arrivals) {
+/// How much longer the engine without a limit takes, so that entries choose the other one if they may.
+const SLOW_ANSWER: Duration = Duration::from_millis(60);
+
+/// Starts an engine whose answers take `time`, and records when requests reach it. The engine names a limit
+/// while `limited` is true.
+fn start_engine(time: Duration, limited: bool) -> (Engine, Arrivals, Arc<AtomicBool>) {
+    let limited = Arc::new(AtomicBool::new(limited));
+    let names_limit = limited.clone();
     let arrivals = Arrivals::default();
     let recorded = arrivals.clone();
     let engine = Engine::start(Box::new(move |received: &Received| {
         recorded.lock().expect("not poisoned").push(Instant::now());
+        sleep(time);
         let id = received.header("x-filbertstack-attempt-id");
+        let extra = if names_limit.load(Ordering::Relaxed) {
+            LIMIT_HEADER
+        } else {
+            ""
+        };
         format!(
             "HTTP/1.1 200 OK\r\nX-Filbertstack-Attempt-Id: {id}\r\n\
              X-Filbertstack-Response-Seal: sealed\r\n{extra}Content-Length: 2\r\n\r\nok"
         )
         .into_bytes()
     }));
-    (engine, arrivals)
+    (engine, arrivals, limited)
+}
+
+/// Starts four entries that know both engines.
+fn start_serving(first: &Engine, second: &Engine) -> Cluster {
+    let cluster = Cluster::start(1, 3);
+    cluster.put_document(&[0], &document(1));
+    register(&cluster, first, second);
+    for n in 0..4 {
+        cluster.await_service(n, "/safe/");
+    }
+    cluster
+}
+
+fn register(cluster: &Cluster, first: &Engine, second: &Engine) {
+    cluster.register(0, "i-1", "safe", first.addr);
+    cluster.register(0, "i-2", "safe", second.addr);
 }
 
 /// Returns the most arrivals in any [`SPAN`] that begins at `from` or later.
@@ -65,15 +98,9 @@
 /// Guards against entries that each keep a limit by themselves, or do not keep it at all.
 #[test]
 fn entries_keep_a_limit_together() {
-    let (limited, arrivals) = start_engine(LIMIT_HEADER);
-    let (free, _) = start_engine("");
-    let cluster = Cluster::start(1, 3);
-    cluster.put_document(&[0], &document(1));
-    cluster.register(0, "i-1", "safe", limited.addr);
-    cluster.register(0, "i-2", "safe", free.addr);
-    for n in 0..4 {
-        cluster.await_service(n, "/safe/");
-    }
+    let (limited, arrivals, _) = start_engine(Duration::ZERO, true);
+    let (free, _, _) = start_engine(SLOW_ANSWER, false);
+    let cluster = start_serving(&limited, &free);
     wait_until("the limit is named", || !limited.received().is_empty());
     let named_at = arrivals.lock().expect("not poisoned")[0];
     let began = Instant::now();
@@ -93,9 +120,43 @@
         })
     });
     let callers: Vec<_> = callers.collect();
+    while began.elapsed() < LOAD_TIME {
+        sleep(HEARTBEAT);
+        register(&cluster, &limited, &free);
+    }
     let refused: usize = callers.into_iter().map(|c| c.join().expect("ended")).sum();
     let most = most_in_span(&arrivals, named_at + LEARN_TIME);
     assert!(most <= ALLOWED, "{most} requests in 4 s, allowed {ALLOWED}");
     assert!(most > 0, "a limit of one a second leaves some");
     assert_eq!(refused, 0, "the other engine serves the rest");
 }
+
+/// Guards against entries that keep a limit which its engine no longer names, as they get no answer from it.
+#[test]
+fn every_entry_learns_that_a_limit_has_ended() {
+    let (first, arrivals, names_limit) = start_engine(Duration::ZERO, true);
+    let (second, _, _) = start_engine(SLOW_ANSWER, false);
+    let cluster = start_serving(&first, &second);
+    let call = |n: usize, attempt: &str| {
+        let answer = exchange(&cluster.front_addr(n), &get("/safe/", attempt, ""));
+        assert!(answer.is_some_and(|answer| answer.status == 200));
+    };
+    for n in 0..4 {
+        wait_until("an entry knows the limit", || {
+            call(n, "a");
+            let before = arrivals.lock().expect("not poisoned").len();
+            (0..20).for_each(|_| call(n, "a"));
+            arrivals.lock().expect("not poisoned").len() < before + 10
+        });
+    }
+    names_limit.store(false, Ordering::Relaxed);
+    for n in 0..4 {
+        wait_until("an entry sends as before", || {
+            register(&cluster, &first, &second);
+            (0..4).for_each(|n| call(n, "b"));
+            let before = arrivals.lock().expect("not poisoned").len();
+            (0..10).for_each(|_| call(n, "c"));
+            arrivals.lock().expect("not poisoned").len() >= before + 8
+        });
+    }
+}
