An answer of another instance names no limit of the target

An engine that starts again at the address of an earlier one answers 421, and its limit was recorded for the earlier one. Found by reading; harmless so far, as that instance is gone.

--- a/crates/filbertstack-gateway/src/request/attempt.rs
+++ b/crates/filbertstack-gateway/src/request/attempt.rs
@@ -508,15 +508,16 @@
     let head = ReplyHead::read(response.headers(), call.head.attempt.as_ref());
     guard.idle_limit = head.idle_timeout;
     guard.closes_connection = head.closes_connection;
-    // A limit ends only with an answer that is certainly the target's own, to a request that it ran.
+    // An answer of another instance says nothing about the target, and a limit ends only with an answer to
+    // a request that the target ran.
+    let misdirected = status == StatusCode::MISDIRECTED_REQUEST;
     let ran = head.sealed && !head.not_run;
-    if head.answers_attempt && (ran || head.rate_limit.is_some()) {
+    if head.answers_attempt && !misdirected && (ran || head.rate_limit.is_some()) {
         let node = &guard.requests.node;
         let sent_at = node.clock.now() - Millis::from(guard.sent_at.elapsed());
         node.record_limit(&guard.id, head.rate_limit, sent_at);
     }
-    if head.answers_attempt && (head.not_run || status == StatusCode::MISDIRECTED_REQUEST) {
-        let misdirected = status == StatusCode::MISDIRECTED_REQUEST;
+    if head.answers_attempt && (head.not_run || misdirected) {
         let span = if misdirected {
             MISDIRECTED_EXCLUSION
         } else {
