--- a/tests/gateway/crashes.rs
+++ b/tests/gateway/crashes.rs
@@ -50,10 +50,15 @@
     cluster
 }
 
-/// Sends a request with `body` to an entry.
+/// Sends a request for a stream with `body` to an entry.
 fn post(cluster: &Cluster, n: usize, attempt: &str, body: &[u8]) -> Answer {
+    post_to(cluster, n, "/stream/", attempt, body)
+}
+
+/// Sends a request for `path` with `body` to an entry.
+fn post_to(cluster: &Cluster, n: usize, path: &str, attempt: &str, body: &[u8]) -> Answer {
     let request = format!(
-        "POST /stream/ HTTP/1.1\r\nHost: h.example\r\nX-Filbertstack-Attempt-Id: {attempt}\r\n\
+        "POST {path} HTTP/1.1\r\nHost: h.example\r\nX-Filbertstack-Attempt-Id: {attempt}\r\n\
          X-Filbertstack-Deadline-Ms: 5000\r\nConnection: close\r\nContent-Length: {}\r\n\r\n{}",
         body.len(),
         String::from_utf8_lossy(body)
@@ -139,3 +144,27 @@
         crashed(&engines)
     );
 }
+
+/// Guards against a request that may run only once and crashes an engine each time its caller repeats it.
+/// While its fate is unknown the caller must not be told that it has not run.
+#[test]
+fn a_request_that_may_run_once_is_refused_after_three_crashes() {
+    let engines = (0..6).map(|_| Engine::crashed_by(CRASHING_BODY, Box::new(|_| Vec::new())));
+    let engines: Vec<Engine> = engines.collect();
+    let cluster = Cluster::start(1, 0);
+    cluster.put_document(&[0], &document(1));
+    for (n, engine) in engines.iter().enumerate() {
+        cluster.register(0, &format!("i-{n}"), "once", engine.addr);
+    }
+    let mut statuses = Vec::new();
+    while statuses.last() != Some(&503) || crashed(&engines) < CRASHES_ALLOWED {
+        let attempt = format!("a{}", statuses.len());
+        let answer = post_to(&cluster, 0, "/once/", &attempt, CRASHING_BODY);
+        statuses.push(answer.status);
+    }
+    let lost = statuses.iter().filter(|status| **status == 502).count();
+    assert_eq!((lost, arrivals(&engines)), (3, 3), "{statuses:?}");
+    let refused = post_to(&cluster, 0, "/once/", "last", CRASHING_BODY);
+    assert_eq!(refused.status, 503);
+    assert!(refused.head.contains("retry-after: "), "{}", refused.head);
+}
