A failure does not end the limit of an engine

What callers' engines would see: an engine in need fails a request, its answer names no limit, and all entries send as before until the next answer names it again.

Cause: any sealed answer without the header ended the limit. Now only an answer of success does. The test logs the end of the limit before, and none after.

--- a/crates/filbertstack-gateway/src/request/attempt.rs
+++ b/crates/filbertstack-gateway/src/request/attempt.rs
@@ -509,10 +509,10 @@
     guard.idle_limit = head.idle_timeout;
     guard.closes_connection = head.closes_connection;
     // An answer of another instance says nothing about the target, and a limit ends only with an answer to
-    // a request that the target ran.
+    // a request that the target served.
     let misdirected = status == StatusCode::MISDIRECTED_REQUEST;
-    let ran = head.sealed && !head.not_run;
-    if head.answers_attempt && !misdirected && (ran || head.rate_limit.is_some()) {
+    let served = head.sealed && status.is_success();
+    if head.answers_attempt && !misdirected && (served || head.rate_limit.is_some()) {
         let node = &guard.requests.node;
         let sent_at = node.clock.now() - Millis::from(guard.sent_at.elapsed());
         node.record_limit(&guard.id, head.rate_limit, sent_at);
--- a/crates/filbertstack-policy/src/crashes.rs
+++ b/crates/filbertstack-policy/src/crashes.rs
@@ -112,16 +112,15 @@
         matches!(self.state, State::Suspected | State::Reported)
     }
 
-    /// Refutes the loss. Returns whether others are to be told.
-    fn refute(&mut self, now: Millis) -> bool {
+    /// Refutes the loss. Others are told if it was reported to them.
+    fn refute(&mut self, now: Millis) {
         let state = match self.state {
             State::Suspected => State::Dismissed,
             State::Reported => State::Refuted,
-            State::Refuted | State::Dismissed => return false,
+            State::Refuted | State::Dismissed => return,
         };
         self.state = state;
         self.changed_at = now;
-        state == State::Refuted
     }
 }
 
@@ -198,7 +197,7 @@
         }
     }
 
-    /// Records that bytes arrived from `target`: it has not crashed before.
+    /// Records that bytes arrived from `target`, so that its earlier losses were no crashes.
     pub fn record_life(&mut self, now: Millis, target: &str) {
         let Some(requests) = self.targets.get(target) else {
             return;
--- a/tests/gateway/limits.rs
+++ b/tests/gateway/limits.rs
@@ -160,3 +160,31 @@
         });
     }
 }
+
+/// Guards against a limit that seems to end with a failure, whose answer names none.
+#[test]
+fn a_failure_does_not_end_a_limit() {
+    let engine = Engine::start(Box::new(|received: &Received| {
+        let id = received.header("x-filbertstack-attempt-id");
+        let (status, extra) = if received.line.contains("/safe/fail") {
+            ("500 Internal Server Error", "")
+        } else {
+            ("200 OK", LIMIT_HEADER)
+        };
+        format!(
+            "HTTP/1.1 {status}\r\nX-Filbertstack-Attempt-Id: {id}\r\n\
+             X-Filbertstack-Response-Seal: sealed\r\n{extra}Content-Length: 2\r\n\r\nno"
+        )
+        .into_bytes()
+    }));
+    let cluster = Cluster::start(1, 0);
+    cluster.put_document(&[0], &document(1));
+    cluster.register(0, "i-1", "safe", engine.addr);
+    cluster.await_service(0, "/safe/");
+    wait_until("the request fails", || {
+        cluster.register(0, "i-1", "safe", engine.addr);
+        cluster.call(0, &get("/safe/fail", "a", "")).status == 500
+    });
+    assert!(cluster.has_logged(0, "target changed its limit"));
+    assert!(!cluster.has_logged(0, "\"requests_per_s\":-1"));
+}
