A failure does not clear a request that crashes engines

What callers would see: an engine that fails part of its requests without running them fails the request as well, which clears its record, and it crashes three more engines.

Cause: any complete answer refuted the losses of its request. Now only an answer of success does. Found by reading.

--- a/crates/filbertstack-gateway/src/control/crashes.rs
+++ b/crates/filbertstack-gateway/src/control/crashes.rs
@@ -74,7 +74,7 @@
         crashes.record_probe(self.clock.now(), request, target)
     }
 
-    /// Records that a request was answered completely.
+    /// Records that a request was answered completely and with success.
     pub fn record_answer(&self, request: impl FnOnce() -> RequestDigest) {
         let mut crashes = self.crashes.crashes.borrow_mut();
         if !crashes.is_empty() {
--- a/crates/filbertstack-gateway/src/request/attempt.rs
+++ b/crates/filbertstack-gateway/src/request/attempt.rs
@@ -166,7 +166,10 @@
     pub fn finish(&mut self) {
         self.ended = AttemptEnd::Answered(Millis::from(self.sent_at.elapsed()));
         self.requests.node.record_life(&self.id);
-        self.requests.node.record_answer(|| self.call.digest());
+        // A target may fail a request without running it.
+        if StatusCode::from_u16(self.status).is_ok_and(|status| status.is_success()) {
+            self.requests.node.record_answer(|| self.call.digest());
+        }
         let keep = !self.closes_connection && self.call.may_repeat();
         let kept = self.connection.take().filter(|_| keep);
         if let Some(connection) = kept {
--- a/crates/filbertstack-policy/src/crashes.rs
+++ b/crates/filbertstack-policy/src/crashes.rs
@@ -189,7 +189,7 @@
         self.insert(request, target, loss)
     }
 
-    /// Records that a request was answered completely: none of its losses was a crash.
+    /// Records that a request was answered completely and with success: none of its losses was a crash.
     pub fn record_answer(&mut self, now: Millis, request: &RequestDigest) {
         let losses = self.requests.get_mut(request);
         for loss in losses.into_iter().flat_map(BTreeMap::values_mut) {
--- a/tests/gateway/crashes.rs
+++ b/tests/gateway/crashes.rs
@@ -9,6 +9,7 @@
 use crate::cluster::wait_until;
 use crate::engine::Engine;
 use crate::engine::Received;
+use crate::engine::answer;
 use crate::engine::stream;
 
 /// An engine that runs a request with this body crashes.
@@ -168,3 +169,35 @@
     assert_eq!(refused.status, 503);
     assert!(refused.head.contains("retry-after: "), "{}", refused.head);
 }
+
+/// Guards against a failure of one engine that clears a request which crashed others.
+#[test]
+fn a_failure_does_not_clear_a_request_that_crashes_engines() {
+    let engines = start_engines(6);
+    let failing = Engine::start(Box::new(|received| {
+        answer(received, "500 Internal Server Error", "failed")
+    }));
+    let cluster = Cluster::start(1, 0);
+    cluster.put_document(&[0], &document(1));
+    let register = |range: std::ops::Range<usize>| {
+        for n in range {
+            cluster.register(0, &format!("i-{n}"), "stream", engines[n].addr);
+        }
+    };
+    register(0..2);
+    wait_until("two engines have crashed", || {
+        post(&cluster, 0, "a", CRASHING_BODY);
+        crashed(&engines) == 2
+    });
+    cluster.register(0, "failing", "stream", failing.addr);
+    wait_until("an engine fails the request", || {
+        post(&cluster, 0, "b", CRASHING_BODY).status == 500
+    });
+    cluster.control(0, "DELETE", "/instances/failing", "");
+    register(2..6);
+    wait_until("the request is refused", || {
+        let answer = post(&cluster, 0, "c", CRASHING_BODY);
+        answer.body.contains("lost with several targets")
+    });
+    assert_eq!(crashed(&engines), CRASHES_ALLOWED);
+}
