--- a/crates/filbertstack-policy/src/crashes.rs
+++ b/crates/filbertstack-policy/src/crashes.rs
@@ -8,11 +8,11 @@
 //! voters collect the records of all entries. A request that lost [`CRASH_LIMIT`] targets is refused at
 //! every entry. Requests that merely ran beside it are lost as well, but each of them is answered once
 //! it runs elsewhere. Two observations refute a loss: the target sends something later, so only its
-//! connection broke; or the same request is answered, so it does not crash targets.
+//! connection broke; or the same request is answered with success, so it does not crash targets.
 //!
 //! Many callers may send the same request, and some of its copies are at several targets of a rack that
-//! is lost. So a refused request is probed: one entry, the [`prober`], sends it once after a pause. An
-//! answer clears it. A probe counts as a loss until it is answered, so that no other follows at once,
+//! is lost. So a refused request is probed: one entry, the [`prober`], sends it once after a pause, and
+//! a success clears it. A probe counts as a loss until it is answered, so that no other follows at once,
 //! and there are as many probes as [`PROBE_PAUSES`] has entries.
 //!
 //! Decisions depend only on the time and the observations passed in. They use no clock, network or
--- a/crates/filbertstack-policy/src/dispatch.rs
+++ b/crates/filbertstack-policy/src/dispatch.rs
@@ -19,6 +19,9 @@
 //! resumes. An engine that has missed several reports therefore gets nothing but a probe, unless most
 //! engines are silent: then it is the entry that receives no reports.
 //!
+//! A target that names a limit for all entries gets no more than this entry's [quota](crate::quota). It
+//! counts as full beyond that, so that its callers are not told that the service is gone.
+//!
 //! Decisions depend only on the time and the observations passed in. They use no clock, network or
 //! thread.
 
--- a/crates/filbertstack-policy/src/lib.rs
+++ b/crates/filbertstack-policy/src/lib.rs
@@ -12,6 +12,9 @@
 //! - [`outlier`] excludes targets for a while;
 //! - [`retry`] decides which requests may be retried or hedged.
 //!
+//! Entries use [`crashes`] to refuse requests that crash targets, and [`quota`] to keep together the limits that
+//! targets name.
+//!
 //! An agent that starts uses [`inherited`] to determine which version its engine may already have been
 //! ordered to load.
 //!
