--- a/crates/filbertstack-policy/src/quota.rs
+++ b/crates/filbertstack-policy/src/quota.rs
@@ -7,9 +7,9 @@
 //! itself, a hundred entries would send a hundred times as much. With even shares of a small limit, each
 //! entry saves up a request while it is idle, and all of them may send theirs at the same moment.
 //!
-//! So a few entries share a limited target, one for each request a second and [`EXTRA_USERS`] more, and
-//! the others send nothing there. All entries rank each other alike, without coordination, and learn of
-//! limits from each other. A user's answers show when the limit ends, which the other entries are told.
+//! So a few entries share a limited target, one for each request a second and two more, and the others
+//! send nothing there. All entries rank each other alike, without coordination, and learn of limits from
+//! each other. A user's answers show when the limit ends, which the other entries are told.
 //!
 //! Decisions depend only on the time and the observations passed in. They use no clock, network or
 //! thread.
