Send an engine no more prompts than it reads within the goal

What callers saw: in the two seconds after an outage of all entries nearly every answer came late.

Cause: an entry's share was a part of an engine's free slots. An empty engine has a dozen, and entries together filled them between two reports, each with a prompt unread: 12 x 47 ms of reading against a goal of 400 ms. Two estimates made it worse: the rate of an entry's callers started at zero after its start, so that slots looked plentiful, and the callers were spread over all registered engines, those that still loaded included.

The free slots are now bounded by the prompts that an engine reads within the goal, less those it has not read, worked out from the change of its reported load. The rate counts the observed part of its window only, and is spread over the engines that take work.

The test fails on the code before at 30 entries.

--- a/crates/filbertstack-policy/src/dispatch.rs
+++ b/crates/filbertstack-policy/src/dispatch.rs
@@ -242,13 +242,13 @@
     fn free_slots(&self, now: Millis, service: &str, limit: f64, cut_off: bool) -> [FreeSlots; 2] {
         let mut free_slots = [FreeSlots::default(); 2];
         for target in self.targets.values() {
-            let serves = &*target.spec.service == service && target.is_available(now);
-            if !serves || (!cut_off && target.is_silent(now)) {
+            if &*target.spec.service != service {
                 continue;
             }
-            if let Some(free) = target.free_slots(now, limit) {
-                free_slots[usize::from(target.spec.local)].add(free, target.spec.sharers);
-            }
+            let is_heard = cut_off || !target.is_silent(now);
+            let free = target.free_slots(now, limit);
+            let free = free.filter(|_| is_heard && target.is_available(now));
+            free_slots[usize::from(target.spec.local)].add(free, target.spec.sharers);
         }
         free_slots
     }
--- a/crates/filbertstack-policy/src/dispatch/share.rs
+++ b/crates/filbertstack-policy/src/dispatch/share.rs
@@ -41,6 +41,10 @@
 /// The time constant of the mean rate of an entry's requests.
 const RATE_WINDOW: Millis = Millis(2_000);
 
+/// The least observed part of [`RATE_WINDOW`] for which the rate is corrected: with less, a single request
+/// would count as a burst.
+const MIN_WEIGHT: f64 = 0.1;
+
 /// The entries that share a target's slots: those of `entries` that use it, as each uses `used` of
 /// `targets`.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -78,6 +82,8 @@
 pub(super) struct Demand {
     per_ms: f64,
     last: Millis,
+    /// The part of the mean's weight that has been observed.
+    weight: f64,
 }
 
 impl Demand {
@@ -86,8 +92,15 @@
         let mean = millis_f64(RATE_WINDOW);
         let decay = (-millis_f64(now.since(self.last)) / mean).exp();
         self.per_ms = self.per_ms * decay + 1.0 / mean;
+        self.weight = self.weight * decay + 1.0 - decay;
         self.last = now;
     }
+
+    /// Returns the mean requests per millisecond. An entry that has just started has observed little of
+    /// the window, and its demand would look small while the callers of an outage return.
+    fn per_ms(self) -> f64 {
+        self.per_ms / self.weight.max(MIN_WEIGHT)
+    }
 }
 
 /// The free slots of the targets of one service, either in the local zone or in other zones.
@@ -95,21 +108,27 @@
 pub(super) struct FreeSlots {
     sum: f64,
     count: f64,
+    /// The number of targets that the entry uses, those that take no work included.
+    used: f64,
     entries_per_target: f64,
 }
 
 impl FreeSlots {
-    /// Adds a target with `free` free slots.
-    pub(super) fn add(&mut self, free: f64, sharers: Sharers) {
-        self.sum += free;
-        self.count += 1.0;
+    /// Adds a target with `free` free slots; `None` if it takes no work.
+    pub(super) fn add(&mut self, free: Option<f64>, sharers: Sharers) {
+        self.used += 1.0;
         self.entries_per_target = sharers.entries_per_target();
+        if let Some(free) = free {
+            self.sum += free;
+            self.count += 1.0;
+        }
     }
 
     /// Returns the part of a target's free slots that an entry with this demand may take, assuming that
     /// other entries have the same demand.
     pub(super) fn share(&self, sharers: Sharers, local: bool, demand: Demand) -> f64 {
-        let expected = demand.per_ms * self.entries_per_target * millis_f64(REPORT_WINDOW);
+        let per_target = self.entries_per_target * self.used / self.count.max(1.0);
+        let expected = demand.per_ms() * per_target * millis_f64(REPORT_WINDOW);
         let mean = self.sum / self.count.max(1.0);
         let surplus = ((PREFERRED_PART + LOCAL_PART) * mean / expected).max(1.0);
         let part = if local { LOCAL_PART } else { ALL_ZONES_PART };
--- a/crates/filbertstack-policy/src/dispatch/target.rs
+++ b/crates/filbertstack-policy/src/dispatch/target.rs
@@ -77,6 +77,13 @@
     pub pace: f64,
 }
 
+impl Load {
+    /// Returns the number of requests at the engine.
+    fn present(self) -> f64 {
+        f64::from(self.running + self.waiting)
+    }
+}
+
 /// The end of an attempt at a target, as far as it concerns the target's health.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum AttemptEnd {
@@ -97,6 +104,8 @@
     /// The prompt tokens of requests that had no first event yet.
     pending_tokens: f64,
     load: Option<(Millis, Load)>,
+    /// The number of prompts that the engine had not read at the last report, by the change of its load.
+    unread: f64,
     /// The time when the last report or the last bytes of an answer arrived.
     last_heard: Millis,
     /// The time when the last request was sent.
@@ -121,6 +130,7 @@
             in_flight: 0,
             pending_tokens: 0.0,
             load: None,
+            unread: 0.0,
             last_heard: Millis::ZERO,
             last_sent: Millis::ZERO,
             unreported_sends: VecDeque::new(),
@@ -156,6 +166,7 @@
 
     /// Records a load report. `rounding`, from 0 to 1, is drawn at random for it.
     pub(super) fn record_load(&mut self, now: Millis, load: Load, rounding: f64) {
+        self.unread = self.unread_after(now, load);
         self.load = Some((now, load));
         self.last_heard = now;
         let measured = Millis(now.0.saturating_sub(REPORT_LAG.0));
@@ -305,9 +316,42 @@
         }
     }
 
+    /// Returns the number of prompts that the engine has not read when `load` is reported. The reports do
+    /// not say it: what they show more than expected has arrived since, and the engine reads one prompt
+    /// after the other.
+    fn unread_after(&self, now: Millis, load: Load) -> f64 {
+        let Some((engine, (at, before))) = self.spec.engine.as_deref().zip(self.fresh_load(now))
+        else {
+            return 0.0;
+        };
+        let elapsed = millis_f64(now.since(at)) / before.pace.max(1.0);
+        let arrived = load.present() - before.present() + self.ended(engine, before, elapsed);
+        let read = elapsed / prefill_ms(engine, engine.prompt);
+        (self.unread + arrived - read).max(0.0)
+    }
+
+    /// Returns the number of requests of `load` that are expected to have ended after `elapsed` milliseconds
+    /// of an engine at its usual pace.
+    fn ended(&self, engine: &EngineModel, load: Load, elapsed: f64) -> f64 {
+        elapsed / slot_wait_ms(engine) * (load.present() / self.slots()).min(1.0)
+    }
+
+    /// Returns the number of prompts that the engine can read in addition to those sent to it before, so
+    /// that the last of them has its first event within `limit` milliseconds.
+    fn readable(&self, engine: &EngineModel, since_report: f64, limit: f64) -> f64 {
+        let prefill = prefill_ms(engine, engine.prompt);
+        let unread = (self.unread - since_report / prefill).max(0.0);
+        let reading = limit - first_event_ms(engine, 0.0, 0.0);
+        (reading / prefill).max(1.0) - unread
+    }
+
     /// Returns the number of requests that can still have a first event within `limit` milliseconds:
     /// the free slots and queue places of the last report and those that became free since. Returns
     /// `None` without a report or if it is stale.
+    ///
+    /// *Load pattern*: engines return from an outage empty, while callers have gathered. Each of their
+    /// slots would be filled at once, each with a prompt to read, and the last of a dozen prompts is read
+    /// long after its goal. An engine therefore gets no more than it reads within the goal.
     pub(super) fn free_slots(&self, now: Millis, limit: f64) -> Option<f64> {
         let engine = self.spec.engine.as_deref()?;
         let (at, load) = self.fresh_load(now)?;
@@ -315,10 +359,11 @@
         let slot_wait = slot_wait_ms(engine) * pace;
         let first_event = first_event_ms(engine, self.slots(), engine.prompt) * pace;
         let queue = ((limit - first_event) / slot_wait).max(0.0);
-        let present = f64::from(load.running + load.waiting);
-        let ended =
-            millis_f64(now.since(at) + REPORT_LAG) / slot_wait * (present / self.slots()).min(1.0);
-        Some((self.slots() + queue - present + ended).max(0.0))
+        let elapsed = millis_f64(now.since(at) + REPORT_LAG) / pace;
+        let ended = self.ended(engine, load, elapsed);
+        let readable = self.readable(engine, millis_f64(now.since(at)) / pace, limit / pace);
+        let free = self.slots() + queue - load.present() + ended;
+        Some(free.min(readable).max(0.0))
     }
 
     /// Returns whether this entry, which may take `share` of the free slots, may send another request
--- a/crates/filbertstack-policy/tests/batch/mod.rs
+++ b/crates/filbertstack-policy/tests/batch/mod.rs
@@ -37,6 +37,19 @@
     ..SIXTEEN_SLOTS.clone()
 });
 
+/// An engine whose prompts take half of a goal to read when its slots fill up at once.
+pub static TWELVE_SLOTS: LazyLock<EngineModel> = LazyLock::new(|| EngineModel {
+    slots: 12,
+    stride: 5,
+    step_ms: 9.27,
+    request_ms: 0.0232,
+    context_ms: 0.0322,
+    read_rate: 20.7,
+    pairs_ms: 1.18,
+    answer: 96.0,
+    ..SIXTEEN_SLOTS.clone()
+});
+
 /// One request at the engine.
 #[derive(Clone, Copy, Debug)]
 struct Request {
--- a/crates/filbertstack-policy/tests/dispatch.rs
+++ b/crates/filbertstack-policy/tests/dispatch.rs
@@ -5,6 +5,7 @@
 mod replay;
 
 use batch::EIGHT_SLOTS;
+use batch::TWELVE_SLOTS;
 use filbertstack_core::Millis;
 use filbertstack_policy::dispatch::AttemptEnd;
 use filbertstack_policy::dispatch::ChooseError;
@@ -189,6 +190,47 @@
     assert!(received.late * 8 < served, "{received:?}");
 }
 
+/// A return to service under full demand: the entries start without knowledge, and the engines, which have
+/// registered, take work within a second, all of them empty.
+const RETURN: Replay = Replay {
+    model: &TWELVE_SLOTS,
+    goal: Millis(400),
+    engines: 76,
+    entries: 45,
+    zones: 3,
+    requests_per_second: 480.0,
+    serves_from_ms: |n| 1_000 + (n as u64 * 617) % 900,
+    returns: true,
+    counted_from_ms: 1_000,
+    seconds: 4,
+    ..BASELINE
+};
+
+/// Guards against entries that fill every slot of engines which return empty, each with a prompt to read:
+/// all callers of the first seconds would be late.
+#[test]
+fn callers_are_served_in_time_right_after_an_outage() {
+    let sizes = [
+        (30, 50, 316.0),
+        (45, 76, 480.0),
+        (100, 170, 1_074.0),
+        (340, 570, 3_600.0),
+    ];
+    for (entries, engines, requests_per_second) in sizes {
+        let received = replay(&Replay {
+            engines,
+            entries,
+            requests_per_second,
+            ..RETURN
+        });
+        assert!(
+            received.on_time * 100 > received.requests * 60,
+            "{entries} entries: {received:?}"
+        );
+        assert!(received.late * 4 < received.on_time, "{received:?}");
+    }
+}
+
 /// Guards against requests to frozen engines. Four of twelve engines freeze for three seconds together
 /// with their agents. Requests that were sent just before wait there. If the engines counted as idle,
 /// later requests would wait too, and their callers would leave. After some missed reports they get
--- a/crates/filbertstack-policy/tests/replay/mod.rs
+++ b/crates/filbertstack-policy/tests/replay/mod.rs
@@ -1,6 +1,7 @@
 //! A replay in virtual time of entries that send to engines without coordination.
 
 use std::collections::BTreeMap;
+use std::sync::Arc;
 use std::sync::LazyLock;
 
 use filbertstack_core::Millis;
@@ -13,6 +14,7 @@
 use filbertstack_policy::dispatch::TargetId;
 use filbertstack_policy::dispatch::TargetRequest;
 use filbertstack_policy::dispatch::TargetSpec;
+use filbertstack_policy::recovery::Recovery;
 use filbertstack_policy::subset;
 use filbertstack_policy::subset::Candidate;
 use rand::RngExt as _;
@@ -25,6 +27,10 @@
 /// The time for which callers wait for a first event.
 const PATIENCE_MS: u64 = 2_000;
 
+/// The time limit of a caller, and the interval at which an entry looks for a target for one that waits.
+const CALLER_TIME_MS: u64 = 6_000;
+const CHECK_INTERVAL_MS: u64 = 100;
+
 /// The age of a report when it arrives, and the interval between two reports.
 const REPORT_LAG_MS: u64 = 70;
 const REPORT_INTERVAL_MS: u64 = 100;
@@ -55,10 +61,16 @@
     pub slowdown: f64,
     /// The time when each engine joins.
     pub joins_at_ms: fn(usize) -> u64,
+    /// The time from which an engine that has joined takes work.
+    pub serves_from_ms: fn(usize) -> u64,
     /// Whether an engine and its agent are frozen at a millisecond.
     pub frozen: fn(usize, u64) -> bool,
     /// Whether the entries receive no load reports at a millisecond.
     pub cut_off: fn(u64) -> bool,
+    /// Whether a refused caller comes back once, after the delay that it was told.
+    pub returns: bool,
+    /// The time from which the answers to new requests are counted.
+    pub counted_from_ms: u64,
     pub seconds: u64,
 }
 
@@ -101,6 +113,8 @@
         .collect();
     let mut received = Received::default();
     let mut next_engine = vec![0_usize; replay.entries];
+    let mut recoveries: Vec<Recovery> = vec![Recovery::new(Millis(0)); replay.entries];
+    let mut callers: Vec<Caller> = Vec::new();
     for now in 0..replay.seconds * 1_000 {
         for (n, engine) in engines.iter_mut().enumerate() {
             if (replay.frozen)(n, now) {
@@ -111,6 +125,9 @@
                 let id = format!("e{n}");
                 if done.first {
                     entry.count_first_event(Millis(now), &id, done.prompt);
+                    if done.sent < replay.counted_from_ms {
+                        continue;
+                    }
                     received.callers_left += u32::from(now - done.sent > PATIENCE_MS);
                     let on_time = now - done.sent <= replay.goal.0;
                     received.on_time += u32::from(on_time);
@@ -131,33 +148,127 @@
             if !arrives {
                 continue;
             }
-            received.requests += 1;
+            received.requests += u32::from(now >= replay.counted_from_ms);
             let mut from = rng.random_range(0..replay.entries);
             if rng.random_bool(replay.first_zone_share) {
                 from -= from % replay.zones;
             }
-            let prompt = rng.random_range(100..1_800);
-            let joined = |n: usize| (replay.joins_at_ms)(n) <= now;
+            callers.push(Caller {
+                arrived: now,
+                asked: now,
+                from,
+                prompt: rng.random_range(100..1_800),
+                due: now,
+                returns: replay.returns,
+            });
+        }
+        let ask = callers.extract_if(.., |caller| caller.due <= now);
+        for caller in ask.collect::<Vec<_>>() {
+            let Caller { from, prompt, .. } = caller;
+            let open =
+                |n: usize| (replay.joins_at_ms)(n) <= now && (replay.serves_from_ms)(n) <= now;
             let chosen = if replay.strategy == Strategy::RoundRobin {
                 next_engine[from] += 1;
-                let open: Vec<usize> = (0..replay.engines).filter(|n| joined(*n)).collect();
+                let open: Vec<usize> = (0..replay.engines).filter(|n| open(*n)).collect();
                 Ok(open[(next_engine[from] + from) % open.len()])
             } else {
-                choose_within(&mut entries[from], now, prompt, replay.goal)
+                ask_entry(
+                    &mut entries[from],
+                    &mut recoveries[from],
+                    now,
+                    replay.goal,
+                    &caller,
+                )
             };
             match chosen {
                 Ok(n) => {
                     received.other_zone += u32::from(n % replay.zones != from % replay.zones);
                     entries[from].count_sent(Millis(now), &format!("e{n}"), prompt);
-                    engines[n].enqueue(now, from, prompt);
+                    engines[n].enqueue(caller.arrived, from, prompt);
+                }
+                Err(Turned::Waits) => callers.push(Caller {
+                    due: now + CHECK_INTERVAL_MS,
+                    ..caller
+                }),
+                Err(Turned::Refused(after)) if caller.returns => callers.push(Caller {
+                    asked: now + after.0,
+                    due: now + after.0,
+                    from: rng.random_range(0..replay.entries),
+                    returns: false,
+                    ..caller
+                }),
+                Err(Turned::Refused(_)) => {
+                    received.refused += u32::from(caller.arrived >= replay.counted_from_ms);
                 }
-                Err(_) => received.refused += 1,
             }
         }
     }
     received
 }
 
+/// A caller who has no engine yet.
+#[derive(Clone, Copy)]
+struct Caller {
+    /// The time of its first attempt.
+    arrived: u64,
+    /// The time when it asked this entry.
+    asked: u64,
+    from: usize,
+    prompt: u32,
+    /// The time of its next attempt to get an engine.
+    due: u64,
+    /// Whether it comes back once it is refused.
+    returns: bool,
+}
+
+/// The answer to a caller who gets no engine.
+enum Turned {
+    /// The caller waits at the entry.
+    Waits,
+    /// The caller is refused and told when to come back.
+    Refused(Millis),
+}
+
+/// Asks an entry for an engine as the product does: on arrival, and again while the caller waits.
+fn ask_entry(
+    entry: &mut Dispatcher,
+    recovery: &mut Recovery,
+    now: u64,
+    goal: Millis,
+    caller: &Caller,
+) -> Result<usize, Turned> {
+    let service: Arc<str> = "llm".into();
+    if caller.due == caller.asked {
+        entry.count_request(Millis(now), &service);
+    }
+    let left = goal.0.saturating_sub(now - caller.asked);
+    let is_late = left == 0;
+    if is_late && !recovery.may_send_waiter(Millis(now)) {
+        return Err(Turned::Waits);
+    }
+    let left = if is_late { goal } else { Millis(left) };
+    match choose_within(entry, now, caller.prompt, left) {
+        Ok(n) if is_late => {
+            recovery.count_waiter_sent(Millis(now));
+            Ok(n)
+        }
+        Ok(n) => {
+            recovery.count_sent(Millis(now), &service);
+            Ok(n)
+        }
+        Err(refused) => {
+            let may_wait = now > caller.asked || matches!(refused, ChooseError::NoTarget { .. });
+            let time = Millis(CALLER_TIME_MS);
+            let limit = recovery.wait_limit(Millis(now), Some("llm"), time, 0);
+            let waits = may_wait && limit.is_some_and(|limit| now < caller.asked + limit.0);
+            if waits {
+                return Err(Turned::Waits);
+            }
+            Err(Turned::Refused(refused.retry_after()))
+        }
+    }
+}
+
 /// Reports to every entry the earlier load of each engine that it uses.
 fn report_loads(replay: &Replay, now: u64, engines: &[Engine], entries: &mut [Dispatcher]) {
     let present: Vec<usize> = (0..engines.len())
@@ -184,7 +295,7 @@
                 },
                 slots: replay.model.slots,
                 engine: Some((*replay.model).clone().into()),
-                ..spec(*n, true)
+                ..spec(*n, (replay.serves_from_ms)(*n) <= now)
             }
         };
         entry.set_targets(selected.iter().map(spec).collect());
@@ -260,7 +371,6 @@
         goal,
         tried: &[],
     };
-    entry.count_request(Millis(now), &"llm".into());
     let id: TargetId = entry.choose(Millis(now), &wanted)?;
     Ok(id[1..].parse().expect("a number"))
 }
@@ -276,8 +386,11 @@
     requests_per_second: 100.0,
     slowdown: 1.0,
     joins_at_ms: |_| 0,
+    serves_from_ms: |_| 0,
     frozen: |_, _| false,
     cut_off: |_| false,
+    returns: false,
+    counted_from_ms: 0,
     seconds: 20,
 };
 
