The primary owner of a list of pieces asks a returned origin at once

The list's primary owner, refused by the origin, asked three other nodes in turn; each waits 0.7 s before it answers that the list is not here, and what they wait for is this primary owner. Ruled out: the link (the pieces then took 2.1 s, one copy's time), other versions (version 3 had arrived at 29.2 s).

The primary owner now asks the origin each 0.2 s beside its questions to others.

--- a/crates/filbertstack-gateway/src/weights/fetch/list.rs
+++ b/crates/filbertstack-gateway/src/weights/fetch/list.rs
@@ -29,6 +29,9 @@
 /// The origin may take this long to send a list of pieces, which is short.
 const ORIGIN_TIMEOUT: Duration = Duration::from_millis(800);
 
+/// The primary owner pauses for this time after the origin did not send it the list.
+const ORIGIN_RETRY: Duration = Duration::from_millis(200);
+
 /// A list of pieces has at most this many bytes, enough for some thousand pieces.
 const MAX_LIST: usize = 1 << 20;
 
@@ -53,14 +56,30 @@
     /// The voters keep every list before it is used: an agent that starts after all processes have lost their
     /// memory must recognise every version that an engine was ordered to load.
     pub async fn list(&self) -> PieceList {
-        let began = Instant::now();
+        tokio::select! {
+            list = self.list_as_primary() => list,
+            list = self.list_from_others() => list,
+        }
+    }
+
+    /// Asks the origin for the list while this node is its primary owner. All other nodes wait for it then,
+    /// so the node must not wait for them: it notices at once when an origin that failed is back.
+    async fn list_as_primary(&self) -> PieceList {
         loop {
-            let layout = self.new_layout(1);
-            if layout.is_primary(0)
+            if self.leads_list()
                 && let Some(list) = self.list_from_origin().await
             {
                 return self.keep(list).await;
             }
+            sleep(ORIGIN_RETRY).await;
+        }
+    }
+
+    /// Asks other nodes for the list and, when it may be asked, the origin.
+    async fn list_from_others(&self) -> PieceList {
+        let began = Instant::now();
+        loop {
+            let layout = self.new_layout(1);
             let plan = layout.plan(0);
             let mut answered = false;
             for id in plan
--- a/tests/gateway/model.rs
+++ b/tests/gateway/model.rs
@@ -330,6 +330,8 @@
     newest: Arc<AtomicU64>,
     lists: Arc<Mutex<BTreeMap<u64, u32>>>,
     sent: Arc<Mutex<BTreeMap<(u64, u32), u32>>>,
+    /// How many more requests for a list it refuses.
+    refusals: Arc<AtomicU64>,
 }
 
 impl Origin {
@@ -344,6 +346,11 @@
         self.newest.fetch_max(version, Ordering::SeqCst);
     }
 
+    /// Refuses the next `count` requests for a list.
+    pub fn refuse_lists(&self, count: u64) {
+        self.refusals.store(count, Ordering::SeqCst);
+    }
+
     /// Returns how often each piece was sent, by version and number.
     pub fn sent(&self) -> BTreeMap<(u64, u32), u32> {
         self.sent.lock().expect("not poisoned").clone()
@@ -361,6 +368,11 @@
             return plain_answer("410 Gone", b"");
         }
         if path(received).starts_with("/manifest/") {
+            let left = self.refusals.load(Ordering::SeqCst);
+            if left > 0 {
+                self.refusals.store(left - 1, Ordering::SeqCst);
+                return plain_answer("503 Service Unavailable", b"");
+            }
             let mut lists = self.lists.lock().expect("not poisoned");
             *lists.entry(version).or_default() += 1;
             return plain_answer("200 OK", manifest(version).to_string().as_bytes());
--- a/tests/gateway/weights.rs
+++ b/tests/gateway/weights.rs
@@ -39,6 +39,20 @@
     assert!(fleet.origin.lists(2) <= 2, "{}", fleet.origin.lists(2));
 }
 
+/// Guards against an origin that is back for seconds before anyone asks it: its list's primary owner asked
+/// the other nodes in between, all of which waited for the primary owner.
+#[test]
+fn an_origin_that_returns_is_asked_for_the_list_at_once() {
+    const REFUSED: u64 = 90;
+    let fleet = Fleet::start(2);
+    wait_until("all entries know each other", || {
+        (0..3).all(|n| fleet.cluster.knows_all(n))
+    });
+    fleet.origin.refuse_lists(REFUSED);
+    fleet.name_version(2);
+    fleet.await_version(2);
+}
+
 /// A staged piece becomes corrupt at one engine before the next version is loaded there, and another engine
 /// loses power and with it all pieces. The pieces are read back before the order, and corrupt ones are
 /// fetched again. Otherwise the engine would answer from corrupt weights.
