Wait for the origin as long as its link takes for two copies

An owner waited 2.5 s for a whole piece, whose copy takes the link 2.1 s when nothing else is on it; with a little else all owners gave up, what was sent was lost, and they asked again. Beside it, the backup owners, which had seen the owners without progress for as long as the origin had failed, asked for 14 pieces with them in the first seconds.

An owner now waits as long as bytes come, for two copies' time at most without any, by the published rate of the link. A backup owner counts its time from the origin's last failure. Each piece that the origin sent is logged.

--- a/crates/filbertstack-core/src/serving.rs
+++ b/crates/filbertstack-core/src/serving.rs
@@ -68,8 +68,30 @@
     pub connections: u32,
     /// The performance figures of its model engines, if its targets are model engines.
     pub engine: Option<EngineModel>,
-    /// The address that its weights come from, if the service is an origin of weights.
-    pub origin: Option<SocketAddr>,
+    /// The origin of weights that the service is, if it is one.
+    pub origin: Option<Origin>,
+}
+
+/// An origin of weights.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Origin {
+    /// The address that weights come from.
+    pub addr: SocketAddr,
+    /// The rate of its link in Mbit/s, if it is published.
+    pub link: Option<f64>,
+}
+
+impl Origin {
+    /// Returns the time in which its link carries `bytes` bytes, if its rate is published.
+    pub fn transfer_time(&self, bytes: u64) -> Option<Duration> {
+        #[expect(
+            clippy::cast_precision_loss,
+            reason = "weights have far fewer bytes than a double counts exactly"
+        )]
+        let bits = bytes as f64 * 8.0;
+        let link = self.link.filter(|link| *link > 0.0)?;
+        Duration::try_from_secs_f64(bits / (link * 1e6)).ok()
+    }
 }
 
 /// The published performance figures of a model engine.
--- a/crates/filbertstack-gateway/src/client.rs
+++ b/crates/filbertstack-gateway/src/client.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use bytes::BytesMut;
 use http::Request;
 use http::Response;
 use http_body_util::BodyExt as _;
@@ -144,6 +145,48 @@
         .unwrap_or(Err(CallFailure::Timeout))
 }
 
+/// The limits of a call that may take as long as bytes arrive.
+#[derive(Clone, Copy, Debug)]
+pub struct CallLimits {
+    /// The maximum number of bytes of the answer's body.
+    pub body: usize,
+    /// The time in which the connection must open.
+    pub connect: Duration,
+    /// The time in which the next bytes must arrive.
+    pub silence: Duration,
+}
+
+/// Makes one call on a new connection and returns the body of its answer. It waits as long as bytes arrive.
+///
+/// # Errors
+/// [`CallFailure`] if there is no complete answer with a status of success within the limits.
+pub async fn call_until_silent(
+    addr: SocketAddr,
+    outgoing: OutgoingCall,
+    limits: CallLimits,
+) -> Result<Bytes, CallFailure> {
+    let silence = limits.silence;
+    let mut connection = Connection::open(addr, limits.connect).await?;
+    let request = to_request(addr, outgoing);
+    let answer = timeout(silence, connection.send(request)).await;
+    let answer = answer.map_err(|_| CallFailure::Timeout)??;
+    if !answer.status().is_success() {
+        return Err(CallFailure::Status(answer.status()));
+    }
+    let mut body = Limited::new(answer.into_body(), limits.body);
+    let mut received = BytesMut::new();
+    while let Some(frame) = timeout(silence, body.frame())
+        .await
+        .map_err(|_| CallFailure::Timeout)?
+    {
+        let frame = frame.map_err(|e| CallFailure::Body(e.to_string()))?;
+        if let Ok(data) = frame.into_data() {
+            received.extend_from_slice(&data);
+        }
+    }
+    Ok(received.freeze())
+}
+
 /// Makes one call on an open connection and returns the body of its answer, which has at most
 /// `max_body` bytes.
 ///
@@ -155,14 +198,7 @@
     outgoing: OutgoingCall,
     max_body: usize,
 ) -> Result<Bytes, CallFailure> {
-    let mut request = Request::new(Full::new(outgoing.body));
-    *request.method_mut() = outgoing.method;
-    *request.uri_mut() = outgoing.path.parse().unwrap_or_default();
-    let host = http::HeaderValue::from_str(&addr.to_string());
-    if let Ok(host) = host {
-        request.headers_mut().insert(http::header::HOST, host);
-    }
-    let answer = connection.send(request).await?;
+    let answer = connection.send(to_request(addr, outgoing)).await?;
     let status = answer.status();
     let body = Limited::new(answer.into_body(), max_body).collect().await;
     let body = body.map_err(|e| CallFailure::Body(e.to_string()))?;
@@ -171,3 +207,14 @@
     }
     Ok(body.to_bytes())
 }
+
+fn to_request(addr: SocketAddr, outgoing: OutgoingCall) -> Request<Full<Bytes>> {
+    let mut request = Request::new(Full::new(outgoing.body));
+    *request.method_mut() = outgoing.method;
+    *request.uri_mut() = outgoing.path.parse().unwrap_or_default();
+    let host = http::HeaderValue::from_str(&addr.to_string());
+    if let Ok(host) = host {
+        request.headers_mut().insert(http::header::HOST, host);
+    }
+    request
+}
--- a/crates/filbertstack-gateway/src/control/declared.rs
+++ b/crates/filbertstack-gateway/src/control/declared.rs
@@ -100,6 +100,20 @@
         self.origins.borrow().clone()
     }
 
+    /// Returns the time in which an origin's link carries one copy of a model's weights, if its rate is
+    /// published.
+    pub fn copy_time(&self, model: &str) -> Option<Millis> {
+        let catalogue = self.catalogue();
+        let origin = catalogue.services().find_map(|service| service.origin)?;
+        let engines = catalogue
+            .services()
+            .filter_map(|service| service.engine.as_ref());
+        let mut engines = engines.filter(|engine| engine.models.iter().any(|m| &**m == model));
+        let engine = engines.next()?;
+        let bytes = u64::from(engine.pieces) * u64::from(engine.piece_bytes);
+        origin.transfer_time(bytes).map(Millis::from)
+    }
+
     /// Returns the model that the engines of `service` serve.
     pub fn model(&self, service: &str) -> Option<Arc<str>> {
         let models = self.models.borrow();
@@ -246,7 +260,7 @@
         match built {
             Ok(built) => {
                 info!("configuration in force", kv: { version = document.version });
-                let origins = built.services().filter_map(|s| s.origin);
+                let origins = built.services().filter_map(|s| s.origin.map(|o| o.addr));
                 *self.origins.borrow_mut() = origins.collect();
                 *self.models.borrow_mut() = served_models(&built);
                 *self.catalogue.borrow_mut() = Rc::new(built);
--- a/crates/filbertstack-gateway/src/weights/fetch.rs
+++ b/crates/filbertstack-gateway/src/weights/fetch.rs
@@ -16,15 +16,19 @@
 use filbertstack_platform::engine::PieceList;
 use filbertstack_platform::engine::WeightsVersion;
 use filbertstack_platform::engine::ask_piece;
+use filbertstack_policy::pieces::OriginCase;
 use filbertstack_policy::pieces::OwnerMap;
+use filbertstack_policy::pieces::PieceRole;
 use filbertstack_policy::pieces::Window;
 use filbertstack_policy::pieces::may_ask_origin;
+use filbertstack_policy::pieces::origin_silence;
 use spdlog::info;
 use tokio::sync::Notify;
 use tokio::sync::Semaphore;
 use tokio::time::sleep;
 
-use crate::client::call;
+use crate::client::CallLimits;
+use crate::client::call_until_silent;
 use crate::control::node::Node;
 use crate::link::LinkError;
 use crate::link::messages::PieceName;
@@ -59,9 +63,9 @@
 /// narrow, and other nodes have the same pieces.
 const SLOW_BACKOFF: Duration = Duration::from_secs(2);
 
-/// The origin may take this long to send a piece while all owners ask at once: a copy of all pieces takes its
-/// link a second or two.
-const ORIGIN_TIMEOUT: Duration = Duration::from_millis(2_500);
+/// A connection to the origin may take this long to open: where many open at once, some wait a second for
+/// their next attempt.
+const ORIGIN_CONNECT: Duration = Duration::from_millis(2_500);
 
 /// The fetch pauses for this time after all sources have failed.
 const RETRY_DELAY: Duration = Duration::from_millis(100);
@@ -84,6 +88,8 @@
     origin_slots: Semaphore,
     /// Whether the origin is left to another version.
     origin_paused: Cell<bool>,
+    /// When the origin last failed to send a piece.
+    origin_failed_at: Cell<Option<Instant>>,
     window: RefCell<Window>,
     downloads: Cell<u32>,
     slot_freed: Notify,
@@ -129,6 +135,7 @@
             layout: RefCell::default(),
             origin_slots: Semaphore::new(MAX_ORIGIN_DOWNLOADS),
             origin_paused: Cell::new(false),
+            origin_failed_at: Cell::new(None),
             window: RefCell::new(Window::new(limit)),
             downloads: Cell::new(0),
             slot_freed: Notify::new(),
@@ -306,8 +313,8 @@
                 sleep(HOLDER_RETRY).await;
                 continue;
             }
-            let part = self.layout(list).role(number);
-            if !may_ask_origin(part, availability.answered, Millis::from(began.elapsed())) {
+            let role = self.layout(list).role(number);
+            if !self.may_ask_origin(role, availability.answered, began) {
                 sleep(HOLDER_RETRY).await;
                 continue;
             }
@@ -317,8 +324,13 @@
             if self.origin_paused.get() {
                 continue;
             }
+            let asked_at = Instant::now();
             let fetched = self.piece_from_origin(list, number).await;
             drop(slot);
+            info!("piece asked of the origin", kv: {
+                version = self.weights.version, number, role = format!("{role:?}"),
+                received = fetched.is_some(), took_ms = asked_at.elapsed().as_millis()
+            });
             if let Some(bytes) = fetched {
                 if weights::matches_bytes(list, number, &bytes) {
                     return Some(bytes);
@@ -331,18 +343,29 @@
         None
     }
 
+    /// Returns whether this node may ask the origin now for what it began to fetch at `began`.
+    fn may_ask_origin(&self, role: PieceRole, owner_answers: bool, began: Instant) -> bool {
+        let failed_at = self.origin_failed_at.get();
+        may_ask_origin(OriginCase {
+            role,
+            owner_answers,
+            elapsed: Millis::from(began.elapsed()),
+            since_failure: failed_at.map(|at| Millis::from(at.elapsed())),
+        })
+    }
+
     async fn piece_from_origin(&self, list: &PieceList, number: u32) -> Option<Bytes> {
         let outgoing = ask_piece(&self.weights, number);
-        match call(
-            self.origin()?,
-            outgoing,
-            list.bytes as usize,
-            ORIGIN_TIMEOUT,
-        )
-        .await
-        {
+        let copy = self.node.declared.copy_time(&self.weights.model);
+        let limits = CallLimits {
+            body: list.bytes as usize,
+            connect: ORIGIN_CONNECT,
+            silence: origin_silence(copy).into(),
+        };
+        match call_until_silent(self.origin()?, outgoing, limits).await {
             Ok(bytes) => Some(bytes),
             Err(error) => {
+                self.origin_failed_at.set(Some(Instant::now()));
                 info!("piece not fetched from the origin",
                     kv: { number = number, error = error.to_string() });
                 None
--- a/crates/filbertstack-gateway/src/weights/fetch/list.rs
+++ b/crates/filbertstack-gateway/src/weights/fetch/list.rs
@@ -7,12 +7,10 @@
 use bytes::Bytes;
 use filbertstack_control::document::Change;
 use filbertstack_control::document::Kind as ChangeKind;
-use filbertstack_core::Millis;
 use filbertstack_platform::engine::PieceList;
 use filbertstack_platform::engine::ask_manifest;
 use filbertstack_platform::engine::read_manifest;
 use filbertstack_policy::pieces::PieceRole;
-use filbertstack_policy::pieces::may_ask_origin;
 use prost::Message as _;
 use spdlog::info;
 use tokio::time::sleep;
@@ -94,9 +92,9 @@
                     ListAnswer::Unavailable => {}
                 }
             }
-            let part = layout.role(0);
-            if part != PieceRole::Primary
-                && may_ask_origin(part, answered, Millis::from(began.elapsed()))
+            let role = layout.role(0);
+            if role != PieceRole::Primary
+                && self.may_ask_origin(role, answered, began)
                 && let Some(list) = self.list_from_origin().await
             {
                 return self.keep(list).await;
--- a/crates/filbertstack-policy/src/pieces.rs
+++ b/crates/filbertstack-policy/src/pieces.rs
@@ -297,19 +297,54 @@
     Reader,
 }
 
-/// Returns whether a node may ask the origin for a piece that none of the asked nodes has, `elapsed`
-/// after its fetch began. `owner_answers` states whether an owner that was asked has answered.
+/// How long the origin may send nothing of a piece, if the rate of its link is not known.
+const MIN_ORIGIN_SILENCE: Millis = Millis(2_500);
+
+/// The number of copies that the origin may send while nothing of a piece arrives: one of each version that
+/// nodes fetch, as it may send the pieces one after another.
+const COPIES_AHEAD: u64 = 2;
+
+/// Returns how long a node waits for the next bytes of a piece from the origin, whose link carries a copy in
+/// `copy`.
+///
+/// *Load pattern*: an origin returns, and dozens of owners ask it at once, each for a piece of one of two
+/// versions. All pieces arrive towards the end. If the owners gave up sooner, what was sent of their pieces
+/// would be lost, they would ask again, and the link would carry seven copies and none of them in time.
+pub fn origin_silence(copy: Option<Millis>) -> Millis {
+    let ahead = copy.map_or(0, |copy| copy.0 * COPIES_AHEAD);
+    Millis(ahead).max(MIN_ORIGIN_SILENCE)
+}
+
+/// What a node knows when it considers asking the origin for a piece that none of the asked nodes has.
+#[derive(Clone, Copy, Debug)]
+pub struct OriginCase {
+    /// The node's role for the piece.
+    pub role: PieceRole,
+    /// Whether an owner that was asked has answered.
+    pub owner_answers: bool,
+    /// The time since the node began to fetch the piece.
+    pub elapsed: Millis,
+    /// The time since the origin last failed this node, if it did.
+    pub since_failure: Option<Millis>,
+}
+
+/// Returns whether a node may ask the origin for a piece.
 ///
 /// *Load pattern*: the origin's link is narrow, and all pieces arrive towards the end of a copy's time,
 /// as they share the link. If the backup owners asked as soon as a piece is late, each piece would be
 /// sent twice and arrive twice as late. If agents asked while the origin fails, dozens of copies would
 /// be in transit when it returns: 9 copies were sent instead of one, and none was complete for six
-/// seconds. An owner that answers is fetching its piece.
-pub fn may_ask_origin(role: PieceRole, owner_answers: bool, elapsed: Millis) -> bool {
-    match role {
+/// seconds. An owner that answers is fetching its piece. While the origin fails, no owner makes progress,
+/// and the backup owners must not take that for a fault of the owners: they would all ask at the moment the
+/// origin returns.
+pub fn may_ask_origin(case: OriginCase) -> bool {
+    let answering = case.since_failure.unwrap_or(case.elapsed);
+    match case.role {
         PieceRole::Primary => true,
-        PieceRole::Backup => !owner_answers || elapsed >= READER_ORIGIN_AFTER,
-        PieceRole::Reader => !owner_answers,
+        PieceRole::Backup => {
+            !case.owner_answers || case.elapsed.min(answering) >= READER_ORIGIN_AFTER
+        }
+        PieceRole::Reader => !case.owner_answers,
     }
 }
 
--- a/crates/filbertstack-policy/tests/pieces.rs
+++ b/crates/filbertstack-policy/tests/pieces.rs
@@ -4,12 +4,14 @@
 use std::sync::Arc;
 
 use filbertstack_core::Millis;
+use filbertstack_policy::pieces::OriginCase;
 use filbertstack_policy::pieces::OwnerMap;
 use filbertstack_policy::pieces::Peer;
 use filbertstack_policy::pieces::PieceRole;
 use filbertstack_policy::pieces::Window;
 use filbertstack_policy::pieces::Yields;
 use filbertstack_policy::pieces::may_ask_origin;
+use filbertstack_policy::pieces::origin_silence;
 use filbertstack_policy::pieces::which_yields;
 
 const PIECES: u32 = 48;
@@ -357,7 +359,14 @@
 /// no owner answers, as dozens of them would take up the origin's link.
 #[test]
 fn other_nodes_do_not_ask_the_origin_while_the_owner_answers() {
-    let asked = |role, elapsed: u64, answers: bool| may_ask_origin(role, answers, Millis(elapsed));
+    let asked = |role, elapsed: u64, answers: bool| {
+        may_ask_origin(OriginCase {
+            role,
+            owner_answers: answers,
+            elapsed: Millis(elapsed),
+            since_failure: None,
+        })
+    };
     assert!(!asked(PieceRole::Backup, 1_100, true) && !asked(PieceRole::Backup, 3_400, true));
     assert!(
         asked(PieceRole::Backup, 1_100, false),
@@ -370,3 +379,60 @@
     assert!(!asked(PieceRole::Reader, 60_000, true) && asked(PieceRole::Reader, 3_500, false));
     assert!(asked(PieceRole::Primary, 0, true), "its own piece");
 }
+
+/// Guards against backup owners that all ask the origin at the moment it returns, as no owner has made
+/// progress while it failed.
+#[test]
+fn backup_owners_leave_a_returned_origin_to_the_owners() {
+    let asked = |since_failure: u64, answers: bool| {
+        may_ask_origin(OriginCase {
+            role: PieceRole::Backup,
+            owner_answers: answers,
+            elapsed: Millis(9_000),
+            since_failure: Some(Millis(since_failure)),
+        })
+    };
+    assert!(
+        !asked(100, true) && !asked(2_200, true),
+        "a copy takes 2.1 s"
+    );
+    assert!(asked(3_500, true), "the owner makes no progress");
+    assert!(asked(100, false), "the owner is gone");
+}
+
+/// Returns how many copies the origin's link carries until all pieces of two versions have arrived, when all
+/// are asked for at once and the link is shared evenly. A piece that takes longer than `patience` is asked
+/// for again, and what was sent of it is lost.
+fn copies_carried(patience: Millis) -> f64 {
+    const COPY_MS: u64 = 2_100;
+    let per_ms = f64::from(PIECES) / f64::from(u32::try_from(COPY_MS).expect("some seconds"));
+    // Each of the two versions' pieces: the part that has arrived, and when it was asked for.
+    let mut pieces = vec![(0.0_f64, 0_u64); 2 * PIECES as usize];
+    let mut carried = 0.0;
+    for now in 0..30_000 {
+        let missing = pieces.iter().filter(|(part, _)| *part < 1.0).count();
+        if missing == 0 {
+            break;
+        }
+        let share = per_ms / f64::from(u32::try_from(missing).expect("few"));
+        for (part, asked) in pieces.iter_mut().filter(|(part, _)| *part < 1.0) {
+            *part += share;
+            carried += share;
+            if *part < 1.0 && now - *asked >= patience.0 {
+                (*part, *asked) = (0.0, now);
+            }
+        }
+    }
+    carried / f64::from(PIECES)
+}
+
+/// Guards against owners that give up an origin which sends two versions to all of them, and ask again for
+/// what was on its way.
+#[test]
+fn owners_wait_while_the_origin_sends_two_copies() {
+    let carried = copies_carried(origin_silence(Some(Millis(2_100))));
+    assert!(carried <= 2.6, "{carried} copies for two versions");
+    let impatient = copies_carried(Millis(2_500));
+    assert!(impatient > 7.0, "{impatient} copies");
+    assert_eq!(origin_silence(None), Millis(2_500));
+}
