Agents wait for the owner of a piece in their own zone alone

Cause: from two seconds on an agent asks the owners in other zones as well, and waits 0.7 s at each for the piece. After an outage of the origin all agents wait there when the piece arrives at its primary owner, and fetch it over the boundary beside the owner in their own zone.

Agents now wait for that owner, and ask the others only whether they have the piece at that moment, unless the owner is silent. Ruled out: a longer time until others are asked (an outage of six to nine seconds is longer than a rollout can wait).

--- a/crates/filbertstack-gateway/src/weights/fetch.rs
+++ b/crates/filbertstack-gateway/src/weights/fetch.rs
@@ -16,6 +16,7 @@
 use filbertstack_platform::engine::PieceList;
 use filbertstack_platform::engine::WeightsVersion;
 use filbertstack_platform::engine::ask_piece;
+use filbertstack_policy::pieces::Asked;
 use filbertstack_policy::pieces::OriginCase;
 use filbertstack_policy::pieces::OwnerMap;
 use filbertstack_policy::pieces::PieceRole;
@@ -185,8 +186,10 @@
 
     async fn ask_peers(&self, list: &PieceList, number: u32, began: Instant) -> Bytes {
         loop {
-            for id in self.nodes_to_ask(list, number, began) {
-                let bytes = self.ask_peer(number, &id).await;
+            let plan = self.layout(list).plan(number);
+            let elapsed = Millis::from(began.elapsed());
+            for asked in plan.nodes_to_ask(elapsed, |id| self.is_slow(id)) {
+                let bytes = self.ask_peer(number, &asked).await;
                 if let Some(bytes) =
                     bytes.filter(|bytes| weights::matches_bytes(list, number, bytes))
                 {
@@ -197,18 +200,6 @@
         }
     }
 
-    /// Returns the nodes to ask for a piece now.
-    fn nodes_to_ask(&self, list: &PieceList, number: u32, began: Instant) -> Vec<Arc<str>> {
-        let plan = self.layout(list).plan(number);
-        let spent = Millis::from(began.elapsed());
-        let mut nodes = plan.first;
-        nodes.retain(|id| !self.is_slow(id));
-        if nodes.is_empty() || spent >= plan.fallback_after {
-            nodes.extend(plan.fallback.into_iter().filter(|id| !self.is_slow(id)));
-        }
-        nodes
-    }
-
     fn is_slow(&self, id: &str) -> bool {
         let slow = self.slow.borrow();
         slow.get(id).is_some_and(|at| at.elapsed() < SLOW_BACKOFF)
@@ -225,11 +216,15 @@
         }
     }
 
-    async fn ask_peer(&self, number: u32, id: &Arc<str>) -> Option<Bytes> {
+    async fn ask_peer(&self, number: u32, Asked { id, waits }: &Asked) -> Option<Bytes> {
         let addr = weights::link_addr(&self.node, id)?;
         let name = self.piece_name(number);
-        let dialer = &self.node.dialer;
-        let has = dialer.ask(addr, Question::Has(name), HAS_TIMEOUT).await;
+        let (question, max_wait) = if *waits {
+            (Question::Has(name), HAS_TIMEOUT)
+        } else {
+            (Question::HasNow(name), HAS_NOW_TIMEOUT)
+        };
+        let has = self.node.dialer.ask(addr, question, max_wait).await;
         if let Err(error) = has {
             if !matches!(error, LinkError::Failed(_)) {
                 self.mark_slow(id);
--- a/crates/filbertstack-policy/src/pieces.rs
+++ b/crates/filbertstack-policy/src/pieces.rs
@@ -84,6 +84,34 @@
     pub likely_holders: Vec<Arc<str>>,
 }
 
+/// A node that is asked for a piece.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Asked {
+    /// The node.
+    pub id: Arc<str>,
+    /// Whether it may answer only when it has received the piece.
+    pub waits: bool,
+}
+
+impl Plan {
+    /// Returns the nodes to ask `elapsed` after the start of the fetch, best first. `is_slow` returns whether
+    /// a node did not answer lately.
+    ///
+    /// *Load pattern*: the origin fails for seconds, and all agents have come to ask other zones as well. If
+    /// they waited there, each of them would fetch a piece from another zone at the moment its primary owner
+    /// receives it, beside the owner in their own zone. They wait for that owner alone, unless it is silent.
+    pub fn nodes_to_ask(self, elapsed: Millis, is_slow: impl Fn(&str) -> bool) -> Vec<Asked> {
+        let first = self.first.into_iter().filter(|id| !is_slow(id));
+        let mut nodes: Vec<Asked> = first.map(|id| Asked { id, waits: true }).collect();
+        let waits = nodes.is_empty();
+        if waits || elapsed >= self.fallback_after {
+            let fallback = self.fallback.into_iter().filter(|id| !is_slow(id));
+            nodes.extend(fallback.map(|id| Asked { id, waits }));
+        }
+        nodes
+    }
+}
+
 /// The owners of a version's pieces, computed once for all of them.
 #[derive(Clone, Debug)]
 pub struct OwnerMap {
--- a/crates/filbertstack-policy/tests/pieces.rs
+++ b/crates/filbertstack-policy/tests/pieces.rs
@@ -436,3 +436,24 @@
     assert!(impatient > 7.0, "{impatient} copies");
     assert_eq!(origin_silence(None), Millis(2_500));
 }
+
+/// Guards against agents that all fetch a piece from another zone at the moment it arrives there, although
+/// the owner in their own zone is fetching it for them.
+#[test]
+fn agents_wait_for_the_owner_in_their_zone_alone() {
+    let agent = peers("agent", 3, 1).remove(0);
+    let plan = layout(&agent, &entries(3, 4), &[]).plan(7);
+    let owner = plan.first[0].clone();
+    let asked = |silent: bool| {
+        let nodes = plan
+            .clone()
+            .nodes_to_ask(Millis::secs(9), |id| silent && id == &*owner);
+        let waits: Vec<bool> = nodes.iter().map(|asked| asked.waits).collect();
+        (nodes[0].id == owner, waits)
+    };
+    let (first, waits) = asked(false);
+    assert!(first && waits[0] && !waits[1..].is_empty(), "{waits:?}");
+    assert!(waits[1..].iter().all(|waits| !waits), "{waits:?}");
+    let (first, waits) = asked(true);
+    assert!(!first && waits.iter().all(|waits| *waits), "{waits:?}");
+}
