Log when a target asks for rest or says that it leaves

The logs showed neither, so that they could not tell whether a rest is not read, not kept on some way to the engine, or forgotten. Both values are decoded in platform/; nothing acts on them yet.

--- a/crates/filbertstack-gateway/src/request/attempt.rs
+++ b/crates/filbertstack-gateway/src/request/attempt.rs
@@ -520,6 +520,9 @@
         let sent_at = node.clock.now() - Millis::from(guard.sent_at.elapsed());
         node.record_limit(&guard.id, head.rate_limit, sent_at);
     }
+    if head.answers_attempt && !misdirected {
+        log_notices(call, &guard, &head);
+    }
     if head.answers_attempt && (head.not_run || misdirected) {
         let span = if misdirected {
             MISDIRECTED_EXCLUSION
@@ -550,6 +553,21 @@
     Outcome::Answer(response, guard)
 }
 
+/// Logs that the target asks for rest, or that it leaves.
+fn log_notices(call: &Call, guard: &AttemptGuard, head: &ReplyHead) {
+    let turned_away = guard.status == StatusCode::SERVICE_UNAVAILABLE.as_u16();
+    if let Some(rest) = head.rest.filter(|_| turned_away) {
+        info!("target asks for rest", kv: {
+            request = call.head.id(), target = guard.id.to_string(), rest_ms = rest.as_millis()
+        });
+    }
+    if head.leaving {
+        info!("target says that it leaves", kv: {
+            request = call.head.id(), target = guard.id.to_string()
+        });
+    }
+}
+
 /// Returns an answer to the caller, whose body is passed on as it arrives.
 fn relay(
     call: &Rc<Call>,
