--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -8,6 +8,7 @@
 mod fleet;
 mod limits;
 mod model;
+mod notices;
 mod orders;
 mod requests;
 mod seeds;
--- /dev/null
+++ b/tests/gateway/notices.rs
@@ -0,0 +1,116 @@
+//! Tests engines that ask for rest when they turn a request away, and engines that say that they leave.
+
+use std::thread::sleep;
+use std::time::Duration;
+
+use crate::cluster::Cluster;
+use crate::cluster::document;
+use crate::cluster::get;
+use crate::cluster::wait_until;
+use crate::engine::Engine;
+use crate::engine::Received;
+use crate::engine::answer;
+use crate::engine::stream;
+
+/// A rest that lasts longer than any of these tests.
+const LONG_REST: &str = "600";
+
+/// The number of requests that are sent after the engine's notice. The entry would prefer that engine, as the
+/// other one is slower.
+const CALLS: usize = 30;
+
+/// How long the other engine takes to answer: longer than an entry expects before it has measured.
+const SLOW_ANSWER: Duration = Duration::from_millis(60);
+
+/// Returns the answer of an engine that turns a request away and asks for `seconds` of rest.
+fn turn_away(received: &Received, seconds: &str) -> Vec<u8> {
+    let id = received.header("x-filbertstack-attempt-id");
+    format!(
+        "HTTP/1.1 503 Service Unavailable\r\nX-Filbertstack-Attempt-Id: {id}\r\n\
+         X-Filbertstack-Not-Executed: 1\r\nRetry-After: {seconds}\r\nContent-Length: 0\r\n\r\n"
+    )
+    .into_bytes()
+}
+
+/// Starts an engine that turns all requests away and asks for a long rest.
+fn start_resting() -> Engine {
+    Engine::start(Box::new(|received: &Received| {
+        turn_away(received, LONG_REST)
+    }))
+}
+
+/// Starts an engine that serves plain requests slowly.
+fn start_healthy() -> Engine {
+    Engine::start(Box::new(|received: &Received| {
+        sleep(SLOW_ANSWER);
+        answer(received, "200 OK", "ok")
+    }))
+}
+
+/// Starts one entry that knows the engines `i-1` and `i-2` of `service`.
+fn start_serving(service: &str, first: &Engine, second: &Engine) -> Cluster {
+    let cluster = Cluster::start(1, 0);
+    cluster.put_document(&[0], &document(1));
+    cluster.register(0, "i-1", service, first.addr);
+    cluster.register(0, "i-2", service, second.addr);
+    cluster
+}
+
+/// Sends requests until `engine` has received one.
+fn call_until_received(cluster: &Cluster, path: &str, engine: &Engine) {
+    wait_until("the engine is asked", || {
+        let _ = cluster.call(0, &get(path, "first", ""));
+        !engine.received().is_empty()
+    });
+}
+
+/// Guards against new and repeated requests at an engine that has asked for rest.
+#[test]
+fn an_engine_gets_no_request_in_its_rest() {
+    let resting = start_resting();
+    let healthy = start_healthy();
+    let cluster = start_serving("safe", &resting, &healthy);
+    call_until_received(&cluster, "/safe/", &resting);
+    for n in 0..CALLS {
+        let got = cluster.call(0, &get("/safe/", &format!("a{n}"), ""));
+        assert_eq!(got.status, 200, "the other engine serves it");
+    }
+    assert_eq!(resting.received().len(), 1, "nothing since it asked");
+}
+
+/// Guards against a broken stream that is resumed at an engine which has asked for rest.
+#[test]
+fn a_broken_stream_is_not_resumed_at_an_engine_in_its_rest() {
+    let resting = start_resting();
+    let breaking = Engine::start(Box::new(|received: &Received| stream(received, 3, 10)));
+    let cluster = start_serving("stream", &resting, &breaking);
+    call_until_received(&cluster, "/stream/", &resting);
+    for n in 0..3 {
+        let got = cluster.call(0, &get("/stream/", &format!("a{n}"), ""));
+        assert!(!got.body.contains("0\r\n\r\n"), "it looks complete");
+    }
+    assert_eq!(resting.received().len(), 1, "nothing since it asked");
+}
+
+/// Guards against new requests at an engine that has said in an answer that it leaves.
+#[test]
+fn an_engine_that_leaves_gets_no_new_request() {
+    let leaving = Engine::start(Box::new(|received: &Received| {
+        let id = received.header("x-filbertstack-attempt-id");
+        format!(
+            "HTTP/1.1 200 OK\r\nX-Filbertstack-Attempt-Id: {id}\r\nServer-Leaving: 1\r\n\
+             X-Filbertstack-Response-Seal: sealed\r\nContent-Length: 2\r\n\r\nok"
+        )
+        .into_bytes()
+    }));
+    let healthy = start_healthy();
+    let cluster = start_serving("safe", &leaving, &healthy);
+    call_until_received(&cluster, "/safe/", &leaving);
+    for n in 0..CALLS {
+        // The engine still counts as ready in its heartbeats.
+        cluster.register(0, "i-1", "safe", leaving.addr);
+        let got = cluster.call(0, &get("/safe/", &format!("a{n}"), ""));
+        assert_eq!(got.status, 200, "the other engine serves it");
+    }
+    assert_eq!(leaving.received().len(), 1, "nothing since it said so");
+}
