Entries leave targets alone that ask for rest or say that they leave

What callers saw: from the moment at which five of sixteen engines asked for rest, 127 of 1,588 requests were refused (282 of 1,792 when eight of 27 did), though all other engines had room.

Cause: nothing read what a target asks for in its answers. A 503 excluded it for 60 ms whatever it said; it ran nothing and so looked the freest by its reports.

policy::notices keeps the rests and the leavings, and the dispatcher asks it for each way to a target: new requests, retries, resumed streams, probes of silent and of ejected targets. An attempt asks once more before it is sent, and before it is sent again on a new connection. The notices stand apart from the list of targets, which loses a target with every gap in its registration. The longest rest stands, and leaving stands until the instance is no longer known. Callers are refused at once when all targets rest, and told to come back when the first rest ends.

--- a/crates/filbertstack-gateway/src/request/attempt.rs
+++ b/crates/filbertstack-gateway/src/request/attempt.rs
@@ -314,9 +314,12 @@
     }
 }
 
-/// Returns whether the request may be sent to `target` now, and records a probe. The verdict may have
-/// changed while the request waited for a target or for its connection.
+/// Returns whether the request may be sent to `target` now, and records a probe. What the target wants and
+/// the verdict may have changed while the request waited for a target or for its connection.
 fn may_send(requests: &Requests, call: &Call, target: &TargetId) -> bool {
+    if !requests.targets.accepts(target) {
+        return false;
+    }
     match requests.node.crash_verdict(|| call.digest()) {
         Verdict::Allowed => true,
         Verdict::Probe => requests.node.record_probe(call.digest(), target),
@@ -395,7 +398,11 @@
         await_head(requests, call, chosen, tries, last_bytes_at, sending).await
     };
     let broken = matches!(reply, Some(Err(_)));
-    if broken && connected.was_closed() && connected.replace(requests, call, chosen).await {
+    if broken
+        && connected.was_closed()
+        && connected.replace(requests, call, chosen).await
+        && requests.targets.accepts(&chosen.id)
+    {
         let sending = std::pin::pin!(connected.connection.send(build_request(call, &onward)));
         reply = await_head(requests, call, chosen, tries, last_bytes_at, sending).await;
     }
@@ -521,7 +528,7 @@
         node.record_limit(&guard.id, head.rate_limit, sent_at);
     }
     if head.answers_attempt && !misdirected {
-        log_notices(call, &guard, &head);
+        record_notices(call, &guard, &head);
     }
     if head.answers_attempt && (head.not_run || misdirected) {
         let span = if misdirected {
@@ -553,18 +560,21 @@
     Outcome::Answer(response, guard)
 }
 
-/// Logs that the target asks for rest, or that it leaves.
-fn log_notices(call: &Call, guard: &AttemptGuard, head: &ReplyHead) {
+/// Records what the target wants from this entry, whether or not it answered the request.
+fn record_notices(call: &Call, guard: &AttemptGuard, head: &ReplyHead) {
+    let targets = &guard.requests.targets;
     let turned_away = guard.status == StatusCode::SERVICE_UNAVAILABLE.as_u16();
     if let Some(rest) = head.rest.filter(|_| turned_away) {
         info!("target asks for rest", kv: {
             request = call.head.id(), target = guard.id.to_string(), rest_ms = rest.as_millis()
         });
+        targets.record_rest(&guard.id, Millis::from(rest));
     }
     if head.leaving {
         info!("target says that it leaves", kv: {
             request = call.head.id(), target = guard.id.to_string()
         });
+        targets.record_leaving(&guard.id);
     }
 }
 
--- a/crates/filbertstack-gateway/src/request/targets.rs
+++ b/crates/filbertstack-gateway/src/request/targets.rs
@@ -123,6 +123,7 @@
             .set_wanted(engines.keys().copied().collect());
         let mut dispatcher = self.dispatcher.borrow_mut();
         dispatcher.set_targets(offered);
+        dispatcher.retain_notices(now, |id| self.node.registry.find(id).is_some());
         for (id, per_s) in quotas {
             dispatcher.set_quota(now, &id, per_s);
         }
@@ -323,6 +324,23 @@
             .count_end(now, id, unread, ended);
     }
 
+    /// Records that a target asks this entry for rest.
+    pub fn record_rest(&self, id: &TargetId, rest: Millis) {
+        let now = self.node.clock.now();
+        self.dispatcher.borrow_mut().record_rest(now, id, rest);
+    }
+
+    /// Records that a target leaves.
+    pub fn record_leaving(&self, id: &TargetId) {
+        self.dispatcher.borrow_mut().record_leaving(id);
+    }
+
+    /// Returns whether a target wants requests from this entry, as far as its answers say.
+    pub fn accepts(&self, id: &str) -> bool {
+        let now = self.node.clock.now();
+        self.dispatcher.borrow().accepts(now, id)
+    }
+
     /// Excludes a target for a while.
     pub fn exclude(&self, id: &str, span: Millis) {
         let now = self.node.clock.now();
--- a/crates/filbertstack-policy/src/dispatch.rs
+++ b/crates/filbertstack-policy/src/dispatch.rs
@@ -20,7 +20,8 @@
 //! engines are silent: then it is the entry that receives no reports.
 //!
 //! A target that names a limit for all entries gets no more than this entry's [quota](crate::quota). It
-//! counts as full beyond that, so that its callers are not told that the service is gone.
+//! counts as full beyond that, so that its callers are not told that the service is gone. A target that asked
+//! this entry for [rest](crate::notices) counts as full until the rest ends, and one that leaves as gone.
 //!
 //! Decisions depend only on the time and the observations passed in. They use no clock, network or
 //! thread.
@@ -37,6 +38,8 @@
 use rand::RngExt as _;
 use rand_chacha::ChaCha8Rng;
 
+use crate::notices::Notice;
+use crate::notices::Notices;
 use crate::units::millis;
 
 pub use self::engine::pass_ms;
@@ -117,6 +120,7 @@
 #[derive(Clone, Debug)]
 pub struct Dispatcher {
     targets: BTreeMap<TargetId, Target>,
+    notices: Notices,
     /// The rate of requests that arrive at this entry, by service.
     demand: BTreeMap<Arc<str>, Demand>,
     rng: ChaCha8Rng,
@@ -127,6 +131,7 @@
     pub fn new(rng: ChaCha8Rng) -> Self {
         Self {
             targets: BTreeMap::new(),
+            notices: Notices::default(),
             demand: BTreeMap::new(),
             rng,
         }
@@ -180,12 +185,21 @@
         let demand = demand.unwrap_or_default();
         let free_slots = self.free_slots(now, wanted.service, limit, cut_off);
         let mut lowest = f64::INFINITY;
+        let mut rest_end = None;
         for target in self.targets.values() {
             let id = &target.spec.id;
             let excluded = &*target.spec.service != wanted.service || wanted.tried.contains(id);
             if excluded || !target.takes_work(now) {
                 continue;
             }
+            match self.notices.find(now, id) {
+                Some(Notice::Rest { until }) => {
+                    rest_end = Some(rest_end.map_or(until, |end: Millis| end.min(until)));
+                    continue;
+                }
+                Some(Notice::Leaving) => continue,
+                None => {}
+            }
             let predicted = target.predict(now, prompt);
             if !target.is_available(now) {
                 // The caller may retry soon: the target serves others, or this entry again.
@@ -228,16 +242,28 @@
             .min_by(|a, b| a.0.total_cmp(&b.0));
         let best = best.or_else(|| self.sample_best(probes));
         best.map(|(_, id)| id).ok_or_else(|| {
-            if lowest.is_infinite() {
-                let retry_after = self.jitter(NO_TARGET_RETRY_MS);
-                return ChooseError::NoTarget { retry_after };
-            }
-            let wait = (lowest - limit).clamp(RETRY_AFTER_MS[0], RETRY_AFTER_MS[1]);
-            let retry_after = self.jitter(wait);
-            ChooseError::Full { retry_after }
+            let rest = rest_end.map(|end| end.since(now));
+            self.refuse(lowest - limit, rest)
         })
     }
 
+    /// Returns the refusal of a request whose earliest first event is `excess_ms` too late, infinite if no
+    /// target takes work, while the first of the targets that rest does so for `rest`.
+    fn refuse(&mut self, excess_ms: f64, rest: Option<Millis>) -> ChooseError {
+        let after_rest = rest.map(|rest| rest + self.jitter(RETRY_AFTER_MS[1]));
+        if excess_ms.is_finite() {
+            let wait = self.jitter(excess_ms.clamp(RETRY_AFTER_MS[0], RETRY_AFTER_MS[1]));
+            let retry_after = after_rest.map_or(wait, |rest| wait.min(rest));
+            return ChooseError::Full { retry_after };
+        }
+        match after_rest {
+            Some(retry_after) => ChooseError::Full { retry_after },
+            None => ChooseError::NoTarget {
+                retry_after: self.jitter(NO_TARGET_RETRY_MS),
+            },
+        }
+    }
+
     /// Returns the free slots of a service's targets in other zones, and of those in the local zone.
     fn free_slots(&self, now: Millis, service: &str, limit: f64, cut_off: bool) -> [FreeSlots; 2] {
         let mut free_slots = [FreeSlots::default(); 2];
@@ -247,7 +273,8 @@
             }
             let is_heard = cut_off || !target.is_silent(now);
             let free = target.free_slots(now, limit);
-            let free = free.filter(|_| is_heard && target.is_available(now));
+            let is_usable = target.is_available(now) && self.accepts(now, &target.spec.id);
+            let free = free.filter(|_| is_heard && is_usable);
             free_slots[usize::from(target.spec.local)].add(free, target.spec.sharers);
         }
         free_slots
@@ -337,6 +364,27 @@
         }
     }
 
+    /// Records that a target asks this entry for rest.
+    pub fn record_rest(&mut self, now: Millis, id: &TargetId, rest: Millis) {
+        self.notices.record_rest(now, id, rest);
+    }
+
+    /// Records that a target leaves.
+    pub fn record_leaving(&mut self, id: &TargetId) {
+        self.notices.record_leaving(id);
+    }
+
+    /// Returns whether a target wants requests from this entry, as far as its answers say.
+    pub fn accepts(&self, now: Millis, id: &str) -> bool {
+        self.notices.find(now, id).is_none()
+    }
+
+    /// Drops what no longer matters of what targets asked for. `is_known` returns whether an instance may
+    /// still be, or become, a target.
+    pub fn retain_notices(&mut self, now: Millis, is_known: impl Fn(&str) -> bool) {
+        self.notices.retain(now, is_known);
+    }
+
     /// Suspends a target for `span`, because it refused a request for a reason that will persist for a
     /// while.
     pub fn suspend(&mut self, now: Millis, id: &str, span: Millis) {
--- a/crates/filbertstack-policy/src/lib.rs
+++ b/crates/filbertstack-policy/src/lib.rs
@@ -12,8 +12,8 @@
 //! - [`outlier`] excludes targets for a while;
 //! - [`retry`] decides which requests may be retried or hedged.
 //!
-//! Entries use [`crashes`] to refuse requests that crash targets, and [`quota`] to keep together the limits that
-//! targets name.
+//! Entries use [`crashes`] to refuse requests that crash targets, [`quota`] to keep together the limits that
+//! targets name, and [`notices`] to leave targets alone that ask for rest or leave.
 //!
 //! An agent that starts uses [`inherited`] to determine which version its engine may already have been
 //! ordered to load.
@@ -31,6 +31,7 @@
 pub mod gossip;
 pub mod inherited;
 pub mod limit;
+pub mod notices;
 pub mod outlier;
 pub mod pieces;
 pub mod placement;
--- a/crates/filbertstack-policy/tests/dispatch.rs
+++ b/crates/filbertstack-policy/tests/dispatch.rs
@@ -429,3 +429,33 @@
         entry.count_end(Millis(now + 20), "e0", 0, answered);
     }
 }
+
+/// Guards against callers who are refused because engines in need, which run nothing and so look the freest,
+/// turn their requests away one after the other.
+#[test]
+fn engines_that_ask_for_rest_are_left_alone() {
+    for (engines, entries, rate, seconds) in
+        [(16, 11, 80.0, 9), (48, 100, 240.0, 6), (60, 340, 300.0, 5)]
+    {
+        let in_need = Replay {
+            engines,
+            entries,
+            requests_per_second: rate,
+            turns_away: |n, now| n % 3 == 1 && now >= 2_500,
+            counted_from_ms: 2_500,
+            seconds,
+            ..BASELINE
+        };
+        let received = replay(&in_need);
+        let heedless = replay(&Replay {
+            keeps_rests: false,
+            ..in_need
+        });
+        assert!(received.most_in_rest <= 2, "{received:?}");
+        assert!(heedless.most_in_rest > 2, "{heedless:?}");
+        assert!(
+            received.refused < heedless.refused,
+            "{received:?} against {heedless:?}"
+        );
+    }
+}
--- a/crates/filbertstack-policy/tests/replay/mod.rs
+++ b/crates/filbertstack-policy/tests/replay/mod.rs
@@ -35,6 +35,16 @@
 const REPORT_LAG_MS: u64 = 70;
 const REPORT_INTERVAL_MS: u64 = 100;
 
+/// The rest that an engine asks for when it turns a request away, and the time after which an entry must
+/// keep it.
+const REST_MS: u64 = 3_000;
+const REST_KEPT_AFTER_MS: u64 = 500;
+
+/// How long a target that has turned a request away is suspended, and the number of targets that a request
+/// may be sent to, as at the entries.
+const SUSPENDED: Millis = Millis(60);
+const ATTEMPTS: usize = 2;
+
 /// The way in which the engine of a request is chosen.
 #[derive(Clone, Copy, PartialEq)]
 pub enum Strategy {
@@ -65,6 +75,10 @@
     pub serves_from_ms: fn(usize) -> u64,
     /// Whether an engine and its agent are frozen at a millisecond.
     pub frozen: fn(usize, u64) -> bool,
+    /// Whether an engine turns requests away at a millisecond and asks for rest.
+    pub turns_away: fn(usize, u64) -> bool,
+    /// Whether entries record for how long such an engine wants none.
+    pub keeps_rests: bool,
     /// Whether the entries receive no load reports at a millisecond.
     pub cut_off: fn(u64) -> bool,
     /// Whether a refused caller comes back once, after the delay that it was told.
@@ -84,6 +98,8 @@
     pub other_zone: u32,
     /// The number of answers whose first event came after [`PATIENCE_MS`], when the callers have left.
     pub callers_left: u32,
+    /// The most requests that reached an engine from one entry within one rest.
+    pub most_in_rest: u32,
 }
 
 pub fn spec(n: usize, accepts_work: bool) -> TargetSpec {
@@ -115,6 +131,7 @@
     let mut next_engine = vec![0_usize; replay.entries];
     let mut recoveries: Vec<Recovery> = vec![Recovery::new(Millis(0)); replay.entries];
     let mut callers: Vec<Caller> = Vec::new();
+    let mut rests = Rests::default();
     for now in 0..replay.seconds * 1_000 {
         for (n, engine) in engines.iter_mut().enumerate() {
             if (replay.frozen)(n, now) {
@@ -149,18 +166,7 @@
                 continue;
             }
             received.requests += u32::from(now >= replay.counted_from_ms);
-            let mut from = rng.random_range(0..replay.entries);
-            if rng.random_bool(replay.first_zone_share) {
-                from -= from % replay.zones;
-            }
-            callers.push(Caller {
-                arrived: now,
-                asked: now,
-                from,
-                prompt: rng.random_range(100..1_800),
-                due: now,
-                returns: replay.returns,
-            });
+            callers.push(new_caller(replay, now, &mut rng));
         }
         let ask = callers.extract_if(.., |caller| caller.due <= now);
         for caller in ask.collect::<Vec<_>>() {
@@ -182,8 +188,12 @@
             };
             match chosen {
                 Ok(n) => {
+                    let Some(n) = place(replay, now, &caller, &mut entries[from], n, &mut rests)
+                    else {
+                        received.refused += u32::from(caller.arrived >= replay.counted_from_ms);
+                        continue;
+                    };
                     received.other_zone += u32::from(n % replay.zones != from % replay.zones);
-                    entries[from].count_sent(Millis(now), &format!("e{n}"), prompt);
                     engines[n].enqueue(caller.arrived, from, prompt);
                 }
                 Err(Turned::Waits) => callers.push(Caller {
@@ -203,9 +213,78 @@
             }
         }
     }
+    received.most_in_rest = rests.most;
     received
 }
 
+fn new_caller(replay: &Replay, now: u64, rng: &mut ChaCha8Rng) -> Caller {
+    let mut from = rng.random_range(0..replay.entries);
+    if rng.random_bool(replay.first_zone_share) {
+        from -= from % replay.zones;
+    }
+    Caller {
+        arrived: now,
+        asked: now,
+        from,
+        prompt: rng.random_range(100..1_800),
+        due: now,
+        returns: replay.returns,
+    }
+}
+
+/// Counts the requests that reach engines within the rests that these have asked for.
+#[derive(Default)]
+struct Rests {
+    /// When the engine last asked the entry for rest, and the requests within it, by entry and engine.
+    asked: BTreeMap<(usize, usize), (u64, u32)>,
+    most: u32,
+}
+
+impl Rests {
+    /// Counts a request that an engine turns away.
+    fn count(&mut self, now: u64, entry: usize, engine: usize) {
+        let asked = self.asked.entry((entry, engine)).or_insert((now, 0));
+        if now >= asked.0 + REST_MS {
+            *asked = (now, 0);
+        }
+        asked.1 += u32::from(now >= asked.0 + REST_KEPT_AFTER_MS);
+        self.most = self.most.max(asked.1);
+    }
+}
+
+/// Sends a request to the engine `first`, and to another one if it is turned away. Returns the engine that
+/// takes it.
+fn place(
+    replay: &Replay,
+    now: u64,
+    caller: &Caller,
+    entry: &mut Dispatcher,
+    first: usize,
+    rests: &mut Rests,
+) -> Option<usize> {
+    let Caller { from, prompt, .. } = *caller;
+    let mut tried: Vec<TargetId> = Vec::new();
+    let mut n = first;
+    loop {
+        let id: TargetId = format!("e{n}").into();
+        entry.count_sent(Millis(now), &id, prompt);
+        if !(replay.turns_away)(n, now) {
+            return Some(n);
+        }
+        rests.count(now, from, n);
+        entry.count_end(Millis(now), &id, prompt, AttemptEnd::Refused);
+        entry.suspend(Millis(now), &id, SUSPENDED);
+        if replay.keeps_rests {
+            entry.record_rest(Millis(now), &id, Millis(REST_MS));
+        }
+        tried.push(id);
+        if tried.len() == ATTEMPTS {
+            return None;
+        }
+        n = choose_another(entry, now, prompt, replay.goal, &tried).ok()?;
+    }
+}
+
 /// A caller who has no engine yet.
 #[derive(Clone, Copy)]
 struct Caller {
@@ -364,12 +443,22 @@
     now: u64,
     prompt: u32,
     goal: Millis,
+) -> Result<usize, ChooseError> {
+    choose_another(entry, now, prompt, goal, &[])
+}
+
+fn choose_another(
+    entry: &mut Dispatcher,
+    now: u64,
+    prompt: u32,
+    goal: Millis,
+    tried: &[TargetId],
 ) -> Result<usize, ChooseError> {
     let wanted = TargetRequest {
         service: "llm",
         prompt,
         goal,
-        tried: &[],
+        tried,
     };
     let id: TargetId = entry.choose(Millis(now), &wanted)?;
     Ok(id[1..].parse().expect("a number"))
@@ -388,6 +477,8 @@
     joins_at_ms: |_| 0,
     serves_from_ms: |_| 0,
     frozen: |_, _| false,
+    turns_away: |_, _| false,
+    keeps_rests: true,
     cut_off: |_| false,
     returns: false,
     counted_from_ms: 0,
