A request that is turned away goes on to other targets

What callers saw: two engines in turn turned a request away and it was refused with "no target has room", though others had room: 195 callers in 2.6 s of the incident's logs.

Cause: a target that turned the request away counted as one of the two attempts that its route allows, as if it had run it. policy::attempts now counts only targets that may have run it against the route's limit, and ends a request that four targets turned away or six could not be reached for. Each send but the first still costs one of the budget of repeats.

a_request_that_is_turned_away_twice_is_served_by_a_third_engine fails before (503) and passes.

--- a/crates/filbertstack-gateway/src/request/attempt.rs
+++ b/crates/filbertstack-gateway/src/request/attempt.rs
@@ -12,6 +12,7 @@
 use filbertstack_platform::request::ReplyHead;
 use filbertstack_platform::request::set_forward_headers;
 use filbertstack_platform::request::strip_hop_headers;
+use filbertstack_policy::attempts::Attempts;
 use filbertstack_policy::crashes::Verdict;
 use filbertstack_policy::dispatch::AttemptEnd;
 use filbertstack_policy::dispatch::ChooseError;
@@ -206,8 +207,8 @@
 pub struct Tries {
     /// The targets that were chosen for it, also those that could not be reached.
     pub targets: Vec<TargetId>,
-    /// The number of targets that it was sent to.
-    pub sent: u32,
+    /// What became of it there.
+    pub attempts: Attempts,
 }
 
 /// Sends a request to one target after another, until there is an answer for the caller.
@@ -269,17 +270,12 @@
 /// Returns whether the request may be sent to another target. That costs one repeated send of the budget,
 /// unless no target was reached yet.
 fn may_retry(requests: &Rc<Requests>, call: &Call, tries: &Tries) -> bool {
-    let max_attempts = call.route.attempts;
     requests.metrics.entry.retries.add("attempt", 1);
-    // Targets that could not be reached do not count as attempts, but not all targets of a large service
-    // are tried.
-    if is_caller_leaving(call, call.arrived_at)
-        || tries.sent >= max_attempts
-        || tries.targets.len() >= 4 + max_attempts as usize
+    if is_caller_leaving(call, call.arrived_at) || !tries.attempts.may_continue(call.route.attempts)
     {
         return false;
     }
-    tries.sent == 0 || requests.spend(&call.service)
+    tries.attempts.sent() == 0 || requests.spend(&call.service)
 }
 
 /// Chooses the next target for a request that was sent before: one that answers before the caller
@@ -371,6 +367,7 @@
                 request = call.head.id(), target = chosen.id.to_string(), error = error.to_string()
             });
             guard.fail();
+            tries.attempts.count_unreached();
             return Outcome::NotRun;
         }
     };
@@ -378,13 +375,15 @@
         .time_left()
         .min(chosen.time_limit.unwrap_or(Duration::MAX));
     if left < MIN_TIME_LEFT {
+        tries.attempts.count_unreached();
         return Outcome::NotRun;
     }
     if !may_send(requests, call, &chosen.id) {
         guard.ended = AttemptEnd::Refused;
+        tries.attempts.count_unreached();
         return Outcome::NotRun;
     }
-    tries.sent += 1;
+    tries.attempts.count_sent();
     log_sent(requests, call, chosen, tries);
     let onward = ForwardHeaders {
         time_left: left,
@@ -412,7 +411,13 @@
     };
     guard.connection = Some(connected.connection);
     match reply {
-        Ok(response) => classify_answer(call, response, guard),
+        Ok(response) => {
+            let outcome = classify_answer(call, response, guard);
+            if matches!(outcome, Outcome::NotRun) {
+                tries.attempts.count_turned_away();
+            }
+            outcome
+        }
         Err(error) => {
             info!("answer lost", kv: {
                 request = call.head.id(), target = chosen.id.to_string(),
@@ -481,7 +486,7 @@
 fn log_sent(requests: &Requests, call: &Call, chosen: &Chosen, tries: &Tries) {
     let age = chosen.report_age.and_then(|age| i64::try_from(age.0).ok());
     info!("sent", kv: {
-        request = call.head.id(), target = chosen.id.to_string(), attempt = tries.sent,
+        request = call.head.id(), target = chosen.id.to_string(), attempt = tries.attempts.sent(),
         waited_ms = call.arrived_at.elapsed().as_millis(), prompt = call.prompt(),
         predicted_ms = chosen.predicted_ms.round(),
         report_age_ms = age.unwrap_or(-1),
@@ -491,7 +496,7 @@
 
 /// Returns whether another target could take the request now, within the attempts and the budget.
 fn can_ask_another(requests: &Rc<Requests>, call: &Call, tries: &Tries) -> bool {
-    tries.sent < call.route.attempts
+    tries.attempts.may_continue(call.route.attempts)
         && requests.may_spend(&call.service)
         && choose(requests, call, tries).is_ok()
 }
--- a/crates/filbertstack-gateway/src/request/relay.rs
+++ b/crates/filbertstack-gateway/src/request/relay.rs
@@ -258,7 +258,7 @@
 
     /// Returns whether another target could resume the stream now, within the attempts and the budget.
     fn can_resume(&self) -> bool {
-        self.tries.sent < self.call.route.attempts
+        self.tries.attempts.may_continue(self.call.route.attempts)
             && self.requests.may_spend(&self.call.service)
             && choose(&self.requests, &self.call, &self.tries).is_ok()
     }
@@ -338,7 +338,7 @@
     resume: Resume,
 ) -> Result<Resumed, &'static str> {
     let until = (resume.last_bytes_at + RESUME_WAIT).min(call.deadline - MIN_TIME_LEFT);
-    while tries.sent < call.route.attempts {
+    while tries.attempts.may_continue(call.route.attempts) {
         let chosen = await_target(&requests, &call, &tries, until).await?;
         let outcome = send(&requests, &call, &chosen, &mut tries, Some(resume)).await;
         if let Outcome::Answer(response, guard) = outcome
--- a/crates/filbertstack-policy/src/lib.rs
+++ b/crates/filbertstack-policy/src/lib.rs
@@ -12,8 +12,9 @@
 //! - [`outlier`] excludes targets for a while;
 //! - [`retry`] decides which requests may be retried or hedged.
 //!
-//! Entries use [`crashes`] to refuse requests that crash targets, [`quota`] to keep together the limits that
-//! targets name, and [`notices`] to leave targets alone that ask for rest or leave.
+//! Entries use [`attempts`] to limit the targets that one request is sent to, [`crashes`] to refuse requests
+//! that crash targets, [`quota`] to keep together the limits that targets name, and [`notices`] to leave targets
+//! alone that ask for rest or leave.
 //!
 //! An agent that starts uses [`inherited`] to determine which version its engine may already have been
 //! ordered to load.
@@ -23,6 +24,7 @@
 //! known instances.
 
 pub mod admission;
+pub mod attempts;
 pub mod cost;
 pub mod crashes;
 pub mod dispatch;
--- /dev/null
+++ b/crates/filbertstack-policy/tests/attempts.rs
@@ -0,0 +1,36 @@
+//! Tests of the number of targets that one request is sent to.
+
+use filbertstack_policy::attempts::Attempts;
+
+fn turned_away(times: u32) -> Attempts {
+    let mut attempts = Attempts::default();
+    for _ in 0..times {
+        attempts.count_sent();
+        attempts.count_turned_away();
+    }
+    attempts
+}
+
+/// Guards against a request that runs at more targets than its route allows.
+#[test]
+fn a_request_runs_at_no_more_targets_than_its_route_allows() {
+    let mut attempts = turned_away(1);
+    attempts.count_sent();
+    assert!(attempts.may_continue(2));
+    attempts.count_sent();
+    assert!(!attempts.may_continue(2));
+    assert_eq!(attempts.sent(), 3);
+}
+
+/// Guards against a request that asks all targets of a service which is overloaded or cut off as a whole.
+#[test]
+fn a_request_does_not_ask_all_targets() {
+    assert!(turned_away(3).may_continue(1));
+    assert!(!turned_away(4).may_continue(8));
+    let mut cut_off = Attempts::default();
+    for _ in 0..6 {
+        assert!(cut_off.may_continue(1));
+        cut_off.count_unreached();
+    }
+    assert!(!cut_off.may_continue(8));
+}
--- a/crates/filbertstack-policy/tests/dispatch.rs
+++ b/crates/filbertstack-policy/tests/dispatch.rs
@@ -430,22 +430,27 @@
     }
 }
 
-/// Guards against callers who are refused because engines in need, which run nothing and so look the freest,
-/// turn their requests away one after the other.
+/// A third of the engines turns all requests away and asks for rest.
+fn engines_in_need(engines: usize, entries: usize, seconds: u64) -> Replay {
+    Replay {
+        engines,
+        entries,
+        requests_per_second: f64::from(u32::try_from(engines).expect("few")) * 5.0,
+        turns_away: |n, now| n % 3 == 1 && now >= 2_500,
+        counted_from_ms: 2_500,
+        seconds,
+        ..BASELINE
+    }
+}
+
+/// Guards against engines in need that get request after request, as they run nothing and so look the freest.
 #[test]
 fn engines_that_ask_for_rest_are_left_alone() {
-    for (engines, entries, rate, seconds) in
-        [(16, 11, 80.0, 9), (48, 100, 240.0, 6), (60, 340, 300.0, 5)]
-    {
-        let in_need = Replay {
-            engines,
-            entries,
-            requests_per_second: rate,
-            turns_away: |n, now| n % 3 == 1 && now >= 2_500,
-            counted_from_ms: 2_500,
-            seconds,
-            ..BASELINE
-        };
+    for in_need in [
+        engines_in_need(16, 11, 9),
+        engines_in_need(48, 100, 6),
+        engines_in_need(60, 340, 5),
+    ] {
         let received = replay(&in_need);
         let heedless = replay(&Replay {
             keeps_rests: false,
@@ -459,3 +464,11 @@
         );
     }
 }
+
+/// Guards against callers who are refused because engines in need turn their requests away one after the
+/// other, though others have room.
+#[test]
+fn no_request_is_refused_beside_engines_that_ask_for_rest() {
+    let received = replay(&engines_in_need(16, 11, 9));
+    assert!(received.refused * 200 < received.requests, "{received:?}");
+}
--- a/crates/filbertstack-policy/tests/replay/mod.rs
+++ b/crates/filbertstack-policy/tests/replay/mod.rs
@@ -6,6 +6,7 @@
 
 use filbertstack_core::Millis;
 use filbertstack_core::serving::EngineModel;
+use filbertstack_policy::attempts::Attempts;
 use filbertstack_policy::dispatch::AttemptEnd;
 use filbertstack_policy::dispatch::ChooseError;
 use filbertstack_policy::dispatch::Dispatcher;
@@ -40,10 +41,10 @@
 const REST_MS: u64 = 3_000;
 const REST_KEPT_AFTER_MS: u64 = 500;
 
-/// How long a target that has turned a request away is suspended, and the number of targets that a request
-/// may be sent to, as at the entries.
+/// How long a target that has turned a request away is suspended, and the number of targets that may run a
+/// request, as at the entries.
 const SUSPENDED: Millis = Millis(60);
-const ATTEMPTS: usize = 2;
+const ATTEMPTS: u32 = 2;
 
 /// The way in which the engine of a request is chosen.
 #[derive(Clone, Copy, PartialEq)]
@@ -264,6 +265,7 @@
 ) -> Option<usize> {
     let Caller { from, prompt, .. } = *caller;
     let mut tried: Vec<TargetId> = Vec::new();
+    let mut attempts = Attempts::default();
     let mut n = first;
     loop {
         let id: TargetId = format!("e{n}").into();
@@ -278,7 +280,9 @@
             entry.record_rest(Millis(now), &id, Millis(REST_MS));
         }
         tried.push(id);
-        if tried.len() == ATTEMPTS {
+        attempts.count_sent();
+        attempts.count_turned_away();
+        if !attempts.may_continue(ATTEMPTS) {
             return None;
         }
         n = choose_another(entry, now, prompt, replay.goal, &tried).ok()?;
--- a/tests/gateway/notices.rs
+++ b/tests/gateway/notices.rs
@@ -114,3 +114,27 @@
     }
     assert_eq!(leaving.received().len(), 1, "nothing since it said so");
 }
+
+/// Guards against a caller who is refused because two engines in turn turned its request away, though a third
+/// one has room.
+#[test]
+fn a_request_that_is_turned_away_twice_is_served_by_a_third_engine() {
+    let resting = [start_resting(), start_resting()];
+    let healthy = start_healthy();
+    let cluster = Cluster::start(1, 0);
+    cluster.put_document(&[0], &document(1));
+    cluster.register(0, "i-3", "safe", healthy.addr);
+    for n in 0..10 {
+        // The entry learns that this engine is slower than it expects of one that it has not measured.
+        wait_until("it is served", || {
+            cluster.call(0, &get("/safe/", &format!("a{n}"), "")).status == 200
+        });
+    }
+    cluster.register(0, "i-1", "safe", resting[0].addr);
+    cluster.register(0, "i-2", "safe", resting[1].addr);
+    wait_until("both turn requests away", || {
+        let got = cluster.call(0, &get("/safe/", "b", ""));
+        assert_eq!(got.status, 200, "the third engine serves it");
+        resting.iter().all(|engine| !engine.received().is_empty())
+    });
+}
