A request that is sent again on a new connection asks like any other

Cause, found by looking for further ways to an engine: where a target had closed an idle connection, the request was sent to it again on a new one without asking for its rest, its limit or the verdict on a request that crashes targets, and did not count against the limit.

--- a/crates/filbertstack-gateway/src/request/attempt.rs
+++ b/crates/filbertstack-gateway/src/request/attempt.rs
@@ -320,6 +320,11 @@
     }
 }
 
+/// Returns whether the request may be sent to the same target again, whose pooled connection was closed.
+fn may_resend(requests: &Requests, call: &Call, target: &TargetId) -> bool {
+    requests.targets.may_resend(target) && refuse_crashing(requests, call).is_none()
+}
+
 /// A stream that broke off and that another target is to resume.
 #[derive(Clone, Copy, Debug)]
 pub struct Resume {
@@ -396,9 +401,11 @@
     let broken = matches!(reply, Some(Err(_)));
     if broken
         && connected.was_closed()
+        && may_resend(requests, call, &chosen.id)
         && connected.replace(requests, call, chosen).await
-        && requests.targets.accepts(&chosen.id)
+        && may_resend(requests, call, &chosen.id)
     {
+        requests.targets.record_resent(&chosen.id);
         let sending = std::pin::pin!(connected.connection.send(build_request(call, &onward)));
         reply = await_head(requests, call, chosen, tries, last_bytes_at, sending).await;
     }
--- a/crates/filbertstack-gateway/src/request/targets.rs
+++ b/crates/filbertstack-gateway/src/request/targets.rs
@@ -341,6 +341,18 @@
         self.dispatcher.borrow().accepts(now, id)
     }
 
+    /// Returns whether a request may be sent to a target again that it was sent to.
+    pub fn may_resend(&self, id: &str) -> bool {
+        let now = self.node.clock.now();
+        self.dispatcher.borrow().may_resend(now, id)
+    }
+
+    /// Records a request that is sent to the same target again.
+    pub fn record_resent(&self, id: &str) {
+        let now = self.node.clock.now();
+        self.dispatcher.borrow_mut().count_resent(now, id);
+    }
+
     /// Excludes a target for a while.
     pub fn exclude(&self, id: &str, span: Millis) {
         let now = self.node.clock.now();
--- a/crates/filbertstack-policy/src/dispatch.rs
+++ b/crates/filbertstack-policy/src/dispatch.rs
@@ -380,6 +380,20 @@
         self.notices.find(now, id).is_none()
     }
 
+    /// Returns whether a request that was sent to a target may be sent there again, as its connection had been
+    /// closed.
+    pub fn may_resend(&self, now: Millis, id: &str) -> bool {
+        let target = self.targets.get(id);
+        self.accepts(now, id) && target.is_some_and(|target| target.is_within_quota(now))
+    }
+
+    /// Counts a request that is sent to the same target again. It is in flight already.
+    pub fn count_resent(&mut self, now: Millis, id: &str) {
+        if let Some(target) = self.targets.get_mut(id) {
+            target.take_quota(now);
+        }
+    }
+
     /// Drops what no longer matters of what targets asked for. `is_known` returns whether an instance may
     /// still be, or become, a target.
     pub fn retain_notices(&mut self, now: Millis, is_known: impl Fn(&str) -> bool) {
--- a/crates/filbertstack-policy/src/dispatch/target.rs
+++ b/crates/filbertstack-policy/src/dispatch/target.rs
@@ -158,7 +158,19 @@
 
     /// Returns whether the target takes work and this entry may send it a request now.
     pub(super) fn is_available(&self, now: Millis) -> bool {
-        self.takes_work(now) && self.quota.is_none_or(|quota| quota.may_send(now))
+        self.takes_work(now) && self.is_within_quota(now)
+    }
+
+    /// Returns whether this entry's share of the target's limit leaves a request.
+    pub(super) fn is_within_quota(&self, now: Millis) -> bool {
+        self.quota.is_none_or(|quota| quota.may_send(now))
+    }
+
+    /// Takes a request from this entry's share of the target's limit.
+    pub(super) fn take_quota(&mut self, now: Millis) {
+        if let Some(quota) = &mut self.quota {
+            quota.take(now);
+        }
     }
 
     /// Sets this entry's share of the target's limit, in requests a second.
@@ -219,9 +231,7 @@
         if self.outlier.probe_due(now) {
             self.outlier.start_probe();
         }
-        if let Some(quota) = &mut self.quota {
-            quota.take(now);
-        }
+        self.take_quota(now);
         self.in_flight += 1;
         self.last_sent = now;
         self.unreported_sends.push_back(now);
--- a/crates/filbertstack-policy/tests/notices.rs
+++ b/crates/filbertstack-policy/tests/notices.rs
@@ -70,6 +70,7 @@
     let after = Millis(2_200);
     assert_eq!(choose(&mut dispatcher, after), Ok("e1".into()));
     assert!(!dispatcher.accepts(Millis(3_999), "e0"));
+    assert!(!dispatcher.may_resend(Millis(3_999), "e0"));
     assert!(dispatcher.accepts(Millis(4_000), "e0"));
 }
 
--- a/crates/filbertstack-policy/tests/quota.rs
+++ b/crates/filbertstack-policy/tests/quota.rs
@@ -160,6 +160,22 @@
     assert!(choose(&mut dispatcher, now).is_ok(), "the limit has ended");
 }
 
+/// Guards against a request that is sent again on a new connection beyond the limit of its target.
+#[test]
+fn a_request_that_is_sent_again_counts_against_the_limit() {
+    let mut dispatcher = Dispatcher::new(ChaCha8Rng::seed_from_u64(1));
+    dispatcher.set_targets(vec![spec("e0")]);
+    let now = Millis(2_000);
+    assert!(dispatcher.may_resend(now, "e0"));
+    dispatcher.set_quota(Millis::ZERO, "e0", Some(1.0));
+    dispatcher.count_sent(now, "e0", 0);
+    assert!(!dispatcher.may_resend(now, "e0"));
+    let later = Millis(3_000);
+    assert!(dispatcher.may_resend(later, "e0"));
+    dispatcher.count_resent(later, "e0");
+    assert!(choose(&mut dispatcher, later).is_err(), "it is used up");
+}
+
 fn target() -> TargetId {
     "i-1".into()
 }
--- a/tests/gateway/notices.rs
+++ b/tests/gateway/notices.rs
@@ -1,5 +1,9 @@
 //! Tests engines that ask for rest when they turn a request away, and engines that say that they leave.
 
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+use std::thread;
 use std::thread::sleep;
 use std::time::Duration;
 
@@ -12,6 +16,9 @@
 use crate::engine::answer;
 use crate::engine::stream;
 
+/// How long the entry has to receive an answer.
+const ANSWER_TIME: Duration = Duration::from_millis(20);
+
 /// A rest that lasts longer than any of these tests.
 const LONG_REST: &str = "600";
 
@@ -138,3 +145,53 @@
         resting.iter().all(|engine| !engine.received().is_empty())
     });
 }
+
+/// Guards against a request that is sent to an engine in its rest on a new connection, as the engine has closed
+/// the idle one.
+#[test]
+fn a_closed_connection_is_not_replaced_in_a_rest() {
+    let arrived = Arc::new(AtomicBool::new(false));
+    let rests = Arc::new(AtomicBool::new(false));
+    let (has_arrived, has_rested) = (arrived.clone(), rests.clone());
+    let engine = Engine::start(Box::new(move |received: &Received| {
+        match received.header("x-filbertstack-attempt-id") {
+            "rests" => {
+                rests.store(true, Ordering::Relaxed);
+                turn_away(received, LONG_REST)
+            }
+            "closes" => {
+                arrived.store(true, Ordering::Relaxed);
+                while !rests.load(Ordering::Relaxed) {
+                    sleep(Duration::from_millis(1));
+                }
+                sleep(ANSWER_TIME);
+                Vec::new()
+            }
+            id => format!(
+                "HTTP/1.1 200 OK\r\nConnection: keep-alive\r\nX-Filbertstack-Attempt-Id: {id}\r\n\
+                 X-Filbertstack-Response-Seal: sealed\r\nContent-Length: 2\r\n\r\nok"
+            )
+            .into_bytes(),
+        }
+    }));
+    let cluster = Cluster::start(1, 0);
+    cluster.put_document(&[0], &document(1));
+    cluster.register(0, "i-1", "safe", engine.addr);
+    cluster.await_service(0, "/safe/");
+    let call = |id: &str| cluster.call(0, &get("/safe/", id, "")).status;
+    thread::scope(|scope| {
+        // It takes the idle connection, the only one whose end is not held against the engine.
+        let closes = scope.spawn(|| call("closes"));
+        wait_until("it has arrived", || has_arrived.load(Ordering::Relaxed));
+        assert_eq!(call("rests"), 503);
+        assert_ne!(closes.join().expect("it ends"), 200);
+    });
+    assert!(has_rested.load(Ordering::Relaxed));
+    let closed = |received: &Received| received.header("x-filbertstack-attempt-id") == "closes";
+    let received = engine.received();
+    assert_eq!(
+        received.iter().filter(|r| closed(r)).count(),
+        1,
+        "not again"
+    );
+}
