Callers do not wait for a target that rests

A target that turned a request away is paused for a moment and asks for rest in the same answer. While the pause lasted it counted as one that takes no work, so that callers of a service with no other target waited for it instead of being refused until the rest ends. What the target asked for now goes first.

a_target_that_turns_away_and_rests_is_not_waited_for fails before (NoTarget) and passes. The question before a new connection is dropped, as the one after it covers both.

--- a/crates/filbertstack-gateway/src/request/attempt.rs
+++ b/crates/filbertstack-gateway/src/request/attempt.rs
@@ -401,7 +401,6 @@
     let broken = matches!(reply, Some(Err(_)));
     if broken
         && connected.was_closed()
-        && may_resend(requests, call, &chosen.id)
         && connected.replace(requests, call, chosen).await
         && may_resend(requests, call, &chosen.id)
     {
--- a/crates/filbertstack-policy/src/attempts.rs
+++ b/crates/filbertstack-policy/src/attempts.rs
@@ -45,7 +45,7 @@
 
     /// Returns whether the request may be sent to another target, if `limit` targets may run it.
     pub fn may_continue(&self, limit: u32) -> bool {
-        self.sent - self.turned_away < limit
+        self.sent.saturating_sub(self.turned_away) < limit
             && self.turned_away < MAX_TURNED_AWAY
             && self.unreached < MAX_UNREACHED
     }
--- a/crates/filbertstack-policy/src/dispatch.rs
+++ b/crates/filbertstack-policy/src/dispatch.rs
@@ -189,7 +189,7 @@
         for target in self.targets.values() {
             let id = &target.spec.id;
             let excluded = &*target.spec.service != wanted.service || wanted.tried.contains(id);
-            if excluded || !target.takes_work(now) {
+            if excluded || !target.spec.accepts_work {
                 continue;
             }
             match self.notices.find(now, id) {
@@ -200,6 +200,9 @@
                 Some(Notice::Leaving) => continue,
                 None => {}
             }
+            if !target.takes_work(now) {
+                continue;
+            }
             let predicted = target.predict(now, prompt);
             if !target.is_available(now) {
                 // The caller may retry soon: the target serves others, or this entry again.
--- a/crates/filbertstack-policy/tests/notices.rs
+++ b/crates/filbertstack-policy/tests/notices.rs
@@ -1,6 +1,7 @@
 //! Tests of what targets ask for in their answers: rest, or no more requests as they leave.
 
 use filbertstack_core::Millis;
+use filbertstack_policy::dispatch::AttemptEnd;
 use filbertstack_policy::dispatch::ChooseError;
 use filbertstack_policy::dispatch::Dispatcher;
 use filbertstack_policy::dispatch::Sharers;
@@ -74,6 +75,21 @@
     assert!(dispatcher.accepts(Millis(4_000), "e0"));
 }
 
+/// Guards against callers that wait because the only target, which has just turned a request away, seems gone.
+#[test]
+fn a_target_that_turns_away_and_rests_is_not_waited_for() {
+    let mut dispatcher = dispatcher(&["e0"]);
+    let now = Millis(1_000);
+    dispatcher.count_sent(now, "e0", 0);
+    dispatcher.record_rest(now, &target(), Millis(3_000));
+    dispatcher.count_end(now, "e0", 0, AttemptEnd::TurnedAway);
+    let refused = choose(&mut dispatcher, now);
+    assert!(
+        matches!(refused, Err(ChooseError::Full { .. })),
+        "{refused:?}"
+    );
+}
+
 /// Guards against a rest that is forgotten because the registry drops the target for a moment.
 #[test]
 fn a_target_that_comes_back_still_rests() {
