The test of a shared limit calls until the limit is named

The test waited for the limited engine to have been asked, and asked nobody meanwhile. Until then each of four entries had had one answer, from either of two engines that no entry had measured, so that both look alike and the choice is random: in one run of sixteen all four ask the other engine, and the limit is never named. The test now calls until the engine is asked; all that it checks stays.

--- a/tests/gateway/limits.rs
+++ b/tests/gateway/limits.rs
@@ -101,7 +101,10 @@
     let (limited, arrivals, _) = start_engine(Duration::ZERO, true);
     let (free, _, _) = start_engine(SLOW_ANSWER, false);
     let cluster = start_serving(&limited, &free);
-    wait_until("the limit is named", || !limited.received().is_empty());
+    wait_until("the limit is named", || {
+        let _ = cluster.call(0, &get("/safe/", "first", ""));
+        !limited.received().is_empty()
+    });
     let named_at = arrivals.lock().expect("not poisoned")[0];
     let began = Instant::now();
     let callers = (0..4).map(|n| {
