--- a/crates/filbertstack-policy/tests/notices.rs
+++ b/crates/filbertstack-policy/tests/notices.rs
@@ -1,54 +1,19 @@
 //! Tests of what targets ask for in their answers: rest, or no more requests as they leave.
 
+mod plain;
+
 use filbertstack_core::Millis;
 use filbertstack_policy::dispatch::AttemptEnd;
 use filbertstack_policy::dispatch::ChooseError;
-use filbertstack_policy::dispatch::Dispatcher;
-use filbertstack_policy::dispatch::Sharers;
 use filbertstack_policy::dispatch::TargetId;
-use filbertstack_policy::dispatch::TargetRequest;
-use filbertstack_policy::dispatch::TargetSpec;
 use filbertstack_policy::notices::Notice;
 use filbertstack_policy::notices::Notices;
+use plain::choose;
+use plain::dispatcher;
+use plain::spec;
 use proptest::prop_assert;
 use proptest::prop_assert_eq;
 use proptest::proptest;
-use rand::SeedableRng as _;
-use rand_chacha::ChaCha8Rng;
-
-/// Returns a target that makes plain calls.
-fn spec(id: &str) -> TargetSpec {
-    TargetSpec {
-        id: id.into(),
-        service: "api".into(),
-        slots: 4,
-        local: true,
-        sharers: Sharers {
-            entries: 1,
-            targets: 2,
-            used: 2,
-            preferred_by: 0,
-        },
-        engine: None,
-        accepts_work: true,
-    }
-}
-
-fn dispatcher(ids: &[&str]) -> Dispatcher {
-    let mut dispatcher = Dispatcher::new(ChaCha8Rng::seed_from_u64(1));
-    dispatcher.set_targets(ids.iter().map(|id| spec(id)).collect());
-    dispatcher
-}
-
-fn choose(dispatcher: &mut Dispatcher, now: Millis) -> Result<TargetId, ChooseError> {
-    let wanted = TargetRequest {
-        service: "api",
-        prompt: 0,
-        goal: Millis(500),
-        tried: &[],
-    };
-    dispatcher.choose(now, &wanted)
-}
 
 fn target() -> TargetId {
     "e0".into()
--- a/crates/filbertstack-policy/tests/quota.rs
+++ b/crates/filbertstack-policy/tests/quota.rs
@@ -1,21 +1,21 @@
 //! Tests of limits that targets name: replays in virtual time of entries that share a limited target,
 //! judged by the requests that reach it and by the answers that callers receive.
 
+mod plain;
+
 use std::collections::VecDeque;
 
 use filbertstack_core::Millis;
 use filbertstack_policy::dispatch::AttemptEnd;
 use filbertstack_policy::dispatch::ChooseError;
-use filbertstack_policy::dispatch::Dispatcher;
-use filbertstack_policy::dispatch::Sharers;
 use filbertstack_policy::dispatch::TargetId;
-use filbertstack_policy::dispatch::TargetRequest;
-use filbertstack_policy::dispatch::TargetSpec;
 use filbertstack_policy::quota;
 use filbertstack_policy::quota::LimitReport;
 use filbertstack_policy::quota::Limits;
 use filbertstack_policy::quota::Quota;
 use filbertstack_policy::quota::Sender;
+use plain::choose;
+use plain::dispatcher;
 use proptest::prop_assert_eq;
 use proptest::proptest;
 use rand::RngExt as _;
@@ -106,40 +106,11 @@
     assert!(quota::share("unknown", "target", &senders, 1.0) <= 0.0);
 }
 
-/// Returns a target that makes plain calls.
-fn spec(id: &str) -> TargetSpec {
-    TargetSpec {
-        id: id.into(),
-        service: "api".into(),
-        slots: 4,
-        local: true,
-        sharers: Sharers {
-            entries: 1,
-            targets: 2,
-            used: 2,
-            preferred_by: 0,
-        },
-        engine: None,
-        accepts_work: true,
-    }
-}
-
-fn choose(dispatcher: &mut Dispatcher, now: Millis) -> Result<TargetId, ChooseError> {
-    let wanted = TargetRequest {
-        service: "api",
-        prompt: 0,
-        goal: Millis(500),
-        tried: &[],
-    };
-    dispatcher.choose(now, &wanted)
-}
-
 /// Guards against callers that wait for a target which would serve them soon, or are told that there is
 /// none.
 #[test]
 fn a_request_beyond_the_quota_is_served_elsewhere_or_refused_at_once() {
-    let mut dispatcher = Dispatcher::new(ChaCha8Rng::seed_from_u64(1));
-    dispatcher.set_targets(vec![spec("e0"), spec("e1")]);
+    let mut dispatcher = dispatcher(&["e0", "e1"]);
     dispatcher.set_quota(Millis::ZERO, "e0", Some(1.0));
     let now = Millis(1_000);
     let mut at_limited = 0;
@@ -163,8 +134,7 @@
 /// Guards against a request that is sent again on a new connection beyond the limit of its target.
 #[test]
 fn a_request_that_is_sent_again_counts_against_the_limit() {
-    let mut dispatcher = Dispatcher::new(ChaCha8Rng::seed_from_u64(1));
-    dispatcher.set_targets(vec![spec("e0")]);
+    let mut dispatcher = dispatcher(&["e0"]);
     let now = Millis(2_000);
     assert!(dispatcher.may_resend(now, "e0"));
     dispatcher.set_quota(Millis::ZERO, "e0", Some(1.0));
