Log the shared parts of lost prompts, and why losses no longer count

The logs of the incident could not tell whether lost requests had something in common: each line gave a digest of the whole request. They name the parts now, which other requests share; the last part belongs to the request and is left out. A refuted loss left no line either.

--- a/crates/filbertstack-gateway/src/control/crashes.rs
+++ b/crates/filbertstack-gateway/src/control/crashes.rs
@@ -77,16 +77,27 @@
     /// Records that a request was answered completely and with success.
     pub fn record_answer(&self, request: impl FnOnce() -> RequestDigest) {
         let mut crashes = self.crashes.crashes.borrow_mut();
-        if !crashes.is_empty() {
-            crashes.record_answer(self.clock.now(), &request());
+        if crashes.is_empty() {
+            return;
+        }
+        let request = request();
+        let refuted = crashes.record_answer(self.clock.now(), &request);
+        if refuted > 0 {
+            info!("losses refuted: the request was answered", kv: {
+                digest = request.to_string(), losses = refuted
+            });
         }
     }
 
     /// Records that bytes arrived from a target.
     pub fn record_life(&self, target: &str) {
         let mut crashes = self.crashes.crashes.borrow_mut();
-        if !crashes.is_empty() {
-            crashes.record_life(self.clock.now(), target);
+        if crashes.is_empty() {
+            return;
+        }
+        let refuted = crashes.record_life(self.clock.now(), target);
+        if refuted > 0 {
+            info!("losses refuted: the target is alive", kv: { target = target, losses = refuted });
         }
     }
 
--- a/crates/filbertstack-gateway/src/request/attempt.rs
+++ b/crates/filbertstack-gateway/src/request/attempt.rs
@@ -424,7 +424,8 @@
         Err(error) => {
             info!("answer lost", kv: {
                 request = call.head.id(), target = chosen.id.to_string(),
-                error = error.to_string(), digest = call.digest().to_string()
+                error = error.to_string(), digest = call.digest().to_string(),
+                parts = call.head.shared_parts.join(",")
             });
             // A target that sends invalid answers has not crashed.
             if error.is_parse() {
--- a/crates/filbertstack-policy/src/crashes.rs
+++ b/crates/filbertstack-policy/src/crashes.rs
@@ -112,15 +112,16 @@
         matches!(self.state, State::Suspected | State::Reported)
     }
 
-    /// Refutes the loss. Others are told if it was reported to them.
-    fn refute(&mut self, now: Millis) {
+    /// Refutes the loss, and returns whether it counted. Others are told if it was reported to them.
+    fn refute(&mut self, now: Millis) -> bool {
         let state = match self.state {
             State::Suspected => State::Dismissed,
             State::Reported => State::Refuted,
-            State::Refuted | State::Dismissed => return,
+            State::Refuted | State::Dismissed => return false,
         };
         self.state = state;
         self.changed_at = now;
+        true
     }
 }
 
@@ -190,25 +191,30 @@
     }
 
     /// Records that a request was answered completely and with success: none of its losses was a crash.
-    pub fn record_answer(&mut self, now: Millis, request: &RequestDigest) {
+    ///
+    /// Returns the number of losses that no longer count.
+    pub fn record_answer(&mut self, now: Millis, request: &RequestDigest) -> usize {
         let losses = self.requests.get_mut(request);
-        for loss in losses.into_iter().flat_map(BTreeMap::values_mut) {
-            loss.refute(now);
-        }
+        let losses = losses.into_iter().flat_map(BTreeMap::values_mut);
+        losses.map(|loss| usize::from(loss.refute(now))).sum()
     }
 
     /// Records that bytes arrived from `target`, so that its earlier losses were no crashes.
-    pub fn record_life(&mut self, now: Millis, target: &str) {
+    ///
+    /// Returns the number of losses that no longer count.
+    pub fn record_life(&mut self, now: Millis, target: &str) -> usize {
         let Some(requests) = self.targets.get(target) else {
-            return;
+            return 0;
         };
+        let mut refuted = 0;
         for request in requests {
             let losses = self.requests.get_mut(request);
             let loss = losses.and_then(|losses| losses.get_mut(target));
             if let Some(loss) = loss.filter(|l| !l.probe && now.since(l.at) >= LIFE_DELAY) {
-                loss.refute(now);
+                refuted += usize::from(loss.refute(now));
             }
         }
+        refuted
     }
 
     /// Merges a report of another process. Returns whether it says something new.
