--- /dev/null
+++ b/tests/gateway/crashing_parts.rs
@@ -0,0 +1,195 @@
+//! Tests parts of prompts that crash the engines that begin to answer them, whatever else a request holds.
+
+use std::thread::sleep;
+use std::time::Duration;
+
+use crate::cluster::Answer;
+use crate::cluster::Cluster;
+use crate::cluster::document;
+use crate::cluster::wait_until;
+use crate::engine::Engine;
+use crate::engine::Received;
+use crate::engine::stream;
+use crate::engine::stream_until_close;
+
+/// A part that crashes engines, and the parts that its requests share with others.
+const CRASHING_PART: &str = "bad0";
+const FIRST_PART: &str = "f1";
+const SECOND_PART: &str = "5ec0";
+
+/// The number of crashes from which entries have to know the part.
+const KNOWN_CRASHES: usize = 5;
+
+/// How often requests with the part may still reach engines later on.
+const RETRIES_ALLOWED: usize = 3;
+
+/// The time that entries have to learn of the last of these crashes.
+const LEARN_TIME: Duration = Duration::from_secs(3);
+
+/// `Framing` is how an engine marks the end of an answer.
+#[derive(Clone, Copy)]
+enum Framing {
+    Chunks,
+    /// The connection ends.
+    Connection,
+}
+
+fn is_crashing(received: &Received) -> bool {
+    let parts = received.header("x-filbertstack-prompt-prefix");
+    parts.contains(&format!("{CRASHING_PART}:"))
+}
+
+/// Returns the answer of an engine, whose first event is cut if the request crashes it.
+fn answer(received: &Received, framing: Framing) -> Vec<u8> {
+    let cut = if is_crashing(received) { 12 } else { 0 };
+    let after: u64 = received.header("last-event-id").parse().unwrap_or(0);
+    match framing {
+        Framing::Chunks => stream(received, after + 1, cut),
+        Framing::Connection => stream_until_close(received, after + 1, cut),
+    }
+}
+
+fn start_engines(count: usize, framing: Framing) -> Vec<Engine> {
+    let engine = |_| {
+        let behaviour = move |received: &Received| answer(received, framing);
+        Engine::crashed_when(is_crashing, Box::new(behaviour))
+    };
+    (0..count).map(engine).collect()
+}
+
+/// Starts three entries, one of them with a disk, which know the engines.
+fn start_serving(engines: &[Engine]) -> Cluster {
+    let cluster = Cluster::start(1, 2);
+    cluster.put_document(&[0], &document(1));
+    register_running(&cluster, engines);
+    await_served(&cluster);
+    cluster
+}
+
+fn register_running(cluster: &Cluster, engines: &[Engine]) {
+    for (n, engine) in engines.iter().enumerate().filter(|(_, e)| !e.has_crashed()) {
+        cluster.register(0, &format!("i-{n}"), "stream", engine.addr);
+    }
+}
+
+fn await_served(cluster: &Cluster) {
+    for n in 0..3 {
+        wait_until("an entry serves", || {
+            post_sound(cluster, n, "probe").status == 200
+        });
+    }
+}
+
+/// Sends a request for a stream with a prompt of these parts and one of its own.
+fn post(cluster: &Cluster, n: usize, attempt: &str, parts: &str) -> Answer {
+    let body = format!("prompt {attempt}");
+    let request = format!(
+        "POST /stream/ HTTP/1.1\r\nHost: h.example\r\nX-Filbertstack-Attempt-Id: {attempt}\r\n\
+         X-Filbertstack-Deadline-Ms: 5000\r\nX-Filbertstack-Prompt-Prefix: {parts},0e{attempt}:9\r\n\
+         Connection: close\r\nContent-Length: {}\r\n\r\n{body}",
+        body.len()
+    );
+    cluster.call(n, &request)
+}
+
+fn post_sound(cluster: &Cluster, n: usize, attempt: &str) -> Answer {
+    post(
+        cluster,
+        n,
+        attempt,
+        &format!("{FIRST_PART}:40,{SECOND_PART}:80"),
+    )
+}
+
+/// Sends a request with the crashing part. No two of them are alike.
+fn post_crashing(cluster: &Cluster, call: usize) -> Answer {
+    let parts = format!("{FIRST_PART}:40,{SECOND_PART}:80,{CRASHING_PART}:120");
+    post(cluster, call % 3, &format!("a{call}"), &parts)
+}
+
+fn crashed(engines: &[Engine]) -> usize {
+    engines.iter().filter(|e| e.has_crashed()).count()
+}
+
+/// Returns how often requests with the crashing part reached an engine.
+fn arrivals(engines: &[Engine]) -> usize {
+    let received = engines.iter().flat_map(Engine::received);
+    received.filter(is_crashing).count()
+}
+
+/// Sends requests with the crashing part, and a sound one after each, until entries have to know the part.
+/// Entries that know it sooner lose fewer engines. Returns how many were sent.
+fn crash_engines(cluster: &Cluster, engines: &[Engine]) -> usize {
+    let mut calls = 0;
+    while crashed(engines) < KNOWN_CRASHES && calls < 4 * KNOWN_CRASHES {
+        post_crashing(cluster, calls);
+        post_sound(cluster, calls % 3, &format!("b{calls}"));
+        calls += 1;
+    }
+    sleep(LEARN_TIME);
+    calls
+}
+
+/// Sends 12 more requests with the crashing part and checks how many reach an engine.
+fn assert_not_sent_on(cluster: &Cluster, engines: &[Engine], sent: usize) {
+    let before = arrivals(engines);
+    for call in sent..sent + 12 {
+        post_crashing(cluster, call);
+    }
+    let retries = arrivals(engines) - before;
+    assert!(
+        retries <= RETRIES_ALLOWED,
+        "{retries} more arrivals, {} engines crashed",
+        crashed(engines)
+    );
+}
+
+/// Checks that each entry refuses requests with the crashing part, and serves those that share its other parts.
+fn assert_told_apart(cluster: &Cluster) {
+    for n in 0..3 {
+        let refused = post_crashing(cluster, 300 + n);
+        assert_eq!(refused.status, 503, "{}", refused.head);
+        assert!(refused.head.contains("retry-after: "), "{}", refused.head);
+        let served = post_sound(cluster, n, &format!("c{n}"));
+        assert_eq!(served.status, 200, "{}", served.head);
+    }
+}
+
+/// Guards against requests that differ but share a part that crashes engines: each is new to the record of
+/// crashing requests.
+#[test]
+fn a_part_that_crashes_engines_is_not_sent_on_by_any_entry() {
+    let engines = start_engines(14, Framing::Chunks);
+    let cluster = start_serving(&engines);
+    let sent = crash_engines(&cluster, &engines);
+    assert_not_sent_on(&cluster, &engines, sent);
+    assert_told_apart(&cluster);
+}
+
+/// Guards against a part that crashes engines anew after all processes were killed at once.
+#[test]
+fn a_part_that_crashed_engines_is_refused_after_all_entries_restart() {
+    let engines = start_engines(14, Framing::Chunks);
+    let mut cluster = start_serving(&engines);
+    let sent = crash_engines(&cluster, &engines);
+    for n in 0..3 {
+        cluster.kill(n);
+    }
+    for n in 0..3 {
+        cluster.launch(n);
+    }
+    register_running(&cluster, &engines);
+    await_served(&cluster);
+    assert_not_sent_on(&cluster, &engines, sent);
+    assert_told_apart(&cluster);
+}
+
+/// Guards against a crash that looks like the end of an answer, as the engine marks that by its connection.
+#[test]
+fn a_part_whose_answers_end_with_their_connection_is_not_sent_on() {
+    let engines = start_engines(14, Framing::Connection);
+    let cluster = start_serving(&engines);
+    let sent = crash_engines(&cluster, &engines);
+    assert_not_sent_on(&cluster, &engines, sent);
+    assert_told_apart(&cluster);
+}
--- a/tests/gateway/engine.rs
+++ b/tests/gateway/engine.rs
@@ -45,11 +45,13 @@
     state: Arc<State>,
 }
 
+/// `Trigger` tells whether a request crashes the engine that answers it.
+type Trigger = Box<dyn Fn(&Received) -> bool + Send + Sync>;
+
 /// `State` is shared by the connections of an engine.
 struct State {
     addr: SocketAddr,
-    /// The body of the requests that crash the engine.
-    crashed_by: Option<&'static [u8]>,
+    crashes: Trigger,
     crashed: AtomicBool,
 }
 
@@ -69,26 +71,34 @@
 impl Engine {
     /// Starts an engine on a free port.
     pub fn start(behaviour: Behaviour) -> Self {
-        Self::launch(Duration::ZERO, None, behaviour)
+        Self::launch(Duration::ZERO, Box::new(|_| false), behaviour)
     }
 
     /// Starts an engine that pauses after each event of a stream.
     pub fn paced(pause: Duration, behaviour: Behaviour) -> Self {
-        Self::launch(pause, None, behaviour)
+        Self::launch(pause, Box::new(|_| false), behaviour)
     }
 
     /// Starts an engine that crashes when it has sent its answer to a request with this body.
     pub fn crashed_by(body: &'static [u8], behaviour: Behaviour) -> Self {
-        Self::launch(Duration::ZERO, Some(body), behaviour)
+        Self::crashed_when(move |received| received.body == body, behaviour)
+    }
+
+    /// Starts an engine that crashes when it has sent its answer to a request for which `crashes` returns true.
+    pub fn crashed_when(
+        crashes: impl Fn(&Received) -> bool + Send + Sync + 'static,
+        behaviour: Behaviour,
+    ) -> Self {
+        Self::launch(Duration::ZERO, Box::new(crashes), behaviour)
     }
 
-    fn launch(pause: Duration, crashed_by: Option<&'static [u8]>, behaviour: Behaviour) -> Self {
+    fn launch(pause: Duration, crashes: Trigger, behaviour: Behaviour) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
         let addr = listener.local_addr().expect("bound");
         let received = Arc::new(Mutex::new(Vec::new()));
         let state = Arc::new(State {
             addr,
-            crashed_by,
+            crashes,
             crashed: AtomicBool::new(false),
         });
         let recorded = received.clone();
@@ -135,7 +145,7 @@
             return;
         }
         let answer = behaviour(&received);
-        let crashes = state.crashed_by == Some(&received.body[..]);
+        let crashes = (state.crashes)(&received);
         recorded.lock().expect("not poisoned").push(received);
         if crashes {
             state.crash();
@@ -230,3 +240,19 @@
     let whole = bytes.into_bytes();
     whole[..whole.len() - cut].to_vec()
 }
+
+/// Returns the same stream as [`stream`] without length and chunks: it ends with its connection, `cut` bytes
+/// before the end of its last event.
+pub fn stream_until_close(received: &Received, last: u64, cut: usize) -> Vec<u8> {
+    let id = received.header("x-filbertstack-attempt-id");
+    let after: u64 = received.header("last-event-id").parse().unwrap_or(0);
+    let head = format!(
+        "HTTP/1.1 200 OK\r\nX-Filbertstack-Attempt-Id: {id}\r\n\
+         X-Filbertstack-Response-Seal: sealed\r\nContent-Type: text/event-stream\r\n\r\n"
+    );
+    let events = (after + 1..=last).map(|n| format!("id: {n}\ndata: piece {n}\n\n"));
+    let whole = events
+        .fold(head, |bytes, event| bytes + &event)
+        .into_bytes();
+    whole[..whole.len() - cut].to_vec()
+}
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -4,6 +4,7 @@
 mod cluster;
 mod control;
 mod crashes;
+mod crashing_parts;
 mod engine;
 mod fleet;
 mod limits;
