Refuse requests with a part of a prompt that crashes engines, at every entry

Cause: crashes were recorded by the digest of a whole request. Requests that differ but share the part that crashes engines were each new to the record.

Entries record lost targets under what a request holds: the request itself, and each part of its prompt that others may share. The first crash takes along all requests at its engine with their parts, so blame has to fall on the right one: - an answer with success refutes a part's losses, also those that are reported after it (reports carry their age); - a loss counts for the suspect that lost the most targets, not for those that it was lost with; - of a part that was answered before, only losses in separate incidents count, as a lost rack takes along many engines under the parts that most prompts share. An answer that its connection ended may have been cut by a crash. It counts as a success only if its target was not lost then, else as a loss.

Ruled out: keys of organisation and part (each organisation would crash three engines), or of service and part (a route may be split between services).

All ways to a target ask the same question as before (new requests, retries, resumed streams, requests sent again on a new connection, probes), so the part is refused on each of them.

Records of earlier releases are read; they ignore rows of parts.

--- a/crates/filbertstack-core/src/lib.rs
+++ b/crates/filbertstack-core/src/lib.rs
@@ -5,6 +5,7 @@
 //! [`ini::Document::parse`] reads a settings file, and the `settings` modules of the crates that own the keys
 //! interpret it.
 
+pub mod content;
 pub mod declare;
 pub mod digest;
 pub mod error;
@@ -12,16 +13,15 @@
 pub mod labels;
 pub mod names;
 pub mod render;
-pub mod request;
 pub mod selector;
 pub mod serving;
 pub mod settings;
 pub mod time;
 
+pub use content::ContentDigest;
 pub use declare::Declarations;
 pub use digest::Digest;
 pub use error::ValueError;
 pub use labels::Labels;
-pub use request::RequestDigest;
 pub use selector::Selector;
 pub use time::Millis;
--- a/crates/filbertstack-gateway/src/link/messages.rs
+++ b/crates/filbertstack-gateway/src/link/messages.rs
@@ -218,7 +218,7 @@
     /// A part of the newest document.
     #[prost(message, tag = "8")]
     Part(DocumentPart),
-    /// Targets that were lost under certain requests. Earlier releases ignore it.
+    /// Targets that were lost under certain requests or parts of prompts.
     #[prost(message, tag = "9")]
     Crashes(Crashes),
     /// The limits that targets name. Earlier releases ignore it.
@@ -495,18 +495,18 @@
     pub engines: Vec<u64>,
 }
 
-/// Targets that were lost while they ran certain requests.
+/// Targets that were lost while they ran certain requests, or requests with certain parts of a prompt.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct Crashes {
-    /// One row for each request and target.
+    /// One row for each request or part, and target.
     #[prost(message, repeated, tag = "1")]
     pub rows: Vec<CrashRow>,
 }
 
-/// One request's loss of one target.
+/// The loss of one target under one request, or under one part of a prompt.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct CrashRow {
-    /// The digest of the request.
+    /// The digest of the request; empty in the row of a part.
     #[prost(bytes = "bytes", tag = "1")]
     pub request: Bytes,
     /// The id of the target.
@@ -515,9 +515,15 @@
     /// Whether the request was sent there as a probe.
     #[prost(bool, tag = "3")]
     pub probe: bool,
-    /// Whether the loss has turned out not to be a crash by the request.
+    /// Whether the loss has turned out not to be a crash.
     #[prost(bool, tag = "4")]
     pub refuted: bool,
+    /// The digest of the part; empty in the row of a request. Earlier releases ignore rows of parts.
+    #[prost(bytes = "bytes", tag = "5")]
+    pub part: Bytes,
+    /// Milliseconds since the loss, as far as the sender knows. Earlier releases send 0.
+    #[prost(uint64, tag = "6")]
+    pub age_ms: u64,
 }
 
 /// The limits that targets name in their answers.
--- a/crates/filbertstack-gateway/src/request/attempt.rs
+++ b/crates/filbertstack-gateway/src/request/attempt.rs
@@ -13,6 +13,7 @@
 use filbertstack_platform::request::set_forward_headers;
 use filbertstack_platform::request::strip_hop_headers;
 use filbertstack_policy::attempts::Attempts;
+use filbertstack_policy::crashes::Suspect;
 use filbertstack_policy::crashes::Verdict;
 use filbertstack_policy::dispatch::AttemptEnd;
 use filbertstack_policy::dispatch::ChooseError;
@@ -97,6 +98,8 @@
     connection: Option<Connection>,
     idle_limit: Option<Duration>,
     closes_connection: bool,
+    /// Whether the end of the connection is all that marks the end of the answer.
+    ends_with_connection: bool,
     /// The number of tokens of the prompt; 0 once the target has sent an event, as it has then read the
     /// prompt to the end.
     unread_prompt: u32,
@@ -155,7 +158,7 @@
     pub fn lose(&mut self) {
         self.fail();
         let node = &self.requests.node;
-        node.record_crash(self.call.digest(), &self.id);
+        node.record_crash(self.call.suspects(), &self.id);
     }
 
     /// Records that the answer is complete, and returns the connection to the pool if a later request may
@@ -166,7 +169,7 @@
         self.requests.node.record_life(&self.id);
         // A target may fail a request without running it.
         if StatusCode::from_u16(self.status).is_ok_and(|status| status.is_success()) {
-            self.requests.node.record_answer(|| self.call.digest());
+            self.record_success();
         }
         let keep = !self.closes_connection && self.call.may_repeat();
         let kept = self.connection.take().filter(|_| keep);
@@ -176,6 +179,15 @@
                 .put(self.addr, connection, self.idle_limit);
         }
     }
+
+    fn record_success(&self) {
+        let node = &self.requests.node;
+        if self.ends_with_connection {
+            node.record_unconfirmed(self.call.suspects(), &self.id);
+        } else {
+            node.record_answer(self.call.suspects());
+        }
+    }
 }
 
 impl Drop for AttemptGuard {
@@ -298,12 +310,20 @@
 
 /// Returns the refusal of a request that crashes the targets that run it, unless it may be sent.
 pub fn refuse_crashing(requests: &Requests, call: &Call) -> Option<Refusal> {
-    match requests.node.crash_verdict(|| call.digest()) {
+    match requests.node.crash_verdict(|| call.suspects()) {
         Verdict::Allowed | Verdict::Probe => None,
-        Verdict::Refused { retry_after } => Some(Refusal::busy(
-            "the request was lost with several targets that ran it",
-            retry_after.into(),
-        )),
+        Verdict::Refused {
+            retry_after,
+            suspect,
+        } => {
+            let why = match suspect {
+                Suspect::Request(_) => "the request was lost with several targets that ran it",
+                Suspect::Part(_) => {
+                    "a part of the prompt was lost with several targets that read it"
+                }
+            };
+            Some(Refusal::busy(why, retry_after.into()))
+        }
     }
 }
 
@@ -313,9 +333,9 @@
     if !requests.targets.accepts(target) {
         return false;
     }
-    match requests.node.crash_verdict(|| call.digest()) {
+    match requests.node.crash_verdict(|| call.suspects()) {
         Verdict::Allowed => true,
-        Verdict::Probe => requests.node.record_probe(call.digest(), target),
+        Verdict::Probe => requests.node.record_probe(call.suspects(), target),
         Verdict::Refused { .. } => false,
     }
 }
@@ -354,6 +374,7 @@
         connection: None,
         idle_limit: None,
         closes_connection: false,
+        ends_with_connection: false,
         unread_prompt: call.prompt(),
         sent_at: Instant::now(),
         notified_at: Instant::now(),
@@ -424,7 +445,7 @@
         Err(error) => {
             info!("answer lost", kv: {
                 request = call.head.id(), target = chosen.id.to_string(),
-                error = error.to_string(), digest = call.digest().to_string(),
+                error = error.to_string(), digest = call.digest(),
                 parts = call.head.shared_parts.join(",")
             });
             // A target that sends invalid answers has not crashed.
@@ -527,6 +548,7 @@
     let head = ReplyHead::read(response.headers(), call.head.attempt.as_ref());
     guard.idle_limit = head.idle_timeout;
     guard.closes_connection = head.closes_connection;
+    guard.ends_with_connection = head.ends_with_connection;
     // An answer of another instance says nothing about the target, and a limit ends only with an answer to
     // a request that the target served.
     let misdirected = status == StatusCode::MISDIRECTED_REQUEST;
--- a/crates/filbertstack-gateway/src/request/mod.rs
+++ b/crates/filbertstack-gateway/src/request/mod.rs
@@ -19,12 +19,13 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use filbertstack_core::RequestDigest;
+use filbertstack_core::ContentDigest;
 use filbertstack_core::serving::Catalogue;
 use filbertstack_core::serving::Repeat;
 use filbertstack_core::serving::Route;
 use filbertstack_platform::request::CallHead;
 use filbertstack_platform::request::set_answer_headers;
+use filbertstack_policy::crashes::Suspect;
 use filbertstack_policy::dispatch::Dispatcher;
 use filbertstack_policy::recovery::Recovery;
 use filbertstack_policy::repeats::Allowance;
@@ -118,8 +119,8 @@
     pub deadline: Instant,
     /// Counts it among the requests in progress.
     pub in_flight: InFlight,
-    /// Its digest, once it was needed.
-    digest: OnceCell<RequestDigest>,
+    /// What it holds that may crash targets, once that was needed.
+    suspects: OnceCell<Vec<Suspect>>,
 }
 
 /// Counts one request until it is dropped.
@@ -158,16 +159,25 @@
         self.head.tokens.map_or(0, |(prompt, _)| prompt)
     }
 
-    /// Returns the digest that all repeats of this request share.
-    pub fn digest(&self) -> RequestDigest {
-        let path = self
-            .target
-            .path_and_query()
-            .map_or("", |path| path.as_str());
-        let organisation = self.organisation.as_deref();
-        *self
-            .digest
-            .get_or_init(|| RequestDigest::of(path, organisation, &self.body))
+    /// Returns what this request holds that may crash targets: the request itself first, and the parts of its
+    /// prompt that other requests may share in their order.
+    pub fn suspects(&self) -> &[Suspect] {
+        self.suspects.get_or_init(|| {
+            let path = self.target.path_and_query();
+            let path = path.map_or("", |path| path.as_str());
+            let organisation = self.organisation.as_deref();
+            let request = ContentDigest::of_request(path, organisation, &self.body);
+            let parts = self.head.shared_parts.iter();
+            let parts = parts.map(|part| Suspect::Part(ContentDigest::of_part(part)));
+            std::iter::once(Suspect::Request(request))
+                .chain(parts)
+                .collect()
+        })
+    }
+
+    /// Returns the digest that all repeats of this request share, for logs.
+    pub fn digest(&self) -> String {
+        self.suspects()[0].digest().to_string()
     }
 
     /// Returns whether it may run again when it is unknown whether it ran.
@@ -278,7 +288,7 @@
             waited,
             deadline,
             in_flight,
-            digest: OnceCell::new(),
+            suspects: OnceCell::new(),
         });
         let answer = timeout_at(deadline, attempt::run(self, &call)).await;
         answer.unwrap_or(Err(Refusal::late()))
--- a/crates/filbertstack-gateway/src/request/relay.rs
+++ b/crates/filbertstack-gateway/src/request/relay.rs
@@ -275,7 +275,7 @@
         if let Source::Target(body, mut guard) = source {
             info!("answer broke off", kv: {
                 request = self.call.head.id(), target = guard.target().to_string(), why = why,
-                resumable = self.events.is_some(), digest = self.call.digest().to_string(),
+                resumable = self.events.is_some(), digest = self.call.digest(),
                 parts = self.call.head.shared_parts.join(",")
             });
             guard.fail();
--- a/crates/filbertstack-policy/tests/crash_replay/mod.rs
+++ b/crates/filbertstack-policy/tests/crash_replay/mod.rs
@@ -1,12 +1,14 @@
-//! A replay in virtual time of entries, engines and a request that crashes them.
+//! A replay in virtual time of entries and engines, and of what crashes these: one request that is repeated,
+//! requests that share a part of their prompts, or the loss of a rack.
 
 use std::collections::VecDeque;
 
+use filbertstack_core::ContentDigest;
 use filbertstack_core::Millis;
-use filbertstack_core::RequestDigest;
 use filbertstack_policy::crashes::CRASH_LIMIT;
 use filbertstack_policy::crashes::CrashReport;
 use filbertstack_policy::crashes::Crashes;
+use filbertstack_policy::crashes::Suspect;
 use filbertstack_policy::crashes::Verdict;
 use filbertstack_policy::crashes::prober;
 use filbertstack_policy::dispatch::TargetId;
@@ -38,14 +40,40 @@
 /// How often a request is sent to engines on behalf of one caller.
 const ATTEMPTS: u32 = 4;
 
+/// The number of kinds of requests, each of which begins with a part of its own.
+const KINDS: u32 = 3;
+
+/// The number of subjects of a kind. A subject's part follows the first one.
+const SUBJECTS: u32 = 30;
+
+/// What crashes engines.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Cause {
+    /// A request that its callers repeat.
+    Request,
+    /// A part of prompts. No two requests with it are alike.
+    Part,
+    /// Their racks: so many engines end, each this long after the one before.
+    Racks(usize, Millis),
+}
+
 /// A replay.
 pub struct Replay {
     /// The seed.
     pub seed: u64,
-    /// Whether entries record the requests that crash engines.
+    /// Whether entries record what crashes engines.
     pub records: bool,
+    /// What crashes engines.
+    pub cause: Cause,
 }
 
+/// The time at which racks are lost.
+const RACKS_LOST_AT: Millis = Millis::secs(20);
+
+/// Callers are served as before from this time after the last crash on: engines start again, and entries learn
+/// what they may send.
+const RECOVERY_TIME: Millis = Millis::secs(6);
+
 /// What callers received.
 #[derive(Debug, Default)]
 pub struct Received {
@@ -53,16 +81,24 @@
     pub requests: usize,
     /// Those of them that were answered.
     pub served: usize,
-    /// How often the crashing request reached engines after the time to learn of its third crash.
+    /// How often requests that crash engines reached them after the time to learn of their crashes.
     pub late_retries: usize,
     /// The engines that crashed.
     pub crashed: usize,
+    /// How often a request was refused for what it holds.
+    pub refused: usize,
+    /// The requests that crash no engine and came after the recovery from the known crashes.
+    pub late_requests: usize,
+    /// Those of them that an engine began at once.
+    pub late_begun: usize,
+    /// Those of them that were refused for what they hold.
+    pub late_refused: usize,
 }
 
 #[derive(Clone)]
 struct Running {
     entry: usize,
-    request: RequestDigest,
+    suspects: Vec<Suspect>,
     crashes: bool,
     attempts: u32,
     ends_at: Millis,
@@ -78,20 +114,34 @@
     rng: ChaCha8Rng,
     now: Millis,
     records: bool,
+    cause: Cause,
     engines: Vec<Engine>,
     entries: Vec<Crashes>,
     voter: Crashes,
     to_voter: VecDeque<(Millis, Vec<CrashReport>)>,
     to_entries: VecDeque<(Millis, Vec<CrashReport>)>,
-    third_crash: Option<Millis>,
+    /// The time of the crash from which entries must know the cause.
+    known_crash: Option<Millis>,
     received: Received,
 }
 
+impl Cause {
+    /// Returns the number of the crash from which entries must know the cause.
+    fn known_crash(self) -> usize {
+        match self {
+            Self::Request => CRASH_LIMIT,
+            Self::Part => 5,
+            Self::Racks(count, _) => count,
+        }
+    }
+}
+
 impl Replay {
     pub fn new(seed: u64) -> Self {
         Self {
             seed,
             records: true,
+            cause: Cause::Request,
         }
     }
 
@@ -105,12 +155,13 @@
             rng: ChaCha8Rng::seed_from_u64(self.seed),
             now: Millis::ZERO,
             records: self.records,
+            cause: self.cause,
             engines: engines.collect(),
             entries: vec![Crashes::default(); ENTRIES.len()],
             voter: Crashes::default(),
             to_voter: VecDeque::new(),
             to_entries: VecDeque::new(),
-            third_crash: None,
+            known_crash: None,
             received: Received::default(),
         };
         while world.now < DURATION {
@@ -123,7 +174,12 @@
 impl World {
     fn step(&mut self) {
         self.now = self.now + STEP;
+        self.lose_racks();
+        let by_requests = !matches!(self.cause, Cause::Racks(..));
         for crashes in [true, false] {
+            if crashes && !by_requests {
+                continue;
+            }
             let rate = if crashes { CRASHING_RATE } else { OTHER_RATE };
             let count = self.rng.random_bool((rate / 100.0).min(1.0));
             let extra = rate > 100.0 && self.rng.random_bool(rate / 100.0 - 1.0);
@@ -136,25 +192,69 @@
     }
 
     fn arrive(&mut self, crashes: bool) {
-        let name = if crashes {
-            "crashing".to_owned()
-        } else {
-            self.received.requests += 1;
-            format!("other {}", self.received.requests)
-        };
         let running = Running {
             entry: self.rng.random_range(0..ENTRIES.len()),
-            request: RequestDigest::of(&name, None, b""),
+            suspects: self.draw_suspects(crashes),
             crashes,
             attempts: 0,
             ends_at: Millis::ZERO,
         };
-        self.send(running);
+        let is_late = !crashes && self.has_recovered();
+        self.received.late_requests += usize::from(is_late);
+        let refused = self.received.refused;
+        let begun = self.send(running);
+        self.received.late_begun += usize::from(is_late && begun);
+        if is_late {
+            self.received.late_refused += self.received.refused - refused;
+        }
     }
 
-    fn send(&mut self, mut running: Running) {
-        if running.attempts >= ATTEMPTS {
+    /// Returns whether callers are to be served as before the crashes.
+    fn has_recovered(&self) -> bool {
+        let known = self.known_crash;
+        known.is_some_and(|at| self.now > at + RECOVERY_TIME)
+    }
+
+    /// Draws a request and its parts. Half of the requests of a kind are about one of its first five subjects.
+    fn draw_suspects(&mut self, crashes: bool) -> Vec<Suspect> {
+        self.received.requests += usize::from(!crashes);
+        if self.cause == Cause::Request {
+            let other = format!("other {}", self.received.requests);
+            return vec![request(if crashes { "crashing" } else { &other })];
+        }
+        let kind = self.rng.random_range(0..KINDS);
+        let few = self.rng.random_bool(0.5);
+        let subject = self.rng.random_range(0..if few { 5 } else { SUBJECTS });
+        let number: u64 = self.rng.random();
+        let mut suspects = vec![
+            request(&format!("request {number}")),
+            part(&format!("{kind}")),
+            part(&format!("{kind} {subject}")),
+        ];
+        if crashes {
+            suspects.push(part("crashing"));
+        }
+        suspects
+    }
+
+    /// Ends the engines of racks, one after the other, and once more after they have started again.
+    fn lose_racks(&mut self) {
+        let Cause::Racks(count, gap) = self.cause else {
             return;
+        };
+        for n in 0..count {
+            let mut at = RACKS_LOST_AT;
+            (0..n).for_each(|_| at = at + gap);
+            if at <= self.now && self.now < at + STEP {
+                self.crash(n, Vec::new());
+            }
+        }
+    }
+
+    /// Sends a request to an engine, and returns whether one takes it.
+    fn send(&mut self, mut running: Running) -> bool {
+        if running.attempts >= ATTEMPTS {
+            return false;
         }
         running.attempts += 1;
         let now = self.now;
@@ -162,13 +262,14 @@
             .filter(|n| self.engines[*n].up_at <= now && self.engines[*n].running.len() < SLOTS)
             .collect();
         if free.is_empty() {
-            return;
+            return false;
         }
         let engine = free[self.rng.random_range(0..free.len())];
         if self.records && !self.may_send(&running, engine) {
-            return;
+            self.received.refused += 1;
+            return false;
         }
-        let learned = self.third_crash.is_some_and(|at| now > at + LEARN_TIME);
+        let learned = self.known_crash.is_some_and(|at| now > at + LEARN_TIME);
         if running.crashes && learned {
             self.received.late_retries += 1;
         }
@@ -179,17 +280,17 @@
         };
         running.ends_at = now + time;
         self.engines[engine].running.push(running);
+        true
     }
 
     fn may_send(&mut self, running: &Running, engine: usize) -> bool {
-        let is_prober =
-            prober(&running.request, ENTRIES.into_iter()) == Some(ENTRIES[running.entry]);
+        let name = ENTRIES[running.entry];
+        let is_prober = |suspect: &Suspect| prober(suspect, ENTRIES.into_iter()) == Some(name);
         let entry = &mut self.entries[running.entry];
-        match entry.verdict(self.now, &running.request, is_prober) {
+        let suspects = &running.suspects;
+        match entry.verdict(self.now, suspects, is_prober) {
             Verdict::Allowed => true,
-            Verdict::Probe => {
-                entry.record_probe(self.now, running.request, &self.engines[engine].id)
-            }
+            Verdict::Probe => entry.record_probe(self.now, suspects, &self.engines[engine].id),
             Verdict::Refused { .. } => false,
         }
     }
@@ -208,15 +309,15 @@
             }
             for running in ended {
                 self.received.served += 1;
-                self.entries[running.entry].record_answer(now, &running.request);
+                self.entries[running.entry].record_answer(now, &running.suspects);
             }
         }
     }
 
     fn crash(&mut self, n: usize, ended: Vec<Running>) {
         self.received.crashed += 1;
-        if self.received.crashed == CRASH_LIMIT {
-            self.third_crash = Some(self.now);
+        if self.received.crashed == self.cause.known_crash() {
+            self.known_crash = Some(self.now);
         }
         let engine = &mut self.engines[n];
         let id = engine.id.clone();
@@ -224,7 +325,7 @@
         engine.up_at = self.now + RESTART_TIME;
         let lost: Vec<Running> = engine.running.drain(..).chain(ended).collect();
         for running in &lost {
-            self.entries[running.entry].record_loss(self.now, running.request, &id);
+            self.entries[running.entry].record_loss(self.now, &running.suspects, &id);
         }
         for running in lost {
             self.send(running);
@@ -253,6 +354,14 @@
     }
 }
 
+fn request(name: &str) -> Suspect {
+    Suspect::Request(ContentDigest::of_request(name, None, b""))
+}
+
+fn part(id: &str) -> Suspect {
+    Suspect::Part(ContentDigest::of_part(id))
+}
+
 /// Takes the reports that have arrived out of a queue.
 fn take_due(queue: &mut VecDeque<(Millis, Vec<CrashReport>)>, now: Millis) -> Vec<CrashReport> {
     let arrived = queue.iter().take_while(|(at, _)| *at <= now).count();
