A stream that its connection cuts is not passed on as complete

What callers saw: a stream that an engine ends inside an event, without an error of the connection, ended as if it were complete, on routes whose streams may not be resumed; and the part that had crashed the engine counted as answered with success.

Cause: only streams that may be resumed are split into events. Of the others, the end of the connection was taken for the end of the answer. A resumable stream without any event was taken for complete as well.

A stream that nothing but its connection ends is whole after a whole event, and not before its first one. Else the answer breaks off, and its target counts as lost.

With the fix the three streams break off and the part is refused from the third on.

--- a/crates/filbertstack-gateway/src/request/attempt.rs
+++ b/crates/filbertstack-gateway/src/request/attempt.rs
@@ -19,9 +19,11 @@
 use filbertstack_policy::dispatch::ChooseError;
 use filbertstack_policy::dispatch::TargetId;
 use filbertstack_policy::dispatch::TargetRequest;
+use http::HeaderMap;
 use http::Request;
 use http::Response;
 use http::StatusCode;
+use http::header;
 use http_body_util::Full;
 use hyper::body::Incoming;
 use spdlog::info;
@@ -34,6 +36,7 @@
 use crate::request::answer::AnswerBody;
 use crate::request::answer::Refusal;
 use crate::request::connect::Connected;
+use crate::request::relay::Framing;
 use crate::request::relay::Relay;
 use crate::request::targets::Chosen;
 use crate::request::waiting;
@@ -124,6 +127,11 @@
         &self.id
     }
 
+    /// Returns whether the end of the connection is all that marks the end of the answer.
+    pub fn ends_with_connection(&self) -> bool {
+        self.ends_with_connection
+    }
+
     /// Records that bytes of the answer's body arrived, so the target is alive.
     pub fn record_bytes(&mut self) {
         self.record_first_bytes();
@@ -616,11 +624,24 @@
 ) -> Response<AnswerBody> {
     let (mut head, body) = response.into_parts();
     strip_hop_headers(&mut head.headers);
-    let resumable = call.route.repeat == Repeat::Resumable && head.status.is_success();
-    let relay = Relay::new(call.clone(), body, guard, tries, resumable);
+    let framing = if !head.status.is_success() {
+        Framing::Plain
+    } else if call.route.repeat == Repeat::Resumable {
+        Framing::Resumable
+    } else if guard.ends_with_connection && is_event_stream(&head.headers) {
+        Framing::Events
+    } else {
+        Framing::Plain
+    };
+    let relay = Relay::new(call.clone(), body, guard, tries, framing);
     Response::from_parts(head, AnswerBody::Relayed(Box::new(relay)))
 }
 
+fn is_event_stream(headers: &HeaderMap) -> bool {
+    let kind = headers.get(header::CONTENT_TYPE);
+    kind.is_some_and(|kind| kind.as_bytes().starts_with(b"text/event-stream"))
+}
+
 /// Creates the error of an answer that breaks off. The connection to the caller then closes in a way that
 /// does not look like the end of a complete answer.
 pub fn abort_error(why: &'static str) -> io::Error {
--- a/crates/filbertstack-gateway/src/request/events.rs
+++ b/crates/filbertstack-gateway/src/request/events.rs
@@ -1,5 +1,6 @@
 //! Splitting of a stream into whole events, and the id of the last one, as needed to resume the stream.
 
+use bytes::Buf as _;
 use bytes::Bytes;
 use bytes::BytesMut;
 
@@ -73,6 +74,28 @@
     }
 }
 
+/// Tells whether a stream that is passed on as it arrives is inside an event.
+#[derive(Debug, Default)]
+pub struct EventTail {
+    /// The last bytes of the stream, as many as end an event.
+    last: BytesMut,
+}
+
+impl EventTail {
+    /// Notes bytes of the stream.
+    pub fn note(&mut self, data: &[u8]) {
+        let tail = data.len().saturating_sub(EVENT_END.len());
+        self.last.extend_from_slice(&data[tail..]);
+        let surplus = self.last.len().saturating_sub(EVENT_END.len());
+        self.last.advance(surplus);
+    }
+
+    /// Returns whether the stream ended after a whole event, and not before the first one.
+    pub fn is_whole(&self) -> bool {
+        self.last == EVENT_END
+    }
+}
+
 /// Returns the position after the last whole event.
 fn find_last_end(bytes: &[u8]) -> Option<usize> {
     let at = bytes
--- a/crates/filbertstack-gateway/src/request/relay.rs
+++ b/crates/filbertstack-gateway/src/request/relay.rs
@@ -33,6 +33,7 @@
 use crate::request::attempt::refuse_crashing;
 use crate::request::attempt::send;
 use crate::request::events::EventBuffer;
+use crate::request::events::EventTail;
 use crate::request::targets::Chosen;
 
 /// How many of the route's pauses a stream may be silent before another target resumes it. Callers
@@ -73,6 +74,17 @@
     tries: Tries,
 }
 
+/// How an answer shows that it is complete.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Framing {
+    /// By its length, its chunks or the end of its connection.
+    Plain,
+    /// By the end of its connection after a whole event.
+    Events,
+    /// In one of these ways after a whole event. Another target may resume it.
+    Resumable,
+}
+
 enum Source {
     /// A target is answering.
     Target(Incoming, AttemptGuard),
@@ -97,6 +109,7 @@
     source: Source,
     tries: Tries,
     events: Option<EventBuffer>,
+    tail: Option<EventTail>,
     deadline: Pin<Box<Sleep>>,
     /// The time at which the last bytes arrived.
     last_bytes_at: Instant,
@@ -111,8 +124,9 @@
         body: Incoming,
         guard: AttemptGuard,
         tries: Tries,
-        resumable: bool,
+        framing: Framing,
     ) -> Self {
+        let resumable = framing == Framing::Resumable;
         let requests = guard.requests();
         let deadline = Box::pin(sleep_until(call.deadline));
         let last_bytes_at = Instant::now();
@@ -123,6 +137,7 @@
         });
         Self {
             events: resumable.then(|| EventBuffer::after(call.head.last_event)),
+            tail: (framing == Framing::Events).then(EventTail::default),
             requests,
             source: Source::Target(body, guard),
             tries,
@@ -179,9 +194,9 @@
                 self.record_crash();
                 self.handle_loss("the target broke off")
             }
-            None if self.events.as_ref().is_some_and(EventBuffer::has_partial) => {
+            None if self.is_cut() => {
                 self.record_crash();
-                self.handle_loss("the target ended in mid event")
+                self.handle_loss("the target ended before its answer was complete")
             }
             None => {
                 if let Source::Target(_, guard) = &mut self.source {
@@ -193,6 +208,19 @@
         }
     }
 
+    /// Returns whether the answer has ended before it is complete, although its connection ended well: inside an
+    /// event or, where nothing else marks its end, before its first one.
+    fn is_cut(&self) -> bool {
+        let Source::Target(_, guard) = &self.source else {
+            return false;
+        };
+        if let Some(events) = &self.events {
+            let is_empty = events.last_id().is_none() && guard.ends_with_connection();
+            return events.has_partial() || is_empty;
+        }
+        self.tail.as_ref().is_some_and(|tail| !tail.is_whole())
+    }
+
     /// Finishes with the last byte of an answer whose length is known. The server does not poll again after
     /// that byte. Without this, the connection would not go back to the pool, and the attempt would count
     /// as one whose caller left.
@@ -209,6 +237,9 @@
 
     /// Returns the bytes to pass on: whole events if the stream may be resumed, or else all of `data`.
     fn filter_events(&mut self, data: Bytes) -> Bytes {
+        if let Some(tail) = &mut self.tail {
+            tail.note(&data);
+        }
         let Some(events) = &mut self.events else {
             return data;
         };
--- a/crates/filbertstack-gateway/tests/events.rs
+++ b/crates/filbertstack-gateway/tests/events.rs
@@ -2,6 +2,7 @@
 
 use bytes::Bytes;
 use filbertstack_gateway::request::events::EventBuffer;
+use filbertstack_gateway::request::events::EventTail;
 use proptest::prelude::*;
 
 /// A target breaks off in the middle of an event. The part must not have been passed on to the caller, or
@@ -23,6 +24,25 @@
     assert_eq!(EventBuffer::after(Some(12)).last_id(), Some(12));
 }
 
+/// Guards against a stream that ends inside an event and is taken for complete.
+#[test]
+fn a_stream_is_whole_after_an_event_only() {
+    let is_whole = |parts: &[&str]| {
+        let mut tail = EventTail::default();
+        for part in parts {
+            tail.note(part.as_bytes());
+        }
+        tail.is_whole()
+    };
+    assert!(!is_whole(&[]), "before its first event");
+    assert!(is_whole(&["id: 1\ndata: a\n\n"]));
+    assert!(
+        is_whole(&["id: 1\ndata: a\n", "", "\n"]),
+        "split inside the end of an event"
+    );
+    assert!(!is_whole(&["id: 1\ndata: a\n\n", "id: 2\n"]));
+}
+
 proptest! {
     /// The same events come out in the same order, wherever the bytes are split on their way.
     #[test]
--- a/tests/gateway/crashing_parts.rs
+++ b/tests/gateway/crashing_parts.rs
@@ -1,4 +1,5 @@
-//! Tests parts of prompts that crash the engines that begin to answer them, whatever else a request holds.
+//! Tests parts of prompts that crash the engines that begin to answer them, whatever else a request holds, and
+//! answers that a crash ends without an error of the connection.
 
 use std::thread::sleep;
 use std::time::Duration;
@@ -6,6 +7,7 @@
 use crate::cluster::Answer;
 use crate::cluster::Cluster;
 use crate::cluster::document;
+use crate::cluster::exchange;
 use crate::cluster::wait_until;
 use crate::engine::Engine;
 use crate::engine::Received;
@@ -82,14 +84,18 @@
 
 /// Sends a request for a stream with a prompt of these parts and one of its own.
 fn post(cluster: &Cluster, n: usize, attempt: &str, parts: &str) -> Answer {
+    cluster.call(n, &request_to("/stream/", attempt, parts))
+}
+
+/// Returns a request with a prompt of these parts and one of its own.
+fn request_to(path: &str, attempt: &str, parts: &str) -> String {
     let body = format!("prompt {attempt}");
-    let request = format!(
-        "POST /stream/ HTTP/1.1\r\nHost: h.example\r\nX-Filbertstack-Attempt-Id: {attempt}\r\n\
+    format!(
+        "POST {path} HTTP/1.1\r\nHost: h.example\r\nX-Filbertstack-Attempt-Id: {attempt}\r\n\
          X-Filbertstack-Deadline-Ms: 5000\r\nX-Filbertstack-Prompt-Prefix: {parts},0e{attempt}:9\r\n\
          Connection: close\r\nContent-Length: {}\r\n\r\n{body}",
         body.len()
-    );
-    cluster.call(n, &request)
+    )
 }
 
 fn post_sound(cluster: &Cluster, n: usize, attempt: &str) -> Answer {
@@ -193,3 +199,31 @@
     assert_not_sent_on(&cluster, &engines, sent);
     assert_told_apart(&cluster);
 }
+
+/// Guards against a stream that may not be resumed and that a crash cuts inside an event, or before the first
+/// one: as its connection ends without an error, the caller would take it for complete, and the part that crashes
+/// engines for answered.
+#[test]
+fn a_stream_that_its_connection_cuts_is_not_passed_on_as_complete() {
+    for cut in [12, "id: 1\ndata: piece 1\n\n".len()] {
+        let behaviour = move |received: &Received| stream_until_close(received, 1, cut);
+        let engine = |_| Engine::crashed_when(|_| true, Box::new(behaviour));
+        let engines: Vec<Engine> = (0..6).map(engine).collect();
+        let cluster = Cluster::start(1, 0);
+        cluster.put_document(&[0], &document(1));
+        for (n, engine) in engines.iter().enumerate() {
+            cluster.register(0, &format!("i-{n}"), "once", engine.addr);
+        }
+        let parts = format!("{FIRST_PART}:40,{CRASHING_PART}:120");
+        wait_until("the part is refused", || {
+            let attempt = format!("a{}", crashed(&engines));
+            let request = request_to("/once/", &attempt, &parts);
+            let got = exchange(&cluster.front_addr(0), &request);
+            // Without an event, the entry ends the connection before it has sent a head.
+            let body = got.map_or_else(String::new, |got| got.body);
+            assert!(!body.ends_with("0\r\n\r\n"), "it looks complete: {body}");
+            body.contains("a part of the prompt")
+        });
+        assert_eq!((arrivals(&engines), crashed(&engines)), (3, 3));
+    }
+}
