A target that starts again under its id is another target

What callers saw: nothing yet; found by reading. An engine that asked for rest or said that it leaves, and then started again under its id with a later 'born', got no requests as long as it was known, or for as long as the rest had been asked for, which had no bound. And the only engine of a service that a part crashes and that starts again under its id was sent the part without end: its bytes after the start refuted the crash before it.

Cause: what is observed of a target was kept by the id of its instance. It is kept by its start now: the id and 'born', where an engine names it. Limits stay by id, as they are told to processes of earlier releases. A rest lasts ten minutes at most.

--- a/crates/filbertstack-gateway/src/request/attempt.rs
+++ b/crates/filbertstack-gateway/src/request/attempt.rs
@@ -39,6 +39,7 @@
 use crate::request::relay::Framing;
 use crate::request::relay::Relay;
 use crate::request::targets::Chosen;
+use crate::request::targets::instance_of;
 use crate::request::waiting;
 
 /// How long a target is excluded after it has answered that it is another instance or has other weights.
@@ -209,7 +210,7 @@
         let took = self.sent_at.elapsed();
         self.requests.metrics.entry.duration.record(outcome, took);
         info!("attempt ended", kv: {
-            request = self.call.head.id(), target = self.id.to_string(), outcome = outcome,
+            request = self.call.head.id(), target = instance_of(&self.id), outcome = outcome,
             status = self.status, took_ms = took.as_millis(),
             first_ms = self.first_bytes.map_or(-1, |first| i64::try_from(first.as_millis()).unwrap_or(-1))
         });
@@ -395,7 +396,7 @@
         Ok(connected) => connected,
         Err(error) => {
             info!("target not reached", kv: {
-                request = call.head.id(), target = chosen.id.to_string(), error = error.to_string()
+                request = call.head.id(), target = instance_of(&chosen.id), error = error.to_string()
             });
             guard.fail();
             tries.attempts.count_unreached();
@@ -418,7 +419,7 @@
     log_sent(requests, call, chosen, tries);
     let onward = ForwardHeaders {
         time_left: left,
-        instance: &chosen.id,
+        instance: instance_of(&chosen.id),
         organisation: call.organisation.as_deref(),
         version: chosen.version,
         resume_after,
@@ -452,7 +453,7 @@
         }
         Err(error) => {
             info!("answer lost", kv: {
-                request = call.head.id(), target = chosen.id.to_string(),
+                request = call.head.id(), target = instance_of(&chosen.id),
                 error = error.to_string(), digest = call.digest(),
                 parts = call.head.shared_parts.join(",")
             });
@@ -497,7 +498,7 @@
         let silent = target_silent || waited >= silence_limit(call);
         if abandoned || (silent && can_ask_another(requests, call, tries)) {
             info!("target silent, given up", kv: {
-                request = call.head.id(), target = chosen.id.to_string(),
+                request = call.head.id(), target = instance_of(&chosen.id),
                 waited_ms = waited.as_millis(), forsaken = abandoned
             });
             return None;
@@ -519,7 +520,7 @@
 fn log_sent(requests: &Requests, call: &Call, chosen: &Chosen, tries: &Tries) {
     let age = chosen.report_age.and_then(|age| i64::try_from(age.0).ok());
     info!("sent", kv: {
-        request = call.head.id(), target = chosen.id.to_string(), attempt = tries.attempts.sent(),
+        request = call.head.id(), target = instance_of(&chosen.id), attempt = tries.attempts.sent(),
         waited_ms = call.arrived_at.elapsed().as_millis(), prompt = call.prompt(),
         predicted_ms = chosen.predicted_ms.round(),
         report_age_ms = age.unwrap_or(-1),
@@ -564,7 +565,7 @@
     if head.answers_attempt && !misdirected && (served || head.rate_limit.is_some()) {
         let node = &guard.requests.node;
         let sent_at = node.clock.now() - Millis::from(guard.sent_at.elapsed());
-        node.record_limit(&guard.id, head.rate_limit, sent_at);
+        node.record_limit(&instance_of(&guard.id).into(), head.rate_limit, sent_at);
     }
     if head.answers_attempt && !misdirected {
         record_notices(call, &guard, &head);
@@ -581,7 +582,7 @@
     // is not an answer to this request.
     if !head.answers_attempt || !head.sealed || head.encoded {
         info!("answer rejected", kv: {
-            request = call.head.id(), target = guard.id.to_string(), status = status.as_u16(),
+            request = call.head.id(), target = instance_of(&guard.id), status = status.as_u16(),
             ours = head.answers_attempt, sealed = head.sealed, encoded = head.encoded
         });
         guard.fail();
@@ -603,13 +604,13 @@
     let turned_away = guard.status == StatusCode::SERVICE_UNAVAILABLE.as_u16();
     if let Some(rest) = head.rest.filter(|_| turned_away) {
         info!("target asks for rest", kv: {
-            request = call.head.id(), target = guard.id.to_string(), rest_ms = rest.as_millis()
+            request = call.head.id(), target = instance_of(&guard.id), rest_ms = rest.as_millis()
         });
         targets.record_rest(&guard.id, Millis::from(rest));
     }
     if head.leaving {
         info!("target says that it leaves", kv: {
-            request = call.head.id(), target = guard.id.to_string()
+            request = call.head.id(), target = instance_of(&guard.id)
         });
         targets.record_leaving(&guard.id);
     }
--- a/crates/filbertstack-gateway/src/request/connect.rs
+++ b/crates/filbertstack-gateway/src/request/connect.rs
@@ -12,6 +12,7 @@
 use crate::request::Call;
 use crate::request::Requests;
 use crate::request::targets::Chosen;
+use crate::request::targets::instance_of;
 
 /// How long a connection to a target may take to open. Round trips take milliseconds, and a target behind
 /// a network partition never answers.
@@ -78,7 +79,7 @@
             return false;
         };
         info!("pooled connection was closed by the target, sending on a new one", kv: {
-            request = call.head.id(), target = chosen.id.to_string()
+            request = call.head.id(), target = instance_of(&chosen.id)
         });
         *self = Self::new(opened, false);
         true
--- a/crates/filbertstack-gateway/src/request/relay.rs
+++ b/crates/filbertstack-gateway/src/request/relay.rs
@@ -35,6 +35,7 @@
 use crate::request::events::EventBuffer;
 use crate::request::events::EventTail;
 use crate::request::targets::Chosen;
+use crate::request::targets::instance_of;
 
 /// How many of the route's pauses a stream may be silent before another target resumes it. Callers
 /// disconnect after eight; an engine that reads many prompts at once is silent for two.
@@ -305,7 +306,7 @@
         let source = std::mem::replace(&mut self.source, Source::Ended);
         if let Source::Target(body, mut guard) = source {
             info!("answer broke off", kv: {
-                request = self.call.head.id(), target = guard.target().to_string(), why = why,
+                request = self.call.head.id(), target = instance_of(guard.target()), why = why,
                 resumable = self.events.is_some(), digest = self.call.digest(),
                 parts = self.call.head.shared_parts.join(",")
             });
@@ -341,7 +342,7 @@
         };
         self.requests.metrics.entry.retries.add("resumed", 1);
         info!("stream resumed", kv: {
-            request = self.call.head.id(), target = resumed.guard.target().to_string(),
+            request = self.call.head.id(), target = instance_of(resumed.guard.target()),
             after = self.events.as_ref().and_then(EventBuffer::last_id).unwrap_or(0)
         });
         self.tries = resumed.tries;
--- a/crates/filbertstack-gateway/src/request/targets.rs
+++ b/crates/filbertstack-gateway/src/request/targets.rs
@@ -56,7 +56,7 @@
 /// A target that was chosen for a request.
 #[derive(Clone, Debug)]
 pub struct Chosen {
-    /// The id of its instance.
+    /// The target: one start of an instance.
     pub id: TargetId,
     /// The address where it serves.
     pub addr: SocketAddr,
@@ -101,29 +101,32 @@
         let mut endpoints = BTreeMap::new();
         let mut engines = BTreeMap::new();
         let mut quotas = Vec::new();
-        for (id, row, addr) in latest {
+        for registered in &latest {
+            let Registered { row, addr, .. } = *registered;
             let agent = agents.get(row.addr.as_str()).copied();
             let sharers = Sharers {
                 preferred_by: beside.get(&addr).copied().unwrap_or(0),
                 ..zone_counts.sharers(row)
             };
-            let (target, endpoint) = self.describe((id, row, addr), agent, sharers, now);
+            let (target, endpoint) = self.describe(registered, agent, sharers, now);
+            let id = target.id.clone();
             if target.engine.is_some() {
                 if !used.contains(&addr) {
                     continue;
                 }
                 engines.extend(pack_addr(addr).map(|packed| (packed, id.clone())));
             }
-            quotas.push((id.clone(), self.quota(&rows, id, row)));
+            quotas.push((id.clone(), self.quota(&rows, registered.instance, row)));
             offered.push(target);
-            endpoints.insert(id.clone(), endpoint);
+            endpoints.insert(id, endpoint);
         }
         self.node
             .loads
             .set_wanted(engines.keys().copied().collect());
         let mut dispatcher = self.dispatcher.borrow_mut();
         dispatcher.set_targets(offered);
-        dispatcher.retain_notices(now, |id| self.node.registry.find(id).is_some());
+        let known: BTreeSet<TargetId> = rows.iter().map(|(id, _, s)| start_id(id, *s)).collect();
+        dispatcher.retain_notices(now, |id| known.contains(id));
         for (id, per_s) in quotas {
             dispatcher.set_quota(now, &id, per_s);
         }
@@ -148,11 +151,7 @@
 
     /// Returns the addresses of the targets beside this entry, as the policy's `subset` defines it, each
     /// with the number of entries beside it.
-    fn beside(
-        &self,
-        rows: &[RegistryRow],
-        latest: &[(&TargetId, &TargetRow, SocketAddr)],
-    ) -> BTreeMap<SocketAddr, u32> {
+    fn beside(&self, rows: &[RegistryRow], latest: &[Registered<'_>]) -> BTreeMap<SocketAddr, u32> {
         let node = &self.node.settings.node;
         let entries = rows.iter().filter_map(|(id, kind, _)| match &**kind {
             Kind::Entry(row) if row.zone == node.zone && !row.leaving => Some(&**id),
@@ -161,7 +160,7 @@
         let entries: Vec<&str> = entries.collect();
         let own = self.node.entry_id();
         let mut services: BTreeMap<&str, Vec<(&str, SocketAddr)>> = BTreeMap::new();
-        for (_, row, addr) in latest.iter().filter(|(_, row, _)| row.zone == node.zone) {
+        for Registered { row, addr, .. } in latest.iter().filter(|r| r.row.zone == node.zone) {
             let targets = services.entry(&row.service).or_default();
             targets.push((&row.addr, *addr));
         }
@@ -178,11 +177,11 @@
     /// Returns the addresses of the targets that this entry uses, of all services.
     fn used(
         &self,
-        latest: &[(&TargetId, &TargetRow, SocketAddr)],
+        latest: &[Registered<'_>],
         beside: &BTreeMap<SocketAddr, u32>,
     ) -> BTreeSet<SocketAddr> {
         let mut services: BTreeMap<&str, Vec<Candidate<'_, SocketAddr>>> = BTreeMap::new();
-        for (_, row, addr) in latest {
+        for Registered { row, addr, .. } in latest {
             let candidate = Candidate {
                 key: *addr,
                 name: &row.addr,
@@ -214,11 +213,17 @@
     /// Returns the target as the dispatcher needs it, and its endpoint.
     fn describe(
         &self,
-        (id, row, addr): (&TargetId, &TargetRow, SocketAddr),
+        registered: &Registered<'_>,
         agent: Option<&AgentRow>,
         sharers: Sharers,
         now: Millis,
     ) -> (TargetSpec, Endpoint) {
+        let Registered {
+            instance,
+            row,
+            addr,
+            ..
+        } = *registered;
         let catalogue = self.node.declared.catalogue();
         let service = catalogue.service(&row.service);
         let engine = service.and_then(|s| s.engine.clone()).map(Arc::new);
@@ -232,7 +237,7 @@
         let loading = agent.is_some_and(|agent| agent.loading);
         let serves = engine.is_none() || (version > 0 && version >= floor && !loading);
         let offered = TargetSpec {
-            id: id.clone(),
+            id: start_id(instance, registered.stamp),
             service: row.service.as_str().into(),
             slots: row.slots,
             local: row.zone == self.node.settings.node.zone,
@@ -375,7 +380,7 @@
     fn new(
         zone: &'a str,
         rows: &[RegistryRow],
-        latest: &[(&TargetId, &'a TargetRow, SocketAddr)],
+        latest: &[Registered<'a>],
         used: &BTreeSet<SocketAddr>,
     ) -> Self {
         let mut zone_counts = Self {
@@ -389,7 +394,7 @@
                 count(&mut zone_counts.entries, row.zone == zone);
             }
         }
-        for (_, row, addr) in latest {
+        for Registered { row, addr, .. } in latest {
             let near = row.zone == zone;
             count(zone_counts.targets.entry(&row.service).or_default(), near);
             if used.contains(addr) {
@@ -420,11 +425,20 @@
     counts[1] += u32::from(near);
 }
 
+/// A registered target.
+#[derive(Clone, Copy)]
+struct Registered<'a> {
+    instance: &'a Arc<str>,
+    stamp: Stamp,
+    row: &'a TargetRow,
+    addr: SocketAddr,
+}
+
 /// Returns the registered targets. Of two at one address it returns the one that started last: the other
 /// must have ended, as its address was assigned again.
-fn latest(rows: &[RegistryRow]) -> impl Iterator<Item = (&TargetId, &TargetRow, SocketAddr)> {
-    let mut by_addr: BTreeMap<SocketAddr, (Stamp, &TargetId, &TargetRow)> = BTreeMap::new();
-    for (id, kind, stamp) in rows {
+fn latest(rows: &[RegistryRow]) -> impl Iterator<Item = Registered<'_>> {
+    let mut by_addr: BTreeMap<SocketAddr, Registered<'_>> = BTreeMap::new();
+    for (instance, kind, stamp) in rows {
         let Kind::Target(row) = &**kind else {
             continue;
         };
@@ -432,13 +446,34 @@
             continue;
         };
         let known = by_addr.get(&addr);
-        if known.is_none_or(|(other, _, _)| other.born < stamp.born) {
-            by_addr.insert(addr, (*stamp, id, row));
+        if known.is_none_or(|other| other.stamp.born < stamp.born) {
+            let registered = Registered {
+                instance,
+                stamp: *stamp,
+                row,
+                addr,
+            };
+            by_addr.insert(addr, registered);
         }
     }
-    by_addr
-        .into_iter()
-        .map(|(addr, (_, id, row))| (id, row, addr))
+    by_addr.into_values()
+}
+
+/// Separates the id of an instance, a part of a path, which does not hold this character, from its start.
+const START_MARK: char = '#';
+
+/// Returns the id of the target that an instance is since its latest start. An instance that starts again under
+/// its id knows nothing of before, and what was observed of it before says nothing about it.
+fn start_id(instance: &Arc<str>, stamp: Stamp) -> TargetId {
+    if stamp.born == 0 {
+        return instance.clone();
+    }
+    format!("{instance}{START_MARK}{}", stamp.born).into()
+}
+
+/// Returns the id of a target's instance.
+pub fn instance_of(target: &str) -> &str {
+    target.split(START_MARK).next().unwrap_or_default()
 }
 
 fn to_load(row: &LoadRow) -> Load {
--- a/crates/filbertstack-policy/src/dispatch/target.rs
+++ b/crates/filbertstack-policy/src/dispatch/target.rs
@@ -53,7 +53,7 @@
 /// The weight of the latest call in the mean call time: about ten calls make up the mean.
 const CALL_WEIGHT: f64 = 0.1;
 
-/// A target's identity: its address and the instance at that address.
+/// A target's identity: one start of the instance at an address.
 pub type TargetId = Arc<str>;
 
 /// The properties of a target that are known before any request is sent to it.
--- a/crates/filbertstack-policy/src/notices.rs
+++ b/crates/filbertstack-policy/src/notices.rs
@@ -7,6 +7,9 @@
 //! targets use up all attempts of a request, whose caller is refused though other targets have room. A target
 //! that leaves likewise looks ready until its next heartbeat, and some never report that they leave.
 //!
+//! What a target asks for holds for its start: one that starts again knows nothing of it and is another target.
+//! A rest lasts [`MAX_REST`] at most, so that a target that asks for more by mistake is tried again.
+//!
 //! A target asks each entry by itself, so an entry keeps what it was asked and does not tell others. Notices
 //! are kept apart from the list of targets: a target may drop out of that list and come back within its rest.
 //!
@@ -18,6 +21,9 @@
 
 use crate::dispatch::TargetId;
 
+/// The longest rest that is kept. A target that still wants none then asks again, at the cost of a request.
+pub const MAX_REST: Millis = Millis::secs(600);
+
 /// What a target wants from this entry.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Notice {
@@ -49,7 +55,7 @@
     /// Records that a target asks for `rest` from now on. An earlier request for a longer rest stands: the
     /// answers of a target may arrive in any order.
     pub fn record_rest(&mut self, now: Millis, target: &TargetId, rest: Millis) {
-        let until = now + rest;
+        let until = now + rest.min(MAX_REST);
         let stands = match self.find(now, target) {
             Some(Notice::Leaving) => true,
             Some(Notice::Rest { until: before }) => before >= until,
@@ -60,8 +66,7 @@
         }
     }
 
-    /// Records that a target leaves. An instance that leaves does not come back: one that starts again has
-    /// another id.
+    /// Records that a target leaves. It does not come back: one that starts again has another id.
     pub fn record_leaving(&mut self, target: &TargetId) {
         self.targets.insert(target.clone(), Notice::Leaving);
     }
--- a/crates/filbertstack-policy/tests/notices.rs
+++ b/crates/filbertstack-policy/tests/notices.rs
@@ -6,6 +6,7 @@
 use filbertstack_policy::dispatch::AttemptEnd;
 use filbertstack_policy::dispatch::ChooseError;
 use filbertstack_policy::dispatch::TargetId;
+use filbertstack_policy::notices::MAX_REST;
 use filbertstack_policy::notices::Notice;
 use filbertstack_policy::notices::Notices;
 use plain::choose;
@@ -40,6 +41,23 @@
     assert!(dispatcher.accepts(Millis(4_000), "e0"));
 }
 
+/// Guards against a target that asks for a year of rest and is never tried again, while its callers are told to
+/// come back in a year.
+#[test]
+fn a_rest_is_bounded() {
+    let mut dispatcher = dispatcher(&["e0"]);
+    let now = Millis(1_000);
+    dispatcher.record_rest(now, &target(), Millis::secs(31_536_000));
+    assert!(!dispatcher.accepts(now + MAX_REST - Millis(1), "e0"));
+    assert!(dispatcher.accepts(now + MAX_REST, "e0"));
+    dispatcher.record_rest(now, &target(), Millis(u64::MAX));
+    let refused = choose(&mut dispatcher, now);
+    let Err(ChooseError::Full { retry_after }) = refused else {
+        panic!("{refused:?}");
+    };
+    assert!(retry_after <= MAX_REST + Millis::secs(1), "{retry_after:?}");
+}
+
 /// Guards against callers that wait because the only target, which has just turned a request away, seems gone.
 #[test]
 fn a_target_that_turns_away_and_rests_is_not_waited_for() {
--- a/tests/gateway/cluster.rs
+++ b/tests/gateway/cluster.rs
@@ -339,9 +339,21 @@
 
     /// Reports a target to an entry once and returns the status of the answer.
     pub fn announce(&self, n: usize, id: &str, service: &str, addr: SocketAddr) -> Option<u16> {
+        self.announce_start(n, id, service, addr, 1)
+    }
+
+    /// Reports the start of a target at `born` to an entry once and returns the status of the answer.
+    pub fn announce_start(
+        &self,
+        n: usize,
+        id: &str,
+        service: &str,
+        addr: SocketAddr,
+        born: u64,
+    ) -> Option<u16> {
         let body = json!({
             "service": service, "address": addr.to_string(), "zone": "z0", "version": "v1",
-            "slots": 4, "state": "ready", "sequence": 1, "born": 1,
+            "slots": 4, "state": "ready", "sequence": 1, "born": born,
             "models": [{"name": "m", "version": 1}]
         });
         let path = format!("/instances/{id}");
--- a/tests/gateway/crashing_parts.rs
+++ b/tests/gateway/crashing_parts.rs
@@ -28,6 +28,9 @@
 /// The time that entries have to learn of the last of these crashes.
 const LEARN_TIME: Duration = Duration::from_secs(3);
 
+/// After this time, bytes of an engine show that it has not crashed before.
+const LIFE_TIME: Duration = Duration::from_millis(600);
+
 /// `Framing` is how an engine marks the end of an answer.
 #[derive(Clone, Copy)]
 enum Framing {
@@ -227,3 +230,30 @@
         assert_eq!((arrivals(&engines), crashed(&engines)), (3, 3));
     }
 }
+
+/// Guards against the only engine of a service, which a part crashes and which starts again under its id each
+/// time: what it sends after that says nothing about its earlier starts.
+#[test]
+fn a_part_that_crashes_the_same_engine_again_is_refused() {
+    let starts = start_engines(6, Framing::Chunks);
+    let cluster = Cluster::start(1, 0);
+    cluster.put_document(&[0], &document(1));
+    let post = |attempt: String, parts: &str| {
+        let request = request_to("/once/", &attempt, parts);
+        cluster.call(0, &request)
+    };
+    for (engine, born) in starts.iter().zip(1..) {
+        wait_until("its start is registered", || {
+            cluster.announce_start(0, "i-1", "once", engine.addr, born) == Some(200)
+        });
+        wait_until("it serves", || {
+            post(format!("b{born}"), FIRST_PART).status == 200
+        });
+        sleep(LIFE_TIME);
+        post(
+            format!("a{born}"),
+            &format!("{FIRST_PART},{CRASHING_PART}:120"),
+        );
+    }
+    assert_eq!(arrivals(&starts), 3);
+}
--- a/tests/gateway/notices.rs
+++ b/tests/gateway/notices.rs
@@ -39,6 +39,16 @@
     .into_bytes()
 }
 
+/// Returns the answer of an engine that serves a request and says that it leaves.
+fn leaves(received: &Received) -> Vec<u8> {
+    let id = received.header("x-filbertstack-attempt-id");
+    format!(
+        "HTTP/1.1 200 OK\r\nX-Filbertstack-Attempt-Id: {id}\r\nServer-Leaving: 1\r\n\
+         X-Filbertstack-Response-Seal: sealed\r\nContent-Length: 2\r\n\r\nok"
+    )
+    .into_bytes()
+}
+
 /// Starts an engine that turns all requests away and asks for a long rest.
 fn start_resting() -> Engine {
     Engine::start(Box::new(|received: &Received| {
@@ -102,14 +112,7 @@
 /// Guards against new requests at an engine that has said in an answer that it leaves.
 #[test]
 fn an_engine_that_leaves_gets_no_new_request() {
-    let leaving = Engine::start(Box::new(|received: &Received| {
-        let id = received.header("x-filbertstack-attempt-id");
-        format!(
-            "HTTP/1.1 200 OK\r\nX-Filbertstack-Attempt-Id: {id}\r\nServer-Leaving: 1\r\n\
-             X-Filbertstack-Response-Seal: sealed\r\nContent-Length: 2\r\n\r\nok"
-        )
-        .into_bytes()
-    }));
+    let leaving = Engine::start(Box::new(leaves));
     let healthy = start_healthy();
     let cluster = start_serving("safe", &leaving, &healthy);
     call_until_received(&cluster, "/safe/", &leaving);
@@ -122,6 +125,39 @@
     assert_eq!(leaving.received().len(), 1, "nothing since it said so");
 }
 
+/// Starts an engine whose first answer is `notice`. Later ones serve.
+fn start_changing(notice: fn(&Received) -> Vec<u8>) -> Engine {
+    let noticed = AtomicBool::new(false);
+    Engine::start(Box::new(move |received: &Received| {
+        if noticed.swap(true, Ordering::Relaxed) {
+            answer(received, "200 OK", "ok")
+        } else {
+            notice(received)
+        }
+    }))
+}
+
+/// Guards against an engine that has asked for rest, or said that it leaves, and gets no requests after it has
+/// started again under its id.
+#[test]
+fn an_engine_that_starts_again_under_its_id_gets_requests() {
+    let rests = |received: &Received| turn_away(received, LONG_REST);
+    for notice in [rests, leaves] {
+        let engine = start_changing(notice);
+        let cluster = Cluster::start(1, 0);
+        cluster.put_document(&[0], &document(1));
+        cluster.register(0, "i-1", "safe", engine.addr);
+        call_until_received(&cluster, "/safe/", &engine);
+        let refused = cluster.call(0, &get("/safe/", "a", ""));
+        assert_eq!(refused.status, 503, "it wants none");
+        let born = 2;
+        wait_until("its next start is registered", || {
+            cluster.announce_start(0, "i-1", "safe", engine.addr, born) == Some(200)
+        });
+        cluster.await_service(0, "/safe/");
+    }
+}
+
 /// Guards against a caller who is refused because two engines in turn turned its request away, though a third
 /// one has room.
 #[test]
