Every way to a target asks one question before a request is sent

Cause, of the class: what keeps a request from a target (crashes, rests, limits, ejections) had an answer in a module each, and each way to a target called those that it knew of.

policy::permit has one typed question (verdict on what the request holds, obstacle at the target, way) and one typed answer (send, send as a probe, not there, nowhere, with the reason); a denial is one log line and one count. The dispatcher names the obstacle at a target in one place, for its choices and for this question. The four modules keep their records and become its rules.

Changed with it: a target that drains or loads weights since it was chosen gets no request any more; before, only its rests and leaving were asked again.

attempt.rs is split: the guard of an attempt and the judging of an answer have files of their own.

--- a/crates/filbertstack-gateway/src/request/attempt.rs
+++ b/crates/filbertstack-gateway/src/request/attempt.rs
@@ -1,7 +1,6 @@
 //! The attempts of a request: it is sent to one target, and to another one if that is allowed.
 
 use std::io;
-use std::net::SocketAddr;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::time::Duration;
@@ -9,20 +8,17 @@
 use filbertstack_core::Millis;
 use filbertstack_core::serving::Repeat;
 use filbertstack_platform::request::ForwardHeaders;
-use filbertstack_platform::request::ReplyHead;
 use filbertstack_platform::request::set_forward_headers;
 use filbertstack_platform::request::strip_hop_headers;
 use filbertstack_policy::attempts::Attempts;
-use filbertstack_policy::crashes::Suspect;
-use filbertstack_policy::crashes::Verdict;
 use filbertstack_policy::dispatch::AttemptEnd;
 use filbertstack_policy::dispatch::ChooseError;
 use filbertstack_policy::dispatch::TargetId;
 use filbertstack_policy::dispatch::TargetRequest;
+use filbertstack_policy::permit::Way;
 use http::HeaderMap;
 use http::Request;
 use http::Response;
-use http::StatusCode;
 use http::header;
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -30,22 +26,20 @@
 use tokio::time::Instant;
 use tokio::time::timeout;
 
-use crate::client::Connection;
 use crate::request::Call;
 use crate::request::Requests;
 use crate::request::answer::AnswerBody;
 use crate::request::answer::Refusal;
+use crate::request::classify::classify_answer;
 use crate::request::connect::Connected;
+use crate::request::guard::AttemptGuard;
+use crate::request::permit;
 use crate::request::relay::Framing;
 use crate::request::relay::Relay;
 use crate::request::targets::Chosen;
 use crate::request::targets::instance_of;
 use crate::request::waiting;
 
-/// How long a target is excluded after it has answered that it is another instance or has other weights.
-/// Within this time the registry learns what is at its address.
-const MISDIRECTED_EXCLUSION: Millis = Millis(400);
-
 /// How many times the route's goal the first event may take before another target is asked. Before that,
 /// the engine may only be busy, and a repeat would make two engines read the prompt.
 const SILENT_GOALS: u32 = 2;
@@ -91,135 +85,6 @@
     Failed(Response<Incoming>, AttemptGuard),
 }
 
-/// An attempt in progress at a target. Dropping it ends the attempt: the target's slot counts as free, and
-/// the connection closes unless it went back to the pool, so that the target stops work for a caller who
-/// has disconnected.
-pub struct AttemptGuard {
-    requests: Rc<Requests>,
-    call: Rc<Call>,
-    id: TargetId,
-    addr: SocketAddr,
-    connection: Option<Connection>,
-    idle_limit: Option<Duration>,
-    closes_connection: bool,
-    /// Whether the end of the connection is all that marks the end of the answer.
-    ends_with_connection: bool,
-    /// The number of tokens of the prompt; 0 once the target has sent an event, as it has then read the
-    /// prompt to the end.
-    unread_prompt: u32,
-    sent_at: Instant,
-    /// The last time that the dispatcher was notified of bytes from the target.
-    notified_at: Instant,
-    /// The time to the first bytes of the answer's body; `None` until they arrive.
-    first_bytes: Option<Duration>,
-    /// The status of the target's answer; 0 until it arrives.
-    status: u16,
-    ended: AttemptEnd,
-}
-
-impl AttemptGuard {
-    /// Returns the handler of the request.
-    pub fn requests(&self) -> Rc<Requests> {
-        self.requests.clone()
-    }
-
-    /// Returns the id of the target.
-    pub fn target(&self) -> &TargetId {
-        &self.id
-    }
-
-    /// Returns whether the end of the connection is all that marks the end of the answer.
-    pub fn ends_with_connection(&self) -> bool {
-        self.ends_with_connection
-    }
-
-    /// Records that bytes of the answer's body arrived, so the target is alive.
-    pub fn record_bytes(&mut self) {
-        self.record_first_bytes();
-        if self.notified_at.elapsed() >= CHECK_INTERVAL {
-            self.notified_at = Instant::now();
-            self.requests.targets.record_bytes(&self.id);
-            self.requests.node.record_life(&self.id);
-        }
-    }
-
-    /// Records the first bytes of the answer's body.
-    fn record_first_bytes(&mut self) {
-        if self.first_bytes.is_none() {
-            let first_bytes = self.sent_at.elapsed();
-            self.first_bytes = Some(first_bytes);
-            self.requests.metrics.entry.first_token.record(first_bytes);
-        }
-        if self.unread_prompt > 0 {
-            self.requests
-                .targets
-                .record_first(&self.id, self.unread_prompt);
-            self.unread_prompt = 0;
-        }
-    }
-
-    /// Records that the target failed.
-    pub fn fail(&mut self) {
-        self.ended = AttemptEnd::Failed;
-    }
-
-    /// Records that the target was lost: its connection ended before the answer was complete.
-    pub fn lose(&mut self) {
-        self.fail();
-        let node = &self.requests.node;
-        node.record_crash(self.call.suspects(), &self.id);
-    }
-
-    /// Records that the answer is complete, and returns the connection to the pool if a later request may
-    /// use it. The connections of requests that may run only once are closed: such requests always open new
-    /// ones, and a target resets connections beyond its limit, idle ones included.
-    pub fn finish(&mut self) {
-        self.ended = AttemptEnd::Answered(Millis::from(self.sent_at.elapsed()));
-        self.requests.node.record_life(&self.id);
-        // A target may fail a request without running it.
-        if StatusCode::from_u16(self.status).is_ok_and(|status| status.is_success()) {
-            self.record_success();
-        }
-        let keep = !self.closes_connection && self.call.may_repeat();
-        let kept = self.connection.take().filter(|_| keep);
-        if let Some(connection) = kept {
-            self.requests
-                .pool
-                .put(self.addr, connection, self.idle_limit);
-        }
-    }
-
-    fn record_success(&self) {
-        let node = &self.requests.node;
-        if self.ends_with_connection {
-            node.record_unconfirmed(self.call.suspects(), &self.id);
-        } else {
-            node.record_answer(self.call.suspects());
-        }
-    }
-}
-
-impl Drop for AttemptGuard {
-    fn drop(&mut self) {
-        let outcome = match self.ended {
-            AttemptEnd::Answered(_) => "answered",
-            AttemptEnd::TurnedAway | AttemptEnd::Refused => "not taken",
-            AttemptEnd::Failed => "failed",
-            AttemptEnd::CallerLeft => "caller left",
-        };
-        let took = self.sent_at.elapsed();
-        self.requests.metrics.entry.duration.record(outcome, took);
-        info!("attempt ended", kv: {
-            request = self.call.head.id(), target = instance_of(&self.id), outcome = outcome,
-            status = self.status, took_ms = took.as_millis(),
-            first_ms = self.first_bytes.map_or(-1, |first| i64::try_from(first.as_millis()).unwrap_or(-1))
-        });
-        self.requests
-            .targets
-            .record_end(&self.id, self.unread_prompt, self.ended);
-    }
-}
-
 /// The attempts of one request so far.
 #[derive(Default)]
 pub struct Tries {
@@ -241,7 +106,7 @@
     let mut unknown = false;
     let mut failed = None;
     loop {
-        let chosen = if let Some(refusal) = refuse_crashing(requests, call) {
+        let chosen = if let Some(refusal) = permit::refusal(requests, call) {
             Err(refusal)
         } else if tries.targets.is_empty() {
             waiting::choose_first(requests, call)
@@ -317,43 +182,6 @@
     Refusal::busy("no target can serve it in time", after)
 }
 
-/// Returns the refusal of a request that crashes the targets that run it, unless it may be sent.
-pub fn refuse_crashing(requests: &Requests, call: &Call) -> Option<Refusal> {
-    match requests.node.crash_verdict(|| call.suspects()) {
-        Verdict::Allowed | Verdict::Probe => None,
-        Verdict::Refused {
-            retry_after,
-            suspect,
-        } => {
-            let why = match suspect {
-                Suspect::Request(_) => "the request was lost with several targets that ran it",
-                Suspect::Part(_) => {
-                    "a part of the prompt was lost with several targets that read it"
-                }
-            };
-            Some(Refusal::busy(why, retry_after.into()))
-        }
-    }
-}
-
-/// Returns whether the request may be sent to `target` now, and records a probe. What the target wants and
-/// the verdict may have changed while the request waited for a target or for its connection.
-fn may_send(requests: &Requests, call: &Call, target: &TargetId) -> bool {
-    if !requests.targets.accepts(target) {
-        return false;
-    }
-    match requests.node.crash_verdict(|| call.suspects()) {
-        Verdict::Allowed => true,
-        Verdict::Probe => requests.node.record_probe(call.suspects(), target),
-        Verdict::Refused { .. } => false,
-    }
-}
-
-/// Returns whether the request may be sent to the same target again, whose pooled connection was closed.
-fn may_resend(requests: &Requests, call: &Call, target: &TargetId) -> bool {
-    requests.targets.may_resend(target) && refuse_crashing(requests, call).is_none()
-}
-
 /// A stream that broke off and that another target is to resume.
 #[derive(Clone, Copy, Debug)]
 pub struct Resume {
@@ -363,6 +191,16 @@
     pub last_bytes_at: Instant,
 }
 
+fn find_way(tries: &Tries, resume: Option<Resume>) -> Way {
+    if resume.is_some() {
+        Way::Resume
+    } else if tries.attempts.sent() > 0 {
+        Way::Retry
+    } else {
+        Way::New
+    }
+}
+
 /// Sends a request to one target, or asks it to resume a stream, and waits for the head of its answer.
 pub async fn send(
     requests: &Rc<Requests>,
@@ -375,22 +213,7 @@
     let resume_after = resume.and_then(|resume| resume.after);
     let resume_after = resume_after.or(call.head.last_event);
     let last_bytes_at = resume.map_or(call.arrived_at, |resume| resume.last_bytes_at);
-    let mut guard = AttemptGuard {
-        requests: requests.clone(),
-        call: call.clone(),
-        id: chosen.id.clone(),
-        addr: chosen.addr,
-        connection: None,
-        idle_limit: None,
-        closes_connection: false,
-        ends_with_connection: false,
-        unread_prompt: call.prompt(),
-        sent_at: Instant::now(),
-        notified_at: Instant::now(),
-        first_bytes: None,
-        status: 0,
-        ended: AttemptEnd::CallerLeft,
-    };
+    let mut guard = AttemptGuard::new(requests, call, chosen);
     requests.targets.record_sent(&chosen.id, call.prompt());
     let mut connected = match Connected::to(requests, call, chosen.addr).await {
         Ok(connected) => connected,
@@ -410,7 +233,8 @@
         tries.attempts.count_unreached();
         return Outcome::NotRun;
     }
-    if !may_send(requests, call, &chosen.id) {
+    let way = find_way(tries, resume);
+    if !permit::may_send_to(requests, call, &chosen.id, way) {
         guard.ended = AttemptEnd::Refused;
         tries.attempts.count_unreached();
         return Outcome::NotRun;
@@ -432,7 +256,7 @@
     if broken
         && connected.was_closed()
         && connected.replace(requests, call, chosen).await
-        && may_resend(requests, call, &chosen.id)
+        && permit::may_send_to(requests, call, &chosen.id, Way::Resend)
     {
         requests.targets.record_resent(&chosen.id);
         let sending = std::pin::pin!(connected.connection.send(build_request(call, &onward)));
@@ -550,72 +374,6 @@
     request
 }
 
-/// Decides from the head of an answer what the outcome of the attempt is.
-fn classify_answer(call: &Call, response: Response<Incoming>, mut guard: AttemptGuard) -> Outcome {
-    let status = response.status();
-    guard.status = status.as_u16();
-    let head = ReplyHead::read(response.headers(), call.head.attempt.as_ref());
-    guard.idle_limit = head.idle_timeout;
-    guard.closes_connection = head.closes_connection;
-    guard.ends_with_connection = head.ends_with_connection;
-    // An answer of another instance says nothing about the target, and a limit ends only with an answer to
-    // a request that the target served.
-    let misdirected = status == StatusCode::MISDIRECTED_REQUEST;
-    let served = head.sealed && status.is_success();
-    if head.answers_attempt && !misdirected && (served || head.rate_limit.is_some()) {
-        let node = &guard.requests.node;
-        let sent_at = node.clock.now() - Millis::from(guard.sent_at.elapsed());
-        node.record_limit(&instance_of(&guard.id).into(), head.rate_limit, sent_at);
-    }
-    if head.answers_attempt && !misdirected {
-        record_notices(call, &guard, &head);
-    }
-    if head.answers_attempt && (head.not_run || misdirected) {
-        guard.ended = AttemptEnd::TurnedAway;
-        if misdirected {
-            let targets = &guard.requests.targets;
-            targets.exclude(&guard.id, MISDIRECTED_EXCLUSION);
-        }
-        return Outcome::NotRun;
-    }
-    // An answer without the target's seal, to another request, or with an encoding that was not asked for
-    // is not an answer to this request.
-    if !head.answers_attempt || !head.sealed || head.encoded {
-        info!("answer rejected", kv: {
-            request = call.head.id(), target = instance_of(&guard.id), status = status.as_u16(),
-            ours = head.answers_attempt, sealed = head.sealed, encoded = head.encoded
-        });
-        guard.fail();
-        return Outcome::Unknown;
-    }
-    if status.is_server_error() {
-        guard.ended = AttemptEnd::Refused;
-        let repeats = call.route.repeat == Repeat::Idempotent;
-        if repeats {
-            return Outcome::Failed(response, guard);
-        }
-    }
-    Outcome::Answer(response, guard)
-}
-
-/// Records what the target wants from this entry, whether or not it answered the request.
-fn record_notices(call: &Call, guard: &AttemptGuard, head: &ReplyHead) {
-    let targets = &guard.requests.targets;
-    let turned_away = guard.status == StatusCode::SERVICE_UNAVAILABLE.as_u16();
-    if let Some(rest) = head.rest.filter(|_| turned_away) {
-        info!("target asks for rest", kv: {
-            request = call.head.id(), target = instance_of(&guard.id), rest_ms = rest.as_millis()
-        });
-        targets.record_rest(&guard.id, Millis::from(rest));
-    }
-    if head.leaving {
-        info!("target says that it leaves", kv: {
-            request = call.head.id(), target = instance_of(&guard.id)
-        });
-        targets.record_leaving(&guard.id);
-    }
-}
-
 /// Returns an answer to the caller, whose body is passed on as it arrives.
 fn relay(
     call: &Rc<Call>,
--- /dev/null
+++ b/crates/filbertstack-gateway/src/request/classify.rs
@@ -0,0 +1,89 @@
+//! What the head of a target's answer means for the request and for the target.
+
+use filbertstack_core::Millis;
+use filbertstack_core::serving::Repeat;
+use filbertstack_platform::request::ReplyHead;
+use filbertstack_policy::dispatch::AttemptEnd;
+use http::Response;
+use http::StatusCode;
+use hyper::body::Incoming;
+use spdlog::info;
+
+use crate::request::Call;
+use crate::request::attempt::Outcome;
+use crate::request::guard::AttemptGuard;
+use crate::request::targets::instance_of;
+
+/// How long a target is excluded after it has answered that it is another instance or has other weights.
+/// Within this time the registry learns what is at its address.
+const MISDIRECTED_EXCLUSION: Millis = Millis(400);
+
+/// Decides from the head of an answer what the outcome of the attempt is.
+pub fn classify_answer(
+    call: &Call,
+    response: Response<Incoming>,
+    mut guard: AttemptGuard,
+) -> Outcome {
+    let status = response.status();
+    guard.status = status.as_u16();
+    let head = ReplyHead::read(response.headers(), call.head.attempt.as_ref());
+    guard.idle_limit = head.idle_timeout;
+    guard.closes_connection = head.closes_connection;
+    guard.ends_with_connection = head.ends_with_connection;
+    // An answer of another instance says nothing about the target, and a limit ends only with an answer to
+    // a request that the target served.
+    let misdirected = status == StatusCode::MISDIRECTED_REQUEST;
+    let served = head.sealed && status.is_success();
+    if head.answers_attempt && !misdirected && (served || head.rate_limit.is_some()) {
+        let node = &guard.requests.node;
+        let sent_at = node.clock.now() - Millis::from(guard.sent_at.elapsed());
+        node.record_limit(&instance_of(&guard.id).into(), head.rate_limit, sent_at);
+    }
+    if head.answers_attempt && !misdirected {
+        record_notices(call, &guard, &head);
+    }
+    if head.answers_attempt && (head.not_run || misdirected) {
+        guard.ended = AttemptEnd::TurnedAway;
+        if misdirected {
+            let targets = &guard.requests.targets;
+            targets.exclude(&guard.id, MISDIRECTED_EXCLUSION);
+        }
+        return Outcome::NotRun;
+    }
+    // An answer without the target's seal, to another request, or with an encoding that was not asked for
+    // is not an answer to this request.
+    if !head.answers_attempt || !head.sealed || head.encoded {
+        info!("answer rejected", kv: {
+            request = call.head.id(), target = instance_of(&guard.id), status = status.as_u16(),
+            ours = head.answers_attempt, sealed = head.sealed, encoded = head.encoded
+        });
+        guard.fail();
+        return Outcome::Unknown;
+    }
+    if status.is_server_error() {
+        guard.ended = AttemptEnd::Refused;
+        let repeats = call.route.repeat == Repeat::Idempotent;
+        if repeats {
+            return Outcome::Failed(response, guard);
+        }
+    }
+    Outcome::Answer(response, guard)
+}
+
+/// Records what the target wants from this entry, whether or not it answered the request.
+fn record_notices(call: &Call, guard: &AttemptGuard, head: &ReplyHead) {
+    let targets = &guard.requests.targets;
+    let turned_away = guard.status == StatusCode::SERVICE_UNAVAILABLE.as_u16();
+    if let Some(rest) = head.rest.filter(|_| turned_away) {
+        info!("target asks for rest", kv: {
+            request = call.head.id(), target = instance_of(&guard.id), rest_ms = rest.as_millis()
+        });
+        targets.record_rest(&guard.id, Millis::from(rest));
+    }
+    if head.leaving {
+        info!("target says that it leaves", kv: {
+            request = call.head.id(), target = instance_of(&guard.id)
+        });
+        targets.record_leaving(&guard.id);
+    }
+}
--- a/crates/filbertstack-gateway/src/request/mod.rs
+++ b/crates/filbertstack-gateway/src/request/mod.rs
@@ -4,8 +4,11 @@
 
 pub mod answer;
 pub mod attempt;
+mod classify;
 mod connect;
 pub mod events;
+pub mod guard;
+mod permit;
 pub mod pool;
 pub mod relay;
 pub mod targets;
--- a/crates/filbertstack-gateway/src/request/relay.rs
+++ b/crates/filbertstack-gateway/src/request/relay.rs
@@ -24,16 +24,16 @@
 use crate::request::Call;
 use crate::request::Requests;
 use crate::request::attempt::ABANDON_AFTER;
-use crate::request::attempt::AttemptGuard;
 use crate::request::attempt::Outcome;
 use crate::request::attempt::Resume;
 use crate::request::attempt::Tries;
 use crate::request::attempt::abort_error;
 use crate::request::attempt::choose;
-use crate::request::attempt::refuse_crashing;
 use crate::request::attempt::send;
 use crate::request::events::EventBuffer;
 use crate::request::events::EventTail;
+use crate::request::guard::AttemptGuard;
+use crate::request::permit;
 use crate::request::targets::Chosen;
 use crate::request::targets::instance_of;
 
@@ -393,7 +393,7 @@
     until: Instant,
 ) -> Result<Chosen, &'static str> {
     loop {
-        if let Some(refusal) = refuse_crashing(requests, call) {
+        if let Some(refusal) = permit::refusal(requests, call) {
             return Err(refusal.why);
         }
         let why = if requests.may_spend(&call.service) {
--- a/crates/filbertstack-gateway/src/request/targets.rs
+++ b/crates/filbertstack-gateway/src/request/targets.rs
@@ -18,6 +18,7 @@
 use filbertstack_policy::dispatch::TargetId;
 use filbertstack_policy::dispatch::TargetRequest;
 use filbertstack_policy::dispatch::TargetSpec;
+use filbertstack_policy::permit::Obstacle;
 use filbertstack_policy::quota;
 use filbertstack_policy::quota::Sender;
 use filbertstack_policy::registry::Stamp;
@@ -340,16 +341,10 @@
         self.dispatcher.borrow_mut().record_leaving(id);
     }
 
-    /// Returns whether a target wants requests from this entry, as far as its answers say.
-    pub fn accepts(&self, id: &str) -> bool {
+    /// Returns why a target gets no request now.
+    pub fn obstacle(&self, id: &str) -> Option<Obstacle> {
         let now = self.node.clock.now();
-        self.dispatcher.borrow().accepts(now, id)
-    }
-
-    /// Returns whether a request may be sent to a target again that it was sent to.
-    pub fn may_resend(&self, id: &str) -> bool {
-        let now = self.node.clock.now();
-        self.dispatcher.borrow().may_resend(now, id)
+        self.dispatcher.borrow().obstacle(now, id)
     }
 
     /// Records a request that is sent to the same target again.
--- a/crates/filbertstack-policy/src/dispatch.rs
+++ b/crates/filbertstack-policy/src/dispatch.rs
@@ -40,6 +40,7 @@
 
 use crate::notices::Notice;
 use crate::notices::Notices;
+use crate::permit::Obstacle;
 use crate::units::millis;
 
 pub use self::engine::pass_ms;
@@ -189,25 +190,22 @@
         for target in self.targets.values() {
             let id = &target.spec.id;
             let excluded = &*target.spec.service != wanted.service || wanted.tried.contains(id);
-            if excluded || !target.spec.accepts_work {
+            if excluded {
                 continue;
             }
-            match self.notices.find(now, id) {
-                Some(Notice::Rest { until }) => {
+            let predicted = target.predict(now, prompt);
+            match self.find_obstacle(now, target) {
+                None => {}
+                Some(Obstacle::Rests(until)) => {
                     rest_end = Some(rest_end.map_or(until, |end: Millis| end.min(until)));
                     continue;
                 }
-                Some(Notice::Leaving) => continue,
-                None => {}
-            }
-            if !target.takes_work(now) {
-                continue;
-            }
-            let predicted = target.predict(now, prompt);
-            if !target.is_available(now) {
                 // The caller may retry soon: the target serves others, or this entry again.
-                lowest = lowest.min(predicted);
-                continue;
+                Some(Obstacle::LimitReached) => {
+                    lowest = lowest.min(predicted);
+                    continue;
+                }
+                Some(_) => continue,
             }
             if !cut_off && target.is_silent(now) {
                 if target.may_probe(now) {
@@ -276,7 +274,7 @@
             }
             let is_heard = cut_off || !target.is_silent(now);
             let free = target.free_slots(now, limit);
-            let is_usable = target.is_available(now) && self.accepts(now, &target.spec.id);
+            let is_usable = self.find_obstacle(now, target).is_none();
             let free = free.filter(|_| is_heard && is_usable);
             free_slots[usize::from(target.spec.local)].add(free, target.spec.sharers);
         }
@@ -378,16 +376,28 @@
         self.notices.record_leaving(id);
     }
 
-    /// Returns whether a target wants requests from this entry, as far as its answers say.
-    pub fn accepts(&self, now: Millis, id: &str) -> bool {
-        self.notices.find(now, id).is_none()
+    /// Returns why a target gets no request now.
+    pub fn obstacle(&self, now: Millis, id: &str) -> Option<Obstacle> {
+        match self.targets.get(id) {
+            Some(target) => self.find_obstacle(now, target),
+            None => self.noticed(now, id).or(Some(Obstacle::TakesNoWork)),
+        }
     }
 
-    /// Returns whether a request that was sent to a target may be sent there again, as its connection had been
-    /// closed.
-    pub fn may_resend(&self, now: Millis, id: &str) -> bool {
-        let target = self.targets.get(id);
-        self.accepts(now, id) && target.is_some_and(|target| target.is_within_quota(now))
+    fn find_obstacle(&self, now: Millis, target: &Target) -> Option<Obstacle> {
+        let obstacle = target.obstacle(now);
+        if obstacle == Some(Obstacle::TakesNoWork) {
+            return obstacle;
+        }
+        self.noticed(now, &target.spec.id).or(obstacle)
+    }
+
+    /// Returns what a target has asked for.
+    fn noticed(&self, now: Millis, id: &str) -> Option<Obstacle> {
+        self.notices.find(now, id).map(|notice| match notice {
+            Notice::Rest { until } => Obstacle::Rests(until),
+            Notice::Leaving => Obstacle::Leaves,
+        })
     }
 
     /// Counts a request that is sent to the same target again. It is in flight already.
--- a/crates/filbertstack-policy/src/dispatch/target.rs
+++ b/crates/filbertstack-policy/src/dispatch/target.rs
@@ -14,6 +14,7 @@
 use super::millis_f64;
 use crate::outlier::Health;
 use crate::outlier::Outlier;
+use crate::permit::Obstacle;
 use crate::quota::Quota;
 use crate::units::millis;
 use crate::units::secs;
@@ -156,14 +157,24 @@
         }
     }
 
-    /// Returns whether the target takes work and this entry may send it a request now.
-    pub(super) fn is_available(&self, now: Millis) -> bool {
-        self.takes_work(now) && self.is_within_quota(now)
-    }
-
-    /// Returns whether this entry's share of the target's limit leaves a request.
-    pub(super) fn is_within_quota(&self, now: Millis) -> bool {
-        self.quota.is_none_or(|quota| quota.may_send(now))
+    /// Returns why the target gets no request now, as far as its state at this entry says.
+    pub(super) fn obstacle(&self, now: Millis) -> Option<Obstacle> {
+        let healthy = match self.outlier.health() {
+            Health::Healthy => true,
+            Health::Ejected { .. } => self.outlier.probe_due(now),
+            Health::Probing => false,
+        };
+        if !self.spec.accepts_work {
+            Some(Obstacle::TakesNoWork)
+        } else if !healthy {
+            Some(Obstacle::Ejected)
+        } else if now < self.suspended_until {
+            Some(Obstacle::Paused)
+        } else if self.quota.is_some_and(|quota| !quota.may_send(now)) {
+            Some(Obstacle::LimitReached)
+        } else {
+            None
+        }
     }
 
     /// Takes a request from this entry's share of the target's limit.
@@ -181,15 +192,6 @@
         }
     }
 
-    pub(super) fn takes_work(&self, now: Millis) -> bool {
-        let healthy = match self.outlier.health() {
-            Health::Healthy => true,
-            Health::Ejected { .. } => self.outlier.probe_due(now),
-            Health::Probing => false,
-        };
-        self.spec.accepts_work && healthy && now >= self.suspended_until
-    }
-
     /// Records a load report. `rounding`, from 0 to 1, is drawn at random for it.
     pub(super) fn record_load(&mut self, now: Millis, load: Load, rounding: f64) {
         self.unread = self.unread_after(now, load);
--- a/crates/filbertstack-policy/src/lib.rs
+++ b/crates/filbertstack-policy/src/lib.rs
@@ -35,6 +35,7 @@
 pub mod limit;
 pub mod notices;
 pub mod outlier;
+pub mod permit;
 pub mod pieces;
 pub mod placement;
 pub mod prefix;
--- a/crates/filbertstack-policy/tests/notices.rs
+++ b/crates/filbertstack-policy/tests/notices.rs
@@ -3,12 +3,17 @@
 mod plain;
 
 use filbertstack_core::Millis;
+use filbertstack_policy::crashes::Verdict;
 use filbertstack_policy::dispatch::AttemptEnd;
 use filbertstack_policy::dispatch::ChooseError;
+use filbertstack_policy::dispatch::Dispatcher;
 use filbertstack_policy::dispatch::TargetId;
 use filbertstack_policy::notices::MAX_REST;
 use filbertstack_policy::notices::Notice;
 use filbertstack_policy::notices::Notices;
+use filbertstack_policy::permit;
+use filbertstack_policy::permit::Permit;
+use filbertstack_policy::permit::Way;
 use plain::choose;
 use plain::dispatcher;
 use plain::spec;
@@ -20,6 +25,11 @@
     "e0".into()
 }
 
+fn may_send(dispatcher: &Dispatcher, way: Way, now: Millis) -> bool {
+    let obstacle = dispatcher.obstacle(now, "e0");
+    permit::may_send_to(way, Verdict::Allowed, obstacle) == Permit::Send
+}
+
 /// Guards against callers that wait for a target in its rest, or come back while it lasts.
 #[test]
 fn callers_of_resting_targets_are_refused_until_the_first_rest_ends() {
@@ -36,9 +46,10 @@
     }
     let after = Millis(2_200);
     assert_eq!(choose(&mut dispatcher, after), Ok("e1".into()));
-    assert!(!dispatcher.accepts(Millis(3_999), "e0"));
-    assert!(!dispatcher.may_resend(Millis(3_999), "e0"));
-    assert!(dispatcher.accepts(Millis(4_000), "e0"));
+    for way in [Way::New, Way::Retry, Way::Resume, Way::Resend] {
+        assert!(!may_send(&dispatcher, way, Millis(3_999)), "{way:?}");
+    }
+    assert!(may_send(&dispatcher, Way::New, Millis(4_000)));
 }
 
 /// Guards against a target that asks for a year of rest and is never tried again, while its callers are told to
@@ -48,8 +59,8 @@
     let mut dispatcher = dispatcher(&["e0"]);
     let now = Millis(1_000);
     dispatcher.record_rest(now, &target(), Millis::secs(31_536_000));
-    assert!(!dispatcher.accepts(now + MAX_REST - Millis(1), "e0"));
-    assert!(dispatcher.accepts(now + MAX_REST, "e0"));
+    assert!(!may_send(&dispatcher, Way::New, now + MAX_REST - Millis(1)));
+    assert!(may_send(&dispatcher, Way::New, now + MAX_REST));
     dispatcher.record_rest(now, &target(), Millis(u64::MAX));
     let refused = choose(&mut dispatcher, now);
     let Err(ChooseError::Full { retry_after }) = refused else {
--- a/crates/filbertstack-policy/tests/quota.rs
+++ b/crates/filbertstack-policy/tests/quota.rs
@@ -6,9 +6,14 @@
 use std::collections::VecDeque;
 
 use filbertstack_core::Millis;
+use filbertstack_policy::crashes::Verdict;
 use filbertstack_policy::dispatch::AttemptEnd;
 use filbertstack_policy::dispatch::ChooseError;
+use filbertstack_policy::dispatch::Dispatcher;
 use filbertstack_policy::dispatch::TargetId;
+use filbertstack_policy::permit;
+use filbertstack_policy::permit::Permit;
+use filbertstack_policy::permit::Way;
 use filbertstack_policy::quota;
 use filbertstack_policy::quota::LimitReport;
 use filbertstack_policy::quota::Limits;
@@ -131,17 +136,22 @@
     assert!(choose(&mut dispatcher, now).is_ok(), "the limit has ended");
 }
 
+fn may_resend(dispatcher: &Dispatcher, now: Millis) -> bool {
+    let obstacle = dispatcher.obstacle(now, "e0");
+    permit::may_send_to(Way::Resend, Verdict::Allowed, obstacle) == Permit::Send
+}
+
 /// Guards against a request that is sent again on a new connection beyond the limit of its target.
 #[test]
 fn a_request_that_is_sent_again_counts_against_the_limit() {
     let mut dispatcher = dispatcher(&["e0"]);
     let now = Millis(2_000);
-    assert!(dispatcher.may_resend(now, "e0"));
+    assert!(may_resend(&dispatcher, now));
     dispatcher.set_quota(Millis::ZERO, "e0", Some(1.0));
     dispatcher.count_sent(now, "e0", 0);
-    assert!(!dispatcher.may_resend(now, "e0"));
+    assert!(!may_resend(&dispatcher, now));
     let later = Millis(3_000);
-    assert!(dispatcher.may_resend(later, "e0"));
+    assert!(may_resend(&dispatcher, later));
     dispatcher.count_resent(later, "e0");
     assert!(choose(&mut dispatcher, later).is_err(), "it is used up");
 }
--- a/crates/filbertstack-telemetry/src/metrics/groups.rs
+++ b/crates/filbertstack-telemetry/src/metrics/groups.rs
@@ -18,6 +18,8 @@
     pub organisation_requests: LabelledCounter,
     /// The requests that were refused, by reason.
     pub refusals: LabelledCounter,
+    /// The requests that were not sent to the target that was chosen for them, by reason.
+    pub denials: LabelledCounter,
     /// The attempts after the first, by reason.
     pub retries: LabelledCounter,
     /// The hedged attempts: second attempts of idempotent requests that run in parallel with the first.
@@ -58,6 +60,7 @@
                 "Requests ended, by organisation",
             ),
             refusals: LabelledCounter::new(m, "entry_refusals", "reason", "Requests refused"),
+            denials: LabelledCounter::new(m, "entry_denials", "reason", "Sends denied"),
             retries: LabelledCounter::new(
                 m,
                 "entry_retries",
