Refuted losses make room for those that count

What callers saw: nothing yet; found by reading. A part under which 16 targets were lost and refuted within a minute, as connections broke or racks were lost, could not be blamed for that minute: its record was full.

A refuted loss gives way to a new one. The test failed before: the part was not blamed after three losses.

--- a/crates/filbertstack-policy/src/crashes/losses.rs
+++ b/crates/filbertstack-policy/src/crashes/losses.rs
@@ -110,16 +110,28 @@
         self.get(target).is_some_and(Loss::counts)
     }
 
-    /// Inserts a loss unless it is known or there are too many. Returns whether it was inserted.
+    /// Inserts a loss unless it is known or there are too many that count. Returns whether it was inserted.
     pub(super) fn insert(&mut self, target: &TargetId, loss: Loss) -> bool {
-        let full = self.0.len() >= MAX_LOSSES && !loss.probe;
-        if full || self.contains(target) {
+        if self.contains(target) {
+            return false;
+        }
+        if self.0.len() >= MAX_LOSSES && !loss.probe && !self.drop_refuted() {
             return false;
         }
         self.0.insert(target.clone(), loss);
         true
     }
 
+    /// Drops the loss that was refuted first. Returns whether there was one.
+    fn drop_refuted(&mut self) -> bool {
+        let refuted = self.0.iter().filter(|(_, loss)| !loss.counts());
+        let first = refuted.min_by_key(|(_, loss)| loss.changed_at);
+        let Some(target) = first.map(|(target, _)| target.clone()) else {
+            return false;
+        };
+        self.0.remove(&target).is_some()
+    }
+
     /// Drops the losses that no longer matter. Returns whether there were any.
     pub(super) fn prune(&mut self, now: Millis) -> bool {
         let before = self.0.len();
--- a/crates/filbertstack-policy/tests/crashes.rs
+++ b/crates/filbertstack-policy/tests/crashes.rs
@@ -412,6 +412,23 @@
     }
 }
 
+/// Guards against a part that begins to crash engines after many of its losses were refuted, which leave no room
+/// for those that count.
+#[test]
+fn refuted_losses_make_room_for_others() {
+    let part = part("crashing");
+    let mut crashes = Crashes::default();
+    for n in 0..40 {
+        crashes.record_loss(Millis::secs(1), &[part], &target(n));
+        crashes.record_answer(Millis::secs(2), &[part]);
+    }
+    for n in 0..CRASH_LIMIT {
+        let at = Millis::secs(3 + n as u64);
+        crashes.record_loss(at, &[part], &target(100 + n));
+    }
+    assert!(crashes.is_blamed(&part));
+}
+
 /// Guards against a caller who makes up parts, and displaces one that others were lost under.
 #[test]
 fn parts_that_are_made_up_do_not_displace_a_crashing_one() {
