--- a/tests/gateway/crashing_parts.rs
+++ b/tests/gateway/crashing_parts.rs
@@ -1,6 +1,7 @@
 //! Tests parts of prompts that crash the engines that begin to answer them, whatever else a request holds, and
 //! answers that a crash ends without an error of the connection.
 
+use std::cell::Cell;
 use std::thread::sleep;
 use std::time::Duration;
 
@@ -203,6 +204,33 @@
     assert_told_apart(&cluster);
 }
 
+/// Guards against a refused part that is probed by each of its requests, or never.
+#[test]
+fn a_refused_part_is_probed_once() {
+    let engines = start_engines(8, Framing::Chunks);
+    let cluster = Cluster::start(1, 0);
+    cluster.put_document(&[0], &document(1));
+    register_running(&cluster, &engines);
+    let calls = Cell::new(0);
+    let post_next = || {
+        calls.set(calls.get() + 1);
+        let parts = format!("{FIRST_PART}:40,{CRASHING_PART}:120");
+        post(&cluster, 0, &format!("a{}", calls.get()), &parts)
+    };
+    wait_until("the part is refused", || {
+        post_next().body.contains("a part of the prompt")
+    });
+    let known = arrivals(&engines);
+    wait_until("it is probed", || {
+        post_next();
+        arrivals(&engines) > known
+    });
+    for _ in 0..10 {
+        assert_eq!(post_next().status, 503);
+    }
+    assert_eq!((known, arrivals(&engines)), (3, 4));
+}
+
 /// Guards against a stream that may not be resumed and that a crash cuts inside an event, or before the first
 /// one: as its connection ends without an error, the caller would take it for complete, and the part that crashes
 /// engines for answered.
