--- a/crates/filbertstack-gateway/src/control/crash_file.rs
+++ b/crates/filbertstack-gateway/src/control/crash_file.rs
@@ -1,4 +1,4 @@
-//! Keeps the requests that crash targets on a voter's disk.
+//! Keeps the requests and parts of prompts that crash targets on a voter's disk.
 //!
 //! *Failure*: all processes are killed or lose power together, and start without records. A request that
 //! crashes targets would then crash as many again before it is refused. Any voter that kept its disk tells
--- a/crates/filbertstack-policy/src/permit.rs
+++ b/crates/filbertstack-policy/src/permit.rs
@@ -77,8 +77,8 @@
     }
 
     /// Returns whether it keeps back a request for which the target was chosen before. What the target itself
-    /// wants holds until the request is sent. The rest was weighed in the choice: the request has its place in
-    /// the limit and, at an ejected target, is its probe. One that is sent once more needs another place.
+    /// wants holds until the request is sent. Other obstacles were weighed in the choice: the request has its place
+    /// in the limit and, at an ejected target, is its probe. One that is sent once more needs another place.
     fn holds_back(self, way: Way) -> bool {
         match self {
             Self::TakesNoWork | Self::Leaves | Self::Rests(_) => true,
