Log each way that cuts an answer, failed connections to callers, and panics

What callers saw: a connection that closes before the answer is complete. An answer whose time ran out, whose caller's connection failed (also by a time limit of the entry's own) or which the end of the process cut was logged as 'caller left', and a panic not at all.

Now: 'answer cut' with one cause of four, the request, its age, silence and last event; 'connection to a caller failed' with the error of the connection; 'panicked'; a counter by cause. No decision changes.

Test: each_way_that_cuts_an_answer_is_logged_by_name, a_panic_is_logged; neither line existed before.

--- a/crates/filbertstack-gateway/src/entry/mod.rs
+++ b/crates/filbertstack-gateway/src/entry/mod.rs
@@ -324,5 +324,6 @@
         }
         sleep(LEAVE_POLL).await;
     }
+    requests.stop();
     info!("stopped", kv: { requests = requests.in_flight(), unread = active.count() });
 }
--- a/crates/filbertstack-gateway/src/entry/server.rs
+++ b/crates/filbertstack-gateway/src/entry/server.rs
@@ -16,6 +16,7 @@
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
 use hyper_util::rt::TokioTimer;
+use spdlog::info;
 use tokio::net::TcpListener;
 use tokio::net::TcpSocket;
 use tokio::net::TcpStream;
@@ -26,6 +27,10 @@
 use crate::BACKLOG;
 use crate::link::set_socket_options;
 
+/// The address of the caller that sent a request, among the extensions of the request.
+#[derive(Clone, Copy, Debug)]
+pub struct Caller(pub SocketAddr);
+
 /// Answers HTTP requests.
 pub trait Service: 'static {
     /// The body of an answer.
@@ -96,9 +101,10 @@
 ) {
     loop {
         match listener.accept().await {
-            Ok((stream, _)) => {
+            Ok((stream, caller)) => {
                 let (leaving, active) = (leaving.clone(), active.clone());
-                spawn_local(run_connection(stream, service.clone(), leaving, active));
+                let connection = run_connection(stream, caller, service.clone(), leaving, active);
+                spawn_local(connection);
             }
             Err(error) => {
                 spdlog::warn!("connection not accepted", kv: { error = error.to_string() });
@@ -110,6 +116,7 @@
 
 async fn run_connection<S: Service>(
     stream: TcpStream,
+    caller: SocketAddr,
     service: Rc<S>,
     mut leaving: watch::Receiver<bool>,
     active: ActiveConnections,
@@ -127,29 +134,44 @@
     if stopping {
         builder.keep_alive(false);
     }
-    let answer = service_fn(|request| {
+    let answer = service_fn(|mut request| {
         let service = service.clone();
         guard.get_or_init(|| active.track());
+        request.extensions_mut().insert(Caller(caller));
         async move { Ok::<_, Infallible>(service.answer(request).await) }
     });
     let connection = builder.serve_connection(TokioIo::new(stream), answer);
     let mut connection = std::pin::pin!(connection);
     if stopping {
-        let _ = connection.await;
+        log_end(caller, connection.await);
         return;
     }
     // A caller that disconnects or sends an invalid request ends only its own connection.
     tokio::select! {
-        _ = &mut connection => return,
+        ended = &mut connection => return log_end(caller, ended),
         signal = leaving.wait_for(|leaving| *leaving) => {
             // The sender is gone, so the signal never comes: the connection is served to its end.
             if signal.is_err() {
                 drop(signal);
-                let _ = connection.await;
-                return;
+                return log_end(caller, connection.await);
             }
         }
     }
     connection.as_mut().graceful_shutdown();
-    let _ = connection.await;
+    log_end(caller, connection.await);
+}
+
+/// Logs a connection that failed while a request or an answer was on its way. An idle one that times out is
+/// not worth a line.
+fn log_end(caller: SocketAddr, ended: hyper::Result<()>) {
+    let Err(error) = ended else {
+        return;
+    };
+    if error.is_timeout() {
+        return;
+    }
+    let cause = std::error::Error::source(&error).map(ToString::to_string);
+    info!("connection to a caller failed", kv: {
+        caller = caller.to_string(), error = error.to_string(), cause = cause.unwrap_or_default()
+    });
 }
--- a/crates/filbertstack-gateway/src/request/mod.rs
+++ b/crates/filbertstack-gateway/src/request/mod.rs
@@ -6,6 +6,7 @@
 pub mod attempt;
 mod classify;
 mod connect;
+mod cut;
 pub mod events;
 pub mod guard;
 mod permit;
@@ -17,6 +18,7 @@
 use std::cell::Cell;
 use std::cell::OnceCell;
 use std::cell::RefCell;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -53,6 +55,7 @@
 use tokio::time::timeout_at;
 
 use crate::control::node::Node;
+use crate::entry::server::Caller;
 use crate::entry::server::Service;
 use crate::request::answer::AnswerBody;
 use crate::request::answer::Refusal;
@@ -92,6 +95,7 @@
     /// The time from which a leaving entry refuses requests that may outlast it, and the time at which it
     /// ends.
     leaving: Cell<Option<(Instant, Instant)>>,
+    stopped: Cell<bool>,
     metrics: Rc<Metrics>,
 }
 
@@ -120,6 +124,8 @@
     pub waited: bool,
     /// The time by which its answer must be complete.
     pub deadline: Instant,
+    /// The address of its caller, as the log names it for the connection.
+    pub caller: Option<SocketAddr>,
     /// Counts it among the requests in progress.
     pub in_flight: InFlight,
     /// What it holds that may crash targets, once that was needed.
@@ -208,6 +214,7 @@
             recovery: RefCell::new(Recovery::new(node.clock.now())),
             waiting: Rc::default(),
             leaving: Cell::new(None),
+            stopped: Cell::new(false),
             metrics,
             node,
         })
@@ -235,6 +242,11 @@
         leaving.is_some_and(|(refuse_from, ends)| Instant::now() >= refuse_from && deadline > ends)
     }
 
+    /// Records that the process ends now, so that answers in progress are cut.
+    pub fn stop(&self) {
+        self.stopped.set(true);
+    }
+
     /// Returns the number of requests in progress.
     pub fn in_flight(&self) -> usize {
         self.in_flight.get()
@@ -276,6 +288,7 @@
         if self.ends_before(deadline) {
             return Err(Refusal::busy("this entry is leaving", RETRY_ELSEWHERE));
         }
+        let caller = parts.extensions.get::<Caller>().map(|caller| caller.0);
         let body = read_body(body, catalogue.limits().body, deadline).await?;
         self.repeats.borrow_mut().earn(&service);
         let call = Rc::new(Call {
@@ -290,6 +303,7 @@
             arrived_at,
             waited,
             deadline,
+            caller,
             in_flight,
             suspects: OnceCell::new(),
         });
--- a/crates/filbertstack-gateway/src/request/relay.rs
+++ b/crates/filbertstack-gateway/src/request/relay.rs
@@ -30,6 +30,9 @@
 use crate::request::attempt::abort_error;
 use crate::request::attempt::choose;
 use crate::request::attempt::send;
+use crate::request::cut;
+use crate::request::cut::Cut;
+use crate::request::cut::Passed;
 use crate::request::events::EventBuffer;
 use crate::request::events::EventTail;
 use crate::request::guard::AttemptGuard;
@@ -91,7 +94,7 @@
     Target(Incoming, AttemptGuard),
     /// Another target is being asked to resume the stream.
     Resuming(ResumeFuture),
-    /// Nothing more arrives.
+    /// Nothing more arrives: the answer is complete, or was cut.
     Ended,
 }
 
@@ -114,6 +117,8 @@
     deadline: Pin<Box<Sleep>>,
     /// The time at which the last bytes arrived.
     last_bytes_at: Instant,
+    /// The number of bytes that were passed on.
+    passed_bytes: u64,
     /// Ends when the silence of the target is to be checked.
     silence_check: Option<Pin<Box<Sleep>>>,
 }
@@ -144,6 +149,7 @@
             tries,
             deadline,
             last_bytes_at,
+            passed_bytes: 0,
             silence_check,
             call,
         }
@@ -152,8 +158,7 @@
     /// Polls for the next bytes for the caller.
     pub fn poll_frame(&mut self, cx: &mut Context<'_>) -> Poll<PollItem> {
         if self.deadline.as_mut().poll(cx).is_ready() {
-            self.source = Source::Ended;
-            return Poll::Ready(Some(Err(abort_error("the time has run out"))));
+            return Poll::Ready(Some(Err(self.cut(Cut::OutOfTime))));
         }
         loop {
             let step = match &mut self.source {
@@ -173,6 +178,22 @@
         }
     }
 
+    /// Ends the answer before it is complete.
+    fn cut(&mut self, cut: Cut) -> io::Error {
+        self.source = Source::Ended;
+        self.record_cut(cut);
+        abort_error(cut.name())
+    }
+
+    fn record_cut(&self, cut: Cut) {
+        let passed = Passed {
+            bytes: self.passed_bytes,
+            last_event: self.events.as_ref().and_then(EventBuffer::last_id),
+            last_bytes_at: self.last_bytes_at,
+        };
+        cut::record(&self.requests, &self.call, cut, passed);
+    }
+
     /// Handles a frame, the end or an error from the target.
     fn handle_frame(&mut self, frame: Option<Result<Frame<Bytes>, hyper::Error>>) -> Progress {
         match frame {
@@ -189,6 +210,7 @@
                 if data.is_empty() {
                     return Progress::Again;
                 }
+                self.passed_bytes += data.len() as u64;
                 Progress::Ready(Some(Ok(Frame::data(data))))
             }
             Some(Err(_)) => {
@@ -238,13 +260,13 @@
 
     /// Returns the bytes to pass on: whole events if the stream may be resumed, or else all of `data`.
     fn filter_events(&mut self, data: Bytes) -> Bytes {
+        self.last_bytes_at = Instant::now();
         if let Some(tail) = &mut self.tail {
             tail.note(&data);
         }
         let Some(events) = &mut self.events else {
             return data;
         };
-        self.last_bytes_at = Instant::now();
         if let Some(silence_check) = &mut self.silence_check {
             let check_at = self.last_bytes_at + pauses(&self.call, UNREACHABLE_PAUSES);
             silence_check.as_mut().reset(check_at);
@@ -314,7 +336,7 @@
             drop((body, guard));
         }
         let Some(events) = &mut self.events else {
-            return Progress::Ready(Some(Err(abort_error(why))));
+            return Progress::Ready(Some(Err(self.cut(Cut::TargetLost(why)))));
         };
         events.drop_partial();
         let resuming = resume(
@@ -336,8 +358,7 @@
             Ok(resumed) => resumed,
             Err(why) => {
                 info!("stream not resumed", kv: { request = self.call.head.id(), why = why });
-                self.source = Source::Ended;
-                return Progress::Ready(Some(Err(abort_error(why))));
+                return Progress::Ready(Some(Err(self.cut(Cut::TargetLost(why)))));
             }
         };
         self.requests.metrics.entry.retries.add("resumed", 1);
@@ -356,6 +377,20 @@
     }
 }
 
+impl Drop for Relay {
+    fn drop(&mut self) {
+        if matches!(self.source, Source::Ended) {
+            return;
+        }
+        let stopped = self.requests.stopped.get();
+        self.record_cut(if stopped {
+            Cut::Stopped
+        } else {
+            Cut::CallerGone
+        });
+    }
+}
+
 /// Returns the length of `count` of the route's longest pauses between two events.
 fn pauses(call: &Call, count: u32) -> Duration {
     call.route.pause.unwrap_or(DEFAULT_PAUSE) * count
--- a/crates/filbertstack-telemetry/src/logs.rs
+++ b/crates/filbertstack-telemetry/src/logs.rs
@@ -4,6 +4,7 @@
 //! writes the lines about one request and adds the request's fields.
 
 use std::fmt;
+use std::panic;
 use std::sync::Arc;
 use std::time::Duration;
 use std::time::UNIX_EPOCH;
@@ -17,6 +18,7 @@
 use spdlog::Logger;
 use spdlog::Record;
 use spdlog::StringBuf;
+use spdlog::error;
 use spdlog::formatter::Formatter;
 use spdlog::formatter::FormatterContext;
 use spdlog::formatter::PatternFormatter;
@@ -72,11 +74,23 @@
         Ok(Self { logger })
     }
 
-    /// Makes this logger the one that the macros of `spdlog` write to.
+    /// Makes this logger the one that the macros of `spdlog` and panics of the process write to.
     pub fn make_default(&self) {
+        self.log_panics();
         spdlog::set_default_logger(self.logger.clone());
     }
 
+    /// Logs each panic of the process before the default message goes to standard error. A task that panics
+    /// ends alone, and the answers that it was passing on end without a word in the log.
+    fn log_panics(&self) {
+        let logger = self.logger.clone();
+        let default_hook = panic::take_hook();
+        panic::set_hook(Box::new(move |info| {
+            error!(logger: logger, "panicked", kv: { cause = info.to_string() });
+            default_hook(info);
+        }));
+    }
+
     /// Returns the logger, for use in `info!(logger: ...)`.
     pub fn logger(&self) -> &Arc<Logger> {
         &self.logger
--- a/crates/filbertstack-telemetry/src/metrics/groups.rs
+++ b/crates/filbertstack-telemetry/src/metrics/groups.rs
@@ -20,6 +20,8 @@
     pub refusals: LabelledCounter,
     /// The requests that were not sent to the target that was chosen for them, by reason.
     pub denials: LabelledCounter,
+    /// The answers that ended before they were complete, by cause.
+    pub cuts: LabelledCounter,
     /// The attempts after the first, by reason.
     pub retries: LabelledCounter,
     /// The hedged attempts: second attempts of idempotent requests that run in parallel with the first.
@@ -61,6 +63,7 @@
             ),
             refusals: LabelledCounter::new(m, "entry_refusals", "reason", "Requests refused"),
             denials: LabelledCounter::new(m, "entry_denials", "reason", "Sends denied"),
+            cuts: LabelledCounter::new(m, "entry_cuts", "cause", "Answers cut"),
             retries: LabelledCounter::new(
                 m,
                 "entry_retries",
--- a/src/cmd/account.rs
+++ b/src/cmd/account.rs
@@ -47,6 +47,9 @@
             message @ ("answer broke off" | "stream not resumed") => {
                 self.add_reason(format!("{message}: {}", line.text("why")));
             }
+            "answer cut" => {
+                self.add_reason(format!("answer cut: {}", line.text("cause")));
+            }
             _ => {}
         }
     }
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -5,6 +5,7 @@
 mod control;
 mod crashes;
 mod crashing_parts;
+mod endings;
 mod engine;
 mod fleet;
 mod limits;
