Tests of answers that the system cuts itself, which fail

- a rollout orders an engine to break off a stream whose route allows no other attempt: 8 of 40 events arrive;
- a target that has left the registry, and serves on, is silent for 2.3 s: 1 of 3 events;
- a target pauses for 2.3 s, the next turns the stream away: 1 of 3 events.

In each the target would have sent the rest.

--- a/crates/filbertstack-gateway/src/entry/server.rs
+++ b/crates/filbertstack-gateway/src/entry/server.rs
@@ -162,12 +162,12 @@
 }
 
 /// Logs a connection that failed while a request or an answer was on its way. An idle one that times out is
-/// not worth a line.
+/// not worth a line, and an answer that the entry cuts has one of its own.
 fn log_end(caller: SocketAddr, ended: hyper::Result<()>) {
     let Err(error) = ended else {
         return;
     };
-    if error.is_timeout() {
+    if error.is_timeout() || error.is_user() {
         return;
     }
     let cause = std::error::Error::source(&error).map(ToString::to_string);
--- a/tests/gateway/endings.rs
+++ b/tests/gateway/endings.rs
@@ -5,12 +5,18 @@
 use std::net::TcpStream;
 use std::time::Duration;
 
+use serde_json::Value;
+use serde_json::json;
+
 use crate::cluster::Cluster;
 use crate::cluster::document;
 use crate::cluster::get;
 use crate::cluster::wait_until;
 use crate::engine::Engine;
+use crate::engine::no_room;
 use crate::engine::stream;
+use crate::fleet::Fleet;
+use crate::model::services;
 
 /// The engine pauses for this time after each event of a stream.
 const EVENT_PAUSE: Duration = Duration::from_millis(400);
@@ -85,14 +91,11 @@
         was_cut(&cluster, "left", "caller gone")
     });
 
-    let mut declared = document(2);
-    declared["routes"][2]["timeoutMs"] = serde_json::json!(50_000);
-    cluster.put_document(&[0], &declared);
+    cluster.put_document(&[0], &streaming_document(2, &[]));
     wait_until("the longer time is in force", || {
         cluster.version(0) == Some(2)
     });
-    let patient = get("/stream/", "late", "").replace("Deadline-Ms: 5000", "Deadline-Ms: 50000");
-    let _caller = begin_stream(&cluster, &patient);
+    let _caller = begin_stream(&cluster, &patient("late"));
     assert!(cluster.stop(0), "it exits by itself without an error");
     assert!(
         was_cut(&cluster, "late", "process stopped"),
@@ -100,3 +103,110 @@
         cluster.logged(0)
     );
 }
+
+/// Returns the document of the tests with the given changes to its route for streams, which may take 50 s.
+fn streaming_document(version: u64, changes: &[(&str, u64)]) -> Value {
+    let mut declared = document(version);
+    let route = &mut declared["routes"][2];
+    route["timeoutMs"] = json!(50_000);
+    for (field, value) in changes {
+        route[*field] = json!(value);
+    }
+    declared
+}
+
+/// Returns a request for a stream whose caller has time for it.
+fn patient(attempt: &str) -> String {
+    get("/stream/", attempt, "").replace("Deadline-Ms: 5000", "Deadline-Ms: 50000")
+}
+
+/// Asserts that each event came once, in order, and then the end.
+fn assert_whole(answer: &str, events: u64, logged: &str) {
+    let got: Vec<&str> = answer.lines().filter(|l| l.starts_with("data: ")).collect();
+    let expected: Vec<String> = (1..=events).map(|n| format!("data: piece {n}")).collect();
+    assert_eq!(got, expected, "{answer}\n{logged}");
+    assert!(
+        answer.ends_with("0\r\n\r\n"),
+        "no end: {answer:?}\n{logged}"
+    );
+}
+
+/// Reads the rest of an answer that has begun.
+fn read_rest(mut caller: TcpStream) -> String {
+    let mut bytes = Vec::new();
+    // A reset connection ends the answer with the bytes received before.
+    let _ = caller.read_to_end(&mut bytes);
+    format!("data: piece 1{}", String::from_utf8_lossy(&bytes))
+}
+
+/// Guards against a rollout that cuts streams: the engine that is to load runs one that no other may continue.
+#[test]
+fn a_load_cuts_no_stream_that_has_no_attempt_left() {
+    let mut fleet = Fleet::start(0);
+    let mut declared = streaming_document(2, &[("maxAttempts", 1)]);
+    declared["services"] = services(fleet.origin.start().addr);
+    fleet.cluster.put_document(&[0], &declared);
+    fleet.add_streaming(EVENT_PAUSE, MANY_EVENTS);
+    fleet.name_version(1);
+    fleet.await_version(1);
+    wait_until("a stream begins", || {
+        fleet.announce_all();
+        let mut caller = TcpStream::connect(fleet.cluster.front_addr(0)).expect("it listens");
+        caller.write_all(patient("probe").as_bytes()).expect("sent");
+        let mut head = [0; 12];
+        caller.read_exact(&mut head).expect("an answer");
+        head == *b"HTTP/1.1 200"
+    });
+    let caller = begin_stream(&fleet.cluster, &patient("a1"));
+    fleet.name_version(2);
+    let answer = read_rest(caller);
+    assert_whole(&answer, MANY_EVENTS, &fleet.cluster.logged(0));
+    fleet.await_version(2);
+}
+
+/// Guards against an entry that cuts a stream as its target is silent for a while, though no other takes it over:
+/// a target that has left the registry serves on.
+#[test]
+fn a_silent_target_keeps_its_stream_if_no_other_takes_it_over() {
+    let engine = Engine::paced(
+        Duration::from_millis(2_300),
+        Box::new(
+            |received| match received.header("x-filbertstack-attempt-id") {
+                "probe" => stream(received, 1, 0),
+                _ => stream(received, 3, 0),
+            },
+        ),
+    );
+    let cluster = start_streaming(&engine);
+    cluster.put_document(&[0], &streaming_document(2, &[]));
+    wait_until("the longer time is in force", || {
+        cluster.version(0) == Some(2)
+    });
+    let caller = begin_stream(&cluster, &patient("a1"));
+    cluster.control(0, "DELETE", "/instances/i-1", "");
+    assert_whole(&read_rest(caller), 3, &cluster.logged(0));
+}
+
+/// Guards against an entry that gives a slow target up for one that then turns the stream away.
+#[test]
+fn a_slow_target_keeps_its_stream_if_the_next_turns_it_away() {
+    let slow = Engine::paced(
+        Duration::from_millis(2_300),
+        Box::new(
+            |received| match received.header("x-filbertstack-attempt-id") {
+                "probe" => stream(received, 1, 0),
+                _ => stream(received, 3, 0),
+            },
+        ),
+    );
+    let full = Engine::start(Box::new(no_room));
+    let cluster = start_streaming(&slow);
+    cluster.put_document(&[0], &streaming_document(2, &[("itlTargetMs", 250)]));
+    wait_until("the longer time is in force", || {
+        cluster.version(0) == Some(2)
+    });
+    let caller = begin_stream(&cluster, &patient("a1"));
+    cluster.register(0, "i-2", "stream", full.addr);
+    assert_whole(&read_rest(caller), 3, &cluster.logged(0));
+    assert!(!full.received().is_empty(), "the other was asked");
+}
--- a/tests/gateway/engine.rs
+++ b/tests/gateway/engine.rs
@@ -10,6 +10,7 @@
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU32;
 use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::Duration;
@@ -48,11 +49,35 @@
 /// `Trigger` tells whether a request crashes the engine that answers it.
 type Trigger = Box<dyn Fn(&Received) -> bool + Send + Sync>;
 
+/// `Streams` are the streams that an engine runs.
+#[derive(Debug, Default)]
+pub struct Streams {
+    running: AtomicU32,
+    breaks: AtomicU32,
+}
+
+impl Streams {
+    /// Returns the number of running streams.
+    pub fn running(&self) -> u32 {
+        self.running.load(Ordering::SeqCst)
+    }
+
+    /// Breaks all running streams off.
+    pub fn break_off(&self) {
+        self.breaks.fetch_add(1, Ordering::SeqCst);
+    }
+
+    fn breaks(&self) -> u32 {
+        self.breaks.load(Ordering::SeqCst)
+    }
+}
+
 /// `State` is shared by the connections of an engine.
 struct State {
     addr: SocketAddr,
     crashes: Trigger,
     crashed: AtomicBool,
+    streams: Arc<Streams>,
 }
 
 impl State {
@@ -71,12 +96,22 @@
 impl Engine {
     /// Starts an engine on a free port.
     pub fn start(behaviour: Behaviour) -> Self {
-        Self::launch(Duration::ZERO, Box::new(|_| false), behaviour)
+        Self::launch(
+            Duration::ZERO,
+            Box::new(|_| false),
+            Arc::default(),
+            behaviour,
+        )
     }
 
     /// Starts an engine that pauses after each event of a stream.
     pub fn paced(pause: Duration, behaviour: Behaviour) -> Self {
-        Self::launch(pause, Box::new(|_| false), behaviour)
+        Self::with_streams(pause, Arc::default(), behaviour)
+    }
+
+    /// Starts an engine that pauses after each event, and whose streams are those of `streams`.
+    pub fn with_streams(pause: Duration, streams: Arc<Streams>, behaviour: Behaviour) -> Self {
+        Self::launch(pause, Box::new(|_| false), streams, behaviour)
     }
 
     /// Starts an engine that crashes when it has sent its answer to a request with this body.
@@ -89,10 +124,15 @@
         crashes: impl Fn(&Received) -> bool + Send + Sync + 'static,
         behaviour: Behaviour,
     ) -> Self {
-        Self::launch(Duration::ZERO, Box::new(crashes), behaviour)
+        Self::launch(Duration::ZERO, Box::new(crashes), Arc::default(), behaviour)
     }
 
-    fn launch(pause: Duration, crashes: Trigger, behaviour: Behaviour) -> Self {
+    fn launch(
+        pause: Duration,
+        crashes: Trigger,
+        streams: Arc<Streams>,
+        behaviour: Behaviour,
+    ) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
         let addr = listener.local_addr().expect("bound");
         let received = Arc::new(Mutex::new(Vec::new()));
@@ -100,6 +140,7 @@
             addr,
             crashes,
             crashed: AtomicBool::new(false),
+            streams,
         });
         let recorded = received.clone();
         let behaviour = Arc::new(behaviour);
@@ -151,7 +192,7 @@
             state.crash();
         }
         // The caller leaves in some tests, so that a failure to send is expected.
-        let sent = send_answer(&mut stream, pause, &answer);
+        let sent = send_answer(&mut stream, pause, &answer, &state.streams);
         if sent.is_err() || !keeps_connection(&answer) {
             return;
         }
@@ -184,16 +225,37 @@
     Some(received)
 }
 
-fn send_answer(stream: &mut TcpStream, pause: Duration, answer: &[u8]) -> io::Result<()> {
+fn send_answer(
+    stream: &mut TcpStream,
+    pause: Duration,
+    answer: &[u8],
+    streams: &Streams,
+) -> io::Result<()> {
     let paced = !pause.is_zero() && answer.windows(8).any(|text| text == b"\ndata: p");
     if !paced {
         return stream.write_all(answer);
     }
+    streams.running.fetch_add(1, Ordering::SeqCst);
+    let sent = send_paced(stream, pause, answer, streams);
+    streams.running.fetch_sub(1, Ordering::SeqCst);
+    sent
+}
+
+fn send_paced(
+    stream: &mut TcpStream,
+    pause: Duration,
+    answer: &[u8],
+    streams: &Streams,
+) -> io::Result<()> {
+    let breaks = streams.breaks();
     for event in answer.split_inclusive(|byte| *byte == b'\r') {
         stream.write_all(event)?;
         if event.windows(3).any(|text| text == b"id:") {
             thread::sleep(pause);
         }
+        if streams.breaks() != breaks {
+            return Err(io::ErrorKind::ConnectionAborted.into());
+        }
     }
     Ok(())
 }
--- a/tests/gateway/fleet.rs
+++ b/tests/gateway/fleet.rs
@@ -2,6 +2,7 @@
 
 use std::cell::Cell;
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use serde_json::json;
 
@@ -10,8 +11,10 @@
 use crate::cluster::exchange;
 use crate::cluster::get;
 use crate::cluster::wait_until;
+use crate::engine::Behaviour;
 use crate::engine::Engine;
 use crate::engine::answer;
+use crate::engine::stream;
 use crate::model::Model;
 use crate::model::Origin;
 use crate::model::services;
@@ -71,6 +74,29 @@
         self.models.push(model);
     }
 
+    /// Starts one more engine and its agent. It answers callers with streams of `events` events and pauses after
+    /// each.
+    pub fn add_streaming(&mut self, pause: Duration, events: u64) {
+        let model = Model::default();
+        let (shared, streams) = (model.clone(), model.state().streams.clone());
+        let behaviour: Behaviour = Box::new(move |received| {
+            let answer = shared.answer(received);
+            answer.unwrap_or_else(|| stream(received, events, 0))
+        });
+        let engine = Engine::with_streams(pause, streams, behaviour);
+        self.addrs.push(engine.addr);
+        self.agents
+            .push(self.cluster.start_agent("stream", engine.addr));
+        self.models.push(model);
+    }
+
+    /// Announces all engines, each under an id of its own.
+    pub fn announce_all(&self) {
+        for (n, addr) in self.addrs.iter().enumerate() {
+            self.cluster.register(0, &format!("i-{n}"), "stream", *addr);
+        }
+    }
+
     /// Names a version, and repeats that until it is acknowledged.
     pub fn name_version(&self, version: u64) {
         self.origin.publish(version);
--- a/tests/gateway/model.rs
+++ b/tests/gateway/model.rs
@@ -18,6 +18,7 @@
 
 use crate::engine::Engine;
 use crate::engine::Received;
+use crate::engine::Streams;
 
 /// A version has this many pieces.
 pub const PIECES: u32 = 12;
@@ -93,8 +94,10 @@
     pub loaded: Vec<u64>,
     /// The staged pieces.
     pub staged: BTreeMap<u32, Vec<u8>>,
-    /// The number of running requests that it reports.
+    /// The number of running requests that it reports beside its streams.
     pub running: u32,
+    /// The streams that it runs. An order that does not wait for them breaks them off.
+    pub streams: Arc<Streams>,
     /// The number of further reports at which the engine corrupts a staged piece, if all pieces are staged.
     pub corruptions: u32,
     /// The number of loads that began while a staged piece was missing, corrupt or of another version.
@@ -143,7 +146,7 @@
             version => json!([{"name": "m", "version": version}]),
         };
         json!({
-            "models": models, "busy": false, "waiting": 0, "running": self.running, "pace": 1.0,
+            "models": models, "busy": false, "waiting": 0, "running": self.running + self.streams.running(), "pace": 1.0,
             "sequence": self.sequence, "born": self.born
         })
     }
@@ -311,6 +314,9 @@
             sent: Instant::now(),
         };
         let mut state = self.state();
+        if body["drainMode"] != "wait" {
+            state.streams.break_off();
+        }
         if state.late_orders == 0 {
             return state.begin_order(order);
         }
