A caller may pause its reading without losing its connection

What callers saw: a connection reset in the middle of an answer, after a pause of 2.5 s in their reading.

Cause: connections to callers had the time limit of links between processes (TCP_USER_TIMEOUT 2.5 s), which the system also counts while the far end takes no bytes. 'answer cut' and 'connection to a caller failed: Connection timed out' showed it at once; before those lines it was a caller that left.

Test: a_caller_that_pauses_its_reading_gets_the_rest, 4 of 12.6 MB before (ConnectionReset), all of it now. Answers of this size are not the users' today; that it is the users' case is not shown.

--- a/crates/filbertstack-gateway/src/entry/server.rs
+++ b/crates/filbertstack-gateway/src/entry/server.rs
@@ -25,7 +25,12 @@
 
 use crate::ACCEPT_PAUSE;
 use crate::BACKLOG;
-use crate::link::set_socket_options;
+use crate::link::set_ack_timeout;
+
+/// How long a caller may leave bytes unread or unacknowledged before its connection is closed. A caller may pause
+/// its reading for seconds, and the system counts that like a partition; without a limit, callers behind a
+/// partition would use up the descriptors.
+const CALLER_TIMEOUT: Duration = Duration::from_secs(20);
 
 /// The address of the caller that sent a request, among the extensions of the request.
 #[derive(Clone, Copy, Debug)]
@@ -122,7 +127,7 @@
     active: ActiveConnections,
 ) {
     let guard = OnceCell::new();
-    set_socket_options(&stream);
+    set_ack_timeout(&stream, CALLER_TIMEOUT);
     let mut builder = http1::Builder::new();
     builder
         .timer(TokioTimer::new())
--- a/crates/filbertstack-gateway/src/link/mod.rs
+++ b/crates/filbertstack-gateway/src/link/mod.rs
@@ -83,12 +83,17 @@
     UnexpectedReply,
 }
 
-/// Sets the socket options of connections between instances.
+/// Sets the socket options of connections between instances and to targets.
 pub fn set_socket_options(stream: &TcpStream) {
+    set_ack_timeout(stream, ACK_TIMEOUT);
+}
+
+/// Sets the socket options of a connection whose sent bytes may stay unacknowledged for `timeout`.
+pub fn set_ack_timeout(stream: &TcpStream, timeout: Duration) {
     let socket = SockRef::from(stream);
-    // An option fails only where the system lacks it; the timeouts of the questions still hold then.
+    // An option fails only where the system lacks it; other timeouts still hold then.
     let _ = socket.set_tcp_nodelay(true);
-    let _ = socket.set_tcp_user_timeout(Some(ACK_TIMEOUT));
+    let _ = socket.set_tcp_user_timeout(Some(timeout));
 }
 
 /// The askers that wait for answers, by the id of the question.
--- a/tests/gateway/endings.rs
+++ b/tests/gateway/endings.rs
@@ -3,6 +3,7 @@
 use std::io::Read as _;
 use std::io::Write as _;
 use std::net::TcpStream;
+use std::thread;
 use std::time::Duration;
 
 use serde_json::Value;
@@ -13,6 +14,7 @@
 use crate::cluster::get;
 use crate::cluster::wait_until;
 use crate::engine::Engine;
+use crate::engine::answer;
 use crate::engine::no_room;
 use crate::engine::stream;
 use crate::fleet::Fleet;
@@ -21,6 +23,9 @@
 /// The engine pauses for this time after each event of a stream.
 const EVENT_PAUSE: Duration = Duration::from_millis(400);
 
+/// A caller pauses its reading for this time, which is longer than bytes to other processes may stay unread.
+const READ_PAUSE: Duration = Duration::from_secs(4);
+
 /// A stream of this many events outlasts the time limits of the tests.
 const MANY_EVENTS: u64 = 40;
 
@@ -210,3 +215,33 @@
     assert_whole(&read_rest(caller), 3, &cluster.logged(0));
     assert!(!full.received().is_empty(), "the other was asked");
 }
+
+/// Guards against an entry whose own time limit cuts the connection of a caller that pauses its reading.
+#[test]
+fn a_caller_that_pauses_its_reading_gets_the_rest() {
+    let long = "x".repeat(12 << 20);
+    let body = long.clone();
+    let engine = Engine::start(Box::new(move |received| {
+        match received.header("x-filbertstack-attempt-id") {
+            "a1" => answer(received, "200 OK", &body),
+            _ => answer(received, "200 OK", "ok"),
+        }
+    }));
+    let cluster = Cluster::start(1, 0);
+    let mut declared = document(1);
+    declared["routes"][0]["timeoutMs"] = json!(50_000);
+    cluster.put_document(&[0], &declared);
+    cluster.register(0, "i-1", "safe", engine.addr);
+    cluster.await_service(0, "/safe/");
+    let mut caller = TcpStream::connect(cluster.front_addr(0)).expect("the entry listens");
+    let request = get("/safe/", "a1", "").replace("Deadline-Ms: 5000", "Deadline-Ms: 50000");
+    caller.write_all(request.as_bytes()).expect("sent");
+    let mut head = [0; 12];
+    caller.read_exact(&mut head).expect("an answer");
+    thread::sleep(READ_PAUSE);
+    let mut rest = Vec::new();
+    let read = caller.read_to_end(&mut rest);
+    assert!(read.is_ok(), "{read:?}\n{}", cluster.logged(0));
+    assert!(rest.ends_with(&long.as_bytes()[..1024]));
+    assert!(rest.len() > long.len(), "{} of {}", rest.len(), long.len());
+}
