A silent target keeps its request until another has answered it

What callers saw: 502 for a request that may be repeated, though its target was about to answer.

A target that is silent to all requests was given up after 1.6 s even if no other could be asked.

Now: the other target is asked beside the first, and the first answer counts. An attempt ends without an answer only if the caller of a stream is about to leave.

Test: a_slow_target_keeps_a_request_that_the_next_turns_away, 502 before.

--- a/crates/filbertstack-gateway/src/request/attempt.rs
+++ b/crates/filbertstack-gateway/src/request/attempt.rs
@@ -53,11 +53,6 @@
 /// from a frozen target.
 const RETRY_GOAL: Duration = Duration::from_millis(1_200);
 
-/// The time after which a request or stream at a target that is silent to all requests is abandoned, even
-/// if no other target can take it. Callers disconnect after two seconds; one that is answered before that
-/// may still retry.
-const ABANDON_AFTER: Duration = Duration::from_millis(1_600);
-
 /// The share of the time that callers wait for the next event after which an attempt without one is
 /// ended. A later answer would find no caller. Ended now, the target stops its work in time and the caller
 /// may retry; when the caller disconnects by itself, the work of the target is wasted.
@@ -85,6 +80,13 @@
     Failed(Response<Incoming>, AttemptGuard),
 }
 
+impl Outcome {
+    /// Returns whether a target answered in a way that may be returned to the caller.
+    fn is_answer(&self) -> bool {
+        matches!(self, Self::Answer(..))
+    }
+}
+
 /// The attempts of one request so far.
 #[derive(Clone, Default)]
 pub struct Tries {
@@ -257,7 +259,7 @@
         let sending = std::pin::pin!(connected.connection.send(build_request(call, &onward)));
         await_head(requests, call, chosen, tries, last_bytes_at, sending).await
     };
-    let broken = matches!(reply, Some(Err(_)));
+    let broken = matches!(reply, Awaited::Head(Err(_)));
     if broken
         && connected.was_closed()
         && connected.replace(requests, call, chosen).await
@@ -267,9 +269,16 @@
         let sending = std::pin::pin!(connected.connection.send(build_request(call, &onward)));
         reply = await_head(requests, call, chosen, tries, last_bytes_at, sending).await;
     }
-    let Some(reply) = reply else {
-        guard.fail();
-        return Outcome::Unknown;
+    let reply = match reply {
+        Awaited::Head(reply) => reply,
+        Awaited::Beside(outcome) => {
+            guard.fail();
+            return outcome;
+        }
+        Awaited::GivenUp => {
+            guard.fail();
+            return Outcome::Unknown;
+        }
     };
     guard.connection = Some(connected.connection);
     match reply {
@@ -297,44 +306,102 @@
     }
 }
 
-/// Waits for the head of an answer. Returns `None` if the attempt is to end, as the target has been silent
-/// to this request for too long or is silent to all requests.
+/// How the wait for the head of an answer ended.
+enum Awaited {
+    /// The target sent it, or its connection failed.
+    Head(HeadResult),
+    /// Another target, which was asked as well, gives the answer.
+    Beside(Outcome),
+    /// The caller is about to leave.
+    GivenUp,
+}
+
+/// Waits for the head of an answer. A target that is silent to this request for too long, or to all requests,
+/// keeps it: another is asked as well, and the first answer counts. If the first target were given up for one
+/// that turns the request away, its caller would get an error in place of the answer that is under way.
 ///
-/// A silent target is given up as soon as another can take the request, which is checked repeatedly. If
-/// none can for too long, the attempt ends as well and the caller gets an error. Otherwise the caller of a
-/// frozen target would wait until it disconnects, and the target would run the request for nobody once it
-/// resumes work.
+/// The attempt ends without an answer only if the caller is about to leave: it would run for nobody.
 async fn await_head(
     requests: &Rc<Requests>,
-    call: &Call,
+    call: &Rc<Call>,
     chosen: &Chosen,
-    tries: &Tries,
+    tries: &mut Tries,
     last_bytes_at: Instant,
     mut sending: Pin<&mut impl Future<Output = HeadResult>>,
-) -> Option<HeadResult> {
+) -> Awaited {
     if !call.may_repeat() {
-        return Some(sending.await);
+        return Awaited::Head(sending.await);
     }
     let began = Instant::now();
     loop {
         if let Ok(reply) = timeout(CHECK_INTERVAL, &mut sending).await {
-            return Some(reply);
+            return Awaited::Head(reply);
         }
         let waited = began.elapsed();
-        let target_silent = waited >= call.route.goal && requests.targets.is_silent(&chosen.id);
-        let abandoned =
-            (target_silent && waited >= ABANDON_AFTER) || is_caller_leaving(call, last_bytes_at);
-        let silent = target_silent || waited >= silence_limit(call);
-        if abandoned || (silent && can_ask_another(requests, call, tries)) {
+        if is_caller_leaving(call, last_bytes_at) {
             info!("target silent, given up", kv: {
                 request = call.head.id(), target = instance_of(&chosen.id),
-                waited_ms = waited.as_millis(), forsaken = abandoned
+                waited_ms = waited.as_millis(), forsaken = true
             });
-            return None;
+            return Awaited::GivenUp;
+        }
+        let target_silent = waited >= call.route.goal && requests.targets.is_silent(&chosen.id);
+        if !target_silent && waited < silence_limit(call) {
+            continue;
+        }
+        let Some(other) = find_other(requests, call, tries) else {
+            continue;
+        };
+        info!("target silent, another is asked", kv: {
+            request = call.head.id(), target = instance_of(&chosen.id),
+            waited_ms = waited.as_millis(), other = instance_of(&other.id)
+        });
+        if let Some(awaited) = race(requests, call, &other, tries, sending.as_mut()).await {
+            return awaited;
         }
     }
 }
 
+/// Sends a request to another target while the first is silent. Returns `None` if the other does not answer it,
+/// so that the first alone is left.
+async fn race(
+    requests: &Rc<Requests>,
+    call: &Rc<Call>,
+    other: &Chosen,
+    tries: &mut Tries,
+    mut sending: Pin<&mut impl Future<Output = HeadResult>>,
+) -> Option<Awaited> {
+    let beside: Pin<Box<dyn Future<Output = Outcome> + '_>> =
+        Box::pin(send(requests, call, other, tries, None));
+    let mut beside = beside;
+    let reply = tokio::select! {
+        reply = &mut sending => reply,
+        outcome = &mut beside => return outcome.is_answer().then_some(Awaited::Beside(outcome)),
+    };
+    // An answer that may be returned need not wait for the other.
+    if reply
+        .as_ref()
+        .is_ok_and(|response| response.status().is_success())
+    {
+        return Some(Awaited::Head(reply));
+    }
+    let outcome = beside.await;
+    if outcome.is_answer() {
+        return Some(Awaited::Beside(outcome));
+    }
+    Some(Awaited::Head(reply))
+}
+
+/// Chooses another target for a request whose first is silent, within the attempts and the budget, of which it
+/// takes one repeated send.
+fn find_other(requests: &Rc<Requests>, call: &Call, tries: &Tries) -> Option<Chosen> {
+    if !tries.attempts.may_continue(call.route.attempts) || !requests.may_spend(&call.service) {
+        return None;
+    }
+    let chosen = choose(requests, call, tries).ok()?;
+    requests.spend(&call.service).then_some(chosen)
+}
+
 /// Returns whether the caller of a stream is about to disconnect, as it has received nothing since
 /// `last_bytes_at`. Before the first event that is the arrival of its request. A stream that is resumed
 /// needs the time of its last event: counted from the arrival, the limit would already have passed, and
@@ -357,15 +424,8 @@
     });
 }
 
-/// Returns whether another target could take the request now, within the attempts and the budget.
-fn can_ask_another(requests: &Rc<Requests>, call: &Call, tries: &Tries) -> bool {
-    tries.attempts.may_continue(call.route.attempts)
-        && requests.may_spend(&call.service)
-        && choose(requests, call, tries).is_ok()
-}
-
-/// Returns how long a target may be silent to a request before another one is asked, although it answers
-/// other requests.
+/// Returns how long a target may be silent to a request before another one is asked as well, although it
+/// answers other requests.
 fn silence_limit(call: &Call) -> Duration {
     (call.route.goal * SILENT_GOALS).max(MIN_SILENCE)
 }
--- a/tests/gateway/endings.rs
+++ b/tests/gateway/endings.rs
@@ -216,6 +216,38 @@
     assert!(!full.received().is_empty(), "the other was asked");
 }
 
+/// Guards against an entry that gives a slow target up before its first event, for one that turns the request
+/// away.
+#[test]
+fn a_slow_target_keeps_a_request_that_the_next_turns_away() {
+    let slow = Engine::start(Box::new(|received| {
+        if received.header("x-filbertstack-attempt-id") == "a1" {
+            thread::sleep(Duration::from_millis(1_800));
+        }
+        answer(received, "200 OK", "whole")
+    }));
+    let full = Engine::start(Box::new(no_room));
+    let cluster = Cluster::start(1, 0);
+    let mut declared = document(1);
+    declared["routes"][0]["goalMs"] = json!(400);
+    cluster.put_document(&[0], &declared);
+    cluster.register(0, "i-1", "safe", slow.addr);
+    cluster.await_service(0, "/safe/");
+    let got = thread::scope(|scope| {
+        let call = scope.spawn(|| cluster.call(0, &get("/safe/", "a1", "")));
+        wait_until("it is sent", || cluster.has_logged(0, "\"request\":\"a1\""));
+        cluster.register(0, "i-2", "safe", full.addr);
+        call.join().expect("the caller")
+    });
+    assert_eq!(
+        (got.status, got.body.as_str()),
+        (200, "whole"),
+        "{}",
+        cluster.logged(0)
+    );
+    assert!(!full.received().is_empty(), "the other was asked");
+}
+
 /// Guards against an entry whose own time limit cuts the connection of a caller that pauses its reading.
 #[test]
 fn a_caller_that_pauses_its_reading_gets_the_rest() {
