An answer without a body is not logged as cut

The server does not poll a body that is empty, so the relay was dropped unpolled. Test: a_whole_answer_is_not_logged_as_cut, which failed.

--- a/crates/filbertstack-gateway/src/request/relay.rs
+++ b/crates/filbertstack-gateway/src/request/relay.rs
@@ -510,8 +510,11 @@
 
 impl Drop for Relay {
     fn drop(&mut self) {
-        if matches!(self.source, Source::Ended) {
-            return;
+        match &self.source {
+            Source::Ended => return,
+            // The server does not poll an answer without a body.
+            Source::Target(body, _) if body.is_end_stream() && self.released.is_empty() => return,
+            Source::Target(..) | Source::Resuming(_) => {}
         }
         let stopped = self.requests.stopped.get();
         self.record_cut(if stopped {
--- a/tests/gateway/endings.rs
+++ b/tests/gateway/endings.rs
@@ -17,6 +17,7 @@
 use crate::engine::answer;
 use crate::engine::no_room;
 use crate::engine::stream;
+use crate::engine::stream_until_close;
 use crate::fleet::Fleet;
 use crate::model::services;
 
@@ -109,6 +110,26 @@
     );
 }
 
+/// Guards against a whole answer that the log tells of as cut.
+#[test]
+fn a_whole_answer_is_not_logged_as_cut() {
+    let engine = Engine::start(Box::new(|received| {
+        match received.header("x-filbertstack-attempt-id") {
+            "empty" => answer(received, "200 OK", ""),
+            "failed" => answer(received, "500 Internal Server Error", ""),
+            "closed" => stream_until_close(received, 3, 0),
+            _ => stream(received, 3, 0),
+        }
+    }));
+    let cluster = start_streaming(&engine);
+    for attempt in ["empty", "failed", "closed", "chunks"] {
+        cluster.call(0, &get("/stream/", attempt, ""));
+    }
+    let logged = cluster.logged(0);
+    assert!(logged.contains("\"request\":\"chunks\""), "{logged}");
+    assert!(!logged.contains("answer cut"), "{logged}");
+}
+
 /// Returns the document of the tests with the given changes to its route for streams, which may take 50 s.
 fn streaming_document(version: u64, changes: &[(&str, u64)]) -> Value {
     let mut declared = document(version);
