The limit on a wait ends no stream that has begun

A request that may still begin on an older version gets the time until it no longer may as its time limit; an engine ends its work then, also what it has begun. Where another attempt is left the stream is resumed, else cut.

Now: on the last attempt, and for requests that may run once, the entry keeps the limit of the wait itself: it gives the attempt up if no head has come by then, and the engine gets all the time of the request.

--- a/crates/filbertstack-gateway/src/request/attempt.rs
+++ b/crates/filbertstack-gateway/src/request/attempt.rs
@@ -25,6 +25,7 @@
 use spdlog::info;
 use tokio::time::Instant;
 use tokio::time::timeout;
+use tokio::time::timeout_at;
 
 use crate::request::Call;
 use crate::request::Requests;
@@ -233,13 +234,19 @@
             return Outcome::NotRun;
         }
     };
-    let left = call
-        .time_left()
-        .min(chosen.time_limit.unwrap_or(Duration::MAX));
-    if left < MIN_TIME_LEFT {
+    let wait_limit = chosen.time_limit.unwrap_or(Duration::MAX);
+    let limited = call.time_left().min(wait_limit);
+    if limited < MIN_TIME_LEFT {
         tries.attempts.count_unreached();
         return Outcome::NotRun;
     }
+    // An engine ends its work when the time that it is given is over. Where no other may continue the answer, the
+    // limit of the wait therefore is kept here, and the engine gets all the time of the request.
+    let is_final = !call.may_repeat() || tries.attempts.is_last(call.route.attempts);
+    let limits = WaitLimits {
+        last_bytes_at,
+        begin_by: Instant::now() + limited,
+    };
     let way = find_way(tries, resume);
     if !permit::may_send_to(requests, call, &chosen.id, way) {
         guard.ended = AttemptEnd::Refused;
@@ -249,7 +256,7 @@
     tries.attempts.count_sent();
     log_sent(requests, call, chosen, tries);
     let onward = ForwardHeaders {
-        time_left: left,
+        time_left: if is_final { call.time_left() } else { limited },
         instance: instance_of(&chosen.id),
         organisation: call.organisation.as_deref(),
         version: chosen.version,
@@ -257,7 +264,7 @@
     };
     let mut reply = {
         let sending = std::pin::pin!(connected.connection.send(build_request(call, &onward)));
-        await_head(requests, call, chosen, tries, last_bytes_at, sending).await
+        await_head(requests, call, chosen, tries, limits, sending).await
     };
     let broken = matches!(reply, Awaited::Head(Err(_)));
     if broken
@@ -267,7 +274,7 @@
     {
         requests.targets.record_resent(&chosen.id);
         let sending = std::pin::pin!(connected.connection.send(build_request(call, &onward)));
-        reply = await_head(requests, call, chosen, tries, last_bytes_at, sending).await;
+        reply = await_head(requests, call, chosen, tries, limits, sending).await;
     }
     let reply = match reply {
         Awaited::Head(reply) => reply,
@@ -306,13 +313,22 @@
     }
 }
 
+/// How long the head of an answer is awaited.
+#[derive(Clone, Copy, Debug)]
+struct WaitLimits {
+    /// The time at which the last bytes arrived for the caller, or its request.
+    last_bytes_at: Instant,
+    /// The time by which the target must have begun.
+    begin_by: Instant,
+}
+
 /// How the wait for the head of an answer ended.
 enum Awaited {
     /// The target sent it, or its connection failed.
     Head(HeadResult),
     /// Another target, which was asked as well, gives the answer.
     Beside(Outcome),
-    /// The caller is about to leave.
+    /// The caller is about to leave, or the target may no longer begin.
     GivenUp,
 }
 
@@ -320,17 +336,19 @@
 /// keeps it: another is asked as well, and the first answer counts. If the first target were given up for one
 /// that turns the request away, its caller would get an error in place of the answer that is under way.
 ///
-/// The attempt ends without an answer only if the caller is about to leave: it would run for nobody.
+/// The attempt ends without an answer only if the caller is about to leave, as it would run for nobody, or if
+/// the target may no longer begin, as its weights are too old.
 async fn await_head(
     requests: &Rc<Requests>,
     call: &Rc<Call>,
     chosen: &Chosen,
     tries: &mut Tries,
-    last_bytes_at: Instant,
+    limits: WaitLimits,
     mut sending: Pin<&mut impl Future<Output = HeadResult>>,
 ) -> Awaited {
     if !call.may_repeat() {
-        return Awaited::Head(sending.await);
+        let reply = timeout_at(limits.begin_by, sending).await;
+        return reply.map_or(Awaited::GivenUp, Awaited::Head);
     }
     let began = Instant::now();
     loop {
@@ -338,7 +356,7 @@
             return Awaited::Head(reply);
         }
         let waited = began.elapsed();
-        if is_caller_leaving(call, last_bytes_at) {
+        if Instant::now() >= limits.begin_by || is_caller_leaving(call, limits.last_bytes_at) {
             info!("target silent, given up", kv: {
                 request = call.head.id(), target = instance_of(&chosen.id),
                 waited_ms = waited.as_millis(), forsaken = true
--- a/crates/filbertstack-gateway/src/request/handover.rs
+++ b/crates/filbertstack-gateway/src/request/handover.rs
@@ -22,7 +22,7 @@
 use crate::request::resume::ResumeFuture;
 use crate::request::resume::Resumed;
 use crate::request::resume::resume;
-use crate::request::resume::resume_once;
+use crate::request::resume::take_over;
 
 /// The other target.
 enum Next {
@@ -83,7 +83,7 @@
         resume: Resume,
         reason: Reason,
     ) -> Self {
-        let asking = resume_once(requests.clone(), call.clone(), tries, resume);
+        let asking = take_over(requests.clone(), call.clone(), tries, resume);
         Self {
             reason,
             began: requests.node.clock.now(),
--- a/crates/filbertstack-gateway/src/request/relay.rs
+++ b/crates/filbertstack-gateway/src/request/relay.rs
@@ -47,7 +47,7 @@
 use crate::request::resume::NotResumed;
 use crate::request::resume::ResumeFuture;
 use crate::request::resume::Resumed;
-use crate::request::resume::can_resume;
+use crate::request::resume::can_take_over;
 use crate::request::resume::resume;
 use crate::request::targets::instance_of;
 
@@ -325,7 +325,7 @@
             return;
         };
         self.next_check = now + CHECK_INTERVAL;
-        if !can_resume(&self.requests, &self.call, &self.tries) {
+        if !can_take_over(&self.requests, &self.call, &self.tries) {
             return;
         }
         info!("takeover begins", kv: {
--- a/crates/filbertstack-gateway/src/request/resume.rs
+++ b/crates/filbertstack-gateway/src/request/resume.rs
@@ -59,16 +59,17 @@
 /// The search for a target that continues a stream.
 pub type ResumeFuture = Pin<Box<dyn Future<Output = Result<Resumed, NotResumed>>>>;
 
-/// Returns whether another target could continue a stream now, within the attempts and the budget.
-pub fn can_resume(requests: &Rc<Requests>, call: &Call, tries: &Tries) -> bool {
+/// Returns whether another target could take over a stream now that its first target still gives, within the
+/// attempts and the budget.
+pub fn can_take_over(requests: &Rc<Requests>, call: &Call, tries: &Tries) -> bool {
     tries.attempts.may_continue(call.route.attempts)
         && requests.may_spend(&call.service)
         && permit::refusal(requests, call).is_none()
         && choose(requests, call, tries).is_ok()
 }
 
-/// Asks one target to continue a stream that its first target still gives.
-pub async fn resume_once(
+/// Asks one target to take over a stream that its first target still gives.
+pub async fn take_over(
     requests: Rc<Requests>,
     call: Rc<Call>,
     mut tries: Tries,
--- a/crates/filbertstack-policy/src/attempts.rs
+++ b/crates/filbertstack-policy/src/attempts.rs
@@ -43,6 +43,11 @@
         self.unreached += 1;
     }
 
+    /// Returns whether the next target is the last that may run the request, if `limit` targets may.
+    pub fn is_last(&self, limit: u32) -> bool {
+        self.sent.saturating_sub(self.turned_away) + 1 >= limit
+    }
+
     /// Returns whether the request may be sent to another target, if `limit` targets may run it.
     pub fn may_continue(&self, limit: u32) -> bool {
         self.sent.saturating_sub(self.turned_away) < limit
--- a/crates/filbertstack-policy/tests/attempts.rs
+++ b/crates/filbertstack-policy/tests/attempts.rs
@@ -34,3 +34,16 @@
     }
     assert!(!cut_off.may_continue(8));
 }
+
+/// Guards against limits on an answer that no other target may continue, because an attempt is thought to be left.
+#[test]
+fn the_last_attempt_is_known_as_such() {
+    assert!(Attempts::default().is_last(1));
+    let mut attempts = turned_away(2);
+    assert!(
+        !attempts.is_last(2),
+        "those that turned it away do not count"
+    );
+    attempts.count_sent();
+    assert!(attempts.is_last(2));
+}
--- a/tests/gateway/endings.rs
+++ b/tests/gateway/endings.rs
@@ -4,6 +4,7 @@
 use std::io::Write as _;
 use std::net::TcpStream;
 use std::thread;
+use std::thread::JoinHandle;
 use std::time::Duration;
 
 use serde_json::Value;
@@ -24,6 +25,12 @@
 /// The engine pauses for this time after each event of a stream.
 const EVENT_PAUSE: Duration = Duration::from_millis(400);
 
+/// So many streams run at both engines.
+const STREAMS: usize = 5;
+
+/// An entry has refreshed its targets within this time of a change.
+const REFRESH_DELAY: Duration = Duration::from_millis(300);
+
 /// A caller pauses its reading for this time, which is longer than bytes to other processes may stay unread.
 const READ_PAUSE: Duration = Duration::from_secs(4);
 
@@ -54,13 +61,12 @@
     caller
 }
 
-fn was_cut(cluster: &Cluster, request: &str, cause: &str) -> bool {
-    let logged = cluster.logged(0);
-    let mut lines = logged.lines();
+/// Waits until the log tells that a request's answer was cut for this cause.
+fn await_cut(cluster: &Cluster, request: &str, cause: &str) {
     let cut = format!(
         "\"message\":\"answer cut\",\"fields\":{{\"request\":\"{request}\",\"cause\":\"{cause}\""
     );
-    lines.any(|line| line.contains(&cut))
+    wait_until(&cut, || cluster.has_logged(0, &cut));
 }
 
 /// Guards against an answer that ends early without the reason in the log: each way has a name of its own.
@@ -78,24 +84,14 @@
     );
     let mut cluster = start_streaming(&engine);
     cluster.call(0, &get("/stream/", "lost", ""));
-    assert!(
-        was_cut(&cluster, "lost", "target lost"),
-        "{}",
-        cluster.logged(0)
-    );
+    await_cut(&cluster, "lost", "target lost");
 
     let hasty = get("/stream/", "hasty", "").replace("Deadline-Ms: 5000", "Deadline-Ms: 1500");
     cluster.call(0, &hasty);
-    assert!(
-        was_cut(&cluster, "hasty", "out of time"),
-        "{}",
-        cluster.logged(0)
-    );
+    await_cut(&cluster, "hasty", "out of time");
 
     drop(begin_stream(&cluster, &get("/stream/", "left", "")));
-    wait_until("the caller's end is logged", || {
-        was_cut(&cluster, "left", "caller gone")
-    });
+    await_cut(&cluster, "left", "caller gone");
 
     cluster.put_document(&[0], &streaming_document(2, &[]));
     wait_until("the longer time is in force", || {
@@ -103,11 +99,7 @@
     });
     let _caller = begin_stream(&cluster, &patient("late"));
     assert!(cluster.stop(0), "it exits by itself without an error");
-    assert!(
-        was_cut(&cluster, "late", "process stopped"),
-        "{}",
-        cluster.logged(0)
-    );
+    await_cut(&cluster, "late", "process stopped");
 }
 
 /// Guards against a whole answer that the log tells of as cut.
@@ -165,26 +157,77 @@
     format!("data: piece 1{}", String::from_utf8_lossy(&bytes))
 }
 
+/// Starts an engine that serves version 1, with long streams that no other engine may continue.
+fn start_last_attempts() -> Fleet {
+    let mut fleet = Fleet::start(0);
+    let mut declared = streaming_document(2, &[("maxAttempts", 1)]);
+    declared["services"] = services(fleet.origin.start().addr);
+    fleet.cluster.put_document(&[0], &declared);
+    fleet.add_streaming(EVENT_PAUSE, MANY_EVENTS);
+    fleet.name_version(1);
+    fleet.await_version(1);
+    fleet.await_all_serving();
+    fleet
+}
+
 /// Guards against a rollout that cuts streams: the engine that is to load runs one that no other may continue.
 #[test]
 fn a_load_cuts_no_stream_that_has_no_attempt_left() {
+    let fleet = start_last_attempts();
+    let caller = begin_stream(&fleet.cluster, &patient("a1"));
+    fleet.name_version(2);
+    let answer = read_rest(caller);
+    assert_whole(&answer, MANY_EVENTS, &fleet.cluster.logged(0));
+    fleet.await_version(2);
+}
+
+/// Guards against an event that is lost or comes twice when a stream moves away from an engine that is to load: both
+/// engines send it for a while.
+#[test]
+fn a_load_moves_streams_and_each_event_comes_once() {
     let mut fleet = Fleet::start(0);
-    let mut declared = streaming_document(2, &[("maxAttempts", 1)]);
+    let mut declared = streaming_document(2, &[]);
     declared["services"] = services(fleet.origin.start().addr);
     fleet.cluster.put_document(&[0], &declared);
     fleet.add_streaming(EVENT_PAUSE, MANY_EVENTS);
+    fleet.add_streaming(EVENT_PAUSE, MANY_EVENTS);
     fleet.name_version(1);
     fleet.await_version(1);
-    wait_until("a stream begins", || {
+    fleet.await_all_serving();
+    let callers: Vec<TcpStream> = (0..STREAMS)
+        .map(|n| begin_stream(&fleet.cluster, &patient(&format!("a{n}"))))
+        .collect();
+    fleet.name_version(2);
+    let readers = callers
+        .into_iter()
+        .map(|caller| thread::spawn(|| read_rest(caller)));
+    let readers: Vec<JoinHandle<String>> = readers.collect();
+    wait_until("all streams end", || {
         fleet.announce_all();
-        let mut caller = TcpStream::connect(fleet.cluster.front_addr(0)).expect("it listens");
-        caller.write_all(patient("probe").as_bytes()).expect("sent");
-        let mut head = [0; 12];
-        caller.read_exact(&mut head).expect("an answer");
-        head == *b"HTTP/1.1 200"
+        readers.iter().all(JoinHandle::is_finished)
     });
-    let caller = begin_stream(&fleet.cluster, &patient("a1"));
+    for reader in readers {
+        let answer = reader.join().expect("it ends");
+        assert_whole(&answer, MANY_EVENTS, &fleet.cluster.logged(0));
+    }
+    let logged = fleet.cluster.logged(0);
+    assert!(
+        logged.contains("\"message\":\"stream resumed\""),
+        "none moved\n{logged}"
+    );
+    assert!(!logged.contains("answer broke off"), "{logged}");
+    fleet.await_version(2);
+}
+
+/// Guards against a stream that its engine ends as the wait for an older version is limited: the stream began in
+/// time, and no other engine may continue it.
+#[test]
+fn the_limit_of_an_older_version_cuts_no_stream_that_has_begun() {
+    let fleet = start_last_attempts();
     fleet.name_version(2);
+    // The limit counts from the next refresh of the targets.
+    thread::sleep(REFRESH_DELAY);
+    let caller = begin_stream(&fleet.cluster, &patient("a1"));
     let answer = read_rest(caller);
     assert_whole(&answer, MANY_EVENTS, &fleet.cluster.logged(0));
     fleet.await_version(2);
--- a/tests/gateway/engine.rs
+++ b/tests/gateway/engine.rs
@@ -14,6 +14,7 @@
 use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::Duration;
+use std::time::Instant;
 
 /// `Received` is a request as the engine received it.
 #[derive(Clone, Debug)]
@@ -185,6 +186,7 @@
         if state.has_crashed() {
             return;
         }
+        let time_left = time_left(&received);
         let answer = behaviour(&received);
         let crashes = (state.crashes)(&received);
         recorded.lock().expect("not poisoned").push(received);
@@ -192,7 +194,12 @@
             state.crash();
         }
         // The caller leaves in some tests, so that a failure to send is expected.
-        let sent = send_answer(&mut stream, pause, &answer, &state.streams);
+        let paced = Paced {
+            pause,
+            deadline: Instant::now() + time_left,
+            streams: &state.streams,
+        };
+        let sent = send_answer(&mut stream, &answer, &paced);
         if sent.is_err() || !keeps_connection(&answer) {
             return;
         }
@@ -225,35 +232,40 @@
     Some(received)
 }
 
-fn send_answer(
-    stream: &mut TcpStream,
+/// Returns the time that a request gives the engine.
+fn time_left(received: &Received) -> Duration {
+    let left = received.header("x-filbertstack-deadline-ms").parse();
+    Duration::from_millis(left.unwrap_or(60_000))
+}
+
+/// `Paced` tells how an engine sends streams.
+struct Paced<'a> {
     pause: Duration,
-    answer: &[u8],
-    streams: &Streams,
-) -> io::Result<()> {
-    let paced = !pause.is_zero() && answer.windows(8).any(|text| text == b"\ndata: p");
-    if !paced {
+    /// The engine stops work then.
+    deadline: Instant,
+    streams: &'a Streams,
+}
+
+fn send_answer(stream: &mut TcpStream, answer: &[u8], paced: &Paced<'_>) -> io::Result<()> {
+    let is_stream = answer.windows(8).any(|text| text == b"\ndata: p");
+    if paced.pause.is_zero() || !is_stream {
         return stream.write_all(answer);
     }
-    streams.running.fetch_add(1, Ordering::SeqCst);
-    let sent = send_paced(stream, pause, answer, streams);
-    streams.running.fetch_sub(1, Ordering::SeqCst);
+    let running = &paced.streams.running;
+    running.fetch_add(1, Ordering::SeqCst);
+    let sent = send_paced(stream, answer, paced);
+    running.fetch_sub(1, Ordering::SeqCst);
     sent
 }
 
-fn send_paced(
-    stream: &mut TcpStream,
-    pause: Duration,
-    answer: &[u8],
-    streams: &Streams,
-) -> io::Result<()> {
-    let breaks = streams.breaks();
+fn send_paced(stream: &mut TcpStream, answer: &[u8], paced: &Paced<'_>) -> io::Result<()> {
+    let breaks = paced.streams.breaks();
     for event in answer.split_inclusive(|byte| *byte == b'\r') {
         stream.write_all(event)?;
         if event.windows(3).any(|text| text == b"id:") {
-            thread::sleep(pause);
+            thread::sleep(paced.pause);
         }
-        if streams.breaks() != breaks {
+        if paced.streams.breaks() != breaks || Instant::now() >= paced.deadline {
             return Err(io::ErrorKind::ConnectionAborted.into());
         }
     }
--- a/tests/gateway/fleet.rs
+++ b/tests/gateway/fleet.rs
@@ -1,7 +1,9 @@
 //! Runs entries, agents and stand-ins for engines and for the origin of weights.
 
 use std::cell::Cell;
-use std::net::SocketAddr;
+use std::io::Read as _;
+use std::io::Write as _;
+use std::net::TcpStream;
 use std::time::Duration;
 
 use serde_json::json;
@@ -29,8 +31,8 @@
     pub models: Vec<Model>,
     /// The numbers of the agents, in the order of their engines.
     pub agents: Vec<usize>,
-    /// The addresses of the engines.
-    addrs: Vec<SocketAddr>,
+    /// The stand-ins that serve for the models.
+    engines: Vec<Engine>,
 }
 
 impl Fleet {
@@ -47,7 +49,7 @@
             origin,
             models: Vec::new(),
             agents: Vec::new(),
-            addrs: Vec::new(),
+            engines: Vec::new(),
         };
         for _ in 0..engines {
             fleet.add_engine();
@@ -68,9 +70,9 @@
                 .answer(received)
                 .unwrap_or_else(|| answer(received, "200 OK", "served"))
         }));
-        self.addrs.push(engine.addr);
         self.agents
             .push(self.cluster.start_agent("stream", engine.addr));
+        self.engines.push(engine);
         self.models.push(model);
     }
 
@@ -84,19 +86,35 @@
             answer.unwrap_or_else(|| stream(received, events, 0))
         });
         let engine = Engine::with_streams(pause, streams, behaviour);
-        self.addrs.push(engine.addr);
         self.agents
             .push(self.cluster.start_agent("stream", engine.addr));
+        self.engines.push(engine);
         self.models.push(model);
     }
 
     /// Announces all engines, each under an id of its own.
     pub fn announce_all(&self) {
-        for (n, addr) in self.addrs.iter().enumerate() {
-            self.cluster.register(0, &format!("i-{n}"), "stream", *addr);
+        for (n, engine) in self.engines.iter().enumerate() {
+            let id = format!("i-{n}");
+            self.cluster.register(0, &id, "stream", engine.addr);
         }
     }
 
+    /// Announces all engines until each has begun a stream.
+    pub fn await_all_serving(&self) {
+        let asked = Cell::new(0);
+        wait_until("all engines serve streams", || {
+            self.announce_all();
+            asked.set(asked.get() + 1);
+            let request = get("/stream/", &format!("probe-{}", asked.get()), "");
+            let mut caller = TcpStream::connect(self.cluster.front_addr(0)).expect("it listens");
+            caller.write_all(request.as_bytes()).expect("sent");
+            // The caller leaves after the first bytes of its answer.
+            caller.read_exact(&mut [0; 12]).expect("an answer");
+            self.engines.iter().all(has_streamed)
+        });
+    }
+
     /// Names a version, and repeats that until it is acknowledged.
     pub fn name_version(&self, version: u64) {
         self.origin.publish(version);
@@ -132,7 +150,8 @@
         wait_until(&format!("a request ends with {status}"), || {
             asked.set(asked.get() + 1);
             let id = format!("{status}-{}", asked.get());
-            self.cluster.announce(0, &id, "stream", self.addrs[0]);
+            self.cluster
+                .announce(0, &id, "stream", self.engines[0].addr);
             let answer = exchange(&self.cluster.front_addr(0), &get("/stream/", &id, ""));
             answer.is_some_and(|a| a.status == status)
         });
@@ -143,3 +162,8 @@
         self.models.iter().map(|m| m.state().bad_loads).sum()
     }
 }
+
+fn has_streamed(engine: &Engine) -> bool {
+    let received = engine.received();
+    received.iter().any(|r| r.line.starts_with("GET /stream/"))
+}
--- a/tests/gateway/model.rs
+++ b/tests/gateway/model.rs
@@ -119,6 +119,8 @@
     pub restarts_after: Option<u32>,
     reads: u32,
     late: Vec<Order>,
+    /// The version that the engine loads when its streams have ended.
+    next_version: Option<u64>,
     /// The orders begun since the engine's start.
     sequence: u64,
     born: u64,
@@ -137,6 +139,7 @@
 
     fn report(&mut self) -> Value {
         self.load_overdue_orders();
+        self.load_if_idle();
         if self.corruptions > 0 && self.staged.len() == PIECES as usize {
             self.corruptions -= 1;
             self.staged.insert(5, b"rot".to_vec());
@@ -146,7 +149,7 @@
             version => json!([{"name": "m", "version": version}]),
         };
         json!({
-            "models": models, "busy": false, "waiting": 0, "running": self.running + self.streams.running(), "pace": 1.0,
+            "models": models, "busy": self.next_version.is_some(), "waiting": 0, "running": self.running + self.streams.running(), "pace": 1.0,
             "sequence": self.sequence, "born": self.born
         })
     }
@@ -233,6 +236,7 @@
         }
         self.late.clear();
         self.late_put = None;
+        self.next_version = None;
         self.version = 0;
         self.sequence = 0;
         self.born += 1;
@@ -253,11 +257,22 @@
         if !(0..PIECES).all(right) {
             self.bad_loads += 1;
         }
-        self.version = order.version;
-        self.loaded.push(order.version);
         self.sequence += 1;
+        self.next_version = Some(order.version);
+        self.load_if_idle();
         plain_answer("202 Accepted", b"")
     }
+
+    /// Loads the version of the last order once the streams that ran then have ended.
+    fn load_if_idle(&mut self) {
+        if self.streams.running() > 0 {
+            return;
+        }
+        if let Some(version) = self.next_version.take() {
+            self.version = version;
+            self.loaded.push(version);
+        }
+    }
 }
 
 /// Returns the same answer without the header that keeps the connection open, so that the connection is
