--- a/crates/filbertstack-gateway/src/request/relay.rs
+++ b/crates/filbertstack-gateway/src/request/relay.rs
@@ -176,6 +176,7 @@
     /// Ends the answer before it is complete.
     fn cut(&mut self, cut: Cut) -> io::Error {
         self.source = Source::Ended;
+        self.handover = None;
         self.record_cut(cut);
         abort_error(cut.name())
     }
@@ -346,10 +347,13 @@
         let Source::Target(_, guard) = &self.source else {
             return None;
         };
+        let silence = Millis::from(self.last_bytes_at.elapsed());
+        let pause = pause(&self.call);
         Some(Observed {
-            silence: Millis::from(self.last_bytes_at.elapsed()),
-            pause: pause(&self.call),
-            unreachable: targets.is_silent(guard.target()),
+            silence,
+            pause,
+            // This looks at all targets of the service, which each event need not do.
+            unreachable: silence >= min_silence(pause) && targets.is_silent(guard.target()),
             loading: targets.loading_time(guard.target()),
         })
     }
--- a/tests/gateway/endings.rs
+++ b/tests/gateway/endings.rs
@@ -280,6 +280,35 @@
     assert!(!full.received().is_empty(), "the other was asked");
 }
 
+/// Guards against a stream that ends with its target while another is about to take over.
+#[test]
+fn a_target_lost_during_a_takeover_leaves_the_stream_to_the_other() {
+    let slow = Engine::paced(
+        Duration::from_millis(1_300),
+        Box::new(
+            |received| match received.header("x-filbertstack-attempt-id") {
+                "probe" => stream(received, 1, 0),
+                _ => stream(received, 1, 5),
+            },
+        ),
+    );
+    let other = Engine::start(Box::new(|received| {
+        thread::sleep(Duration::from_millis(600));
+        stream(received, 6, 0)
+    }));
+    let cluster = start_streaming(&slow);
+    cluster.put_document(&[0], &streaming_document(2, &[("itlTargetMs", 250)]));
+    wait_until("the longer time is in force", || {
+        cluster.version(0) == Some(2)
+    });
+    let caller = begin_stream(&cluster, &patient("a1"));
+    cluster.register(0, "i-2", "stream", other.addr);
+    assert_whole(&read_rest(caller), 6, &cluster.logged(0));
+    let asked = other.received();
+    assert_eq!(asked.len(), 1, "{}", cluster.logged(0));
+    assert_eq!(asked[0].header("last-event-id"), "1");
+}
+
 /// Guards against an entry that gives a slow target up before its first event, for one that turns the request
 /// away.
 #[test]
