--- a/crates/filbertstack-gateway/src/request/mod.rs
+++ b/crates/filbertstack-gateway/src/request/mod.rs
@@ -10,11 +10,11 @@
 mod cut;
 pub mod events;
 pub mod guard;
-mod handover;
 mod permit;
 pub mod pool;
 pub mod relay;
 mod resume;
+mod takeover;
 pub mod targets;
 mod waiting;
 
--- a/crates/filbertstack-gateway/src/request/relay.rs
+++ b/crates/filbertstack-gateway/src/request/relay.rs
@@ -5,6 +5,8 @@
 //! not have received a part of the following event before. A target that is silent, or is to load other
 //! weights, keeps its stream until another has taken it over.
 
+mod moves;
+
 use std::collections::VecDeque;
 use std::io;
 use std::pin::Pin;
@@ -16,9 +18,6 @@
 use bytes::Bytes;
 use filbertstack_core::Millis;
 use filbertstack_policy::dispatch::AttemptEnd;
-use filbertstack_policy::takeover::Observed;
-use filbertstack_policy::takeover::Reason;
-use filbertstack_policy::takeover::find_reason;
 use filbertstack_policy::takeover::min_silence;
 use http_body::Body as _;
 use http_body::Frame;
@@ -30,7 +29,6 @@
 
 use crate::request::Call;
 use crate::request::Requests;
-use crate::request::attempt::Resume;
 use crate::request::attempt::Tries;
 use crate::request::attempt::abort_error;
 use crate::request::cut;
@@ -39,16 +37,11 @@
 use crate::request::events::EventBuffer;
 use crate::request::events::EventTail;
 use crate::request::guard::AttemptGuard;
-use crate::request::handover::Began;
-use crate::request::handover::Handover;
-use crate::request::handover::Polled;
-use crate::request::handover::Remaining;
-use crate::request::resume::CHECK_INTERVAL;
 use crate::request::resume::NotResumed;
 use crate::request::resume::ResumeFuture;
 use crate::request::resume::Resumed;
-use crate::request::resume::can_take_over;
 use crate::request::resume::resume;
+use crate::request::takeover::Takeover;
 use crate::request::targets::instance_of;
 
 /// The pause of a route that declares none.
@@ -103,7 +96,7 @@
     /// The time before which no other target is asked to take over.
     next_check: Instant,
     /// Another target that is asked to take over.
-    handover: Option<Handover>,
+    takeover: Option<Takeover>,
     /// What was held back for it and is to be passed on, as it did not take over.
     released: VecDeque<Bytes>,
     /// Whether the target has ended its answer after what is to be passed on.
@@ -139,7 +132,7 @@
             passed_bytes: 0,
             silence_check,
             next_check: last_bytes_at,
-            handover: None,
+            takeover: None,
             released: VecDeque::new(),
             has_ended: false,
             call,
@@ -152,9 +145,9 @@
             return Poll::Ready(Some(Err(self.cut(Cut::OutOfTime))));
         }
         loop {
-            let handed_over = self.poll_handover(cx);
+            let taken_over = self.poll_takeover(cx);
             let step = match &mut self.source {
-                _ if handed_over.is_some() => handed_over.unwrap_or(Progress::Again),
+                _ if taken_over.is_some() => taken_over.unwrap_or(Progress::Again),
                 Source::Ended => return Poll::Ready(None),
                 Source::Resuming(resuming) => {
                     let resumed = std::task::ready!(resuming.as_mut().poll(cx));
@@ -176,7 +169,7 @@
     /// Ends the answer before it is complete.
     fn cut(&mut self, cut: Cut) -> io::Error {
         self.source = Source::Ended;
-        self.handover = None;
+        self.takeover = None;
         self.record_cut(cut);
         abort_error(cut.name())
     }
@@ -218,10 +211,10 @@
 
     /// Handles bytes from the target, which are held back while another is to continue without them.
     fn handle_data(&mut self, data: Bytes) -> Progress {
-        if let Some(handover) = &mut self.handover
-            && handover.holds_back()
+        if let Some(takeover) = &mut self.takeover
+            && takeover.holds_back()
         {
-            handover.hold(data);
+            takeover.hold(data);
             return Progress::Again;
         }
         self.keep_first();
@@ -236,7 +229,7 @@
         if self.released.is_empty() {
             self.finish_if_whole();
         }
-        self.hand_over_if_due();
+        self.take_over_if_due();
         if data.is_empty() {
             return Progress::Again;
         }
@@ -297,127 +290,6 @@
         }
     }
 
-    /// Asks another target to take over when the target has been silent for too long.
-    fn poll_silence(&mut self, cx: &mut Context<'_>) -> Poll<Progress> {
-        loop {
-            let Some(silence_check) = &mut self.silence_check else {
-                return Poll::Pending;
-            };
-            std::task::ready!(silence_check.as_mut().poll(cx));
-            // The target may continue, or another one may become free.
-            let check_at = Instant::now() + CHECK_INTERVAL;
-            silence_check.as_mut().reset(check_at);
-            self.hand_over_if_due();
-            if self.handover.is_some() {
-                return Poll::Ready(Progress::Again);
-            }
-        }
-    }
-
-    /// Asks another target to take over if there is a reason for it and one could.
-    fn hand_over_if_due(&mut self) {
-        let now = Instant::now();
-        let passes_all = self.released.is_empty() && !self.has_ended;
-        if self.events.is_none() || self.handover.is_some() || !passes_all || now < self.next_check
-        {
-            return;
-        }
-        let Some(reason) = self.observe().as_ref().and_then(find_reason) else {
-            return;
-        };
-        self.next_check = now + CHECK_INTERVAL;
-        if !can_take_over(&self.requests, &self.call, &self.tries) {
-            return;
-        }
-        info!("takeover begins", kv: {
-            request = self.call.head.id(), reason = reason.name(),
-            silent_ms = self.last_bytes_at.elapsed().as_millis()
-        });
-        self.handover = Some(Handover::begin(
-            self.requests.clone(),
-            self.call.clone(),
-            self.tries.clone(),
-            self.resume_point(true),
-            reason,
-        ));
-    }
-
-    fn observe(&self) -> Option<Observed> {
-        let targets = self.requests.targets();
-        let Source::Target(_, guard) = &self.source else {
-            return None;
-        };
-        let silence = Millis::from(self.last_bytes_at.elapsed());
-        let pause = pause(&self.call);
-        Some(Observed {
-            silence,
-            pause,
-            // This looks at all targets of the service, which each event need not do.
-            unreachable: silence >= min_silence(pause) && targets.is_silent(guard.target()),
-            loading: targets.loading_time(guard.target()),
-        })
-    }
-
-    fn resume_point(&self, first_serves: bool) -> Resume {
-        Resume {
-            after: self.events.as_ref().and_then(EventBuffer::last_id),
-            last_bytes_at: self.last_bytes_at,
-            first_serves,
-        }
-    }
-
-    /// Polls the target that is asked to take over. Returns `None` while it has neither begun nor failed.
-    fn poll_handover(&mut self, cx: &mut Context<'_>) -> Option<Progress> {
-        match self.handover.take()?.poll(cx) {
-            Polled::Pending(handover) => {
-                self.handover = Some(handover);
-                None
-            }
-            Polled::Began(began) => Some(self.switch(began)),
-            Polled::Failed(failed, held) => {
-                info!("takeover failed", kv: { request = self.call.head.id(), why = failed.why });
-                self.tries = failed.tries;
-                self.released = held;
-                Some(Progress::Again)
-            }
-        }
-    }
-
-    /// Lets the first target go: the other gives the answer.
-    fn switch(&mut self, began: Began) -> Progress {
-        let Began {
-            reason,
-            resumed,
-            events,
-            first,
-        } = began;
-        if let Source::Target(_, guard) = &mut self.source {
-            match reason {
-                Reason::Silent => guard.fail(),
-                Reason::Loading => guard.ended = AttemptEnd::Superseded,
-            }
-        }
-        self.events = Some(events);
-        self.adopt(*resumed);
-        self.passed_bytes += first.len() as u64;
-        Progress::Ready(Some(Ok(Frame::data(first))))
-    }
-
-    /// Lets the other target go, if there is one: the first gives the answer.
-    fn keep_first(&mut self) {
-        let Some(handover) = self.handover.take() else {
-            return;
-        };
-        let (held, tries) = handover.cancel();
-        self.released = held;
-        match tries {
-            Some(tries) => self.tries = tries,
-            // Whether the other target received the request is not known.
-            None => self.tries.attempts.count_sent(),
-        }
-        info!("takeover no longer needed", kv: { request = self.call.head.id() });
-    }
-
     fn record_crash(&mut self) {
         if let Source::Target(_, guard) = &mut self.source {
             guard.lose();
@@ -436,8 +308,8 @@
             guard.fail();
             drop((body, guard));
         }
-        if let Some(handover) = self.handover.take() {
-            return self.go_on_with(handover.into_remaining());
+        if let Some(takeover) = self.takeover.take() {
+            return self.go_on_with(takeover.into_remaining());
         }
         let Some(events) = &mut self.events else {
             return Progress::Ready(Some(Err(self.cut(Cut::TargetLost(why)))));
@@ -453,23 +325,6 @@
         Progress::Again
     }
 
-    /// Goes on with the target that was asked to take over, after the loss of the first.
-    fn go_on_with(&mut self, remaining: Remaining) -> Progress {
-        match remaining {
-            Remaining::Search(search) => {
-                if let Some(events) = &mut self.events {
-                    events.drop_partial();
-                }
-                self.source = Source::Resuming(search);
-            }
-            Remaining::Target(resumed, events) => {
-                self.events = Some(events);
-                self.adopt(*resumed);
-            }
-        }
-        Progress::Again
-    }
-
     /// Switches to the target that resumes the stream, or breaks off the answer if there is none.
     fn handle_resumed(&mut self, resumed: Result<Resumed, NotResumed>) -> Progress {
         match resumed {
--- a/crates/filbertstack-gateway/src/request/handover.rs
+++ b/crates/filbertstack-gateway/src/request/takeover.rs
@@ -35,7 +35,7 @@
 /// The state of a takeover after a poll.
 pub enum Polled {
     /// It goes on.
-    Pending(Handover),
+    Pending(Takeover),
     /// The other target has sent its first event.
     Began(Began),
     /// The other target does not continue the stream. This was held back of the first.
@@ -63,7 +63,7 @@
 }
 
 /// A takeover in progress.
-pub struct Handover {
+pub struct Takeover {
     reason: Reason,
     began: Millis,
     requests: Rc<Requests>,
@@ -74,7 +74,7 @@
     held: VecDeque<Bytes>,
 }
 
-impl Handover {
+impl Takeover {
     /// Asks another target to continue the stream after the events that its caller has.
     pub fn begin(
         requests: Rc<Requests>,
