A soak of planned work alone, in which no answer may be cut

This run has no fault: weights are rolled out in series, documents change (every second one allows a stream one attempt alone), processes get SIGHUP and SIGTERM, while streams run for 1.4 s. What a target ran has a whole answer.

--- a/tests/soak/callers.rs
+++ b/tests/soak/callers.rs
@@ -29,6 +29,8 @@
     attempt: String,
     service: &'static str,
     refused: bool,
+    /// Whether the answer is a success and complete.
+    whole: bool,
     /// The guarantee that the answer breaks, if any.
     violation: Option<String>,
 }
@@ -58,12 +60,16 @@
         let violation = answer
             .as_ref()
             .and_then(|a| find_violation(service, &attempt, a));
+        let whole = answer
+            .as_ref()
+            .is_some_and(|a| is_whole(service, &attempt, a));
         let outcome = answer.map_or("no answer".into(), |a| a.status.to_string());
         fleet.count_outcome(&outcome);
         records.push(CallRecord {
             attempt,
             service,
             refused,
+            whole,
             violation,
         });
         thread::sleep(REQUEST_PAUSE);
@@ -93,6 +99,14 @@
     wrong.then(|| format!("{attempt}: wrong body: {:?}", answer.body))
 }
 
+fn is_whole(service: &str, attempt: &str, answer: &Answer) -> bool {
+    let complete = match service {
+        "stream" => answer.body.ends_with("0\r\n\r\n"),
+        _ => answer.body == format!("answer to {attempt}"),
+    };
+    answer.status == 200 && complete
+}
+
 /// Returns whether a body is the expected one, or a part of it whose content-length shows that it is cut off.
 fn body_matches(answer: &Answer, expected: &str) -> bool {
     let has_length = has_line(answer, &format!("content-length: {}", expected.len()));
@@ -117,23 +131,43 @@
 impl Callers {
     /// Waits for the callers and returns the guarantees that were broken.
     pub fn finish(self, fleet: &Fleet) -> Vec<String> {
-        let records = self
-            .0
-            .into_iter()
-            .flat_map(|c| c.join().expect("a caller ends"));
-        let mut violations = Vec::new();
-        for record in records {
-            let runs = fleet.runs(&record.attempt);
-            violations.extend(record.violation);
-            if record.service == "once" && runs > 1 {
-                violations.push(format!("{}: ran {runs} times", record.attempt));
-            }
-            if record.service == "once" && record.refused && runs > 0 {
-                violations.push(format!("{}: ran, but was refused", record.attempt));
-            }
-        }
+        find_broken(fleet, self.join())
+    }
+
+    /// Waits for the callers and returns the guarantees that were broken, one more than under faults: what a
+    /// target ran is answered to its end.
+    pub fn finish_without_faults(self, fleet: &Fleet) -> Vec<String> {
+        let records = self.join();
+        let is_cut = |r: &&CallRecord| !r.whole && fleet.runs(&r.attempt) > 0;
+        let cut = records.iter().filter(is_cut);
+        let mut violations: Vec<String> = cut
+            .map(|r| format!("{}: ran, and has no whole answer", r.attempt))
+            .collect();
+        violations.extend(find_broken(fleet, records));
         violations
     }
+
+    fn join(self) -> Vec<CallRecord> {
+        let callers = self.0.into_iter();
+        callers
+            .flat_map(|c| c.join().expect("a caller ends"))
+            .collect()
+    }
+}
+
+fn find_broken(fleet: &Fleet, records: Vec<CallRecord>) -> Vec<String> {
+    let mut violations = Vec::new();
+    for record in records {
+        let runs = fleet.runs(&record.attempt);
+        violations.extend(record.violation);
+        if record.service == "once" && runs > 1 {
+            violations.push(format!("{}: ran {runs} times", record.attempt));
+        }
+        if record.service == "once" && record.refused && runs > 0 {
+            violations.push(format!("{}: ran, but was refused", record.attempt));
+        }
+    }
+    violations
 }
 
 /// Returns the number of requests by outcome.
--- a/tests/soak/fleet.rs
+++ b/tests/soak/fleet.rs
@@ -43,6 +43,9 @@
 /// The pause between two events of a stream.
 const EVENT_PAUSE: Duration = Duration::from_millis(15);
 
+/// The pause in a run in which engines load while streams run for more than a second.
+const LONG_EVENT_PAUSE: Duration = Duration::from_millis(120);
+
 /// The interval between two announcements of an engine.
 const ANNOUNCE_INTERVAL: Duration = Duration::from_millis(300);
 
@@ -75,6 +78,8 @@
     origin_proxy: Proxy,
     /// The number of versions of the weights that are published in sequence at a time.
     version_count: u32,
+    /// Whether every second document allows a stream one attempt alone.
+    varies_attempts: bool,
     over: AtomicBool,
     /// The newest acknowledged version of the document.
     acknowledged: AtomicU64,
@@ -88,11 +93,23 @@
     /// Starts four entries, two engines for each plain service, and two model engines with agents.
     /// Weights are published as `version_count` versions in sequence.
     pub fn start(seed: u64, version_count: u32) -> Self {
+        Self::launch(seed, version_count, EVENT_PAUSE)
+    }
+
+    /// Starts the same fleet with streams that run for more than a second.
+    pub fn with_long_streams(seed: u64) -> Self {
+        Self::launch(seed, 1, LONG_EVENT_PAUSE)
+    }
+
+    fn launch(seed: u64, version_count: u32, event_pause: Duration) -> Self {
         let mut cluster = Cluster::start(VOTERS, ENTRIES - VOTERS);
         let origin_store = Origin::default();
         let origin_proxy = Proxy::start(origin_store.start().addr);
         let services = ["safe", "safe", "once", "once", "stream", "stream"];
-        let targets: Vec<Target> = services.into_iter().map(Target::start).collect();
+        let targets: Vec<Target> = services
+            .into_iter()
+            .map(|service| Target::start(service, event_pause))
+            .collect();
         let models = targets.iter().filter(|t| t.service == "stream");
         let agents = models
             .map(|t| cluster.start_agent("stream", t.proxy.addr))
@@ -104,6 +121,7 @@
             origin_store,
             origin_proxy,
             version_count,
+            varies_attempts: event_pause == LONG_EVENT_PAUSE,
             over: AtomicBool::new(false),
             acknowledged: AtomicU64::new(0),
             version: AtomicU64::new(seed % 7),
@@ -188,6 +206,9 @@
         let version = self.0.version.fetch_add(1, Ordering::SeqCst) + 1;
         let mut declared = document(version);
         declared["services"] = services(self.0.origin_proxy.addr);
+        if self.0.varies_attempts {
+            declared["routes"][2]["maxAttempts"] = json!(1 + version % 2);
+        }
         let body = declared.to_string();
         let fleet = self.clone();
         thread::spawn(move || {
@@ -316,7 +337,7 @@
 }
 
 impl Target {
-    fn start(service: &'static str) -> Self {
+    fn start(service: &'static str, event_pause: Duration) -> Self {
         let runs: Arc<Mutex<BTreeMap<String, u32>>> = Arc::default();
         let model = Model::default();
         let (run_counts, weights) = (runs.clone(), model.clone());
@@ -335,7 +356,8 @@
                 _ => answer(seen, "200 OK", &format!("answer to {attempt}")),
             }
         };
-        let engine = Engine::paced(EVENT_PAUSE, Box::new(behaviour));
+        let streams = model.state().streams.clone();
+        let engine = Engine::with_streams(event_pause, streams, Box::new(behaviour));
         Self {
             service,
             proxy: Proxy::start(engine.addr),
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -24,6 +24,7 @@
 #[path = "../gateway/model.rs"]
 mod model;
 mod operator;
+mod planned;
 mod proxy;
 
 use std::thread;
@@ -43,6 +44,9 @@
     3002,
 ];
 
+/// The seeds of planned work that CI runs.
+const PLANNED_SEEDS: [u64; 2] = [1, 2];
+
 /// The number of seeds that run at a time; each runs eight processes.
 const PARALLEL_SEEDS: usize = 4;
 
@@ -77,16 +81,38 @@
     }
 }
 
+/// Runs the seeds, some at a time, and returns the broken guarantees.
+fn run_seeds(
+    seeds: &[u64],
+    run: impl Fn(u64) -> Vec<String> + Copy + Send + 'static,
+) -> Vec<String> {
+    let mut violations = Vec::new();
+    for group in seeds.chunks(PARALLEL_SEEDS) {
+        let runs = group.iter().map(|seed| {
+            let seed = *seed;
+            thread::spawn(move || run(seed))
+        });
+        let runs: Vec<_> = runs.collect();
+        for run in runs {
+            violations.extend(
+                run.join()
+                    .unwrap_or_else(|_| vec!["a run ended early".into()]),
+            );
+        }
+    }
+    violations
+}
+
 /// Returns the number of versions that `SOAK_NAMES` sets, 1 by default.
 fn version_count() -> u32 {
     let count = std::env::var("SOAK_NAMES").ok();
     count.map_or(1, |n| n.parse().expect("SOAK_NAMES=COUNT"))
 }
 
-/// Returns the seeds that `SOAK_SEEDS` sets, or those of CI.
-fn seeds() -> Vec<u64> {
+/// Returns the seeds that `SOAK_SEEDS` sets, or else `ours`.
+fn seeds_or(ours: &[u64]) -> Vec<u64> {
     let Ok(range) = std::env::var("SOAK_SEEDS") else {
-        return SEEDS.to_vec();
+        return ours.to_vec();
     };
     let (first, last) = range.split_once('-').expect("SOAK_SEEDS=FIRST-LAST");
     let bound = |text: &str| text.parse().expect("SOAK_SEEDS=FIRST-LAST, two numbers");
@@ -99,21 +125,34 @@
 /// can tell that it did not, acknowledged changes are kept, and all services are served after the faults.
 #[test]
 fn guarantees_hold_under_random_faults() {
-    let seeds = seeds();
-    let mut violations = Vec::new();
-    for group in seeds.chunks(PARALLEL_SEEDS) {
-        let runs = group.iter().map(|seed| {
-            let seed = *seed;
-            thread::spawn(move || run_seed(seed, version_count()))
-        });
-        let runs: Vec<_> = runs.collect();
-        for run in runs {
-            violations.extend(
-                run.join()
-                    .unwrap_or_else(|_| vec!["a run ended early".into()]),
-            );
-        }
-    }
+    let violations = run_seeds(&seeds_or(&SEEDS), |seed| run_seed(seed, version_count()));
+    assert!(violations.is_empty(), "{}", violations.join("\n"));
+}
+
+/// Runs planned work alone and returns the broken guarantees.
+fn run_planned(seed: u64) -> Vec<String> {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let fleet = Fleet::with_long_streams(seed);
+    let _end = EndOnDrop(fleet.clone());
+    let callers = callers::start(&fleet, seed);
+    let operator = operator::start(&fleet, seed);
+    let work = planned::carry_out(&fleet, &mut rng);
+    fleet.end_faults();
+    let mut violations = operator.finish(&fleet);
+    violations.extend(callers.finish_without_faults(&fleet));
+    violations.extend(fleet.wrong_loads());
+    println!("seed {seed}: {work:?}; {}", callers::summary(&fleet));
+    violations
+        .into_iter()
+        .map(|violation| format!("seed {seed}: {violation}"))
+        .collect()
+}
+
+/// New weights are rolled out one after the other, documents change, and processes are told to read their settings
+/// again or to stop, while streams run for more than a second. What a target ran is answered to its end.
+#[test]
+fn planned_work_cuts_no_answer() {
+    let violations = run_seeds(&seeds_or(&PLANNED_SEEDS), run_planned);
     assert!(violations.is_empty(), "{}", violations.join("\n"));
 }
 
