A request whose time is over gets 504 again

Found by reading the change: the entry's own limit of a wait was set for each attempt, so that a request whose time ran out was told that its answer was lost (502), and an engine's own word that it had not run the request could come too late. The limit is set only where the engine does not keep it. Test: a_request_out_of_time_is_told_so (502 before).

--- a/crates/filbertstack-gateway/src/request/attempt.rs
+++ b/crates/filbertstack-gateway/src/request/attempt.rs
@@ -245,7 +245,10 @@
     let is_final = !call.may_repeat() || tries.attempts.is_last(call.route.attempts);
     let limits = WaitLimits {
         last_bytes_at,
-        begin_by: Instant::now() + limited,
+        begin_by: chosen
+            .time_limit
+            .filter(|_| is_final)
+            .map(|_| Instant::now() + limited),
     };
     let way = find_way(tries, resume);
     if !permit::may_send_to(requests, call, &chosen.id, way) {
@@ -318,8 +321,8 @@
 struct WaitLimits {
     /// The time at which the last bytes arrived for the caller, or its request.
     last_bytes_at: Instant,
-    /// The time by which the target must have begun.
-    begin_by: Instant,
+    /// The time by which the target must have begun, if it does not keep that limit itself.
+    begin_by: Option<Instant>,
 }
 
 /// How the wait for the head of an answer ended.
@@ -347,7 +350,10 @@
     mut sending: Pin<&mut impl Future<Output = HeadResult>>,
 ) -> Awaited {
     if !call.may_repeat() {
-        let reply = timeout_at(limits.begin_by, sending).await;
+        let Some(begin_by) = limits.begin_by else {
+            return Awaited::Head(sending.await);
+        };
+        let reply = timeout_at(begin_by, sending).await;
         return reply.map_or(Awaited::GivenUp, Awaited::Head);
     }
     let began = Instant::now();
@@ -356,7 +362,8 @@
             return Awaited::Head(reply);
         }
         let waited = began.elapsed();
-        if Instant::now() >= limits.begin_by || is_caller_leaving(call, limits.last_bytes_at) {
+        let may_begin = limits.begin_by.is_none_or(|until| Instant::now() < until);
+        if !may_begin || is_caller_leaving(call, limits.last_bytes_at) {
             info!("target silent, given up", kv: {
                 request = call.head.id(), target = instance_of(&chosen.id),
                 waited_ms = waited.as_millis(), forsaken = true
--- a/tests/gateway/endings.rs
+++ b/tests/gateway/endings.rs
@@ -341,6 +341,26 @@
     assert!(!full.received().is_empty(), "the other was asked");
 }
 
+/// Guards against a caller that is told of a lost answer when its time is over.
+#[test]
+fn a_request_out_of_time_is_told_so() {
+    let engine = Engine::start(Box::new(|received| {
+        if received.header("x-filbertstack-attempt-id") == "late" {
+            thread::sleep(Duration::from_millis(2_500));
+        }
+        answer(received, "200 OK", "ok")
+    }));
+    let cluster = Cluster::start(1, 0);
+    cluster.put_document(&[0], &document(1));
+    for service in ["safe", "once"] {
+        cluster.register(0, service, service, engine.addr);
+        cluster.await_service(0, &format!("/{service}/"));
+        let late = get(&format!("/{service}/"), "late", "");
+        let got = cluster.call(0, &late.replace("Deadline-Ms: 5000", "Deadline-Ms: 900"));
+        assert_eq!(got.status, 504, "{service}: {}", got.body);
+    }
+}
+
 /// Guards against an entry whose own time limit cuts the connection of a caller that pauses its reading.
 #[test]
 fn a_caller_that_pauses_its_reading_gets_the_rest() {
