A stand-in that crashes has closed its address when its caller sees the crash

Traced: the engine's listener closed after the connection of the request that crashed it, so that the next request could reach the crashed engine and count as lost there. The checks are as they were.

--- a/tests/gateway/engine.rs
+++ b/tests/gateway/engine.rs
@@ -35,6 +35,9 @@
     }
 }
 
+/// The interval at which an engine that crashes checks whether it has ended.
+const CLOSE_POLL: Duration = Duration::from_millis(1);
+
 /// `Behaviour` returns the bytes that the engine sends for a request. The engine then closes the connection
 /// unless the bytes say that it is kept.
 pub type Behaviour = Box<dyn Fn(&Received) -> Vec<u8> + Send + Sync>;
@@ -78,15 +81,21 @@
     addr: SocketAddr,
     crashes: Trigger,
     crashed: AtomicBool,
+    /// Whether the engine has ended and its address takes no connections any more.
+    closed: AtomicBool,
     streams: Arc<Streams>,
 }
 
 impl State {
-    /// Ends the engine: it accepts no more connections, and those that are open get no more answers.
+    /// Ends the engine: it accepts no more connections, and those that are open get no more answers. Its caller
+    /// sees the end of the request that crashes it after that.
     fn crash(&self) {
         self.crashed.store(true, Ordering::Relaxed);
         // The connection wakes the thread that accepts, so that it closes the listener.
         let _ = TcpStream::connect(self.addr);
+        while !self.closed.load(Ordering::Relaxed) {
+            thread::sleep(CLOSE_POLL);
+        }
     }
 
     fn has_crashed(&self) -> bool {
@@ -141,6 +150,7 @@
             addr,
             crashes,
             crashed: AtomicBool::new(false),
+            closed: AtomicBool::new(false),
             streams,
         });
         let recorded = received.clone();
@@ -149,12 +159,14 @@
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
                 if shared.has_crashed() {
-                    return;
+                    break;
                 }
                 let (recorded, behaviour) = (recorded.clone(), behaviour.clone());
                 let state = shared.clone();
                 thread::spawn(move || serve(stream, pause, &recorded, &behaviour, &state));
             }
+            drop(listener);
+            shared.closed.store(true, Ordering::Relaxed);
         });
         Self {
             addr,
