--- a/crates/filbertstack-core/src/ini.rs
+++ b/crates/filbertstack-core/src/ini.rs
@@ -103,6 +103,19 @@
         Some((property.value.clone(), property.line))
     }
 
+    /// Takes all keys with their values, in a section whose keys are names that the operator chooses.
+    pub fn take_all(&mut self) -> Vec<(String, String)> {
+        let left = self
+            .properties
+            .iter_mut()
+            .filter(|property| !property.taken);
+        left.map(|property| {
+            property.taken = true;
+            (property.key.clone(), property.value.clone())
+        })
+        .collect()
+    }
+
     /// Takes and parses `key`. Returns `None` if the key is absent or invalid; an invalid value is added to
     /// `problems`.
     pub fn read<T: FromStr<Err = E>, E: fmt::Display>(
--- a/crates/filbertstack-core/src/serving.rs
+++ b/crates/filbertstack-core/src/serving.rs
@@ -23,6 +23,51 @@
     Resumable,
 }
 
+/// The regions where requests may be served, cached and stored.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub enum Residency {
+    /// All regions.
+    #[default]
+    Anywhere,
+    /// These regions only; none if the list is empty.
+    Only(Arc<[Arc<str>]>),
+}
+
+impl Residency {
+    /// Returns the residency that a declaration with these regions has. A declaration without regions has no
+    /// restriction.
+    pub fn declared(regions: Vec<Arc<str>>) -> Self {
+        if regions.is_empty() {
+            Self::Anywhere
+        } else {
+            Self::Only(regions.into())
+        }
+    }
+
+    /// Returns the residency of a request that both `self` and `other` bind.
+    #[must_use]
+    pub fn both(&self, other: &Self) -> Self {
+        match (self, other) {
+            (Self::Anywhere, only) | (only, Self::Anywhere) => only.clone(),
+            (Self::Only(first), Self::Only(second)) => {
+                let shared = first.iter().filter(|region| second.contains(region));
+                Self::Only(shared.cloned().collect())
+            }
+        }
+    }
+
+    /// Returns whether a request may be served in `region`. A place without a known region serves only
+    /// unrestricted requests.
+    pub fn allows(&self, region: Option<&str>) -> bool {
+        match self {
+            Self::Anywhere => true,
+            Self::Only(regions) => {
+                region.is_some_and(|r| regions.iter().any(|known| **known == *r))
+            }
+        }
+    }
+}
+
 /// A route sends requests for one host and path prefix to services.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Route {
@@ -48,6 +93,8 @@
     pub attempts: u32,
     /// Whether requests are accepted without a key.
     pub public: bool,
+    /// Where its requests may be served.
+    pub residency: Residency,
 }
 
 /// A service of a route and its share of the requests.
@@ -70,6 +117,17 @@
     pub engine: Option<EngineModel>,
     /// The origin of weights that the service is, if it is one.
     pub origin: Option<Origin>,
+    /// What its targets take while they are cold, if they are slow after a start.
+    pub cold_start: Option<ColdStart>,
+}
+
+/// What a target takes while it is cold.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ColdStart {
+    /// How long a target is cold after it starts.
+    pub span: Duration,
+    /// The requests a second that a cold target takes from all entries together; greater than 0.
+    pub per_s: f64,
 }
 
 /// An origin of weights.
@@ -130,8 +188,10 @@
     pub name: Arc<str>,
     /// The keys that its callers present.
     pub keys: Vec<Arc<str>>,
-    /// The priority of its requests; it overrides the priority of the route.
+    /// The priority of its requests, which is compared before the priority of the route.
     pub priority: Option<u8>,
+    /// Where its requests may be served, beside what the route allows.
+    pub residency: Residency,
 }
 
 /// Limits on the size and the duration of what a caller sends.
--- a/crates/filbertstack-gateway/src/request/attempt.rs
+++ b/crates/filbertstack-gateway/src/request/attempt.rs
@@ -172,6 +172,7 @@
 pub fn choose(requests: &Rc<Requests>, call: &Call, tries: &Tries) -> Result<Chosen, Refusal> {
     let goal = call.route.goal.max(RETRY_GOAL).min(call.time_left());
     let wanted = TargetRequest {
+        residency: None,
         service: &call.service,
         prompt: call.prompt(),
         goal: Millis::from(goal),
@@ -264,6 +265,7 @@
         organisation: call.organisation.as_deref(),
         version: chosen.version,
         resume_after,
+        priority: None,
     };
     let mut reply = {
         let sending = std::pin::pin!(connected.connection.send(build_request(call, &onward)));
--- a/crates/filbertstack-gateway/src/request/targets.rs
+++ b/crates/filbertstack-gateway/src/request/targets.rs
@@ -247,6 +247,8 @@
             sharers,
             engine,
             accepts_work: serves && !row.draining,
+            region: self.node.settings.regions.get(row.zone.as_str()).cloned(),
+            evacuated: false,
         };
         let endpoint = Endpoint {
             addr,
--- a/crates/filbertstack-gateway/src/request/waiting.rs
+++ b/crates/filbertstack-gateway/src/request/waiting.rs
@@ -120,6 +120,7 @@
 
 fn choose(requests: &Requests, call: &Call, goal: Duration) -> Result<Chosen, ChooseError> {
     requests.targets.choose(&TargetRequest {
+        residency: None,
         service: &call.service,
         prompt: call.prompt(),
         goal: Millis::from(goal),
--- a/crates/filbertstack-gateway/src/settings.rs
+++ b/crates/filbertstack-gateway/src/settings.rs
@@ -1,10 +1,13 @@
-//! Settings of a process for small instances: the sections `[node]`, `[listen]`, `[target]` and
-//! `[bounds]` of an INI file.
+//! Settings of a process for small instances: the sections `[node]`, `[listen]`, `[target]`, `[bounds]`,
+//! `[regions]` and `[features]` of an INI file.
 
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::path::Path;
 use std::path::PathBuf;
 use std::str::FromStr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use filbertstack_core::ini::Document;
@@ -27,6 +30,21 @@
     pub target: Target,
     /// The limits that the operator guarantees.
     pub bounds: Bounds,
+    /// The region of each availability zone.
+    pub regions: BTreeMap<Arc<str>, Arc<str>>,
+    /// What the operator has switched on.
+    pub features: Features,
+}
+
+/// Parts of the system that an operator switches on. Names that this release does not know are ignored.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Features(BTreeSet<String>);
+
+impl Features {
+    /// Returns whether the operator has switched `name` on.
+    pub fn has(&self, name: &str) -> bool {
+        self.0.contains(name)
+    }
 }
 
 /// The identity and location of a process.
@@ -84,6 +102,10 @@
     pub repeat_ratio: f64,
     /// How many repeated sends all entries together may make beside those.
     pub repeat_allowance: f64,
+    /// The factor by which all entries together may exceed the rate of a cold target within one second.
+    pub cold_factor: f64,
+    /// How many requests all entries together may send to a cold target within one second beside those.
+    pub cold_allowance: f64,
 }
 
 impl Default for Bounds {
@@ -94,6 +116,8 @@
             rollout: Duration::from_secs(8),
             repeat_ratio: 0.2,
             repeat_allowance: 50.0,
+            cold_factor: 1.0,
+            cold_allowance: 1.0,
         }
     }
 }
@@ -128,6 +152,9 @@
         });
         let bounds = document.take("bounds");
         let bounds = bounds.map(|s| read_bounds(s, &mut problems));
+        let regions = document.take("regions").map(read_regions);
+        let features = document.take("features");
+        let features = features.map(|s| read_features(s, &mut problems));
         document.finish(&mut problems);
         let Some(node) = node else {
             return Err(problems);
@@ -137,6 +164,8 @@
             listen: listen.unwrap_or_default(),
             target: target.unwrap_or_default(),
             bounds: bounds.unwrap_or_default(),
+            regions: regions.unwrap_or_default(),
+            features: features.unwrap_or_default(),
         })
     }
 }
@@ -196,11 +225,31 @@
             .unwrap_or(defaults.repeat_ratio),
         repeat_allowance: optional(&mut section, "repeat-allowance", problems)
             .unwrap_or(defaults.repeat_allowance),
+        cold_factor: optional(&mut section, "cold-factor", problems)
+            .unwrap_or(defaults.cold_factor),
+        cold_allowance: optional(&mut section, "cold-allowance", problems)
+            .unwrap_or(defaults.cold_allowance),
     };
     section.finish(problems);
     bounds
 }
 
+/// Reads the region of each availability zone.
+fn read_regions(mut section: Section) -> BTreeMap<Arc<str>, Arc<str>> {
+    let zones = section.take_all().into_iter();
+    zones
+        .map(|(zone, region)| (zone.into(), region.trim().into()))
+        .collect()
+}
+
+fn read_features(mut section: Section, problems: &mut Problems) -> Features {
+    let enabled: Option<String> = optional(&mut section, "enabled", problems);
+    section.finish(problems);
+    let names = enabled.unwrap_or_default();
+    let names = names.split(',').map(str::trim);
+    Features(names.filter(|n| !n.is_empty()).map(str::to_owned).collect())
+}
+
 /// Reads a key that may be absent or empty. Templates write an empty value where there is none.
 fn optional<T>(section: &mut Section, key: &str, problems: &mut Problems) -> Option<T>
 where
--- a/crates/filbertstack-gateway/tests/settings.rs
+++ b/crates/filbertstack-gateway/tests/settings.rs
@@ -45,3 +45,23 @@
     node.ini:5: unknown key 'other' in [node]: remove it or correct its spelling
     ");
 }
+
+/// Guards against zones without a region, whose targets then serve no request that is bound to a region, and
+/// against an unknown feature that keeps a process from starting.
+#[test]
+fn regions_and_features_are_read() {
+    let settings = parse(
+        "[node]\nname = a\nzone = z\nlink = 10.1.0.4:7700\n[bounds]\ncold-factor = 1.5\ncold-allowance =\n\
+         [regions]\nz = north\ny-1 = south\n[features]\nenabled = health, other,\n",
+    );
+    let settings = settings.expect("it reads");
+    let region = |zone: &str| settings.regions.get(zone).map(ToString::to_string);
+    assert_eq!(region("z").as_deref(), Some("north"));
+    assert_eq!(region("y-1").as_deref(), Some("south"));
+    assert_eq!(region("x"), None);
+    assert!(settings.features.has("health") && settings.features.has("other"));
+    assert!(!settings.features.has("pool") && !settings.features.has(""));
+    assert!((settings.bounds.cold_factor - 1.5).abs() < f64::EPSILON);
+    let default = Bounds::default().cold_allowance;
+    assert!((settings.bounds.cold_allowance - default).abs() < f64::EPSILON);
+}
--- a/crates/filbertstack-policy/src/dispatch.rs
+++ b/crates/filbertstack-policy/src/dispatch.rs
@@ -35,6 +35,7 @@
 use std::sync::Arc;
 
 use filbertstack_core::Millis;
+use filbertstack_core::serving::Residency;
 use rand::RngExt as _;
 use rand_chacha::ChaCha8Rng;
 
@@ -81,7 +82,7 @@
 const NO_TARGET_RETRY_MS: f64 = 1_500.0;
 
 /// The properties of a request that needs a target.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, Default)]
 pub struct TargetRequest<'a> {
     /// The service that the request is for.
     pub service: &'a str,
@@ -91,6 +92,8 @@
     pub goal: Millis,
     /// The targets that the request was sent to already.
     pub tried: &'a [TargetId],
+    /// Where the request may be served; `None` if everywhere.
+    pub residency: Option<&'a Residency>,
 }
 
 /// The reason why a request gets no target.
--- a/crates/filbertstack-policy/src/dispatch/target.rs
+++ b/crates/filbertstack-policy/src/dispatch/target.rs
@@ -74,6 +74,10 @@
     pub engine: Option<Arc<EngineModel>>,
     /// Whether the target takes new work.
     pub accepts_work: bool,
+    /// The region of the target; `None` if it is not known.
+    pub region: Option<Arc<str>>,
+    /// Whether the target is in an availability zone that is evacuated.
+    pub evacuated: bool,
 }
 
 /// The load of an engine as its agent reports it.
--- a/crates/filbertstack-policy/tests/plain/mod.rs
+++ b/crates/filbertstack-policy/tests/plain/mod.rs
@@ -13,6 +13,8 @@
 /// Returns a target that makes plain calls.
 pub fn spec(id: &str) -> TargetSpec {
     TargetSpec {
+        region: None,
+        evacuated: false,
         id: id.into(),
         service: "api".into(),
         slots: 4,
@@ -38,6 +40,7 @@
 /// Chooses a target for a plain call.
 pub fn choose(dispatcher: &mut Dispatcher, now: Millis) -> Result<TargetId, ChooseError> {
     let wanted = TargetRequest {
+        residency: None,
         service: "api",
         prompt: 0,
         goal: Millis(500),
--- a/crates/filbertstack-policy/tests/replay/mod.rs
+++ b/crates/filbertstack-policy/tests/replay/mod.rs
@@ -119,6 +119,8 @@
 
 pub fn spec(n: usize, accepts_work: bool) -> TargetSpec {
     TargetSpec {
+        region: None,
+        evacuated: false,
         id: format!("e{n}").into(),
         service: "llm".into(),
         slots: SIXTEEN_SLOTS.slots,
@@ -480,6 +482,7 @@
     tried: &[TargetId],
 ) -> Result<usize, ChooseError> {
     let wanted = TargetRequest {
+        residency: None,
         service: "llm",
         prompt,
         goal,
