Admit requests by rank where routes of a service differ in priority

Cause: a request was admitted if its first event was predicted within 0.72 of its own goal. Those with the longest goal filled the engines' queues to a depth that no urgent request accepts. Priorities were decoded and read by nobody.

Change: policy::rank. A request yields to higher ranks in depth and leaves room for those expected before the next report; a floor over 8 s for priorities, large requests and organisations; an organisation's excess yields to its peers; the engine's priority header; retries within half of the goal, spread over what is served of a rank; a reason, a metric and a log field of their own. Without different priorities on the routes of a service nothing changes. Demand becomes rate::Rate, with the same values.

--- a/crates/filbertstack-core/src/serving.rs
+++ b/crates/filbertstack-core/src/serving.rs
@@ -346,6 +346,16 @@
         self.services.values()
     }
 
+    /// Iterates over all routes.
+    pub fn routes(&self) -> impl Iterator<Item = &Arc<Route>> {
+        self.routes.values().flatten()
+    }
+
+    /// Iterates over the organisations that hold keys, once for each key.
+    pub fn organisations(&self) -> impl Iterator<Item = &Arc<Organisation>> {
+        self.holders.values()
+    }
+
     /// Returns whether requests need a key, except on public routes.
     pub fn requires_key(&self) -> bool {
         self.requires_key
--- a/crates/filbertstack-gateway/src/request/attempt.rs
+++ b/crates/filbertstack-gateway/src/request/attempt.rs
@@ -173,6 +173,8 @@
     let goal = call.route.goal.max(RETRY_GOAL).min(call.time_left());
     let wanted = TargetRequest {
         residency: None,
+        // It was admitted before, and has its place among the others.
+        contender: None,
         service: &call.service,
         prompt: call.prompt(),
         goal: Millis::from(goal),
@@ -183,7 +185,11 @@
 
 fn to_refusal(refused: ChooseError) -> Refusal {
     let after = Duration::from(refused.retry_after());
-    Refusal::busy("no target can serve it in time", after)
+    let why = match refused {
+        ChooseError::Yields { .. } => "room is kept for requests of higher rank",
+        ChooseError::Full { .. } | ChooseError::NoTarget { .. } => "no target can serve it in time",
+    };
+    Refusal::busy(why, after)
 }
 
 /// A stream that another target is to continue.
@@ -265,7 +271,7 @@
         organisation: call.organisation.as_deref(),
         version: chosen.version,
         resume_after,
-        priority: None,
+        priority: call.urgency(),
     };
     let mut reply = {
         let sending = std::pin::pin!(connected.connection.send(build_request(call, &onward)));
@@ -439,7 +445,7 @@
 }
 
 /// Logs the target of an attempt and the data behind the choice. An age of -1 means that there was no load
-/// report; weights of 0 mean that any version may answer.
+/// report; weights of 0 mean that any version may answer; a rank of -1 means that its service has no ranks.
 fn log_sent(requests: &Requests, call: &Call, chosen: &Chosen, tries: &Tries) {
     let age = chosen.report_age.and_then(|age| i64::try_from(age.0).ok());
     info!("sent", kv: {
@@ -447,7 +453,8 @@
         waited_ms = call.arrived_at.elapsed().as_millis(), prompt = call.prompt(),
         predicted_ms = chosen.predicted_ms.round(),
         report_age_ms = age.unwrap_or(-1),
-        configuration = requests.node.declared.version(), weights = chosen.version.unwrap_or(0)
+        configuration = requests.node.declared.version(), weights = chosen.version.unwrap_or(0),
+        rank = call.contender.as_ref().map_or(-1, |contender| i32::from(contender.rank.0))
     });
 }
 
--- a/crates/filbertstack-gateway/src/request/mod.rs
+++ b/crates/filbertstack-gateway/src/request/mod.rs
@@ -29,12 +29,16 @@
 use bytes::Bytes;
 use filbertstack_core::ContentDigest;
 use filbertstack_core::serving::Catalogue;
+use filbertstack_core::serving::Organisation;
 use filbertstack_core::serving::Repeat;
 use filbertstack_core::serving::Route;
 use filbertstack_platform::request::CallHead;
 use filbertstack_platform::request::set_answer_headers;
 use filbertstack_policy::crashes::Suspect;
 use filbertstack_policy::dispatch::Dispatcher;
+use filbertstack_policy::rank::Contender;
+use filbertstack_policy::rank::Rank;
+use filbertstack_policy::rank::RankOrders;
 use filbertstack_policy::recovery::Recovery;
 use filbertstack_policy::repeats::Allowance;
 use filbertstack_policy::repeats::RepeatBudget;
@@ -84,6 +88,24 @@
 /// accept requests.
 const RETRY_ELSEWHERE: Duration = Duration::from_millis(50);
 
+/// The lowest rank that targets tell apart.
+const LOWEST_RANK: u8 = 8;
+
+/// The factor by which a prompt is longer than the mean prompt of its service if it counts as large. About a tenth
+/// of all prompts are.
+const LARGE_PROMPT: f64 = 2.0;
+
+/// The part of the time left up to which callers wait before a retry. Callers and operators agree on it.
+const PATIENCE_DIVISOR: u32 = 3;
+
+/// The part of the goal within which a refused caller returns. One that is admitted then may still be on time; a
+/// later one never is.
+const RETRY_GOAL_DIVISOR: u32 = 2;
+
+/// How much shorter than the time limit of its route a caller's time is if the caller was refused before. The
+/// shortest retry delay is longer.
+const MIN_RETURN_TIME: Duration = Duration::from_millis(30);
+
 /// Handles the requests of callers at one entry.
 pub struct Requests {
     node: Rc<Node>,
@@ -93,6 +115,8 @@
     rng: RefCell<ChaCha8Rng>,
     in_flight: Rc<Cell<usize>>,
     recovery: RefCell<Recovery>,
+    /// The ranks that a version of the configuration declares.
+    ranks: RefCell<(u64, Rc<RankOrders>)>,
     /// The number of requests that wait for a service to become available.
     waiting: Rc<Cell<usize>>,
     /// The time from which a leaving entry refuses requests that may outlast it, and the time at which it
@@ -123,6 +147,8 @@
     pub organisation: Option<Arc<str>>,
     /// The time at which it arrived.
     pub arrived_at: Instant,
+    /// Its rank among the requests of its service; `None` if they do not differ in rank.
+    pub contender: Option<Contender>,
     /// Whether it had to wait until this entry knew the declared state.
     pub waited: bool,
     /// The time by which its answer must be complete.
@@ -192,6 +218,14 @@
         self.suspects()[0].digest().to_string()
     }
 
+    /// Returns its urgency at its target: 0 is the highest, and `None` is the target's default. One that can't meet
+    /// its goal any more comes after those of its rank that can.
+    pub fn urgency(&self) -> Option<u8> {
+        let contender = self.contender.as_ref()?;
+        let is_late = contender.returns || self.arrived_at.elapsed() >= self.route.goal;
+        Some(contender.rank.0.min(LOWEST_RANK) + u8::from(is_late))
+    }
+
     /// Returns whether it may run again when it is unknown whether it ran.
     pub fn may_repeat(&self) -> bool {
         self.route.repeat != Repeat::Once
@@ -215,6 +249,7 @@
             rng: RefCell::new(rng),
             in_flight: Rc::default(),
             recovery: RefCell::new(Recovery::new(node.clock.now())),
+            ranks: RefCell::default(),
             waiting: Rc::default(),
             leaving: Cell::new(None),
             stopped: Cell::new(false),
@@ -284,8 +319,10 @@
         let catalogue = self.node.declared.catalogue();
         let (parts, body) = request.into_parts();
         let route = find_route(&catalogue, &parts.headers, &parts.uri)?;
-        let organisation = find_organisation(&catalogue, &route, &head)?;
+        let holder = find_organisation(&catalogue, &route, &head)?;
         let service = self.draw_service(&route);
+        let contender = self.contender(&catalogue, &route, &service, holder.as_deref(), &head);
+        let organisation = holder.map(|holder| holder.name.clone());
         let timeout = head.timeout.unwrap_or(NO_TIMEOUT).min(route.timeout);
         let deadline = arrived_at + timeout;
         if self.ends_before(deadline) {
@@ -304,6 +341,7 @@
             service,
             organisation,
             arrived_at,
+            contender,
             waited,
             deadline,
             caller,
@@ -314,6 +352,49 @@
         answer.unwrap_or(Err(Refusal::late()))
     }
 
+    /// Returns the rank of a request among those of its service, if they differ in rank.
+    fn contender(
+        &self,
+        catalogue: &Rc<Catalogue>,
+        route: &Route,
+        service: &Arc<str>,
+        organisation: Option<&Organisation>,
+        head: &CallHead,
+    ) -> Option<Contender> {
+        let declared = organisation.and_then(|organisation| organisation.priority);
+        let rank = self.ranks(catalogue).rank(service, declared, route)?;
+        let engine = catalogue.service(service)?.engine.as_ref()?;
+        let prompt = head.tokens.map_or(0, |(prompt, _)| prompt);
+        let timeout = head.timeout.unwrap_or(NO_TIMEOUT);
+        Some(Contender {
+            rank,
+            route: route.priority,
+            tier: declared.unwrap_or(route.priority),
+            organisation: organisation.map(|organisation| organisation.name.clone()),
+            large: f64::from(prompt) > LARGE_PROMPT * engine.prompt,
+            returns: timeout.saturating_add(MIN_RETURN_TIME) < route.timeout,
+            patience: (timeout.min(route.timeout) / PATIENCE_DIVISOR)
+                .min(route.goal / RETRY_GOAL_DIVISOR)
+                .into(),
+        })
+    }
+
+    /// Counts a request of a rank by whether it was admitted when it arrived.
+    fn count_ranked(&self, rank: Rank, admitted: bool) {
+        let outcome = if admitted { "admitted" } else { "not admitted" };
+        let label = format!("rank {} {outcome}", rank.0);
+        self.metrics.entry.ranks.add(&label, 1);
+    }
+
+    /// Returns the ranks that the configuration declares.
+    fn ranks(&self, catalogue: &Rc<Catalogue>) -> Rc<RankOrders> {
+        let mut cached = self.ranks.borrow_mut();
+        if cached.0 != catalogue.version() {
+            *cached = (catalogue.version(), Rc::new(RankOrders::new(catalogue)));
+        }
+        cached.1.clone()
+    }
+
     /// Draws the service for a request from those of its route, by their weights.
     fn draw_service(&self, route: &Route) -> Arc<str> {
         let total: u32 = route.weighted_services.iter().map(|b| b.weight).sum();
@@ -349,13 +430,13 @@
     catalogue: &Catalogue,
     route: &Route,
     head: &CallHead,
-) -> Result<Option<Arc<str>>, Refusal> {
+) -> Result<Option<Arc<Organisation>>, Refusal> {
     if !catalogue.requires_key() {
         return Ok(None);
     }
     let holder = head.key.as_deref().and_then(|key| catalogue.holder(key));
     match holder {
-        Some(holder) => Ok(Some(holder.name.clone())),
+        Some(holder) => Ok(Some(holder.clone())),
         None if route.public => Ok(None),
         None => Err(Refusal::own(
             StatusCode::UNAUTHORIZED,
--- a/crates/filbertstack-gateway/src/request/targets.rs
+++ b/crates/filbertstack-gateway/src/request/targets.rs
@@ -21,6 +21,7 @@
 use filbertstack_policy::permit::Obstacle;
 use filbertstack_policy::quota;
 use filbertstack_policy::quota::Sender;
+use filbertstack_policy::rank::Contender;
 use filbertstack_policy::registry::Stamp;
 use filbertstack_policy::rollout;
 use filbertstack_policy::subset;
@@ -286,6 +287,13 @@
         self.dispatcher.borrow_mut().count_request(now, service);
     }
 
+    /// Counts the rank of a request for `service` that arrives.
+    pub fn count_contender(&self, service: &Arc<str>, contender: &Contender, goal: Duration) {
+        let now = self.node.clock.now();
+        let mut dispatcher = self.dispatcher.borrow_mut();
+        dispatcher.count_contender(now, service, contender, goal.into());
+    }
+
     /// Chooses a target for a request.
     ///
     /// # Errors
--- a/crates/filbertstack-gateway/src/request/waiting.rs
+++ b/crates/filbertstack-gateway/src/request/waiting.rs
@@ -66,7 +66,17 @@
 /// [`ChooseError`] with a time to retry, if the request may not wait or waited in vain.
 pub async fn choose_first(requests: &Requests, call: &Call) -> Result<Chosen, ChooseError> {
     requests.targets.count_arrival(&call.service);
-    let refused = match choose_in_time(requests, call) {
+    if let Some(contender) = &call.contender {
+        let goal = call.route.goal;
+        requests
+            .targets
+            .count_contender(&call.service, contender, goal);
+    }
+    let first = choose_in_time(requests, call);
+    if let Some(contender) = &call.contender {
+        requests.count_ranked(contender.rank, first.is_ok());
+    }
+    let refused = match first {
         Ok(chosen) => return Ok(chosen),
         Err(refused) => refused,
     };
@@ -121,6 +131,7 @@
 fn choose(requests: &Requests, call: &Call, goal: Duration) -> Result<Chosen, ChooseError> {
     requests.targets.choose(&TargetRequest {
         residency: None,
+        contender: call.contender.as_ref(),
         service: &call.service,
         prompt: call.prompt(),
         goal: Millis::from(goal),
--- a/crates/filbertstack-policy/src/dispatch.rs
+++ b/crates/filbertstack-policy/src/dispatch.rs
@@ -42,12 +42,15 @@
 use crate::notices::Notice;
 use crate::notices::Notices;
 use crate::permit::Obstacle;
+use crate::rank::Contender;
+use crate::rank::Ranks;
+use crate::rate::Rate;
 use crate::units::millis;
+use crate::units::millis_f64;
 
 pub use self::engine::pass_ms;
 pub use self::engine::prefill_ms;
 pub use self::engine::slot_wait_ms;
-use self::share::Demand;
 use self::share::FreeSlots;
 pub use self::share::Sharers;
 pub use self::target::AttemptEnd;
@@ -94,6 +97,8 @@
     pub tried: &'a [TargetId],
     /// Where the request may be served; `None` if everywhere.
     pub residency: Option<&'a Residency>,
+    /// Its rank among the requests of its service; `None` if they do not differ in rank.
+    pub contender: Option<&'a Contender>,
 }
 
 /// The reason why a request gets no target.
@@ -109,13 +114,20 @@
         /// The delay after which the caller may retry.
         retry_after: Millis,
     },
+    /// Targets would answer within the goal, but their room is kept for requests of a higher rank.
+    Yields {
+        /// The delay after which the caller may retry.
+        retry_after: Millis,
+    },
 }
 
 impl ChooseError {
     /// Returns the delay after which the caller may retry.
     pub fn retry_after(self) -> Millis {
         match self {
-            Self::NoTarget { retry_after } | Self::Full { retry_after } => retry_after,
+            Self::NoTarget { retry_after }
+            | Self::Full { retry_after }
+            | Self::Yields { retry_after } => retry_after,
         }
     }
 }
@@ -126,7 +138,8 @@
     targets: BTreeMap<TargetId, Target>,
     notices: Notices,
     /// The rate of requests that arrive at this entry, by service.
-    demand: BTreeMap<Arc<str>, Demand>,
+    demand: BTreeMap<Arc<str>, Rate>,
+    ranks: Ranks,
     rng: ChaCha8Rng,
 }
 
@@ -137,6 +150,7 @@
             targets: BTreeMap::new(),
             notices: Notices::default(),
             demand: BTreeMap::new(),
+            ranks: Ranks::default(),
             rng,
         }
     }
@@ -162,6 +176,17 @@
         self.demand.entry(service.clone()).or_default().count(now);
     }
 
+    /// Counts the rank of a request for `service` that arrives, whose goal is `goal`.
+    pub fn count_contender(
+        &mut self,
+        now: Millis,
+        service: &Arc<str>,
+        contender: &Contender,
+        goal: Millis,
+    ) {
+        self.ranks.count_request(now, service, contender, goal);
+    }
+
     /// Records a load report.
     pub fn record_load(&mut self, now: Millis, id: &str, load: Load) {
         if let Some(target) = self.targets.get_mut(id) {
@@ -179,16 +204,23 @@
         wanted: &TargetRequest<'_>,
     ) -> Result<TargetId, ChooseError> {
         let prompt = f64::from(wanted.prompt);
-        let limit = millis_f64(wanted.goal) * GOAL_SHARE;
+        let claim = wanted.contender.map(|contender| {
+            self.ranks
+                .claim(now, wanted.service, contender, wanted.goal)
+        });
+        let goal = claim.map_or(wanted.goal, |claim| claim.goal);
+        let limit = millis_f64(goal) * GOAL_SHARE;
         let mut preferred: Vec<(f64, TargetId)> = Vec::new();
         let mut local: Vec<(f64, TargetId)> = Vec::new();
         let mut remote: Vec<(f64, TargetId)> = Vec::new();
         let mut probes: Vec<(f64, TargetId)> = Vec::new();
         let cut_off = self.is_cut_off(now, wanted.service);
-        let demand = self.demand.get(wanted.service).copied();
-        let demand = demand.unwrap_or_default();
+        let demand = self.demand.get(wanted.service);
+        let demand = demand.map_or(0.0, Rate::per_ms_at_last);
+        let demand = claim.map_or(demand, |claim| claim.demand);
         let free_slots = self.free_slots(now, wanted.service, limit, cut_off);
         let mut lowest = f64::INFINITY;
+        let mut yields = false;
         let mut rest_end = None;
         for target in self.targets.values() {
             let id = &target.spec.id;
@@ -196,7 +228,10 @@
             if excluded {
                 continue;
             }
-            let predicted = target.predict(now, prompt);
+            let reserve = claim.map_or(0.0, |claim| {
+                claim.reserve(target.spec.sharers.entries_per_target())
+            });
+            let predicted = target.predict_behind(now, prompt, reserve);
             match self.find_obstacle(now, target) {
                 None => {}
                 Some(Obstacle::Rests(until)) => {
@@ -223,7 +258,10 @@
                 ..
             } = target.spec;
             let share = free_slots[usize::from(is_local)].share(sharers, is_local, demand);
-            if predicted > limit || !target.has_room(now, limit, share) {
+            if predicted > limit || !target.has_room(now, limit, share, reserve) {
+                yields |= reserve > 0.0
+                    && target.predict(now, prompt) <= limit
+                    && target.has_room(now, limit, share, 0.0);
                 continue;
             }
             let expected = predicted + target.unseen_delay_ms();
@@ -245,10 +283,38 @@
             .flatten()
             .min_by(|a, b| a.0.total_cmp(&b.0));
         let best = best.or_else(|| self.sample_best(probes));
-        best.map(|(_, id)| id).ok_or_else(|| {
-            let rest = rest_end.map(|end| end.since(now));
-            self.refuse(lowest - limit, rest)
-        })
+        if let Some((_, id)) = best {
+            if let Some(contender) = wanted.contender {
+                self.ranks.count_admitted(now, wanted.service, contender);
+            }
+            return Ok(id);
+        }
+        let rest = rest_end.map(|end| end.since(now));
+        let refused = self.refuse(lowest - limit, rest);
+        Err(self.spread_retry(now, wanted, refused, yields))
+    }
+
+    /// Spreads the retries of refused callers over what is served of their rank. `yields` says whether the request
+    /// was refused for its rank alone.
+    fn spread_retry(
+        &mut self,
+        now: Millis,
+        wanted: &TargetRequest<'_>,
+        refused: ChooseError,
+        yields: bool,
+    ) -> ChooseError {
+        let (Some(contender), ChooseError::Full { retry_after }) = (wanted.contender, refused)
+        else {
+            return refused;
+        };
+        let draw = self.rng.random_range(0.0..1.0);
+        let booked = self.ranks.book_retry(now, wanted.service, contender, draw);
+        let retry_after = booked.unwrap_or(retry_after);
+        if yields {
+            ChooseError::Yields { retry_after }
+        } else {
+            ChooseError::Full { retry_after }
+        }
     }
 
     /// Returns the refusal of a request whose earliest first event is `excess_ms` too late, infinite if no
@@ -424,7 +490,3 @@
         }
     }
 }
-
-fn millis_f64(span: Millis) -> f64 {
-    u32::try_from(span.0).map_or(f64::MAX, f64::from)
-}
--- a/crates/filbertstack-policy/src/dispatch/share.rs
+++ b/crates/filbertstack-policy/src/dispatch/share.rs
@@ -21,7 +21,7 @@
 
 use filbertstack_core::Millis;
 
-use super::millis_f64;
+use crate::units::millis_f64;
 
 /// The part of an engine's free slots that the entries preferring it take between two reports. A report
 /// does not include requests that were sent just before it, so the next report would overstate the free
@@ -38,13 +38,6 @@
 /// and the age of a report when it arrives.
 const REPORT_WINDOW: Millis = Millis(170);
 
-/// The time constant of the mean rate of an entry's requests.
-const RATE_WINDOW: Millis = Millis(2_000);
-
-/// The least observed part of [`RATE_WINDOW`] for which the rate is corrected: with less, a single request
-/// would count as a burst.
-const MIN_WEIGHT: f64 = 0.1;
-
 /// The entries that share a target's slots: those of `entries` that use it, as each uses `used` of
 /// `targets`.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -62,7 +55,7 @@
 
 impl Sharers {
     /// Returns the number of entries for each target.
-    fn entries_per_target(self) -> f64 {
+    pub(super) fn entries_per_target(self) -> f64 {
         f64::from(self.entries) / f64::from(self.targets.max(1))
     }
 
@@ -77,32 +70,6 @@
     }
 }
 
-/// The rate of requests that arrive at this entry, as an exponentially weighted mean.
-#[derive(Clone, Copy, Debug, Default)]
-pub(super) struct Demand {
-    per_ms: f64,
-    last: Millis,
-    /// The part of the mean's weight that has been observed.
-    weight: f64,
-}
-
-impl Demand {
-    /// Counts a request.
-    pub(super) fn count(&mut self, now: Millis) {
-        let mean = millis_f64(RATE_WINDOW);
-        let decay = (-millis_f64(now.since(self.last)) / mean).exp();
-        self.per_ms = self.per_ms * decay + 1.0 / mean;
-        self.weight = self.weight * decay + 1.0 - decay;
-        self.last = now;
-    }
-
-    /// Returns the mean requests per millisecond. An entry that has just started has observed little of
-    /// the window, and its demand would look small while the callers of an outage return.
-    fn per_ms(self) -> f64 {
-        self.per_ms / self.weight.max(MIN_WEIGHT)
-    }
-}
-
 /// The free slots of the targets of one service, either in the local zone or in other zones.
 #[derive(Clone, Copy, Debug, Default)]
 pub(super) struct FreeSlots {
@@ -124,11 +91,11 @@
         }
     }
 
-    /// Returns the part of a target's free slots that an entry with this demand may take, assuming that
-    /// other entries have the same demand.
-    pub(super) fn share(&self, sharers: Sharers, local: bool, demand: Demand) -> f64 {
+    /// Returns the part of a target's free slots that an entry with this demand, in requests per millisecond,
+    /// may take, assuming that other entries have the same demand.
+    pub(super) fn share(&self, sharers: Sharers, local: bool, demand: f64) -> f64 {
         let per_target = self.entries_per_target * self.used / self.count.max(1.0);
-        let expected = demand.per_ms() * per_target * millis_f64(REPORT_WINDOW);
+        let expected = demand * per_target * millis_f64(REPORT_WINDOW);
         let mean = self.sum / self.count.max(1.0);
         let surplus = ((PREFERRED_PART + LOCAL_PART) * mean / expected).max(1.0);
         let part = if local { LOCAL_PART } else { ALL_ZONES_PART };
--- a/crates/filbertstack-policy/src/dispatch/target.rs
+++ b/crates/filbertstack-policy/src/dispatch/target.rs
@@ -11,12 +11,12 @@
 use super::engine::first_event_ms;
 use super::engine::prefill_ms;
 use super::engine::slot_wait_ms;
-use super::millis_f64;
 use crate::outlier::Health;
 use crate::outlier::Outlier;
 use crate::permit::Obstacle;
 use crate::quota::Quota;
 use crate::units::millis;
+use crate::units::millis_f64;
 use crate::units::secs;
 
 /// The maximum number of own requests that are remembered as not yet reported, at a target without
@@ -349,7 +349,12 @@
 
     /// Returns the predicted milliseconds to the first event, or to the answer of a plain call.
     pub(super) fn predict(&self, now: Millis, prompt: f64) -> f64 {
-        let ahead = self.occupancy(now);
+        self.predict_behind(now, prompt, 0.0)
+    }
+
+    /// Returns the same for a request that comes after `reserve` others which are not sent yet.
+    pub(super) fn predict_behind(&self, now: Millis, prompt: f64, reserve: f64) -> f64 {
+        let ahead = self.occupancy(now) + reserve;
         let Some(engine) = &self.spec.engine else {
             let rounds = ((ahead + 1.0) / self.slots()).max(1.0);
             return self.mean_call_ms * rounds;
@@ -420,17 +425,19 @@
         Some(free.min(readable).max(0.0))
     }
 
-    /// Returns whether this entry, which may take `share` of the free slots, may send another request
-    /// before the next report.
-    pub(super) fn has_room(&self, now: Millis, limit: f64, share: f64) -> bool {
+    /// Returns whether this entry, which may take `share` of the free slots but `reserve` of them, may send
+    /// another request before the next report.
+    pub(super) fn has_room(&self, now: Millis, limit: f64, share: f64, reserve: f64) -> bool {
         if self.spec.engine.is_none() {
             return true;
         }
         let Some(free) = self.free_slots(now, limit) else {
             // The other entries' requests are unknown, so the entry takes an even share of the slots.
-            let slots = self.spec.sharers.even_part(self.slots());
+            let slots = (self.slots() - reserve).max(0.0);
+            let slots = self.spec.sharers.even_part(slots);
             return f64::from(self.in_flight) < (slots + self.rounding).floor().max(1.0);
         };
+        let free = (free - reserve).max(0.0);
         f64::from(self.unreported()) < (free * share + self.rounding).floor()
     }
 }
--- a/crates/filbertstack-policy/src/lib.rs
+++ b/crates/filbertstack-policy/src/lib.rs
@@ -40,6 +40,7 @@
 pub mod placement;
 pub mod prefix;
 pub mod quota;
+pub mod rank;
 pub mod recovery;
 pub mod registry;
 
@@ -53,4 +54,5 @@
 pub mod target;
 pub mod window;
 
+mod rate;
 mod units;
--- a/crates/filbertstack-policy/src/units.rs
+++ b/crates/filbertstack-policy/src/units.rs
@@ -18,6 +18,11 @@
     Duration::try_from_secs_f64(secs).map_or(Millis(u64::MAX), Millis::from)
 }
 
+/// Returns the span in milliseconds.
+pub fn millis_f64(span: Millis) -> f64 {
+    u32::try_from(span.0).map_or(f64::MAX, f64::from)
+}
+
 /// Returns the length of a collection as a floating-point number.
 pub fn len_f64(len: usize) -> f64 {
     f64::from(u32::try_from(len).unwrap_or(u32::MAX))
--- a/crates/filbertstack-policy/tests/batch/mod.rs
+++ b/crates/filbertstack-policy/tests/batch/mod.rs
@@ -56,6 +56,8 @@
     sent: u64,
     entry: usize,
     prompt: u32,
+    /// 0 is the highest urgency.
+    urgency: u8,
     passes_left: u32,
 }
 
@@ -99,12 +101,20 @@
 
     /// Adds a request to the queue.
     pub fn enqueue(&mut self, now: u64, entry: usize, prompt: u32) {
-        self.queue.push_back(Request {
+        self.enqueue_urgent(now, entry, prompt, 5);
+    }
+
+    /// Adds a request to the queue, before the waiting ones with a higher number of `urgency`.
+    pub fn enqueue_urgent(&mut self, now: u64, entry: usize, prompt: u32, urgency: u8) {
+        let place = self.queue.partition_point(|r| r.urgency <= urgency);
+        let request = Request {
             sent: now,
             entry,
             prompt,
+            urgency,
             passes_left: self.passes(),
-        });
+        };
+        self.queue.insert(place, request);
     }
 
     /// Returns the number of passes for an answer of the usual length.
--- a/crates/filbertstack-policy/tests/plain/mod.rs
+++ b/crates/filbertstack-policy/tests/plain/mod.rs
@@ -40,6 +40,7 @@
 /// Chooses a target for a plain call.
 pub fn choose(dispatcher: &mut Dispatcher, now: Millis) -> Result<TargetId, ChooseError> {
     let wanted = TargetRequest {
+        contender: None,
         residency: None,
         service: "api",
         prompt: 0,
--- a/crates/filbertstack-policy/tests/replay/mod.rs
+++ b/crates/filbertstack-policy/tests/replay/mod.rs
@@ -482,6 +482,7 @@
     tried: &[TargetId],
 ) -> Result<usize, ChooseError> {
     let wanted = TargetRequest {
+        contender: None,
         residency: None,
         service: "llm",
         prompt,
--- a/crates/filbertstack-telemetry/src/metrics/groups.rs
+++ b/crates/filbertstack-telemetry/src/metrics/groups.rs
@@ -18,6 +18,8 @@
     pub organisation_requests: LabelledCounter,
     /// The requests that were refused, by reason.
     pub refusals: LabelledCounter,
+    /// The requests of services with ranks, by rank and whether they were admitted when they arrived.
+    pub ranks: LabelledCounter,
     /// The requests that were not sent to the target that was chosen for them, by reason.
     pub denials: LabelledCounter,
     /// The answers that ended before they were complete, by cause.
@@ -62,6 +64,12 @@
                 "Requests ended, by organisation",
             ),
             refusals: LabelledCounter::new(m, "entry_refusals", "reason", "Requests refused"),
+            ranks: LabelledCounter::new(
+                m,
+                "entry_ranked_requests",
+                "rank",
+                "Requests by rank and admission",
+            ),
             denials: LabelledCounter::new(m, "entry_denials", "reason", "Sends denied"),
             cuts: LabelledCounter::new(m, "entry_cuts", "cause", "Answers cut"),
             retries: LabelledCounter::new(
