Count a cold time that can't be read as none

A heartbeat whose `coldRemainingMs` was a text, a list or null was refused as a whole, so that its target was lost to callers for a field that only limits it.

--- a/crates/filbertstack-gateway/src/control/api.rs
+++ b/crates/filbertstack-gateway/src/control/api.rs
@@ -124,6 +124,11 @@
     }
 
     async fn accept_heartbeat(&self, heartbeat: Heartbeat) -> Result<Bytes, CallFailure> {
+        if heartbeat.cold_unread {
+            info!("cold time of a heartbeat can't be read, counted as 0", kv: {
+                id = heartbeat.id.to_string()
+            });
+        }
         self.register(target_row(&heartbeat)).await?;
         Ok(heartbeat_answer(self.direct_address()))
     }
