Keep the rate of cold targets among all entries

A zone of targets that returns cold reports the lowest load of all, and 39 to 340 entries send to it at once. The new module `policy::cold` determines until when a target is cold, from its heartbeats as they arrive and the end of an evacuation of its zone, and which entries may send to it. At most as many entries as the bound allows requests in a second get a token bucket of depth 1. An entry waits before it uses a place that another may have used. The dispatcher refuses the target as `Obstacle::Cold`, charges each send, and names the obstacle at the send to a request that was chosen before the target was known to be cold. `subset::mean_users` bounds the places in large services, where a target is used by few entries.

--- a/crates/filbertstack-policy/src/dispatch.rs
+++ b/crates/filbertstack-policy/src/dispatch.rs
@@ -21,7 +21,8 @@
 //!
 //! A target that names a limit for all entries gets no more than this entry's [quota](crate::quota). It
 //! counts as full beyond that, so that its callers are not told that the service is gone. A target that asked
-//! this entry for [rest](crate::notices) counts as full until the rest ends, and one that leaves as gone.
+//! this entry for [rest](crate::notices) counts as full until the rest ends, and one that leaves as gone. One
+//! that is [cold](crate::cold) counts as full until this entry's next token.
 //!
 //! Decisions depend only on the time and the observations passed in. They use no clock, network or
 //! thread.
@@ -39,9 +40,11 @@
 use rand::RngExt as _;
 use rand_chacha::ChaCha8Rng;
 
+use crate::cold;
 use crate::notices::Notice;
 use crate::notices::Notices;
 use crate::permit::Obstacle;
+use crate::permit::Way;
 use crate::units::millis;
 
 pub use self::engine::pass_ms;
@@ -208,6 +211,11 @@
                     lowest = lowest.min(predicted);
                     continue;
                 }
+                Some(Obstacle::Cold(until)) => {
+                    let wait = millis_f64(until.since(now));
+                    lowest = lowest.min(predicted.max(limit + wait));
+                    continue;
+                }
                 Some(_) => continue,
             }
             if !cut_off && target.is_silent(now) {
@@ -369,6 +377,38 @@
         }
     }
 
+    /// Sets what this entry may send to a target that is cold; `None` if it is not.
+    pub fn set_cold(&mut self, now: Millis, id: &str, limit: Option<cold::Limit>) {
+        if let Some(target) = self.targets.get_mut(id) {
+            target.set_cold(now, limit);
+        }
+    }
+
+    /// Records that a request for which `id` was chosen is written now, after the wait for its connection.
+    pub fn record_written(&mut self, now: Millis, id: &str) {
+        if let Some(target) = self.targets.get_mut(id) {
+            target.take_cold(now);
+        }
+    }
+
+    /// Returns why a request that is to be sent by `way` now, and for which `id` was chosen at `chosen_at`,
+    /// may not be sent there. A target may have become cold since, and one that was cold has given it a place
+    /// for one send.
+    pub fn send_obstacle(
+        &self,
+        now: Millis,
+        id: &str,
+        chosen_at: Millis,
+        way: Way,
+    ) -> Option<Obstacle> {
+        let target = self.targets.get(id);
+        let cold = target.and_then(|target| target.cold_obstacle(now));
+        let has_place = |t: &Target| way != Way::Resend && t.has_token(chosen_at);
+        let cold = cold.filter(|_| !target.is_some_and(has_place));
+        let other = self.obstacle(now, id);
+        cold.or(other.filter(|other| !matches!(other, Obstacle::Cold(_))))
+    }
+
     /// Records that a target asks this entry for rest.
     pub fn record_rest(&mut self, now: Millis, id: &TargetId, rest: Millis) {
         self.notices.record_rest(now, id, rest);
--- a/crates/filbertstack-policy/src/dispatch/target.rs
+++ b/crates/filbertstack-policy/src/dispatch/target.rs
@@ -12,6 +12,8 @@
 use super::engine::prefill_ms;
 use super::engine::slot_wait_ms;
 use super::millis_f64;
+use crate::cold;
+use crate::cold::Bucket;
 use crate::outlier::Health;
 use crate::outlier::Outlier;
 use crate::permit::Obstacle;
@@ -141,6 +143,8 @@
     pauses: u32,
     /// This entry's share of the limit that the target names, if it names one.
     quota: Option<Quota>,
+    /// This entry's tokens while the target is cold, if it was ever cold.
+    cold: Option<Bucket>,
 }
 
 impl Target {
@@ -160,6 +164,7 @@
             suspended_until: Millis::ZERO,
             pauses: 0,
             quota: None,
+            cold: None,
         }
     }
 
@@ -179,15 +184,43 @@
         } else if self.quota.is_some_and(|quota| !quota.may_send(now)) {
             Some(Obstacle::LimitReached)
         } else {
-            None
+            self.cold_obstacle(now)
         }
     }
 
-    /// Takes a request from this entry's share of the target's limit.
+    /// Returns whether the target is cold and this entry may send it nothing now.
+    pub(super) fn cold_obstacle(&self, now: Millis) -> Option<Obstacle> {
+        let cold = self.cold.filter(|cold| !cold.may_send(now));
+        cold.map(|cold| Obstacle::Cold(cold.next_at()))
+    }
+
+    /// Returns whether a request for which the target was chosen at `chosen_at` has taken a token, if the
+    /// target is cold.
+    pub(super) fn has_token(&self, chosen_at: Millis) -> bool {
+        self.cold.is_none_or(|cold| cold.has_token(chosen_at))
+    }
+
+    /// Takes this entry's token for a cold target.
+    pub(super) fn take_cold(&mut self, now: Millis) {
+        if let Some(cold) = &mut self.cold {
+            cold.record_sent(now);
+        }
+    }
+
+    /// Sets what this entry may send while the target is cold; `None` if it is not.
+    pub(super) fn set_cold(&mut self, now: Millis, limit: Option<cold::Limit>) {
+        match (&mut self.cold, limit) {
+            (Some(cold), Some(limit)) => cold.update(now, limit),
+            (cold, limit) => *cold = limit.map(|limit| Bucket::new(now, limit)),
+        }
+    }
+
+    /// Takes a request from this entry's share of the target's limit, and its token while the target is cold.
     pub(super) fn take_quota(&mut self, now: Millis) {
         if let Some(quota) = &mut self.quota {
             quota.take(now);
         }
+        self.take_cold(now);
     }
 
     /// Sets this entry's share of the target's limit, in requests a second.
--- a/crates/filbertstack-policy/src/lib.rs
+++ b/crates/filbertstack-policy/src/lib.rs
@@ -13,8 +13,8 @@
 //! - [`retry`] decides which requests may be retried or hedged.
 //!
 //! Entries use [`attempts`] to limit the targets that one request is sent to, [`crashes`] to refuse requests
-//! that crash targets, [`quota`] to keep together the limits that targets name, and [`notices`] to leave targets
-//! alone that ask for rest or leave. They use [`takeover`] to move an answer to another target without ending it.
+//! that crash targets, [`quota`] to keep together the limits that targets name, [`cold`] to keep together the rate
+//! of targets that have just started, and [`notices`] to leave targets alone that ask for rest or leave. They use [`takeover`] to move an answer to another target without ending it.
 //!
 //! An agent that starts uses [`inherited`] to determine which version its engine may already have been
 //! ordered to load.
@@ -25,6 +25,7 @@
 
 pub mod admission;
 pub mod attempts;
+pub mod cold;
 pub mod cost;
 pub mod crashes;
 pub mod dispatch;
--- a/crates/filbertstack-policy/src/permit.rs
+++ b/crates/filbertstack-policy/src/permit.rs
@@ -11,6 +11,7 @@
 //! | the request, or a part of its prompt, crashes targets | all entries | [`crashes`](crate::crashes) |
 //! | the target wants rest, or leaves | the target, to this entry | [`notices`](crate::notices) |
 //! | the target names a limit for all entries together | the target, to any entry | [`quota`](crate::quota) |
+//! | the target is cold | the target, to all entries | [`cold`](crate::cold) |
 //! | the target fails requests | this entry | [`outlier`](crate::outlier) |
 //! | the target turned requests away, or takes no new work | the target | [`dispatch`](crate::dispatch) |
 //!
@@ -61,6 +62,8 @@
     Paused,
     /// This entry's share of its limit is used up.
     LimitReached,
+    /// It is cold, and this entry may send it no request until then.
+    Cold(Millis),
 }
 
 impl Obstacle {
@@ -73,15 +76,18 @@
             Self::Ejected => "the target is ejected",
             Self::Paused => "the target turned a request away",
             Self::LimitReached => "the target's limit is reached",
+            Self::Cold(_) => "the target is cold and takes no more at the moment",
         }
     }
 
     /// Returns whether it keeps back a request for which the target was chosen before. What the target itself
-    /// wants holds until the request is sent. Other obstacles were weighed in the choice: the request has its place
+    /// wants holds until the request is sent, and
+    /// [`send_obstacle`](crate::dispatch::Dispatcher::send_obstacle) does not name a cold target to a request that
+    /// has its place there. Other obstacles were weighed in the choice: the request has its place
     /// in the limit and, at an ejected target, is its probe. One that is sent once more needs another place.
     fn holds_back(self, way: Way) -> bool {
         match self {
-            Self::TakesNoWork | Self::Leaves | Self::Rests(_) => true,
+            Self::TakesNoWork | Self::Leaves | Self::Rests(_) | Self::Cold(_) => true,
             Self::LimitReached => way == Way::Resend,
             Self::Ejected | Self::Paused => false,
         }
--- a/crates/filbertstack-policy/src/quota.rs
+++ b/crates/filbertstack-policy/src/quota.rs
@@ -53,18 +53,18 @@
 pub fn share(own: &str, target: &str, senders: &[Sender<'_>], limit: f64) -> f64 {
     let limit = limit.max(MIN_LIMIT);
     let users = (limit.floor() + EXTRA_USERS).min(count(senders.len()));
+    match place(own, target, senders) {
+        Some(before) if count(before) < users => limit / users,
+        _ => 0.0,
+    }
+}
+
+/// Returns the number of `senders` that use `target` before the entry `own`; `None` if it is none of them.
+pub(crate) fn place(own: &str, target: &str, senders: &[Sender<'_>]) -> Option<usize> {
     // Entries of a large system use only some targets, those for which they rank high.
     let order = |s: &Sender<'_>| Reverse((s.local, rank(s.name, target)));
-    let own = senders.iter().find(|s| s.name == own);
-    let Some(own) = own else {
-        return 0.0;
-    };
-    let before = senders.iter().filter(|s| order(s) < order(own)).count();
-    if count(before) < users {
-        limit / users
-    } else {
-        0.0
-    }
+    let own = order(senders.iter().find(|s| s.name == own)?);
+    Some(senders.iter().filter(|s| order(s) < own).count())
 }
 
 fn count(number: usize) -> f64 {
--- a/crates/filbertstack-policy/src/subset.rs
+++ b/crates/filbertstack-policy/src/subset.rs
@@ -62,6 +62,29 @@
     used
 }
 
+/// The entries and the targets of a service in one zone, or in all zones.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Population {
+    /// The number of entries.
+    pub entries: usize,
+    /// The number of targets.
+    pub targets: usize,
+}
+
+/// Returns the mean number of entries that use a target, given those of its zone and those of all zones.
+/// Entries of other zones count only if the zone has none, because the zone's entries use it first.
+pub fn mean_users(zone: Population, all: Population) -> usize {
+    if all.targets <= SIZE {
+        return all.entries;
+    }
+    if zone.entries == 0 {
+        return all.entries * (SIZE - LOCAL_SIZE) / all.targets;
+    }
+    let remote_targets = all.targets.saturating_sub(zone.targets);
+    let places = LOCAL_SIZE.max(SIZE.saturating_sub(remote_targets));
+    zone.entries * places.min(zone.targets) / zone.targets.max(1)
+}
+
 /// A target that an entry prefers.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Preferred {
--- a/crates/filbertstack-policy/tests/permit.rs
+++ b/crates/filbertstack-policy/tests/permit.rs
@@ -40,6 +40,7 @@
         Obstacle::Leaves,
         Obstacle::Rests(Millis::secs(9)),
         Obstacle::TakesNoWork,
+        Obstacle::Cold(Millis::secs(2)),
     ];
     for way in WAYS {
         for wish in wishes {
@@ -75,13 +76,14 @@
         Obstacle::Ejected,
         Obstacle::Paused,
         Obstacle::LimitReached,
+        Obstacle::Cold(Millis(1)),
     ];
     let mut names: Vec<&str> = obstacles.iter().map(|o| o.name()).collect();
     names.extend(may_send(refused()).denial());
     let count = names.len();
     names.sort_unstable();
     names.dedup();
-    assert_eq!((names.len(), count), (7, 7));
+    assert_eq!((names.len(), count), (8, 8));
     assert_eq!(Permit::Send.denial().or(Permit::Probe.denial()), None);
     let ways: std::collections::BTreeSet<&str> = WAYS.iter().map(|way| way.name()).collect();
     assert_eq!(ways.len(), WAYS.len());
