Limit what entries send to cold targets

Entries take the cold time of targets from the registry, their own place from the entries in it, and pass both to the dispatcher. A send is charged when its target is chosen and again when the request is written, because the connection may take 300 ms to open. An entry without contact with the voters has no place, as the others take it. The registry passes on each heartbeat of a cold target, also one that states the same time again, which looks like no change.

Log lines `target is cold` and `target is no longer cold`, gauge `entry_cold_targets`, and a denial of its own.

The process test sends 1,600 requests through four entries. Without the change in the registry, `each_heartbeat_of_a_cold_target_is_news` fails.

--- a/crates/filbertstack-gateway/src/control/registry.rs
+++ b/crates/filbertstack-gateway/src/control/registry.rs
@@ -124,7 +124,8 @@
         if offer == Applied::Stale {
             return false;
         }
-        let changed = offer == Applied::Changed;
+        // Each heartbeat of a cold target counts from its arrival, also if it states the same time again.
+        let changed = offer == Applied::Changed || is_cold(&row);
         if own || changed {
             self.pending
                 .borrow_mut()
@@ -246,6 +247,11 @@
     }
 }
 
+/// Returns whether a row says that a target is cold.
+fn is_cold(row: &Row) -> bool {
+    matches!(&row.kind, Some(Kind::Target(target)) if target.cold_ms > 0)
+}
+
 /// Returns whether a follower needs rows of this kind. A row without a kind says that a process has ended.
 fn is_relevant(interest: Interest, kind: Option<&Kind>) -> bool {
     match interest {
--- a/crates/filbertstack-gateway/src/entry/mod.rs
+++ b/crates/filbertstack-gateway/src/entry/mod.rs
@@ -204,7 +204,7 @@
     let mut declared = node.declared.watch();
     let mut limits = node.limits.watch();
     loop {
-        requests.targets().refresh();
+        requests.refresh_targets();
         let rows = node.registry.present();
         let entries = rows
             .iter()
--- a/crates/filbertstack-gateway/src/request/attempt.rs
+++ b/crates/filbertstack-gateway/src/request/attempt.rs
@@ -252,7 +252,7 @@
             .map(|_| Instant::now() + limited),
     };
     let way = find_way(tries, resume);
-    if !permit::may_send_to(requests, call, &chosen.id, way) {
+    if !permit::may_send_to(requests, call, chosen, way) {
         guard.ended = AttemptEnd::Refused;
         tries.attempts.count_unreached();
         return Outcome::NotRun;
@@ -275,7 +275,7 @@
     if broken
         && connected.was_closed()
         && connected.replace(requests, call, chosen).await
-        && permit::may_send_to(requests, call, &chosen.id, Way::Resend)
+        && permit::may_send_to(requests, call, chosen, Way::Resend)
     {
         requests.targets.record_resent(&chosen.id);
         let sending = std::pin::pin!(connected.connection.send(build_request(call, &onward)));
--- a/crates/filbertstack-gateway/src/request/mod.rs
+++ b/crates/filbertstack-gateway/src/request/mod.rs
@@ -6,6 +6,7 @@
 pub mod answer;
 pub mod attempt;
 mod classify;
+pub mod cold;
 mod connect;
 mod cut;
 pub mod events;
@@ -228,6 +229,13 @@
         &self.targets
     }
 
+    /// Replaces the targets by those of the current registry and declared state.
+    pub fn refresh_targets(&self) {
+        self.targets.refresh();
+        let cold = i64::try_from(self.targets.cold_count()).unwrap_or(i64::MAX);
+        self.metrics.entry.cold.set(cold);
+    }
+
     /// Sets how many entries share the budget of repeated sends.
     pub fn set_entries(&self, entries: u32) {
         self.repeats.borrow_mut().set_entries(entries);
--- a/crates/filbertstack-gateway/src/request/permit.rs
+++ b/crates/filbertstack-gateway/src/request/permit.rs
@@ -1,7 +1,6 @@
 //! The question that each way to a target asks before a request is sent, and what follows from a denial.
 
 use filbertstack_policy::crashes::Verdict;
-use filbertstack_policy::dispatch::TargetId;
 use filbertstack_policy::permit;
 use filbertstack_policy::permit::Permit;
 use filbertstack_policy::permit::Way;
@@ -10,6 +9,7 @@
 use crate::request::Call;
 use crate::request::Requests;
 use crate::request::answer::Refusal;
+use crate::request::targets::Chosen;
 use crate::request::targets::instance_of;
 
 /// Returns the refusal of a request that may be sent to no target, as it crashes those that run it.
@@ -22,22 +22,26 @@
     Some(Refusal::busy(why, retry_after.into()))
 }
 
-/// Returns whether a request may be sent now to the target that was chosen for it, and records a probe. What is
-/// known may have changed while the request waited for a target or for its connection.
-pub fn may_send_to(requests: &Requests, call: &Call, target: &TargetId, way: Way) -> bool {
-    let obstacle = requests.targets.obstacle(target);
+/// Returns whether a request may be sent now to the target that was chosen for it, and records it and a probe. What
+/// is known may have changed while the request waited for a target or for its connection.
+pub fn may_send_to(requests: &Requests, call: &Call, chosen: &Chosen, way: Way) -> bool {
+    let obstacle = requests.targets.obstacle(chosen, way);
     let permit = permit::may_send_to(way, verdict(requests, call), obstacle);
     if let Some(why) = permit.denial() {
         info!("send denied", kv: {
-            request = call.head.id(), target = instance_of(target), way = way.name(), why = why
+            request = call.head.id(), target = instance_of(&chosen.id), way = way.name(), why = why
         });
         requests.metrics.entry.denials.add(why, 1);
     }
-    match permit {
+    let may_send = match permit {
         Permit::Send => true,
-        Permit::Probe => requests.node.record_probe(call.suspects(), target),
+        Permit::Probe => requests.node.record_probe(call.suspects(), &chosen.id),
         Permit::NotThere(_) | Permit::Nowhere { .. } => false,
+    };
+    if may_send {
+        requests.targets.record_written(chosen);
     }
+    may_send
 }
 
 fn verdict(requests: &Requests, call: &Call) -> Verdict {
--- a/crates/filbertstack-gateway/src/request/targets.rs
+++ b/crates/filbertstack-gateway/src/request/targets.rs
@@ -19,6 +19,7 @@
 use filbertstack_policy::dispatch::TargetRequest;
 use filbertstack_policy::dispatch::TargetSpec;
 use filbertstack_policy::permit::Obstacle;
+use filbertstack_policy::permit::Way;
 use filbertstack_policy::quota;
 use filbertstack_policy::quota::Sender;
 use filbertstack_policy::registry::Stamp;
@@ -35,6 +36,9 @@
 use crate::link::messages::TargetRow;
 use crate::link::messages::decode_addr;
 use crate::link::messages::pack_addr;
+use crate::request::cold::ColdTargets;
+use crate::request::cold::Peers;
+use crate::request::cold::UsedTarget;
 
 /// The targets that requests may go to.
 pub struct Targets {
@@ -43,6 +47,7 @@
     endpoints: RefCell<BTreeMap<TargetId, Endpoint>>,
     /// The engines among them by their packed addresses, as load reports identify them.
     engines: RefCell<BTreeMap<u64, TargetId>>,
+    cold: ColdTargets,
 }
 
 /// The address of a target and the version of the weights that its answers must come from.
@@ -61,6 +66,8 @@
 pub struct Chosen {
     /// The target: one start of an instance.
     pub id: TargetId,
+    /// When it was chosen.
+    pub chosen_at: Millis,
     /// The address where it serves.
     pub addr: SocketAddr,
     /// The version of the weights that it must serve, if older versions may no longer answer.
@@ -77,6 +84,7 @@
     /// Creates the state without any target.
     pub fn new(node: Rc<Node>, dispatcher: Dispatcher) -> Self {
         Self {
+            cold: ColdTargets::new(node.clone()),
             node,
             dispatcher: RefCell::new(dispatcher),
             endpoints: RefCell::default(),
@@ -104,6 +112,9 @@
         let mut endpoints = BTreeMap::new();
         let mut engines = BTreeMap::new();
         let mut quotas = Vec::new();
+        let mut cold_limits = Vec::new();
+        let peers = Peers::new(&rows, latest.iter().map(|registered| registered.row));
+        self.cold.join(now, &peers);
         for registered in &latest {
             let Registered { row, addr, .. } = *registered;
             let agent = agents.get(row.addr.as_str()).copied();
@@ -120,6 +131,15 @@
                 engines.extend(pack_addr(addr).map(|packed| (packed, id.clone())));
             }
             quotas.push((id.clone(), self.quota(&rows, registered.instance, row)));
+            let used_target = UsedTarget {
+                id: id.clone(),
+                instance: registered.instance,
+                stamp: registered.stamp,
+                row,
+                readmitted: None,
+            };
+            let limit = self.cold.limit(now, &used_target, &peers);
+            cold_limits.push((used_target.id, limit));
             offered.push(target);
             endpoints.insert(id, endpoint);
         }
@@ -133,6 +153,10 @@
         for (id, per_s) in quotas {
             dispatcher.set_quota(now, &id, per_s);
         }
+        for (id, limit) in cold_limits {
+            dispatcher.set_cold(now, &id, limit);
+        }
+        self.cold.retain(&endpoints, &rows);
         *self.endpoints.borrow_mut() = endpoints;
         *self.engines.borrow_mut() = engines;
     }
@@ -302,6 +326,7 @@
         })?;
         Ok(Chosen {
             id,
+            chosen_at: now,
             addr: endpoint.addr,
             version: endpoint.version,
             time_limit: endpoint.valid_until.map(|until| until.since(now).into()),
@@ -356,10 +381,22 @@
         self.dispatcher.borrow_mut().record_leaving(id);
     }
 
-    /// Returns why a target gets no request now.
-    pub fn obstacle(&self, id: &str) -> Option<Obstacle> {
+    /// Returns why a target gets no request now that was chosen for it before.
+    pub fn obstacle(&self, chosen: &Chosen, way: Way) -> Option<Obstacle> {
+        let now = self.node.clock.now();
+        let dispatcher = self.dispatcher.borrow();
+        dispatcher.send_obstacle(now, &chosen.id, chosen.chosen_at, way)
+    }
+
+    /// Records that a request is written to the target that was chosen for it.
+    pub fn record_written(&self, chosen: &Chosen) {
         let now = self.node.clock.now();
-        self.dispatcher.borrow().obstacle(now, id)
+        self.dispatcher.borrow_mut().record_written(now, &chosen.id);
+    }
+
+    /// Returns the number of targets that are cold.
+    pub fn cold_count(&self) -> usize {
+        self.cold.count()
     }
 
     /// Records a request that is sent to the same target again.
--- a/crates/filbertstack-telemetry/src/metrics/groups.rs
+++ b/crates/filbertstack-telemetry/src/metrics/groups.rs
@@ -40,6 +40,8 @@
     pub targets: LabelledGauge,
     /// The targets that were ejected as slow or failing.
     pub ejected: PlainGauge,
+    /// The targets that are cold, of those that the entry uses.
+    pub cold: PlainGauge,
     /// The time that requests spend in the queue.
     pub wait: PlainTimer,
     /// The time to the first token.
@@ -87,6 +89,7 @@
             in_flight: PlainGauge::new(m, "entry_in_flight", "Requests at targets"),
             targets: LabelledGauge::new(m, "entry_targets", "state", "Targets known"),
             ejected: PlainGauge::new(m, "entry_ejected", "Targets ejected as slow or failing"),
+            cold: PlainGauge::new(m, "entry_cold_targets", "Targets that are cold"),
             wait: PlainTimer::new(m, "entry_wait", "Time in the queue"),
             first_token: PlainTimer::new(m, "entry_first_token", "Time to the first token"),
             token_gap: PlainTimer::new(m, "entry_token_gap", "Time between tokens"),
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -2,6 +2,7 @@
 //! weights.
 
 mod cluster;
+mod cold;
 mod control;
 mod crashes;
 mod crashing_parts;
