Log when an entry's share of a cold target changes

`target is cold` was logged only when the cold time began, before the entry was registered, so that its `own_gap_ms` told an operator nothing about the requests after that. It is now logged again with each change.

The process test uses the line to prove that entries without a voter send a cold target nothing.

--- a/crates/filbertstack-gateway/src/request/cold.rs
+++ b/crates/filbertstack-gateway/src/request/cold.rs
@@ -37,8 +37,8 @@
 #[derive(Default)]
 struct State {
     reports: Reports,
-    /// The targets that are known to be cold.
-    cold: BTreeSet<TargetId>,
+    /// The targets that are known to be cold, with this entry's share as it was logged.
+    cold: BTreeMap<TargetId, Option<Share>>,
     /// The time since which this entry has been registered and in contact with the voters.
     joined_at: Option<Millis>,
     /// This entry's shares of cold targets among the entries with the hash `entries`. Ranking hundreds of entries
@@ -183,7 +183,7 @@
         let until = cold_start.map(|cold_start| self.until(now, target, &cold_start));
         let Some((cold_start, until)) = cold_start.zip(until).filter(|(_, until)| now < *until)
         else {
-            if self.state.borrow_mut().cold.remove(id) {
+            if self.state.borrow_mut().cold.remove(id).is_some() {
                 info!("target is no longer cold", kv: { target = id.to_string() });
             }
             return None;
@@ -235,7 +235,8 @@
     }
 
     fn log_cold(&self, target: &UsedTarget<'_>, remaining: Millis, share: Option<Share>) {
-        if !self.state.borrow_mut().cold.insert(target.id.clone()) {
+        let cold = &mut self.state.borrow_mut().cold;
+        if cold.insert(target.id.clone(), share) == Some(share) {
             return;
         }
         let gap = share.and_then(|share| i64::try_from(share.gap.0).ok());
@@ -248,7 +249,7 @@
     /// Drops what is known of targets that are not used any more, and of instances that are not in `rows`.
     pub fn retain<T>(&self, used: &BTreeMap<TargetId, T>, rows: &[RegistryRow]) {
         let state = &mut self.state.borrow_mut();
-        state.cold.retain(|id| used.contains_key(id));
+        state.cold.retain(|id, _| used.contains_key(id));
         state.shares.retain(|id, _| used.contains_key(id));
         if state.reports.is_empty() {
             return;
--- a/tests/gateway/cold.rs
+++ b/tests/gateway/cold.rs
@@ -39,6 +39,13 @@
     });
 }
 
+/// Returns the last line in which an entry says what it sends to a cold target.
+fn last_gap(cluster: &Cluster, n: usize) -> Option<String> {
+    let log = cluster.logged(n);
+    let line = log.lines().rfind(|line| line.contains("target is cold"));
+    line.map(str::to_owned)
+}
+
 /// Calls each entry [`CALLS`] times, and returns the statuses of the answers. Each refusal must say when to come
 /// back.
 fn call_all(cluster: &Cluster) -> Vec<u16> {
@@ -60,8 +67,9 @@
     statuses.collect()
 }
 
-/// Guards against a target that has just started and gets what all entries take it for free, or nothing after its
-/// cold time. The callers see refusals at once, and served requests when the target says that it is warm.
+/// Guards against a target that has just started and gets more than its rate, because each entry takes it for free
+/// or keeps a place that the others have given away, and against one that gets nothing after its cold time. The
+/// callers see refusals at once, and served requests when the target says that it is warm.
 #[test]
 fn entries_keep_the_rate_of_a_cold_target_together() {
     let arrivals: Arc<Mutex<Vec<Instant>>> = Arc::default();
@@ -75,7 +83,7 @@
         )
         .into_bytes()
     }));
-    let cluster = Cluster::start(1, 3);
+    let mut cluster = Cluster::start(1, 3);
     let mut declared = document(1);
     declared["services"][0]["coldS"] = json!(30);
     declared["services"][0]["coldPerS"] = json!(2);
@@ -99,10 +107,17 @@
         let metrics = cluster.metrics(1);
         metrics.contains("filbertstack_entry_cold_targets 1")
     });
+    cluster.kill(0);
+    wait_until("entries without a voter leave it to the others", || {
+        (1..4).all(|n| last_gap(&cluster, n).is_some_and(|line| line.contains("\"own_gap_ms\":-1")))
+    });
+    cluster.launch(0);
     wait_until("the target is warm at all entries", || {
         announce(&cluster, &engine, &json!("none"));
         call_all(&cluster).iter().all(|status| *status == 200)
     });
-    assert!(cluster.has_logged(0, "cold time of a heartbeat can't be read"));
-    assert!((0..4).all(|n| cluster.has_logged(n, "target is no longer cold")));
+    wait_until("the change is logged", || {
+        let is_warm = |n| cluster.has_logged(n, "target is no longer cold");
+        (1..4).all(is_warm) && cluster.has_logged(0, "cold time of a heartbeat can't be read")
+    });
 }
