Keep the evacuated zones in the replicated document state

Change: a command evacuates or readmits one zone. The state keeps the set of zones and a revision, which is the index of the last change in the log.

A command carries the state that its proposer knows, for a group whose log lost its state with the disks of a majority: otherwise entries with the higher revision would ignore the new group.

Documents::apply takes the index of the command; tests that don't depend on it pass 1.

--- a/crates/filbertstack-control/src/document.rs
+++ b/crates/filbertstack-control/src/document.rs
@@ -7,6 +7,7 @@
 
 mod lists;
 mod packed;
+mod zones;
 
 use std::collections::BTreeMap;
 
@@ -18,6 +19,9 @@
 use self::lists::Lists;
 pub use self::packed::Packed;
 pub use self::packed::UnpackError;
+pub use self::zones::EvacuatedZones;
+pub use self::zones::ZoneChange;
+pub use self::zones::ZoneState;
 
 /// How many of the latest versions of a model's weights are remembered. Newer versions may be named before
 /// the targets have loaded older ones, and an order for an older version may still be carried out.
@@ -27,7 +31,7 @@
 #[derive(Clone, PartialEq, Eq, Hash, prost::Message)]
 pub struct Change {
     /// What changes.
-    #[prost(oneof = "Kind", tags = "1, 2, 3, 4")]
+    #[prost(oneof = "Kind", tags = "1, 2, 3, 4, 5")]
     pub kind: Option<Kind>,
 }
 
@@ -46,6 +50,9 @@
     /// The list of a version's pieces. No engine is ordered to load a version before its list is kept.
     #[prost(message, tag = "4")]
     List(KeptList),
+    /// An evacuation of an availability zone, or its withdrawal. Earlier releases can't read it.
+    #[prost(message, tag = "5")]
+    Zone(ZoneChange),
 }
 
 /// A whole configuration.
@@ -81,14 +88,15 @@
     Unreadable,
 }
 
-/// The state: the newest document, and the latest versions of each model's weights with the lists of
-/// their pieces.
+/// The state: the newest document, the latest versions of each model's weights with the lists of their
+/// pieces, and the evacuated zones.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Documents {
     document: Document,
     /// The latest [`KEPT_VERSIONS`] versions of each model, in ascending order.
     weights: BTreeMap<String, Vec<u64>>,
     lists: Lists,
+    zones: EvacuatedZones,
 }
 
 #[derive(Clone, PartialEq, prost::Message)]
@@ -99,6 +107,9 @@
     weights: Vec<Weights>,
     #[prost(message, repeated, tag = "3")]
     lists: Vec<KeptList>,
+    /// Absent in a snapshot of an earlier release, which applies no evacuations.
+    #[prost(message, optional, tag = "4")]
+    zones: Option<ZoneState>,
 }
 
 /// The bytes are not a snapshot of this state machine.
@@ -127,23 +138,23 @@
         self.lists.latest(upto)
     }
 
-    /// Applies one command.
-    pub fn apply(&mut self, command: &[u8]) -> Effect {
+    /// Returns the evacuated zones.
+    pub fn zones(&self) -> &EvacuatedZones {
+        &self.zones
+    }
+
+    /// Applies the command at `index` of the log.
+    pub fn apply(&mut self, index: u64, command: &[u8]) -> Effect {
         let change = Change::decode(command).ok().and_then(|c| c.kind);
         match change {
             Some(Kind::Document(document)) => self.replace(document),
             Some(Kind::Weights(weights)) => self.add_version(weights),
             Some(Kind::Packed(packed)) => self.replace_packed(&packed),
-            Some(Kind::List(list)) => self.keep_list(list),
-            None => Effect::Unreadable,
-        }
-    }
-
-    fn keep_list(&mut self, list: KeptList) -> Effect {
-        if self.lists.keep(list) {
-            Effect::InForce
-        } else {
-            Effect::Superseded
+            Some(Kind::List(list)) => effect_of(self.lists.keep(list)),
+            Some(Kind::Zone(change)) if !change.zone.is_empty() => {
+                effect_of(self.zones.apply(index, change))
+            }
+            Some(Kind::Zone(_)) | None => Effect::Unreadable,
         }
     }
 
@@ -184,11 +195,13 @@
             document: self.document.clone(),
             weights: self.weights().collect(),
             lists: self.lists.iter().cloned().collect(),
+            zones: Some(self.zones.state()),
         };
         snapshot.encode_to_vec()
     }
 
-    /// Replaces the whole state by that of a snapshot.
+    /// Replaces the whole state by that of a snapshot. A snapshot of an earlier release knows no evacuations, and
+    /// those that are held stay: their callers were told that they hold until they are withdrawn.
     ///
     /// # Errors
     /// Returns a [`SnapshotError`] if the bytes are not a snapshot.
@@ -200,6 +213,17 @@
             self.add_version(weights);
         }
         self.lists = snapshot.lists.into_iter().collect();
+        if let Some(zones) = snapshot.zones {
+            self.zones = zones.into();
+        }
         Ok(())
     }
 }
+
+fn effect_of(changed: bool) -> Effect {
+    if changed {
+        Effect::InForce
+    } else {
+        Effect::Superseded
+    }
+}
--- a/crates/filbertstack-control/tests/document.rs
+++ b/crates/filbertstack-control/tests/document.rs
@@ -51,7 +51,7 @@
 
 fn keep_list(documents: &mut Documents, list: KeptList) -> Effect {
     let kind = Some(Kind::List(list));
-    documents.apply(&Change { kind }.encode_to_vec())
+    documents.apply(1, &Change { kind }.encode_to_vec())
 }
 
 /// Guards against two operators who send different content under one version. Only the first content takes
@@ -60,15 +60,15 @@
 fn other_content_under_the_same_version_changes_nothing() {
     let mut documents = Documents::default();
     assert_eq!(
-        documents.apply(&document_command(7, "first")),
+        documents.apply(1, &document_command(7, "first")),
         Effect::InForce
     );
     assert_eq!(
-        documents.apply(&document_command(7, "second")),
+        documents.apply(1, &document_command(7, "second")),
         Effect::Superseded
     );
     assert_eq!(
-        documents.apply(&document_command(6, "older")),
+        documents.apply(1, &document_command(6, "older")),
         Effect::Superseded
     );
     assert_eq!(&documents.document().body[..], b"first");
@@ -91,7 +91,7 @@
         body.len()
     );
     let mut documents = Documents::default();
-    assert_eq!(documents.apply(&packed), Effect::InForce);
+    assert_eq!(documents.apply(1, &packed), Effect::InForce);
     assert_eq!(documents.document().body, body);
     let mut restarted = Documents::default();
     restarted
@@ -104,18 +104,21 @@
 #[test]
 fn invalid_packed_bytes_change_nothing() {
     let mut documents = Documents::default();
-    documents.apply(&document_command(1, "a"));
+    documents.apply(1, &document_command(1, "a"));
     let intact = pack(2, "a document".repeat(100));
     let cut = Packed {
         body: intact.body.slice(..intact.body.len() / 2),
         ..intact
     };
-    assert_eq!(documents.apply(&packed_command(cut)), Effect::Unreadable);
+    assert_eq!(documents.apply(1, &packed_command(cut)), Effect::Unreadable);
     let long = pack(2, vec![0; 64 << 20]);
-    assert_eq!(documents.apply(&packed_command(long)), Effect::Unreadable);
+    assert_eq!(
+        documents.apply(1, &packed_command(long)),
+        Effect::Unreadable
+    );
     assert_eq!(&documents.document().body[..], b"a");
     assert_eq!(
-        documents.apply(&packed_command(pack(1, "other"))),
+        documents.apply(1, &packed_command(pack(1, "other"))),
         Effect::Superseded
     );
 }
@@ -123,8 +126,8 @@
 #[test]
 fn invalid_command_bytes_change_nothing() {
     let mut documents = Documents::default();
-    documents.apply(&document_command(1, "a"));
-    assert_eq!(documents.apply(&[0xff; 9]), Effect::Unreadable);
+    documents.apply(1, &document_command(1, "a"));
+    assert_eq!(documents.apply(1, &[0xff; 9]), Effect::Unreadable);
     assert_eq!(documents.document().version, 1);
     assert!(documents.restore(&[0xff; 9]).is_err());
     assert_eq!(documents.document().version, 1);
@@ -135,7 +138,7 @@
 fn older_weights_versions_survive_a_restart() {
     let mut documents = Documents::default();
     for version in [2, 3, 5, 5, 4, 9, 10, 12] {
-        documents.apply(&weights_command("m", version));
+        documents.apply(1, &weights_command("m", version));
     }
     let snapshot_bytes = documents.snapshot();
     let mut restarted = Documents::default();
@@ -217,13 +220,13 @@
             let (effect, newer) = if kind == 0 {
                 let newer = number > weights;
                 weights = weights.max(number);
-                (documents.apply(&weights_command("m", number)), newer)
+                (documents.apply(1, &weights_command("m", number)), newer)
             } else {
                 let newer = number > version;
                 if newer {
                     (version, body) = (number, text.clone());
                 }
-                (documents.apply(&document_command(number, &text)), newer)
+                (documents.apply(1, &document_command(number, &text)), newer)
             };
             prop_assert_eq!(effect == Effect::InForce, newer);
             if snapshot {
--- a/crates/filbertstack-gateway/src/control/machine.rs
+++ b/crates/filbertstack-gateway/src/control/machine.rs
@@ -39,8 +39,8 @@
     type Outcome = Effect;
     type RestoreError = SnapshotError;
 
-    fn apply(&mut self, _index: u64, command: &[u8]) -> Effect {
-        let effect = self.documents.apply(command);
+    fn apply(&mut self, index: u64, command: &[u8]) -> Effect {
+        let effect = self.documents.apply(index, command);
         if effect == Effect::InForce {
             self.publish();
         }
