Send nothing to targets of an evacuated zone

Cause: TargetSpec::evacuated was not used.

Change: an evacuated target has its own obstacle, which comes before all others and holds on every way to a target, the probe of an ejected target included. If all targets of a service are evacuated, the request is refused with its own error.

--- a/crates/filbertstack-policy/src/dispatch.rs
+++ b/crates/filbertstack-policy/src/dispatch.rs
@@ -23,6 +23,10 @@
 //! counts as full beyond that, so that its callers are not told that the service is gone. A target that asked
 //! this entry for [rest](crate::notices) counts as full until the rest ends, and one that leaves as gone.
 //!
+//! Operators evacuate a whole availability zone. Its targets get nothing on any path, while their streams end by
+//! themselves. If all targets of a service are in such zones, its requests are refused at once: an evacuation lasts
+//! longer than any caller waits.
+//!
 //! Decisions depend only on the time and the observations passed in. They use no clock, network or
 //! thread.
 
@@ -109,13 +113,20 @@
         /// The delay after which the caller may retry.
         retry_after: Millis,
     },
+    /// All targets of the service are in evacuated zones.
+    Evacuated {
+        /// The delay after which the caller may retry.
+        retry_after: Millis,
+    },
 }
 
 impl ChooseError {
     /// Returns the delay after which the caller may retry.
     pub fn retry_after(self) -> Millis {
         match self {
-            Self::NoTarget { retry_after } | Self::Full { retry_after } => retry_after,
+            Self::NoTarget { retry_after }
+            | Self::Full { retry_after }
+            | Self::Evacuated { retry_after } => retry_after,
         }
     }
 }
@@ -178,6 +189,10 @@
         now: Millis,
         wanted: &TargetRequest<'_>,
     ) -> Result<TargetId, ChooseError> {
+        if self.is_evacuated(wanted.service) {
+            let retry_after = self.jitter(NO_TARGET_RETRY_MS);
+            return Err(ChooseError::Evacuated { retry_after });
+        }
         let prompt = f64::from(wanted.prompt);
         let limit = millis_f64(wanted.goal) * GOAL_SHARE;
         let mut preferred: Vec<(f64, TargetId)> = Vec::new();
@@ -268,6 +283,13 @@
         }
     }
 
+    /// Returns whether the service has targets, and all are in evacuated zones.
+    fn is_evacuated(&self, service: &str) -> bool {
+        let targets = self.targets.values();
+        let mut targets = targets.filter(|t| &*t.spec.service == service).peekable();
+        targets.peek().is_some() && targets.all(|t| t.spec.evacuated)
+    }
+
     /// Returns the free slots of a service's targets in other zones, and of those in the local zone.
     fn free_slots(&self, now: Millis, service: &str, limit: f64, cut_off: bool) -> [FreeSlots; 2] {
         let mut free_slots = [FreeSlots::default(); 2];
@@ -389,7 +411,7 @@
 
     fn find_obstacle(&self, now: Millis, target: &Target) -> Option<Obstacle> {
         let obstacle = target.obstacle(now);
-        if obstacle == Some(Obstacle::TakesNoWork) {
+        if let Some(Obstacle::Evacuated | Obstacle::TakesNoWork) = obstacle {
             return obstacle;
         }
         self.noticed(now, &target.spec.id).or(obstacle)
--- a/crates/filbertstack-policy/src/dispatch/target.rs
+++ b/crates/filbertstack-policy/src/dispatch/target.rs
@@ -170,7 +170,9 @@
             Health::Ejected { .. } => self.outlier.probe_due(now),
             Health::Probing => false,
         };
-        if !self.spec.accepts_work {
+        if self.spec.evacuated {
+            Some(Obstacle::Evacuated)
+        } else if !self.spec.accepts_work {
             Some(Obstacle::TakesNoWork)
         } else if !healthy {
             Some(Obstacle::Ejected)
--- a/crates/filbertstack-policy/src/permit.rs
+++ b/crates/filbertstack-policy/src/permit.rs
@@ -13,6 +13,7 @@
 //! | the target names a limit for all entries together | the target, to any entry | [`quota`](crate::quota) |
 //! | the target fails requests | this entry | [`outlier`](crate::outlier) |
 //! | the target turned requests away, or takes no new work | the target | [`dispatch`](crate::dispatch) |
+//! | the target's availability zone is evacuated | operators, to all entries | [`dispatch`](crate::dispatch) |
 //!
 //! Decisions depend only on what is passed in. They use no clock, network or thread.
 
@@ -49,6 +50,8 @@
 /// Why a target gets no request now.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Obstacle {
+    /// Its availability zone is evacuated.
+    Evacuated,
     /// It is not known, drains, or loads weights.
     TakesNoWork,
     /// It leaves.
@@ -67,6 +70,7 @@
     /// Returns its description in logs and metrics.
     pub fn name(self) -> &'static str {
         match self {
+            Self::Evacuated => "the target's zone is evacuated",
             Self::TakesNoWork => "the target takes no work",
             Self::Leaves => "the target leaves",
             Self::Rests(_) => "the target rests",
@@ -76,12 +80,12 @@
         }
     }
 
-    /// Returns whether it keeps back a request for which the target was chosen before. What the target itself
-    /// wants holds until the request is sent. Other obstacles were weighed in the choice: the request has its place
+    /// Returns whether it keeps back a request for which the target was chosen before. What operators or the
+    /// target itself want holds until the request is sent. Other obstacles were weighed in the choice: the request has its place
     /// in the limit and, at an ejected target, is its probe. One that is sent once more needs another place.
     fn holds_back(self, way: Way) -> bool {
         match self {
-            Self::TakesNoWork | Self::Leaves | Self::Rests(_) => true,
+            Self::Evacuated | Self::TakesNoWork | Self::Leaves | Self::Rests(_) => true,
             Self::LimitReached => way == Way::Resend,
             Self::Ejected | Self::Paused => false,
         }
--- a/crates/filbertstack-policy/tests/permit.rs
+++ b/crates/filbertstack-policy/tests/permit.rs
@@ -37,6 +37,7 @@
 #[test]
 fn what_a_target_wants_holds_on_every_way() {
     let wishes = [
+        Obstacle::Evacuated,
         Obstacle::Leaves,
         Obstacle::Rests(Millis::secs(9)),
         Obstacle::TakesNoWork,
@@ -69,6 +70,7 @@
 #[test]
 fn each_denial_names_its_own_reason() {
     let obstacles = [
+        Obstacle::Evacuated,
         Obstacle::TakesNoWork,
         Obstacle::Leaves,
         Obstacle::Rests(Millis(1)),
@@ -81,7 +83,7 @@
     let count = names.len();
     names.sort_unstable();
     names.dedup();
-    assert_eq!((names.len(), count), (7, 7));
+    assert_eq!((names.len(), count), (8, 8));
     assert_eq!(Permit::Send.denial().or(Permit::Probe.denial()), None);
     let ways: std::collections::BTreeSet<&str> = WAYS.iter().map(|way| way.name()).collect();
     assert_eq!(ways.len(), WAYS.len());
