Refuse a late copy of a call that changes a zone

Cause: a call can take effect long after its sender repeated it elsewhere, if a process is suspended or a link is slow. It would then undo a later call that was acknowledged.

Change: the state keeps the last change of each zone, also of 64 readmitted ones. A change whose proposer did not know the zone's last change is Outdated and changes nothing.

Before, the late call took effect.

--- a/crates/filbertstack-control/src/document.rs
+++ b/crates/filbertstack-control/src/document.rs
@@ -21,6 +21,7 @@
 pub use self::packed::UnpackError;
 pub use self::zones::EvacuatedZones;
 pub use self::zones::ZoneChange;
+pub use self::zones::ZoneRow;
 pub use self::zones::ZoneState;
 
 /// How many of the latest versions of a model's weights are remembered. Newer versions may be named before
@@ -84,6 +85,8 @@
     InForce,
     /// The state already had a version at least as high, or the same list. Nothing changed.
     Superseded,
+    /// The proposer did not know a change that the command would undo. Nothing changed.
+    Outdated,
     /// This version of the program can't read the command.
     Unreadable,
 }
@@ -151,9 +154,7 @@
             Some(Kind::Weights(weights)) => self.add_version(weights),
             Some(Kind::Packed(packed)) => self.replace_packed(&packed),
             Some(Kind::List(list)) => effect_of(self.lists.keep(list)),
-            Some(Kind::Zone(change)) if !change.zone.is_empty() => {
-                effect_of(self.zones.apply(index, change))
-            }
+            Some(Kind::Zone(change)) if !change.zone.is_empty() => self.zones.apply(index, change),
             Some(Kind::Zone(_)) | None => Effect::Unreadable,
         }
     }
--- a/crates/filbertstack-control/tests/zones.rs
+++ b/crates/filbertstack-control/tests/zones.rs
@@ -5,6 +5,7 @@
 use filbertstack_control::document::Effect;
 use filbertstack_control::document::Kind;
 use filbertstack_control::document::ZoneChange;
+use filbertstack_control::document::ZoneRow;
 use filbertstack_control::document::ZoneState;
 use prost::Message as _;
 
@@ -18,10 +19,16 @@
     Change { kind }.encode_to_vec()
 }
 
-fn state(revision: u64, zones: &[&str]) -> ZoneState {
+/// Returns a state whose evacuated zones changed at the given revisions.
+fn state(revision: u64, zones: &[(&str, u64)]) -> ZoneState {
+    let zones = zones.iter().map(|(zone, changed)| ZoneRow {
+        zone: (*zone).to_owned(),
+        evacuated: true,
+        changed: *changed,
+    });
     ZoneState {
         revision,
-        zones: zones.iter().map(ToString::to_string).collect(),
+        zones: zones.collect(),
     }
 }
 
@@ -33,26 +40,66 @@
     documents
 }
 
+/// Proposes a change with the state that is current.
+fn propose(documents: &mut Documents, index: u64, zone: &str, evacuated: bool) -> Effect {
+    let known = documents.zones().state();
+    documents.apply(index, &change(zone, evacuated, Some(known)))
+}
+
+fn evacuated(documents: &Documents) -> Vec<String> {
+    let state = documents.zones().state();
+    state.evacuated().map(str::to_owned).collect()
+}
+
 /// Guards against a resend that undoes a change or makes it look new, and against a withdrawal that readmits
 /// another zone.
 #[test]
 fn repeated_calls_change_nothing_and_zones_are_independent() {
     let mut documents = two_evacuated();
-    assert_eq!(
-        documents.apply(8, &change("a", true, None)),
-        Effect::Superseded
-    );
-    assert_eq!(documents.zones().state(), state(7, &["a", "b"]));
-    assert_eq!(
-        documents.apply(9, &change("a", false, None)),
-        Effect::InForce
-    );
-    assert_eq!(documents.zones().state(), state(9, &["b"]));
-    assert_eq!(
-        documents.apply(10, &change("a", false, None)),
-        Effect::Superseded
-    );
-    assert_eq!(documents.zones().state(), state(9, &["b"]));
+    assert_eq!(propose(&mut documents, 8, "a", true), Effect::Superseded);
+    assert_eq!(documents, two_evacuated());
+    assert_eq!(propose(&mut documents, 9, "a", false), Effect::InForce);
+    assert_eq!(evacuated(&documents), ["b"]);
+    assert_eq!(documents.zones().state().revision, 9);
+    assert_eq!(propose(&mut documents, 10, "a", false), Effect::Superseded);
+    assert_eq!(documents.zones().state().revision, 9);
+}
+
+/// Guards against a late copy of a call that undoes what was acknowledged since, while changes of other zones that
+/// the proposer does not know stand in no call's way.
+#[test]
+fn a_call_from_before_the_last_change_of_its_zone_is_refused() {
+    let mut documents = two_evacuated();
+    let known = documents.zones().state();
+    let late_readmission = change("a", false, Some(known.clone()));
+    assert_eq!(propose(&mut documents, 9, "a", false), Effect::InForce);
+    let late_evacuation = change("a", true, Some(known.clone()));
+    assert_eq!(documents.apply(10, &late_evacuation), Effect::Outdated);
+    assert_eq!(propose(&mut documents, 11, "a", true), Effect::InForce);
+    assert_eq!(documents.apply(12, &late_readmission), Effect::Outdated);
+    assert_eq!(evacuated(&documents), ["a", "b"]);
+    let other = change("b", false, Some(known));
+    assert_eq!(documents.apply(13, &other), Effect::InForce);
+    assert_eq!(evacuated(&documents), ["a"]);
+}
+
+/// Guards against a state that grows with each name that was ever evacuated.
+#[test]
+fn zones_that_were_readmitted_long_ago_are_forgotten() {
+    let mut documents = two_evacuated();
+    for n in 0..1_000 {
+        let zone = format!("z-{n}");
+        assert_eq!(
+            propose(&mut documents, 10 + 2 * n, &zone, true),
+            Effect::InForce
+        );
+        assert_eq!(
+            propose(&mut documents, 11 + 2 * n, &zone, false),
+            Effect::InForce
+        );
+    }
+    assert_eq!(evacuated(&documents), ["a", "b"]);
+    assert_eq!(documents.zones().state().zones.len(), 2 + 64);
 }
 
 /// Guards against evacuations that are lost with the log entries before a snapshot, or by a snapshot that a voter
@@ -68,7 +115,7 @@
     // Tag 1 is the document, the only required field; the earlier release has no tag 4.
     let earlier = [0x0a, 0x00];
     restarted.restore(&earlier).expect("an earlier snapshot");
-    assert_eq!(restarted.zones().state(), state(7, &["a", "b"]));
+    assert_eq!(restarted.zones().state(), state(7, &[("a", 4), ("b", 7)]));
     let mut empty = Documents::default();
     empty.restore(&earlier).expect("an earlier snapshot");
     assert_eq!(empty.zones().state(), state(0, &[]));
@@ -96,13 +143,13 @@
 #[test]
 fn a_group_without_its_disks_continues_from_the_state_of_the_proposer() {
     let mut documents = Documents::default();
-    let known = state(900, &["a", "b"]);
+    let known = state(900, &[("a", 4), ("b", 7)]);
     let command = change("c", true, Some(known.clone()));
     assert_eq!(documents.apply(3, &command), Effect::InForce);
-    assert_eq!(documents.zones().state(), state(901, &["a", "b", "c"]));
-    assert_eq!(
-        documents.apply(4, &change("a", false, Some(known))),
-        Effect::InForce
-    );
-    assert_eq!(documents.zones().state(), state(902, &["b", "c"]));
+    let adopted = state(901, &[("a", 4), ("b", 7), ("c", 901)]);
+    assert_eq!(documents.zones().state(), adopted);
+    let withdrawal = change("a", false, Some(known));
+    assert_eq!(documents.apply(4, &withdrawal), Effect::InForce);
+    assert_eq!(documents.zones().state().revision, 902);
+    assert_eq!(evacuated(&documents), ["b", "c"]);
 }
