Evacuate a zone by a call to any node

Cause: operators had no way to keep requests from a zone that is about to go.

Change: POST and DELETE /evacuations/ZONE commit a change of the zone. Voters send the state to followers with Declared, in new fields; a follower ignores a lower revision. Each entry marks the targets of evacuated zones, draws its subset of engines from the other zones, and keeps those that it used before, as their streams finish. A service whose targets are all evacuated refuses at once with its own reason. Nodes remember when they learned of a withdrawal (DeclaredState::withdrawn_at).

A call is held for 20 ms, so that one whose sender has gone is dropped.

--- a/crates/filbertstack-gateway/src/control/api.rs
+++ b/crates/filbertstack-gateway/src/control/api.rs
@@ -12,6 +12,7 @@
 use filbertstack_control::document::Kind as ChangeKind;
 use filbertstack_control::document::Packed;
 use filbertstack_control::document::Weights;
+use filbertstack_control::document::ZoneChange;
 use filbertstack_core::serving::Catalogue;
 use filbertstack_platform::catalogue;
 use filbertstack_platform::control::CONTENT_TYPE_JSON;
@@ -19,6 +20,7 @@
 use filbertstack_platform::control::ControlCall;
 use filbertstack_platform::control::Heartbeat;
 use filbertstack_platform::control::error_body;
+use filbertstack_platform::control::has_body;
 use filbertstack_platform::control::heartbeat_answer;
 use filbertstack_platform::control::read_call;
 use http::Request;
@@ -47,6 +49,14 @@
 /// How long a body may take to arrive.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// How long a call that changes a zone is held, so that a closed connection of its sender is noticed: some rounds
+/// of the event loop.
+const CLOSE_CHECK: Duration = Duration::from_millis(20);
+
+/// The most zones that can be evacuated at once, many times the zones of any deployment. It bounds the state where
+/// no setting names the zones.
+const MAX_EVACUATED: usize = 256;
+
 /// The service on the control address.
 pub struct ControlApi {
     node: Rc<Node>,
@@ -60,18 +70,19 @@
 
     async fn handle(&self, request: Request<Incoming>) -> Result<Bytes, CallFailure> {
         let (head, body) = request.into_parts();
-        let body = Limited::new(body, MAX_BODY_BYTES).collect();
-        let body = tokio::time::timeout(BODY_TIMEOUT, body).await;
-        let body =
-            body.map_err(|_| CallFailure(StatusCode::REQUEST_TIMEOUT, "the body is late".into()))?;
-        let body = body.map_err(|e| CallFailure(StatusCode::BAD_REQUEST, e.to_string()))?;
-        let body = body.to_bytes();
+        let body = if has_body(head.uri.path()) {
+            read_body(body).await?
+        } else {
+            Bytes::new()
+        };
         match read_call(&head.method, head.uri.path(), &body)? {
             ControlCall::PutDocument => self.put_document(body).await,
             ControlCall::ReadDocument => self.read_document().await,
             ControlCall::NameWeights { model, version } => self.name_weights(&model, version).await,
             ControlCall::Heartbeat(heartbeat) => self.accept_heartbeat(heartbeat).await,
             ControlCall::Leave { id } => self.remove_target(&id).await,
+            ControlCall::Evacuate { zone } => self.change_zone(&zone, true).await,
+            ControlCall::Readmit { zone } => self.change_zone(&zone, false).await,
         }
     }
 
@@ -117,6 +128,44 @@
         Ok(Bytes::from_static(b"{}"))
     }
 
+    /// Commits the evacuation of a zone or its withdrawal. The same call again is committed as well: what this
+    /// node knows may be out of date.
+    ///
+    /// A process that was suspended finds calls whose senders have long repeated them elsewhere. One of them must
+    /// not undo a later call. Either its sender's closed connection drops it during the pause, or what this node
+    /// knew when it found the call is out of date.
+    async fn change_zone(&self, zone: &Arc<str>, evacuated: bool) -> Result<Bytes, CallFailure> {
+        self.check_zone(zone, evacuated)?;
+        let known = self.node.declared.evacuations().state().clone();
+        tokio::time::sleep(CLOSE_CHECK).await;
+        self.commit(ChangeKind::Zone(ZoneChange {
+            zone: zone.to_string(),
+            evacuated,
+            known: Some(known),
+        }))
+        .await?;
+        info!("evacuation call accepted", kv: { zone = zone.to_string(), evacuated = evacuated });
+        Ok(Bytes::from_static(b"{}"))
+    }
+
+    /// Refuses a zone that the settings do not name, as a misspelt zone would be evacuated in name only. The
+    /// evacuation of a zone that was since removed from the settings can still be withdrawn.
+    fn check_zone(&self, zone: &Arc<str>, evacuated: bool) -> Result<(), CallFailure> {
+        let zones = &self.node.settings.regions;
+        let evacuations = self.node.declared.evacuations();
+        let known = zones.is_empty() || zones.contains_key(zone) || evacuations.contains(zone);
+        if !known {
+            let names: Vec<&str> = zones.keys().map(|name| &**name).collect();
+            let why = format!("no zone has this name; name one of {}", names.join(", "));
+            return Err(CallFailure(StatusCode::NOT_FOUND, why));
+        }
+        if evacuated && !evacuations.contains(zone) && evacuations.count() >= MAX_EVACUATED {
+            let why = format!("{MAX_EVACUATED} zones are evacuated; withdraw one first");
+            return Err(CallFailure(StatusCode::CONFLICT, why));
+        }
+        Ok(())
+    }
+
     async fn commit(&self, kind: ChangeKind) -> Result<(), CallFailure> {
         let change = Change { kind: Some(kind) };
         self.node.propose(change.encode_to_vec().into()).await?;
@@ -153,6 +202,15 @@
     }
 }
 
+async fn read_body(body: Incoming) -> Result<Bytes, CallFailure> {
+    let body = Limited::new(body, MAX_BODY_BYTES).collect();
+    let body = tokio::time::timeout(BODY_TIMEOUT, body).await;
+    let body =
+        body.map_err(|_| CallFailure(StatusCode::REQUEST_TIMEOUT, "the body is late".into()))?;
+    let body = body.map_err(|e| CallFailure(StatusCode::BAD_REQUEST, e.to_string()))?;
+    Ok(body.to_bytes())
+}
+
 fn target_row(heartbeat: &Heartbeat) -> Row {
     let holding = heartbeat.holding.as_ref();
     Row {
@@ -180,7 +238,7 @@
     fn from(error: CallError) -> Self {
         let status = match error {
             CallError::Unknown => StatusCode::NOT_FOUND,
-            CallError::Malformed(_) => StatusCode::BAD_REQUEST,
+            CallError::Malformed(_) | CallError::ZoneName(_) => StatusCode::BAD_REQUEST,
         };
         Self(status, error.to_string())
     }
--- a/crates/filbertstack-gateway/src/control/declared.rs
+++ b/crates/filbertstack-gateway/src/control/declared.rs
@@ -2,6 +2,7 @@
 //! newer one.
 
 use std::cell::Cell;
+use std::cell::Ref;
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -10,6 +11,7 @@
 
 use filbertstack_control::document::Document;
 use filbertstack_control::document::KEPT_VERSIONS;
+use filbertstack_control::document::ZoneState;
 use filbertstack_core::Millis;
 use filbertstack_core::serving::Catalogue;
 use filbertstack_platform::catalogue;
@@ -20,6 +22,7 @@
 use tokio::sync::watch;
 
 use crate::clock::Clock;
+use crate::control::evacuations::Evacuations;
 use crate::control::parts::Assembly;
 use crate::control::parts::PartError;
 use crate::control::parts::split_document;
@@ -29,6 +32,7 @@
 use crate::link::messages::NamedWeights;
 use crate::link::messages::Notification;
 use crate::link::messages::ServedModel;
+use crate::link::messages::WithdrawnZone;
 use crate::link::messages::decode_addr;
 
 /// The newest document and the latest versions of weights known to this node.
@@ -47,6 +51,7 @@
     weights: RefCell<BTreeMap<Arc<str>, Vec<NamedVersion>>>,
     origins: RefCell<Vec<SocketAddr>>,
     models: RefCell<Vec<ServedModel>>,
+    evacuations: RefCell<Evacuations>,
     /// Whether a complete state has arrived since the process started.
     complete: Cell<bool>,
     changes: watch::Sender<u64>,
@@ -65,6 +70,7 @@
             weights: RefCell::default(),
             origins: RefCell::default(),
             models: RefCell::default(),
+            evacuations: RefCell::default(),
             complete: Cell::new(false),
             changes: watch::channel(0).0,
         }
@@ -121,6 +127,16 @@
         Some(served.model.as_str().into())
     }
 
+    /// Returns the evacuated zones and those whose evacuation was withdrawn lately.
+    pub fn evacuations(&self) -> Ref<'_, Evacuations> {
+        self.evacuations.borrow()
+    }
+
+    /// Returns when this node learned that the evacuation of a zone was withdrawn, if that was lately.
+    pub fn withdrawn_at(&self, zone: &str) -> Option<Millis> {
+        self.evacuations().withdrawn_at(zone)
+    }
+
     /// Returns whether a document and the state declared beside it have arrived, so that requests can
     /// be routed.
     pub fn is_loaded(&self) -> bool {
@@ -133,9 +149,13 @@
     }
 
     /// Returns the messages that bring a follower with the document `version` up to date, in the order
-    /// in which they must be sent.
+    /// in which they must be sent. There are none before a complete state has arrived: a follower would take an
+    /// incomplete one for the whole, and route requests without the evacuations.
     pub fn updates_since(&self, version: u64, interest: Interest) -> Vec<Notification> {
         let mut news = Vec::new();
+        if !self.complete.get() {
+            return news;
+        }
         if interest == Interest::All && self.version() > version {
             news.extend(self.parts().iter().cloned().map(Notification::Part));
         }
@@ -169,10 +189,13 @@
             }));
         }
         let origins = self.origins.borrow();
+        let evacuations = self.evacuations();
         Declared {
             weights,
             origins: origins.iter().map(ToString::to_string).collect(),
             models: self.models.borrow().clone(),
+            zones: Some(evacuations.state().clone()),
+            withdrawn: evacuations.withdrawn(now),
         }
     }
 
@@ -186,9 +209,21 @@
         if !declared.models.is_empty() {
             *self.models.borrow_mut() = declared.models;
         }
+        if let Some(zones) = &declared.zones {
+            self.update_zones(zones, &declared.withdrawn);
+        }
         self.update(None, declared.weights);
     }
 
+    /// Updates the evacuated zones. A lower revision than the current one is ignored.
+    pub fn update_zones(&self, zones: &ZoneState, withdrawn: &[WithdrawnZone]) {
+        let now = self.clock.now();
+        let newer = self.evacuations.borrow_mut().update(now, zones, withdrawn);
+        if newer {
+            self.changes.send_modify(|count| *count += 1);
+        }
+    }
+
     /// Adds a part of the document that the followed voter sent. A document alone does not make the
     /// state complete; the state declared beside it must arrive as well.
     ///
--- a/crates/filbertstack-gateway/src/control/follow.rs
+++ b/crates/filbertstack-gateway/src/control/follow.rs
@@ -71,8 +71,22 @@
 /// their voter at the same time do not search at the same time.
 const JITTER: f64 = 0.3;
 
+/// How long a voter that starts publishes nothing while it has not caught up with its log. An entry that is out of
+/// contact with the voters for longer is not bound by evacuations that it does not know.
+const CATCH_UP_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// How often a voter that starts checks whether it has caught up.
+const CATCH_UP_INTERVAL: Duration = Duration::from_millis(20);
+
 /// Publishes each committed state to this process and its followers.
+///
+/// A voter that starts publishes nothing before it has caught up: by the state of its last snapshot, its entry would
+/// send requests to a zone that was evacuated after it.
 pub async fn publish_documents(node: Rc<Node>, voter: Rc<Voter>) {
+    let catch_up_until = Instant::now() + CATCH_UP_TIMEOUT;
+    while !voter.has_caught_up() && Instant::now() < catch_up_until {
+        sleep(CATCH_UP_INTERVAL).await;
+    }
     let mut states = voter.watch();
     loop {
         let documents = states.borrow_and_update().clone();
@@ -82,6 +96,8 @@
             version: w.version,
             age_ms: 0,
         });
+        // No request is routed by a document before the evacuations beside it are known.
+        node.declared.update_zones(&documents.zones().state(), &[]);
         node.declared
             .update(Some(documents.document().clone()), weights.collect());
         for wanted in [Interest::All, Interest::Weights] {
--- a/crates/filbertstack-gateway/src/control/mod.rs
+++ b/crates/filbertstack-gateway/src/control/mod.rs
@@ -8,6 +8,7 @@
 pub mod crashes;
 pub mod declared;
 pub mod discovery;
+pub mod evacuations;
 pub mod follow;
 pub mod lag;
 pub mod limits;
--- a/crates/filbertstack-gateway/src/control/node.rs
+++ b/crates/filbertstack-gateway/src/control/node.rs
@@ -61,6 +61,9 @@
     /// No voter in contact with its group is known, or the leader could not read the command.
     #[error("no voter is known yet; ask again in a second")]
     Unavailable,
+    /// The node that took the call did not know the latest change.
+    #[error("a later change was not known yet where the call arrived; send the call again")]
+    Outdated,
     /// The question to a voter failed.
     #[error(transparent)]
     Link(#[from] LinkError),
@@ -189,11 +192,11 @@
 
     async fn route_proposal(&self, command: Bytes, forwarded: bool) -> Result<(), GroupError> {
         if let Some(voter) = self.voter.as_ref().filter(|v| v.leads()) {
-            let effect = voter.propose(command).await?;
-            if effect == Effect::Unreadable {
-                return Err(GroupError::Unavailable);
-            }
-            return Ok(());
+            return match voter.propose(command).await? {
+                Effect::InForce | Effect::Superseded => Ok(()),
+                Effect::Outdated => Err(GroupError::Outdated),
+                Effect::Unreadable => Err(GroupError::Unavailable),
+            };
         }
         let question = Question::Propose(Proposal {
             command,
--- a/crates/filbertstack-gateway/src/control/voter.rs
+++ b/crates/filbertstack-gateway/src/control/voter.rs
@@ -113,6 +113,8 @@
     /// When each replica last sent a message.
     pub(super) last_heard: RefCell<BTreeMap<NodeId, Instant>>,
     leaving: Cell<bool>,
+    /// Whether the log was applied up to its end, in contact with a leader, since the process started.
+    caught_up: Cell<bool>,
     /// The nodes with a disk that asked to join the group, and when.
     pub(super) newcomers: RefCell<BTreeMap<NodeId, (Newcomer, Instant)>>,
     /// Since when this node waits to join the group, or when it last logged why it could not join.
@@ -158,6 +160,7 @@
             outside_since: Cell::new(None),
             shortage: RefCell::new(Shortage::default()),
             leaving: Cell::new(false),
+            caught_up: Cell::new(false),
         });
         spawn_local(voter.clone().send_outgoing(outgoing));
         spawn_local(voter.clone().maintain());
@@ -192,6 +195,16 @@
         status.cluster.is_some() && status.failed.is_none() && led
     }
 
+    /// Returns whether this voter is current and has applied what its log held when it came into contact with a
+    /// leader. A process starts with the state of its last snapshot, which lacks later evacuations.
+    pub fn has_caught_up(&self) -> bool {
+        let status = self.status();
+        if self.is_current() && status.applied >= status.node.last {
+            self.caught_up.set(true);
+        }
+        self.caught_up.get()
+    }
+
     /// Returns the leader's address, unless this voter leads.
     pub fn leader(&self) -> Option<SocketAddr> {
         let leader = self.status().node.leader?;
--- a/crates/filbertstack-gateway/src/entry/mod.rs
+++ b/crates/filbertstack-gateway/src/entry/mod.rs
@@ -205,6 +205,7 @@
     let mut limits = node.limits.watch();
     loop {
         requests.targets().refresh();
+        requests.count_evacuated(node.declared.evacuations().count());
         let rows = node.registry.present();
         let entries = rows
             .iter()
--- a/crates/filbertstack-gateway/src/lib.rs
+++ b/crates/filbertstack-gateway/src/lib.rs
@@ -8,6 +8,7 @@
 //! registry of processes, and [`request`] forwards a caller's request to a target and the answer back.
 
 pub mod agent;
+pub mod clock;
 pub mod control;
 pub mod entry;
 pub mod link;
@@ -18,7 +19,6 @@
 pub mod weights;
 
 mod client;
-mod clock;
 
 use std::time::Duration;
 
--- a/crates/filbertstack-gateway/src/link/messages.rs
+++ b/crates/filbertstack-gateway/src/link/messages.rs
@@ -6,6 +6,7 @@
 use filbertstack_control::document::Document;
 use filbertstack_control::document::KeptList;
 use filbertstack_control::document::Weights;
+use filbertstack_control::document::ZoneState;
 
 /// One frame of a link.
 #[derive(Clone, PartialEq, prost::Message)]
@@ -290,6 +291,23 @@
     /// The models that the engines of each service serve.
     #[prost(message, repeated, tag = "4")]
     pub models: Vec<ServedModel>,
+    /// The zones that are or were evacuated. Earlier releases neither send nor read them.
+    #[prost(message, optional, tag = "5")]
+    pub zones: Option<ZoneState>,
+    /// The zones whose evacuation was withdrawn lately.
+    #[prost(message, repeated, tag = "6")]
+    pub withdrawn: Vec<WithdrawnZone>,
+}
+
+/// A zone whose evacuation was withdrawn, and how long ago.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct WithdrawnZone {
+    /// The zone.
+    #[prost(string, tag = "1")]
+    pub zone: String,
+    /// Milliseconds since the sender learned that it was withdrawn.
+    #[prost(uint64, tag = "2")]
+    pub age_ms: u64,
 }
 
 /// A model that the engines of a service serve.
--- a/crates/filbertstack-gateway/src/request/attempt.rs
+++ b/crates/filbertstack-gateway/src/request/attempt.rs
@@ -183,7 +183,11 @@
 
 fn to_refusal(refused: ChooseError) -> Refusal {
     let after = Duration::from(refused.retry_after());
-    Refusal::busy("no target can serve it in time", after)
+    let why = match refused {
+        ChooseError::Evacuated { .. } => "all targets are in evacuated zones",
+        ChooseError::NoTarget { .. } | ChooseError::Full { .. } => "no target can serve it in time",
+    };
+    Refusal::busy(why, after)
 }
 
 /// A stream that another target is to continue.
--- a/crates/filbertstack-gateway/src/request/mod.rs
+++ b/crates/filbertstack-gateway/src/request/mod.rs
@@ -233,6 +233,12 @@
         self.repeats.borrow_mut().set_entries(entries);
     }
 
+    /// Sets the metric of the evacuated zones.
+    pub fn count_evacuated(&self, zones: usize) {
+        let zones = i64::try_from(zones).unwrap_or(i64::MAX);
+        self.metrics.entry.evacuated_zones.set(zones);
+    }
+
     /// Records that the process ends within `grace`.
     pub fn leave(&self, grace: Duration) {
         let now = Instant::now();
--- a/crates/filbertstack-gateway/src/request/targets.rs
+++ b/crates/filbertstack-gateway/src/request/targets.rs
@@ -97,9 +97,11 @@
             })
             .collect();
         let latest: Vec<_> = latest(&rows).collect();
+        let active = latest.iter().filter(|r| !self.is_evacuated(r.row));
+        let active: Vec<_> = active.copied().collect();
         let beside = self.beside(&rows, &latest);
         let used = self.used(&latest, &beside);
-        let zone_counts = ZoneCounts::new(&self.node.settings.node.zone, &rows, &latest, &used);
+        let zone_counts = ZoneCounts::new(&self.node.settings.node.zone, &rows, &active, &used);
         let mut offered = Vec::new();
         let mut endpoints = BTreeMap::new();
         let mut engines = BTreeMap::new();
@@ -177,14 +179,24 @@
         beside
     }
 
-    /// Returns the addresses of the targets that this entry uses, of all services.
+    fn is_evacuated(&self, row: &TargetRow) -> bool {
+        self.node.declared.evacuations().contains(&row.zone)
+    }
+
+    /// Returns the addresses of the targets that this entry uses, of all services. Targets of evacuated zones are
+    /// replaced by others, and remain for as long as they were used before: streams may run there. A service
+    /// without others keeps them, so that its requests are refused for the reason.
     fn used(
         &self,
         latest: &[Registered<'_>],
         beside: &BTreeMap<SocketAddr, u32>,
     ) -> BTreeSet<SocketAddr> {
         let mut services: BTreeMap<&str, Vec<Candidate<'_, SocketAddr>>> = BTreeMap::new();
+        let remaining = services_outside(latest, |row| self.is_evacuated(row));
         for Registered { row, addr, .. } in latest {
+            if self.is_evacuated(row) && remaining.contains(row.service.as_str()) {
+                continue;
+            }
             let candidate = Candidate {
                 key: *addr,
                 name: &row.addr,
@@ -193,12 +205,18 @@
             services.entry(&row.service).or_default().push(candidate);
         }
         let node = &self.node.settings.node;
+        let engines = self.engines.borrow();
+        let kept = latest.iter().filter(|r| {
+            let known = pack_addr(r.addr).is_some_and(|packed| engines.contains_key(&packed));
+            known && self.is_evacuated(r.row)
+        });
+        let kept = kept.map(|r| r.addr);
         let used = services.values().flat_map(|candidates| {
             subset::select(&node.name, &node.zone, candidates, |addr| {
                 beside.contains_key(&addr)
             })
         });
-        used.collect()
+        used.chain(kept).collect()
     }
 
     /// Passes load reports of engines to the dispatcher.
@@ -248,7 +266,7 @@
             engine,
             accepts_work: serves && !row.draining,
             region: self.node.settings.regions.get(row.zone.as_str()).cloned(),
-            evacuated: false,
+            evacuated: self.is_evacuated(row),
         };
         let endpoint = Endpoint {
             addr,
@@ -429,6 +447,15 @@
     }
 }
 
+/// Returns the services with a target that is not evacuated.
+fn services_outside<'a>(
+    latest: &[Registered<'a>],
+    is_evacuated: impl Fn(&TargetRow) -> bool,
+) -> BTreeSet<&'a str> {
+    let outside = latest.iter().filter(|r| !is_evacuated(r.row));
+    outside.map(|r| r.row.service.as_str()).collect()
+}
+
 /// Counts one in all zones, and also in the zone of this entry if it is `near`.
 fn count(counts: &mut [u32; 2], near: bool) {
     counts[0] += 1;
--- a/crates/filbertstack-gateway/src/request/waiting.rs
+++ b/crates/filbertstack-gateway/src/request/waiting.rs
@@ -70,7 +70,7 @@
         Ok(chosen) => return Ok(chosen),
         Err(refused) => refused,
     };
-    let recovers = call.waited || matches!(refused, ChooseError::NoTarget { .. });
+    let recovers = may_recover(call, refused);
     let timeout = call.deadline.saturating_duration_since(call.arrived_at);
     let wait_until = wait_until(requests, Some(&call.service), call.arrived_at, timeout);
     let Some(wait_until) = wait_until.filter(|_| recovers) else {
@@ -82,15 +82,26 @@
         let chosen = if goal_left(call).is_zero() {
             choose_late(requests, call)
         } else {
-            choose_in_time(requests, call).ok()
+            choose_in_time(requests, call).map(Some)
         };
-        if let Some(chosen) = chosen {
-            return Ok(chosen);
+        match chosen {
+            Ok(Some(chosen)) => return Ok(chosen),
+            Err(evacuated @ ChooseError::Evacuated { .. }) => return Err(evacuated),
+            Ok(None) | Err(_) => {}
         }
     }
     Err(refused)
 }
 
+/// Returns whether a request may wait for a target after `refused`. An evacuation outlasts its caller.
+fn may_recover(call: &Call, refused: ChooseError) -> bool {
+    match refused {
+        ChooseError::NoTarget { .. } => true,
+        ChooseError::Full { .. } => call.waited,
+        ChooseError::Evacuated { .. } => false,
+    }
+}
+
 /// Returns the time left until the route's goal for the first event.
 fn goal_left(call: &Call) -> Duration {
     call.route.goal.saturating_sub(call.arrived_at.elapsed())
@@ -106,16 +117,16 @@
     Ok(chosen)
 }
 
-/// Chooses a target for a request that has waited past its goal, if the rate limit for such requests allows
-/// it beside newly arriving ones.
-fn choose_late(requests: &Requests, call: &Call) -> Option<Chosen> {
+/// Chooses a target for a request that has waited past its goal; `None` if the rate limit for such requests
+/// allows none beside newly arriving ones.
+fn choose_late(requests: &Requests, call: &Call) -> Result<Option<Chosen>, ChooseError> {
     let now = requests.node.clock.now();
     if !requests.recovery.borrow().may_send_waiter(now) {
-        return None;
+        return Ok(None);
     }
-    let chosen = choose(requests, call, call.route.goal).ok()?;
+    let chosen = choose(requests, call, call.route.goal)?;
     requests.recovery.borrow_mut().count_waiter_sent(now);
-    Some(chosen)
+    Ok(Some(chosen))
 }
 
 fn choose(requests: &Requests, call: &Call, goal: Duration) -> Result<Chosen, ChooseError> {
--- a/crates/filbertstack-telemetry/src/metrics/groups.rs
+++ b/crates/filbertstack-telemetry/src/metrics/groups.rs
@@ -40,6 +40,8 @@
     pub targets: LabelledGauge,
     /// The targets that were ejected as slow or failing.
     pub ejected: PlainGauge,
+    /// The availability zones that are evacuated, as far as this entry knows.
+    pub evacuated_zones: PlainGauge,
     /// The time that requests spend in the queue.
     pub wait: PlainTimer,
     /// The time to the first token.
@@ -87,6 +89,11 @@
             in_flight: PlainGauge::new(m, "entry_in_flight", "Requests at targets"),
             targets: LabelledGauge::new(m, "entry_targets", "state", "Targets known"),
             ejected: PlainGauge::new(m, "entry_ejected", "Targets ejected as slow or failing"),
+            evacuated_zones: PlainGauge::new(
+                m,
+                "entry_evacuated_zones",
+                "Availability zones that are evacuated",
+            ),
             wait: PlainTimer::new(m, "entry_wait", "Time in the queue"),
             first_token: PlainTimer::new(m, "entry_first_token", "Time to the first token"),
             token_gap: PlainTimer::new(m, "entry_token_gap", "Time between tokens"),
--- a/tests/gateway/cluster.rs
+++ b/tests/gateway/cluster.rs
@@ -220,6 +220,12 @@
         fs::write(self.path(n), moved).expect("the settings");
     }
 
+    /// Adds lines to the settings of an entry.
+    pub fn add_settings(&self, n: usize, lines: &str) {
+        let text = fs::read_to_string(self.path(n)).expect("the settings");
+        fs::write(self.path(n), text + lines).expect("the settings");
+    }
+
     /// Returns whether the log of a process contains `text`.
     pub fn has_logged(&self, n: usize, text: &str) -> bool {
         self.logged(n).contains(text)
@@ -361,6 +367,19 @@
         answer.map(|answer| answer.status)
     }
 
+    /// Reports a target of a zone to an entry until it is acknowledged.
+    pub fn register_in(&self, n: usize, zone: &str, id: &str, service: &str, addr: SocketAddr) {
+        let body = json!({
+            "service": service, "address": addr.to_string(), "zone": zone, "slots": 4,
+            "state": "ready", "sequence": 1, "born": 1, "models": []
+        });
+        let path = format!("/instances/{id}");
+        wait_until("the target is registered", || {
+            let answer = self.control(n, "PUT", &path, &body.to_string());
+            answer.is_some_and(|answer| answer.status == 200)
+        });
+    }
+
     /// Reports a target to an entry until it is acknowledged.
     pub fn register(&self, n: usize, id: &str, service: &str, addr: SocketAddr) {
         wait_until("the target is registered", || {
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -7,6 +7,7 @@
 mod crashing_parts;
 mod endings;
 mod engine;
+mod evacuations;
 mod fleet;
 mod limits;
 mod model;
