--- a/crates/filbertstack-gateway/src/request/attempt.rs
+++ b/crates/filbertstack-gateway/src/request/attempt.rs
@@ -187,7 +187,8 @@
     let after = Duration::from(refused.retry_after());
     let why = match refused {
         ChooseError::Yields { .. } => "room is kept for requests of higher rank",
-        ChooseError::Full { .. } | ChooseError::NoTarget { .. } => "no target can serve it in time",
+        ChooseError::Evacuated { .. } => "all targets are in evacuated zones",
+        ChooseError::NoTarget { .. } | ChooseError::Full { .. } => "no target can serve it in time",
     };
     Refusal::busy(why, after)
 }
--- a/crates/filbertstack-policy/src/permit.rs
+++ b/crates/filbertstack-policy/src/permit.rs
@@ -14,6 +14,7 @@
 //! | the target is cold | the target, to all entries | [`cold`](crate::cold) |
 //! | the target fails requests | this entry | [`outlier`](crate::outlier) |
 //! | the target turned requests away, or takes no new work | the target | [`dispatch`](crate::dispatch) |
+//! | the target's availability zone is evacuated | operators, to all entries | [`dispatch`](crate::dispatch) |
 //!
 //! Decisions depend only on what is passed in. They use no clock, network or thread.
 
@@ -50,6 +51,8 @@
 /// Why a target gets no request now.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Obstacle {
+    /// Its availability zone is evacuated.
+    Evacuated,
     /// It is not known, drains, or loads weights.
     TakesNoWork,
     /// It leaves.
@@ -70,6 +73,7 @@
     /// Returns its description in logs and metrics.
     pub fn name(self) -> &'static str {
         match self {
+            Self::Evacuated => "the target's zone is evacuated",
             Self::TakesNoWork => "the target takes no work",
             Self::Leaves => "the target leaves",
             Self::Rests(_) => "the target rests",
@@ -80,14 +84,16 @@
         }
     }
 
-    /// Returns whether it keeps back a request for which the target was chosen before. What the target itself
-    /// wants holds until the request is sent, and
+    /// Returns whether it keeps back a request for which the target was chosen before. What operators or
+    /// the target itself want holds until the request is sent, and
     /// [`send_obstacle`](crate::dispatch::Dispatcher::send_obstacle) does not name a cold target to a request that
     /// has its place there. Other obstacles were weighed in the choice: the request has its place
     /// in the limit and, at an ejected target, is its probe. One that is sent once more needs another place.
     fn holds_back(self, way: Way) -> bool {
         match self {
-            Self::TakesNoWork | Self::Leaves | Self::Rests(_) | Self::Cold(_) => true,
+            Self::Evacuated | Self::TakesNoWork | Self::Leaves | Self::Rests(_) | Self::Cold(_) => {
+                true
+            }
             Self::LimitReached => way == Way::Resend,
             Self::Ejected | Self::Paused => false,
         }
--- a/crates/filbertstack-telemetry/src/metrics/groups.rs
+++ b/crates/filbertstack-telemetry/src/metrics/groups.rs
@@ -44,6 +44,8 @@
     pub ejected: PlainGauge,
     /// The targets that are cold, of those that the entry uses.
     pub cold: PlainGauge,
+    /// The availability zones that are evacuated, as far as this entry knows.
+    pub evacuated_zones: PlainGauge,
     /// The time that requests spend in the queue.
     pub wait: PlainTimer,
     /// The time to the first token.
@@ -98,6 +100,11 @@
             targets: LabelledGauge::new(m, "entry_targets", "state", "Targets known"),
             ejected: PlainGauge::new(m, "entry_ejected", "Targets ejected as slow or failing"),
             cold: PlainGauge::new(m, "entry_cold_targets", "Targets that are cold"),
+            evacuated_zones: PlainGauge::new(
+                m,
+                "entry_evacuated_zones",
+                "Availability zones that are evacuated",
+            ),
             wait: PlainTimer::new(m, "entry_wait", "Time in the queue"),
             first_token: PlainTimer::new(m, "entry_first_token", "Time to the first token"),
             token_gap: PlainTimer::new(m, "entry_token_gap", "Time between tokens"),
