Choose targets in allowed regions only

Routes and organisations may be bound to regions, and the dispatcher did not ask: a request overflowed to another region as soon as the engines of its own were busier.

- `Dispatcher::choose` passes over targets outside the request's residency, for probes as well, and counts the free slots of the others alone.
If no such target is registered, the refusal is `ChooseError::NoRegion`.
- `permit` has the obstacle `NotAllowed`, which holds on every way; `Dispatcher::obstacle_within` finds it.

--- a/crates/filbertstack-core/src/serving.rs
+++ b/crates/filbertstack-core/src/serving.rs
@@ -4,6 +4,7 @@
 //! Where operators replace the complete configuration at once, it is decoded into [`Parts`] and validated by
 //! [`Catalogue::build`]. A catalogue is immutable; a new version replaces it.
 
+use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::collections::HashSet;
 use std::net::SocketAddr;
@@ -56,6 +57,14 @@
         }
     }
 
+    /// Returns the regions to which it is restricted; empty if there is no restriction, or if nothing is allowed.
+    pub fn regions(&self) -> &[Arc<str>] {
+        match self {
+            Self::Anywhere => &[],
+            Self::Only(regions) => regions,
+        }
+    }
+
     /// Returns whether a request may be served in `region`. A place without a known region serves only
     /// unrestricted requests.
     pub fn allows(&self, region: Option<&str>) -> bool {
@@ -282,6 +291,8 @@
     routes: HashMap<Arc<str>, Vec<Arc<Route>>>,
     services: HashMap<Arc<str>, Arc<Service>>,
     holders: HashMap<Arc<str>, Arc<Organisation>>,
+    /// The regions that routes and organisations name.
+    regions: BTreeSet<Arc<str>>,
     requires_key: bool,
     limits: CallerLimits,
 }
@@ -302,6 +313,7 @@
                 return Err(CatalogueError::DuplicateRoute { route });
             }
         }
+        let regions = named_regions(&parts.routes, &parts.organisations);
         let mut routes: HashMap<Arc<str>, Vec<Arc<Route>>> = HashMap::new();
         for route in parts.routes {
             let host = routes.entry(route.host.clone()).or_default();
@@ -315,6 +327,7 @@
             routes,
             services,
             holders: index_keys(parts.organisations)?,
+            regions,
             requires_key: parts.requires_key,
             limits: parts.limits,
         })
@@ -336,6 +349,18 @@
         host.iter().find(|r| path.starts_with(r.prefix.as_ref()))
     }
 
+    /// Returns where the requests of all routes of `host` may be served.
+    pub fn host_residency(&self, host: &str) -> Residency {
+        let routes = self.routes.get(host.to_ascii_lowercase().as_str());
+        let routes = routes.into_iter().flatten();
+        routes.fold(Residency::Anywhere, |all, route| all.both(&route.residency))
+    }
+
+    /// Returns the regions to which routes and organisations are restricted.
+    pub fn named_regions(&self) -> &BTreeSet<Arc<str>> {
+        &self.regions
+    }
+
     /// Returns the service with that name.
     pub fn service(&self, name: &str) -> Option<&Arc<Service>> {
         self.services.get(name)
@@ -357,6 +382,13 @@
     }
 }
 
+fn named_regions(routes: &[Route], organisations: &[Organisation]) -> BTreeSet<Arc<str>> {
+    let routes = routes.iter().map(|route| &route.residency);
+    let organisations = organisations.iter().map(|o| &o.residency);
+    let named = routes.chain(organisations).flat_map(Residency::regions);
+    named.cloned().collect()
+}
+
 fn check_route(
     route: &Route,
     services: &HashMap<Arc<str>, Arc<Service>>,
--- a/crates/filbertstack-policy/src/dispatch.rs
+++ b/crates/filbertstack-policy/src/dispatch.rs
@@ -23,6 +23,9 @@
 //! counts as full beyond that, so that its callers are not told that the service is gone. A target that asked
 //! this entry for [rest](crate::notices) counts as full until the rest ends, and one that leaves as gone.
 //!
+//! A request that is bound to regions counts on the targets there alone, and is refused at once if none is
+//! registered: [`residency`](crate::residency) says why.
+//!
 //! Decisions depend only on the time and the observations passed in. They use no clock, network or
 //! thread.
 
@@ -96,6 +99,16 @@
     pub residency: Option<&'a Residency>,
 }
 
+impl TargetRequest<'_> {
+    /// Returns whether the request is for the target's service and may be served in the target's region.
+    fn concerns(&self, target: &Target) -> bool {
+        let TargetSpec {
+            service, region, ..
+        } = &target.spec;
+        **service == *self.service && self.residency.is_none_or(|r| r.allows(region.as_deref()))
+    }
+}
+
 /// The reason why a request gets no target.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ChooseError {
@@ -109,13 +122,20 @@
         /// The delay after which the caller may retry.
         retry_after: Millis,
     },
+    /// No target of the service is registered in a region where the request may be served.
+    NoRegion {
+        /// The delay after which the caller may retry.
+        retry_after: Millis,
+    },
 }
 
 impl ChooseError {
     /// Returns the delay after which the caller may retry.
     pub fn retry_after(self) -> Millis {
         match self {
-            Self::NoTarget { retry_after } | Self::Full { retry_after } => retry_after,
+            Self::NoTarget { retry_after }
+            | Self::Full { retry_after }
+            | Self::NoRegion { retry_after } => retry_after,
         }
     }
 }
@@ -187,12 +207,12 @@
         let cut_off = self.is_cut_off(now, wanted.service);
         let demand = self.demand.get(wanted.service).copied();
         let demand = demand.unwrap_or_default();
-        let free_slots = self.free_slots(now, wanted.service, limit, cut_off);
+        let free_slots = self.free_slots(now, wanted, limit, cut_off);
         let mut lowest = f64::INFINITY;
         let mut rest_end = None;
         for target in self.targets.values() {
             let id = &target.spec.id;
-            let excluded = &*target.spec.service != wanted.service || wanted.tried.contains(id);
+            let excluded = !wanted.concerns(target) || wanted.tried.contains(id);
             if excluded {
                 continue;
             }
@@ -246,11 +266,21 @@
             .min_by(|a, b| a.0.total_cmp(&b.0));
         let best = best.or_else(|| self.sample_best(probes));
         best.map(|(_, id)| id).ok_or_else(|| {
+            if !self.is_registered(wanted) {
+                let retry_after = self.jitter(NO_TARGET_RETRY_MS);
+                return ChooseError::NoRegion { retry_after };
+            }
             let rest = rest_end.map(|end| end.since(now));
             self.refuse(lowest - limit, rest)
         })
     }
 
+    /// Returns whether a target is registered that a request bound to regions may be sent to. A request that may
+    /// be served everywhere is not asked for one, as it may wait for a target.
+    fn is_registered(&self, wanted: &TargetRequest<'_>) -> bool {
+        wanted.residency.is_none() || self.targets.values().any(|target| wanted.concerns(target))
+    }
+
     /// Returns the refusal of a request whose earliest first event is `excess_ms` too late, infinite if no
     /// target takes work, while the first of the targets that rest does so for `rest`.
     fn refuse(&mut self, excess_ms: f64, rest: Option<Millis>) -> ChooseError {
@@ -268,11 +298,18 @@
         }
     }
 
-    /// Returns the free slots of a service's targets in other zones, and of those in the local zone.
-    fn free_slots(&self, now: Millis, service: &str, limit: f64, cut_off: bool) -> [FreeSlots; 2] {
+    /// Returns the free slots of the targets in other zones that a request may be sent to, and of those in the
+    /// local zone.
+    fn free_slots(
+        &self,
+        now: Millis,
+        wanted: &TargetRequest<'_>,
+        limit: f64,
+        cut_off: bool,
+    ) -> [FreeSlots; 2] {
         let mut free_slots = [FreeSlots::default(); 2];
         for target in self.targets.values() {
-            if &*target.spec.service != service {
+            if !wanted.concerns(target) {
                 continue;
             }
             let is_heard = cut_off || !target.is_silent(now);
@@ -387,6 +424,21 @@
         }
     }
 
+    /// Returns why a target gets no request now that may be served in `residency` only; `None` if everywhere.
+    pub fn obstacle_within(
+        &self,
+        now: Millis,
+        id: &str,
+        residency: Option<&Residency>,
+    ) -> Option<Obstacle> {
+        let known = self.targets.get(id).zip(residency);
+        let allowed = known.is_none_or(|(t, r)| r.allows(t.spec.region.as_deref()));
+        if !allowed {
+            return Some(Obstacle::NotAllowed);
+        }
+        self.obstacle(now, id)
+    }
+
     fn find_obstacle(&self, now: Millis, target: &Target) -> Option<Obstacle> {
         let obstacle = target.obstacle(now);
         if obstacle == Some(Obstacle::TakesNoWork) {
--- a/crates/filbertstack-policy/src/lib.rs
+++ b/crates/filbertstack-policy/src/lib.rs
@@ -14,7 +14,7 @@
 //!
 //! Entries use [`attempts`] to limit the targets that one request is sent to, [`crashes`] to refuse requests
 //! that crash targets, [`quota`] to keep together the limits that targets name, and [`notices`] to leave targets
-//! alone that ask for rest or leave. They use [`takeover`] to move an answer to another target without ending it.
+//! alone that ask for rest or leave. They use [`residency`] to keep requests in allowed regions, and [`takeover`] to move an answer to another target without ending it.
 //!
 //! An agent that starts uses [`inherited`] to determine which version its engine may already have been
 //! ordered to load.
@@ -44,6 +44,7 @@
 pub mod registry;
 
 pub mod repeats;
+pub mod residency;
 pub mod retry;
 pub mod rollout;
 pub mod route;
--- a/crates/filbertstack-policy/src/permit.rs
+++ b/crates/filbertstack-policy/src/permit.rs
@@ -13,6 +13,7 @@
 //! | the target names a limit for all entries together | the target, to any entry | [`quota`](crate::quota) |
 //! | the target fails requests | this entry | [`outlier`](crate::outlier) |
 //! | the target turned requests away, or takes no new work | the target | [`dispatch`](crate::dispatch) |
+//! | the request may not be served in the target's region | the declared state | [`residency`](crate::residency) |
 //!
 //! Decisions depend only on what is passed in. They use no clock, network or thread.
 
@@ -61,6 +62,8 @@
     Paused,
     /// This entry's share of its limit is used up.
     LimitReached,
+    /// It is in no region where the request may be served.
+    NotAllowed,
 }
 
 impl Obstacle {
@@ -73,15 +76,16 @@
             Self::Ejected => "the target is ejected",
             Self::Paused => "the target turned a request away",
             Self::LimitReached => "the target's limit is reached",
+            Self::NotAllowed => "the target is in no allowed region",
         }
     }
 
     /// Returns whether it keeps back a request for which the target was chosen before. What the target itself
-    /// wants holds until the request is sent. Other obstacles were weighed in the choice: the request has its place
+    /// wants, and where the request may be served, holds until the request is sent. Other obstacles were weighed in the choice: the request has its place
     /// in the limit and, at an ejected target, is its probe. One that is sent once more needs another place.
     fn holds_back(self, way: Way) -> bool {
         match self {
-            Self::TakesNoWork | Self::Leaves | Self::Rests(_) => true,
+            Self::TakesNoWork | Self::Leaves | Self::Rests(_) | Self::NotAllowed => true,
             Self::LimitReached => way == Way::Resend,
             Self::Ejected | Self::Paused => false,
         }
--- a/crates/filbertstack-policy/tests/dispatch.rs
+++ b/crates/filbertstack-policy/tests/dispatch.rs
@@ -3,6 +3,7 @@
 
 mod batch;
 mod replay;
+mod residency;
 
 use batch::EIGHT_SLOTS;
 use batch::TWELVE_SLOTS;
--- a/crates/filbertstack-policy/tests/permit.rs
+++ b/crates/filbertstack-policy/tests/permit.rs
@@ -75,13 +75,14 @@
         Obstacle::Ejected,
         Obstacle::Paused,
         Obstacle::LimitReached,
+        Obstacle::NotAllowed,
     ];
     let mut names: Vec<&str> = obstacles.iter().map(|o| o.name()).collect();
     names.extend(may_send(refused()).denial());
     let count = names.len();
     names.sort_unstable();
     names.dedup();
-    assert_eq!((names.len(), count), (7, 7));
+    assert_eq!((names.len(), count), (8, 8));
     assert_eq!(Permit::Send.denial().or(Permit::Probe.denial()), None);
     let ways: std::collections::BTreeSet<&str> = WAYS.iter().map(|way| way.name()).collect();
     assert_eq!(ways.len(), WAYS.len());
--- a/crates/filbertstack-policy/tests/replay/mod.rs
+++ b/crates/filbertstack-policy/tests/replay/mod.rs
@@ -6,6 +6,7 @@
 
 use filbertstack_core::Millis;
 use filbertstack_core::serving::EngineModel;
+use filbertstack_core::serving::Residency;
 use filbertstack_policy::attempts::Attempts;
 use filbertstack_policy::dispatch::AttemptEnd;
 use filbertstack_policy::dispatch::ChooseError;
@@ -77,6 +78,8 @@
     pub entries: usize,
     /// The number of availability zones, to which entries and engines are assigned in turn.
     pub zones: usize,
+    /// Whether the callers of an entry are bound to the first zone, as each zone is a region.
+    pub bound: fn(usize) -> bool,
     /// The share of the requests that go to entries of the first zone in addition to an even share.
     pub first_zone_share: f64,
     pub requests_per_second: f64,
@@ -247,6 +250,7 @@
         prompt: rng.random_range(100..1_800),
         due: now,
         returns: replay.returns,
+        bound: (replay.bound)(from),
     }
 }
 
@@ -308,7 +312,7 @@
         if !attempts.may_continue(ATTEMPTS) {
             return None;
         }
-        n = choose_another(entry, now, prompt, replay.goal, &tried).ok()?;
+        n = choose_another(entry, now, prompt, replay.goal, caller.bound, &tried).ok()?;
     }
 }
 
@@ -325,6 +329,7 @@
     due: u64,
     /// Whether it comes back once it is refused.
     returns: bool,
+    bound: bool,
 }
 
 /// The answer to a caller who gets no engine.
@@ -353,7 +358,7 @@
         return Err(Turned::Waits);
     }
     let left = if is_late { goal } else { Millis(left) };
-    match choose_within(entry, now, caller.prompt, left) {
+    match choose_another(entry, now, caller.prompt, left, caller.bound, &[]) {
         Ok(n) if is_late => {
             recovery.count_waiter_sent(Millis(now));
             Ok(n)
@@ -393,6 +398,7 @@
             let is_local = in_zone(*n);
             TargetSpec {
                 local: is_local,
+                region: Some(format!("region-{}", n % replay.zones).into()),
                 sharers: Sharers {
                     entries: counted(&all, is_local),
                     targets: counted(&present, is_local),
@@ -462,16 +468,7 @@
 }
 
 pub fn choose(entry: &mut Dispatcher, now: u64, prompt: u32) -> Result<usize, ChooseError> {
-    choose_within(entry, now, prompt, BASELINE.goal)
-}
-
-fn choose_within(
-    entry: &mut Dispatcher,
-    now: u64,
-    prompt: u32,
-    goal: Millis,
-) -> Result<usize, ChooseError> {
-    choose_another(entry, now, prompt, goal, &[])
+    choose_another(entry, now, prompt, BASELINE.goal, false, &[])
 }
 
 fn choose_another(
@@ -479,10 +476,12 @@
     now: u64,
     prompt: u32,
     goal: Millis,
+    bound: bool,
     tried: &[TargetId],
 ) -> Result<usize, ChooseError> {
+    let first_region = Residency::declared(vec!["region-0".into()]);
     let wanted = TargetRequest {
-        residency: None,
+        residency: Some(&first_region).filter(|_| bound),
         service: "llm",
         prompt,
         goal,
@@ -499,6 +498,7 @@
     engines: 12,
     entries: 11,
     zones: 1,
+    bound: |_| false,
     first_zone_share: 0.0,
     requests_per_second: 100.0,
     slowdown: 1.0,
