Keep requests in the regions of their route and organisation

A call has its residency, determined once from its route and its organisation, and again only if the document in force has been replaced since: what counts is the document at each choice and each send. All ways use it: new requests, retries, second targets beside a silent one, takeovers, resumed streams, resends and probes.

A request for which no target is registered in an allowed region is refused at once with its own reason, and the line `refused` names the rule. It waits only at an entry that has just started, which may not know all targets. A stream whose target is lost does not wait either.

The log tells when a region that is named is unknown or has no target, and when a target is in a zone without a region. A zone with an empty value in `[regions]` is in no region.

Seen by the new tests: with the regions determined once only, a request that was at an engine when its route was bound elsewhere got 502 in place of the other region's answer. With a choice that ignores regions, it was refused for the wrong reason, as the check at the send still held.

--- a/crates/filbertstack-gateway/src/entry/mod.rs
+++ b/crates/filbertstack-gateway/src/entry/mod.rs
@@ -44,6 +44,7 @@
 use crate::metrics;
 use crate::reload::Reload;
 use crate::request::Requests;
+use crate::request::residency::RegionLog;
 use crate::settings::Settings;
 use crate::weights::cache::Cache;
 use crate::weights::served::keep_lists;
@@ -203,9 +204,11 @@
     let mut people = node.registry.watch();
     let mut declared = node.declared.watch();
     let mut limits = node.limits.watch();
+    let region_log = RegionLog::default();
     loop {
         requests.targets().refresh();
         let rows = node.registry.present();
+        region_log.update(&node, &rows);
         let entries = rows
             .iter()
             .filter(|(_, k, _)| matches!(**k, Kind::Entry(_)));
--- a/crates/filbertstack-gateway/src/request/answer.rs
+++ b/crates/filbertstack-gateway/src/request/answer.rs
@@ -71,6 +71,8 @@
     pub retry_after: Option<Duration>,
     /// The reason, for the caller, logs and metrics.
     pub why: &'static str,
+    /// The declared rule behind the reason, for logs.
+    pub rule: Option<String>,
 }
 
 impl Refusal {
@@ -80,6 +82,7 @@
             status,
             retry_after: None,
             why,
+            rule: None,
         }
     }
 
@@ -89,6 +92,7 @@
             status: StatusCode::SERVICE_UNAVAILABLE,
             retry_after: Some(retry_after),
             why,
+            rule: None,
         }
     }
 
@@ -111,6 +115,13 @@
     /// version of the configuration in force.
     pub fn log(&self, id: &str, prompt: u32, configuration: u64) {
         let after = self.retry_after.map_or(0, |a| a.as_millis());
+        if let Some(rule) = &self.rule {
+            spdlog::info!("refused", kv: {
+                request = id, status = self.status.as_u16(), why = self.why, rule = rule.clone(),
+                after_ms = after, prompt = prompt, configuration = configuration
+            });
+            return;
+        }
         spdlog::info!("refused", kv: {
             request = id, status = self.status.as_u16(), why = self.why, after_ms = after,
             prompt = prompt,
--- a/crates/filbertstack-gateway/src/request/attempt.rs
+++ b/crates/filbertstack-gateway/src/request/attempt.rs
@@ -37,6 +37,7 @@
 use crate::request::permit;
 use crate::request::relay::Framing;
 use crate::request::relay::Relay;
+use crate::request::residency::NO_REGION;
 use crate::request::targets::Chosen;
 use crate::request::targets::instance_of;
 use crate::request::waiting;
@@ -171,8 +172,9 @@
 /// A [`Refusal`] with a time to retry, if there is none.
 pub fn choose(requests: &Rc<Requests>, call: &Call, tries: &Tries) -> Result<Chosen, Refusal> {
     let goal = call.route.goal.max(RETRY_GOAL).min(call.time_left());
+    let residency = call.residency(&requests.node);
     let wanted = TargetRequest {
-        residency: None,
+        residency: residency.as_ref(),
         service: &call.service,
         prompt: call.prompt(),
         goal: Millis::from(goal),
@@ -182,8 +184,11 @@
 }
 
 fn to_refusal(refused: ChooseError) -> Refusal {
-    let after = Duration::from(refused.retry_after());
-    Refusal::busy("no target can serve it in time", after)
+    let why = match refused {
+        ChooseError::NoRegion { .. } => NO_REGION,
+        ChooseError::NoTarget { .. } | ChooseError::Full { .. } => "no target can serve it in time",
+    };
+    Refusal::busy(why, refused.retry_after().into())
 }
 
 /// A stream that another target is to continue.
--- a/crates/filbertstack-gateway/src/request/mod.rs
+++ b/crates/filbertstack-gateway/src/request/mod.rs
@@ -13,6 +13,7 @@
 mod permit;
 pub mod pool;
 pub mod relay;
+pub mod residency;
 mod resume;
 mod takeover;
 pub mod targets;
@@ -29,6 +30,7 @@
 use bytes::Bytes;
 use filbertstack_core::ContentDigest;
 use filbertstack_core::serving::Catalogue;
+use filbertstack_core::serving::Organisation;
 use filbertstack_core::serving::Repeat;
 use filbertstack_core::serving::Route;
 use filbertstack_platform::request::CallHead;
@@ -63,6 +65,7 @@
 use crate::request::answer::AnswerBody;
 use crate::request::answer::Refusal;
 use crate::request::pool::Pool;
+use crate::request::residency::CallResidency;
 use crate::request::targets::Targets;
 
 /// The timeout of a request that names none: the timeout of its route applies.
@@ -133,6 +136,8 @@
     pub in_flight: InFlight,
     /// What it holds that may crash targets, once that was needed.
     suspects: OnceCell<Vec<Suspect>>,
+    /// Where it may be served.
+    residency: CallResidency,
 }
 
 /// Counts one request until it is dropped.
@@ -282,6 +287,7 @@
             waiting::wait_declared(self, arrived_at, head.timeout).await?;
         }
         let catalogue = self.node.declared.catalogue();
+        let version = self.node.declared.version();
         let (parts, body) = request.into_parts();
         let route = find_route(&catalogue, &parts.headers, &parts.uri)?;
         let organisation = find_organisation(&catalogue, &route, &head)?;
@@ -294,6 +300,7 @@
         let caller = parts.extensions.get::<Caller>().map(|caller| caller.0);
         let body = read_body(body, catalogue.limits().body, deadline).await?;
         self.repeats.borrow_mut().earn(&service);
+        let residency = CallResidency::new(version, &route, organisation.as_deref());
         let call = Rc::new(Call {
             head,
             method: parts.method,
@@ -302,16 +309,18 @@
             body,
             route,
             service,
-            organisation,
+            organisation: organisation.map(|organisation| organisation.name.clone()),
             arrived_at,
             waited,
             deadline,
             caller,
             in_flight,
             suspects: OnceCell::new(),
+            residency,
         });
         let answer = timeout_at(deadline, attempt::run(self, &call)).await;
-        answer.unwrap_or(Err(Refusal::late()))
+        let answer = answer.unwrap_or(Err(Refusal::late()));
+        answer.map_err(|refusal| call.name_rule(&self.node, refusal))
     }
 
     /// Draws the service for a request from those of its route, by their weights.
@@ -349,13 +358,13 @@
     catalogue: &Catalogue,
     route: &Route,
     head: &CallHead,
-) -> Result<Option<Arc<str>>, Refusal> {
+) -> Result<Option<Arc<Organisation>>, Refusal> {
     if !catalogue.requires_key() {
         return Ok(None);
     }
     let holder = head.key.as_deref().and_then(|key| catalogue.holder(key));
     match holder {
-        Some(holder) => Ok(Some(holder.name.clone())),
+        Some(holder) => Ok(Some(holder.clone())),
         None if route.public => Ok(None),
         None => Err(Refusal::own(
             StatusCode::UNAUTHORIZED,
--- a/crates/filbertstack-gateway/src/request/permit.rs
+++ b/crates/filbertstack-gateway/src/request/permit.rs
@@ -25,7 +25,8 @@
 /// Returns whether a request may be sent now to the target that was chosen for it, and records a probe. What is
 /// known may have changed while the request waited for a target or for its connection.
 pub fn may_send_to(requests: &Requests, call: &Call, target: &TargetId, way: Way) -> bool {
-    let obstacle = requests.targets.obstacle(target);
+    let residency = call.residency(&requests.node);
+    let obstacle = requests.targets.obstacle(target, residency.as_ref());
     let permit = permit::may_send_to(way, verdict(requests, call), obstacle);
     if let Some(why) = permit.denial() {
         info!("send denied", kv: {
--- a/crates/filbertstack-gateway/src/request/resume.rs
+++ b/crates/filbertstack-gateway/src/request/resume.rs
@@ -18,6 +18,7 @@
 use crate::request::attempt::send;
 use crate::request::guard::AttemptGuard;
 use crate::request::permit;
+use crate::request::residency::NO_REGION;
 use crate::request::targets::Chosen;
 
 /// How often it is checked whether another target can continue a stream: a little more than the interval of
@@ -137,6 +138,8 @@
     loop {
         match find_target(requests, call, tries) {
             Ok(chosen) => return Ok(chosen),
+            // A stream does not wait for a target to register in an allowed region.
+            Err(NO_REGION) => return Err(NO_REGION),
             Err(why) if permit::refusal(requests, call).is_some() => return Err(why),
             Err(why) if Instant::now() + CHECK_INTERVAL > until => return Err(why),
             Err(_) => sleep(CHECK_INTERVAL).await,
--- a/crates/filbertstack-gateway/src/request/targets.rs
+++ b/crates/filbertstack-gateway/src/request/targets.rs
@@ -10,6 +10,7 @@
 
 use filbertstack_core::Millis;
 use filbertstack_core::serving::EngineModel;
+use filbertstack_core::serving::Residency;
 use filbertstack_policy::dispatch::AttemptEnd;
 use filbertstack_policy::dispatch::ChooseError;
 use filbertstack_policy::dispatch::Dispatcher;
@@ -22,6 +23,7 @@
 use filbertstack_policy::quota;
 use filbertstack_policy::quota::Sender;
 use filbertstack_policy::registry::Stamp;
+use filbertstack_policy::residency;
 use filbertstack_policy::rollout;
 use filbertstack_policy::subset;
 use filbertstack_policy::subset::Candidate;
@@ -193,9 +195,13 @@
             services.entry(&row.service).or_default().push(candidate);
         }
         let node = &self.node.settings.node;
+        let catalogue = self.node.declared.catalogue();
+        let named: Vec<&str> = catalogue.named_regions().iter().map(|r| &**r).collect();
+        let region_of = |zone: &str| self.node.settings.region(zone).map(|region| &**region);
         let used = services.values().flat_map(|candidates| {
+            let reserved = residency::reserve(&node.name, candidates, &named, region_of);
             subset::select(&node.name, &node.zone, candidates, |addr| {
-                beside.contains_key(&addr)
+                beside.contains_key(&addr) || reserved.contains(&addr)
             })
         });
         used.collect()
@@ -247,7 +253,7 @@
             sharers,
             engine,
             accepts_work: serves && !row.draining,
-            region: self.node.settings.regions.get(row.zone.as_str()).cloned(),
+            region: self.node.settings.region(&row.zone).cloned(),
             evacuated: false,
         };
         let endpoint = Endpoint {
@@ -356,10 +362,11 @@
         self.dispatcher.borrow_mut().record_leaving(id);
     }
 
-    /// Returns why a target gets no request now.
-    pub fn obstacle(&self, id: &str) -> Option<Obstacle> {
+    /// Returns why a target gets no request now that may be served in `residency` only; `None` if everywhere.
+    pub fn obstacle(&self, id: &str, residency: Option<&Residency>) -> Option<Obstacle> {
         let now = self.node.clock.now();
-        self.dispatcher.borrow().obstacle(now, id)
+        let dispatcher = self.dispatcher.borrow();
+        dispatcher.obstacle_within(now, id, residency)
     }
 
     /// Records a request that is sent to the same target again.
--- a/crates/filbertstack-gateway/src/request/waiting.rs
+++ b/crates/filbertstack-gateway/src/request/waiting.rs
@@ -70,7 +70,7 @@
         Ok(chosen) => return Ok(chosen),
         Err(refused) => refused,
     };
-    let recovers = call.waited || matches!(refused, ChooseError::NoTarget { .. });
+    let recovers = may_recover(requests, call, refused);
     let timeout = call.deadline.saturating_duration_since(call.arrived_at);
     let wait_until = wait_until(requests, Some(&call.service), call.arrived_at, timeout);
     let Some(wait_until) = wait_until.filter(|_| recovers) else {
@@ -82,15 +82,31 @@
         let chosen = if goal_left(call).is_zero() {
             choose_late(requests, call)
         } else {
-            choose_in_time(requests, call).ok()
+            Some(choose_in_time(requests, call))
         };
-        if let Some(chosen) = chosen {
-            return Ok(chosen);
+        match chosen {
+            Some(Ok(chosen)) => return Ok(chosen),
+            Some(Err(refused @ ChooseError::NoRegion { .. }))
+                if !may_recover(requests, call, refused) =>
+            {
+                return Err(refused);
+            }
+            _ => {}
         }
     }
     Err(refused)
 }
 
+/// Returns whether a request that was refused a target may wait for one. A request does not wait for a target to
+/// register in an allowed region, unless the entry has just started and may not know all registered targets.
+fn may_recover(requests: &Requests, call: &Call, refused: ChooseError) -> bool {
+    match refused {
+        ChooseError::NoTarget { .. } => true,
+        ChooseError::NoRegion { .. } => call.waited && !call.is_allowed_nowhere(&requests.node),
+        ChooseError::Full { .. } => call.waited,
+    }
+}
+
 /// Returns the time left until the route's goal for the first event.
 fn goal_left(call: &Call) -> Duration {
     call.route.goal.saturating_sub(call.arrived_at.elapsed())
@@ -108,19 +124,22 @@
 
 /// Chooses a target for a request that has waited past its goal, if the rate limit for such requests allows
 /// it beside newly arriving ones.
-fn choose_late(requests: &Requests, call: &Call) -> Option<Chosen> {
+fn choose_late(requests: &Requests, call: &Call) -> Option<Result<Chosen, ChooseError>> {
     let now = requests.node.clock.now();
     if !requests.recovery.borrow().may_send_waiter(now) {
         return None;
     }
-    let chosen = choose(requests, call, call.route.goal).ok()?;
-    requests.recovery.borrow_mut().count_waiter_sent(now);
+    let chosen = choose(requests, call, call.route.goal);
+    if chosen.is_ok() {
+        requests.recovery.borrow_mut().count_waiter_sent(now);
+    }
     Some(chosen)
 }
 
 fn choose(requests: &Requests, call: &Call, goal: Duration) -> Result<Chosen, ChooseError> {
+    let residency = call.residency(&requests.node);
     requests.targets.choose(&TargetRequest {
-        residency: None,
+        residency: residency.as_ref(),
         service: &call.service,
         prompt: call.prompt(),
         goal: Millis::from(goal),
--- a/crates/filbertstack-gateway/src/settings.rs
+++ b/crates/filbertstack-gateway/src/settings.rs
@@ -123,6 +123,11 @@
 }
 
 impl Settings {
+    /// Returns the region of an availability zone, if it is known.
+    pub fn region(&self, zone: &str) -> Option<&Arc<str>> {
+        self.regions.get(zone)
+    }
+
     /// Reads the settings file at `path`.
     ///
     /// # Errors
@@ -234,11 +239,12 @@
     bounds
 }
 
-/// Reads the region of each availability zone.
+/// Reads the region of each availability zone. A zone with an empty value is in no region.
 fn read_regions(mut section: Section) -> BTreeMap<Arc<str>, Arc<str>> {
     let zones = section.take_all().into_iter();
     zones
         .map(|(zone, region)| (zone.into(), region.trim().into()))
+        .filter(|(_, region): &(_, Arc<str>)| !region.is_empty())
         .collect()
 }
 
--- a/tests/gateway/cluster.rs
+++ b/tests/gateway/cluster.rs
@@ -39,6 +39,8 @@
     entries: usize,
     /// The nodes that settings name as seeds when they are written.
     seeds: Vec<usize>,
+    /// The lines of the section `[regions]` of entries' settings.
+    regions: &'static str,
     /// Whether the cluster has ended, and starts no more processes.
     ended: bool,
 }
@@ -57,6 +59,11 @@
 impl Cluster {
     /// Starts `voters` entries with a disk and `others` without.
     pub fn start(voters: usize, others: usize) -> Self {
+        Self::start_in(voters, others, "")
+    }
+
+    /// Does the same with these lines in the section `[regions]` of their settings.
+    pub fn start_in(voters: usize, others: usize, regions: &'static str) -> Self {
         let number = CLUSTERS.fetch_add(1, Ordering::Relaxed);
         let process = std::process::id();
         let net = format!(
@@ -71,6 +78,7 @@
             processes: (0..count).map(|_| None).collect(),
             entries: count,
             seeds: (0..count.min(3)).collect(),
+            regions,
             ended: false,
         };
         for n in 0..count {
@@ -111,8 +119,9 @@
         };
         let text = format!(
             "{}[listen]\nfront = {ip}:8005\nready = {ip}:8002\ncontrol = {ip}:8000\n\
-             directory = {ip}:8009\nmetrics = {ip}:8010\n",
-            self.node_settings(n, first, &data)
+             directory = {ip}:8009\nmetrics = {ip}:8010\n[regions]\n{}",
+            self.node_settings(n, first, &data),
+            self.regions
         );
         fs::write(self.path(n), text).expect("the settings");
     }
@@ -290,13 +299,23 @@
 
     /// Returns whether an entry gives callers the addresses of all entries, and so knows them all.
     pub fn knows_all(&self, n: usize) -> bool {
+        self.resolve(n, "r", "z").len() == self.entries
+    }
+
+    /// Returns the addresses of entries, in order, that an entry gives a caller in `region` and `zone`.
+    pub fn resolve(&self, n: usize, region: &str, zone: &str) -> Vec<String> {
         let addr = format!("{}:8009", self.ips[n]);
-        let request = "GET /resolve?name=h.example&region=r&zone=z HTTP/1.1\r\nHost: d\r\n\
-                       Connection: close\r\n\r\n";
-        let answer = exchange(&addr, request).map(|answer| answer.body);
+        let request = format!(
+            "GET /resolve?name=h.example&region={region}&zone={zone} HTTP/1.1\r\nHost: d\r\n\
+             Connection: close\r\n\r\n"
+        );
+        let answer = exchange(&addr, &request).map(|answer| answer.body);
         let answered: Value = serde_json::from_str(&answer.unwrap_or_default()).unwrap_or_default();
-        let addresses = answered["addresses"].as_array();
-        addresses.is_some_and(|addresses| addresses.len() == self.entries)
+        let addresses = answered["addresses"].as_array().into_iter().flatten();
+        let addresses = addresses.filter_map(|addr| addr.as_str().map(str::to_owned));
+        let mut addresses: Vec<String> = addresses.collect();
+        addresses.sort();
+        addresses
     }
 
     /// Returns the metrics of an entry.
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -13,5 +13,6 @@
 mod notices;
 mod orders;
 mod requests;
+mod residency;
 mod seeds;
 mod weights;
