Tell callers entries near to them, or where their requests may be served

The directory named the entries of the caller's zone, or all of them. In between now come those of the caller's region and those of the regions where all routes of the requested host may be served. Each step needs two entries. Where `[regions]` is empty, the answers are as before.

The process test of bound requests asks for both.

--- a/crates/filbertstack-gateway/src/entry/directory.rs
+++ b/crates/filbertstack-gateway/src/entry/directory.rs
@@ -10,6 +10,8 @@
 use filbertstack_platform::directory::address_list;
 use filbertstack_platform::directory::is_readiness_check;
 use filbertstack_platform::directory::read_query;
+use filbertstack_policy::residency::Place;
+use filbertstack_policy::residency::find_scope;
 use filbertstack_policy::subset::hash;
 use http::Request;
 use http::Response;
@@ -28,10 +30,6 @@
 /// again after that time.
 const CACHE_TIME: Duration = Duration::from_secs(2);
 
-/// The least number of entries in the caller's zone for which an answer leaves out those of other
-/// zones. With two, the loss of one leaves another.
-const MIN_ZONE_ENTRIES: usize = 2;
-
 /// Serves the directory and the readiness check.
 pub struct Directory {
     node: Rc<Node>,
@@ -48,21 +46,45 @@
         !*self.leaving.borrow() && self.node.declared.is_loaded() && self.node.is_current()
     }
 
-    /// Returns the addresses of the entries for a caller: those of its zone if there are enough, or
-    /// else all. Each node returns them in a different order, so that callers that use the first address
+    fn place<'a>(&'a self, zone: &'a str) -> Place<'a> {
+        Place {
+            zone,
+            region: self.node.settings.region(zone).map(|region| &**region),
+        }
+    }
+
+    /// Returns where a caller is. If it does not name its region, its zone tells it.
+    fn caller_place<'a>(&'a self, location: &'a CallerLocation) -> Place<'a> {
+        let place = self.place(&location.zone);
+        let named = Some(location.region.as_str()).filter(|region| !region.is_empty());
+        Place {
+            region: named.or(place.region),
+            ..place
+        }
+    }
+
+    /// Returns the addresses of the entries for a caller: those of its zone if there are enough, or else those
+    /// of a wider [scope](filbertstack_policy::residency::Scope). Each node returns them in a different order, so that callers that use the first address
     /// spread over the entries.
-    fn addrs(&self, place: &CallerLocation) -> Vec<SocketAddr> {
+    fn addrs(&self, location: &CallerLocation) -> Vec<SocketAddr> {
         let rows = self.node.registry.present();
         let entries = rows.iter().filter_map(|(_, kind, _)| match &**kind {
             Kind::Entry(entry) if !entry.leaving => Some(entry),
             _ => None,
         });
         let entries: Vec<_> = entries.collect();
-        let zone_entries = entries.iter().filter(|e| e.zone == place.zone).count();
+        let caller = self.caller_place(location);
+        let host = self
+            .node
+            .declared
+            .catalogue()
+            .host_residency(&location.host);
+        let places: Vec<_> = entries.iter().map(|e| self.place(&e.zone)).collect();
+        let scope = find_scope(&places, caller, &host);
         let own = &self.node.settings.node.name;
         let mut addrs: Vec<SocketAddr> = entries
             .iter()
-            .filter(|e| zone_entries < MIN_ZONE_ENTRIES || e.zone == place.zone)
+            .filter(|e| scope.includes(self.place(&e.zone), caller, &host))
             .filter_map(|e| decode_addr(&e.front))
             .collect();
         addrs.sort_by_key(|addr| hash(&format!("{own} {addr}")));
@@ -89,10 +111,10 @@
             };
             return json_response(status, empty);
         }
-        let Some(place) = read_query(method, uri.path(), uri.query().unwrap_or_default()) else {
+        let Some(location) = read_query(method, uri.path(), uri.query().unwrap_or_default()) else {
             return json_response(StatusCode::NOT_FOUND, empty);
         };
-        let addrs = self.addrs(&place);
+        let addrs = self.addrs(&location);
         if addrs.is_empty() || !self.node.declared.is_loaded() {
             return json_response(StatusCode::SERVICE_UNAVAILABLE, empty);
         }
--- a/tests/gateway/residency.rs
+++ b/tests/gateway/residency.rs
@@ -100,6 +100,10 @@
     }
     let counted = format!("filbertstack_entry_refusals_total{{reason=\"{NO_REGION}\"}}");
     assert!(cluster.metrics(0).contains(&counted));
+    // Callers are told the entries of their region, or else those where the route is served.
+    let entries = |numbers: [usize; 2]| numbers.map(|n| cluster.front_addr(n));
+    assert_eq!(cluster.resolve(0, "south", "z2"), entries([2, 3]));
+    assert_eq!(cluster.resolve(0, "west", "z9"), entries([0, 1]));
 }
 
 /// A request is at an engine in the north when its route is bound to the south, and the engine breaks off. The
