--- a/crates/filbertstack-gateway/src/request/attempt.rs
+++ b/crates/filbertstack-gateway/src/request/attempt.rs
@@ -37,6 +37,7 @@
 use crate::request::permit;
 use crate::request::relay::Framing;
 use crate::request::relay::Relay;
+use crate::request::residency::NO_REGION;
 use crate::request::targets::Chosen;
 use crate::request::targets::instance_of;
 use crate::request::waiting;
@@ -171,10 +172,11 @@
 /// A [`Refusal`] with a time to retry, if there is none.
 pub fn choose(requests: &Rc<Requests>, call: &Call, tries: &Tries) -> Result<Chosen, Refusal> {
     let goal = call.route.goal.max(RETRY_GOAL).min(call.time_left());
+    let residency = call.residency(&requests.node);
     let wanted = TargetRequest {
-        residency: None,
         // It was admitted before, and has its place among the others.
         contender: None,
+        residency: residency.as_ref(),
         service: &call.service,
         prompt: call.prompt(),
         goal: Millis::from(goal),
@@ -184,13 +186,13 @@
 }
 
 fn to_refusal(refused: ChooseError) -> Refusal {
-    let after = Duration::from(refused.retry_after());
     let why = match refused {
         ChooseError::Yields { .. } => "room is kept for requests of higher rank",
         ChooseError::Evacuated { .. } => "all targets are in evacuated zones",
+        ChooseError::NoRegion { .. } => NO_REGION,
         ChooseError::NoTarget { .. } | ChooseError::Full { .. } => "no target can serve it in time",
     };
-    Refusal::busy(why, after)
+    Refusal::busy(why, refused.retry_after().into())
 }
 
 /// A stream that another target is to continue.
--- a/crates/filbertstack-gateway/src/request/mod.rs
+++ b/crates/filbertstack-gateway/src/request/mod.rs
@@ -14,6 +14,7 @@
 mod permit;
 pub mod pool;
 pub mod relay;
+pub mod residency;
 mod resume;
 mod takeover;
 pub mod targets;
@@ -68,6 +69,7 @@
 use crate::request::answer::AnswerBody;
 use crate::request::answer::Refusal;
 use crate::request::pool::Pool;
+use crate::request::residency::CallResidency;
 use crate::request::targets::Targets;
 
 /// The timeout of a request that names none: the timeout of its route applies.
@@ -160,6 +162,8 @@
     pub in_flight: InFlight,
     /// What it holds that may crash targets, once that was needed.
     suspects: OnceCell<Vec<Suspect>>,
+    /// Where it may be served.
+    residency: CallResidency,
 }
 
 /// Counts one request until it is dropped.
@@ -331,12 +335,12 @@
             waiting::wait_declared(self, arrived_at, head.timeout).await?;
         }
         let catalogue = self.node.declared.catalogue();
+        let version = self.node.declared.version();
         let (parts, body) = request.into_parts();
         let route = find_route(&catalogue, &parts.headers, &parts.uri)?;
         let holder = find_organisation(&catalogue, &route, &head)?;
         let service = self.draw_service(&route);
         let contender = self.contender(&catalogue, &route, &service, holder.as_deref(), &head);
-        let organisation = holder.map(|holder| holder.name.clone());
         let timeout = head.timeout.unwrap_or(NO_TIMEOUT).min(route.timeout);
         let deadline = arrived_at + timeout;
         if self.ends_before(deadline) {
@@ -345,6 +349,7 @@
         let caller = parts.extensions.get::<Caller>().map(|caller| caller.0);
         let body = read_body(body, catalogue.limits().body, deadline).await?;
         self.repeats.borrow_mut().earn(&service);
+        let residency = CallResidency::new(version, &route, holder.as_deref());
         let call = Rc::new(Call {
             head,
             method: parts.method,
@@ -353,7 +358,7 @@
             body,
             route,
             service,
-            organisation,
+            organisation: holder.map(|holder| holder.name.clone()),
             arrived_at,
             contender,
             waited,
@@ -361,9 +366,11 @@
             caller,
             in_flight,
             suspects: OnceCell::new(),
+            residency,
         });
         let answer = timeout_at(deadline, attempt::run(self, &call)).await;
-        answer.unwrap_or(Err(Refusal::late()))
+        let answer = answer.unwrap_or(Err(Refusal::late()));
+        answer.map_err(|refusal| call.name_rule(&self.node, refusal))
     }
 
     /// Returns the rank of a request among those of its service, if they differ in rank.
--- a/crates/filbertstack-gateway/src/request/permit.rs
+++ b/crates/filbertstack-gateway/src/request/permit.rs
@@ -25,7 +25,8 @@
 /// Returns whether a request may be sent now to the target that was chosen for it, and records it and a probe. What
 /// is known may have changed while the request waited for a target or for its connection.
 pub fn may_send_to(requests: &Requests, call: &Call, chosen: &Chosen, way: Way) -> bool {
-    let obstacle = requests.targets.obstacle(chosen, way);
+    let residency = call.residency(&requests.node);
+    let obstacle = requests.targets.obstacle(chosen, way, residency.as_ref());
     let permit = permit::may_send_to(way, verdict(requests, call), obstacle);
     if let Some(why) = permit.denial() {
         info!("send denied", kv: {
--- a/crates/filbertstack-gateway/src/request/targets.rs
+++ b/crates/filbertstack-gateway/src/request/targets.rs
@@ -10,6 +10,7 @@
 
 use filbertstack_core::Millis;
 use filbertstack_core::serving::EngineModel;
+use filbertstack_core::serving::Residency;
 use filbertstack_policy::dispatch::AttemptEnd;
 use filbertstack_policy::dispatch::ChooseError;
 use filbertstack_policy::dispatch::Dispatcher;
@@ -24,6 +25,7 @@
 use filbertstack_policy::quota::Sender;
 use filbertstack_policy::rank::Contender;
 use filbertstack_policy::registry::Stamp;
+use filbertstack_policy::residency;
 use filbertstack_policy::rollout;
 use filbertstack_policy::subset;
 use filbertstack_policy::subset::Candidate;
@@ -236,9 +238,13 @@
             known && self.is_evacuated(r.row)
         });
         let kept = kept.map(|r| r.addr);
+        let catalogue = self.node.declared.catalogue();
+        let named: Vec<&str> = catalogue.named_regions().iter().map(|r| &**r).collect();
+        let region_of = |zone: &str| self.node.settings.region(zone).map(|region| &**region);
         let used = services.values().flat_map(|candidates| {
+            let reserved = residency::reserve(&node.name, candidates, &named, region_of);
             subset::select(&node.name, &node.zone, candidates, |addr| {
-                beside.contains_key(&addr)
+                beside.contains_key(&addr) || reserved.contains(&addr)
             })
         });
         used.chain(kept).collect()
@@ -290,7 +296,7 @@
             sharers,
             engine,
             accepts_work: serves && !row.draining,
-            region: self.node.settings.regions.get(row.zone.as_str()).cloned(),
+            region: self.node.settings.region(&row.zone).cloned(),
             evacuated: self.is_evacuated(row),
         };
         let endpoint = Endpoint {
@@ -407,11 +413,17 @@
         self.dispatcher.borrow_mut().record_leaving(id);
     }
 
-    /// Returns why a target gets no request now that was chosen for it before.
-    pub fn obstacle(&self, chosen: &Chosen, way: Way) -> Option<Obstacle> {
+    /// Returns why a target gets no request now that was chosen for it before and may be served in `residency` only;
+    /// `None` if everywhere.
+    pub fn obstacle(
+        &self,
+        chosen: &Chosen,
+        way: Way,
+        residency: Option<&Residency>,
+    ) -> Option<Obstacle> {
         let now = self.node.clock.now();
         let dispatcher = self.dispatcher.borrow();
-        dispatcher.send_obstacle(now, &chosen.id, chosen.chosen_at, way)
+        dispatcher.send_obstacle(now, &chosen.id, chosen.chosen_at, way, residency)
     }
 
     /// Records that a request is written to the target that was chosen for it.
--- a/crates/filbertstack-gateway/src/request/waiting.rs
+++ b/crates/filbertstack-gateway/src/request/waiting.rs
@@ -80,7 +80,7 @@
         Ok(chosen) => return Ok(chosen),
         Err(refused) => refused,
     };
-    let recovers = may_recover(call, refused);
+    let recovers = may_recover(requests, call, refused);
     let timeout = call.deadline.saturating_duration_since(call.arrived_at);
     let wait_until = wait_until(requests, Some(&call.service), call.arrived_at, timeout);
     let Some(wait_until) = wait_until.filter(|_| recovers) else {
@@ -96,22 +96,35 @@
         };
         match chosen {
             Ok(Some(chosen)) => return Ok(chosen),
-            Err(evacuated @ ChooseError::Evacuated { .. }) => return Err(evacuated),
+            Err(refused) if is_lasting(requests, call, refused) => return Err(refused),
             Ok(None) | Err(_) => {}
         }
     }
     Err(refused)
 }
 
-/// Returns whether a request may wait for a target after `refused`. An evacuation outlasts its caller.
-fn may_recover(call: &Call, refused: ChooseError) -> bool {
+/// Returns whether a request that was refused a target may wait for one.
+fn may_recover(requests: &Requests, call: &Call, refused: ChooseError) -> bool {
     match refused {
         ChooseError::NoTarget { .. } => true,
         ChooseError::Full { .. } | ChooseError::Yields { .. } => call.waited,
+        ChooseError::NoRegion { .. } => call.waited && !is_lasting(requests, call, refused),
         ChooseError::Evacuated { .. } => false,
     }
 }
 
+/// Returns whether a refusal outlasts its caller. An evacuation does. A target may still register in an allowed region
+/// where the entry has just started and does not know all registered targets.
+fn is_lasting(requests: &Requests, call: &Call, refused: ChooseError) -> bool {
+    match refused {
+        ChooseError::Evacuated { .. } => true,
+        ChooseError::NoRegion { .. } => !call.waited || call.is_allowed_nowhere(&requests.node),
+        ChooseError::NoTarget { .. } | ChooseError::Full { .. } | ChooseError::Yields { .. } => {
+            false
+        }
+    }
+}
+
 /// Returns the time left until the route's goal for the first event.
 fn goal_left(call: &Call) -> Duration {
     call.route.goal.saturating_sub(call.arrived_at.elapsed())
@@ -140,9 +153,10 @@
 }
 
 fn choose(requests: &Requests, call: &Call, goal: Duration) -> Result<Chosen, ChooseError> {
+    let residency = call.residency(&requests.node);
     requests.targets.choose(&TargetRequest {
-        residency: None,
         contender: call.contender.as_ref(),
+        residency: residency.as_ref(),
         service: &call.service,
         prompt: call.prompt(),
         goal: Millis::from(goal),
--- a/crates/filbertstack-policy/src/dispatch.rs
+++ b/crates/filbertstack-policy/src/dispatch.rs
@@ -28,6 +28,9 @@
 //! themselves. If all targets of a service are in such zones, its requests are refused at once: an evacuation lasts
 //! longer than any caller waits.
 //!
+//! A request that is bound to regions counts on the targets there alone, and is refused at once if none is
+//! registered: [`residency`](crate::residency) says why.
+//!
 //! Decisions depend only on the time and the observations passed in. They use no clock, network or
 //! thread.
 
@@ -108,6 +111,16 @@
     pub contender: Option<&'a Contender>,
 }
 
+impl TargetRequest<'_> {
+    /// Returns whether the request is for the target's service and may be served in the target's region.
+    fn concerns(&self, target: &Target) -> bool {
+        let TargetSpec {
+            service, region, ..
+        } = &target.spec;
+        **service == *self.service && self.residency.is_none_or(|r| r.allows(region.as_deref()))
+    }
+}
+
 /// The reason why a request gets no target.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ChooseError {
@@ -126,11 +139,16 @@
         /// The delay after which the caller may retry.
         retry_after: Millis,
     },
-    /// All targets of the service are in evacuated zones.
+    /// All targets that may serve the request are in evacuated zones.
     Evacuated {
         /// The delay after which the caller may retry.
         retry_after: Millis,
     },
+    /// No target of the service is registered in a region where the request may be served.
+    NoRegion {
+        /// The delay after which the caller may retry.
+        retry_after: Millis,
+    },
 }
 
 impl ChooseError {
@@ -140,7 +158,8 @@
             Self::NoTarget { retry_after }
             | Self::Full { retry_after }
             | Self::Yields { retry_after }
-            | Self::Evacuated { retry_after } => retry_after,
+            | Self::Evacuated { retry_after }
+            | Self::NoRegion { retry_after } => retry_after,
         }
     }
 }
@@ -216,7 +235,7 @@
         now: Millis,
         wanted: &TargetRequest<'_>,
     ) -> Result<TargetId, ChooseError> {
-        if self.is_evacuated(wanted.service) {
+        if self.is_evacuated(wanted) {
             let retry_after = self.jitter(NO_TARGET_RETRY_MS);
             return Err(ChooseError::Evacuated { retry_after });
         }
@@ -235,13 +254,13 @@
         let demand = self.demand.get(wanted.service);
         let demand = demand.map_or(0.0, Rate::per_ms_at_last);
         let demand = claim.map_or(demand, |claim| claim.demand);
-        let free_slots = self.free_slots(now, wanted.service, limit, cut_off);
+        let free_slots = self.free_slots(now, wanted, limit, cut_off);
         let mut lowest = f64::INFINITY;
         let mut yields = false;
         let mut rest_end = None;
         for target in self.targets.values() {
             let id = &target.spec.id;
-            let excluded = &*target.spec.service != wanted.service || wanted.tried.contains(id);
+            let excluded = !wanted.concerns(target) || wanted.tried.contains(id);
             if excluded {
                 continue;
             }
@@ -311,6 +330,10 @@
             }
             return Ok(id);
         }
+        if !self.is_registered(wanted) {
+            let retry_after = self.jitter(NO_TARGET_RETRY_MS);
+            return Err(ChooseError::NoRegion { retry_after });
+        }
         let rest = rest_end.map(|end| end.since(now));
         let refused = self.refuse(lowest - limit, rest);
         Err(self.spread_retry(now, wanted, refused, yields))
@@ -339,6 +362,12 @@
         }
     }
 
+    /// Returns whether a target is registered that a request bound to regions may be sent to. A request that may
+    /// be served everywhere is not asked for one, as it may wait for a target.
+    fn is_registered(&self, wanted: &TargetRequest<'_>) -> bool {
+        wanted.residency.is_none() || self.targets.values().any(|target| wanted.concerns(target))
+    }
+
     /// Returns the refusal of a request whose earliest first event is `excess_ms` too late, infinite if no
     /// target takes work, while the first of the targets that rest does so for `rest`.
     fn refuse(&mut self, excess_ms: f64, rest: Option<Millis>) -> ChooseError {
@@ -356,18 +385,28 @@
         }
     }
 
-    /// Returns whether the service has targets, and all are in evacuated zones.
-    fn is_evacuated(&self, service: &str) -> bool {
-        let targets = self.targets.values();
-        let mut targets = targets.filter(|t| &*t.spec.service == service).peekable();
+    /// Returns whether targets may serve the request, and all of them are in evacuated zones.
+    fn is_evacuated(&self, wanted: &TargetRequest<'_>) -> bool {
+        let mut targets = self
+            .targets
+            .values()
+            .filter(|t| wanted.concerns(t))
+            .peekable();
         targets.peek().is_some() && targets.all(|t| t.spec.evacuated)
     }
 
-    /// Returns the free slots of a service's targets in other zones, and of those in the local zone.
-    fn free_slots(&self, now: Millis, service: &str, limit: f64, cut_off: bool) -> [FreeSlots; 2] {
+    /// Returns the free slots of the targets in other zones that a request may be sent to, and of those in the
+    /// local zone.
+    fn free_slots(
+        &self,
+        now: Millis,
+        wanted: &TargetRequest<'_>,
+        limit: f64,
+        cut_off: bool,
+    ) -> [FreeSlots; 2] {
         let mut free_slots = [FreeSlots::default(); 2];
         for target in self.targets.values() {
-            if &*target.spec.service != service {
+            if !wanted.concerns(target) {
                 continue;
             }
             let is_heard = cut_off || !target.is_silent(now);
@@ -480,15 +519,20 @@
 
     /// Returns why a request that is to be sent by `way` now, and for which `id` was chosen at `chosen_at`,
     /// may not be sent there. A target may have become cold since, and one that was cold has given it a place
-    /// for one send.
+    /// for one send. The regions where the request may be served, `None` if everywhere, may have been replaced.
     pub fn send_obstacle(
         &self,
         now: Millis,
         id: &str,
         chosen_at: Millis,
         way: Way,
+        residency: Option<&Residency>,
     ) -> Option<Obstacle> {
         let target = self.targets.get(id);
+        let bound = target.zip(residency);
+        if bound.is_some_and(|(t, r)| !r.allows(t.spec.region.as_deref())) {
+            return Some(Obstacle::NotAllowed);
+        }
         let cold = target.and_then(|target| target.cold_obstacle(now));
         let has_place = |t: &Target| way != Way::Resend && t.has_token(chosen_at);
         let cold = cold.filter(|_| !target.is_some_and(has_place));
--- a/crates/filbertstack-policy/src/permit.rs
+++ b/crates/filbertstack-policy/src/permit.rs
@@ -15,6 +15,7 @@
 //! | the target fails requests | this entry | [`outlier`](crate::outlier) |
 //! | the target turned requests away, or takes no new work | the target | [`dispatch`](crate::dispatch) |
 //! | the target's availability zone is evacuated | operators, to all entries | [`dispatch`](crate::dispatch) |
+//! | the request may not be served in the target's region | the declared state | [`residency`](crate::residency) |
 //!
 //! Decisions depend only on what is passed in. They use no clock, network or thread.
 
@@ -67,6 +68,8 @@
     LimitReached,
     /// It is cold, and this entry may send it no request until then.
     Cold(Millis),
+    /// It is in no region where the request may be served.
+    NotAllowed,
 }
 
 impl Obstacle {
@@ -81,19 +84,23 @@
             Self::Paused => "the target turned a request away",
             Self::LimitReached => "the target's limit is reached",
             Self::Cold(_) => "the target is cold and takes no more at the moment",
+            Self::NotAllowed => "the target is in no allowed region",
         }
     }
 
-    /// Returns whether it keeps back a request for which the target was chosen before. What operators or
-    /// the target itself want holds until the request is sent, and
+    /// Returns whether it keeps back a request for which the target was chosen before. What operators or the
+    /// target itself want, and where the request may be served, holds until the request is sent.
     /// [`send_obstacle`](crate::dispatch::Dispatcher::send_obstacle) does not name a cold target to a request that
-    /// has its place there. Other obstacles were weighed in the choice: the request has its place
-    /// in the limit and, at an ejected target, is its probe. One that is sent once more needs another place.
+    /// has its place there. Other obstacles were weighed in the choice: the request has its place in the limit
+    /// and, at an ejected target, is its probe. One that is sent once more needs another place.
     fn holds_back(self, way: Way) -> bool {
         match self {
-            Self::Evacuated | Self::TakesNoWork | Self::Leaves | Self::Rests(_) | Self::Cold(_) => {
-                true
-            }
+            Self::Evacuated
+            | Self::TakesNoWork
+            | Self::Leaves
+            | Self::Rests(_)
+            | Self::Cold(_)
+            | Self::NotAllowed => true,
             Self::LimitReached => way == Way::Resend,
             Self::Ejected | Self::Paused => false,
         }
--- a/crates/filbertstack-policy/tests/cold.rs
+++ b/crates/filbertstack-policy/tests/cold.rs
@@ -290,7 +290,7 @@
     let mut dispatcher = dispatcher(&["e0"]);
     dispatcher.set_cold(Millis(100), "e0", Some(limit(9_000, Some(1_000))));
     let obstacle = |d: &Dispatcher, now, chosen_at, way| {
-        d.send_obstacle(Millis(now), "e0", Millis(chosen_at), way)
+        d.send_obstacle(Millis(now), "e0", Millis(chosen_at), way, None)
     };
     assert!(choose(&mut dispatcher, Millis(200)).is_ok());
     dispatcher.count_sent(Millis(200), "e0", 0);
--- a/crates/filbertstack-policy/tests/permit.rs
+++ b/crates/filbertstack-policy/tests/permit.rs
@@ -79,6 +79,7 @@
         Obstacle::Paused,
         Obstacle::LimitReached,
         Obstacle::Cold(Millis(1)),
+        Obstacle::NotAllowed,
     ];
     let mut names: Vec<&str> = obstacles.iter().map(|o| o.name()).collect();
     names.extend(may_send(refused()).denial());
