An entry that starts obeys evacuations from its first request

Cause: an entry that starts knows targets before the declared state, and refreshed its targets 10 ms after it arrived. Requests were routed meanwhile, by targets that didn't count as evacuated.

Change: the choice and the check before a send refresh the targets first if the revision of the evacuated zones is another one than at the last refresh.

The soak now evacuates zones: one before the faults, with an engine that must get nothing, and others at random, with answers that are not read.

--- a/crates/filbertstack-gateway/src/request/targets.rs
+++ b/crates/filbertstack-gateway/src/request/targets.rs
@@ -1,5 +1,6 @@
 //! The targets of one entry, with their state from the registry and the load of their engines.
 
+use std::cell::Cell;
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
@@ -43,6 +44,8 @@
     endpoints: RefCell<BTreeMap<TargetId, Endpoint>>,
     /// The engines among them by their packed addresses, as load reports identify them.
     engines: RefCell<BTreeMap<u64, TargetId>>,
+    /// The revision of the evacuated zones that the targets were last refreshed with.
+    zones_revision: Cell<u64>,
 }
 
 /// The address of a target and the version of the weights that its answers must come from.
@@ -81,6 +84,7 @@
             dispatcher: RefCell::new(dispatcher),
             endpoints: RefCell::default(),
             engines: RefCell::default(),
+            zones_revision: Cell::new(0),
         }
     }
 
@@ -89,6 +93,7 @@
     pub fn refresh(&self) {
         let rows = self.node.registry.present();
         let now = self.node.clock.now();
+        self.zones_revision.set(self.known_revision());
         let agents: BTreeMap<&str, &AgentRow> = rows
             .iter()
             .filter_map(|(_, kind, _)| match &**kind {
@@ -139,6 +144,18 @@
         *self.engines.borrow_mut() = engines;
     }
 
+    /// Refreshes the targets at once if other zones are evacuated since the last refresh. An entry that starts knows
+    /// targets before it knows the declared state, and routes requests as soon as it knows that.
+    fn follow_zones(&self) {
+        if self.zones_revision.get() != self.known_revision() {
+            self.refresh();
+        }
+    }
+
+    fn known_revision(&self) -> u64 {
+        self.node.declared.evacuations().state().revision
+    }
+
     /// Returns the requests a second that this entry may send to a target, if the target names a limit.
     fn quota(&self, rows: &[RegistryRow], id: &str, row: &TargetRow) -> Option<f64> {
         let limit = self.node.limits.limit(id)?;
@@ -309,6 +326,7 @@
     /// # Errors
     /// [`ChooseError`] if no target can serve it in time.
     pub fn choose(&self, wanted: &TargetRequest<'_>) -> Result<Chosen, ChooseError> {
+        self.follow_zones();
         let now = self.node.clock.now();
         let mut dispatcher = self.dispatcher.borrow_mut();
         let id = dispatcher.choose(now, wanted)?;
@@ -376,6 +394,7 @@
 
     /// Returns why a target gets no request now.
     pub fn obstacle(&self, id: &str) -> Option<Obstacle> {
+        self.follow_zones();
         let now = self.node.clock.now();
         self.dispatcher.borrow().obstacle(now, id)
     }
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -18,6 +18,7 @@
 #[allow(dead_code, reason = "shared with the tests of the gateway")]
 #[path = "../gateway/engine.rs"]
 mod engine;
+mod evacuations;
 mod faults;
 mod fleet;
 #[allow(dead_code, reason = "shared with the tests of the gateway")]
@@ -34,7 +35,7 @@
 use rand_chacha::ChaCha8Rng;
 
 /// The seeds that CI runs, each with the fault that it guards against.
-const SEEDS: [u64; 4] = [
+const SEEDS: [u64; 6] = [
     // An engine closes an idle connection, and the agent treats that as corrupt pieces.
     1, 2,
     // The soak test itself waits for the exit of a process that another fault has restarted.
@@ -42,6 +43,8 @@
     // An agent is killed while its order to load the first weights is unanswered; its successor stages the
     // next weights over them, and the engine loads both.
     3002,
+    // An entry restarts, knows targets before it knows the evacuations, and sends one request to an evacuated zone.
+    4002, 4013,
 ];
 
 /// The seeds of planned work that CI runs.
@@ -58,11 +61,13 @@
     let _end = EndOnDrop(fleet.clone());
     let callers = callers::start(&fleet, seed);
     let operator = operator::start(&fleet, seed);
+    let evacuations = evacuations::start(&fleet, seed);
     let delaying = faults::delay_orders(&fleet, seed);
     let faults = faults::inject(&fleet, &mut rng);
     fleet.end_faults();
     delaying.join().expect("the delays end");
     let mut violations = operator.finish(&fleet);
+    violations.extend(evacuations.finish(&fleet));
     violations.extend(callers.finish(&fleet));
     violations.extend(fleet.wrong_loads());
     println!("seed {seed}: {faults:?}; {}", callers::summary(&fleet));
@@ -122,7 +127,7 @@
 /// Processes are killed, frozen, stopped and restarted, disks are lost, connections are delayed, reset or
 /// lose bytes in one or both directions, engines crash and lose their weights, or execute orders late and
 /// without an answer, and versions and configurations change. Every caller gets its own whole answer or
-/// can tell that it did not, acknowledged changes are kept, and all services are served after the faults.
+/// can tell that it did not, acknowledged changes and evacuations are kept, and all services are served after the faults.
 #[test]
 fn guarantees_hold_under_random_faults() {
     let violations = run_seeds(&seeds_or(&SEEDS), |seed| run_seed(seed, version_count()));
