Estimate targets' paces from an entry's own streams and calls

15 in 100 targets are 2.5 times slower, drawn anew every 600 ms, and their reports don't say so. The dispatcher can now be told the gaps between events, the times to first events and the durations of plain calls (`observe_events`, `observe_first_event`, `observe_call`). The median of the last three ratios to what is usual is the estimate; `predict`, `free_slots` and `readable` use the larger of it and the reported pace. The last observation alone only orders the targets that are in time. Without `Dispatcher::estimate_paces` nothing changes.

Seen to fail on broken variants: without the division by the median, an_entry_with_a_slow_link_ejects_no_engine; with the largest of three in place of the median, a_single_slow_event_excludes_no_engine and an_engine_that_recovers_is_not_slow.

--- a/crates/filbertstack-policy/src/dispatch.rs
+++ b/crates/filbertstack-policy/src/dispatch.rs
@@ -23,10 +23,15 @@
 //! counts as full beyond that, so that its callers are not told that the service is gone. A target that asked
 //! this entry for [rest](crate::notices) counts as full until the rest ends, and one that leaves as gone.
 //!
+//! Where that is switched on, the prediction also follows the pace that this entry itself [observes](PaceChange)
+//! at a target.
+//!
 //! Decisions depend only on the time and the observations passed in. They use no clock, network or
 //! thread.
 
 mod engine;
+mod observe;
+mod pace;
 mod share;
 mod target;
 
@@ -47,6 +52,8 @@
 pub use self::engine::pass_ms;
 pub use self::engine::prefill_ms;
 pub use self::engine::slot_wait_ms;
+use self::observe::Observations;
+pub use self::pace::PaceChange;
 use self::share::Demand;
 use self::share::FreeSlots;
 pub use self::share::Sharers;
@@ -127,6 +134,8 @@
     notices: Notices,
     /// The rate of requests that arrive at this entry, by service.
     demand: BTreeMap<Arc<str>, Demand>,
+    /// What the targets' paces are compared with; `None` where they are not estimated.
+    observations: Option<Observations>,
     rng: ChaCha8Rng,
 }
 
@@ -137,6 +146,7 @@
             targets: BTreeMap::new(),
             notices: Notices::default(),
             demand: BTreeMap::new(),
+            observations: None,
             rng,
         }
     }
@@ -226,7 +236,7 @@
             if predicted > limit || !target.has_room(now, limit, share) {
                 continue;
             }
-            let expected = predicted + target.unseen_delay_ms();
+            let expected = predicted * target.suspected(now) + target.unseen_delay_ms();
             if sharers.preferred_by > 0 {
                 preferred.push((expected, id.clone()));
             } else if is_local {
--- a/crates/filbertstack-policy/src/dispatch/engine.rs
+++ b/crates/filbertstack-policy/src/dispatch/engine.rs
@@ -20,6 +20,18 @@
     prompt / engine.read_rate + pairs * engine.pairs_ms
 }
 
+/// Returns the milliseconds of one pass in the mean, with the prompts that it prefills: of `batch` requests, one
+/// is replaced in each pass for as many passes as an answer takes.
+pub(super) fn mean_pass_ms(engine: &EngineModel, batch: f64) -> f64 {
+    let replaced = batch / passes_of_answer(engine);
+    pass_ms(engine, batch) + replaced * prefill_ms(engine, engine.prompt)
+}
+
+/// Returns the number of passes that an answer of the mean length takes.
+fn passes_of_answer(engine: &EngineModel) -> f64 {
+    (engine.answer / f64::from(engine.stride)).max(1.0)
+}
+
 /// Returns the milliseconds from the moment a request gets a slot to its first event, beside `ahead`
 /// others.
 pub(super) fn first_event_ms(engine: &EngineModel, ahead: f64, prompt: f64) -> f64 {
@@ -35,6 +47,5 @@
 /// slot.
 pub fn slot_wait_ms(engine: &EngineModel) -> f64 {
     let slots = f64::from(engine.slots.max(1));
-    let passes = (engine.answer / f64::from(engine.stride)).max(1.0);
-    passes * pass_ms(engine, slots) / slots + prefill_ms(engine, engine.prompt)
+    passes_of_answer(engine) * pass_ms(engine, slots) / slots + prefill_ms(engine, engine.prompt)
 }
--- a/crates/filbertstack-policy/src/dispatch/target.rs
+++ b/crates/filbertstack-policy/src/dispatch/target.rs
@@ -9,9 +9,13 @@
 
 use super::Sharers;
 use super::engine::first_event_ms;
+use super::engine::mean_pass_ms;
+use super::engine::pass_ms;
 use super::engine::prefill_ms;
 use super::engine::slot_wait_ms;
 use super::millis_f64;
+use super::pace::Pace;
+use super::pace::USUAL_BELOW;
 use crate::outlier::Health;
 use crate::outlier::Outlier;
 use crate::permit::Obstacle;
@@ -134,6 +138,10 @@
     /// this entry's share of the free slots is rounded up.
     rounding: f64,
     mean_call_ms: f64,
+    /// The mean duration of a call to the targets of the service, in milliseconds, where paces are estimated.
+    usual_call_ms: Option<f64>,
+    /// The pace that this entry observes.
+    pub(super) pace: Pace,
     outlier: Outlier,
     /// The time until which the target takes nothing, as it announced itself.
     suspended_until: Millis,
@@ -156,6 +164,8 @@
             unreported_sends: VecDeque::new(),
             rounding: 0.0,
             mean_call_ms: INITIAL_CALL_MS,
+            usual_call_ms: None,
+            pace: Pace::default(),
             outlier: Outlier::default(),
             suspended_until: Millis::ZERO,
             pauses: 0,
@@ -338,9 +348,64 @@
         u32::try_from(self.unreported_sends.len()).unwrap_or(u32::MAX)
     }
 
-    fn pace(&self, now: Millis) -> f64 {
-        self.fresh_load(now)
-            .map_or(1.0, |(_, load)| load.pace.max(1.0))
+    /// Returns the factor by which the target is slower than usual: the larger of the reported and the observed
+    /// one.
+    fn slowness(&self, now: Millis) -> f64 {
+        let reported = self.fresh_load(now).map_or(1.0, |(_, load)| load.pace);
+        reported.max(self.pace.factor(now))
+    }
+
+    /// Records the gap between two events of a stream with `events` passes in it. Returns whether it counts.
+    pub(super) fn observe_events(&mut self, now: Millis, gap: Millis, events: u32) -> bool {
+        let Some(engine) = &self.spec.engine else {
+            return false;
+        };
+        let pass = mean_pass_ms(engine, self.batch(now));
+        let usual = pass * f64::from(events);
+        let distinct = millis(pass / 4_000.0);
+        self.pace.observe(now, millis_f64(gap), usual, distinct)
+    }
+
+    /// Records the time to a first event. Returns whether it counts.
+    pub(super) fn observe_first(&mut self, now: Millis, prompt: u32, took: Millis) -> bool {
+        let Some(engine) = &self.spec.engine else {
+            return false;
+        };
+        let ahead = (self.occupancy(now) - 1.0).max(0.0);
+        let usual = self.queue_ms(engine, ahead)
+            + first_event_ms(engine, ahead, f64::from(prompt))
+            + self.unseen_delay_ms();
+        let distinct = millis(pass_ms(engine, ahead) / 4_000.0);
+        self.pace.observe(now, millis_f64(took), usual, distinct)
+    }
+
+    /// Records the duration of a plain call that takes `usual` milliseconds in the mean. Returns whether it counts.
+    pub(super) fn observe_call(&mut self, now: Millis, took: Millis, usual: f64) -> bool {
+        self.usual_call_ms = Some(usual);
+        self.pace
+            .observe(now, millis_f64(took), usual, Millis::ZERO)
+    }
+
+    /// Returns the expected duration of a plain call, in milliseconds. The mean of a target's own calls is ten
+    /// calls old, which may be minutes. It must not keep calls away from a target that was slow once.
+    fn call_ms(&self, now: Millis) -> f64 {
+        let factor = self.pace.factor(now);
+        match self.usual_call_ms {
+            Some(usual) if factor > 1.0 => self.mean_call_ms.max(usual * factor),
+            Some(usual) => self.mean_call_ms.min(usual * USUAL_BELOW),
+            None => self.mean_call_ms,
+        }
+    }
+
+    /// Returns the number of requests that the engine runs, as far as this entry can know.
+    fn batch(&self, now: Millis) -> f64 {
+        let reported = self.fresh_load(now).map_or(0, |(_, load)| load.running);
+        f64::from(reported.max(self.in_flight)).clamp(1.0, self.slots())
+    }
+
+    /// Returns the milliseconds for which a request waits behind `ahead` others.
+    fn queue_ms(&self, engine: &EngineModel, ahead: f64) -> f64 {
+        (ahead + 1.0 - self.slots()).max(0.0) * slot_wait_ms(engine)
     }
 
     fn slots(&self) -> f64 {
@@ -352,11 +417,17 @@
         let ahead = self.occupancy(now);
         let Some(engine) = &self.spec.engine else {
             let rounds = ((ahead + 1.0) / self.slots()).max(1.0);
-            return self.mean_call_ms * rounds;
+            return self.call_ms(now) * rounds;
         };
-        let wait = (ahead + 1.0 - self.slots()).max(0.0) * slot_wait_ms(engine);
+        let wait = self.queue_ms(engine, ahead);
         let backlog = self.pending_tokens / engine.read_rate;
-        (wait + first_event_ms(engine, ahead, prompt) + backlog) * self.pace(now)
+        (wait + first_event_ms(engine, ahead, prompt) + backlog) * self.slowness(now)
+    }
+
+    /// Returns the factor by which the target may be slower than [`Self::predict`] assumes. It orders the targets
+    /// that are in time, and excludes none.
+    pub(super) fn suspected(&self, now: Millis) -> f64 {
+        (self.pace.suspected(now) / self.slowness(now)).max(1.0)
     }
 
     /// Returns the mean milliseconds by which other entries' unreported requests delay a first event:
@@ -378,7 +449,7 @@
         else {
             return 0.0;
         };
-        let elapsed = millis_f64(now.since(at)) / before.pace.max(1.0);
+        let elapsed = millis_f64(now.since(at)) / self.slowness(now);
         let arrived = load.present() - before.present() + self.ended(engine, before, elapsed);
         let read = elapsed / prefill_ms(engine, engine.prompt);
         (self.unread + arrived - read).max(0.0)
@@ -409,7 +480,7 @@
     pub(super) fn free_slots(&self, now: Millis, limit: f64) -> Option<f64> {
         let engine = self.spec.engine.as_deref()?;
         let (at, load) = self.fresh_load(now)?;
-        let pace = load.pace.max(1.0);
+        let pace = self.slowness(now);
         let slot_wait = slot_wait_ms(engine) * pace;
         let first_event = first_event_ms(engine, self.slots(), engine.prompt) * pace;
         let queue = ((limit - first_event) / slot_wait).max(0.0);
--- a/crates/filbertstack-policy/tests/batch/mod.rs
+++ b/crates/filbertstack-policy/tests/batch/mod.rs
@@ -57,9 +57,10 @@
     entry: usize,
     prompt: u32,
     passes_left: u32,
+    last_event: u64,
 }
 
-/// The first event or the end of a request.
+/// An event of a request.
 #[derive(Clone, Copy, Debug)]
 pub struct EngineEvent {
     /// The time when the request was sent, in milliseconds.
@@ -70,6 +71,10 @@
     pub prompt: u32,
     /// Whether this is the request's first event.
     pub first: bool,
+    /// Whether this is the request's last event.
+    pub last: bool,
+    /// The milliseconds since the request's event before, or since it was sent.
+    pub gap: u64,
 }
 
 /// A simulated engine.
@@ -104,6 +109,7 @@
             entry,
             prompt,
             passes_left: self.passes(),
+            last_event: now,
         });
     }
 
@@ -129,7 +135,7 @@
     pub fn advance(&mut self, now: u64) -> Vec<EngineEvent> {
         let mut events = Vec::new();
         if now >= self.pass_ends_at {
-            self.end_pass(&mut events);
+            self.end_pass(now, &mut events);
             self.begin_pass(now);
         }
         let count = |n: usize| u32::try_from(n).expect("few");
@@ -138,19 +144,20 @@
         events
     }
 
-    fn end_pass(&mut self, events: &mut Vec<EngineEvent>) {
+    fn end_pass(&mut self, now: u64, events: &mut Vec<EngineEvent>) {
         let passes = self.passes();
         for request in &mut self.batch {
             let first = request.passes_left == passes;
             request.passes_left -= 1;
-            if first || request.passes_left == 0 {
-                events.push(EngineEvent {
-                    sent: request.sent,
-                    entry: request.entry,
-                    prompt: request.prompt,
-                    first,
-                });
-            }
+            events.push(EngineEvent {
+                sent: request.sent,
+                entry: request.entry,
+                prompt: request.prompt,
+                first,
+                last: request.passes_left == 0,
+                gap: now - request.last_event,
+            });
+            request.last_event = now;
         }
         self.batch.retain(|request| request.passes_left > 0);
     }
--- a/crates/filbertstack-policy/tests/replay/mod.rs
+++ b/crates/filbertstack-policy/tests/replay/mod.rs
@@ -1,5 +1,7 @@
 //! A replay in virtual time of entries that send to engines without coordination.
 
+pub mod uneven;
+
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::sync::LazyLock;
@@ -23,7 +25,10 @@
 use rand_chacha::ChaCha8Rng;
 
 use crate::batch::Engine;
+use crate::batch::EngineEvent;
 use crate::batch::SIXTEEN_SLOTS;
+use crate::replay::uneven::Draws;
+use crate::replay::uneven::observe;
 
 /// The time for which callers wait for a first event.
 const PATIENCE_MS: u64 = 2_000;
@@ -90,6 +95,12 @@
     pub frozen: fn(usize, u64) -> bool,
     /// Whether an engine turns requests away at a millisecond and asks for rest.
     pub turns_away: fn(usize, u64) -> bool,
+    /// Whether some engines, drawn anew again and again, are slower without reporting it.
+    pub uneven: bool,
+    /// Whether the entries estimate the engines' paces.
+    pub observes: bool,
+    /// The factor by which the events of an entry seem further apart to it, as its own link is slow.
+    pub link: fn(usize) -> u64,
     /// What entries learn from it.
     pub heeds: Heeds,
     /// Whether the entries receive no load reports at a millisecond.
@@ -117,6 +128,19 @@
     pub turned_away: u32,
 }
 
+impl Received {
+    /// Counts a first event.
+    fn count(&mut self, replay: &Replay, now: u64, first: EngineEvent) {
+        if first.sent < replay.counted_from_ms {
+            return;
+        }
+        self.callers_left += u32::from(now - first.sent > PATIENCE_MS);
+        let on_time = now - first.sent <= replay.goal.0;
+        self.on_time += u32::from(on_time);
+        self.late += u32::from(!on_time);
+    }
+}
+
 pub fn spec(n: usize, accepts_work: bool) -> TargetSpec {
     TargetSpec {
         region: None,
@@ -149,7 +173,9 @@
     let mut recoveries: Vec<Recovery> = vec![Recovery::new(Millis(0)); replay.entries];
     let mut callers: Vec<Caller> = Vec::new();
     let mut rests = Rests::default();
+    let mut draws = Draws::new(replay, &mut entries);
     for now in 0..replay.seconds * 1_000 {
+        draws.draw(now, &mut engines);
         for (n, engine) in engines.iter_mut().enumerate() {
             if (replay.frozen)(n, now) {
                 continue;
@@ -157,16 +183,11 @@
             for done in engine.advance(now) {
                 let entry = &mut entries[done.entry];
                 let id = format!("e{n}");
+                observe(replay, entry, now, &id, done);
                 if done.first {
                     entry.count_first_event(Millis(now), &id, done.prompt);
-                    if done.sent < replay.counted_from_ms {
-                        continue;
-                    }
-                    received.callers_left += u32::from(now - done.sent > PATIENCE_MS);
-                    let on_time = now - done.sent <= replay.goal.0;
-                    received.on_time += u32::from(on_time);
-                    received.late += u32::from(!on_time);
-                } else {
+                    received.count(replay, now, done);
+                } else if done.last {
                     let took = Millis(now - done.sent);
                     entry.count_end(Millis(now), &id, 0, AttemptEnd::Answered(took));
                 }
@@ -407,7 +428,7 @@
         entry.set_targets(selected.iter().map(spec).collect());
         for n in selected.into_iter().filter(|n| !(replay.frozen)(*n, now)) {
             let (running, waiting) = engines[n].load_at(now.saturating_sub(REPORT_LAG_MS));
-            let pace = engines[n].pace;
+            let pace = if replay.uneven { 1.0 } else { engines[n].pace };
             let load = Load {
                 running,
                 waiting,
@@ -506,6 +527,9 @@
     serves_from_ms: |_| 0,
     frozen: |_, _| false,
     turns_away: |_, _| false,
+    uneven: false,
+    observes: false,
+    link: |_| 1,
     heeds: Heeds::Rest,
     cut_off: |_| false,
     returns: false,
