Observe targets' paces at the entry where `health` is enabled

The relay measures the gaps between the events of a stream: `EventGaps` counts the events that arrive together and leaves out gaps in which the caller held the relay back. A late poll shows that: hyper reads from the target only while the body is polled, so that what is read after it may have arrived long before. The guard adds the time to the first event and, for plain calls, to the first bytes.

New log lines `target turned slow` and `target at its usual pace again` with the estimate; new metric `entry_target_paces`, by state. Without `[features] enabled = health` no gap is measured.

--- a/crates/filbertstack-gateway/src/request/events.rs
+++ b/crates/filbertstack-gateway/src/request/events.rs
@@ -1,8 +1,11 @@
 //! Splitting of a stream into whole events, and the id of the last one, as needed to resume the stream.
 
+use std::time::Duration;
+
 use bytes::Buf as _;
 use bytes::Bytes;
 use bytes::BytesMut;
+use tokio::time::Instant;
 
 /// The bytes that end an event.
 const EVENT_END: &[u8] = b"\n\n";
@@ -14,6 +17,10 @@
 /// and a stream that breaks off within it can't be resumed cleanly.
 const MAX_EVENT: usize = 256 << 10;
 
+/// The time within which everything that arrived together is read, if the caller does not hold the relay back. It
+/// is a quarter of the shortest passes, so that it changes no gap by much.
+const SAME_ARRIVAL: Duration = Duration::from_millis(10);
+
 /// Passes on the whole events of a stream and buffers the beginning of the next one.
 #[derive(Debug, Default)]
 pub struct EventBuffer {
@@ -96,6 +103,96 @@
     }
 }
 
+/// The events that arrived together, and the time since those before them.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct EventGap {
+    /// The time between the two arrivals.
+    pub gap: Duration,
+    /// The number of events that arrived.
+    pub events: u32,
+}
+
+/// Measures the gaps between the events of a stream as its target sends them.
+///
+/// While the caller's connection holds the relay back, bytes are read late: nothing waits for the target then, and
+/// what it sends stays in its connection. A late read neither begins nor ends a gap. What arrives together may be
+/// read in parts.
+#[derive(Debug, Default)]
+pub struct EventGaps {
+    /// Whether the relay waits for the target.
+    waiting: bool,
+    /// Whether the bytes that were read last, or are read next, may have arrived before.
+    late: bool,
+    /// The last read of bytes.
+    read_at: Option<Instant>,
+    /// The last arrival of events; `None` before the first one, and after a late read.
+    arrived_at: Option<Instant>,
+    /// The gap before that arrival, until it is returned.
+    gap: Option<Duration>,
+    /// The number of events of that arrival, until the gap is returned.
+    events: u32,
+    /// Whether the last byte was the first of two that end an event.
+    in_end: bool,
+}
+
+impl EventGaps {
+    /// Notes bytes that are read.
+    pub fn note(&mut self, now: Instant, data: &[u8]) {
+        let events = self.count_ends(data);
+        self.late |= !self.waiting && !self.has_just_read(now);
+        self.waiting = false;
+        self.read_at = Some(now);
+        if self.late {
+            self.discard();
+            return;
+        }
+        if events > 0 && self.events == 0 {
+            let before = self.arrived_at.replace(now);
+            self.gap = before.map(|before| now.saturating_duration_since(before));
+        }
+        self.events += events;
+    }
+
+    /// Notes that the relay waits for the target, as all that arrived is read. Returns the gap before it.
+    pub fn note_waiting(&mut self, now: Instant) -> Option<EventGap> {
+        if self.waiting {
+            return None;
+        }
+        self.waiting = true;
+        self.late = self.read_at.is_some() && !self.has_just_read(now);
+        if self.late {
+            self.discard();
+        }
+        let events = std::mem::take(&mut self.events);
+        let gap = self.gap.take()?;
+        Some(EventGap { gap, events })
+    }
+
+    /// Returns whether bytes were read a moment ago, and nothing has held the relay back since.
+    fn has_just_read(&self, now: Instant) -> bool {
+        self.read_at
+            .is_some_and(|at| now.saturating_duration_since(at) <= SAME_ARRIVAL)
+    }
+
+    fn discard(&mut self) {
+        self.arrived_at = None;
+        self.gap = None;
+        self.events = 0;
+    }
+
+    /// Counts the ends of events in the next bytes of the stream.
+    fn count_ends(&mut self, data: &[u8]) -> u32 {
+        let mut events = 0;
+        for byte in data {
+            let is_newline = *byte == b'\n';
+            let ends = is_newline && self.in_end;
+            events += u32::from(ends);
+            self.in_end = is_newline && !ends;
+        }
+        events
+    }
+}
+
 /// Returns the position after the last whole event.
 fn find_last_end(bytes: &[u8]) -> Option<usize> {
     let at = bytes
--- a/crates/filbertstack-gateway/src/request/guard.rs
+++ b/crates/filbertstack-gateway/src/request/guard.rs
@@ -15,6 +15,7 @@
 use crate::request::Call;
 use crate::request::Requests;
 use crate::request::attempt::CHECK_INTERVAL;
+use crate::request::events::EventGap;
 use crate::request::targets::Chosen;
 use crate::request::targets::instance_of;
 
@@ -99,13 +100,30 @@
             self.requests.metrics.entry.first_token.record(first_bytes);
         }
         if self.unread_prompt > 0 {
-            self.requests
-                .targets
-                .record_first(&self.id, self.unread_prompt);
+            let took = self.sent_at.elapsed();
+            let targets = &self.requests.targets;
+            targets.record_first(&self.id, self.unread_prompt, took);
+            targets.report_paces(&self.requests.metrics);
             self.unread_prompt = 0;
         }
     }
 
+    /// Records events of the answer that arrived together.
+    pub fn record_events(&self, arrived: EventGap) {
+        let targets = &self.requests.targets;
+        targets.record_events(&self.id, arrived);
+        targets.report_paces(&self.requests.metrics);
+    }
+
+    /// Records how long the target took for a call. What the caller's connection adds while the rest of the
+    /// answer is passed on doesn't count.
+    fn record_call(&self) {
+        let took = self.first_bytes.unwrap_or_else(|| self.sent_at.elapsed());
+        let targets = &self.requests.targets;
+        targets.record_call(&self.id, took);
+        targets.report_paces(&self.requests.metrics);
+    }
+
     /// Records that the target failed.
     pub fn fail(&mut self) {
         self.ended = AttemptEnd::Failed;
@@ -138,6 +156,7 @@
     }
 
     fn record_success(&self) {
+        self.record_call();
         let node = &self.requests.node;
         if self.ends_with_connection {
             node.record_unconfirmed(self.call.suspects(), &self.id);
--- a/crates/filbertstack-gateway/src/request/mod.rs
+++ b/crates/filbertstack-gateway/src/request/mod.rs
@@ -65,6 +65,9 @@
 use crate::request::pool::Pool;
 use crate::request::targets::Targets;
 
+/// The feature that switches on the estimates of the targets' paces.
+const PACE_FEATURE: &str = "health";
+
 /// The timeout of a request that names none: the timeout of its route applies.
 const NO_TIMEOUT: Duration = Duration::MAX;
 
@@ -207,7 +210,10 @@
             fixed: bounds.repeat_allowance,
         };
         let mut rng = ChaCha8Rng::seed_from_u64(rand::rng().random());
-        let dispatcher = Dispatcher::new(ChaCha8Rng::from_rng(&mut rng));
+        let mut dispatcher = Dispatcher::new(ChaCha8Rng::from_rng(&mut rng));
+        if node.settings.features.has(PACE_FEATURE) {
+            dispatcher.estimate_paces();
+        }
         Rc::new(Self {
             targets: Targets::new(node.clone(), dispatcher),
             repeats: RefCell::new(RepeatBudget::new(allowance, 1)),
@@ -223,6 +229,11 @@
         })
     }
 
+    /// Returns whether the targets' paces are estimated.
+    pub fn estimates_paces(&self) -> bool {
+        self.node.settings.features.has(PACE_FEATURE)
+    }
+
     /// Returns the targets, which the caller refreshes from the registry.
     pub fn targets(&self) -> &Targets {
         &self.targets
--- a/crates/filbertstack-gateway/src/request/relay.rs
+++ b/crates/filbertstack-gateway/src/request/relay.rs
@@ -35,6 +35,7 @@
 use crate::request::cut::Cut;
 use crate::request::cut::Passed;
 use crate::request::events::EventBuffer;
+use crate::request::events::EventGaps;
 use crate::request::events::EventTail;
 use crate::request::guard::AttemptGuard;
 use crate::request::resume::NotResumed;
@@ -86,6 +87,8 @@
     tries: Tries,
     events: Option<EventBuffer>,
     tail: Option<EventTail>,
+    /// The gaps between the target's events; `None` where paces are not estimated.
+    gaps: Option<EventGaps>,
     deadline: Pin<Box<Sleep>>,
     /// The time at which the last bytes arrived.
     last_bytes_at: Instant,
@@ -114,6 +117,7 @@
     ) -> Self {
         let resumable = framing == Framing::Resumable;
         let requests = guard.requests();
+        let gaps = requests.estimates_paces().then(EventGaps::default);
         let deadline = Box::pin(sleep_until(call.deadline));
         let last_bytes_at = Instant::now();
         let silence_check = resumable.then(|| {
@@ -124,6 +128,7 @@
         Self {
             events: resumable.then(|| EventBuffer::after(call.head.last_event)),
             tail: (framing == Framing::Events).then(EventTail::default),
+            gaps,
             requests,
             source: Source::Target(body, guard),
             tries,
@@ -157,7 +162,10 @@
                 Source::Target(..) if self.has_ended => self.handle_end(),
                 Source::Target(body, _) => match Pin::new(body).poll_frame(cx) {
                     Poll::Ready(frame) => self.handle_frame(frame),
-                    Poll::Pending => std::task::ready!(self.poll_silence(cx)),
+                    Poll::Pending => {
+                        self.record_gap();
+                        std::task::ready!(self.poll_silence(cx))
+                    }
                 },
             };
             if let Progress::Ready(step) = step {
@@ -183,6 +191,17 @@
         cut::record(&self.requests, &self.call, cut, passed);
     }
 
+    /// Records the gap before the events that have just arrived, if paces are estimated.
+    fn record_gap(&mut self) {
+        let gaps = self.gaps.as_mut();
+        let arrived = gaps.and_then(|gaps| gaps.note_waiting(Instant::now()));
+        if let Some(arrived) = arrived
+            && let Source::Target(_, guard) = &self.source
+        {
+            guard.record_events(arrived);
+        }
+    }
+
     /// Handles a frame, the end or an error from the target.
     fn handle_frame(&mut self, frame: Option<Result<Frame<Bytes>, hyper::Error>>) -> Progress {
         match frame {
@@ -191,10 +210,13 @@
                 let Ok(data) = frame.into_data() else {
                     return Progress::Again;
                 };
+                self.last_bytes_at = Instant::now();
                 if let Source::Target(_, guard) = &mut self.source {
                     guard.record_bytes();
                 }
-                self.last_bytes_at = Instant::now();
+                if let Some(gaps) = &mut self.gaps {
+                    gaps.note(self.last_bytes_at, &data);
+                }
                 self.handle_data(data)
             }
             Some(Err(_)) => {
@@ -354,6 +376,7 @@
         guard.ended = AttemptEnd::CallerLeft;
         self.tries = tries;
         self.source = Source::Target(body, guard);
+        self.gaps = self.gaps.take().map(|_| EventGaps::default());
         self.last_bytes_at = Instant::now();
         self.has_ended = false;
         self.reset_silence_check();
--- a/crates/filbertstack-gateway/src/request/targets.rs
+++ b/crates/filbertstack-gateway/src/request/targets.rs
@@ -25,6 +25,8 @@
 use filbertstack_policy::rollout;
 use filbertstack_policy::subset;
 use filbertstack_policy::subset::Candidate;
+use filbertstack_telemetry::Metrics;
+use spdlog::info;
 
 use crate::control::node::Node;
 use crate::control::node::entry_name;
@@ -35,6 +37,7 @@
 use crate::link::messages::TargetRow;
 use crate::link::messages::decode_addr;
 use crate::link::messages::pack_addr;
+use crate::request::events::EventGap;
 
 /// The targets that requests may go to.
 pub struct Targets {
@@ -316,12 +319,43 @@
         self.dispatcher.borrow_mut().count_sent(now, id, prompt);
     }
 
-    /// Records the first event of an answer.
-    pub fn record_first(&self, id: &str, prompt: u32) {
+    /// Records the first event of an answer, which came `took` after the request was sent.
+    pub fn record_first(&self, id: &str, prompt: u32, took: Duration) {
         let now = self.node.clock.now();
-        self.dispatcher
-            .borrow_mut()
-            .count_first_event(now, id, prompt);
+        let mut dispatcher = self.dispatcher.borrow_mut();
+        dispatcher.observe_first_event(now, id, prompt, took.into());
+        dispatcher.count_first_event(now, id, prompt);
+    }
+
+    /// Records events of a stream that arrived together.
+    pub fn record_events(&self, id: &str, arrived: EventGap) {
+        let now = self.node.clock.now();
+        let mut dispatcher = self.dispatcher.borrow_mut();
+        dispatcher.observe_events(now, id, arrived.gap.into(), arrived.events);
+    }
+
+    /// Records that a call was answered after `took`.
+    pub fn record_call(&self, id: &str, took: Duration) {
+        let now = self.node.clock.now();
+        let mut dispatcher = self.dispatcher.borrow_mut();
+        dispatcher.observe_call(now, id, took.into());
+    }
+
+    /// Logs and counts the targets that turned slow, or are at their usual pace again.
+    pub fn report_paces(&self, metrics: &Metrics) {
+        let now = self.node.clock.now();
+        let changes = self.dispatcher.borrow_mut().take_pace_changes(now);
+        for change in changes {
+            let target = instance_of(&change.target);
+            let estimate = (change.estimate * 100.0).round() / 100.0;
+            if change.slow {
+                info!("target turned slow", kv: { target = target, estimate = estimate });
+            } else {
+                info!("target at its usual pace again", kv: { target = target, estimate = estimate });
+            }
+            let state = if change.slow { "slow" } else { "usual" };
+            metrics.entry.paces.add(state, 1);
+        }
     }
 
     /// Records that bytes of an answer arrived from a target.
--- a/crates/filbertstack-gateway/tests/events.rs
+++ b/crates/filbertstack-gateway/tests/events.rs
@@ -1,9 +1,13 @@
 //! Tests of the splitting of streams into whole events, as needed to resume a stream.
 
+use std::time::Duration;
+
 use bytes::Bytes;
 use filbertstack_gateway::request::events::EventBuffer;
+use filbertstack_gateway::request::events::EventGaps;
 use filbertstack_gateway::request::events::EventTail;
 use proptest::prelude::*;
+use tokio::time::Instant;
 
 /// A target breaks off in the middle of an event. The part must not have been passed on to the caller, or
 /// the events that another target sends would be joined to it.
@@ -65,3 +69,62 @@
         prop_assert!(!events.has_partial());
     }
 }
+
+/// Reads bytes that the relay has waited for, at a millisecond after `start`, and returns the gap before them.
+fn arrive(gaps: &mut EventGaps, start: Instant, at: u64, parts: &[&str]) -> Option<(u128, u32)> {
+    let now = start + Duration::from_millis(at);
+    for part in parts {
+        gaps.note(now, part.as_bytes());
+    }
+    let arrived = gaps.note_waiting(now)?;
+    Some((arrived.gap.as_millis(), arrived.events))
+}
+
+/// Guards against gaps that are counted as one pass although several events arrived, in one read or in parts.
+#[test]
+fn a_gap_is_measured_before_all_events_that_arrive_together() {
+    let (mut gaps, start) = (EventGaps::default(), Instant::now());
+    assert_eq!(arrive(&mut gaps, start, 0, &[]), None);
+    assert_eq!(arrive(&mut gaps, start, 10, &["data: a\n\n"]), None);
+    assert_eq!(
+        arrive(&mut gaps, start, 50, &["data: b\n\n"]),
+        Some((40, 1))
+    );
+    let two = "data: c\n\ndata: d\n\n";
+    assert_eq!(arrive(&mut gaps, start, 130, &[two]), Some((80, 2)));
+    let parts = ["data: e\n", "\ndata: f\n\n", "data: g"];
+    assert_eq!(arrive(&mut gaps, start, 210, &parts), Some((80, 2)));
+    assert_eq!(arrive(&mut gaps, start, 250, &["\n\n"]), Some((40, 1)));
+}
+
+/// Guards against a target that counts as slow because the caller's connection holds the relay back: the relay
+/// then reads late what arrived long before.
+#[test]
+fn a_gap_in_which_the_caller_holds_the_relay_back_is_not_measured() {
+    let (mut gaps, start) = (EventGaps::default(), Instant::now());
+    let at = |ms| start + Duration::from_millis(ms);
+    assert_eq!(arrive(&mut gaps, start, 0, &[]), None);
+    assert_eq!(arrive(&mut gaps, start, 10, &["data: a\n\n"]), None);
+    gaps.note(at(50), b"data: b\n\n");
+    // The caller takes nothing for a second, and then what was read before.
+    assert_eq!(gaps.note_waiting(at(1_050)), None);
+    assert_eq!(
+        arrive(&mut gaps, start, 1_051, &["data: c\n\n"]),
+        None,
+        "c was late"
+    );
+    assert_eq!(arrive(&mut gaps, start, 1_090, &["data: d\n\n"]), None);
+    assert_eq!(
+        arrive(&mut gaps, start, 1_130, &["data: e\n\n"]),
+        Some((40, 1))
+    );
+    gaps.note(at(1_170), b"data: f\n\n");
+    // It holds the relay back again, and two reads wait meanwhile.
+    gaps.note(at(2_000), b"data: g\n\n");
+    assert_eq!(arrive(&mut gaps, start, 2_001, &["data: h\n\n"]), None);
+    assert_eq!(arrive(&mut gaps, start, 2_040, &["data: i\n\n"]), None);
+    assert_eq!(
+        arrive(&mut gaps, start, 2_080, &["data: j\n\n"]),
+        Some((40, 1))
+    );
+}
--- a/crates/filbertstack-telemetry/src/metrics/groups.rs
+++ b/crates/filbertstack-telemetry/src/metrics/groups.rs
@@ -20,6 +20,8 @@
     pub refusals: LabelledCounter,
     /// The requests that were not sent to the target that was chosen for them, by reason.
     pub denials: LabelledCounter,
+    /// The changes of targets' paces as this entry estimates them, by the new state.
+    pub paces: LabelledCounter,
     /// The answers that ended before they were complete, by cause.
     pub cuts: LabelledCounter,
     /// The attempts after the first, by reason.
@@ -63,6 +65,12 @@
             ),
             refusals: LabelledCounter::new(m, "entry_refusals", "reason", "Requests refused"),
             denials: LabelledCounter::new(m, "entry_denials", "reason", "Sends denied"),
+            paces: LabelledCounter::new(
+                m,
+                "entry_target_paces",
+                "state",
+                "Targets that turned slow or are at their usual pace again",
+            ),
             cuts: LabelledCounter::new(m, "entry_cuts", "cause", "Answers cut"),
             retries: LabelledCounter::new(
                 m,
