--- a/tests/gateway/cluster.rs
+++ b/tests/gateway/cluster.rs
@@ -220,6 +220,13 @@
         fs::write(self.path(n), moved).expect("the settings");
     }
 
+    /// Enables a feature in the settings of an entry.
+    pub fn enable(&self, n: usize, feature: &str) {
+        let text = fs::read_to_string(self.path(n)).expect("the settings");
+        let text = format!("{text}[features]\nenabled = {feature}\n");
+        fs::write(self.path(n), text).expect("the settings");
+    }
+
     /// Returns whether the log of a process contains `text`.
     pub fn has_logged(&self, n: usize, text: &str) -> bool {
         self.logged(n).contains(text)
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -12,6 +12,7 @@
 mod model;
 mod notices;
 mod orders;
+mod paces;
 mod requests;
 mod seeds;
 mod weights;
