--- a/crates/filbertstack-policy/src/dispatch.rs
+++ b/crates/filbertstack-policy/src/dispatch.rs
@@ -31,10 +31,15 @@
 //! A request that is bound to regions counts on the targets there alone, and is refused at once if none is
 //! registered: [`residency`](crate::residency) says why.
 //!
+//! Where that is switched on, the prediction also follows the pace that this entry itself [observes](PaceChange)
+//! at a target.
+//!
 //! Decisions depend only on the time and the observations passed in. They use no clock, network or
 //! thread.
 
 mod engine;
+mod observe;
+mod pace;
 mod share;
 mod target;
 
@@ -61,6 +66,8 @@
 pub use self::engine::pass_ms;
 pub use self::engine::prefill_ms;
 pub use self::engine::slot_wait_ms;
+use self::observe::Observations;
+pub use self::pace::PaceChange;
 use self::share::FreeSlots;
 pub use self::share::Sharers;
 pub use self::target::AttemptEnd;
@@ -172,6 +179,8 @@
     /// The rate of requests that arrive at this entry, by service.
     demand: BTreeMap<Arc<str>, Rate>,
     ranks: Ranks,
+    /// What the targets' paces are compared with; `None` where they are not estimated.
+    observations: Option<Observations>,
     rng: ChaCha8Rng,
 }
 
@@ -183,6 +192,7 @@
             notices: Notices::default(),
             demand: BTreeMap::new(),
             ranks: Ranks::default(),
+            observations: None,
             rng,
         }
     }
@@ -305,7 +315,7 @@
                     && target.has_room(now, limit, share, 0.0);
                 continue;
             }
-            let expected = predicted + target.unseen_delay_ms();
+            let expected = predicted * target.suspected(now) + target.unseen_delay_ms();
             if sharers.preferred_by > 0 {
                 preferred.push((expected, id.clone()));
             } else if is_local {
--- a/crates/filbertstack-telemetry/src/metrics/groups.rs
+++ b/crates/filbertstack-telemetry/src/metrics/groups.rs
@@ -22,6 +22,8 @@
     pub ranks: LabelledCounter,
     /// The requests that were not sent to the target that was chosen for them, by reason.
     pub denials: LabelledCounter,
+    /// The changes of targets' paces as this entry estimates them, by the new state.
+    pub paces: LabelledCounter,
     /// The answers that ended before they were complete, by cause.
     pub cuts: LabelledCounter,
     /// The attempts after the first, by reason.
@@ -75,6 +77,12 @@
                 "Requests by rank and admission",
             ),
             denials: LabelledCounter::new(m, "entry_denials", "reason", "Sends denied"),
+            paces: LabelledCounter::new(
+                m,
+                "entry_target_paces",
+                "state",
+                "Targets that turned slow or are at their usual pace again",
+            ),
             cuts: LabelledCounter::new(m, "entry_cuts", "cause", "Answers cut"),
             retries: LabelledCounter::new(
                 m,
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -14,6 +14,7 @@
 mod model;
 mod notices;
 mod orders;
+mod paces;
 mod requests;
 mod residency;
 mod seeds;
