Split the choice of a target, count all reasons of a denial

The test of denials counts the ten reasons that the merged parts name. Settings of tests have the section [regions] only where a test needs it, as processes of the previous release refuse it.

--- a/crates/filbertstack-policy/src/dispatch.rs
+++ b/crates/filbertstack-policy/src/dispatch.rs
@@ -171,6 +171,31 @@
     }
 }
 
+/// The targets that a request may be sent to, each with the expected time to its first event in milliseconds.
+#[derive(Default)]
+struct Candidates {
+    preferred: Vec<(f64, TargetId)>,
+    /// The other targets of the local zone.
+    local: Vec<(f64, TargetId)>,
+    /// The targets of other zones.
+    remote: Vec<(f64, TargetId)>,
+    /// The silent targets that may be probed.
+    probes: Vec<(f64, TargetId)>,
+}
+
+impl Candidates {
+    fn add(&mut self, target: &TargetSpec, expected: f64) {
+        let id = target.id.clone();
+        if target.sharers.preferred_by > 0 {
+            self.preferred.push((expected, id));
+        } else if target.local {
+            self.local.push((expected, id));
+        } else {
+            self.remote.push((expected + REMOTE_PENALTY_MS, id));
+        }
+    }
+}
+
 /// One entry's view of the targets.
 #[derive(Clone, Debug)]
 pub struct Dispatcher {
@@ -256,10 +281,7 @@
         });
         let goal = claim.map_or(wanted.goal, |claim| claim.goal);
         let limit = millis_f64(goal) * GOAL_SHARE;
-        let mut preferred: Vec<(f64, TargetId)> = Vec::new();
-        let mut local: Vec<(f64, TargetId)> = Vec::new();
-        let mut remote: Vec<(f64, TargetId)> = Vec::new();
-        let mut probes: Vec<(f64, TargetId)> = Vec::new();
+        let mut candidates = Candidates::default();
         let cut_off = self.is_cut_off(now, wanted.service);
         let demand = self.demand.get(wanted.service);
         let demand = demand.map_or(0.0, Rate::per_ms_at_last);
@@ -298,7 +320,7 @@
             }
             if !cut_off && target.is_silent(now) {
                 if target.may_probe(now) {
-                    probes.push((predicted, id.clone()));
+                    candidates.probes.push((predicted, id.clone()));
                 }
                 continue;
             }
@@ -316,25 +338,9 @@
                 continue;
             }
             let expected = predicted * target.suspected(now) + target.unseen_delay_ms();
-            if sharers.preferred_by > 0 {
-                preferred.push((expected, id.clone()));
-            } else if is_local {
-                local.push((expected, id.clone()));
-            } else {
-                remote.push((expected + REMOTE_PENALTY_MS, id.clone()));
-            }
+            candidates.add(&target.spec, expected);
         }
-        let sampled = [
-            self.sample_best(preferred),
-            self.sample_best(local),
-            self.sample_best(remote),
-        ];
-        let best = sampled
-            .into_iter()
-            .flatten()
-            .min_by(|a, b| a.0.total_cmp(&b.0));
-        let best = best.or_else(|| self.sample_best(probes));
-        if let Some((_, id)) = best {
+        if let Some(id) = self.pick(candidates) {
             if let Some(contender) = wanted.contender {
                 self.ranks.count_admitted(now, wanted.service, contender);
             }
@@ -349,6 +355,19 @@
         Err(self.spread_retry(now, wanted, refused, yields))
     }
 
+    /// Returns the best of the candidates that were sampled, or else a target to probe.
+    fn pick(&mut self, candidates: Candidates) -> Option<TargetId> {
+        let sampled = [
+            self.sample_best(candidates.preferred),
+            self.sample_best(candidates.local),
+            self.sample_best(candidates.remote),
+        ];
+        let sampled = sampled.into_iter().flatten();
+        let best = sampled.min_by(|a, b| a.0.total_cmp(&b.0));
+        let best = best.or_else(|| self.sample_best(candidates.probes));
+        best.map(|(_, id)| id)
+    }
+
     /// Spreads the retries of refused callers over what is served of their rank. `yields` says whether the request
     /// was refused for its rank alone.
     fn spread_retry(
--- a/crates/filbertstack-policy/tests/permit.rs
+++ b/crates/filbertstack-policy/tests/permit.rs
@@ -86,7 +86,7 @@
     let count = names.len();
     names.sort_unstable();
     names.dedup();
-    assert_eq!((names.len(), count), (8, 8));
+    assert_eq!((names.len(), count), (10, 10));
     assert_eq!(Permit::Send.denial().or(Permit::Probe.denial()), None);
     let ways: std::collections::BTreeSet<&str> = WAYS.iter().map(|way| way.name()).collect();
     assert_eq!(ways.len(), WAYS.len());
--- a/tests/gateway/cluster.rs
+++ b/tests/gateway/cluster.rs
@@ -119,10 +119,15 @@
         };
         let text = format!(
             "{}[listen]\nfront = {ip}:8005\nready = {ip}:8002\ncontrol = {ip}:8000\n\
-             directory = {ip}:8009\nmetrics = {ip}:8010\n[regions]\n{}",
+             directory = {ip}:8009\nmetrics = {ip}:8010\n",
             self.node_settings(n, first, &data),
-            self.regions
         );
+        // Earlier releases don't know the section.
+        let regions = match self.regions {
+            "" => String::new(),
+            lines => format!("[regions]\n{lines}"),
+        };
+        let text = text + &regions;
         fs::write(self.path(n), text).expect("the settings");
     }
 
