--- a/crates/filbertstack-policy/src/dispatch/pace.rs
+++ b/crates/filbertstack-policy/src/dispatch/pace.rs
@@ -8,9 +8,9 @@
 //! An observation is the ratio of a duration to what is usual: the time between two events of a stream to
 //! that of a mean pass, the time to a first event to its prediction, the duration of a plain call to the mean
 //! over all targets of the service. The estimate is the median of the last three observations, so that a
-//! single slow event never excludes a target. It counts for half a second after the last of them. The last
-//! observation alone only puts a target behind others that would also be in time: most of a slow spell would be
-//! over before the second slow event.
+//! single slow event never excludes a target. It counts for half a second after the last of them. A single
+//! slow observation only puts a target behind others that would also be in time: much of a slow spell is over before
+//! the second one.
 //!
 //! If most targets seem slow, it is this entry or its link that is slow. The estimates are therefore divided by
 //! the median over the targets that have been observed lately. A single observed target can't be compared and
@@ -24,8 +24,8 @@
 /// be found at all. Without it, a target that gets no requests because it was slow would never get one again.
 const FORGET_AFTER: Millis = Millis(500);
 
-/// The estimate from which a target is slow. A target that is 2.5 times slower is as far from it as one at its
-/// usual pace, by ratio, so that prompts which the engine reads between two events hide or feign neither.
+/// The estimate from which a target is slow. By ratio, it is as far from the usual pace as from one that is 2.5 times
+/// slower. Prompts that the engine reads between two events vary both.
 const SLOW_FROM: f64 = 1.6;
 
 /// The estimate below which a slow target is at its usual pace again. With a single threshold, a target close
