--- a/crates/filbertstack-policy/tests/rank.rs
+++ b/crates/filbertstack-policy/tests/rank.rs
@@ -164,9 +164,11 @@
             let id = format!("e{n}");
             for event in engine.advance(now) {
                 let entry = &mut self.entries[event.entry];
-                if !event.first {
+                if event.last {
                     let took = Millis(now - event.sent);
                     entry.count_end(Millis(now), &id, 0, AttemptEnd::Answered(took));
+                }
+                if !event.first {
                     continue;
                 }
                 entry.count_first_event(Millis(now), &id, event.prompt);
