Reserve room by the mean demand of all entries where it is known

Each entry estimates the rates of requests by rank from its own requests. Among 120 entries and 24 engines with 10 urgent requests a second it sees one in twelve seconds, so its reserve is mostly noise.

policy::rank::demand adds up the reports of entries: a voter sums its own entry and its followers, and adds the sums of other voters for the total. Reports older than 2 s are dropped, implausible rates ignored. Ranks takes the mean rate per entry of the total in place of its own rate while the total is younger than 2 s. A rank limits the depth of lower ones from one request in ten seconds at all entries, not at each.

--- a/crates/filbertstack-policy/src/dispatch.rs
+++ b/crates/filbertstack-policy/src/dispatch.rs
@@ -59,6 +59,7 @@
 use crate::permit::Way;
 use crate::rank::Contender;
 use crate::rank::Ranks;
+use crate::rank::demand::Demand;
 use crate::rate::Rate;
 use crate::units::millis;
 use crate::units::millis_f64;
@@ -254,6 +255,16 @@
         self.ranks.count_request(now, service, contender, goal);
     }
 
+    /// Returns the demand at this entry of the services whose requests differ in rank.
+    pub fn demand(&self, now: Millis) -> Demand {
+        self.ranks.demand(now)
+    }
+
+    /// Takes over the demand at all entries, which became known at `at`.
+    pub fn set_total_demand(&mut self, at: Millis, total: &Demand) {
+        self.ranks.set_total(at, total);
+    }
+
     /// Records a load report.
     pub fn record_load(&mut self, now: Millis, id: &str, load: Load) {
         if let Some(target) = self.targets.get_mut(id) {
--- a/crates/filbertstack-policy/src/rank.rs
+++ b/crates/filbertstack-policy/src/rank.rs
@@ -8,8 +8,9 @@
 //! Each request has a [`Rank`] among those of its service. A request may use an engine only
 //!
 //! - as deep as the shortest goal of the higher ranks allows, so that its queue does not keep them out;
-//! - if room is left for the requests of higher ranks that are expected there before the next load report. Each
-//!   entry knows their rate from its own requests, and assumes that other entries receive as many.
+//! - if room is left for the requests of higher ranks that are expected there before the next load report. Their
+//!   rate is the mean of [all entries](demand). An entry that does not know it takes that of its own requests, and
+//!   assumes that other entries receive as many.
 //!
 //! Below saturation some engine always has that room, and ranks change nothing. A group of requests (one priority
 //! of routes, the large requests among them, one organisation) that is served less than half as often as all
@@ -18,6 +19,7 @@
 //!
 //! Decisions depend only on the time and the requests passed in. They use no clock, network or thread.
 
+pub mod demand;
 mod groups;
 mod order;
 
@@ -26,6 +28,11 @@
 
 use filbertstack_core::Millis;
 
+use self::demand::Demand;
+use self::demand::KnownDemand;
+use self::demand::MeanRates;
+use self::demand::RankDemand;
+use self::demand::RankRates;
 use self::groups::Groups;
 pub use self::order::RankOrders;
 use crate::rate::Rate;
@@ -43,8 +50,8 @@
 /// spans between two reports; with one, an urgent request in six would find its room taken.
 const DEVIATIONS: f64 = 2.0;
 
-/// The rate of requests per millisecond below which a rank does not limit the depth of lower ones: one in ten
-/// seconds.
+/// The rate of requests per millisecond, at all entries as far as it is known, below which a rank does not limit the
+/// depth of lower ones: one in ten seconds.
 const QUIET_PER_MS: f64 = 0.0001;
 
 /// The shortest time after which a refused caller may retry, in milliseconds: a place at an engine becomes free
@@ -79,9 +86,9 @@
 pub struct Claim {
     /// The goal that the prediction for it must meet.
     pub goal: Millis,
-    /// The rate of requests that go before it at this entry, in requests per millisecond.
+    /// The rate of requests that go before it at one entry, in requests per millisecond.
     ahead: f64,
-    /// The rate of requests that share the engines with it at this entry, in requests per millisecond.
+    /// The rate of requests that share the engines with it at one entry, in requests per millisecond.
     pub demand: f64,
 }
 
@@ -102,6 +109,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct Ranks {
     services: BTreeMap<Arc<str>, Contest>,
+    /// The demand at all entries.
+    known: KnownDemand,
 }
 
 /// The ranks of one service.
@@ -126,7 +135,38 @@
     booked: Millis,
 }
 
+impl RankState {
+    fn rates(&self, now: Millis) -> RankRates {
+        RankRates {
+            returning: self.returning.per_ms(now),
+            new: self.new.per_ms(now),
+            excess: self.excess.per_ms(now),
+        }
+    }
+}
+
 impl Ranks {
+    /// Returns the demand at this entry.
+    pub fn demand(&self, now: Millis) -> Demand {
+        let ranks = self.services.iter().flat_map(|(service, contest)| {
+            contest.ranks.iter().map(|(rank, state)| RankDemand {
+                service: service.clone(),
+                rank: *rank,
+                rates: state.rates(now),
+            })
+        });
+        Demand {
+            entries: 1,
+            ranks: ranks.filter(|row| row.rates.all() > 0.0).collect(),
+        }
+    }
+
+    /// Takes over the demand at all entries, which became known at `at`. It is used until it is older than
+    /// [`demand::MAX_AGE`].
+    pub fn set_total(&mut self, at: Millis, total: &Demand) {
+        self.known = KnownDemand::new(at, total);
+    }
+
     /// Counts a request that arrives. It is counted once, however often a target is chosen for it.
     pub fn count_request(
         &mut self,
@@ -166,7 +206,10 @@
                 demand: 0.0,
             };
         };
-        contest.claim(now, contender, goal)
+        let known = self.known.fresh(now);
+        let means = known.and_then(|known| known.means(service));
+        let entries = known.map_or(1.0, KnownDemand::entries);
+        contest.claim(now, contender, goal, (means, entries))
     }
 
     /// Returns the delay after which a refused caller may retry, and books it. Callers of one rank return at the
@@ -195,7 +238,15 @@
 }
 
 impl Contest {
-    fn claim(&self, now: Millis, contender: &Contender, goal: Millis) -> Claim {
+    /// Returns how deep a request may use the engines. `means` are the mean rates of all entries, if they are known,
+    /// and `entries` is the number of entries that they stand for.
+    fn claim(
+        &self,
+        now: Millis,
+        contender: &Contender,
+        goal: Millis,
+        (means, entries): (Option<&MeanRates>, f64),
+    ) -> Claim {
         let is_excess = self.groups.is_excess(now, contender);
         let is_starved = self.groups.is_starved(now, contender);
         let mut claim = Claim {
@@ -203,14 +254,13 @@
             ahead: 0.0,
             demand: 0.0,
         };
-        for (rank, state) in self.ranks.range(..=contender.rank) {
-            let returning = state.returning.per_ms(now);
-            let within = returning + state.new.per_ms(now);
-            let all = within + state.excess.per_ms(now);
-            if *rank < contender.rank {
+        for (rank, rates) in self.rates(now, contender.rank, means) {
+            let (within, all) = (rates.within(), rates.all());
+            if rank < contender.rank {
                 claim.demand += all;
                 claim.ahead += all;
-                if all >= QUIET_PER_MS {
+                let state = self.ranks.get(&rank);
+                if let Some(state) = state.filter(|_| all * entries >= QUIET_PER_MS) {
                     claim.goal = claim.goal.min(state.goal);
                 }
             } else if is_excess {
@@ -218,6 +268,7 @@
                 claim.ahead += within;
             } else {
                 claim.demand += within;
+                let returning = rates.returning;
                 claim.ahead += if contender.returns { 0.0 } else { returning };
             }
         }
@@ -226,4 +277,14 @@
         }
         claim
     }
+
+    /// Returns the rates of the ranks up to `last`. Those of this entry stand for ranks that `means` does not
+    /// contain: their first requests have just arrived.
+    fn rates(&self, now: Millis, last: Rank, means: Option<&MeanRates>) -> MeanRates {
+        let own = self.ranks.range(..=last);
+        let mut rates: MeanRates = own.map(|(r, state)| (*r, state.rates(now))).collect();
+        let means = means.into_iter().flat_map(|means| means.range(..=last));
+        rates.extend(means.map(|(rank, mean)| (*rank, *mean)));
+        rates
+    }
 }
--- a/crates/filbertstack-policy/src/rank/order.rs
+++ b/crates/filbertstack-policy/src/rank/order.rs
@@ -48,6 +48,11 @@
         }
     }
 
+    /// Returns whether no service has ranks.
+    pub fn is_empty(&self) -> bool {
+        self.services.is_empty()
+    }
+
     /// Returns the rank of a request, or `None` if the requests of its service do not differ in priority.
     /// `organisation` is the priority of its organisation; without one, that of the route counts in its place.
     pub fn rank(&self, service: &str, organisation: Option<u8>, route: &Route) -> Option<Rank> {
--- a/crates/filbertstack-policy/tests/rank.rs
+++ b/crates/filbertstack-policy/tests/rank.rs
@@ -23,6 +23,7 @@
 use filbertstack_policy::rank::Contender;
 use filbertstack_policy::rank::Rank;
 use filbertstack_policy::rank::RankOrders;
+use filbertstack_policy::rank::demand::DemandReports;
 use rand::RngExt as _;
 use rand::SeedableRng as _;
 use rand_chacha::ChaCha8Rng;
@@ -34,6 +35,9 @@
 const REPORT_LAG_MS: u64 = 70;
 const REPORT_INTERVAL_MS: u64 = 100;
 
+/// How often the entries learn the demand at all of them.
+const DEMAND_INTERVAL_MS: u64 = 500;
+
 /// The time limit of the callers.
 const CALLER_TIME_MS: u64 = 6_000;
 
@@ -57,6 +61,8 @@
     seconds: u64,
     /// Whether the requests tell their ranks.
     ranked: bool,
+    /// Whether the entries know the demand at all of them.
+    shared: bool,
 }
 
 /// What the callers of one kind received.
@@ -111,6 +117,18 @@
     }
 }
 
+/// Tells all entries the demand at all of them, as one voter would.
+fn share_demand(now: Millis, entries: &mut [Dispatcher]) {
+    let mut reports = DemandReports::default();
+    for (n, entry) in entries.iter().enumerate() {
+        reports.record_entry(now, &n.to_string().into(), entry.demand(now));
+    }
+    let total = reports.total(now);
+    for entry in entries {
+        entry.set_total_demand(now, &total);
+    }
+}
+
 /// The system during a replay.
 struct World<'a> {
     scene: &'a Scene,
@@ -129,6 +147,9 @@
         if now % REPORT_INTERVAL_MS == 0 {
             world.report_loads(now);
         }
+        if scene.shared && now % DEMAND_INTERVAL_MS == 0 {
+            share_demand(Millis(now), &mut world.entries);
+        }
         world.add_callers(now);
         let due = world.callers.extract_if(.., |caller| caller.due <= now);
         for caller in due.collect::<Vec<_>>() {
@@ -286,6 +307,7 @@
     engines: 18,
     seconds: 10,
     ranked: true,
+    shared: false,
 };
 
 /// Guards against urgent callers who are refused because callers with a longer goal fill the engines' queues.
@@ -324,6 +346,7 @@
         entries: 120,
         engines: 180,
         seconds: 4,
+        shared: true,
         ..SCENE
     });
     assert!(ranked[0].on_time() > 0.9, "{ranked:?}");
@@ -332,6 +355,39 @@
     assert!(ranked[1].served() >= least, "{ranked:?}");
 }
 
+/// Guards against entries that take the noise of their few urgent requests for the demand of all: those that have
+/// seen none for a while fill the engines, and those that have just seen one leave far too much room.
+#[test]
+fn few_urgent_callers_among_many_entries_are_served() {
+    const FEW: &[Kind] = &[
+        Kind {
+            per_s: 10.0,
+            ..URGENT
+        },
+        Kind {
+            per_s: 300.0,
+            ..PATIENT
+        },
+    ];
+    let scene = Scene {
+        kinds: FEW,
+        entries: 120,
+        engines: 24,
+        ..SCENE
+    };
+    let own = play(&scene);
+    let shared = play(&Scene {
+        shared: true,
+        ..scene
+    });
+    assert!(shared[0].on_time() > 0.9, "{shared:?}");
+    assert!(shared[0].on_time() > own[0].on_time(), "{shared:?} {own:?}");
+    assert!(
+        served_of_all(&shared) >= served_of_all(&own),
+        "{shared:?} {own:?}"
+    );
+}
+
 /// Guards against a lowest rank that starves while a higher one alone asks for more than there is.
 #[test]
 fn a_flood_of_the_highest_rank_leaves_the_lowest_its_floor() {
