Entries tell each other the demand by rank over the voters

Ranks can use the demand at all entries, but no process told it.

A new notification (tag 11, which earlier releases ignore) carries rates by service and rank. Twice a second an entry without a disk tells its voter its own rates; a voter tells the other voters the sum of its own entry and its followers, and its followers the total. Nothing is sent while no service has ranks. The metric entry_demand_entries and two log lines show whether the total is known.

New process test every_entry_knows_the_demand_of_all (three voters, two followers): each counts five entries, four after one is killed, none once the priorities are equal; passed in 10.5 s. A test of the message lengths: a report of three ranks takes 75 bytes, a total 71; 292 B/s for an entry, 14.6 KB/s for one of 8 voters at 340 entries.

--- a/crates/filbertstack-gateway/src/control/follow.rs
+++ b/crates/filbertstack-gateway/src/control/follow.rs
@@ -364,6 +364,7 @@
         Notification::Loads(loads) => node.loads.record(loads.rows, false),
         Notification::Crashes(crashes) => node.merge_crashes(&crashes),
         Notification::Limits(limits) => node.merge_limits(&limits),
+        Notification::Demand(demand) => node.set_total_demand(&demand),
         Notification::Log(_)
         | Notification::Follow(_)
         | Notification::VoterHeartbeat(_)
@@ -413,6 +414,7 @@
             Notification::Loads(loads) => node.loads.record(loads.rows, false),
             Notification::Crashes(crashes) => node.merge_crashes(&crashes),
             Notification::Limits(limits) => node.merge_limits(&limits),
+            Notification::Demand(demand) => node.merge_voter_demand(&demand),
             Notification::VoterHeartbeat(pulse) => node.note_document(pulse.document),
             _ => {}
         }
--- a/crates/filbertstack-gateway/src/control/mod.rs
+++ b/crates/filbertstack-gateway/src/control/mod.rs
@@ -7,6 +7,7 @@
 pub mod crash_file;
 pub mod crashes;
 pub mod declared;
+pub mod demand;
 pub mod discovery;
 pub mod evacuations;
 pub mod follow;
--- a/crates/filbertstack-gateway/src/control/node.rs
+++ b/crates/filbertstack-gateway/src/control/node.rs
@@ -17,6 +17,7 @@
 use crate::control::ASK_TIMEOUT;
 use crate::control::crashes::CrashRecords;
 use crate::control::declared::DeclaredState;
+use crate::control::demand::SharedDemand;
 use crate::control::lag::Lag;
 use crate::control::limits::TargetLimits;
 use crate::control::loads::LoadFilter;
@@ -90,6 +91,8 @@
     pub crashes: CrashRecords,
     /// The limits that targets name.
     pub limits: TargetLimits,
+    /// The demand by rank at all entries.
+    pub demand: SharedDemand,
     /// The rows that no voter has accepted yet.
     pub unregistered: Unregistered,
     /// The links to other nodes.
@@ -125,6 +128,7 @@
             loads: Loads::default(),
             crashes: CrashRecords::default(),
             limits: TargetLimits::default(),
+            demand: SharedDemand::default(),
             unregistered: Unregistered::default(),
             dialer,
             interest,
@@ -403,6 +407,9 @@
             Notification::Limits(limits) if self.voter.is_some() => {
                 self.merge_limits(&limits);
             }
+            Notification::Demand(demand) if self.voter.is_some() => {
+                self.merge_entry_demand(&demand);
+            }
             Notification::Watch(watch) if self.voter.is_some() => {
                 let engines = watch.engines.into_iter().collect();
                 self.loads.subscribe(sender, LoadFilter::Engines(engines));
@@ -421,6 +428,7 @@
             | Notification::Loads(_)
             | Notification::Crashes(_)
             | Notification::Limits(_)
+            | Notification::Demand(_)
             | Notification::Watch(_) => {}
         }
     }
--- a/crates/filbertstack-gateway/src/entry/mod.rs
+++ b/crates/filbertstack-gateway/src/entry/mod.rs
@@ -1,5 +1,6 @@
 //! The entry process: its start, its periodic tasks and its orderly stop.
 
+mod demand;
 pub mod directory;
 pub mod server;
 
@@ -33,6 +34,7 @@
 use crate::control::unregistered::register_pending;
 use crate::control::voter::Voter;
 use crate::control::voter::VoterContext;
+use crate::entry::demand::share_demand;
 use crate::entry::directory::Directory;
 use crate::entry::server::ActiveConnections;
 use crate::link;
@@ -124,6 +126,7 @@
     spawn_local(refresh_targets(node.clone(), requests.clone()));
     spawn_local(receive_loads(node.clone(), requests.clone()));
     spawn_local(share_observations(node.clone()));
+    spawn_local(share_demand(node.clone(), requests.clone()));
     if let Some(folder) = &settings.node.data {
         crash_file::load(&node, folder);
         spawn_local(crash_file::save_changes(node.clone(), folder.clone()));
--- a/crates/filbertstack-gateway/src/link/messages.rs
+++ b/crates/filbertstack-gateway/src/link/messages.rs
@@ -188,7 +188,7 @@
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct Tell {
     /// The content of the notification.
-    #[prost(oneof = "Notification", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10")]
+    #[prost(oneof = "Notification", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11")]
     pub notification: Option<Notification>,
 }
 
@@ -225,6 +225,9 @@
     /// The limits that targets name. Earlier releases ignore it.
     #[prost(message, tag = "10")]
     Limits(Limits),
+    /// The rates at which requests of each rank arrive. Earlier releases ignore it.
+    #[prost(message, tag = "11")]
+    Demand(Demand),
 }
 
 /// A message of the replicated log, with the address of its sender.
@@ -565,6 +568,49 @@
     pub version: u64,
 }
 
+/// The rates at which requests of each rank arrive: at one entry, at the entries that report to one voter, or at
+/// all entries.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Demand {
+    /// The name of the node that sends it; empty if it is the demand at all entries.
+    #[prost(string, tag = "1")]
+    pub name: String,
+    /// The number of entries.
+    #[prost(uint32, tag = "2")]
+    pub entries: u32,
+    /// The services whose requests differ in rank.
+    #[prost(message, repeated, tag = "3")]
+    pub services: Vec<ServiceDemand>,
+}
+
+/// The rates at which requests for one service arrive.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct ServiceDemand {
+    /// The service.
+    #[prost(string, tag = "1")]
+    pub service: String,
+    /// One row for each rank that has requests.
+    #[prost(message, repeated, tag = "2")]
+    pub ranks: Vec<RankDemand>,
+}
+
+/// The rates at which requests of one rank arrive, in requests per 1,000 s.
+#[derive(Clone, Copy, PartialEq, prost::Message)]
+pub struct RankDemand {
+    /// The rank.
+    #[prost(uint32, tag = "1")]
+    pub rank: u32,
+    /// The requests of callers that were refused before.
+    #[prost(uint32, tag = "2")]
+    pub returning: u32,
+    /// The other requests of organisations within their even part.
+    #[prost(uint32, tag = "3")]
+    pub new: u32,
+    /// The requests of organisations beyond it.
+    #[prost(uint32, tag = "4")]
+    pub excess: u32,
+}
+
 /// A voter's heartbeat, which also reports its state.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct VoterHeartbeat {
--- a/crates/filbertstack-gateway/src/request/mod.rs
+++ b/crates/filbertstack-gateway/src/request/mod.rs
@@ -41,6 +41,7 @@
 use filbertstack_policy::rank::Contender;
 use filbertstack_policy::rank::Rank;
 use filbertstack_policy::rank::RankOrders;
+use filbertstack_policy::rank::demand::Demand;
 use filbertstack_policy::recovery::Recovery;
 use filbertstack_policy::repeats::Allowance;
 use filbertstack_policy::repeats::RepeatBudget;
@@ -286,6 +287,17 @@
         self.metrics.entry.cold.set(cold);
     }
 
+    /// Returns the demand by rank at this entry, or `None` if no service has ranks.
+    pub fn demand(&self) -> Option<Demand> {
+        let ranks = self.ranks(&self.node.declared.catalogue());
+        (!ranks.is_empty()).then(|| self.targets.demand())
+    }
+
+    /// Records at how many entries the demand is known; 0 if it is unknown.
+    pub fn record_demand_entries(&self, entries: u32) {
+        self.metrics.entry.demand_entries.set(entries.into());
+    }
+
     /// Sets how many entries share the budget of repeated sends.
     pub fn set_entries(&self, entries: u32) {
         self.repeats.borrow_mut().set_entries(entries);
--- a/crates/filbertstack-gateway/src/request/targets.rs
+++ b/crates/filbertstack-gateway/src/request/targets.rs
@@ -25,6 +25,7 @@
 use filbertstack_policy::quota;
 use filbertstack_policy::quota::Sender;
 use filbertstack_policy::rank::Contender;
+use filbertstack_policy::rank::demand::Demand;
 use filbertstack_policy::registry::Stamp;
 use filbertstack_policy::residency;
 use filbertstack_policy::rollout;
@@ -33,6 +34,7 @@
 use filbertstack_telemetry::Metrics;
 use spdlog::info;
 
+use crate::control::demand::TotalDemand;
 use crate::control::node::Node;
 use crate::control::node::entry_name;
 use crate::control::registry::RegistryRow;
@@ -362,6 +364,18 @@
         dispatcher.count_contender(now, service, contender, goal.into());
     }
 
+    /// Returns the demand by rank at this entry.
+    pub fn demand(&self) -> Demand {
+        let now = self.node.clock.now();
+        self.dispatcher.borrow().demand(now)
+    }
+
+    /// Takes over the demand by rank at all entries.
+    pub fn set_total_demand(&self, total: &TotalDemand) {
+        let mut dispatcher = self.dispatcher.borrow_mut();
+        dispatcher.set_total_demand(total.at, &total.demand);
+    }
+
     /// Chooses a target for a request.
     ///
     /// # Errors
--- a/crates/filbertstack-telemetry/src/metrics/groups.rs
+++ b/crates/filbertstack-telemetry/src/metrics/groups.rs
@@ -40,6 +40,8 @@
     pub queued: PlainGauge,
     /// The requests that targets are processing.
     pub in_flight: PlainGauge,
+    /// The entries whose demand by rank is known, this one included; 0 if it is unknown.
+    pub demand_entries: PlainGauge,
     /// The known targets, by state.
     pub targets: LabelledGauge,
     /// The targets that were ejected as slow or failing.
@@ -105,6 +107,11 @@
             ),
             queued: PlainGauge::new(m, "entry_queued", "Requests in the queue"),
             in_flight: PlainGauge::new(m, "entry_in_flight", "Requests at targets"),
+            demand_entries: PlainGauge::new(
+                m,
+                "entry_demand_entries",
+                "Entries whose demand by rank is known",
+            ),
             targets: LabelledGauge::new(m, "entry_targets", "state", "Targets known"),
             ejected: PlainGauge::new(m, "entry_ejected", "Targets ejected as slow or failing"),
             cold: PlainGauge::new(m, "entry_cold_targets", "Targets that are cold"),
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -6,6 +6,7 @@
 mod control;
 mod crashes;
 mod crashing_parts;
+mod demand;
 mod endings;
 mod engine;
 mod evacuations;
