--- a/crates/filbertstack-policy/tests/rank.rs
+++ b/crates/filbertstack-policy/tests/rank.rs
@@ -41,6 +41,10 @@
 /// The time limit of the callers.
 const CALLER_TIME_MS: u64 = 6_000;
 
+/// How long the replay goes on after the last caller. Callers of the last moments would else count as asked, but
+/// their answers would not.
+const DRAIN_MS: u64 = 2_000;
+
 /// The part of the common chance to be served that every group has at least.
 const FLOOR: f64 = 0.5;
 
@@ -142,7 +146,8 @@
 
 fn play(scene: &Scene) -> Vec<Received> {
     let mut world = World::new(scene);
-    for now in 0..scene.seconds * 1_000 {
+    let ends_at = scene.seconds * 1_000;
+    for now in 0..ends_at + DRAIN_MS {
         world.run_engines(now);
         if now % REPORT_INTERVAL_MS == 0 {
             world.report_loads(now);
@@ -150,7 +155,9 @@
         if scene.shared && now % DEMAND_INTERVAL_MS == 0 {
             share_demand(Millis(now), &mut world.entries);
         }
-        world.add_callers(now);
+        if now < ends_at {
+            world.add_callers(now);
+        }
         let due = world.callers.extract_if(.., |caller| caller.due <= now);
         for caller in due.collect::<Vec<_>>() {
             world.ask(now, caller);
