Let operators query ranks and the states of targets

What an entry decides by could only be inferred from its log lines. The dispatcher now tells the state of each target, and the ranks tell their rates and whether there is a shortage. The queries read only; the condition of a shortage is the one that the limit on an organisation's excess used, moved to a function of its own.

--- a/crates/filbertstack-policy/src/cold.rs
+++ b/crates/filbertstack-policy/src/cold.rs
@@ -158,6 +158,11 @@
         self.limit = limit;
     }
 
+    /// Returns the limit that is kept.
+    pub fn limit(&self) -> Limit {
+        self.limit
+    }
+
     /// Returns whether the target is cold.
     pub fn is_cold(&self, now: Millis) -> bool {
         now < self.limit.until
--- a/crates/filbertstack-policy/src/dispatch.rs
+++ b/crates/filbertstack-policy/src/dispatch.rs
@@ -41,6 +41,7 @@
 mod observe;
 mod pace;
 mod share;
+mod status;
 mod target;
 
 use std::collections::BTreeMap;
@@ -70,6 +71,8 @@
 pub use self::pace::PaceChange;
 use self::share::FreeSlots;
 pub use self::share::Sharers;
+pub use self::status::TargetState;
+pub use self::status::TargetStatus;
 pub use self::target::AttemptEnd;
 pub use self::target::Load;
 use self::target::Target;
--- a/crates/filbertstack-policy/src/dispatch/target.rs
+++ b/crates/filbertstack-policy/src/dispatch/target.rs
@@ -206,6 +206,17 @@
         cold.map(|cold| Obstacle::Cold(cold.next_at()))
     }
 
+    /// Returns what this entry may send while the target is cold; `None` if it is not.
+    pub(super) fn cold_limit(&self, now: Millis) -> Option<cold::Limit> {
+        let cold = self.cold.filter(|cold| cold.is_cold(now));
+        cold.map(|cold| cold.limit())
+    }
+
+    /// Returns whether the target failed requests and is ejected, or is being probed.
+    pub(super) fn is_ejected(&self) -> bool {
+        self.outlier.is_ejected()
+    }
+
     /// Returns whether a request for which the target was chosen at `chosen_at` has taken a token, if the
     /// target is cold.
     pub(super) fn has_token(&self, chosen_at: Millis) -> bool {
--- a/crates/filbertstack-policy/src/rank.rs
+++ b/crates/filbertstack-policy/src/rank.rs
@@ -20,6 +20,7 @@
 
 mod groups;
 mod order;
+mod status;
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -28,6 +29,7 @@
 
 use self::groups::Groups;
 pub use self::order::RankOrders;
+pub use self::status::RankRate;
 use crate::rate::Rate;
 use crate::units::millis;
 use crate::units::millis_f64;
--- a/crates/filbertstack-policy/src/rank/groups.rs
+++ b/crates/filbertstack-policy/src/rank/groups.rs
@@ -109,14 +109,19 @@
         len_f64(alike.count()).max(1.0)
     }
 
+    /// Returns whether there is a shortage: fewer requests are served than asked for.
+    pub(super) fn is_short(&self, now: Millis) -> bool {
+        let total = self.total.at(now);
+        total.asked >= MIN_REQUESTS && total.served() < NO_SHORTAGE
+    }
+
     /// Returns whether there is a shortage and the organisation of the request has received its even part of what
     /// the organisations of its priority receive.
     pub(super) fn is_excess(&self, now: Millis, contender: &Contender) -> bool {
-        let total = self.total.at(now);
         let Some(name) = &contender.organisation else {
             return false;
         };
-        if total.asked < MIN_REQUESTS || total.served() >= NO_SHORTAGE {
+        if !self.is_short(now) {
             return false;
         }
         let peers = self
--- a/crates/filbertstack-policy/src/rank/order.rs
+++ b/crates/filbertstack-policy/src/rank/order.rs
@@ -48,6 +48,11 @@
         }
     }
 
+    /// Returns the number of ranks of a service, or `None` if its requests do not differ in priority.
+    pub fn count(&self, service: &str) -> Option<usize> {
+        self.services.get(service).map(Vec::len)
+    }
+
     /// Returns the rank of a request, or `None` if the requests of its service do not differ in priority.
     /// `organisation` is the priority of its organisation; without one, that of the route counts in its place.
     pub fn rank(&self, service: &str, organisation: Option<u8>, route: &Route) -> Option<Rank> {
