Serve what an entry decides by at GET /state

The text stands beside the metrics, one fact a line, sorted, with aligned columns. Agents answer 404. Names come from heartbeats and documents, so control characters in them are replaced: a line break would add a line of its own.

--- a/crates/filbertstack-gateway/src/agent/mod.rs
+++ b/crates/filbertstack-gateway/src/agent/mod.rs
@@ -138,7 +138,7 @@
         name = settings.node.name, zone = settings.node.zone, engine = engine.to_string()
     });
     let metrics = Rc::new(metrics);
-    metrics::serve(settings.listen.metrics, &metrics)?;
+    metrics::serve(settings.listen.metrics, &metrics, None)?;
     let reload = Rc::new(Reload::new(path, settings.clone()));
     let node = Rc::new(Node::new(
         (settings, reload.seeds()),
--- a/crates/filbertstack-gateway/src/entry/mod.rs
+++ b/crates/filbertstack-gateway/src/entry/mod.rs
@@ -113,8 +113,10 @@
         Interest::All,
         voter,
     ));
-    metrics::serve(settings.listen.metrics, &metrics)?;
-    let requests = Requests::new(node.clone(), metrics);
+    let requests = Requests::new(node.clone(), metrics.clone());
+    let shown = requests.clone();
+    let state = Box::new(move || shown.state().render());
+    metrics::serve(settings.listen.metrics, &metrics, Some(state))?;
     let (leave, leaving) = watch::channel(false);
     let active = ActiveConnections::default();
     let cache = Rc::new(Cache::new(node.clone(), &node.entry_id()));
--- a/crates/filbertstack-gateway/src/metrics.rs
+++ b/crates/filbertstack-gateway/src/metrics.rs
@@ -1,4 +1,4 @@
-//! The HTTP server for the metrics of a process.
+//! The HTTP server for the metrics of a process, and for the state of an entry.
 
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -26,31 +26,52 @@
 /// The path that serves the metrics.
 const METRICS_PATH: &str = "/metrics";
 
+/// The path that serves what an entry decides by.
+const STATE_PATH: &str = "/state";
+
+/// The type of the state's text.
+const STATE_TYPE: &str = "text/plain; charset=utf-8";
+
 /// The longest head of a request for metrics, in bytes.
 const HEAD_LIMIT: usize = 8 << 10;
 
 /// How long a connection may stay idle between two reads: collectors read every few seconds.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
 
-/// Answers with the metrics as text.
-struct MetricsService(Rc<Metrics>);
+/// Returns the text of the state.
+pub type StateText = Box<dyn Fn() -> String>;
+
+/// Answers with the metrics, or with the state, as text.
+struct MetricsService {
+    metrics: Rc<Metrics>,
+    /// `None` in an agent.
+    state: Option<StateText>,
+}
+
+impl MetricsService {
+    /// Returns the text at `path` and its type.
+    fn text(&self, path: &str) -> Option<(String, &'static str)> {
+        match path {
+            METRICS_PATH => Some((self.metrics.render(), CONTENT_TYPE)),
+            STATE_PATH => self.state.as_ref().map(|state| (state(), STATE_TYPE)),
+            _ => None,
+        }
+    }
+}
 
 impl Service for MetricsService {
     type Body = AnswerBody;
 
     async fn answer(self: Rc<Self>, request: Request<Incoming>) -> Response<AnswerBody> {
-        let found = request.uri().path() == METRICS_PATH;
-        let text = if found {
-            self.0.render()
-        } else {
-            String::new()
-        };
+        let found = self.text(request.uri().path());
+        let is_found = found.is_some();
+        let (text, kind) = found.unwrap_or((String::new(), CONTENT_TYPE));
         let body = AnswerBody::whole(Full::new(Bytes::from(text)));
         let mut response = Response::new(body);
-        if !found {
+        if !is_found {
             *response.status_mut() = StatusCode::NOT_FOUND;
         }
-        let kind = HeaderValue::from_static(CONTENT_TYPE);
+        let kind = HeaderValue::from_static(kind);
         response.headers_mut().insert(header::CONTENT_TYPE, kind);
         response
     }
@@ -64,19 +85,27 @@
     }
 }
 
-/// Serves the metrics at `addr`, or does nothing if there is none.
+/// Serves the metrics, and the state if there is one, at `addr`; does nothing without an address.
 ///
 /// # Errors
 /// [`EntryError::Bind`] if the address can't be served.
-pub fn serve(addr: Option<SocketAddr>, metrics: &Rc<Metrics>) -> Result<(), EntryError> {
+pub fn serve(
+    addr: Option<SocketAddr>,
+    metrics: &Rc<Metrics>,
+    state: Option<StateText>,
+) -> Result<(), EntryError> {
     let Some(addr) = addr else {
         return Ok(());
     };
     let listener = server::bind(addr).map_err(|source| EntryError::Bind { addr, source })?;
     let never_leaving = watch::channel(false).1;
+    let service = MetricsService {
+        metrics: metrics.clone(),
+        state,
+    };
     spawn_local(server::serve(
         listener,
-        Rc::new(MetricsService(metrics.clone())),
+        Rc::new(service),
         never_leaving,
         ActiveConnections::default(),
     ));
--- a/crates/filbertstack-gateway/src/request/mod.rs
+++ b/crates/filbertstack-gateway/src/request/mod.rs
@@ -16,6 +16,7 @@
 pub mod relay;
 pub mod residency;
 mod resume;
+pub mod state;
 mod takeover;
 pub mod targets;
 mod waiting;
--- a/crates/filbertstack-gateway/src/request/targets.rs
+++ b/crates/filbertstack-gateway/src/request/targets.rs
@@ -1,6 +1,7 @@
 //! The targets of one entry, with their state from the registry and the load of their engines.
 
 use std::cell::Cell;
+use std::cell::Ref;
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
@@ -270,6 +271,21 @@
         used.chain(kept).collect()
     }
 
+    /// Returns what the dispatcher decides by.
+    pub fn dispatcher(&self) -> Ref<'_, Dispatcher> {
+        self.dispatcher.borrow()
+    }
+
+    /// Returns the zones of all registered targets.
+    pub fn zones(&self) -> BTreeMap<TargetId, Arc<str>> {
+        let rows = self.node.registry.present();
+        let zones = latest(&rows).map(|registered| {
+            let id = start_id(registered.instance, registered.stamp);
+            (id, registered.row.zone.as_str().into())
+        });
+        zones.collect()
+    }
+
     /// Passes load reports of engines to the dispatcher.
     pub fn report(&self, rows: &[LoadRow]) {
         let now = self.node.clock.now();
