Add the command show

filbertstack show ADDRESS prints the text that an entry serves at GET /state, and names the setting to check if the address is not reached or serves no state. The command did not exist before.

--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -12,6 +12,7 @@
 mod get;
 mod logs;
 mod publish;
+mod show;
 mod signals;
 mod stand_in;
 mod status;
@@ -56,6 +57,7 @@
         FilbertstackCmd::Apply(flags) => apply::run(flags),
         FilbertstackCmd::Get(flags) => get::run(flags),
         FilbertstackCmd::Status(flags) => status::run(flags),
+        FilbertstackCmd::Show(flags) => show::run(&flags),
         FilbertstackCmd::Drain(flags) => drain::run(flags),
         FilbertstackCmd::Check(flags) => check::run(&flags),
         FilbertstackCmd::Account(flags) => account::run(&flags),
--- a/src/flags.rs
+++ b/src/flags.rs
@@ -96,6 +96,12 @@
             optional --json
         }
 
+        /// Shows what an entry of small instances decides by.
+        cmd show {
+            /// The entry's metrics address, as IP:port.
+            required addr: SocketAddr
+        }
+
         /// Lets a target finish what it has and take nothing new until it is started again.
         cmd drain {
             /// The target's instance name.
--- a/tests/gateway/cluster.rs
+++ b/tests/gateway/cluster.rs
@@ -8,6 +8,7 @@
 use std::path::PathBuf;
 use std::process::Child;
 use std::process::Command;
+use std::process::Output;
 use std::process::Stdio;
 use std::sync::atomic::AtomicU32;
 use std::sync::atomic::Ordering;
@@ -336,6 +337,14 @@
         exchange(&addr, request).map_or(String::new(), |answer| answer.body)
     }
 
+    /// Runs the command that shows what an entry decides by.
+    pub fn show(&self, n: usize) -> Output {
+        Command::new(env!("CARGO_BIN_EXE_filbertstack"))
+            .args(["show", &format!("{}:8010", self.ips[n])])
+            .output()
+            .expect("the command runs")
+    }
+
     /// Returns the address at which callers reach an entry.
     pub fn front_addr(&self, n: usize) -> String {
         format!("{}:8005", self.ips[n])
--- a/tests/gateway/evacuations.rs
+++ b/tests/gateway/evacuations.rs
@@ -188,3 +188,36 @@
     call_acknowledged(&cluster, 0, "DELETE", "old");
     await_evacuated(&cluster, 0, 1);
 }
+
+/// Guards against an operator who can't see that an entry obeys an evacuation, and against errors that do not name the
+/// setting to check.
+#[test]
+fn the_state_of_an_entry_is_shown() {
+    let a = start_engine();
+    let mut cluster = Cluster::start(1, 0);
+    cluster.put_document(&[0], &document(1));
+    cluster.register_in(0, "a", "i-a", "safe", a.addr);
+    call_served(&cluster, 0);
+    call_acknowledged(&cluster, 0, "POST", "a");
+    await_evacuated(&cluster, 0, 1);
+    wait_until("the target is shown as evacuated", || {
+        let shown = cluster.show(0);
+        let text = String::from_utf8_lossy(&shown.stdout).into_owned();
+        let has = |words: &[&str]| {
+            let mut lines = text
+                .lines()
+                .map(|l| l.split_whitespace().collect::<Vec<_>>());
+            lines.any(|line| line.starts_with(words))
+        };
+        shown.status.success()
+            && has(&["evacuated", "zone", "a"])
+            && has(&["target", "safe", "evacuated", "i-a", "zone", "a"])
+            && has(&["configuration", "version", "1"])
+            && has(&["voters", "in", "contact:", "yes"])
+    });
+    cluster.kill(0);
+    let failed = cluster.show(0);
+    let error = String::from_utf8_lossy(&failed.stderr).into_owned();
+    assert!(!failed.status.success());
+    assert!(error.contains("'metrics' of [listen]"), "{error}");
+}
