--- a/crates/filbertstack-policy/src/rank.rs
+++ b/crates/filbertstack-policy/src/rank.rs
@@ -22,6 +22,7 @@
 pub mod demand;
 mod groups;
 mod order;
+mod status;
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -35,6 +36,7 @@
 use self::demand::RankRates;
 use self::groups::Groups;
 pub use self::order::RankOrders;
+pub use self::status::RankRate;
 use crate::rate::Rate;
 use crate::units::millis;
 use crate::units::millis_f64;
