Let an entry that starts send to cold targets 0.7 s sooner

The others learn of an entry within 200 ms, and the entry whose place it takes sent its last request 1.1 s before at the latest.

--- a/crates/filbertstack-policy/src/cold.rs
+++ b/crates/filbertstack-policy/src/cold.rs
@@ -32,9 +32,9 @@
 /// is stated, and 100 ms because requests of one entry take different times to reach the target.
 const WINDOW: Millis = Millis(1_100);
 
-/// The time after its registration from which an entry sends to cold targets. The other entries have
-/// learnt of it by then, and the one whose place it takes has stopped sending.
-pub const SETTLE_TIME: Millis = Millis::secs(2);
+/// The time after its registration from which an entry sends to cold targets: the others learn of it within
+/// 200 ms, and the one whose place it takes has sent its last request [`WINDOW`] before.
+pub const SETTLE_TIME: Millis = Millis(1_300);
 
 /// The longest time for which a report counts as cold, in spans of a cold start. A target that reports
 /// years would otherwise be limited until it starts again.
