--- a/crates/filbertstack-gateway/src/request/mod.rs
+++ b/crates/filbertstack-gateway/src/request/mod.rs
@@ -13,6 +13,7 @@
 pub mod guard;
 mod permit;
 pub mod pool;
+mod registered;
 pub mod relay;
 pub mod residency;
 mod resume;
