--- a/crates/filbertstack-policy/src/dispatch.rs
+++ b/crates/filbertstack-policy/src/dispatch.rs
@@ -144,6 +144,8 @@
         let services = self.targets.values().map(|t| &t.spec.service);
         let services: BTreeSet<&Arc<str>> = services.collect();
         self.demand.retain(|service, _| services.contains(service));
+        self.ranks
+            .retain(|known| services.iter().any(|service| ***service == *known));
     }
 
     /// Counts a request for `service` that arrives. It is counted once, however often a target is
--- a/crates/filbertstack-policy/src/rank.rs
+++ b/crates/filbertstack-policy/src/rank.rs
@@ -148,6 +148,11 @@
 }
 
 impl Ranks {
+    /// Drops what is known of services that are not in use.
+    pub fn retain(&mut self, is_used: impl Fn(&str) -> bool) {
+        self.services.retain(|service, _| is_used(service));
+    }
+
     /// Returns the demand at this entry.
     pub fn demand(&self, now: Millis) -> Demand {
         let ranks = self.services.iter().flat_map(|(service, contest)| {
@@ -229,6 +234,7 @@
         let interval = 1.0 / state.admitted.per_ms(now).max(f64::MIN_POSITIVE);
         let booked = millis_f64(state.booked.since(now)) + interval.min(1e6);
         let patience = millis_f64(contender.patience);
+        // Callers who were refused at the same moment must not all return at the same moment.
         let delay = if booked <= patience {
             state.booked = now + millis(booked / 1_000.0);
             booked * (0.6 + 0.8 * draw)
--- a/crates/filbertstack-policy/src/rank/groups.rs
+++ b/crates/filbertstack-policy/src/rank/groups.rs
@@ -23,6 +23,13 @@
 /// The number of requests in all from which parts are compared. With fewer, one refusal would count as a shortage.
 const MIN_REQUESTS: f64 = 8.0;
 
+/// The number of groups from which those without recent requests are dropped. Configurations replace organisations
+/// hundreds of times a day.
+const MAX_QUIET_GROUPS: usize = 256;
+
+/// The counted requests below which a group is dropped: one request, half a minute ago.
+const QUIET: f64 = 0.02;
+
 /// A group of requests that must not starve.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Group {
@@ -83,6 +90,10 @@
             counted.tier = contender.tier;
             add(counted);
         }
+        if self.groups.len() > MAX_QUIET_GROUPS {
+            self.groups
+                .retain(|_, counted| counted.at(now).asked >= QUIET);
+        }
     }
 
     /// Returns whether a group of the request is served less than [`FLOOR`] times as often as all requests, as far
