Log which voters are counted and silent when no leader is elected

Cause: without a leader a voter logged whom it had asked, but not whose votes it counts, how many it needs and who is silent; a group that counts a voter which is gone could not be told from one that has not taken in a newcomer. Change: the fields voters, needed and silent of `no leader takes this node in`, and members of `membership of the log`. Test: replacement::a_voter_without_a_leader_logs_which_voters_are_silent (the fields did not exist before).

--- a/crates/filbertstack-gateway/src/control/upkeep.rs
+++ b/crates/filbertstack-gateway/src/control/upkeep.rs
@@ -10,6 +10,7 @@
 
 use filbertstack_log::Change;
 use filbertstack_log::Member;
+use filbertstack_log::Membership;
 use filbertstack_log::NodeId;
 use filbertstack_log::ReplicaStatus;
 use rand::RngExt as _;
@@ -122,10 +123,13 @@
             return;
         }
         self.outside_since.set(Some(now));
+        let membership = self.status().node.membership;
         warn!("no leader takes this node in", kv: {
             for_s = EXPLAIN_INTERVAL.as_secs(), asked = search.summary(),
             leader = leader.map_or("none named".to_owned(), |l| l.to_string()),
-            refused = refused.unwrap_or_default()
+            refused = refused.unwrap_or_default(),
+            voters = membership.voters.len(), needed = membership.quorum(),
+            silent = self.silent_members(&membership, now)
         });
     }
 
@@ -194,6 +198,21 @@
         newcomers.values().map(|(n, _)| n.clone()).collect()
     }
 
+    /// Returns the members that have been silent for longer than [`EXPLAIN_INTERVAL`], and those from which no
+    /// message has arrived since the start of the process, for the log.
+    fn silent_members(&self, membership: &Membership, now: Instant) -> String {
+        let own = self.status().id;
+        let heard = self.last_heard.borrow();
+        let age = |member: &Member| match heard.get(&member.id()) {
+            Some(at) if now.duration_since(*at) < EXPLAIN_INTERVAL => None,
+            Some(at) => Some(format!("for {} s", now.duration_since(*at).as_secs())),
+            None => Some("since the start".to_owned()),
+        };
+        let others = membership.members().filter(|m| m.id() != own);
+        let silent = others.filter_map(|m| Some(format!("{} {} {}", m.id(), m.address, age(m)?)));
+        silent.collect::<Vec<String>>().join("; ")
+    }
+
     async fn apply_change(&self, change: Change) {
         let text = format!("{change:?}");
         let replica = self.replica.clone();
--- a/crates/filbertstack-gateway/src/control/voter.rs
+++ b/crates/filbertstack-gateway/src/control/voter.rs
@@ -348,10 +348,15 @@
     }
 
     fn learn_addresses(&self, membership: &Membership) {
+        let members = membership.members();
+        let members: Vec<String> = members
+            .map(|m| format!("{} {}", m.id(), m.address))
+            .collect();
         info!("membership of the log", kv: {
             voters = membership.voters.len(),
             learners = membership.learners.len(),
-            forming = membership.forming
+            forming = membership.forming,
+            members = members.join("; ")
         });
         let mut addresses = self.addresses.borrow_mut();
         for member in membership.members() {
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -16,6 +16,7 @@
 mod notices;
 mod orders;
 mod paces;
+mod replacement;
 mod requests;
 mod residency;
 mod seeds;
