Known red: a lost disk after a replacement ends the group

What callers see: every request is refused and the configuration can't be read back, from the loss of a disk on, for good. A voter is gone, its successor votes beside it, and a majority of the four needs three logs.

--- a/tests/gateway/cluster.rs
+++ b/tests/gateway/cluster.rs
@@ -106,6 +106,23 @@
         n
     }
 
+    /// Starts a further entry with an empty disk, and returns its number. No agent may run yet.
+    pub fn start_successor(&mut self) -> usize {
+        let n = self.entries;
+        let net = self.ips[0].rsplit_once('.').expect("an address").0;
+        self.ips.push(format!("{net}.{}", n + 1));
+        self.processes.push(None);
+        self.entries += 1;
+        self.write_settings(n, true, false);
+        self.launch(n);
+        n
+    }
+
+    /// Deletes the disk of an entry that does not run.
+    pub fn delete_disk(&self, n: usize) {
+        fs::remove_dir_all(self.folder.path().join(format!("data-{n}"))).expect("its disk");
+    }
+
     fn path(&self, n: usize) -> PathBuf {
         self.folder.path().join(format!("node-{n}.ini"))
     }
@@ -257,7 +274,7 @@
     pub fn lose_disk(&mut self, n: usize) -> usize {
         self.kill(n);
         let before = self.promotions(n);
-        fs::remove_dir_all(self.folder.path().join(format!("data-{n}"))).expect("its disk");
+        self.delete_disk(n);
         self.write_settings(n, true, false);
         self.launch(n);
         before
