Let a lost voter make room before its successor votes

Cause: a newcomer was promoted beside a voter that was silent for less than 2.5 s, and the lost voter removed after 9 s. A majority of four needs three logs; the loss of one of three leaves two. The class: a member that can never vote again is counted in the majority while disks may be lost. Change: no change lowers the number of failures that the group still tolerates. An even group promotes at once and removes a lost voter after 2 s; an odd group promotes only while all members answer, and a lost voter makes room first. A leader without a majority changes nothing. Ruled out: a successor without the log and a voter that is not taken in (the logs name the members and who is silent). Why it holds: the removal of a lost voter from an odd group leaves its majority as it is, and a promotion into an even group leaves it as well and adds a vote.

--- a/crates/filbertstack-gateway/src/control/membership.rs
+++ b/crates/filbertstack-gateway/src/control/membership.rs
@@ -15,14 +15,16 @@
 /// this time.
 pub const JOIN_VALIDITY: Duration = Duration::from_secs(2);
 
-/// How long a voter is silent before it is removed in favour of a waiting newcomer. This is longer than an
-/// election with its pauses, and shorter than the time within which the successor of a lost voter
-/// must vote. A removed voter that comes back asks to join again.
-pub const REPLACE_AFTER: Duration = Duration::from_millis(2_500);
-
-/// How long a voter is silent before it is removed without a newcomer. Such a voter is surplus, because a
-/// planned replacement adds the new voter first. This is longer than a restart and than a freeze of the
-/// instance for seconds.
+/// How long a voter is silent before it is removed, if the group tolerates no failure less without it. The group
+/// must tolerate the loss of a disk again 3 s after the last change at its instances. An interval of maintenance and the
+/// commits of the changes also fit into this time. A removed voter that comes back asks to join again.
+pub const REPLACE_AFTER: Duration = Duration::from_secs(2);
+
+/// How long a member is silent before it is in doubt whether it is lost: some heartbeats.
+pub const SUSPECT_AFTER: Duration = Duration::from_millis(500);
+
+/// How long a voter is silent before it is removed although the group gains nothing by it. This is longer than a restart
+/// and than a freeze of the instance for seconds.
 const REMOVE_AFTER: Duration = Duration::from_secs(9);
 
 /// The fewest voters that remain when a silent one is removed without a newcomer.
@@ -72,69 +74,140 @@
 }
 
 /// Returns the next change of the group that `leader` leads. It depends on the newcomers that wait to
-/// join, and on how long each voter has been silent.
+/// join, and on how long each member has been silent.
+///
+/// *Failure*: a voter that is gone for good counts beside its successor. A majority of four needs three logs, and
+/// the loss of one more disk leaves two. So no change lowers the number of failures that the group still
+/// tolerates, which is the number of answering voters less a majority:
+///
+/// - A group with an even number of voters gains by each change of one voter. It promotes a learner at once, and
+///   removes a lost voter as soon as it is certain of the loss.
+/// - A group with an odd number loses nothing by the removal of a lost voter, and gains nothing by a promotion.
+///   It promotes a learner only if all members answer. A lost voter first makes room.
 pub fn next_change(
     leader: NodeId,
     current: &Membership,
     newcomers: &[Newcomer],
     silent: impl Fn(NodeId) -> Duration,
 ) -> Option<Change> {
+    let group = Group {
+        leader,
+        current,
+        newcomers,
+        silent,
+    };
+    if !group.has_majority() {
+        return None;
+    }
     if let Some(learner) = current.learners.first() {
-        return Some(learner_change(learner, newcomers, &silent));
+        return group.change_learner(learner);
     }
     let newcomer = newcomers
         .iter()
         .find(|n| !current.members().any(|m| m.id() == n.node));
-    if let Some(newcomer) = newcomer {
-        return admit(leader, current, newcomer, &silent);
-    }
-    let others = || current.voters.iter().filter(|m| m.id() != leader);
-    let lost = others().find(|m| silent(m.id()) >= REMOVE_AFTER)?;
-    let rest_heard = others().all(|m| m.id() == lost.id() || silent(m.id()) < REPLACE_AFTER);
-    let surplus = current.forming == 0 && current.voters.len() > MIN_VOTERS;
-    (surplus && rest_heard).then(|| Change::Remove(lost.id()))
+    newcomer
+        .and_then(|n| group.admit(n))
+        .or_else(|| group.remove_surplus())
 }
 
-/// Promotes a learner to a voter, or removes it if it lost its log or fell silent.
-fn learner_change(
-    learner: &Member,
-    newcomers: &[Newcomer],
-    silent: &impl Fn(NodeId) -> Duration,
-) -> Change {
-    let address = |n: &Newcomer| n.addr.to_string() == learner.address;
-    let replaced = newcomers
-        .iter()
-        .any(|n| address(n) && n.node != learner.id());
-    if replaced || silent(learner.id()) >= REPLACE_AFTER {
-        return Change::Remove(learner.id());
-    }
-    Change::Promote(learner.id())
+/// A group as its leader sees it.
+struct Group<'a, F> {
+    leader: NodeId,
+    current: &'a Membership,
+    newcomers: &'a [Newcomer],
+    silent: F,
 }
 
-/// Removes a voter in favour of a newcomer, or adds the newcomer as a learner.
-///
-/// A voter at the newcomer's own address lost its disk and can never vote again. While it remains a
-/// member, the group tolerates one failure less. The same applies to a silent voter.
-fn admit(
-    leader: NodeId,
-    current: &Membership,
-    newcomer: &Newcomer,
-    silent: &impl Fn(NodeId) -> Duration,
-) -> Option<Change> {
-    let others = || current.voters.iter().filter(|m| m.id() != leader);
-    let wiped = others().find(|m| m.address == newcomer.addr.to_string());
-    let longest = others().max_by_key(|m| silent(m.id()));
-    let lost = longest.filter(|m| silent(m.id()) >= REPLACE_AFTER && current.forming == 0);
-    let room = current.voters.len() < MAX_VOTERS;
-    if let Some(old) = wiped.or(lost) {
-        return Some(Change::Remove(old.id()));
+impl<F: Fn(NodeId) -> Duration> Group<'_, F> {
+    fn others(&self) -> impl Iterator<Item = &Member> {
+        let leader = self.leader;
+        self.current.voters.iter().filter(move |m| m.id() != leader)
     }
-    // A full group whose members all answer needs no other member.
-    room.then(|| {
-        Change::AddLearner(Member {
-            node: newcomer.node.0,
-            name: newcomer.name.clone(),
-            address: newcomer.addr.to_string(),
+
+    fn is_even(&self) -> bool {
+        self.current.voters.len().is_multiple_of(2)
+    }
+
+    fn is_silent(&self, member: &Member, limit: Duration) -> bool {
+        (self.silent)(member.id()) >= limit
+    }
+
+    /// Returns whether a node with another identity asks to join from the member's address. The member has lost its
+    /// log and can never vote again.
+    fn is_replaced(&self, member: &Member) -> bool {
+        let same = |n: &Newcomer| n.addr.to_string() == member.address;
+        self.newcomers
+            .iter()
+            .any(|n| same(n) && n.node != member.id())
+    }
+
+    /// Returns a voter on whose vote the group can't count: it lost its log or is silent.
+    fn find_lost(&self) -> Option<&Member> {
+        let replaced = self.others().find(|m| self.is_replaced(m));
+        let silent = || {
+            let longest = self.others().max_by_key(|m| (self.silent)(m.id()));
+            longest.filter(|m| self.is_silent(m, REPLACE_AFTER))
+        };
+        replaced.or_else(silent)
+    }
+
+    /// Returns whether more than half of the voters answer. A leader that was cut off itself changes nothing.
+    fn has_majority(&self) -> bool {
+        let silent = self.others().filter(|m| self.is_silent(m, REPLACE_AFTER));
+        self.current.voters.len() - silent.count() >= self.current.quorum()
+    }
+
+    /// Promotes a learner, makes room for it, or removes it if it lost its log or fell silent.
+    fn change_learner(&self, learner: &Member) -> Option<Change> {
+        if self.is_replaced(learner) || self.is_silent(learner, REPLACE_AFTER) {
+            return Some(Change::Remove(learner.id()));
+        }
+        if self.current.forming != 0 || self.is_even() {
+            return Some(Change::Promote(learner.id()));
+        }
+        if self.is_silent(learner, SUSPECT_AFTER) {
+            return None;
+        }
+        if let Some(lost) = self.find_lost() {
+            return Some(Change::Remove(lost.id()));
+        }
+        let doubtful = self.others().any(|m| self.is_silent(m, SUSPECT_AFTER));
+        (!doubtful).then(|| Change::Promote(learner.id()))
+    }
+
+    /// Removes a lost voter in favour of a newcomer, or adds the newcomer as a learner.
+    fn admit(&self, newcomer: &Newcomer) -> Option<Change> {
+        let wiped = self
+            .others()
+            .find(|m| m.address == newcomer.addr.to_string());
+        // While a group forms, each voter that it has had counts.
+        let lost = self.find_lost().filter(|_| self.current.forming == 0);
+        if let Some(old) = wiped.or(lost) {
+            return Some(Change::Remove(old.id()));
+        }
+        // A full group whose members all answer needs no other member.
+        let room = self.current.voters.len() < MAX_VOTERS;
+        room.then(|| {
+            Change::AddLearner(Member {
+                node: newcomer.node.0,
+                name: newcomer.name.clone(),
+                address: newcomer.addr.to_string(),
+            })
         })
-    })
+    }
+
+    /// Removes a lost voter although no newcomer waits.
+    fn remove_surplus(&self) -> Option<Change> {
+        let surplus = self.current.forming == 0 && self.current.voters.len() > MIN_VOTERS;
+        if !surplus {
+            return None;
+        }
+        if self.is_even() {
+            return self.find_lost().map(|m| Change::Remove(m.id()));
+        }
+        let lost = self.others().find(|m| self.is_silent(m, REMOVE_AFTER))?;
+        let mut rest = self.others().filter(|m| m.id() != lost.id());
+        let rest_answers = rest.all(|m| !self.is_silent(m, REPLACE_AFTER));
+        rest_answers.then(|| Change::Remove(lost.id()))
+    }
 }
--- a/crates/filbertstack-gateway/tests/membership.rs
+++ b/crates/filbertstack-gateway/tests/membership.rs
@@ -127,6 +127,52 @@
     assert_eq!(step, Some(Change::Remove(NodeId(3))));
 }
 
+/// Guards against a lost voter that counts beside its successor: a majority of four needs three logs, and the loss of
+/// one more disk leaves two.
+#[test]
+fn a_successor_waits_for_a_voter_in_doubt() {
+    let mut current = group(&[(1, 1), (2, 2), (3, 3)]);
+    current.learners.push(member(9, 4));
+    let silent =
+        |ms: u64| move |node: NodeId| Duration::from_millis(if node.0 == 3 { ms } else { 0 });
+    let next = |ms: u64| next_change(LEADER, &current, &[], silent(ms));
+    assert_eq!(next(100), Some(Change::Promote(NodeId(9))));
+    assert_eq!(next(1_400), None, "it may be lost");
+    assert_eq!(
+        next(2_000),
+        Some(Change::Remove(NodeId(3))),
+        "it makes room"
+    );
+    let mut current = group(&[(1, 1), (2, 2)]);
+    current.learners.push(member(9, 4));
+    let step = next_change(LEADER, &current, &[], silent(0));
+    assert_eq!(step, Some(Change::Promote(NodeId(9))));
+}
+
+/// Guards against a newcomer that dies while it copies the log and is promoted, or takes the place of a voter.
+#[test]
+fn a_silent_learner_takes_no_place() {
+    let mut current = group(&[(1, 1), (2, 2), (3, 3)]);
+    current.learners.push(member(9, 4));
+    let silent = |node: NodeId| Duration::from_millis(if node.0 == 9 { 600 } else { 0 });
+    assert_eq!(next_change(LEADER, &current, &[], silent), None);
+    let both = |node: NodeId| Duration::from_millis(if node.0 >= 3 { 1_900 } else { 0 });
+    assert_eq!(next_change(LEADER, &current, &[], both), None);
+}
+
+/// Guards against a voter that is lost right after its successor was promoted, and counts for seconds.
+#[test]
+fn an_even_group_removes_a_lost_voter_soon() {
+    let current = group(&[(1, 1), (2, 2), (3, 3), (4, 4)]);
+    let silent =
+        |ms: u64| move |node: NodeId| Duration::from_millis(if node.0 == 3 { ms } else { 0 });
+    let next = |group: &Membership, ms: u64| next_change(LEADER, group, &[], silent(ms));
+    assert_eq!(next(&current, 1_900), None);
+    assert_eq!(next(&current, 2_000), Some(Change::Remove(NodeId(3))));
+    let odd = group(&[(1, 1), (2, 2), (3, 3), (4, 4), (5, 5)]);
+    assert_eq!(next(&odd, 2_000), None, "it would gain nothing");
+}
+
 /// Guards against the removal of silent voters that leaves fewer than three, or that happens in an outage
 /// of several voters.
 #[test]
