Make the changes of one replacement one after the other without a pause

Cause: the removal of a lost voter, the addition of its successor and its promotion were three rounds of maintenance, up to 0.35 s apart; a promotion held a round for up to 2 s, in which a loss changed nothing; and a removal that failed lowered the number of declared voters each time. Change: a round makes up to three changes, a promotion waits 0.5 s, the declared number follows committed removals alone. A node that asks to join counts as heard, or a voter that was removed while frozen would be removed again as a learner.

--- a/crates/filbertstack-gateway/src/control/upkeep.rs
+++ b/crates/filbertstack-gateway/src/control/upkeep.rs
@@ -41,6 +41,12 @@
 /// How long a change of membership may take.
 const CHANGE_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// How long a promotion waits for the learner. Meanwhile a voter may be lost, which must change the decision.
+const PROMOTE_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// The most changes in one round of maintenance: those of one replacement.
+const MAX_CHANGES: usize = 3;
+
 impl Voter {
     /// Maintains the group until the process ends.
     pub(super) async fn maintain(self: Rc<Self>) {
@@ -57,7 +63,7 @@
                 self.form_group().await;
             } else if self.leads() {
                 self.check_shortage(&status);
-                self.repair_membership(&status).await;
+                self.repair_membership().await;
             } else if status.node.leader.is_none() {
                 self.rejoin().await;
             } else {
@@ -171,23 +177,34 @@
         }
     }
 
-    /// Makes the next change that adapts the membership to the available nodes. The leader calls this.
-    async fn repair_membership(&self, status: &ReplicaStatus) {
-        let now = Instant::now();
-        let newcomers = self.recent_newcomers(now);
-        let silent = |node: NodeId| {
-            let heard = self.last_heard.borrow().get(&node).copied();
-            let since = heard.unwrap_or(now);
-            self.last_heard.borrow_mut().entry(node).or_insert(now);
-            now.duration_since(since)
-        };
-        let step = membership::next_change(status.id, &status.node.membership, &newcomers, silent);
-        if let Some(change) = step {
-            let surplus = newcomers.is_empty() && status.node.membership.learners.is_empty();
-            if surplus && matches!(change, Change::Remove(_)) {
+    /// Makes the changes that adapt the membership to the available nodes. The leader calls this.
+    ///
+    /// The changes of one replacement follow each other at once, as fewer failures are tolerated between them.
+    async fn repair_membership(&self) {
+        for _ in 0..MAX_CHANGES {
+            let now = Instant::now();
+            let status = self.status();
+            let newcomers = self.recent_newcomers(now);
+            let membership = &status.node.membership;
+            let silent = |node: NodeId| {
+                let mut heard = self.last_heard.borrow_mut();
+                now.duration_since(*heard.entry(node).or_insert(now))
+            };
+            let step = membership::next_change(status.id, membership, &newcomers, silent);
+            let Some(change) = step else {
+                return;
+            };
+            let alone = newcomers.is_empty() && membership.learners.is_empty();
+            let surplus = alone && matches!(change, Change::Remove(_));
+            if !self.apply_change(change).await {
+                return;
+            }
+            if surplus {
                 self.shortage.borrow_mut().lower_declared();
             }
-            self.apply_change(change).await;
+            if !self.leads() {
+                return;
+            }
         }
     }
 
@@ -213,22 +230,26 @@
         silent.collect::<Vec<String>>().join("; ")
     }
 
-    async fn apply_change(&self, change: Change) {
+    /// Makes a change and returns whether it is committed.
+    async fn apply_change(&self, change: Change) -> bool {
         let text = format!("{change:?}");
         let replica = self.replica.clone();
-        let until = Instant::now() + CHANGE_TIMEOUT;
         let done = spawn_blocking(move || match change {
             // Waits until the learner holds all committed entries.
-            Change::Promote(node) => replica.promote(node, until),
-            change => replica.change(change, until),
+            Change::Promote(node) => replica.promote(node, Instant::now() + PROMOTE_TIMEOUT),
+            change => replica.change(change, Instant::now() + CHANGE_TIMEOUT),
         });
         match done.await {
-            Ok(Ok(_)) => info!("membership changed", kv: { change = text }),
+            Ok(Ok(_)) => {
+                info!("membership changed", kv: { change = text });
+                return true;
+            }
             Ok(Err(error)) => {
                 info!("membership not changed yet", kv: { change = text, error = error.to_string() });
             }
             Err(error) => warn!("membership not changed", kv: { error = error.to_string() }),
         }
+        false
     }
 
     fn own_member(&self) -> Member {
--- a/crates/filbertstack-gateway/src/control/voter.rs
+++ b/crates/filbertstack-gateway/src/control/voter.rs
@@ -307,11 +307,14 @@
             name: standing.name.clone(),
             addr,
         };
+        // It is present, though it was silent before.
+        let now = Instant::now();
+        self.last_heard.borrow_mut().insert(node, now);
         let mut newcomers = self.newcomers.borrow_mut();
         // A node that came back with an empty disk asks under a new identity. A recent request under its
         // old identity would add a member that no node can be any more.
         newcomers.retain(|_, (other, _)| other.addr != addr);
-        newcomers.insert(node, (newcomer, Instant::now()));
+        newcomers.insert(node, (newcomer, now));
     }
 
     /// Marks this voter as leaving, and transfers the leadership if this voter has it, so that the other
