Hear other voters also while following, so that a new leader knows who is silent

Cause: a follower hears its leader alone. A leader that was elected after the loss of a voter counted that voter's silence from its first look on, and after a restart of all from then as well; the lost voter counted for as much longer. Change: `control::contacts`, pure: heartbeats of all voters count as signs while a voter follows, messages of the log alone while it leads; one that was never heard is silent since the start of the process, also for `holding`.

--- a/crates/filbertstack-gateway/src/control/follow.rs
+++ b/crates/filbertstack-gateway/src/control/follow.rs
@@ -415,7 +415,12 @@
             Notification::Crashes(crashes) => node.merge_crashes(&crashes),
             Notification::Limits(limits) => node.merge_limits(&limits),
             Notification::Demand(demand) => node.merge_voter_demand(&demand),
-            Notification::VoterHeartbeat(pulse) => node.note_document(pulse.document),
+            Notification::VoterHeartbeat(pulse) => {
+                node.note_document(pulse.document);
+                if let Some(own) = &node.voter {
+                    own.record_heartbeat(voter);
+                }
+            }
             _ => {}
         }
     }
--- a/crates/filbertstack-gateway/src/control/mod.rs
+++ b/crates/filbertstack-gateway/src/control/mod.rs
@@ -4,6 +4,7 @@
 //! other node follows one voter. [`node::Node`] answers peers; [`api`] answers operators and engines.
 
 pub mod api;
+pub mod contacts;
 pub mod crash_file;
 pub mod crashes;
 pub mod declared;
--- a/crates/filbertstack-gateway/src/control/upkeep.rs
+++ b/crates/filbertstack-gateway/src/control/upkeep.rs
@@ -144,11 +144,8 @@
     fn check_shortage(&self, status: &ReplicaStatus) {
         let now = Instant::now();
         let membership = &status.node.membership;
-        let heard = self.last_heard.borrow();
-        let recent = |node: &NodeId| {
-            let at = heard.get(node);
-            at.is_none_or(|at| now.duration_since(*at) < membership::REPLACE_AFTER)
-        };
+        let contacts = self.contacts.borrow();
+        let recent = |node: &NodeId| contacts.silence(*node, now) < membership::REPLACE_AFTER;
         let others = membership.voters.iter().map(Member::id);
         let silent: Vec<NodeId> = others
             .filter(|node| *node != status.id && !recent(node))
@@ -186,10 +183,7 @@
             let status = self.status();
             let newcomers = self.recent_newcomers(now);
             let membership = &status.node.membership;
-            let silent = |node: NodeId| {
-                let mut heard = self.last_heard.borrow_mut();
-                now.duration_since(*heard.entry(node).or_insert(now))
-            };
+            let silent = |node: NodeId| self.contacts.borrow().silence(node, now);
             let step = membership::next_change(status.id, membership, &newcomers, silent);
             let Some(change) = step else {
                 return;
@@ -219,10 +213,10 @@
     /// message has arrived since the start of the process, for the log.
     fn silent_members(&self, membership: &Membership, now: Instant) -> String {
         let own = self.status().id;
-        let heard = self.last_heard.borrow();
-        let age = |member: &Member| match heard.get(&member.id()) {
-            Some(at) if now.duration_since(*at) < EXPLAIN_INTERVAL => None,
-            Some(at) => Some(format!("for {} s", now.duration_since(*at).as_secs())),
+        let contacts = self.contacts.borrow();
+        let age = |member: &Member| match contacts.last_heard(member.id()) {
+            Some(at) if now.duration_since(at) < EXPLAIN_INTERVAL => None,
+            Some(at) => Some(format!("for {} s", now.duration_since(at).as_secs())),
             None => Some("since the start".to_owned()),
         };
         let others = membership.members().filter(|m| m.id() != own);
--- a/crates/filbertstack-gateway/src/control/voter.rs
+++ b/crates/filbertstack-gateway/src/control/voter.rs
@@ -38,6 +38,7 @@
 use tokio::task::spawn_local;
 
 use crate::control::COMMIT_TIMEOUT;
+use crate::control::contacts::Contacts;
 use crate::control::machine::DocumentMachine;
 use crate::control::membership::Newcomer;
 use crate::control::shortage::Shortage;
@@ -110,8 +111,8 @@
     pub(super) addresses: RefCell<BTreeMap<NodeId, SocketAddr>>,
     /// The voters that announced themselves to this node because it is one of their seeds.
     pub(super) announced: RefCell<Vec<SocketAddr>>,
-    /// When each replica last sent a message.
-    pub(super) last_heard: RefCell<BTreeMap<NodeId, Instant>>,
+    /// The contacts with the other members.
+    pub(super) contacts: RefCell<Contacts>,
     leaving: Cell<bool>,
     /// Whether the log was applied up to its end, in contact with a leader, since the process started.
     caught_up: Cell<bool>,
@@ -155,7 +156,7 @@
             metrics: context.metrics,
             addresses: RefCell::default(),
             announced: RefCell::default(),
-            last_heard: RefCell::default(),
+            contacts: RefCell::new(Contacts::new(Instant::now())),
             newcomers: RefCell::default(),
             outside_since: Cell::new(None),
             shortage: RefCell::new(Shortage::default()),
@@ -236,7 +237,8 @@
         if let Ok(addr) = message.from.parse() {
             self.addresses.borrow_mut().insert(sender, addr);
         }
-        self.last_heard.borrow_mut().insert(sender, Instant::now());
+        let now = Instant::now();
+        self.contacts.borrow_mut().record_sign(sender, now);
         self.replica.deliver(decoded);
     }
 
@@ -295,6 +297,20 @@
         }
     }
 
+    /// Records a heartbeat of the voter at `addr`, which counts as a sign of it unless this voter leads.
+    pub fn record_heartbeat(&self, addr: SocketAddr) {
+        let status = self.status();
+        if status.node.role == RoleName::Leader {
+            return;
+        }
+        let text = addr.to_string();
+        let mut voters = status.node.membership.voters.iter();
+        if let Some(member) = voters.find(|m| m.address == text) {
+            let mut contacts = self.contacts.borrow_mut();
+            contacts.record_sign(member.id(), Instant::now());
+        }
+    }
+
     /// Records a node that asks to join the group.
     pub fn add_newcomer(&self, standing: &NodeStatus) {
         let Ok(addr) = standing.addr.parse() else {
@@ -307,9 +323,8 @@
             name: standing.name.clone(),
             addr,
         };
-        // It is present, though it was silent before.
         let now = Instant::now();
-        self.last_heard.borrow_mut().insert(node, now);
+        self.contacts.borrow_mut().record_sign(node, now);
         let mut newcomers = self.newcomers.borrow_mut();
         // A node that came back with an empty disk asks under a new identity. A recent request under its
         // old identity would add a member that no node can be any more.
