Replace a stopping voter before its process ends

What may happen: a voter is replaced as planned, its successor first. The old one stops, answers its last requests for up to the grace period and counts beside its successor until two seconds after its end; a disk that is lost meanwhile ends the group. Change: the heartbeat of a voter says that its process ends (a new field, ignored by earlier releases). Such a voter makes room for a learner in an odd group, and leaves an even one at once; in an odd group without a learner it stays, as it may only restart. A leaving voter does not ask to join.

--- a/crates/filbertstack-gateway/src/control/follow.rs
+++ b/crates/filbertstack-gateway/src/control/follow.rs
@@ -418,7 +418,7 @@
             Notification::VoterHeartbeat(pulse) => {
                 node.note_document(pulse.document);
                 if let Some(own) = &node.voter {
-                    own.record_heartbeat(voter);
+                    own.record_heartbeat(voter, pulse.leaving);
                 }
             }
             _ => {}
--- a/crates/filbertstack-gateway/src/control/membership.rs
+++ b/crates/filbertstack-gateway/src/control/membership.rs
@@ -9,6 +9,7 @@
 use filbertstack_log::Membership;
 use filbertstack_log::NodeId;
 
+use crate::control::contacts::Contact;
 use crate::link::messages::NodeStatus;
 
 /// How long a request to join the group is valid. A node that waits repeats the request several times in
@@ -74,7 +75,7 @@
 }
 
 /// Returns the next change of the group that `leader` leads. It depends on the newcomers that wait to
-/// join, and on how long each member has been silent.
+/// join, and on the contact with each member.
 ///
 /// *Failure*: a voter that is gone for good counts beside its successor. A majority of four needs three logs, and
 /// the loss of one more disk leaves two. So no change lowers the number of failures that the group still
@@ -88,13 +89,13 @@
     leader: NodeId,
     current: &Membership,
     newcomers: &[Newcomer],
-    silent: impl Fn(NodeId) -> Duration,
+    contact: impl Fn(&Member) -> Contact,
 ) -> Option<Change> {
     let group = Group {
         leader,
         current,
         newcomers,
-        silent,
+        contact,
     };
     if !group.has_majority() {
         return None;
@@ -115,10 +116,10 @@
     leader: NodeId,
     current: &'a Membership,
     newcomers: &'a [Newcomer],
-    silent: F,
+    contact: F,
 }
 
-impl<F: Fn(NodeId) -> Duration> Group<'_, F> {
+impl<F: Fn(&Member) -> Contact> Group<'_, F> {
     fn others(&self) -> impl Iterator<Item = &Member> {
         let leader = self.leader;
         self.current.voters.iter().filter(move |m| m.id() != leader)
@@ -129,7 +130,7 @@
     }
 
     fn is_silent(&self, member: &Member, limit: Duration) -> bool {
-        (self.silent)(member.id()) >= limit
+        (self.contact)(member).silence >= limit
     }
 
     /// Returns whether a node with another identity asks to join from the member's address. The member has lost its
@@ -141,14 +142,15 @@
             .any(|n| same(n) && n.node != member.id())
     }
 
-    /// Returns a voter on whose vote the group can't count: it lost its log or is silent.
+    /// Returns a voter on whose vote the group can't count: it lost its log, leaves, or is silent.
     fn find_lost(&self) -> Option<&Member> {
         let replaced = self.others().find(|m| self.is_replaced(m));
+        let leaving = || self.others().find(|m| (self.contact)(m).leaving);
         let silent = || {
-            let longest = self.others().max_by_key(|m| (self.silent)(m.id()));
+            let longest = self.others().max_by_key(|m| (self.contact)(m).silence);
             longest.filter(|m| self.is_silent(m, REPLACE_AFTER))
         };
-        replaced.or_else(silent)
+        replaced.or_else(leaving).or_else(silent)
     }
 
     /// Returns whether more than half of the voters answer. A leader that was cut off itself changes nothing.
@@ -180,9 +182,13 @@
         let wiped = self
             .others()
             .find(|m| m.address == newcomer.addr.to_string());
-        // While a group forms, each voter that it has had counts.
-        let lost = self.find_lost().filter(|_| self.current.forming == 0);
-        if let Some(old) = wiped.or(lost) {
+        let silent = || {
+            let lost = self.find_lost()?;
+            // While a group forms, each voter that it has had counts.
+            let removable = self.current.forming == 0 && !(self.contact)(lost).leaving;
+            removable.then_some(lost)
+        };
+        if let Some(old) = wiped.or_else(silent) {
             return Some(Change::Remove(old.id()));
         }
         // A full group whose members all answer needs no other member.
--- a/crates/filbertstack-gateway/src/control/node.rs
+++ b/crates/filbertstack-gateway/src/control/node.rs
@@ -347,10 +347,12 @@
     /// its group, and lists the voters.
     pub fn pulse(&self) -> Notification {
         let voter = self.voter.as_ref();
+        let leaving = voter.is_some_and(|v| v.is_leaving());
         Notification::VoterHeartbeat(VoterHeartbeat {
-            current: self.is_current() && voter.is_some_and(|v| !v.is_leaving()),
+            current: self.is_current() && !leaving,
             voters: voter.map_or_else(Vec::new, |v| v.standing().voters),
             document: self.declared.version(),
+            leaving,
         })
     }
 }
--- a/crates/filbertstack-gateway/src/control/upkeep.rs
+++ b/crates/filbertstack-gateway/src/control/upkeep.rs
@@ -64,7 +64,7 @@
             } else if self.leads() {
                 self.check_shortage(&status);
                 self.repair_membership().await;
-            } else if status.node.leader.is_none() {
+            } else if status.node.leader.is_none() && !self.is_leaving() {
                 self.rejoin().await;
             } else {
                 self.outside_since.set(None);
@@ -183,8 +183,8 @@
             let status = self.status();
             let newcomers = self.recent_newcomers(now);
             let membership = &status.node.membership;
-            let silent = |node: NodeId| self.contacts.borrow().silence(node, now);
-            let step = membership::next_change(status.id, membership, &newcomers, silent);
+            let contact = |member: &Member| self.contacts.borrow().contact(member, now);
+            let step = membership::next_change(status.id, membership, &newcomers, contact);
             let Some(change) = step else {
                 return;
             };
--- a/crates/filbertstack-gateway/src/control/voter.rs
+++ b/crates/filbertstack-gateway/src/control/voter.rs
@@ -17,6 +17,7 @@
 use filbertstack_control::document::Documents;
 use filbertstack_control::document::Effect;
 use filbertstack_log::Limits;
+use filbertstack_log::Member;
 use filbertstack_log::Membership;
 use filbertstack_log::Message;
 use filbertstack_log::NodeId;
@@ -238,7 +239,7 @@
             self.addresses.borrow_mut().insert(sender, addr);
         }
         let now = Instant::now();
-        self.contacts.borrow_mut().record_sign(sender, now);
+        self.contacts.borrow_mut().record_message(sender, now);
         self.replica.deliver(decoded);
     }
 
@@ -297,18 +298,16 @@
         }
     }
 
-    /// Records a heartbeat of the voter at `addr`, which counts as a sign of it unless this voter leads.
-    pub fn record_heartbeat(&self, addr: SocketAddr) {
+    /// Records a heartbeat of the voter at `addr`.
+    pub fn record_heartbeat(&self, addr: SocketAddr, leaving: bool) {
         let status = self.status();
-        if status.node.role == RoleName::Leader {
-            return;
-        }
+        let leads = status.node.role == RoleName::Leader;
         let text = addr.to_string();
         let mut voters = status.node.membership.voters.iter();
-        if let Some(member) = voters.find(|m| m.address == text) {
-            let mut contacts = self.contacts.borrow_mut();
-            contacts.record_sign(member.id(), Instant::now());
-        }
+        let member = voters.find(|m| !leads && m.address == text);
+        let node = member.map(Member::id);
+        let mut contacts = self.contacts.borrow_mut();
+        contacts.record_heartbeat(addr, leaving, node, Instant::now());
     }
 
     /// Records a node that asks to join the group.
@@ -324,7 +323,7 @@
             addr,
         };
         let now = Instant::now();
-        self.contacts.borrow_mut().record_sign(node, now);
+        self.contacts.borrow_mut().record_join(node, addr, now);
         let mut newcomers = self.newcomers.borrow_mut();
         // A node that came back with an empty disk asks under a new identity. A recent request under its
         // old identity would add a member that no node can be any more.
--- a/crates/filbertstack-gateway/src/link/messages.rs
+++ b/crates/filbertstack-gateway/src/link/messages.rs
@@ -623,6 +623,9 @@
     /// The version of the document that the voter holds.
     #[prost(uint64, tag = "3")]
     pub document: u64,
+    /// Whether the voter's process ends.
+    #[prost(bool, tag = "4")]
+    pub leaving: bool,
 }
 
 /// Parses an address from a message; `None` if it is not a valid address.
--- a/crates/filbertstack-gateway/tests/membership.rs
+++ b/crates/filbertstack-gateway/tests/membership.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use filbertstack_gateway::control::contacts::Contact;
 use filbertstack_gateway::control::membership::Newcomer;
 use filbertstack_gateway::control::membership::founding_size;
 use filbertstack_gateway::control::membership::next_change;
@@ -54,8 +55,15 @@
 
 const LEADER: NodeId = NodeId(1);
 
-fn no_silence(_: NodeId) -> Duration {
-    Duration::ZERO
+fn no_silence(_: &Member) -> Contact {
+    Contact::default()
+}
+
+fn silent_for(millis: u64) -> Contact {
+    Contact {
+        silence: Duration::from_millis(millis),
+        leaving: false,
+    }
 }
 
 /// Guards against two groups when all processes start at once with the same seeds. Each group would accept
@@ -122,7 +130,7 @@
 #[test]
 fn a_silent_voter_is_removed_for_a_newcomer() {
     let current = group(&[(1, 1), (2, 2), (3, 3)]);
-    let silent = |node: NodeId| Duration::from_secs(if node.0 == 3 { 3 } else { 0 });
+    let silent = |m: &Member| silent_for(if m.node == 3 { 3000 } else { 0 });
     let step = next_change(LEADER, &current, &[newcomer(9, 4)], silent);
     assert_eq!(step, Some(Change::Remove(NodeId(3))));
 }
@@ -133,8 +141,7 @@
 fn a_successor_waits_for_a_voter_in_doubt() {
     let mut current = group(&[(1, 1), (2, 2), (3, 3)]);
     current.learners.push(member(9, 4));
-    let silent =
-        |ms: u64| move |node: NodeId| Duration::from_millis(if node.0 == 3 { ms } else { 0 });
+    let silent = |ms: u64| move |m: &Member| silent_for(if m.node == 3 { ms } else { 0 });
     let next = |ms: u64| next_change(LEADER, &current, &[], silent(ms));
     assert_eq!(next(100), Some(Change::Promote(NodeId(9))));
     assert_eq!(next(1_400), None, "it may be lost");
@@ -154,9 +161,9 @@
 fn a_silent_learner_takes_no_place() {
     let mut current = group(&[(1, 1), (2, 2), (3, 3)]);
     current.learners.push(member(9, 4));
-    let silent = |node: NodeId| Duration::from_millis(if node.0 == 9 { 600 } else { 0 });
+    let silent = |m: &Member| silent_for(if m.node == 9 { 600 } else { 0 });
     assert_eq!(next_change(LEADER, &current, &[], silent), None);
-    let both = |node: NodeId| Duration::from_millis(if node.0 >= 3 { 1_900 } else { 0 });
+    let both = |m: &Member| silent_for(if m.node >= 3 { 1_900 } else { 0 });
     assert_eq!(next_change(LEADER, &current, &[], both), None);
 }
 
@@ -164,8 +171,7 @@
 #[test]
 fn an_even_group_removes_a_lost_voter_soon() {
     let current = group(&[(1, 1), (2, 2), (3, 3), (4, 4)]);
-    let silent =
-        |ms: u64| move |node: NodeId| Duration::from_millis(if node.0 == 3 { ms } else { 0 });
+    let silent = |ms: u64| move |m: &Member| silent_for(if m.node == 3 { ms } else { 0 });
     let next = |group: &Membership, ms: u64| next_change(LEADER, group, &[], silent(ms));
     assert_eq!(next(&current, 1_900), None);
     assert_eq!(next(&current, 2_000), Some(Change::Remove(NodeId(3))));
@@ -173,12 +179,32 @@
     assert_eq!(next(&odd, 2_000), None, "it would gain nothing");
 }
 
+/// Guards against a voter that stops for good and counts beside its successor until its silence is noticed.
+#[test]
+fn a_stopping_voter_makes_room_for_its_successor() {
+    let leaving = |node: u64| {
+        move |m: &Member| Contact {
+            leaving: m.node == node,
+            ..Contact::default()
+        }
+    };
+    let mut current = group(&[(1, 1), (2, 2), (3, 3)]);
+    let next = |group: &Membership| next_change(LEADER, group, &[], leaving(3));
+    assert_eq!(next(&current), None, "it may only restart");
+    let step = next_change(LEADER, &current, &[newcomer(9, 4)], leaving(3));
+    assert_eq!(step, Some(Change::AddLearner(member(9, 4))));
+    current.learners.push(member(9, 4));
+    assert_eq!(next(&current), Some(Change::Remove(NodeId(3))));
+    let even = group(&[(1, 1), (2, 2), (3, 3), (4, 4)]);
+    assert_eq!(next(&even), Some(Change::Remove(NodeId(3))));
+}
+
 /// Guards against the removal of silent voters that leaves fewer than three, or that happens in an outage
 /// of several voters.
 #[test]
 fn without_a_newcomer_only_a_surplus_voter_is_removed() {
     let current = group(&[(1, 1), (2, 2), (3, 3)]);
-    let silent = |node: NodeId| Duration::from_secs(if node.0 == 3 { 60 } else { 0 });
+    let silent = |m: &Member| silent_for(if m.node == 3 { 60000 } else { 0 });
     assert_eq!(
         next_change(LEADER, &current, &[], silent),
         None,
@@ -191,7 +217,7 @@
         Some(Change::Remove(NodeId(3))),
         "a successor was added before"
     );
-    let both = |node: NodeId| Duration::from_secs(if node.0 >= 3 { 60 } else { 0 });
+    let both = |m: &Member| silent_for(if m.node >= 3 { 60000 } else { 0 });
     assert_eq!(
         next_change(LEADER, &current, &[], both),
         None,
--- a/crates/filbertstack-gateway/tests/membership_model.rs
+++ b/crates/filbertstack-gateway/tests/membership_model.rs
@@ -10,6 +10,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use filbertstack_gateway::control::contacts::Contact;
 use filbertstack_gateway::control::membership::Newcomer;
 use filbertstack_gateway::control::membership::founding_size;
 use filbertstack_gateway::control::membership::next_change;
@@ -282,16 +283,14 @@
         };
         let leader = NodeId(self.nodes[leader].identity.expect("a voter has a disk"));
         let group = self.group.clone().expect("a group with a leader");
-        let silent = |node: NodeId| {
-            let member = group.members().find(|m| m.id() == node);
-            let answers = member.is_some_and(|m| self.answers(m) || self.can_copy(m));
-            if answers {
-                Duration::ZERO
-            } else {
-                Duration::from_secs(60)
+        let contact = |member: &Member| {
+            let answers = self.answers(member) || self.can_copy(member);
+            Contact {
+                silence: Duration::from_secs(if answers { 0 } else { 60 }),
+                leaving: false,
             }
         };
-        if let Some(change) = next_change(leader, &group, &self.newcomers, silent) {
+        if let Some(change) = next_change(leader, &group, &self.newcomers, contact) {
             self.apply(change);
         }
         self.newcomers.clear();
--- a/crates/filbertstack-gateway/tests/replacement_model.rs
+++ b/crates/filbertstack-gateway/tests/replacement_model.rs
@@ -1,5 +1,5 @@
-//! A model in virtual time of the replacement of voters: losses, successors, freezes and restarts, alone and
-//! in random order.
+//! A model in virtual time of the replacement of voters: losses, successors, freezes, restarts and planned stops,
+//! alone and in random order.
 //!
 //! The model runs the pure decisions [`next_change`] and [`Contacts`] at each voter. It checks what operators are
 //! promised: once nothing has happened for [`STABILITY`], any disks that the group is meant to lose may be lost
@@ -9,6 +9,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use filbertstack_gateway::control::contacts::Contact;
 use filbertstack_gateway::control::contacts::Contacts;
 use filbertstack_gateway::control::membership::Newcomer;
 use filbertstack_gateway::control::membership::next_change;
@@ -51,6 +52,8 @@
     Beside,
     /// A voter hears no others while it follows.
     LeaderHears,
+    /// A stopping voter does not announce it.
+    SilentStop,
 }
 
 /// An event of a scenario.
@@ -62,6 +65,8 @@
     LoseLeader,
     /// An instance with an empty disk starts at a new address.
     Start,
+    /// A voter begins a planned stop; it ends after this time, for good.
+    Stop(usize, Duration),
     /// A voter comes back with an empty disk.
     Wipe(usize),
     /// An instance stands still, or runs again.
@@ -87,6 +92,8 @@
     /// Whether its disk holds the log.
     has_log: bool,
     contacts: Contacts,
+    leaving: bool,
+    ends_at: Option<Duration>,
     join_at: Duration,
     copied_at: Option<Duration>,
 }
@@ -161,6 +168,8 @@
             ran_since: self.now,
             has_log,
             contacts: Contacts::new(self.time()),
+            leaving: false,
+            ends_at: None,
             join_at: self.now + Duration::from_millis(400),
             copied_at: None,
         };
@@ -203,6 +212,19 @@
                 self.started += 1;
                 self.add_instance(false);
             }
+            Event::Stop(n, span) => {
+                let ends_at = self.now + span;
+                self.lost += 1;
+                let instance = &mut self.instances[n];
+                instance.leaving = self.rules != Rules::SilentStop;
+                instance.ends_at = Some(ends_at);
+                if self.leader == Some(n) {
+                    let others = 0..self.instances.len();
+                    let mut others = others.filter(|o| *o != n && self.is_running_voter(*o));
+                    self.leader = others.next();
+                    self.newcomers.clear();
+                }
+            }
             Event::Wipe(n) => {
                 self.last_id += 1;
                 let id = self.last_id;
@@ -219,6 +241,8 @@
                 }
             }
             Event::Freeze(n) => self.instances[n].state = State::Frozen,
+            // It may have ended while it was frozen.
+            Event::Thaw(n) if self.instances[n].state != State::Frozen => {}
             Event::Thaw(n) => {
                 self.instances[n].state = State::Running;
                 self.instances[n].ran_since = self.now;
@@ -290,12 +314,13 @@
         };
         let running = self.instances.iter();
         let running = running.filter(|i| i.state == State::Running);
-        let signs: Vec<u64> = running.map(|i| i.id).collect();
+        let signs: Vec<(u64, SocketAddr, bool)> =
+            running.map(|i| (i.id, i.addr, i.leaving)).collect();
         if let Some(leader) = self.leader {
-            for id in signs.iter().filter(|id| due(**id, HEARTBEAT)) {
+            for (id, ..) in signs.iter().filter(|(id, ..)| due(*id, HEARTBEAT)) {
                 if self.group.members().any(|m| m.node == *id) {
                     let contacts = &mut self.instances[leader].contacts;
-                    contacts.record_sign(NodeId(*id), now);
+                    contacts.record_message(NodeId(*id), now);
                 }
             }
         }
@@ -305,10 +330,11 @@
             if instance.state != State::Running {
                 continue;
             }
-            for id in signs.iter().filter(|id| due(**id, PULSE)) {
-                if follows {
-                    instance.contacts.record_sign(NodeId(*id), now);
-                }
+            for (id, addr, leaving) in signs.iter().filter(|(id, ..)| due(*id, PULSE)) {
+                let node = follows.then_some(NodeId(*id));
+                instance
+                    .contacts
+                    .record_heartbeat(*addr, *leaving, node, now);
             }
         }
     }
@@ -317,7 +343,7 @@
         for n in 0..self.instances.len() {
             let instance = &self.instances[n];
             let outside = !self.group.members().any(|m| m.node == instance.id);
-            let due = self.now >= instance.join_at;
+            let due = self.now >= instance.join_at && !instance.leaving;
             if instance.state != State::Running || !outside || !due {
                 continue;
             }
@@ -333,7 +359,7 @@
             if let Some(leader) = self.leader {
                 self.newcomers.retain(|(o, _)| o.addr != newcomer.addr);
                 let contacts = &mut self.instances[leader].contacts;
-                contacts.record_sign(newcomer.node, now);
+                contacts.record_join(newcomer.node, newcomer.addr, now);
                 self.newcomers.push((newcomer, self.now));
             }
         }
@@ -353,10 +379,10 @@
             let id = NodeId(self.instances[leader].id);
             let time = self.time();
             let contacts = &self.instances[leader].contacts;
-            let silent = |node: NodeId| contacts.silence(node, time);
+            let contact = |member: &Member| contacts.contact(member, time);
             let change = match self.rules {
-                Rules::Beside => change_beside(id, &self.group, &newcomers, silent),
-                _ => next_change(id, &self.group, &newcomers, silent),
+                Rules::Beside => change_beside(id, &self.group, &newcomers, contact),
+                _ => next_change(id, &self.group, &newcomers, contact),
             };
             if !change.is_some_and(|change| self.apply_change(&change)) {
                 return;
@@ -398,6 +424,7 @@
         let answering = |instance: &Instance| {
             instance.state == State::Running
                 && instance.has_log
+                && instance.ends_at.is_none()
                 && self.now >= instance.ran_since + ms(500)
         };
         let leader = self.leader.expect("a leader");
@@ -435,6 +462,12 @@
 
     fn tick(&mut self) {
         self.now += TICK;
+        for n in 0..self.instances.len() {
+            if self.instances[n].ends_at.is_some_and(|at| self.now >= at) {
+                self.instances[n].ends_at = None;
+                self.instances[n].state = State::Gone;
+            }
+        }
         self.elect();
         self.exchange_messages();
         self.join();
@@ -455,9 +488,9 @@
     leader: NodeId,
     current: &Membership,
     newcomers: &[Newcomer],
-    silence: impl Fn(NodeId) -> Duration,
+    contact: impl Fn(&Member) -> Contact,
 ) -> Option<Change> {
-    let silent = |m: &Member, ms: u64| silence(m.id()) >= Duration::from_millis(ms);
+    let silent = |m: &Member, ms: u64| contact(m).silence >= Duration::from_millis(ms);
     let others = || current.voters.iter().filter(|m| m.id() != leader);
     if let Some(learner) = current.learners.first() {
         return Some(if silent(learner, 2_500) {
@@ -503,6 +536,38 @@
 type Scenario = (&'static str, usize, Vec<(u64, Event)>);
 
 fn scenarios() -> Vec<Scenario> {
+    let mut all = losses();
+    all.extend(planned_stops());
+    all
+}
+
+fn planned_stops() -> Vec<Scenario> {
+    use Event::*;
+    vec![
+        (
+            "a planned replacement leaves the old voter in the group",
+            3,
+            vec![(0, Start), (2_000, Stop(2, ms(8_000)))],
+        ),
+        (
+            "a stop of the leader before its successor comes",
+            3,
+            vec![(0, Stop(0, ms(3_500))), (1_000, Start)],
+        ),
+        (
+            "a stopped voter is gone before its successor comes",
+            3,
+            vec![(0, Stop(1, ms(200))), (1_000, Start)],
+        ),
+        (
+            "a planned replacement of one of six",
+            6,
+            vec![(0, Start), (2_000, Stop(2, ms(5_000)))],
+        ),
+    ]
+}
+
+fn losses() -> Vec<Scenario> {
     use Event::*;
     vec![
         (
@@ -628,6 +693,11 @@
         hears.contains(&"a new leader has not heard a voter yet"),
         "{hears:?}"
     );
+    let silent = broken(Rules::SilentStop);
+    assert!(
+        silent.contains(&"a planned replacement leaves the old voter in the group"),
+        "{silent:?}"
+    );
 }
 
 /// Draws events in random order. A disk is lost only when nothing has happened for [`STABILITY`], as the group
@@ -650,6 +720,7 @@
             (2, None) if calm && absent == 0 => Event::Lose(pick),
             (3, None) if calm && absent == 0 => Event::LoseLeader,
             (4, None) if calm && absent == 0 => Event::Wipe(pick),
+            (5, None) if calm && absent == 0 => Event::Stop(pick, ms(gap)),
             (6, None) => Event::RestartAll,
             _ if absent > 0 => Event::Start,
             _ => continue,
--- a/tests/gateway/replacement.rs
+++ b/tests/gateway/replacement.rs
@@ -1,11 +1,18 @@
 //! Tests voters that are gone for good and replaced at other addresses.
 
+use std::sync::Mutex;
+use std::sync::mpsc;
+use std::thread;
 use std::thread::sleep;
 use std::time::Duration;
 
 use crate::cluster::Cluster;
 use crate::cluster::document;
+use crate::cluster::exchange;
+use crate::cluster::get;
 use crate::cluster::wait_until;
+use crate::engine::Engine;
+use crate::engine::answer;
 
 /// How long after the loss of a voter its successor starts: longer than a leader needs to notice the silence, and
 /// shorter than it waits before it replaces a silent voter.
@@ -37,6 +44,45 @@
     cluster.put_document(&[1], &document(6));
 }
 
+/// Guards against a voter that stops for good and counts beside its successor while its last requests are answered,
+/// and for seconds after.
+#[test]
+fn a_stopping_voter_is_replaced_before_its_process_ends() {
+    let (release, held) = mpsc::channel::<()>();
+    let held = Mutex::new(held);
+    let engine = Engine::start(Box::new(move |received| {
+        if received.header("x-filbertstack-attempt-id") == "held" {
+            // Ends with the test.
+            let _ = held.lock().expect("not poisoned").recv();
+        }
+        answer(received, "200 OK", "whole")
+    }));
+    let mut cluster = Cluster::start(3, 0);
+    cluster.put_document(&[0], &document(5));
+    cluster.register(0, "i-1", "once", engine.addr);
+    cluster.await_service(0, "/once/");
+    let before = cluster.promotions(3);
+    let successor = cluster.start_successor();
+    wait_until("the successor is a voter", || {
+        cluster.promotions(successor) > before
+    });
+    let front = cluster.front_addr(0);
+    let call = thread::spawn(move || exchange(&front, &get("/once/", "held", "")));
+    wait_until("the request is in progress", || {
+        cluster.has_logged(0, "\"request\":\"held\"")
+    });
+    cluster.signal(0, "TERM");
+    let removed = |n: usize| {
+        let log = cluster.logged(n);
+        let mut changes = log.lines().filter(|l| l.contains("membership changed"));
+        changes.any(|l| l.contains("\"change\":\"Remove"))
+    };
+    wait_until("it is removed", || (1..=successor).any(removed));
+    assert!(!cluster.has_ended(0), "it still answers its last request");
+    drop(release);
+    call.join().expect("the caller");
+}
+
 /// Guards against an outage in which no log tells which voters are counted and which of them are missing.
 #[test]
 fn a_voter_without_a_leader_logs_which_voters_are_silent() {
