Remove a lost identity before its successor votes, also in the threaded voter

A newcomer that dies in between, or a lost disk, leaves two of four voters. Change: the decision moves from the process into `Formation::next_replacement` of the log, where it is tested; the old identity is removed first, which leaves the majority of an odd group as it is. Test: formation::a_lost_identity_is_removed_before_its_successor_votes; the order was AddLearner, Promote, Remove.

--- a/crates/filbertstack-entry/src/voter.rs
+++ b/crates/filbertstack-entry/src/voter.rs
@@ -314,7 +314,7 @@
     fn repair_membership(&self, membership: &Membership) {
         let announced = self.announcements();
         let change = Formation::next_change(membership, &self.listed, &announced)
-            .or_else(|| replacement(membership, &self.listed, &announced));
+            .or_else(|| Formation::next_replacement(membership, &self.listed, &announced));
         let Some(change) = change else {
             return;
         };
@@ -369,53 +369,6 @@
     }
 }
 
-/// Returns the next change that replaces a listed voter which came back under a new identity.
-///
-/// The disk of the old identity is gone, so the old identity can never vote again. The new one is added as a
-/// learner and votes once it has caught up with the log; only then the old one is removed. At no point do
-/// fewer voters than the old majority hold the accepted entries.
-fn replacement(
-    membership: &Membership,
-    listed: &[String],
-    announced: &[Announcement],
-) -> Option<Change> {
-    for fresh in announced
-        .iter()
-        .filter(|voter| listed.contains(&voter.name))
-    {
-        let old = membership.voters.iter().find(|m| m.name == fresh.name);
-        let is_voter = membership.is_voter(fresh.node);
-        let is_learner = membership.is_learner(fresh.node);
-        if is_learner {
-            return Some(Change::Promote(fresh.node));
-        }
-        if is_voter {
-            let stale = membership
-                .members()
-                .find(|m| m.name == fresh.name && m.id() != fresh.node);
-            if let Some(stale) = stale {
-                return Some(Change::Remove(stale.id()));
-            }
-            continue;
-        }
-        let stale_learner = membership
-            .learners
-            .iter()
-            .find(|m| m.name == fresh.name && m.id() != fresh.node);
-        if let Some(stale) = stale_learner {
-            return Some(Change::Remove(stale.id()));
-        }
-        if fresh.cluster.is_none() || old.is_none() {
-            return Some(Change::AddLearner(Member {
-                node: fresh.node.0,
-                name: fresh.name.clone(),
-                address: fresh.address.clone(),
-            }));
-        }
-    }
-    None
-}
-
 /// Returns the current time in Unix milliseconds.
 pub fn unix_millis() -> u64 {
     let now = SystemTime::now()
--- a/crates/filbertstack-log/src/formation.rs
+++ b/crates/filbertstack-log/src/formation.rs
@@ -86,4 +86,43 @@
             address: fresh.address.clone(),
         }))
     }
+
+    /// Returns the next change that replaces a listed voter which came back under a new identity.
+    ///
+    /// The disk of the old identity is gone, so the old identity can never vote again. The new one copies the log as
+    /// a learner, and the old one is removed before the new one votes: a newcomer that dies beside it would leave a
+    /// majority of four to two voters.
+    pub fn next_replacement(
+        membership: &Membership,
+        listed: &[String],
+        announcements: &[Announcement],
+    ) -> Option<Change> {
+        let fresh = announcements.iter().filter(|a| listed.contains(&a.name));
+        for fresh in fresh {
+            let stale = |m: &&Member| m.name == fresh.name && m.id() != fresh.node;
+            let stale_voter = membership.voters.iter().find(stale);
+            let stale_learner = membership.learners.iter().find(stale);
+            if membership.is_learner(fresh.node) {
+                let change = stale_voter.map(|m| Change::Remove(m.id()));
+                return Some(change.unwrap_or(Change::Promote(fresh.node)));
+            }
+            if membership.is_voter(fresh.node) {
+                if let Some(stale) = membership.members().find(stale) {
+                    return Some(Change::Remove(stale.id()));
+                }
+                continue;
+            }
+            if let Some(stale) = stale_learner {
+                return Some(Change::Remove(stale.id()));
+            }
+            if fresh.cluster.is_none() || stale_voter.is_none() {
+                return Some(Change::AddLearner(Member {
+                    node: fresh.node.0,
+                    name: fresh.name.clone(),
+                    address: fresh.address.clone(),
+                }));
+            }
+        }
+        None
+    }
 }
--- a/crates/filbertstack-log/tests/log/formation.rs
+++ b/crates/filbertstack-log/tests/log/formation.rs
@@ -124,3 +124,29 @@
     });
     assert!(refused.is_certain());
 }
+
+/// Guards against a lost identity that counts beside its successor: a newcomer that dies then leaves two of four voters.
+#[test]
+fn a_lost_identity_is_removed_before_its_successor_votes() {
+    let member = |node: u64, name: &str| Member {
+        node,
+        name: name.into(),
+        address: format!("{name}:1"),
+    };
+    let mut membership = Membership::initial(member(97, "a"), 1);
+    membership.voters.extend([member(98, "b"), member(99, "c")]);
+    let mut back = announced("c", None);
+    back.node = NodeId(7);
+    let heard = [announced("b", Some(1)), back];
+    let mut changes = Vec::new();
+    while let Some(change) = Formation::next_replacement(&membership, &listed(), &heard) {
+        membership = membership.with_change(&change).unwrap();
+        changes.push(change);
+    }
+    let expected = [
+        Change::AddLearner(member(7, "c")),
+        Change::Remove(NodeId(99)),
+        Change::Promote(NodeId(7)),
+    ];
+    assert_eq!(changes, expected);
+}
