Bound how long a promotion waits for the learner apart from its commit

A promotion waits 0.5 s for its learner since the changes of a replacement follow each other; its commit had the same bound, so that a slow commit was logged as `membership not changed yet`. `Replica::promote` takes two times now; the commit has 2 s as before.

--- a/crates/filbertstack-entry/src/voter.rs
+++ b/crates/filbertstack-entry/src/voter.rs
@@ -322,7 +322,7 @@
         let deadline = Instant::now() + CHANGE_TIMEOUT;
         let changed = match change {
             // Retries until the learner holds every committed entry, which under load happens only at times.
-            Change::Promote(node) => self.replica.promote(node, deadline),
+            Change::Promote(node) => self.replica.promote(node, deadline, deadline),
             change => self.replica.change(change, deadline),
         };
         match changed {
--- a/crates/filbertstack-gateway/src/control/upkeep.rs
+++ b/crates/filbertstack-gateway/src/control/upkeep.rs
@@ -41,8 +41,9 @@
 /// How long a change of membership may take.
 const CHANGE_TIMEOUT: Duration = Duration::from_secs(2);
 
-/// How long a promotion waits for the learner. Meanwhile a voter may be lost, which must change the decision.
-const PROMOTE_TIMEOUT: Duration = Duration::from_millis(500);
+/// How long a promotion waits until the learner holds all committed entries. Meanwhile a voter may be lost, which must
+/// change the decision.
+const CATCH_UP_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// The most changes in one round of maintenance: those of one replacement.
 const MAX_CHANGES: usize = 3;
@@ -228,10 +229,11 @@
     async fn apply_change(&self, change: Change) -> bool {
         let text = format!("{change:?}");
         let replica = self.replica.clone();
+        let now = Instant::now();
+        let until = now + CHANGE_TIMEOUT;
         let done = spawn_blocking(move || match change {
-            // Waits until the learner holds all committed entries.
-            Change::Promote(node) => replica.promote(node, Instant::now() + PROMOTE_TIMEOUT),
-            change => replica.change(change, Instant::now() + CHANGE_TIMEOUT),
+            Change::Promote(node) => replica.promote(node, now + CATCH_UP_TIMEOUT, until),
+            change => replica.change(change, until),
         });
         match done.await {
             Ok(Ok(_)) => {
--- a/crates/filbertstack-log/benches/group/mod.rs
+++ b/crates/filbertstack-log/benches/group/mod.rs
@@ -94,7 +94,10 @@
         }
         for member in &members[1..] {
             while replicas[0].add_learner(member.clone(), deadline()).is_err() {}
-            while replicas[0].promote(member.id(), deadline()).is_err() {
+            while replicas[0]
+                .promote(member.id(), deadline(), deadline())
+                .is_err()
+            {
                 thread::sleep(Duration::from_millis(5));
             }
         }
--- a/crates/filbertstack-log/src/replica/mod.rs
+++ b/crates/filbertstack-log/src/replica/mod.rs
@@ -248,11 +248,16 @@
     }
 
     /// Makes a learner a voter as soon as it holds every committed entry. Under load it catches up
-    /// only from time to time, so this call retries until the deadline.
+    /// only from time to time, so this call retries until `retry_until`.
     ///
     /// # Errors
     /// Returns the errors of [`Replica::propose`].
-    pub fn promote(&self, node: NodeId, deadline: Instant) -> Result<u64, ProposeError> {
+    pub fn promote(
+        &self,
+        node: NodeId,
+        retry_until: Instant,
+        deadline: Instant,
+    ) -> Result<u64, ProposeError> {
         loop {
             let result = self.change(Change::Promote(node), deadline);
             let behind = matches!(
@@ -261,7 +266,7 @@
                     ChangeError::Behind { .. }
                 )))
             );
-            if !behind || Instant::now() + POLL_INTERVAL >= deadline {
+            if !behind || Instant::now() + POLL_INTERVAL >= retry_until {
                 return result;
             }
             thread::sleep(POLL_INTERVAL);
--- a/crates/filbertstack-log/tests/log/support/network.rs
+++ b/crates/filbertstack-log/tests/log/support/network.rs
@@ -195,7 +195,7 @@
     pub fn join(&self, at: usize) {
         let member = self.slots[at].member();
         self.on_leader(|leader| leader.add_learner(member.clone(), deadline()).ok());
-        self.on_leader(|leader| leader.promote(member.id(), deadline()).ok());
+        self.on_leader(|leader| leader.promote(member.id(), deadline(), deadline()).ok());
     }
 
     /// Waits for a leader and returns its slot.
