Soak: replace voters at other addresses before a disk is lost with the power of all

The soak lost disks at their own addresses only, one at a time while all others kept their power, and so could not show the incident. Beside it replacement::an_entry_takes_the_place_of_a_voter.

--- a/tests/gateway/cluster.rs
+++ b/tests/gateway/cluster.rs
@@ -115,6 +115,17 @@
         n
     }
 
+    /// Ends the voter at `from` for good, and starts the entry `to` with an empty disk in its place. The next process at
+    /// `from` has no disk.
+    pub fn replace_voter(&mut self, from: usize, to: usize) {
+        self.write_settings(from, false, false);
+        self.kill(from);
+        self.delete_disk(from);
+        self.write_settings(to, true, false);
+        self.kill(to);
+        self.launch(to);
+    }
+
     /// Deletes the disk of an entry that does not run.
     pub fn delete_disk(&self, n: usize) {
         fs::remove_dir_all(self.folder.path().join(format!("data-{n}"))).expect("its disk");
@@ -182,6 +193,19 @@
         logs.iter().any(promoted) || logs.iter().filter(holds).count() >= 2
     }
 
+    /// Returns whether the logs on the disks of `entries` are the voters, as each of these entries has logged last.
+    pub fn are_voters(&self, entries: &[usize]) -> bool {
+        let identities = entries.iter().filter_map(|n| self.identity(*n));
+        let mut wanted: Vec<String> = identities.map(|id| format!("{id:016x}")).collect();
+        wanted.sort();
+        wanted.len() == entries.len()
+            && entries.iter().all(|n| {
+                let mut voters = last_voters(&self.logged(*n));
+                voters.sort();
+                voters == wanted
+            })
+    }
+
     /// Returns the identity of the log on the present disk of an entry, once the disk holds it.
     fn identity(&self, n: usize) -> Option<u64> {
         let path = self.folder.path().join(format!("data-{n}/identity"));
--- a/tests/gateway/replacement.rs
+++ b/tests/gateway/replacement.rs
@@ -39,6 +39,24 @@
         wait_until("it is read back", || cluster.version(n) == Some(5));
     }
     cluster.put_document(&[1], &document(6));
+    wait_until("the disk is replaced", || {
+        cluster.are_voters(&[1, 2, successor])
+    });
+}
+
+/// Guards against a voter that is gone, and whose address is used by an entry without a disk: it must not be taken
+/// for the voter, and its successor, an entry until then, must be followed as one.
+#[test]
+fn an_entry_takes_the_place_of_a_voter() {
+    let mut cluster = Cluster::start(3, 1);
+    cluster.put_document(&[0], &document(5));
+    cluster.replace_voter(1, 3);
+    cluster.ensure_running(1);
+    wait_until("it votes", || cluster.are_voters(&[0, 2, 3]));
+    cluster.put_document(&[1], &document(6));
+    for n in 0..4 {
+        wait_until("it is read back", || cluster.version(n) == Some(6));
+    }
 }
 
 /// Guards against a voter that stops for good and counts beside its successor while its last requests are answered,
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -27,6 +27,7 @@
 mod operator;
 mod planned;
 mod proxy;
+mod replacements;
 
 use std::thread;
 
@@ -50,6 +51,9 @@
 /// The seeds of planned work that CI runs.
 const PLANNED_SEEDS: [u64; 2] = [1, 2];
 
+/// The seeds of replacements that CI runs.
+const REPLACEMENT_SEEDS: [u64; 2] = [1, 2];
+
 /// The number of seeds that run at a time; each runs eight processes.
 const PARALLEL_SEEDS: usize = 4;
 
@@ -161,6 +165,33 @@
     assert!(violations.is_empty(), "{}", violations.join("\n"));
 }
 
+/// Replaces voters among callers and operators, and returns the broken guarantees.
+fn run_replacements(seed: u64) -> Vec<String> {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let fleet = Fleet::start(seed, 1);
+    let _end = EndOnDrop(fleet.clone());
+    let callers = callers::start(&fleet, seed);
+    let operator = operator::start(&fleet, seed);
+    let rounds = replacements::carry_out(&fleet, &mut rng);
+    fleet.end_faults();
+    let mut violations = operator.finish(&fleet);
+    violations.extend(callers.finish(&fleet));
+    violations.extend(fleet.wrong_loads());
+    println!("seed {seed}: {rounds:?}; {}", callers::summary(&fleet));
+    violations
+        .into_iter()
+        .map(|violation| format!("seed {seed}: {violation}"))
+        .collect()
+}
+
+/// Voters are gone for good, one after the other, and replaced at other addresses, while others stand still; after each
+/// replacement one disk is lost with the power of all. Acknowledged changes are kept, and all services are served again.
+#[test]
+fn replaced_voters_lose_nothing() {
+    let violations = run_seeds(&seeds_or(&REPLACEMENT_SEEDS), run_replacements);
+    assert!(violations.is_empty(), "{}", violations.join("\n"));
+}
+
 /// Guards against staging a newer version over one that an engine may still get an order to load.
 #[test]
 fn an_ordered_version_is_not_overwritten() {
