Split the messages of links by what they are about

639 lines held frames, questions, rows of the registry and observations; rows and observations have files of their own now. No message changes.

--- a/crates/filbertstack-gateway/src/link/messages.rs
+++ b/crates/filbertstack-gateway/src/link/messages/mod.rs
@@ -1,5 +1,8 @@
 //! The messages between the processes of the system, as `prost` types.
 
+mod observations;
+mod rows;
+
 use std::net::SocketAddr;
 
 use bytes::Bytes;
@@ -8,6 +11,23 @@
 use filbertstack_control::document::Weights;
 use filbertstack_control::document::ZoneState;
 
+pub use crate::link::messages::observations::CrashRow;
+pub use crate::link::messages::observations::Crashes;
+pub use crate::link::messages::observations::Demand;
+pub use crate::link::messages::observations::LimitRow;
+pub use crate::link::messages::observations::Limits;
+pub use crate::link::messages::observations::LoadRow;
+pub use crate::link::messages::observations::Loads;
+pub use crate::link::messages::observations::RankDemand;
+pub use crate::link::messages::observations::ServiceDemand;
+pub use crate::link::messages::observations::Watch;
+pub use crate::link::messages::rows::AgentRow;
+pub use crate::link::messages::rows::EntryRow;
+pub use crate::link::messages::rows::Kind;
+pub use crate::link::messages::rows::Row;
+pub use crate::link::messages::rows::Rows;
+pub use crate::link::messages::rows::TargetRow;
+
 /// One frame of a link.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct Frame {
@@ -340,277 +360,6 @@
     pub age_ms: u64,
 }
 
-/// Rows of the registry.
-#[derive(Clone, PartialEq, prost::Message)]
-pub struct Rows {
-    /// The rows.
-    #[prost(message, repeated, tag = "1")]
-    pub rows: Vec<Row>,
-    /// Whether these are all the rows that the sender holds.
-    #[prost(bool, tag = "2")]
-    pub whole: bool,
-}
-
-/// A registration of one process or target in the registry.
-#[derive(Clone, PartialEq, prost::Message)]
-pub struct Row {
-    /// The id of the process or target.
-    #[prost(string, tag = "1")]
-    pub id: String,
-    /// The time of its start, in milliseconds since the Unix epoch.
-    #[prost(uint64, tag = "2")]
-    pub born: u64,
-    /// A number that grows with each row since that start.
-    #[prost(uint64, tag = "3")]
-    pub sequence: u64,
-    /// Whether it has left.
-    #[prost(bool, tag = "4")]
-    pub gone: bool,
-    /// Its kind and state.
-    #[prost(oneof = "Kind", tags = "5, 6, 7")]
-    pub kind: Option<Kind>,
-}
-
-impl Row {
-    /// Creates a row that says that a process has left. It supersedes every row of that process.
-    pub fn left(id: &str) -> Self {
-        Self {
-            id: id.into(),
-            born: 0,
-            sequence: u64::MAX,
-            gone: true,
-            kind: None,
-        }
-    }
-
-    /// Creates a row that says that a process sent nothing after the row with this `sequence`.
-    pub fn silent(id: &str, born: u64, sequence: u64) -> Self {
-        Self {
-            id: id.into(),
-            born,
-            sequence,
-            gone: true,
-            kind: None,
-        }
-    }
-}
-
-/// The subject of a row.
-#[derive(Clone, PartialEq, prost::Oneof)]
-pub enum Kind {
-    /// A target.
-    #[prost(message, tag = "5")]
-    Target(TargetRow),
-    /// An entry.
-    #[prost(message, tag = "6")]
-    Entry(EntryRow),
-    /// An agent beside a target.
-    #[prost(message, tag = "7")]
-    Agent(AgentRow),
-}
-
-/// A target, as it registered itself.
-#[derive(Clone, PartialEq, prost::Message)]
-pub struct TargetRow {
-    /// The service that it belongs to.
-    #[prost(string, tag = "1")]
-    pub service: String,
-    /// The address where it serves.
-    #[prost(string, tag = "2")]
-    pub addr: String,
-    /// Its availability zone.
-    #[prost(string, tag = "3")]
-    pub zone: String,
-    /// The number of requests that it processes at once.
-    #[prost(uint32, tag = "4")]
-    pub slots: u32,
-    /// Whether it takes no new requests.
-    #[prost(bool, tag = "5")]
-    pub draining: bool,
-    /// The version of the weights that it serves; 0 if none.
-    #[prost(uint64, tag = "6")]
-    pub version: u64,
-    /// The remaining milliseconds for which it stays slow after its start.
-    #[prost(uint64, tag = "7")]
-    pub cold_ms: u64,
-}
-
-/// An entry, as it registered itself.
-#[derive(Clone, PartialEq, prost::Message)]
-pub struct EntryRow {
-    /// The address where callers connect.
-    #[prost(string, tag = "1")]
-    pub front: String,
-    /// Its availability zone.
-    #[prost(string, tag = "2")]
-    pub zone: String,
-    /// Whether it takes no new callers, such as while it shuts down.
-    #[prost(bool, tag = "3")]
-    pub leaving: bool,
-    /// Its address for links.
-    #[prost(string, tag = "4")]
-    pub link: String,
-    /// The versions of which it has all the pieces that it is to fetch from the origin.
-    #[prost(message, repeated, tag = "5")]
-    pub holds: Vec<Weights>,
-}
-
-/// An agent and the weights that it holds.
-#[derive(Clone, PartialEq, prost::Message)]
-pub struct AgentRow {
-    /// The engine's address.
-    #[prost(string, tag = "1")]
-    pub engine: String,
-    /// The agent's address for links.
-    #[prost(string, tag = "2")]
-    pub link: String,
-    /// Its availability zone.
-    #[prost(string, tag = "3")]
-    pub zone: String,
-    /// The model that the engine serves; empty if none yet.
-    #[prost(string, tag = "4")]
-    pub model: String,
-    /// The version of the weights that the engine serves; 0 if none.
-    #[prost(uint64, tag = "5")]
-    pub version: u64,
-    /// Whether the engine takes no new requests, as another version is being loaded.
-    #[prost(bool, tag = "6")]
-    pub loading: bool,
-    /// The version of which the engine has all pieces; 0 if none.
-    #[prost(uint64, tag = "7")]
-    pub holds: u64,
-}
-
-/// The loads of some engines.
-#[derive(Clone, PartialEq, prost::Message)]
-pub struct Loads {
-    /// One row for each engine.
-    #[prost(message, repeated, tag = "1")]
-    pub rows: Vec<LoadRow>,
-}
-
-/// The load of an engine. Hundreds of them are sent ten times a second, so the address of the engine is
-/// packed.
-#[derive(Clone, Copy, PartialEq, prost::Message)]
-pub struct LoadRow {
-    /// The engine's address, [packed](pack_addr).
-    #[prost(fixed64, tag = "1")]
-    pub engine: u64,
-    /// The number of requests that the engine runs.
-    #[prost(uint32, tag = "2")]
-    pub running: u32,
-    /// The number of requests that wait in the engine.
-    #[prost(uint32, tag = "3")]
-    pub waiting: u32,
-    /// The time that the engine takes, in percent of its usual time.
-    #[prost(uint32, tag = "4")]
-    pub pace: u32,
-}
-
-/// A subscription to the loads of engines. It replaces the earlier one of the same follower.
-#[derive(Clone, PartialEq, prost::Message)]
-pub struct Watch {
-    /// The engines' addresses, [packed](pack_addr).
-    #[prost(fixed64, repeated, tag = "1")]
-    pub engines: Vec<u64>,
-}
-
-/// Targets that were lost while they ran certain requests, or requests with certain parts of a prompt.
-#[derive(Clone, PartialEq, prost::Message)]
-pub struct Crashes {
-    /// One row for each request or part, and target.
-    #[prost(message, repeated, tag = "1")]
-    pub rows: Vec<CrashRow>,
-}
-
-/// The loss of one target under one request, or under one part of a prompt.
-#[derive(Clone, PartialEq, prost::Message)]
-pub struct CrashRow {
-    /// The digest of the request; empty in the row of a part.
-    #[prost(bytes = "bytes", tag = "1")]
-    pub request: Bytes,
-    /// The id of the target.
-    #[prost(string, tag = "2")]
-    pub target: String,
-    /// Whether the request was sent there as a probe.
-    #[prost(bool, tag = "3")]
-    pub probe: bool,
-    /// Whether the loss has turned out not to be a crash.
-    #[prost(bool, tag = "4")]
-    pub refuted: bool,
-    /// The digest of the part; empty in the row of a request. Earlier releases ignore rows of parts.
-    #[prost(bytes = "bytes", tag = "5")]
-    pub part: Bytes,
-    /// Milliseconds since the loss, as far as the sender knows. Earlier releases send 0.
-    #[prost(uint64, tag = "6")]
-    pub age_ms: u64,
-}
-
-/// The limits that targets name in their answers.
-#[derive(Clone, PartialEq, prost::Message)]
-pub struct Limits {
-    /// One row for each target.
-    #[prost(message, repeated, tag = "1")]
-    pub rows: Vec<LimitRow>,
-}
-
-/// The limit of one target.
-#[derive(Clone, PartialEq, prost::Message)]
-pub struct LimitRow {
-    /// The id of the target.
-    #[prost(string, tag = "1")]
-    pub target: String,
-    /// The requests a second that it takes from all entries together; absent once it names no limit.
-    #[prost(double, optional, tag = "2")]
-    pub per_s: Option<f64>,
-    /// The number of changes of this limit so far.
-    #[prost(uint64, tag = "3")]
-    pub version: u64,
-}
-
-/// The rates at which requests of each rank arrive: at one entry, at the entries that report to one voter, or at
-/// all entries.
-#[derive(Clone, PartialEq, prost::Message)]
-pub struct Demand {
-    /// The name of the node that sends it; empty if it is the demand at all entries.
-    #[prost(string, tag = "1")]
-    pub name: String,
-    /// The number of entries.
-    #[prost(uint32, tag = "2")]
-    pub entries: u32,
-    /// The services whose requests differ in rank.
-    #[prost(message, repeated, tag = "3")]
-    pub services: Vec<ServiceDemand>,
-}
-
-/// The rates at which requests for one service arrive.
-#[derive(Clone, PartialEq, prost::Message)]
-pub struct ServiceDemand {
-    /// The service.
-    #[prost(string, tag = "1")]
-    pub service: String,
-    /// One row for each rank that has requests.
-    #[prost(message, repeated, tag = "2")]
-    pub ranks: Vec<RankDemand>,
-}
-
-/// The rates at which requests of one rank arrive, in requests per 1,000 s.
-#[derive(Clone, Copy, PartialEq, prost::Message)]
-pub struct RankDemand {
-    /// The rank.
-    #[prost(uint32, tag = "1")]
-    pub rank: u32,
-    /// The requests of callers that were refused before.
-    #[prost(uint32, tag = "2")]
-    pub returning: u32,
-    /// The other requests of organisations within their even part.
-    #[prost(uint32, tag = "3")]
-    pub new: u32,
-    /// The requests of organisations beyond it.
-    #[prost(uint32, tag = "4")]
-    pub excess: u32,
-}
-
 /// A voter's heartbeat, which also reports its state.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct VoterHeartbeat {
