--- a/crates/filbertstack-gateway/src/control/membership.rs
+++ b/crates/filbertstack-gateway/src/control/membership.rs
@@ -16,13 +16,13 @@
 /// this time.
 pub const JOIN_VALIDITY: Duration = Duration::from_secs(2);
 
-/// How long a voter is silent before it is removed, if the group tolerates no failure less without it. The group
-/// must tolerate the loss of a disk again 3 s after the last change at its instances. An interval of maintenance and the
+/// How long a voter is silent before it is removed, where the group tolerates as many failures without it. The group
+/// must tolerate the loss of a disk again 3 s after the last event at its instances. An interval of maintenance and the
 /// commits of the changes also fit into this time. A removed voter that comes back asks to join again.
 pub const REPLACE_AFTER: Duration = Duration::from_secs(2);
 
 /// How long a member is silent before it is in doubt whether it is lost: some heartbeats.
-pub const SUSPECT_AFTER: Duration = Duration::from_millis(500);
+const SUSPECT_AFTER: Duration = Duration::from_millis(500);
 
 /// How long a voter is silent before it is removed although the group gains nothing by it. This is longer than a restart
 /// and than a freeze of the instance for seconds.
@@ -182,13 +182,10 @@
         let wiped = self
             .others()
             .find(|m| m.address == newcomer.addr.to_string());
-        let silent = || {
-            let lost = self.find_lost()?;
-            // While a group forms, each voter that it has had counts.
-            let removable = self.current.forming == 0 && !(self.contact)(lost).leaving;
-            removable.then_some(lost)
-        };
-        if let Some(old) = wiped.or_else(silent) {
+        // While a group forms, each voter that it has had counts. One that leaves votes until a learner can take its place.
+        let is_removable = |m: &&Member| self.current.forming == 0 && !(self.contact)(m).leaving;
+        let lost = || self.find_lost().filter(is_removable);
+        if let Some(old) = wiped.or_else(lost) {
             return Some(Change::Remove(old.id()));
         }
         // A full group whose members all answer needs no other member.
