Soak: start a successor while the leader is not yet certain of the loss

It starts 0.7 s after it now, and the disk is lost as soon as the successor votes, unless another voter was frozen.

--- a/tests/gateway/cluster.rs
+++ b/tests/gateway/cluster.rs
@@ -115,15 +115,18 @@
         n
     }
 
-    /// Ends the voter at `from` for good, and starts the entry `to` with an empty disk in its place. The next process at
-    /// `from` has no disk.
-    pub fn replace_voter(&mut self, from: usize, to: usize) {
-        self.write_settings(from, false, false);
-        self.kill(from);
-        self.delete_disk(from);
-        self.write_settings(to, true, false);
-        self.kill(to);
-        self.launch(to);
+    /// Ends a voter and its disk for good. The next process at its address has no disk.
+    pub fn remove_voter(&mut self, n: usize) {
+        self.write_settings(n, false, false);
+        self.kill(n);
+        self.delete_disk(n);
+    }
+
+    /// Starts an entry that had no disk with an empty one.
+    pub fn add_disk(&mut self, n: usize) {
+        self.write_settings(n, true, false);
+        self.kill(n);
+        self.launch(n);
     }
 
     /// Deletes the disk of an entry that does not run.
--- a/tests/gateway/replacement.rs
+++ b/tests/gateway/replacement.rs
@@ -50,7 +50,8 @@
 fn an_entry_takes_the_place_of_a_voter() {
     let mut cluster = Cluster::start(3, 1);
     cluster.put_document(&[0], &document(5));
-    cluster.replace_voter(1, 3);
+    cluster.remove_voter(1);
+    cluster.add_disk(3);
     cluster.ensure_running(1);
     wait_until("it votes", || cluster.are_voters(&[0, 2, 3]));
     cluster.put_document(&[1], &document(6));
--- a/tests/soak/replacements.rs
+++ b/tests/soak/replacements.rs
@@ -14,6 +14,10 @@
 /// The number of replacements of a run.
 const ROUNDS: usize = 3;
 
+/// How long after a loss the successor starts: longer than a leader needs to notice the silence, and shorter than it
+/// waits before it is certain of the loss.
+const SUCCESSOR_DELAY: Duration = Duration::from_millis(700);
+
 /// What a run does in one round, by the numbers of entries.
 #[derive(Clone, Copy, Debug)]
 pub struct Round {
@@ -57,14 +61,19 @@
     if let Some(n) = round.frozen {
         fleet.cluster().signal(n, "STOP");
     }
-    fleet.cluster().replace_voter(round.lost, round.successor);
-    thread::sleep(pauses[0]);
+    fleet.cluster().remove_voter(round.lost);
+    thread::sleep(SUCCESSOR_DELAY);
+    fleet.cluster().add_disk(round.successor);
     if let Some(n) = round.frozen {
+        thread::sleep(pauses[0]);
         fleet.cluster().signal(n, "CONT");
     }
     fleet.cluster().ensure_running(round.lost);
-    wait_until(&format!("entries {voters:?} are the voters"), || {
-        fleet.cluster().are_voters(voters)
+    wait_until(&format!("entry {} votes", round.successor), || {
+        // A frozen voter may have made room in place of the lost one, which is removed once it is back.
+        let cluster = fleet.cluster();
+        let whole = round.frozen.is_none() || cluster.are_voters(voters);
+        whole && cluster.is_voter(round.successor)
     });
     let processes = 0..ENTRIES + fleet.agents().len();
     processes.clone().for_each(|n| fleet.cluster().kill(n));
