Soak: print what entries answer and their last log lines if a run fails

The message names no cause, and the logs of the processes are deleted with the run, so that nothing tells a missing target from a refusal or an entry that hangs.

Change: a run that panics prints the answer of each entry on each path, whether each process runs, and the last eight lines of its log. KEEP_FOLDERS=1 keeps the folders of all clusters.

Before: two lines for each run that failed. After: the answers with their reasons, and the logs.

--- a/tests/gateway/cluster.rs
+++ b/tests/gateway/cluster.rs
@@ -24,6 +24,9 @@
 /// bounds a test that has failed.
 const STATE_TIMEOUT: Duration = Duration::from_secs(60);
 
+/// The environment variable that keeps the folder of each cluster, with the logs of its processes.
+const KEEP_FOLDERS: &str = "KEEP_FOLDERS";
+
 /// The number of clusters that this process has started: each gets its own part of loopback, and so all
 /// ports.
 static CLUSTERS: AtomicU32 = AtomicU32::new(0);
@@ -484,6 +487,10 @@
 impl Drop for Cluster {
     fn drop(&mut self) {
         self.end();
+        if std::env::var_os(KEEP_FOLDERS).is_some() {
+            self.folder.disable_cleanup(true);
+            println!("folder kept: {}", self.folder.path().display());
+        }
     }
 }
 
--- a/tests/soak/fleet.rs
+++ b/tests/soak/fleet.rs
@@ -49,6 +49,12 @@
 /// The interval between two announcements of an engine.
 const ANNOUNCE_INTERVAL: Duration = Duration::from_millis(300);
 
+/// A path of each service.
+const SERVED_PATHS: [&str; 3] = ["/safe/", "/once/", "/stream/"];
+
+/// The number of lines at the end of a process's log that describe a failed run.
+const LOG_TAIL: usize = 8;
+
 /// An engine and the proxy of its connections.
 pub struct Target {
     /// The name of its service.
@@ -288,7 +294,7 @@
     fn wait_served(&self) {
         for n in 0..ENTRIES {
             let addr = self.cluster().front_addr(n);
-            for path in ["/safe/", "/once/", "/stream/"] {
+            for path in SERVED_PATHS {
                 wait_until(&format!("entry {n} serves {path}"), || {
                     let answer = exchange(&addr, &get(path, &format!("probe-{n}"), ""));
                     answer.is_some_and(|a| a.status == 200)
@@ -322,6 +328,36 @@
         cluster.end();
     }
 
+    /// Returns what each entry answers now, and the end of each process's log.
+    ///
+    /// A run that fails deletes its logs, and the message of a wait that never ended names no cause.
+    pub fn describe(&self) -> String {
+        let mut lines = Vec::new();
+        for n in 0..ENTRIES {
+            let addr = self.cluster().front_addr(n);
+            for path in SERVED_PATHS {
+                let answer = exchange(&addr, &get(path, &format!("late-probe-{n}"), ""));
+                let answer = answer.map_or("no answer".to_owned(), |a| {
+                    format!("{} {}", a.status, a.body.trim_end())
+                });
+                lines.push(format!("entry {n} answers {path}: {answer:.200}"));
+            }
+        }
+        for n in 0..ENTRIES + self.agents().len() {
+            let mut cluster = self.cluster();
+            let state = if cluster.has_ended(n) {
+                "ended"
+            } else {
+                "runs"
+            };
+            lines.push(format!("process {n} {state}"));
+            let log = cluster.logged(n);
+            let last = log.lines().rev().take(LOG_TAIL).collect::<Vec<&str>>();
+            lines.extend(last.iter().rev().map(|line| format!("  {line:.400}")));
+        }
+        lines.join("\n")
+    }
+
     /// Returns a violation if engines got orders to load corrupt or missing pieces.
     pub fn wrong_loads(&self) -> Vec<String> {
         let wrong: u32 = self.models().map(|t| t.model.state().bad_loads).sum();
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -81,11 +81,15 @@
         .collect()
 }
 
-/// Ends all processes of a run on drop, also when the run panics while threads still hold its fleet.
+/// Ends all processes of a run on drop, also when the run panics while threads still hold its fleet. Prints their state
+/// before if the run panics.
 struct EndOnDrop(Fleet);
 
 impl Drop for EndOnDrop {
     fn drop(&mut self) {
+        if thread::panicking() {
+            println!("{}", self.0.describe());
+        }
         self.0.end();
     }
 }
