Use a plain service's targets again after they were slow

Cause: an entry refuses a plain call if the mean time of its calls at each target is over the goal's share. The mean changes only when a call is answered. Once the calls of all targets took long for some seconds, every later call was refused, nothing was sent, and the service stayed refused at that entry until the targets or the entry restarted.

Change: a mean is outdated a second after the last call, up to eight seconds where many entries use a target. A target that seems too slow by an outdated mean counts as one that nothing is known about, for one call at a time; a call that takes less than half of the mean replaces it.

--- a/crates/filbertstack-policy/src/dispatch.rs
+++ b/crates/filbertstack-policy/src/dispatch.rs
@@ -220,7 +220,7 @@
             let reserve = claim.map_or(0.0, |claim| {
                 claim.reserve(target.spec.sharers.entries_per_target())
             });
-            let predicted = target.predict_behind(now, prompt, reserve);
+            let predicted = target.predict_within(now, limit, prompt, reserve);
             match self.find_obstacle(now, target) {
                 None => {}
                 Some(Obstacle::Rests(until)) => {
--- a/crates/filbertstack-policy/src/dispatch/target.rs
+++ b/crates/filbertstack-policy/src/dispatch/target.rs
@@ -21,6 +21,7 @@
 use crate::outlier::Outlier;
 use crate::permit::Obstacle;
 use crate::quota::Quota;
+use crate::subset;
 use crate::units::millis;
 use crate::units::millis_f64;
 use crate::units::secs;
@@ -60,6 +61,18 @@
 /// The weight of the latest call in the mean call time: about ten calls make up the mean.
 const CALL_WEIGHT: f64 = 0.1;
 
+/// How long the mean call time counts after the last call, at a target that gets one call for each of its slots from
+/// the entries that use it.
+const CALL_TTL: Millis = Millis::secs(1);
+
+/// The factor by which [`CALL_TTL`] grows at most with the number of entries. With it, a service that was slow is used
+/// again within ten seconds, however many entries there are.
+const MAX_CALL_TTL: f64 = 8.0;
+
+/// The part of an outdated mean call time below which a call shows that the target is fast again. Calls of a target at
+/// its usual pace vary by less.
+const REPLACED_FROM: f64 = 0.5;
+
 /// A target's identity: one start of the instance at an address.
 pub type TargetId = Arc<str>;
 
@@ -140,6 +153,8 @@
     /// this entry's share of the free slots is rounded up.
     rounding: f64,
     mean_call_ms: f64,
+    /// The time when the last plain call was answered.
+    answered_at: Option<Millis>,
     /// The mean duration of a call to the targets of the service, in milliseconds, where paces are estimated.
     usual_call_ms: Option<f64>,
     /// The pace that this entry observes.
@@ -168,6 +183,7 @@
             unreported_sends: VecDeque::new(),
             rounding: 0.0,
             mean_call_ms: INITIAL_CALL_MS,
+            answered_at: None,
             usual_call_ms: None,
             pace: Pace::default(),
             outlier: Outlier::default(),
@@ -315,7 +331,7 @@
         self.in_flight = self.in_flight.saturating_sub(1);
         self.count_prefilled(unread);
         match ended {
-            AttemptEnd::Answered(took) => self.record_success(took),
+            AttemptEnd::Answered(took) => self.record_success(now, took),
             AttemptEnd::Failed => {
                 let out = self.outlier.is_ejected();
                 if self.outlier.record_failure() || out {
@@ -335,8 +351,14 @@
         }
     }
 
-    fn record_success(&mut self, took: Millis) {
-        self.mean_call_ms += (millis_f64(took) - self.mean_call_ms) * CALL_WEIGHT;
+    fn record_success(&mut self, now: Millis, took: Millis) {
+        let call_ms = millis_f64(took);
+        let ttl = self.call_ttl();
+        let outdated = self.answered_at.is_some_and(|at| now.since(at) >= ttl);
+        let replaces = outdated && call_ms < self.mean_call_ms * REPLACED_FROM;
+        let weight = if replaces { 1.0 } else { CALL_WEIGHT };
+        self.mean_call_ms += (call_ms - self.mean_call_ms) * weight;
+        self.answered_at = Some(now);
         self.record_taken();
         self.outlier.record_success();
         if self.outlier.is_ejected() {
@@ -443,6 +465,21 @@
         }
     }
 
+    /// Returns whether the mean call time is outdated, and no call is in flight that will tell the present one.
+    fn is_outdated(&self, now: Millis) -> bool {
+        let used_at = self.answered_at.unwrap_or_default().max(self.last_sent);
+        self.spec.engine.is_none() && self.in_flight == 0 && now.since(used_at) >= self.call_ttl()
+    }
+
+    /// Returns how long the mean call time counts. It varies by half, as calls of many entries that try a target at
+    /// the same moment would make it slow.
+    fn call_ttl(&self) -> Millis {
+        let crowding = self.spec.sharers.users() / self.slots();
+        let seed = subset::mix(subset::hash(&self.spec.id) ^ self.last_sent.0);
+        let jitter = 0.75 + f64::from(u8::try_from(seed & 0xff).unwrap_or(0)) / 512.0;
+        millis(secs(CALL_TTL) * crowding.clamp(1.0, MAX_CALL_TTL) * jitter)
+    }
+
     /// Returns the number of requests that the engine runs, as far as this entry can know.
     fn batch(&self, now: Millis) -> f64 {
         let reported = self.fresh_load(now).map_or(0, |(_, load)| load.running);
@@ -463,6 +500,21 @@
         self.predict_behind(now, prompt, 0.0)
     }
 
+    /// Returns the milliseconds to the first event, or to the answer of a plain call, by which a request with a limit of
+    /// `limit` milliseconds is decided on.
+    ///
+    /// *Load pattern*: the targets of a plain service stall for some seconds. By their mean call times every later call
+    /// would miss its goal and be refused, and none would show that the targets are fast again. A target that seems too
+    /// slow by an outdated mean therefore counts as one that nothing is known about, for one call at a time.
+    pub(super) fn predict_within(&self, now: Millis, limit: f64, prompt: f64, reserve: f64) -> f64 {
+        let predicted = self.predict_behind(now, prompt, reserve);
+        if predicted > limit && self.is_outdated(now) {
+            INITIAL_CALL_MS
+        } else {
+            predicted
+        }
+    }
+
     /// Returns the same for a request that comes after `reserve` others which are not sent yet.
     pub(super) fn predict_behind(&self, now: Millis, prompt: f64, reserve: f64) -> f64 {
         let ahead = self.occupancy(now) + reserve;
--- a/crates/filbertstack-policy/tests/dispatch.rs
+++ b/crates/filbertstack-policy/tests/dispatch.rs
@@ -432,6 +432,37 @@
     }
 }
 
+/// Guards against a plain service that stays refused after its targets were slow for some seconds. Nothing is sent to
+/// a target whose calls would miss the goal, so that no call shows that it is fast again.
+#[test]
+fn targets_that_were_slow_are_used_again() {
+    let mut entry = Dispatcher::new(ChaCha8Rng::seed_from_u64(1));
+    entry.set_targets(vec![TargetSpec {
+        engine: None,
+        slots: 6,
+        ..spec(0, true)
+    }]);
+    let mut now = 0;
+    while choose(&mut entry, now, 0).is_ok() {
+        assert!(now < 60_000, "slow calls are not refused");
+        entry.count_sent(Millis(now), "e0", 0);
+        now += 1_500;
+        let answered = AttemptEnd::Answered(Millis(1_500));
+        entry.count_end(Millis(now), "e0", 0, answered);
+    }
+    let mut served = 0;
+    for n in 0..100 {
+        let at = now + 50 * n;
+        if choose(&mut entry, at, 0).is_ok() {
+            served += 1;
+            entry.count_sent(Millis(at), "e0", 0);
+            let answered = AttemptEnd::Answered(Millis(20));
+            entry.count_end(Millis(at + 20), "e0", 0, answered);
+        }
+    }
+    assert!(served >= 50, "{served} of 100 calls of five seconds");
+}
+
 /// A third of the engines turns all requests away and asks for rest.
 fn engines_in_need(engines: usize, entries: usize, seconds: u64) -> Replay {
     Replay {
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -20,4 +20,5 @@
 mod requests;
 mod residency;
 mod seeds;
+mod slow;
 mod weights;
