Leave the caller's reading out of the mean time of a plain call

Cause: the time of an answered call counted until its last byte was passed on to the caller. Callers that read a long answer slowly so made a fast target look slow, and all other callers of the entry were refused with "no target can serve it in time". The estimate of paces left this out already, the mean call time did not.

Change: both count until the first bytes of the answer's body.

Before: after 16 callers that read an answer of 24 MiB after 1.5 s, the next call is refused with 503. After: it is served.

--- a/crates/filbertstack-gateway/src/request/guard.rs
+++ b/crates/filbertstack-gateway/src/request/guard.rs
@@ -115,12 +115,15 @@
         targets.report_paces(&self.requests.metrics);
     }
 
-    /// Records how long the target took for a call. What the caller's connection adds while the rest of the
-    /// answer is passed on doesn't count.
+    /// Returns how long the target took for a call. What the caller's connection adds while the rest of the answer is
+    /// passed on doesn't count.
+    fn call_time(&self) -> Duration {
+        self.first_bytes.unwrap_or_else(|| self.sent_at.elapsed())
+    }
+
     fn record_call(&self) {
-        let took = self.first_bytes.unwrap_or_else(|| self.sent_at.elapsed());
         let targets = &self.requests.targets;
-        targets.record_call(&self.id, took);
+        targets.record_call(&self.id, self.call_time());
         targets.report_paces(&self.requests.metrics);
     }
 
@@ -140,7 +143,7 @@
     /// use it. The connections of requests that may run only once are closed: such requests always open new
     /// ones, and a target resets connections beyond its limit, idle ones included.
     pub fn finish(&mut self) {
-        self.ended = AttemptEnd::Answered(Millis::from(self.sent_at.elapsed()));
+        self.ended = AttemptEnd::Answered(Millis::from(self.call_time()));
         self.requests.node.record_life(&self.id);
         // A target may fail a request without running it.
         if StatusCode::from_u16(self.status).is_ok_and(|status| status.is_success()) {
