Try a slow plain target again as the dispatcher decides, not by chance

Cause: whether an answer replaces an outdated mean was decided at the answer, by another draw of the span than the one that let its call pass, and also for calls that nothing had held back.

Change: the dispatcher notes at the choice that a call is sent against the mean; only the answer of such a call replaces it. The mean and its rules move to a module of their own. The replay of plain calls can stall all targets.

--- a/crates/filbertstack-policy/src/dispatch.rs
+++ b/crates/filbertstack-policy/src/dispatch.rs
@@ -37,6 +37,7 @@
 //! Decisions depend only on the time and the observations passed in. They use no clock, network or
 //! thread.
 
+mod calls;
 mod choice;
 mod engine;
 mod observe;
@@ -262,6 +263,9 @@
             candidates.add(&target.spec, expected);
         }
         if let Some(id) = self.pick(candidates) {
+            if let Some(target) = self.targets.get_mut(&id) {
+                target.record_chosen(now, limit, prompt);
+            }
             if let Some(contender) = wanted.contender {
                 self.ranks.count_admitted(now, wanted.service, contender);
             }
--- a/crates/filbertstack-policy/src/dispatch/target.rs
+++ b/crates/filbertstack-policy/src/dispatch/target.rs
@@ -8,6 +8,8 @@
 use filbertstack_core::serving::EngineModel;
 
 use super::Sharers;
+use super::calls;
+use super::calls::CallTimes;
 use super::engine::first_event_ms;
 use super::engine::mean_pass_ms;
 use super::engine::pass_ms;
@@ -21,7 +23,6 @@
 use crate::outlier::Outlier;
 use crate::permit::Obstacle;
 use crate::quota::Quota;
-use crate::subset;
 use crate::units::millis;
 use crate::units::millis_f64;
 use crate::units::secs;
@@ -55,24 +56,6 @@
 /// soon gets work again.
 const MAX_DOUBLINGS: u32 = 4;
 
-/// The assumed duration of a plain call, in milliseconds, before one was measured.
-const INITIAL_CALL_MS: f64 = 30.0;
-
-/// The weight of the latest call in the mean call time: about ten calls make up the mean.
-const CALL_WEIGHT: f64 = 0.1;
-
-/// How long the mean call time counts after the last call, at a target that gets one call for each of its slots from
-/// the entries that use it.
-const CALL_TTL: Millis = Millis::secs(1);
-
-/// The factor by which [`CALL_TTL`] grows at most with the number of entries. With it, a service that was slow is used
-/// again within ten seconds, however many entries there are.
-const MAX_CALL_TTL: f64 = 8.0;
-
-/// The part of an outdated mean call time below which a call shows that the target is fast again. Calls of a target at
-/// its usual pace vary by less.
-const REPLACED_FROM: f64 = 0.5;
-
 /// A target's identity: one start of the instance at an address.
 pub type TargetId = Arc<str>;
 
@@ -152,9 +135,7 @@
     /// A random number from 0 to 1, drawn for each report, that decides whether the fractional part of
     /// this entry's share of the free slots is rounded up.
     rounding: f64,
-    mean_call_ms: f64,
-    /// The time when the last plain call was answered.
-    answered_at: Option<Millis>,
+    calls: CallTimes,
     /// The mean duration of a call to the targets of the service, in milliseconds, where paces are estimated.
     usual_call_ms: Option<f64>,
     /// The pace that this entry observes.
@@ -182,8 +163,7 @@
             last_sent: Millis::ZERO,
             unreported_sends: VecDeque::new(),
             rounding: 0.0,
-            mean_call_ms: INITIAL_CALL_MS,
-            answered_at: None,
+            calls: CallTimes::default(),
             usual_call_ms: None,
             pace: Pace::default(),
             outlier: Outlier::default(),
@@ -352,13 +332,7 @@
     }
 
     fn record_success(&mut self, now: Millis, took: Millis) {
-        let call_ms = millis_f64(took);
-        let ttl = self.call_ttl();
-        let outdated = self.answered_at.is_some_and(|at| now.since(at) >= ttl);
-        let replaces = outdated && call_ms < self.mean_call_ms * REPLACED_FROM;
-        let weight = if replaces { 1.0 } else { CALL_WEIGHT };
-        self.mean_call_ms += (call_ms - self.mean_call_ms) * weight;
-        self.answered_at = Some(now);
+        self.calls.record_answer(now, took);
         self.record_taken();
         self.outlier.record_success();
         if self.outlier.is_ejected() {
@@ -457,27 +431,26 @@
     /// Returns the expected duration of a plain call, in milliseconds. The mean of a target's own calls is ten
     /// calls old, which may be minutes. It must not keep calls away from a target that was slow once.
     fn call_ms(&self, now: Millis) -> f64 {
+        let mean = self.calls.mean_ms();
         let factor = self.pace.factor(now);
         match self.usual_call_ms {
-            Some(usual) if factor > 1.0 => self.mean_call_ms.max(usual * factor),
-            Some(usual) => self.mean_call_ms.min(usual * USUAL_BELOW),
-            None => self.mean_call_ms,
+            Some(usual) if factor > 1.0 => mean.max(usual * factor),
+            Some(usual) => mean.min(usual * USUAL_BELOW),
+            None => mean,
         }
     }
 
     /// Returns whether the mean call time is outdated, and no call is in flight that will tell the present one.
     fn is_outdated(&self, now: Millis) -> bool {
-        let used_at = self.answered_at.unwrap_or_default().max(self.last_sent);
-        self.spec.engine.is_none() && self.in_flight == 0 && now.since(used_at) >= self.call_ttl()
+        self.spec.engine.is_none()
+            && self.in_flight == 0
+            && self.calls.is_outdated(now, self.last_sent, self.call_ttl())
     }
 
-    /// Returns how long the mean call time counts. It varies by half, as calls of many entries that try a target at
-    /// the same moment would make it slow.
+    /// Returns how long the mean call time counts.
     fn call_ttl(&self) -> Millis {
         let crowding = self.spec.sharers.users() / self.slots();
-        let seed = subset::mix(subset::hash(&self.spec.id) ^ self.last_sent.0);
-        let jitter = 0.75 + f64::from(u8::try_from(seed & 0xff).unwrap_or(0)) / 512.0;
-        millis(secs(CALL_TTL) * crowding.clamp(1.0, MAX_CALL_TTL) * jitter)
+        calls::ttl(crowding, &self.spec.id, self.last_sent)
     }
 
     /// Returns the number of requests that the engine runs, as far as this entry can know.
@@ -509,12 +482,19 @@
     pub(super) fn predict_within(&self, now: Millis, limit: f64, prompt: f64, reserve: f64) -> f64 {
         let predicted = self.predict_behind(now, prompt, reserve);
         if predicted > limit && self.is_outdated(now) {
-            INITIAL_CALL_MS
+            calls::INITIAL_MS
         } else {
             predicted
         }
     }
 
+    /// Records that a request with a limit of `limit` milliseconds is to be sent here, which may be one by an outdated
+    /// mean.
+    pub(super) fn record_chosen(&mut self, now: Millis, limit: f64, prompt: f64) {
+        let trial = self.spec.engine.is_none() && self.predict(now, prompt) > limit;
+        self.calls.set_trial(trial);
+    }
+
     /// Returns the same for a request that comes after `reserve` others which are not sent yet.
     pub(super) fn predict_behind(&self, now: Millis, prompt: f64, reserve: f64) -> f64 {
         let ahead = self.occupancy(now) + reserve;
--- a/crates/filbertstack-policy/tests/calls/mod.rs
+++ b/crates/filbertstack-policy/tests/calls/mod.rs
@@ -36,13 +36,25 @@
     pub observes: bool,
     /// The factor by which calls seem longer to an entry, as its own link is slow.
     pub link: u64,
+    /// The time before which no target runs a call, from [`STALL_FROM`] on, in milliseconds.
+    pub stalls_until: u64,
+    pub seconds: u64,
 }
 
+/// When the targets begin to stall, in milliseconds.
+const STALL_FROM: u64 = 1_000;
+
+/// The end of a replay whose calls are counted on their own, in milliseconds.
+const LAST: u64 = 2_000;
+
 #[derive(Debug, Default, PartialEq)]
 pub struct Answers {
     pub calls: u32,
     pub on_time: u32,
     pub refused: u32,
+    /// The calls of the last two seconds, and how many of them were refused.
+    pub last_calls: u32,
+    pub last_refused: u32,
     /// The number of times that a target turned slow for an entry.
     pub turned_slow: u32,
 }
@@ -83,7 +95,7 @@
     }
 }
 
-/// Replays ten seconds.
+/// Replays some seconds.
 pub fn replay_calls(calls: &Calls) -> Answers {
     let mut rng = ChaCha8Rng::seed_from_u64(7);
     let mut entries: Vec<Dispatcher> = (0..calls.entries)
@@ -92,12 +104,19 @@
     let mut targets: Vec<Target> = (0..calls.targets).map(|_| Target::default()).collect();
     let mut draws = Draws::of_targets(calls.uneven);
     let mut answers = Answers::default();
-    for now in 0..10_000 {
+    let end = calls.seconds * 1_000;
+    for now in 0..end {
+        let stalls = (STALL_FROM..calls.stalls_until).contains(&now);
         for (n, target) in targets.iter_mut().enumerate() {
             if Draws::is_due(now) {
                 target.slower = draws.pace();
             }
-            for call in target.advance(now) {
+            let ended = if stalls {
+                Vec::new()
+            } else {
+                target.advance(now)
+            };
+            for call in ended {
                 answers.on_time += u32::from(now - call.sent <= ON_TIME_MS);
                 let took = Millis((now - call.sent) * calls.link);
                 let (id, now) = (format!("e{n}"), Millis(now));
@@ -116,7 +135,12 @@
                 let from = rng.random_range(0..calls.entries);
                 let steps = (0..STEPS).map(|_| -rng.random_range(0.0_f64..1.0).max(1e-9).ln());
                 let work_ms = steps.sum::<f64>() * CALL_MS / f64::from(STEPS);
+                let refused = answers.refused;
                 send(now, from, work_ms, &mut entries, &mut targets, &mut answers);
+                if now + LAST >= end {
+                    answers.last_calls += 1;
+                    answers.last_refused += answers.refused - refused;
+                }
             }
             due -= 1.0;
         }
--- a/crates/filbertstack-policy/tests/pace.rs
+++ b/crates/filbertstack-policy/tests/pace.rs
@@ -42,6 +42,8 @@
     uneven: true,
     observes: false,
     link: 1,
+    stalls_until: 0,
+    seconds: 10,
 };
 
 /// Replays with and without the estimates, and prints the figures for the design note.
@@ -166,6 +168,27 @@
     }
 }
 
+/// Guards against entries that refuse a plain service for good once all its targets have stalled, and against entries
+/// that try the targets together again and again and so keep them slow.
+#[test]
+fn a_plain_service_is_served_again_after_its_targets_stalled() {
+    for (entries, observes) in [(12, false), (12, true), (100, true), (340, false)] {
+        let stalled = replay_calls(&Calls {
+            entries,
+            observes,
+            uneven: false,
+            stalls_until: 6_000,
+            seconds: 18,
+            ..CALLS
+        });
+        println!("{entries} entries, observes {observes}: {stalled:?}");
+        assert!(
+            stalled.last_refused * 20 < stalled.last_calls,
+            "ten seconds after the stall: {stalled:?}"
+        );
+    }
+}
+
 /// Guards against an entry that takes its own slow link for slow targets of a plain service.
 #[test]
 fn an_entry_with_a_slow_link_ejects_no_target_of_a_plain_service() {
