--- a/review/tests/resume_race.rs
+++ b/review/tests/resume_race.rs
@@ -11,6 +11,7 @@
 use std::sync::Mutex;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU32;
+use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::Duration;
@@ -26,6 +27,7 @@
 use common::finish;
 use common::has_trouble;
 use common::read_request;
+use common::unix_ms;
 use common::wait_until;
 use common::write_answer;
 
@@ -39,7 +41,7 @@
 const EVENT_PAUSE: Duration = Duration::from_millis(60);
 
 /// An engine reads a prompt in this time if nothing waits before it.
-const SHORT_WAIT: Duration = Duration::from_millis(60);
+const SHORT_WAIT: Duration = Duration::from_millis(40);
 
 /// A request that waits behind others in an engine begins after this time.
 const LONG_WAIT: Duration = Duration::from_millis(1_500);
@@ -50,14 +52,17 @@
 /// The engine that crashes is down for this time.
 const DOWN_TIME: Duration = Duration::from_millis(4_500);
 
+/// The pause between two looks for new connections.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(1);
+
 /// The callers, each of which sends one request after another.
-const CALLERS: usize = 72;
+const CALLERS: usize = 100;
 
 /// The callers send requests for this time.
-const TRAFFIC_TIME: Duration = Duration::from_secs(14);
+const TRAFFIC_TIME: Duration = Duration::from_secs(20);
 
 /// So many engines crash, one after the other.
-const CRASHES: usize = 2;
+const CRASHES: usize = 3;
 
 /// Callers send requests for this time before an engine crashes.
 const CALM_TIME: Duration = Duration::from_secs(2);
@@ -67,6 +72,8 @@
     addr: SocketAddr,
     /// The number of its start, from 1.
     start: AtomicU32,
+    /// The Unix millisecond of that start.
+    born: AtomicU64,
     down: AtomicBool,
     asked: AtomicU32,
     running: AtomicU32,
@@ -80,23 +87,34 @@
     }
 
     fn serve(self: Arc<Self>) {
-        let listener = TcpListener::bind(self.addr).expect("the address of the engine is free");
         thread::spawn(move || {
-            for stream in listener.incoming().flatten() {
-                // A process that is down has no listener: its system resets the connection.
-                if self.down.load(Ordering::SeqCst) {
-                    let _ = stream.shutdown(Shutdown::Both);
-                    continue;
-                }
-                if let (Ok(copy), Ok(mut kept)) = (stream.try_clone(), self.connections.lock()) {
-                    kept.push(copy);
+            loop {
+                self.accept_until_down();
+                while self.down.load(Ordering::SeqCst) {
+                    thread::sleep(ACCEPT_PAUSE);
                 }
-                let engine = self.clone();
-                thread::spawn(move || engine.answer_all(stream));
             }
         });
     }
 
+    /// Accepts connections until the engine crashes. A process that is down has no listener.
+    fn accept_until_down(self: &Arc<Self>) {
+        let listener = TcpListener::bind(self.addr).expect("the address of the engine is free");
+        listener.set_nonblocking(true).expect("a listener");
+        while !self.down.load(Ordering::SeqCst) {
+            let Ok((stream, _)) = listener.accept() else {
+                thread::sleep(ACCEPT_PAUSE);
+                continue;
+            };
+            stream.set_nonblocking(false).expect("a stream");
+            if let (Ok(copy), Ok(mut kept)) = (stream.try_clone(), self.connections.lock()) {
+                kept.push(copy);
+            }
+            let engine = self.clone();
+            thread::spawn(move || engine.answer_all(stream));
+        }
+    }
+
     fn answer_all(&self, mut stream: TcpStream) {
         let _ = stream.set_nodelay(true);
         while let Some(received) = read_request(&mut stream) {
@@ -123,7 +141,7 @@
              \"busy\":false,\"sequence\":0,\"waiting\":0,\"running\":{},\"kvUsed\":0,\
              \"kvTotal\":1000000,\"handles\":0,\"pace\":1.0,\"born\":{}}}",
             self.running.load(Ordering::SeqCst),
-            self.start.load(Ordering::SeqCst),
+            self.born.load(Ordering::SeqCst),
         )
     }
 
@@ -179,6 +197,7 @@
 
     fn come_back(&self) {
         self.start.fetch_add(1, Ordering::SeqCst);
+        self.born.store(unix_ms() as u64, Ordering::SeqCst);
         self.down.store(false, Ordering::SeqCst);
         self.record.note(&format!("{} has started", self.id()));
     }
@@ -195,7 +214,7 @@
                          \"sequence\":{sequence},\"born\":{}}}",
                         self.addr,
                         self.number % 3,
-                        self.start.load(Ordering::SeqCst),
+                        self.born.load(Ordering::SeqCst),
                     );
                     let request = format!(
                         "PUT /instances/{} HTTP/1.1\r\nHost: c\r\nConnection: close\r\n\
@@ -260,6 +279,7 @@
                 number,
                 addr: cluster.app(number),
                 start: AtomicU32::new(1),
+                born: AtomicU64::new(unix_ms() as u64),
                 down: AtomicBool::new(false),
                 asked: AtomicU32::new(0),
                 running: AtomicU32::new(0),
