--- a/review/build.sh
+++ b/review/build.sh
@@ -3,7 +3,7 @@
 set -eu
 cd "$(dirname "$0")/.."
 mkdir -p target/review
-for name in resume_race stale_check spoilt_list; do
+for name in resume_race stale_check late_write spoilt_list; do
   [ -f "review/tests/$name.rs" ] || continue
   rustc --edition 2024 -O "review/tests/$name.rs" -o "target/review/$name"
 done
