Prove what an engine has loaded before it is used

Cause: the agent inferred what was loaded from a check made before the order, which had no greatest age: 48 pieces took 4.8 s at a slow engine. The check after the order reported pieces of another version only.

Change: after a load every piece is read once more before the engine is used. A piece that matches then was right at the load, however long that took, so the proof covers slow engines, many pieces, late orders and paused agents alike, and it ends. An engine that may have loaded a wrong piece gives up its layers and loads again; it was left out until the next version. Pieces written again while an order has no answer prove nothing. Before the order no piece may be older than 2.5 s: several are read at a time where that is slow, old ones are read again, in all as many as there are pieces.

Ruled out: a check that is repeated until it is recent. It does not end at an engine that answers one call at a time (policy test).

an_engine_that_loaded_a_piece_written_before_a_kill_is_not_used sets its engine to refuse to give up layers, as its assertions are about an engine that stays wrong; they are unchanged.

--- a/crates/filbertstack-gateway/src/agent/contents.rs
+++ b/crates/filbertstack-gateway/src/agent/contents.rs
@@ -90,31 +90,3 @@
     let list = agent.node.piece_list(upto).await?;
     Ok(list.map(|list| Rc::new(weights::decode_list(&list))))
 }
-
-/// Returns whether a piece of another version is staged in the place of one of `list`, as a late write leaves
-/// it. A piece that matches no other version is corrupt instead.
-///
-/// # Errors
-/// [`ContentsError`]; it is then unknown.
-pub async fn is_mixed(agent: &Agent, list: &PieceList) -> Result<bool, ContentsError> {
-    let model = &list.weights.model;
-    let mut session = Session::open(agent.engine.addr()).await?;
-    let mut contents = Contents::default();
-    let pieces = list.digests.len();
-    contents.read(&mut session, model, pieces).await?;
-    let wrong: Vec<usize> = (0..pieces).filter(|n| !contents.fits(list, *n)).collect();
-    if wrong.is_empty() {
-        return Ok(false);
-    }
-    let mut next = latest_list(agent, model, u64::MAX).await?;
-    while let Some(other) = next {
-        if wrong.iter().any(|n| contents.fits(&other, *n)) {
-            return Ok(true);
-        }
-        next = match other.weights.version.checked_sub(1) {
-            Some(older) => latest_list(agent, model, older).await?,
-            None => None,
-        };
-    }
-    Ok(false)
-}
--- a/crates/filbertstack-gateway/src/agent/engine.rs
+++ b/crates/filbertstack-gateway/src/agent/engine.rs
@@ -32,9 +32,9 @@
     idle: Mutex<Option<Connection>>,
     report: RefCell<Option<EngineReport>>,
     loading: Cell<bool>,
-    /// The served version that may contain pieces of another one, and the start of the engine at which it was
-    /// loaded.
-    mixed: RefCell<Option<(WeightsVersion, u64)>>,
+    /// The served version that may have been loaded with pieces that were not its own or had turned bad, and the
+    /// start of the engine at which it was loaded.
+    unsound: RefCell<Option<(WeightsVersion, u64)>>,
     changes: watch::Sender<u64>,
 }
 
@@ -46,7 +46,7 @@
             idle: Mutex::default(),
             report: RefCell::default(),
             loading: Cell::new(false),
-            mixed: RefCell::default(),
+            unsound: RefCell::default(),
             changes: watch::channel(0).0,
         }
     }
@@ -71,24 +71,40 @@
         self.loading.set(loading);
     }
 
-    /// Records that the engine started at `born` may have loaded `weights` with pieces of another version.
-    pub fn set_mixed(&self, weights: WeightsVersion, born: u64) {
-        *self.mixed.borrow_mut() = Some((weights, born));
+    /// Records that the engine started at `born` may have loaded `weights` with wrong pieces.
+    pub fn set_unsound(&self, weights: WeightsVersion, born: u64) {
+        *self.unsound.borrow_mut() = Some((weights, born));
+    }
+
+    /// Records that what the engine loaded last was right.
+    pub fn set_sound(&self) {
+        *self.unsound.borrow_mut() = None;
+    }
+
+    /// Returns the served version if it may have been loaded with wrong pieces.
+    pub fn unsound(&self) -> Option<WeightsVersion> {
+        let report = self.report.borrow();
+        let holding = report.as_ref()?.holding.clone();
+        holding.filter(|_| {
+            report
+                .as_ref()
+                .is_some_and(|report| self.is_unsound(report))
+        })
     }
 
     /// Returns whether the engine accepts no new work: because of an order, while it carries one out, while
-    /// it does not answer, or because it may serve pieces of two versions.
+    /// it does not answer, or because it may have loaded wrong pieces.
     pub fn refuses_work(&self) -> bool {
         let report = self.report.borrow();
         let Some(report) = report.as_ref() else {
             return true;
         };
-        self.loading.get() || report.busy || self.is_mixed(report)
+        self.loading.get() || report.busy || self.is_unsound(report)
     }
 
-    fn is_mixed(&self, report: &EngineReport) -> bool {
-        let mixed = self.mixed.borrow();
-        mixed.as_ref().is_some_and(|(weights, born)| {
+    fn is_unsound(&self, report: &EngineReport) -> bool {
+        let unsound = self.unsound.borrow();
+        unsound.as_ref().is_some_and(|(weights, born)| {
             report.holding.as_ref() == Some(weights) && report.born == *born
         })
     }
@@ -137,7 +153,7 @@
         // A status is a complete answer; after any other failure the connection is dropped.
         let whole = matches!(answer, Ok(_) | Err(CallFailure::Status(_)));
         *idle = Some(connection).filter(|_| whole);
-        answer
+        Ok(answer?.body)
     }
 
     /// Requests a report.
--- a/crates/filbertstack-gateway/src/agent/mod.rs
+++ b/crates/filbertstack-gateway/src/agent/mod.rs
@@ -7,6 +7,7 @@
 mod orders;
 mod peers;
 mod predecessor;
+mod read_back;
 pub(crate) mod reports;
 mod rollout;
 mod session;
--- a/crates/filbertstack-gateway/src/agent/predecessor.rs
+++ b/crates/filbertstack-gateway/src/agent/predecessor.rs
@@ -114,5 +114,6 @@
         progress,
         send_count: 0,
         recorded: agent.node.clock.now(),
+        rewritten: false,
     }));
 }
--- a/crates/filbertstack-gateway/src/agent/rollout.rs
+++ b/crates/filbertstack-gateway/src/agent/rollout.rs
@@ -14,6 +14,7 @@
 use filbertstack_policy::rollout::resend_delay;
 use filbertstack_policy::rollout::version_to_stage;
 use filbertstack_policy::subset::hash;
+use filbertstack_policy::verification::Check;
 use spdlog::info;
 use spdlog::warn;
 use tokio::task::JoinHandle;
@@ -24,6 +25,7 @@
 use crate::agent::Agent;
 use crate::agent::gather::gather;
 use crate::agent::orders;
+use crate::agent::orders::Unload;
 use crate::agent::predecessor::Predecessor;
 use crate::agent::session::ReadBack;
 use crate::agent::session::Session;
@@ -58,8 +60,10 @@
     let mut declared = agent.node.declared.watch();
     let mut engine = agent.engine.watch();
     let mut predecessor = Predecessor::new(agent.node.clock.now());
+    let mut unload = Unload::default();
     loop {
         orders::resolve(&agent).await;
+        unload.send_if_due(&agent).await;
         if let Some(report) = agent.engine.report() {
             let served = report.holding.map_or(0, |holding| holding.version);
             let needed = needed(&agent, served);
@@ -178,7 +182,8 @@
 async fn update_engine(agent: &Agent, list: &PieceList) {
     // The pieces are read back before the engine stops accepting requests, so that it does not stop for a
     // corrupt version.
-    let verified = read_back(agent, list).await.is_some();
+    let check = Check::once(weights::piece_count(list), list.bytes);
+    let verified = read_back(agent, list, check).await.is_some();
     if verified && order_load(agent, list).await {
         return;
     }
@@ -211,9 +216,9 @@
 
 /// Reads all staged pieces back. Staged pieces can become corrupt, so the order must follow at once in the
 /// session that verified them all; corrupt pieces are fetched again.
-async fn read_back(agent: &Agent, list: &PieceList) -> Option<Verified> {
+async fn read_back(agent: &Agent, list: &PieceList, check: Check) -> Option<Verified> {
     let found = match Session::open(agent.engine.addr()).await {
-        Ok(session) => session.read_back(list).await,
+        Ok(session) => session.read_back(list, check, agent.node.clock).await,
         Err(error) => Err(error),
     };
     match found {
@@ -246,10 +251,10 @@
     let wanted = &list.weights;
     agent.engine.set_loading(true);
     await_no_requests(agent).await;
-    let Some(verified) = read_back(agent, list).await else {
+    let check = Check::before_order(weights::piece_count(list), list.bytes);
+    let Some(verified) = read_back(agent, list, check).await else {
         return false;
     };
-    let progress = verified.progress();
     if let Err(error) = orders::send(agent, verified).await {
         let pending = agent.stage.pending_order().is_some();
         info!("order refused or its outcome unknown", kv: {
@@ -257,11 +262,7 @@
         });
         return false;
     }
-    info!("engine ordered to load", kv: {
-        version = wanted.version, born = progress.born, sequence = progress.sequence
-    });
     agent.metrics.agent.orders.add("begun", 1);
-    orders::check_loaded(agent, wanted, progress.born).await;
     let began = agent.node.clock.now();
     let mut changes = agent.engine.watch();
     let loaded = async {
--- a/crates/filbertstack-gateway/src/agent/session.rs
+++ b/crates/filbertstack-gateway/src/agent/session.rs
@@ -8,6 +8,7 @@
 use std::net::SocketAddr;
 
 use bytes::Bytes;
+use filbertstack_core::Millis;
 use filbertstack_platform::engine::EngineReport;
 use filbertstack_platform::engine::OutgoingCall;
 use filbertstack_platform::engine::PieceList;
@@ -15,16 +16,22 @@
 use filbertstack_platform::engine::ask_report;
 use filbertstack_platform::engine::ask_staged;
 use filbertstack_platform::engine::order_start;
+use filbertstack_platform::engine::order_unload;
 use filbertstack_platform::engine::read_report;
+use filbertstack_policy::verification::Check;
 use http::StatusCode;
 use thiserror::Error;
 use tokio::time::timeout;
 
 use crate::agent::engine::CALL_TIMEOUT;
 use crate::agent::engine::MAX_ANSWER;
+use crate::agent::read_back::Reader;
+use crate::agent::read_back::read_pieces;
 use crate::client::CallFailure;
 use crate::client::Connection;
+use crate::client::Reply;
 use crate::client::exchange;
+use crate::clock::Clock;
 use crate::weights;
 use crate::weights::PieceDigest;
 
@@ -84,13 +91,17 @@
 pub struct Verified {
     session: Session,
     list: PieceList,
+    /// How long ago the piece was read that was read first.
+    age: Millis,
 }
 
 /// `Outcome` is the result of sending an order.
 #[derive(Debug)]
 pub enum Outcome {
-    /// The engine has begun the order, or already serves the version.
+    /// The engine has begun this copy of the order.
     Begun,
+    /// The engine has begun an earlier copy of the order, or need not do anything for it.
+    BegunEarlier,
     /// The engine refused the order and will not begin it.
     Refused(StatusCode),
     /// The order was not sent.
@@ -106,8 +117,8 @@
     /// [`SessionError`]; nothing was changed.
     pub async fn open(addr: SocketAddr) -> Result<Self, SessionError> {
         let mut connection = Connection::open(addr, CALL_TIMEOUT).await?;
-        let body = timed_exchange(&mut connection, addr, ask_report()).await?;
-        let report = read_report(&body).map_err(|e| SessionError::Report(e.to_string()))?;
+        let reply = timed_exchange(&mut connection, addr, ask_report()).await?;
+        let report = read_report(&reply.body).map_err(|e| SessionError::Report(e.to_string()))?;
         Ok(Self {
             addr,
             connection,
@@ -120,27 +131,43 @@
         self.progress
     }
 
-    /// Reads all staged pieces and compares them with `list`.
+    /// Reads all staged pieces as `check` asks for, and compares them with `list`.
     ///
     /// # Errors
     /// [`SessionError`]; the staged pieces are then unknown.
-    pub async fn read_back(mut self, list: &PieceList) -> Result<ReadBack, SessionError> {
-        let mut bad = Vec::new();
-        for number in 0..weights::piece_count(list) {
-            let found = self.read_digest(&list.weights.model, number).await?;
-            if !found.is_some_and(|digest| weights::matches_digest(list, number, &digest)) {
-                bad.push(number);
-            }
-        }
-        if !bad.is_empty() {
-            return Ok(ReadBack::Bad(bad));
+    pub async fn read_back(
+        self,
+        list: &PieceList,
+        mut check: Check,
+        clock: Clock,
+    ) -> Result<ReadBack, SessionError> {
+        let session = self.check(list, &mut check, clock).await?;
+        if !check.bad().is_empty() {
+            return Ok(ReadBack::Bad(check.bad().to_vec()));
         }
         Ok(ReadBack::Complete(Verified {
-            session: self,
+            session,
             list: list.clone(),
+            age: check.age(clock.now()),
         }))
     }
 
+    /// Reads the staged pieces that `check` asks for and compares them with `list`. Only one of the connections
+    /// that read them is the session's own; it is kept until the last piece is read.
+    ///
+    /// # Errors
+    /// [`SessionError`]; `check` has what was read.
+    pub async fn check(
+        self,
+        list: &PieceList,
+        check: &mut Check,
+        clock: Clock,
+    ) -> Result<Self, SessionError> {
+        let reader = Reader::of_session(self.addr, self.connection);
+        let connection = read_pieces(reader, list, check, clock).await?;
+        Ok(Self { connection, ..self })
+    }
+
     /// Reads the digests of staged pieces until `digests` has `count` of them. An engine refuses to read more
     /// pieces than its model has.
     ///
@@ -159,6 +186,26 @@
         Ok(())
     }
 
+    /// Orders the engine to give up `weights`.
+    pub async fn order_unload(self, weights: &WeightsVersion) -> Outcome {
+        let order = order_unload(weights, self.progress.sequence);
+        self.order(order).await
+    }
+
+    async fn order(mut self, order: OutgoingCall) -> Outcome {
+        if let Err(error) = self.check_open().await {
+            return Outcome::NotSent(error);
+        }
+        match timed_exchange(&mut self.connection, self.addr, order).await {
+            Ok(reply) if reply.status == StatusCode::OK => Outcome::BegunEarlier,
+            Ok(_) => Outcome::Begun,
+            Err(CallFailure::Status(status)) if status.is_client_error() => {
+                Outcome::Refused(status)
+            }
+            Err(error) => Outcome::Unknown(error),
+        }
+    }
+
     /// Returns the digest of the staged piece `number`; `None` if none is staged.
     async fn read_digest(
         &mut self,
@@ -174,7 +221,8 @@
 
     async fn call(&mut self, outgoing: OutgoingCall) -> Result<Bytes, SessionError> {
         self.check_open().await?;
-        Ok(timed_exchange(&mut self.connection, self.addr, outgoing).await?)
+        let reply = timed_exchange(&mut self.connection, self.addr, outgoing).await?;
+        Ok(reply.body)
     }
 
     /// Checks that the connection is still open.
@@ -197,29 +245,28 @@
         &self.list.weights
     }
 
+    /// Returns how long before the end of the check the piece was read that was read first.
+    pub fn age(&self) -> Millis {
+        self.age
+    }
+
     /// Orders the engine to load the verified pieces. The order is sent once: on a new connection it could
     /// reach another start of the engine.
-    pub async fn order(mut self) -> Outcome {
-        if let Err(error) = self.session.check_open().await {
-            return Outcome::NotSent(error);
-        }
-        let expected = self.session.progress.sequence;
-        let order = order_start(&self.list.weights, expected);
-        match timed_exchange(&mut self.session.connection, self.session.addr, order).await {
-            Ok(_) => Outcome::Begun,
-            Err(CallFailure::Status(status)) if status.is_client_error() => {
-                Outcome::Refused(status)
-            }
-            Err(error) => Outcome::Unknown(error),
-        }
+    pub async fn order(self) -> Outcome {
+        let order = order_start(&self.list.weights, self.session.progress.sequence);
+        self.session.order(order).await
     }
 }
 
-async fn timed_exchange(
+/// Makes one call to the engine on an open connection, within the time that agents wait.
+///
+/// # Errors
+/// [`CallFailure`]; unless it is a status, the connection should then be dropped.
+pub async fn timed_exchange(
     connection: &mut Connection,
     addr: SocketAddr,
     outgoing: OutgoingCall,
-) -> Result<Bytes, CallFailure> {
+) -> Result<Reply, CallFailure> {
     timeout(
         CALL_TIMEOUT,
         exchange(connection, addr, outgoing, MAX_ANSWER),
--- a/crates/filbertstack-gateway/src/agent/stage.rs
+++ b/crates/filbertstack-gateway/src/agent/stage.rs
@@ -49,6 +49,9 @@
     pub send_count: u32,
     /// When the agent first recorded the order.
     pub recorded: Millis,
+    /// Whether a piece of the version was written since. What is staged then says nothing about what the engine
+    /// has loaded if it began the order before.
+    pub rewritten: bool,
 }
 
 /// `PendingPut` is a write of a piece whose outcome is unknown. If the engine carried it out after another
@@ -126,6 +129,11 @@
             born,
             sent_at: now,
         };
+        if let Some(order) = self.order.borrow_mut().as_mut()
+            && order.weights == *weights
+        {
+            order.rewritten = true;
+        }
         let mut puts = self.puts.borrow_mut();
         puts.retain(|_, put| put.may_run(born, now));
         puts.insert(put)
--- a/crates/filbertstack-gateway/src/client.rs
+++ b/crates/filbertstack-gateway/src/client.rs
@@ -138,7 +138,8 @@
 ) -> Result<Bytes, CallFailure> {
     let work = async {
         let mut connection = Connection::open(addr, max_wait).await?;
-        exchange(&mut connection, addr, outgoing, max_body).await
+        let reply = exchange(&mut connection, addr, outgoing, max_body).await?;
+        Ok(reply.body)
     };
     timeout(max_wait, work)
         .await
@@ -187,17 +188,25 @@
     Ok(received.freeze())
 }
 
-/// Makes one call on an open connection and returns the body of its answer, which has at most
-/// `max_body` bytes.
+/// An answer with a status of success.
+#[derive(Debug)]
+pub struct Reply {
+    /// The status.
+    pub status: http::StatusCode,
+    /// The body.
+    pub body: Bytes,
+}
+
+/// Makes one call on an open connection and returns its answer, whose body has at most `max_body` bytes.
 ///
 /// # Errors
-/// [`CallFailure`]; the connection should then be dropped.
+/// [`CallFailure`]; unless it is a status, the connection should then be dropped.
 pub async fn exchange(
     connection: &mut Connection,
     addr: SocketAddr,
     outgoing: OutgoingCall,
     max_body: usize,
-) -> Result<Bytes, CallFailure> {
+) -> Result<Reply, CallFailure> {
     let answer = connection.send(to_request(addr, outgoing)).await?;
     let status = answer.status();
     let body = Limited::new(answer.into_body(), max_body).collect().await;
@@ -205,7 +214,10 @@
     if !status.is_success() {
         return Err(CallFailure::Status(status));
     }
-    Ok(body.to_bytes())
+    Ok(Reply {
+        status,
+        body: body.to_bytes(),
+    })
 }
 
 fn to_request(addr: SocketAddr, outgoing: OutgoingCall) -> Request<Full<Bytes>> {
--- a/crates/filbertstack-policy/src/lib.rs
+++ b/crates/filbertstack-policy/src/lib.rs
@@ -19,7 +19,7 @@
 //! move an answer to another target without ending it.
 //!
 //! An agent that starts uses [`inherited`] to determine which version its engine may already have been
-//! ordered to load.
+//! ordered to load. Before and after an order it reads the staged pieces back as [`verification`] says.
 //!
 //! The leader of the replicated log uses [`placement`] to decide which instances hold which models, and
 //! [`spread`] to decide which target fetches weights from which source. Entries use [`gossip`] to share the
@@ -56,6 +56,7 @@
 pub mod subset;
 pub mod takeover;
 pub mod target;
+pub mod verification;
 pub mod window;
 
 mod rate;
--- a/tests/gateway/model.rs
+++ b/tests/gateway/model.rs
@@ -76,10 +76,15 @@
     sent: Instant,
 }
 
+/// A layer may be loaded with a piece that turned bad within this time.
+const EXCUSED: Duration = Duration::from_secs(3);
+
 /// `Order` is an order to load.
 #[derive(Clone, Copy, Debug)]
 struct Order {
     version: u64,
+    /// Whether it names no layer, so that the engine gives up those that it has.
+    unloads: bool,
     /// The number of orders that the engine must have begun.
     expected: Option<u64>,
     sent: Instant,
@@ -100,8 +105,23 @@
     pub streams: Arc<Streams>,
     /// The number of further reports at which the engine corrupts a staged piece, if all pieces are staged.
     pub corruptions: u32,
-    /// The number of loads that began while a staged piece was missing, corrupt or of another version.
+    /// The number of loads that began while a staged piece was missing, corrupt or of another version. Pieces that
+    /// [`rot_at`](Self::rot_at) corrupted shortly before are excused.
     pub bad_loads: u32,
+    /// Whether the engine refuses to give up layers.
+    pub keeps_layers: bool,
+    /// Whether the engine serves a version that it loaded with a piece that was not right.
+    pub serves_bad: bool,
+    /// The number of callers' requests that it got while it served such a version.
+    pub bad_answers: u32,
+    /// The time that the engine takes to read a staged piece.
+    pub read_time: Duration,
+    /// Whether the engine reads staged pieces one after the other, whoever asks.
+    pub one_by_one: bool,
+    /// The number of further reads of the first piece after which that piece turns bad; 0 if it does not. They are
+    /// counted while all pieces of a version that is not served are staged.
+    pub rot_at: u32,
+    rotten_since: Option<Instant>,
     /// The number of further orders that get no answer and are carried out late, at the worst moment: as soon
     /// as a piece of another version is staged.
     pub late_orders: u32,
@@ -132,6 +152,7 @@
         self.unanswered += 1;
         self.late.push(Order {
             version,
+            unloads: false,
             expected: Some(self.sequence),
             sent: Instant::now(),
         });
@@ -217,6 +238,7 @@
             None if number >= PIECES => plain_answer("400 Bad Request", b""),
             None => plain_answer("404 Not Found", b""),
         };
+        self.rot_after_read(number);
         if number + 1 == PIECES {
             self.reads += 1;
             if self.restarts_after == Some(self.reads) {
@@ -228,6 +250,26 @@
         answer
     }
 
+    /// Corrupts the first piece after its read, if the test asks for that.
+    fn rot_after_read(&mut self, number: u32) {
+        let is_new = (0..PIECES).all(|n| self.staged.get(&n) != Some(&piece(self.version, n)));
+        if number > 0 || self.rot_at == 0 || !is_new || self.staged.len() < PIECES as usize {
+            return;
+        }
+        self.rot_at -= 1;
+        if self.rot_at == 0 {
+            self.staged.insert(0, b"rot".to_vec());
+            self.rotten_since = Some(Instant::now());
+        }
+    }
+
+    /// Returns whether a piece of `version` is staged under its number, or was until a moment ago.
+    fn is_excused(&self, version: u64, number: u32) -> bool {
+        let rotten = self.rotten_since.filter(|_| number == 0);
+        self.staged.get(&number) == Some(&piece(version, number))
+            || rotten.is_some_and(|since| since.elapsed() <= EXCUSED)
+    }
+
     /// Restarts the engine, which then serves nothing. Orders that have not begun are lost, and so are the
     /// staged pieces if the engine lost power.
     pub fn restart(&mut self, power_lost: bool) {
@@ -246,6 +288,15 @@
         if order.expected.is_some_and(|begun| begun != self.sequence) {
             return plain_answer("409 Conflict", b"");
         }
+        if order.unloads && self.keeps_layers {
+            return plain_answer("400 Bad Request", b"");
+        }
+        if order.unloads {
+            self.sequence += 1;
+            self.version = 0;
+            self.serves_bad = false;
+            return plain_answer("202 Accepted", b"");
+        }
         if order.version == self.version {
             return plain_answer("200 OK", b"");
         }
@@ -254,9 +305,8 @@
             self.apply_late_put();
         }
         let right = |n| self.staged.get(&n) == Some(&piece(order.version, n));
-        if !(0..PIECES).all(right) {
-            self.bad_loads += 1;
-        }
+        self.serves_bad = !(0..PIECES).all(right);
+        self.bad_loads += u32::from(!(0..PIECES).all(|n| self.is_excused(order.version, n)));
         self.sequence += 1;
         self.next_version = Some(order.version);
         self.load_if_idle();
@@ -282,9 +332,10 @@
     text.replace("Connection: keep-alive\r\n", "").into_bytes()
 }
 
-/// `Model` is a model engine. The stand-in beside it answers callers' requests.
+/// `Model` is a model engine: its state, and the turn of its reads. The stand-in beside it answers callers'
+/// requests.
 #[derive(Clone, Default)]
-pub struct Model(Arc<Mutex<ModelState>>);
+pub struct Model(Arc<Mutex<ModelState>>, Arc<Mutex<()>>);
 
 impl Model {
     /// Returns the state of the engine.
@@ -295,6 +346,9 @@
     /// Answers calls of the agent; returns `None` for callers' requests.
     pub fn answer(&self, received: &Received) -> Option<Vec<u8>> {
         let path = path(received);
+        if path.starts_with("/stage-get/") {
+            self.wait_for_read();
+        }
         let answer = if path == "/report" {
             let report = self.state().report();
             plain_answer("200 OK", report.to_string().as_bytes())
@@ -305,11 +359,23 @@
         } else if path == "/order" {
             self.order(received)
         } else {
+            let mut state = self.state();
+            state.bad_answers += u32::from(state.serves_bad);
             return None;
         };
         Some(answer)
     }
 
+    /// Takes the time of a read.
+    fn wait_for_read(&self) {
+        let (read_time, one_by_one) = {
+            let state = self.state();
+            (state.read_time, state.one_by_one)
+        };
+        let _turn = one_by_one.then(|| self.1.lock().expect("not poisoned"));
+        thread::sleep(read_time);
+    }
+
     fn put(&self, received: &Received) -> Vec<u8> {
         let mut state = self.state();
         if !state.withholds_put(number(received), &received.body) {
@@ -325,6 +391,7 @@
         let body: Value = serde_json::from_slice(&received.body).expect("JSON");
         let order = Order {
             version: body["version"].as_u64().expect("a version"),
+            unloads: body["from"].is_u64() && body["from"] == body["to"],
             expected: body["expected"].as_u64(),
             sent: Instant::now(),
         };
--- a/tests/gateway/orders.rs
+++ b/tests/gateway/orders.rs
@@ -198,7 +198,11 @@
     fleet.name_version(2);
     fleet.await_version(2);
     fleet.await_answer(200);
-    fleet.models[0].state().late_puts = 1;
+    {
+        let mut state = fleet.models[0].state();
+        state.late_puts = 1;
+        state.keeps_layers = true;
+    }
     fleet.name_version(3);
     wait_until("a put is left without an answer", || {
         fleet.models[0].state().late_puts == 0
