Tell every target of a stream where it is resumed

Cause: the resume point was an argument of each send, and the send to a further target, asked because the one before is slow to begin, passed none. The time of the caller's last bytes was lost with it, so that the attempt of a long stream was also given up at once.

Change: one Sender holds what all targets of one answer must be told, and sends are its methods. No call is left that could leave it out: it covers a crash, silence and loads, and any number of targets.

Ruled out: two answers joined by the entry. Only one is passed on.

The tests of endings that they share are public now; their texts are unchanged.

--- a/crates/filbertstack-gateway/src/request/attempt.rs
+++ b/crates/filbertstack-gateway/src/request/attempt.rs
@@ -129,7 +129,8 @@
                 };
             }
         };
-        match send(requests, call, &chosen, &mut tries, None).await {
+        let sender = Sender::new(requests, call, None);
+        match sender.send(&chosen, &mut tries).await {
             Outcome::Answer(response, guard) => {
                 requests.metrics.entry.requests.add("target's answer", 1);
                 return Ok(relay(call, response, guard, tries));
@@ -206,226 +207,240 @@
     pub first_serves: bool,
 }
 
-fn find_way(tries: &Tries, resume: Option<Resume>) -> Way {
-    if resume.is_some() {
-        Way::Resume
-    } else if tries.attempts.sent() > 0 {
-        Way::Retry
-    } else {
-        Way::New
-    }
+/// How the wait for the head of an answer ended.
+enum Awaited {
+    /// The target sent it, or its connection failed.
+    Head(HeadResult),
+    /// Another target, which was asked as well, gives the answer.
+    Beside(Outcome),
+    /// The caller is about to leave, or the target may no longer begin.
+    GivenUp,
 }
 
-/// Sends a request to one target, or asks it to resume a stream, and waits for the head of its answer.
-pub async fn send(
-    requests: &Rc<Requests>,
-    call: &Rc<Call>,
-    chosen: &Chosen,
-    tries: &mut Tries,
+/// Sends a request to targets, or asks them to resume its stream. All targets that are asked for one answer get the
+/// same resume point: one without it would start the stream again from its first event.
+#[derive(Clone, Copy)]
+pub struct Sender<'a> {
+    requests: &'a Rc<Requests>,
+    call: &'a Rc<Call>,
+    /// Where the stream is resumed; `None` if it has not begun.
     resume: Option<Resume>,
-) -> Outcome {
-    tries.targets.push(chosen.id.clone());
-    let resume_after = resume.and_then(|resume| resume.after);
-    let resume_after = resume_after.or(call.head.last_event);
-    let last_bytes_at = resume.map_or(call.arrived_at, |resume| resume.last_bytes_at);
-    let mut guard = AttemptGuard::new(requests, call, chosen);
-    if resume.is_some_and(|resume| resume.first_serves) {
-        guard.ended = AttemptEnd::Superseded;
+}
+
+impl<'a> Sender<'a> {
+    /// Creates the sender of a request whose stream is resumed at `resume`.
+    pub fn new(requests: &'a Rc<Requests>, call: &'a Rc<Call>, resume: Option<Resume>) -> Self {
+        Self {
+            requests,
+            call,
+            resume,
+        }
     }
-    requests.targets.record_sent(&chosen.id, call.prompt());
-    let mut connected = match Connected::to(requests, call, chosen.addr).await {
-        Ok(connected) => connected,
-        Err(error) => {
-            info!("target not reached", kv: {
-                request = call.head.id(), target = instance_of(&chosen.id), error = error.to_string()
-            });
-            guard.fail();
-            tries.attempts.count_unreached();
-            return Outcome::NotRun;
+
+    fn way(&self, tries: &Tries) -> Way {
+        if self.resume.is_some() {
+            Way::Resume
+        } else if tries.attempts.sent() > 0 {
+            Way::Retry
+        } else {
+            Way::New
         }
-    };
-    let wait_limit = chosen.time_limit.unwrap_or(Duration::MAX);
-    let limited = call.time_left().min(wait_limit);
-    if limited < MIN_TIME_LEFT {
-        tries.attempts.count_unreached();
-        return Outcome::NotRun;
     }
-    // An engine ends its work when the time that it is given is over. Where no other may continue the answer, the
-    // limit of the wait therefore is kept here, and the engine gets all the time of the request.
-    let is_final = !call.may_repeat() || tries.attempts.is_last(call.route.attempts);
-    let limits = WaitLimits {
-        last_bytes_at,
-        begin_by: chosen
-            .time_limit
-            .filter(|_| is_final)
-            .map(|_| Instant::now() + limited),
-    };
-    let way = find_way(tries, resume);
-    if !permit::may_send_to(requests, call, chosen, way) {
-        guard.ended = AttemptEnd::Refused;
-        tries.attempts.count_unreached();
-        return Outcome::NotRun;
+
+    /// Returns the id of the last event that the caller has.
+    fn resume_after(&self) -> Option<u64> {
+        let after = self.resume.and_then(|resume| resume.after);
+        after.or(self.call.head.last_event)
     }
-    tries.attempts.count_sent();
-    log_sent(requests, call, chosen, tries);
-    let onward = ForwardHeaders {
-        time_left: if is_final { call.time_left() } else { limited },
-        instance: instance_of(&chosen.id),
-        organisation: call.organisation.as_deref(),
-        version: chosen.version,
-        resume_after,
-        priority: call.urgency(),
-    };
-    let mut reply = {
-        let sending = std::pin::pin!(connected.connection.send(build_request(call, &onward)));
-        await_head(requests, call, chosen, tries, limits, sending).await
-    };
-    let broken = matches!(reply, Awaited::Head(Err(_)));
-    if broken
-        && connected.was_closed()
-        && connected.replace(requests, call, chosen).await
-        && permit::may_send_to(requests, call, chosen, Way::Resend)
-    {
-        requests.targets.record_resent(&chosen.id);
-        let sending = std::pin::pin!(connected.connection.send(build_request(call, &onward)));
-        reply = await_head(requests, call, chosen, tries, limits, sending).await;
+
+    /// Returns when the last bytes arrived for the caller, or its request.
+    fn last_bytes_at(&self) -> Instant {
+        let resume = self.resume.as_ref();
+        resume.map_or(self.call.arrived_at, |resume| resume.last_bytes_at)
     }
-    let reply = match reply {
-        Awaited::Head(reply) => reply,
-        Awaited::Beside(outcome) => {
-            guard.fail();
-            return outcome;
-        }
-        Awaited::GivenUp => {
-            guard.fail();
-            return Outcome::Unknown;
+
+    /// Sends to one target and waits for the head of its answer.
+    pub async fn send(&self, chosen: &Chosen, tries: &mut Tries) -> Outcome {
+        let Self {
+            requests,
+            call,
+            resume,
+        } = *self;
+        tries.targets.push(chosen.id.clone());
+        let mut guard = AttemptGuard::new(requests, call, chosen);
+        if resume.is_some_and(|resume| resume.first_serves) {
+            guard.ended = AttemptEnd::Superseded;
         }
-    };
-    guard.connection = Some(connected.connection);
-    match reply {
-        Ok(response) => {
-            let outcome = classify_answer(call, response, guard);
-            if matches!(outcome, Outcome::NotRun) {
-                tries.attempts.count_turned_away();
+        requests.targets.record_sent(&chosen.id, call.prompt());
+        let mut connected = match Connected::to(requests, call, chosen.addr).await {
+            Ok(connected) => connected,
+            Err(error) => {
+                info!("target not reached", kv: {
+                    request = call.head.id(), target = instance_of(&chosen.id), error = error.to_string()
+                });
+                guard.fail();
+                tries.attempts.count_unreached();
+                return Outcome::NotRun;
             }
-            outcome
+        };
+        let wait_limit = chosen.time_limit.unwrap_or(Duration::MAX);
+        let limited = call.time_left().min(wait_limit);
+        if limited < MIN_TIME_LEFT {
+            tries.attempts.count_unreached();
+            return Outcome::NotRun;
         }
-        Err(error) => {
-            info!("answer lost", kv: {
-                request = call.head.id(), target = instance_of(&chosen.id),
-                error = error.to_string(), digest = call.digest(),
-                parts = call.head.shared_parts.join(",")
-            });
-            // A target that sends invalid answers has not crashed.
-            if error.is_parse() {
+        // An engine ends its work when the time that it is given is over. Where no other may continue the answer, the
+        // limit of the wait therefore is kept here, and the engine gets all the time of the request.
+        let is_final = !call.may_repeat() || tries.attempts.is_last(call.route.attempts);
+        let begin_by = chosen.time_limit.filter(|_| is_final);
+        let begin_by = begin_by.map(|_| Instant::now() + limited);
+        if !permit::may_send_to(requests, call, chosen, self.way(tries)) {
+            guard.ended = AttemptEnd::Refused;
+            tries.attempts.count_unreached();
+            return Outcome::NotRun;
+        }
+        tries.attempts.count_sent();
+        log_sent(requests, call, chosen, tries);
+        let onward = ForwardHeaders {
+            time_left: if is_final { call.time_left() } else { limited },
+            instance: instance_of(&chosen.id),
+            organisation: call.organisation.as_deref(),
+            version: chosen.version,
+            resume_after: self.resume_after(),
+            priority: call.urgency(),
+        };
+        let mut reply = {
+            let sending = std::pin::pin!(connected.connection.send(build_request(call, &onward)));
+            self.await_head(chosen, tries, begin_by, sending).await
+        };
+        let broken = matches!(reply, Awaited::Head(Err(_)));
+        if broken
+            && connected.was_closed()
+            && connected.replace(requests, call, chosen).await
+            && permit::may_send_to(requests, call, chosen, Way::Resend)
+        {
+            requests.targets.record_resent(&chosen.id);
+            let sending = std::pin::pin!(connected.connection.send(build_request(call, &onward)));
+            reply = self.await_head(chosen, tries, begin_by, sending).await;
+        }
+        let reply = match reply {
+            Awaited::Head(reply) => reply,
+            Awaited::Beside(outcome) => {
                 guard.fail();
-            } else {
-                guard.lose();
+                return outcome;
+            }
+            Awaited::GivenUp => {
+                guard.fail();
+                return Outcome::Unknown;
+            }
+        };
+        guard.connection = Some(connected.connection);
+        match reply {
+            Ok(response) => {
+                let outcome = classify_answer(call, response, guard);
+                if matches!(outcome, Outcome::NotRun) {
+                    tries.attempts.count_turned_away();
+                }
+                outcome
+            }
+            Err(error) => {
+                info!("answer lost", kv: {
+                    request = call.head.id(), target = instance_of(&chosen.id),
+                    error = error.to_string(), digest = call.digest(),
+                    parts = call.head.shared_parts.join(",")
+                });
+                // A target that sends invalid answers has not crashed.
+                if error.is_parse() {
+                    guard.fail();
+                } else {
+                    guard.lose();
+                }
+                Outcome::Unknown
             }
-            Outcome::Unknown
         }
     }
-}
 
-/// How long the head of an answer is awaited.
-#[derive(Clone, Copy, Debug)]
-struct WaitLimits {
-    /// The time at which the last bytes arrived for the caller, or its request.
-    last_bytes_at: Instant,
-    /// The time by which the target must have begun, if it does not keep that limit itself.
-    begin_by: Option<Instant>,
-}
-
-/// How the wait for the head of an answer ended.
-enum Awaited {
-    /// The target sent it, or its connection failed.
-    Head(HeadResult),
-    /// Another target, which was asked as well, gives the answer.
-    Beside(Outcome),
-    /// The caller is about to leave, or the target may no longer begin.
-    GivenUp,
-}
-
-/// Waits for the head of an answer. A target that is silent to this request for too long, or to all requests,
-/// keeps it: another is asked as well, and the first answer counts. If the first target were given up for one
-/// that turns the request away, its caller would get an error in place of the answer that is under way.
-///
-/// The attempt ends without an answer only if the caller is about to leave, as it would run for nobody, or if
-/// the target may no longer begin, as its weights are too old.
-async fn await_head(
-    requests: &Rc<Requests>,
-    call: &Rc<Call>,
-    chosen: &Chosen,
-    tries: &mut Tries,
-    limits: WaitLimits,
-    mut sending: Pin<&mut impl Future<Output = HeadResult>>,
-) -> Awaited {
-    if !call.may_repeat() {
-        let Some(begin_by) = limits.begin_by else {
-            return Awaited::Head(sending.await);
-        };
-        let reply = timeout_at(begin_by, sending).await;
-        return reply.map_or(Awaited::GivenUp, Awaited::Head);
-    }
-    let began = Instant::now();
-    loop {
-        if let Ok(reply) = timeout(CHECK_INTERVAL, &mut sending).await {
-            return Awaited::Head(reply);
+    /// Waits for the head of an answer. A target that is silent to this request for too long, or to all requests,
+    /// keeps it: another is asked as well, and the first answer counts. If the first target were given up for one
+    /// that turns the request away, its caller would get an error in place of the answer that is under way.
+    ///
+    /// The attempt ends without an answer only if the caller is about to leave, as it would run for nobody, or if
+    /// the target may no longer begin, as its weights are too old.
+    ///
+    /// `begin_by` is the time by which the target must have begun, if it does not keep that limit itself.
+    async fn await_head(
+        &self,
+        chosen: &Chosen,
+        tries: &mut Tries,
+        begin_by: Option<Instant>,
+        mut sending: Pin<&mut impl Future<Output = HeadResult>>,
+    ) -> Awaited {
+        let Self { requests, call, .. } = *self;
+        if !call.may_repeat() {
+            let Some(begin_by) = begin_by else {
+                return Awaited::Head(sending.await);
+            };
+            let reply = timeout_at(begin_by, sending).await;
+            return reply.map_or(Awaited::GivenUp, Awaited::Head);
         }
-        let waited = began.elapsed();
-        let may_begin = limits.begin_by.is_none_or(|until| Instant::now() < until);
-        if !may_begin || is_caller_leaving(call, limits.last_bytes_at) {
-            info!("target silent, given up", kv: {
+        let began = Instant::now();
+        loop {
+            if let Ok(reply) = timeout(CHECK_INTERVAL, &mut sending).await {
+                return Awaited::Head(reply);
+            }
+            let waited = began.elapsed();
+            let may_begin = begin_by.is_none_or(|until| Instant::now() < until);
+            if !may_begin || is_caller_leaving(call, self.last_bytes_at()) {
+                info!("target silent, given up", kv: {
+                    request = call.head.id(), target = instance_of(&chosen.id),
+                    waited_ms = waited.as_millis(), forsaken = true
+                });
+                return Awaited::GivenUp;
+            }
+            let target_silent = waited >= call.route.goal && requests.targets.is_silent(&chosen.id);
+            if !target_silent && waited < silence_limit(call) {
+                continue;
+            }
+            let Some(other) = find_other(requests, call, tries) else {
+                continue;
+            };
+            info!("target silent, another is asked", kv: {
                 request = call.head.id(), target = instance_of(&chosen.id),
-                waited_ms = waited.as_millis(), forsaken = true
+                waited_ms = waited.as_millis(), other = instance_of(&other.id)
             });
-            return Awaited::GivenUp;
-        }
-        let target_silent = waited >= call.route.goal && requests.targets.is_silent(&chosen.id);
-        if !target_silent && waited < silence_limit(call) {
-            continue;
-        }
-        let Some(other) = find_other(requests, call, tries) else {
-            continue;
-        };
-        info!("target silent, another is asked", kv: {
-            request = call.head.id(), target = instance_of(&chosen.id),
-            waited_ms = waited.as_millis(), other = instance_of(&other.id)
-        });
-        if let Some(awaited) = race(requests, call, &other, tries, sending.as_mut()).await {
-            return awaited;
+            if let Some(awaited) = self.race(&other, tries, sending.as_mut()).await {
+                return awaited;
+            }
         }
     }
-}
 
-/// Sends a request to another target while the first is silent. Returns `None` if the other does not answer it,
-/// so that the first alone is left.
-async fn race(
-    requests: &Rc<Requests>,
-    call: &Rc<Call>,
-    other: &Chosen,
-    tries: &mut Tries,
-    mut sending: Pin<&mut impl Future<Output = HeadResult>>,
-) -> Option<Awaited> {
-    let beside: Pin<Box<dyn Future<Output = Outcome> + '_>> =
-        Box::pin(send(requests, call, other, tries, None));
-    let mut beside = beside;
-    let reply = tokio::select! {
-        reply = &mut sending => reply,
-        outcome = &mut beside => return outcome.is_answer().then_some(Awaited::Beside(outcome)),
-    };
-    // An answer that may be returned need not wait for the other.
-    if reply
-        .as_ref()
-        .is_ok_and(|response| response.status().is_success())
-    {
-        return Some(Awaited::Head(reply));
-    }
-    let outcome = beside.await;
-    if outcome.is_answer() {
-        return Some(Awaited::Beside(outcome));
+    /// Sends a request to another target while the first is silent. Returns `None` if the other does not answer it,
+    /// so that the first alone is left.
+    async fn race(
+        &self,
+        other: &Chosen,
+        tries: &mut Tries,
+        mut sending: Pin<&mut impl Future<Output = HeadResult>>,
+    ) -> Option<Awaited> {
+        let beside: Pin<Box<dyn Future<Output = Outcome> + '_>> = Box::pin(self.send(other, tries));
+        let mut beside = beside;
+        let reply = tokio::select! {
+            reply = &mut sending => reply,
+            outcome = &mut beside => return outcome.is_answer().then_some(Awaited::Beside(outcome)),
+        };
+        // An answer that may be returned need not wait for the other.
+        if reply
+            .as_ref()
+            .is_ok_and(|response| response.status().is_success())
+        {
+            return Some(Awaited::Head(reply));
+        }
+        let outcome = beside.await;
+        if outcome.is_answer() {
+            return Some(Awaited::Beside(outcome));
+        }
+        Some(Awaited::Head(reply))
     }
-    Some(Awaited::Head(reply))
 }
 
 /// Chooses another target for a request whose first is silent, within the attempts and the budget, of which it
--- a/crates/filbertstack-gateway/src/request/resume.rs
+++ b/crates/filbertstack-gateway/src/request/resume.rs
@@ -13,9 +13,9 @@
 use crate::request::Requests;
 use crate::request::attempt::Outcome;
 use crate::request::attempt::Resume;
+use crate::request::attempt::Sender;
 use crate::request::attempt::Tries;
 use crate::request::attempt::choose;
-use crate::request::attempt::send;
 use crate::request::guard::AttemptGuard;
 use crate::request::permit;
 use crate::request::residency::NO_REGION;
@@ -118,7 +118,8 @@
     tries: &mut Tries,
     resume: Resume,
 ) -> Option<Resumed> {
-    match send(requests, call, chosen, tries, Some(resume)).await {
+    let sender = Sender::new(requests, call, Some(resume));
+    match sender.send(chosen, tries).await {
         Outcome::Answer(response, guard) if response.status().is_success() => Some(Resumed {
             body: response.into_body(),
             guard,
--- a/tests/gateway/endings.rs
+++ b/tests/gateway/endings.rs
@@ -49,7 +49,7 @@
 }
 
 /// Sends a request and reads until its first event is there.
-fn begin_stream(cluster: &Cluster, request: &str) -> TcpStream {
+pub fn begin_stream(cluster: &Cluster, request: &str) -> TcpStream {
     let mut caller = TcpStream::connect(cluster.front_addr(0)).expect("the entry listens");
     caller.write_all(request.as_bytes()).expect("sent");
     let mut text = Vec::new();
@@ -135,12 +135,12 @@
 }
 
 /// Returns a request for a stream whose caller has time for it.
-fn patient(attempt: &str) -> String {
+pub fn patient(attempt: &str) -> String {
     get("/stream/", attempt, "").replace("Deadline-Ms: 5000", "Deadline-Ms: 50000")
 }
 
 /// Asserts that each event came once, in order, and then the end.
-fn assert_whole(answer: &str, events: u64, logged: &str) {
+pub fn assert_whole(answer: &str, events: u64, logged: &str) {
     let got: Vec<&str> = answer.lines().filter(|l| l.starts_with("data: ")).collect();
     let expected: Vec<String> = (1..=events).map(|n| format!("data: piece {n}")).collect();
     assert_eq!(got, expected, "{answer}\n{logged}");
@@ -151,7 +151,7 @@
 }
 
 /// Reads the rest of an answer that has begun.
-fn read_rest(mut caller: TcpStream) -> String {
+pub fn read_rest(mut caller: TcpStream) -> String {
     let mut bytes = Vec::new();
     // A reset connection ends the answer with the bytes received before.
     let _ = caller.read_to_end(&mut bytes);
--- a/tests/gateway/fleet.rs
+++ b/tests/gateway/fleet.rs
@@ -79,13 +79,18 @@
     /// Starts one more engine and its agent. It answers callers with streams of `events` events and pauses after
     /// each.
     pub fn add_streaming(&mut self, pause: Duration, events: u64) {
+        self.add_behaving(pause, Box::new(move |received| stream(received, events, 0)));
+    }
+
+    /// Starts one more engine and its agent. It answers callers by `behaviour` and pauses after each event.
+    pub fn add_behaving(&mut self, pause: Duration, behaviour: Behaviour) {
         let model = Model::default();
         let (shared, streams) = (model.clone(), model.state().streams.clone());
-        let behaviour: Behaviour = Box::new(move |received| {
+        let both: Behaviour = Box::new(move |received| {
             let answer = shared.answer(received);
-            answer.unwrap_or_else(|| stream(received, events, 0))
+            answer.unwrap_or_else(|| behaviour(received))
         });
-        let engine = Engine::with_streams(pause, streams, behaviour);
+        let engine = Engine::with_streams(pause, streams, both);
         self.agents
             .push(self.cluster.start_agent("stream", engine.addr));
         self.engines.push(engine);
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -20,6 +20,7 @@
 mod replacement;
 mod requests;
 mod residency;
+mod resumes;
 mod seeds;
 mod slow;
 mod weights;
