Give up a target that begins a resumed stream anew

Change: the id of the first event of a target that resumes is compared with the caller's last. If it does not follow, nothing of that target is passed on and another is asked, or the first keeps the stream.

Before: a_target_that_begins_a_stream_anew_is_replaced fails with events that come twice. After: it passes, as do all tests of endings, requests and resumes.

--- a/crates/filbertstack-gateway/src/request/events.rs
+++ b/crates/filbertstack-gateway/src/request/events.rs
@@ -26,43 +26,65 @@
 pub struct EventBuffer {
     partial: BytesMut,
     last_id: Option<u64>,
+    /// Whether the next event is the first of a target that resumes the stream.
+    resumes: bool,
 }
 
+/// A target that was to resume a stream has sent an event that its caller already has.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Restarted;
+
 impl EventBuffer {
     /// Creates the buffer of a stream whose caller already has the events up to the id `last_id`.
     pub fn after(last_id: Option<u64>) -> Self {
         Self {
             partial: BytesMut::new(),
             last_id,
+            resumes: false,
         }
     }
 
+    /// Records that the next bytes are those of a target that is to resume the stream after its last event.
+    pub fn expect_resumed(&mut self) {
+        self.resumes = true;
+    }
+
     /// Adds bytes of the stream and returns the events that are whole now.
-    pub fn push(&mut self, data: Bytes) -> Bytes {
+    ///
+    /// # Errors
+    /// [`Restarted`] if they are those of a target that does not resume the stream; nothing more may be passed on
+    /// of it.
+    pub fn push(&mut self, data: Bytes) -> Result<Bytes, Restarted> {
         if self.partial.is_empty() && data.ends_with(EVENT_END) {
-            self.note_id(&data);
-            return data;
+            self.note_ids(&data)?;
+            return Ok(data);
         }
         self.partial.extend_from_slice(&data);
         let Some(end) = find_last_end(&self.partial) else {
             if self.partial.len() > MAX_EVENT {
-                return self.partial.split().freeze();
+                return Ok(self.partial.split().freeze());
             }
-            return Bytes::new();
+            return Ok(Bytes::new());
         };
         let whole = self.partial.split_to(end).freeze();
-        self.note_id(&whole);
-        whole
+        self.note_ids(&whole)?;
+        Ok(whole)
     }
 
-    /// Records the id of the last event in `whole`.
-    fn note_id(&mut self, whole: &[u8]) {
-        let lines = whole.split(|byte| *byte == b'\n').rev();
-        let mut ids = lines.filter_map(|line| line.strip_prefix(ID_FIELD));
-        let id = ids.find_map(|id| std::str::from_utf8(id).ok());
-        if let Some(id) = id.and_then(|id| id.trim().parse().ok()) {
-            self.last_id = Some(id);
+    /// Records the id of the last event in `whole`. An engine that resumes a stream begins after the event that it
+    /// was told; one that does not know the id begins with the first.
+    fn note_ids(&mut self, whole: &[u8]) -> Result<(), Restarted> {
+        if self.resumes {
+            let first = event_ids(whole).next();
+            if first.is_some_and(|first| self.last_id.is_some_and(|last| first <= last)) {
+                return Err(Restarted);
+            }
+            self.resumes = first.is_none();
+        }
+        if let Some(last) = event_ids(whole).next_back() {
+            self.last_id = Some(last);
         }
+        Ok(())
     }
 
     /// Returns the id of the last event that was passed on.
@@ -81,6 +103,14 @@
     }
 }
 
+/// Returns the ids of whole events.
+fn event_ids(whole: &[u8]) -> impl DoubleEndedIterator<Item = u64> {
+    let ids = whole
+        .split(|byte| *byte == b'\n')
+        .filter_map(|line| line.strip_prefix(ID_FIELD));
+    ids.filter_map(|id| std::str::from_utf8(id).ok()?.trim().parse().ok())
+}
+
 /// Tells whether a stream that is passed on as it arrives is inside an event.
 #[derive(Debug, Default)]
 pub struct EventTail {
--- a/crates/filbertstack-gateway/src/request/relay.rs
+++ b/crates/filbertstack-gateway/src/request/relay.rs
@@ -37,6 +37,7 @@
 use crate::request::events::EventBuffer;
 use crate::request::events::EventGaps;
 use crate::request::events::EventTail;
+use crate::request::events::Restarted;
 use crate::request::guard::AttemptGuard;
 use crate::request::resume::NotResumed;
 use crate::request::resume::ResumeFuture;
@@ -45,6 +46,9 @@
 use crate::request::takeover::Takeover;
 use crate::request::targets::instance_of;
 
+/// The reason why a target that resumes a stream is given up if it sends events that the caller has.
+pub const RESTARTED: &str = "the target began the stream anew";
+
 /// The pause of a route that declares none.
 const DEFAULT_PAUSE: Duration = Duration::from_millis(300);
 
@@ -247,7 +251,11 @@
     /// Passes on the next bytes that the target has sent.
     fn pass_released(&mut self) -> Progress {
         let data = self.released.pop_front().unwrap_or_default();
-        let data = self.filter_events(data);
+        let Ok(data) = self.filter_events(data) else {
+            self.released.clear();
+            self.has_ended = false;
+            return self.handle_loss(RESTARTED);
+        };
         if self.released.is_empty() {
             self.finish_if_whole();
         }
@@ -301,14 +309,17 @@
     }
 
     /// Returns the bytes to pass on: whole events if the stream may be resumed, or else all of `data`.
-    fn filter_events(&mut self, data: Bytes) -> Bytes {
+    ///
+    /// # Errors
+    /// [`Restarted`] if the target does not resume the stream.
+    fn filter_events(&mut self, data: Bytes) -> Result<Bytes, Restarted> {
         if let Some(tail) = &mut self.tail {
             tail.note(&data);
         }
         self.reset_silence_check();
         match &mut self.events {
             Some(events) => events.push(data),
-            None => data,
+            None => Ok(data),
         }
     }
 
@@ -374,6 +385,9 @@
             after = self.events.as_ref().and_then(EventBuffer::last_id).unwrap_or(0)
         });
         guard.ended = AttemptEnd::CallerLeft;
+        if let Some(events) = &mut self.events {
+            events.expect_resumed();
+        }
         self.tries = tries;
         self.source = Source::Target(body, guard);
         self.gaps = self.gaps.take().map(|_| EventGaps::default());
--- a/crates/filbertstack-gateway/src/request/takeover.rs
+++ b/crates/filbertstack-gateway/src/request/takeover.rs
@@ -18,6 +18,7 @@
 use crate::request::attempt::Resume;
 use crate::request::attempt::Tries;
 use crate::request::events::EventBuffer;
+use crate::request::relay::RESTARTED;
 use crate::request::resume::NotResumed;
 use crate::request::resume::ResumeFuture;
 use crate::request::resume::Resumed;
@@ -127,7 +128,8 @@
                     }
                     Poll::Ready(Err(failed)) => return Polled::Failed(failed, self.held),
                     Poll::Ready(Ok(resumed)) => {
-                        let events = EventBuffer::after(self.resume.after);
+                        let mut events = EventBuffer::after(self.resume.after);
+                        events.expect_resumed();
                         self.next = Next::Answering(Box::new(resumed), events);
                     }
                 },
@@ -139,7 +141,15 @@
                         }
                         Poll::Ready(Some(Ok(frame))) => {
                             resumed.guard.record_bytes();
-                            let first = events.push(frame.into_data().unwrap_or_default());
+                            let Ok(first) = events.push(frame.into_data().unwrap_or_default())
+                            else {
+                                resumed.guard.fail();
+                                let failed = NotResumed {
+                                    why: RESTARTED,
+                                    tries: resumed.tries,
+                                };
+                                return Polled::Failed(failed, self.held);
+                            };
                             if !first.is_empty() {
                                 return Polled::Began(Began {
                                     reason: self.reason,
--- a/crates/filbertstack-gateway/tests/events.rs
+++ b/crates/filbertstack-gateway/tests/events.rs
@@ -6,6 +6,7 @@
 use filbertstack_gateway::request::events::EventBuffer;
 use filbertstack_gateway::request::events::EventGaps;
 use filbertstack_gateway::request::events::EventTail;
+use filbertstack_gateway::request::events::Restarted;
 use proptest::prelude::*;
 use tokio::time::Instant;
 
@@ -14,11 +15,15 @@
 #[test]
 fn only_whole_events_are_passed_on() {
     let mut events = EventBuffer::after(None);
-    let out = events.push(Bytes::from_static(b"id: 1\ndata: a\n\nid: 2\nda"));
+    let out = events
+        .push(Bytes::from_static(b"id: 1\ndata: a\n\nid: 2\nda"))
+        .expect("in order");
     assert_eq!(&out[..], b"id: 1\ndata: a\n\n");
     assert_eq!((events.last_id(), events.has_partial()), (Some(1), true));
     events.drop_partial();
-    let out = events.push(Bytes::from_static(b"id: 2\ndata: b\n\n"));
+    let out = events
+        .push(Bytes::from_static(b"id: 2\ndata: b\n\n"))
+        .expect("in order");
     assert_eq!(&out[..], b"id: 2\ndata: b\n\n");
     assert_eq!((events.last_id(), events.has_partial()), (Some(2), false));
 }
@@ -28,6 +33,22 @@
     assert_eq!(EventBuffer::after(Some(12)).last_id(), Some(12));
 }
 
+/// Guards against events that come twice: a target that is to resume a stream begins it anew.
+#[test]
+fn a_target_that_begins_a_resumed_stream_anew_is_noticed() {
+    let event = |id: u64| Bytes::from(format!("id: {id}\ndata: a\n\n"));
+    let mut events = EventBuffer::after(Some(12));
+    events.expect_resumed();
+    assert_eq!(
+        events.push(Bytes::from_static(b": a comment\n\n")),
+        Ok(Bytes::from_static(b": a comment\n\n"))
+    );
+    assert_eq!(events.push(event(1)), Err(Restarted));
+    assert_eq!(events.push(event(12)), Err(Restarted));
+    assert_eq!(events.push(event(13)), Ok(event(13)));
+    assert_eq!(events.last_id(), Some(13));
+}
+
 /// Guards against a stream that ends inside an event and is taken for complete.
 #[test]
 fn a_stream_is_whole_after_an_event_only() {
@@ -60,10 +81,10 @@
         let mut rest = Bytes::from(whole.clone());
         for cut in cuts {
             let part = rest.split_to(cut.min(rest.len()));
-            out.extend_from_slice(&events.push(part));
+            out.extend_from_slice(&events.push(part).expect("in order"));
             prop_assert!(out.is_empty() || out.ends_with(b"\n\n"));
         }
-        out.extend_from_slice(&events.push(rest));
+        out.extend_from_slice(&events.push(rest).expect("in order"));
         prop_assert_eq!(out, whole.into_bytes());
         prop_assert_eq!(events.last_id(), Some(30));
         prop_assert!(!events.has_partial());
--- a/tests/gateway/resumes.rs
+++ b/tests/gateway/resumes.rs
@@ -12,6 +12,7 @@
 
 use crate::cluster::Cluster;
 use crate::cluster::document;
+use crate::cluster::wait_until;
 use crate::endings::assert_whole;
 use crate::endings::begin_stream;
 use crate::endings::patient;
@@ -125,3 +126,27 @@
 fn a_third_target_takes_a_silent_stream_over_where_the_second_should() {
     assert_resumed_in_order(&falling_silent(), 1);
 }
+
+/// Guards against events that come twice: an engine does not know the id after which it is to go on, and begins the
+/// stream anew.
+#[test]
+fn a_target_that_begins_a_stream_anew_is_replaced() {
+    let first = breaking();
+    let cluster = Cluster::start(1, 0);
+    cluster.put_document(&[0], &declared(1, 3));
+    cluster.register(0, "i-0", "stream", first.addr);
+    cluster.await_service(0, "/stream/");
+    let begins_anew = Engine::start(Box::new(|received| {
+        let mut first_run = received.clone();
+        first_run
+            .headers
+            .retain(|(name, _)| name != "last-event-id");
+        stream(&first_run, EVENTS, 0)
+    }));
+    let resumes = Engine::start(Box::new(|received| stream(received, EVENTS, 0)));
+    let caller = begin_stream(&cluster, &patient("a1"));
+    cluster.register(0, "i-1", "stream", begins_anew.addr);
+    wait_until("it is asked", || !begins_anew.received().is_empty());
+    cluster.register(0, "i-2", "stream", resumes.addr);
+    assert_whole(&read_rest(caller), EVENTS, &cluster.logged(0));
+}
