Let an engine of an older version finish the streams that it has begun

Callers got a stream with all its events and no end, or one cut in the middle, in planned work.

Cause: the time within which an engine of an older version must begin was sent as its time limit, unless the attempt was the last when it was sent. Engines stop work at the limit, and by then no attempt may be left. A takeover that had nothing left to send counted as broken off.

Change: a target always gets the time that its request has left, and the entry keeps the time to begin. A takeover without anything left to send shows that the stream is whole with the caller's last event.

Ruled out: an engine that breaks off to load; its order lets streams end.

--- a/crates/filbertstack-gateway/src/request/attempt.rs
+++ b/crates/filbertstack-gateway/src/request/attempt.rs
@@ -289,11 +289,10 @@
             tries.attempts.count_unreached();
             return Outcome::NotRun;
         }
-        // An engine ends its work when the time that it is given is over. Where no other may continue the answer, the
-        // limit of the wait therefore is kept here, and the engine gets all the time of the request.
-        let is_final = !call.may_repeat() || tries.attempts.is_last(call.route.attempts);
-        let begin_by = chosen.time_limit.filter(|_| is_final);
-        let begin_by = begin_by.map(|_| Instant::now() + limited);
+        // An engine ends its work when the time that it is given is over, also in the middle of an answer, and no
+        // attempt may be left then. The limit of the wait therefore is kept here, and the engine gets all the time of
+        // the request.
+        let begin_by = chosen.time_limit.map(|_| Instant::now() + limited);
         if !permit::may_send_to(requests, call, chosen, self.way(tries)) {
             guard.ended = AttemptEnd::Refused;
             tries.attempts.count_unreached();
@@ -302,7 +301,7 @@
         tries.attempts.count_sent();
         log_sent(requests, call, chosen, tries);
         let onward = ForwardHeaders {
-            time_left: if is_final { call.time_left() } else { limited },
+            time_left: call.time_left(),
             instance: instance_of(&chosen.id),
             organisation: call.organisation.as_deref(),
             version: chosen.version,
@@ -367,7 +366,7 @@
     /// The attempt ends without an answer only if the caller is about to leave, as it would run for nobody, or if
     /// the target may no longer begin, as its weights are too old.
     ///
-    /// `begin_by` is the time by which the target must have begun, if it does not keep that limit itself.
+    /// `begin_by` is the time by which the target must have begun, if there is such a limit.
     async fn await_head(
         &self,
         chosen: &Chosen,
--- a/crates/filbertstack-gateway/src/request/relay.rs
+++ b/crates/filbertstack-gateway/src/request/relay.rs
@@ -106,6 +106,8 @@
     takeover: Option<Takeover>,
     /// What was held back for it and is to be passed on, as it did not take over.
     released: VecDeque<Bytes>,
+    /// The event after which another target had nothing to send: the stream is whole with it.
+    whole_after: Option<u64>,
     /// Whether the target has ended its answer after what is to be passed on.
     has_ended: bool,
 }
@@ -143,6 +145,7 @@
             next_check: last_bytes_at,
             takeover: None,
             released: VecDeque::new(),
+            whole_after: None,
             has_ended: false,
             call,
         }
@@ -348,6 +351,9 @@
             return Progress::Ready(Some(Err(self.cut(Cut::TargetLost(why)))));
         };
         events.drop_partial();
+        if self.whole_after.is_some() && self.whole_after == events.last_id() {
+            return Progress::Ready(None);
+        }
         let resuming = resume(
             self.requests.clone(),
             self.call.clone(),
--- a/crates/filbertstack-gateway/src/request/relay/moves.rs
+++ b/crates/filbertstack-gateway/src/request/relay/moves.rs
@@ -110,6 +110,13 @@
                 self.released = held;
                 Some(Progress::Again)
             }
+            Polled::NothingLeft(tries, held) => {
+                info!("takeover has nothing left to send", kv: { request = self.call.head.id() });
+                self.whole_after = self.events.as_ref().and_then(EventBuffer::last_id);
+                self.tries = tries;
+                self.released = held;
+                Some(Progress::Again)
+            }
         }
     }
 
--- a/crates/filbertstack-gateway/src/request/takeover.rs
+++ b/crates/filbertstack-gateway/src/request/takeover.rs
@@ -41,6 +41,8 @@
     Began(Began),
     /// The other target does not continue the stream. This was held back of the first.
     Failed(NotResumed, VecDeque<Bytes>),
+    /// The other target has nothing to send after the events that the caller has. This was held back of the first.
+    NothingLeft(Tries, VecDeque<Bytes>),
 }
 
 /// The target that has taken over.
@@ -161,6 +163,11 @@
                             self.next = Next::Answering(resumed, events);
                         }
                         Poll::Ready(ended) => {
+                            let is_whole = ended.is_none() && !events.has_partial();
+                            if is_whole && !resumed.guard.ends_with_connection() {
+                                resumed.guard.finish();
+                                return Polled::NothingLeft(resumed.tries, self.held);
+                            }
                             if ended.is_some() {
                                 resumed.guard.lose();
                             } else {
--- a/tests/gateway/resumes.rs
+++ b/tests/gateway/resumes.rs
@@ -17,13 +17,19 @@
 use crate::endings::begin_stream;
 use crate::endings::patient;
 use crate::endings::read_rest;
+use crate::engine::Behaviour;
 use crate::engine::Engine;
 use crate::engine::Received;
 use crate::engine::stream;
+use crate::fleet::Fleet;
+use crate::model::services;
 
 /// The events of a stream.
 const EVENTS: u64 = 6;
 
+/// The events of a stream that lasts longer than a version takes to be loaded everywhere.
+const MANY_EVENTS: u64 = 30;
+
 /// An engine pauses for this time after each of them.
 const EVENT_PAUSE: Duration = Duration::from_millis(400);
 
@@ -127,6 +133,38 @@
     assert_resumed_in_order(&falling_silent(), 1);
 }
 
+/// Guards against the same where the first target is to load other weights.
+#[test]
+fn a_third_target_takes_over_from_one_that_loads_where_the_second_should() {
+    let mut fleet = Fleet::start(0);
+    let mut declared = declared(2, 8);
+    declared["services"] = services(fleet.origin.start().addr);
+    fleet.cluster.put_document(&[0], &declared);
+    let slow = Arc::new(AtomicU32::new(0));
+    for _ in 0..3 {
+        let slow = slow.clone();
+        let behaviour: Behaviour = Box::new(move |received| {
+            wait_if_slow(received, &slow);
+            stream(received, MANY_EVENTS, 0)
+        });
+        fleet.add_behaving(EVENT_PAUSE, behaviour);
+    }
+    fleet.name_version(1);
+    fleet.await_version(1);
+    fleet.await_all_serving();
+    let caller = begin_stream(&fleet.cluster, &patient("a1"));
+    slow.store(1, Ordering::SeqCst);
+    fleet.name_version(2);
+    let answer = thread::spawn(move || read_rest(caller));
+    wait_until("the stream ends", || {
+        fleet.announce_all();
+        answer.is_finished()
+    });
+    let answer = answer.join().expect("it ends");
+    assert_whole(&answer, MANY_EVENTS, &fleet.cluster.logged(0));
+    assert_eq!(slow.load(Ordering::SeqCst), 0, "a target was slow to begin");
+}
+
 /// Guards against events that come twice: an engine does not know the id after which it is to go on, and begins the
 /// stream anew.
 #[test]
@@ -150,3 +188,25 @@
     cluster.register(0, "i-2", "stream", resumes.addr);
     assert_whole(&read_rest(caller), EVENTS, &cluster.logged(0));
 }
+
+/// Guards against a stream that is cut although its caller has all events: its engine is lost before the end, and the
+/// one that was to take it over had nothing left to send, which used up the last attempt.
+#[test]
+fn a_stream_whose_last_event_is_known_ends_as_whole() {
+    let first = Engine::paced(
+        Duration::from_millis(2_600),
+        Box::new(|received| {
+            let is_probe = received.header("x-filbertstack-attempt-id") != "a1";
+            stream(received, u64::from(!is_probe), if is_probe { 0 } else { 5 })
+        }),
+    );
+    let cluster = Cluster::start(1, 0);
+    cluster.put_document(&[0], &declared(1, 2));
+    cluster.register(0, "i-0", "stream", first.addr);
+    cluster.await_service(0, "/stream/");
+    let other = Engine::start(Box::new(|received| stream(received, 1, 0)));
+    let caller = begin_stream(&cluster, &patient("a1"));
+    cluster.register(0, "i-1", "stream", other.addr);
+    assert_whole(&read_rest(caller), 1, &cluster.logged(0));
+    assert!(!other.received().is_empty(), "it was asked to take over");
+}
