Replace a list of pieces that its pieces speak against

One wrong digit in the list of a new version stopped the service until another version was named (RECOVER).

Cause: a list was believed because another node had it. The owner of a piece that did not match dropped the list and got the same one from the others; nodes rejected the piece from each other without an end.

Change: two answers of the origin must be the same before a list is believed. A piece that comes twice alike, or four times, and does not match makes the entry use the voters' list, if that is another by now, or what the origin answers; the voters keep it. Pieces that match are kept. Agents ask the voters first. The size that a list names no longer bounds a piece, whose digest alone decides.

Ruled out: voters that keep the first list; Lists::keep replaces it.

--- a/crates/filbertstack-gateway/src/agent/gather.rs
+++ b/crates/filbertstack-gateway/src/agent/gather.rs
@@ -53,10 +53,12 @@
         weights.clone(),
         MAX_DOWNLOADS,
     );
+    let mut wrong: Option<Rc<PieceList>> = None;
     loop {
-        let list = match agent.stage.list(&weights) {
-            Some(list) => list,
-            None => Rc::new(fetch.list().await),
+        let list = match (agent.stage.list(&weights), &wrong) {
+            (Some(list), _) => list,
+            (None, Some(wrong)) => Rc::new(fetch.list_after(wrong).await),
+            (None, None) => Rc::new(fetch.list().await),
         };
         agent.stage.begin(list.clone());
         find_staged(&agent, &list).await;
@@ -72,6 +74,7 @@
                 warn!("pieces do not match their list, fetching the list again",
                     kv: { version = weights.version });
                 agent.stage.clear();
+                wrong = Some(list);
             }
         }
     }
--- a/crates/filbertstack-gateway/src/weights/cache.rs
+++ b/crates/filbertstack-gateway/src/weights/cache.rs
@@ -109,19 +109,21 @@
 
     /// Updates the piece sets, and publishes which versions the entry holds.
     fn update_sets(&self) {
-        self.drop_mismatched();
+        self.replace_mismatched();
         self.share_origin();
         self.publish_held();
     }
 
-    fn drop_mismatched(&self) {
-        self.retain(|set| {
+    /// Replaces the sets whose pieces do not match their list by sets with another list.
+    fn replace_mismatched(&self) {
+        for set in self.sets.borrow_mut().iter_mut() {
             if set.is_mismatched() {
                 warn!("pieces do not match their list, fetching the list again",
                     kv: { version = set.version() });
+                set.stop();
+                *set = PieceSet::replace(self.node.clone(), &self.own, set);
             }
-            !set.is_mismatched()
-        });
+        }
     }
 
     /// Stops and removes the piece sets for which `keep` returns false.
--- a/crates/filbertstack-gateway/src/weights/fetch.rs
+++ b/crates/filbertstack-gateway/src/weights/fetch.rs
@@ -36,6 +36,7 @@
 use crate::link::messages::Question;
 use crate::link::messages::Reply;
 use crate::weights;
+use crate::weights::PieceDigest;
 use crate::weights::cache::OWNER_WAIT;
 
 /// A node may take this long to send a piece, beside live requests on a narrow link.
@@ -76,7 +77,25 @@
 const LAYOUT_AGE: Duration = Duration::from_millis(400);
 
 /// After this many mismatches of one piece, the list itself is considered wrong and fetched again.
-const MAX_MISMATCHES: u32 = 4;
+const MAX_MISMATCHES: usize = 4;
+
+/// A piece has at most this many bytes. The size that a list names may be wrong while its digests are right.
+const MAX_PIECE: usize = 4 << 20;
+
+/// The pieces that were received under one number and do not match the list.
+#[derive(Default)]
+struct Mismatches(Vec<PieceDigest>);
+
+impl Mismatches {
+    /// Adds a piece, and returns whether the list itself must be wrong: the same bytes came twice, as they do not if
+    /// they were spoilt on the way, or too many did not match.
+    fn add(&mut self, bytes: &[u8]) -> bool {
+        let digest = weights::digest(bytes);
+        let is_known = self.0.contains(&digest);
+        self.0.push(digest);
+        is_known || self.0.len() >= MAX_MISMATCHES
+    }
+}
 
 /// `Fetch` fetches one version for one node.
 pub struct Fetch {
@@ -179,21 +198,27 @@
     pub async fn piece(&self, list: &PieceList, number: u32) -> Option<Bytes> {
         let began = Instant::now();
         tokio::select! {
-            bytes = self.ask_peers(list, number, began) => Some(bytes),
+            bytes = self.ask_peers(list, number, began) => bytes,
             bytes = self.ask_origin(list, number, began) => bytes,
         }
     }
 
-    async fn ask_peers(&self, list: &PieceList, number: u32, began: Instant) -> Bytes {
+    /// Fetches a piece from other nodes. Returns `None` if it does not match the list, as they have another one.
+    async fn ask_peers(&self, list: &PieceList, number: u32, began: Instant) -> Option<Bytes> {
+        let mut mismatches = Mismatches::default();
         loop {
             let plan = self.layout(list).plan(number);
             let elapsed = Millis::from(began.elapsed());
             for asked in plan.nodes_to_ask(elapsed, |id| self.is_slow(id)) {
-                let bytes = self.ask_peer(number, &asked).await;
-                if let Some(bytes) =
-                    bytes.filter(|bytes| weights::matches_bytes(list, number, bytes))
-                {
-                    return bytes;
+                let Some(bytes) = self.ask_peer(number, &asked).await else {
+                    continue;
+                };
+                if weights::matches_bytes(list, number, &bytes) {
+                    return Some(bytes);
+                }
+                info!("piece from another node does not match its digest", kv: { number = number });
+                if mismatches.add(&bytes) {
+                    return None;
                 }
             }
             sleep(RETRY_DELAY).await;
@@ -283,8 +308,8 @@
 
     /// Fetches a piece from the origin; returns `None` when the received bytes were wrong too often.
     async fn ask_origin(&self, list: &PieceList, number: u32, began: Instant) -> Option<Bytes> {
-        let mut mismatches = 0;
-        while mismatches < MAX_MISMATCHES {
+        let mut mismatches = Mismatches::default();
+        loop {
             let plan = self.layout(list).plan(number);
             let after = Duration::from(plan.origin_after);
             let spent = began.elapsed();
@@ -320,7 +345,7 @@
                 continue;
             }
             let asked_at = Instant::now();
-            let fetched = self.piece_from_origin(list, number).await;
+            let fetched = self.piece_from_origin(number).await;
             drop(slot);
             info!("piece asked of the origin", kv: {
                 version = self.weights.version, number, role = format!("{role:?}"),
@@ -330,12 +355,13 @@
                 if weights::matches_bytes(list, number, &bytes) {
                     return Some(bytes);
                 }
-                mismatches += 1;
                 info!("piece from the origin does not match its digest", kv: { number = number });
+                if mismatches.add(&bytes) {
+                    return None;
+                }
             }
             sleep(RETRY_DELAY).await;
         }
-        None
     }
 
     /// Returns whether this node may ask the origin now for what it began to fetch at `began`.
@@ -349,11 +375,11 @@
         })
     }
 
-    async fn piece_from_origin(&self, list: &PieceList, number: u32) -> Option<Bytes> {
+    async fn piece_from_origin(&self, number: u32) -> Option<Bytes> {
         let outgoing = ask_piece(&self.weights, number);
         let copy = self.node.declared.copy_time(&self.weights.model);
         let limits = CallLimits {
-            body: list.bytes as usize,
+            body: MAX_PIECE,
             connect: ORIGIN_CONNECT,
             silence: origin_silence(copy).into(),
         };
--- a/crates/filbertstack-gateway/src/weights/fetch/list.rs
+++ b/crates/filbertstack-gateway/src/weights/fetch/list.rs
@@ -27,6 +27,12 @@
 /// The origin may take this long to send a list of pieces, which is short.
 const ORIGIN_TIMEOUT: Duration = Duration::from_millis(800);
 
+/// The origin is asked at most this many times in a row for a list: of three answers one may be spoilt.
+const MAX_LIST_ANSWERS: usize = 3;
+
+/// The fetch pauses for this time after the origin has sent a list again that the pieces do not match.
+const SAME_LIST_RETRY: Duration = Duration::from_secs(1);
+
 /// The primary owner pauses for this time after the origin did not send it the list.
 const ORIGIN_RETRY: Duration = Duration::from_millis(200);
 
@@ -60,6 +66,36 @@
         }
     }
 
+    /// Returns the list to use in place of `wrong`, which a piece does not match: another one that the voters keep by
+    /// now, or what the origin answers. Other nodes may still have the wrong one. If the origin answers with it again,
+    /// its pieces were wrong, or its list will be right later: it is used once more, after a pause.
+    pub async fn list_instead_of(&self, wrong: &PieceList) -> PieceList {
+        loop {
+            let kept = self.list_from_voters().await;
+            if let Some(list) = kept.filter(|list| list != wrong) {
+                return list;
+            }
+            match self.list_from_origin().await {
+                Some(list) if list != *wrong => return self.keep(list).await,
+                Some(list) => {
+                    sleep(SAME_LIST_RETRY).await;
+                    return list;
+                }
+                None => sleep(ORIGIN_RETRY).await,
+            }
+        }
+    }
+
+    /// Returns the list of the voters if it is another than `wrong`, or else asks for it as at first. Agents do not
+    /// ask the origin for another list, as there are hundreds of them: the owner of a piece that does not match does.
+    pub async fn list_after(&self, wrong: &PieceList) -> PieceList {
+        let kept = self.list_from_voters().await;
+        match kept.filter(|list| list != wrong) {
+            Some(list) => list,
+            None => self.list().await,
+        }
+    }
+
     /// Asks the origin for the list while this node is its primary owner. All other nodes wait for it then,
     /// so the node must not wait for them: it notices at once when an origin that failed is back.
     async fn list_as_primary(&self) -> PieceList {
@@ -174,7 +210,22 @@
         }
     }
 
+    /// Asks the origin for the list until two of its answers are the same. Any of them may be spoilt, and a list with
+    /// one wrong digit that all nodes have taken over keeps every engine from the version.
     async fn list_from_origin(&self) -> Option<PieceList> {
+        let mut answers: Vec<PieceList> = Vec::new();
+        while answers.len() < MAX_LIST_ANSWERS {
+            let list = self.ask_list().await?;
+            if answers.contains(&list) {
+                return Some(list);
+            }
+            answers.push(list);
+        }
+        info!("lists of pieces from the origin differ", kv: { version = self.weights.version });
+        None
+    }
+
+    async fn ask_list(&self) -> Option<PieceList> {
         let outgoing = ask_manifest(&self.weights);
         let answer = call(self.origin()?, outgoing, MAX_LIST, ORIGIN_TIMEOUT).await;
         let read = answer
--- a/crates/filbertstack-gateway/src/weights/piece_set.rs
+++ b/crates/filbertstack-gateway/src/weights/piece_set.rs
@@ -68,6 +68,29 @@
         created
     }
 
+    /// Creates the set that takes the place of `wrong`, whose list its pieces do not match: another list is fetched,
+    /// and those of its pieces that match that one are kept.
+    pub fn replace(node: Rc<Node>, own: &str, wrong: &Rc<Self>) -> Rc<Self> {
+        let weights = wrong.weights().clone();
+        let Some(wrong_list) = wrong.list() else {
+            return Self::begin(node, own, weights);
+        };
+        let created = Rc::new(Self::new(node, own, weights));
+        let (set, wrong) = (created.clone(), wrong.clone());
+        created.tasks.borrow_mut().spawn_local(async move {
+            let list = Rc::new(set.fetch.list_instead_of(&wrong_list).await);
+            for (number, bytes) in &*wrong.pieces.borrow() {
+                if weights::matches_bytes(&list, *number, bytes) {
+                    set.requested.borrow_mut().insert(*number);
+                    set.insert(*number, bytes);
+                }
+            }
+            set.list.send_replace(Some(list));
+            set.gather();
+        });
+        created
+    }
+
     /// Returns the version of the pieces, with its model.
     pub fn weights(&self) -> &WeightsVersion {
         self.fetch.weights()
