Inspect what an earlier agent process has let its engine load

Cause: whether an engine is sound was kept in the memory of one process, and an engine of which nothing is known counted as sound.

Change: an agent that starts beside an engine that has begun orders reports nothing until it knows what was loaded, so that entries go on by the last row of the process before. That row says whether it was used, and so checked; else all pieces are read. Entries keep an engine out of use whose agent ended while it was. The engine that gave up its layers needs neither.

Ruled out: waiting for 15 s after a start (docs/design/decisions.md).

--- a/crates/filbertstack-gateway/src/agent/contents.rs
+++ b/crates/filbertstack-gateway/src/agent/contents.rs
@@ -25,6 +25,9 @@
     /// The voters could not be asked.
     #[error(transparent)]
     Group(#[from] GroupError),
+    /// The engine has restarted or begun an order meanwhile.
+    #[error("the engine has restarted or begun an order meanwhile; reading again")]
+    Changed,
 }
 
 /// `Contents` holds the digests of the pieces staged at the engine, by number.
--- a/crates/filbertstack-gateway/src/agent/mod.rs
+++ b/crates/filbertstack-gateway/src/agent/mod.rs
@@ -4,6 +4,7 @@
 mod contents;
 mod engine;
 mod gather;
+mod inspection;
 mod orders;
 mod peers;
 mod predecessor;
@@ -13,6 +14,7 @@
 mod session;
 mod stage;
 
+use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::rc::Rc;
@@ -24,6 +26,7 @@
 use tokio::task::spawn_local;
 
 use crate::agent::engine::Engine;
+use crate::agent::inspection::Inspection;
 use crate::agent::peers::PieceServer;
 use crate::agent::session::Progress;
 use crate::agent::stage::Stage;
@@ -59,6 +62,7 @@
     node: Rc<Node>,
     engine: Engine,
     stage: Stage,
+    inspection: RefCell<Inspection>,
     metrics: Rc<Metrics>,
 }
 
@@ -68,13 +72,14 @@
         format!("agent {}", self.node.settings.node.name)
     }
 
-    /// Returns whether the engine accepts no new work. While the outcome of an order is unknown and the
+    /// Returns whether the engine accepts no new work. It accepts none until the agent knows what it had loaded when
+    /// the agent started. While the outcome of an order is unknown and the
     /// engine has begun something since, it accepts none until the agent has checked what the engine loaded.
     fn refuses_work(&self) -> bool {
         let pending = self.stage.pending_order().zip(self.engine.report());
         let unchecked =
             pending.is_some_and(|(order, report)| Progress::from(&report) != order.progress);
-        unchecked || self.engine.refuses_work()
+        unchecked || !self.inspection.borrow().is_done() || self.engine.refuses_work()
     }
 
     /// Returns whether the engine holds a piece of `weights`, as far as the agent knows. An engine holds all
@@ -151,6 +156,7 @@
     let agent = Rc::new(Agent {
         engine: Engine::new(engine),
         stage: Stage::default(),
+        inspection: RefCell::new(Inspection::new(node.clock.now())),
         metrics,
         node: node.clone(),
     });
--- a/crates/filbertstack-gateway/src/agent/reports.rs
+++ b/crates/filbertstack-gateway/src/agent/reports.rs
@@ -61,7 +61,8 @@
     }
 
     fn report(&mut self, agent: &Agent) {
-        if agent.node.followed().is_none() {
+        let is_silent = agent.inspection.borrow().is_silent(agent.node.clock.now());
+        if agent.node.followed().is_none() || is_silent {
             return;
         }
         self.send_row(agent);
--- a/crates/filbertstack-gateway/src/agent/rollout.rs
+++ b/crates/filbertstack-gateway/src/agent/rollout.rs
@@ -24,6 +24,7 @@
 
 use crate::agent::Agent;
 use crate::agent::gather::gather;
+use crate::agent::inspection;
 use crate::agent::orders;
 use crate::agent::orders::Unload;
 use crate::agent::predecessor::Predecessor;
@@ -62,9 +63,11 @@
     let mut predecessor = Predecessor::new(agent.node.clock.now());
     let mut unload = Unload::default();
     loop {
+        inspection::run(&agent).await;
         orders::resolve(&agent).await;
         unload.send_if_due(&agent).await;
-        if let Some(report) = agent.engine.report() {
+        let is_inspected = agent.inspection.borrow().is_done();
+        if let Some(report) = agent.engine.report().filter(|_| is_inspected) {
             let served = report.holding.map_or(0, |holding| holding.version);
             let needed = needed(&agent, served);
             if let Some(newest) = needed.last() {
--- a/crates/filbertstack-gateway/src/agent/session.rs
+++ b/crates/filbertstack-gateway/src/agent/session.rs
@@ -181,7 +181,7 @@
     ) -> Result<(), SessionError> {
         for number in digests.len()..count {
             let number = u32::try_from(number).unwrap_or(u32::MAX);
-            digests.push(self.read_digest(model, number).await?);
+            digests.push(self.staged_digest(model, number).await?);
         }
         Ok(())
     }
@@ -207,7 +207,10 @@
     }
 
     /// Returns the digest of the staged piece `number`; `None` if none is staged.
-    async fn read_digest(
+    ///
+    /// # Errors
+    /// [`SessionError`]; the piece is then unknown.
+    pub async fn staged_digest(
         &mut self,
         model: &str,
         number: u32,
--- a/crates/filbertstack-gateway/src/request/targets.rs
+++ b/crates/filbertstack-gateway/src/request/targets.rs
@@ -328,10 +328,13 @@
         let bound = Millis::from(self.node.settings.bounds.rollout);
         let floor = rollout::oldest_allowed(ages.iter().copied(), bound);
         let patience = rollout::max_wait(ages.into_iter(), version, bound);
-        let loading = agent.is_some_and(|agent| agent.loading);
+        // An agent that ends while its engine loads, or may have loaded wrong pieces, has not checked them.
+        let id = start_id(instance, registered.stamp);
+        let loading =
+            agent.map_or_else(|| self.loading_since(&id).is_some(), |agent| agent.loading);
         let serves = engine.is_none() || (version > 0 && version >= floor && !loading);
         let offered = TargetSpec {
-            id: start_id(instance, registered.stamp),
+            id,
             service: row.service.as_str().into(),
             slots: row.slots,
             local: row.zone == self.node.settings.node.zone,
--- a/tests/gateway/orders.rs
+++ b/tests/gateway/orders.rs
@@ -1,5 +1,10 @@
 //! Tests orders to load weights whose outcome is unknown.
 
+use std::time::Duration;
+use std::time::Instant;
+
+use crate::cluster::exchange;
+use crate::cluster::get;
 use crate::cluster::wait_until;
 use crate::fleet::Fleet;
 use crate::model::LATE_LIMIT;
@@ -222,3 +227,99 @@
     fleet.await_answer(200);
     assert_eq!(fleet.bad_loads(), 1);
 }
+
+/// Starts a fleet whose engine carries out a write of an earlier process between the check of version 4 and its load,
+/// and returns once it has loaded that mix.
+fn with_mixed_weights(keeps_layers: bool) -> Fleet {
+    let mut fleet = Fleet::start(1);
+    fleet.name_version(2);
+    fleet.await_version(2);
+    fleet.await_answer(200);
+    {
+        let mut state = fleet.models[0].state();
+        state.late_puts = 1;
+        state.keeps_layers = keeps_layers;
+    }
+    fleet.name_version(3);
+    wait_until("a put is left without an answer", || {
+        fleet.models[0].state().late_puts == 0
+    });
+    fleet.cluster.kill(fleet.agents[0]);
+    fleet.name_version(4);
+    // The engine is slow, so that the agent can be stopped before it has checked what was loaded.
+    fleet.models[0].state().read_time = Duration::from_millis(50);
+    fleet.cluster.ensure_running(fleet.agents[0]);
+    wait_until("it is loaded", || fleet.models[0].state().bad_loads == 1);
+    fleet
+}
+
+/// Sends requests for `time`, each to the engine under its one id.
+fn ask_for(fleet: &Fleet, time: Duration) {
+    let began = Instant::now();
+    for n in 0.. {
+        if began.elapsed() >= time {
+            return;
+        }
+        fleet.announce_all();
+        let request = get("/stream/", &format!("while-{n}"), "");
+        let _ = exchange(&fleet.cluster.front_addr(0), &request);
+    }
+}
+
+/// Guards against callers that get tokens of two versions again once the agent that knew of them is restarted as
+/// planned, or is away for longer than entries keep its last row.
+#[test]
+fn a_restarted_agent_keeps_callers_from_mixed_weights() {
+    let mut fleet = with_mixed_weights(true);
+    let agent = fleet.agents[0];
+    wait_until("the agent knows", || {
+        fleet.cluster.has_logged(agent, "pieces of two versions")
+    });
+    assert!(fleet.cluster.stop(agent), "it stops");
+    fleet.cluster.ensure_running(agent);
+    ask_for(&fleet, Duration::from_secs(2));
+    assert!(fleet.cluster.stop(agent), "it stops");
+    ask_for(&fleet, Duration::from_secs(5));
+    fleet.cluster.ensure_running(agent);
+    ask_for(&fleet, Duration::from_secs(2));
+    assert_eq!(fleet.models[0].state().bad_answers, 0);
+    fleet.name_version(5);
+    fleet.await_version(5);
+    fleet.await_answer(200);
+}
+
+/// Guards against the same where the agent is killed right after the order, before it knows.
+#[test]
+fn an_agent_killed_right_after_an_order_leaves_its_check_to_the_next() {
+    let mut fleet = with_mixed_weights(false);
+    let agent = fleet.agents[0];
+    fleet.cluster.kill(agent);
+    ask_for(&fleet, Duration::from_secs(1));
+    fleet.cluster.ensure_running(agent);
+    wait_until("the engine serves version 4 as it was published", || {
+        ask_for(&fleet, Duration::from_millis(100));
+        let state = fleet.models[0].state();
+        state.version == 4 && !state.serves_bad
+    });
+    fleet.await_answer(200);
+    assert_eq!(fleet.models[0].state().bad_answers, 0);
+}
+
+/// Guards against a planned restart that takes a sound engine out of use, or loads it again.
+#[test]
+fn a_restarted_agent_goes_on_with_an_engine_that_was_used() {
+    let mut fleet = Fleet::start(1);
+    fleet.name_version(2);
+    fleet.await_version(2);
+    fleet.await_answer(200);
+    // It turned bad after it was loaded.
+    fleet.models[0].state().staged.insert(3, b"rot".to_vec());
+    let agent = fleet.agents[0];
+    assert!(fleet.cluster.stop(agent), "it stops");
+    fleet.cluster.ensure_running(agent);
+    fleet.await_answer(200);
+    fleet.name_version(3);
+    fleet.await_version(3);
+    assert_eq!(fleet.models[0].state().loaded, [2, 3]);
+    assert_eq!(fleet.bad_loads(), 0);
+}
