Refuse two organisations of one name that share a key

Cause: the holders of a key were compared by name. Change: they are compared by their place in the document. Ruled out: a key that one organisation lists twice; it has one holder.

Before: the new row of invalid_documents_are_refused fails, as the document is accepted. After: it passes.

--- a/crates/filbertstack-core/src/serving.rs
+++ b/crates/filbertstack-core/src/serving.rs
@@ -432,7 +432,8 @@
         let organisation = Arc::new(organisation);
         for key in &organisation.keys {
             let other = holders.insert(key.clone(), organisation.clone());
-            if let Some(other) = other.filter(|o| o.name != organisation.name) {
+            // Two organisations may be declared under one name. One may list a key twice.
+            if let Some(other) = other.filter(|o| !Arc::ptr_eq(o, &organisation)) {
                 return Err(CatalogueError::SharedKey {
                     first: other.name.clone(),
                     second: organisation.name.clone(),
