Inspect an engine only once it has carried out its order

Cause: the new process inspected the version that the engine still held. The load by the order of the process before came after that.

Change: an engine that is busy is not inspected yet.

The soak rolls weights out to engines that are read slowly, lose pieces or carry out writes late, with wrong lists, one to five attempts, and agents that are killed, stopped and frozen.

--- a/crates/filbertstack-gateway/src/agent/inspection.rs
+++ b/crates/filbertstack-gateway/src/agent/inspection.rs
@@ -71,7 +71,8 @@
 
 /// Inspects the engine, if that is not done yet and all that it takes is known.
 pub async fn run(agent: &Agent) {
-    let Some(report) = agent.engine.report() else {
+    // An engine that is busy carries out an order of an earlier process and will hold what that one had staged.
+    let Some(report) = agent.engine.report().filter(|report| !report.busy) else {
         return;
     };
     if agent.inspection.borrow().is_done() {
--- a/tests/gateway/model.rs
+++ b/tests/gateway/model.rs
@@ -139,8 +139,8 @@
     pub restarts_after: Option<u32>,
     reads: u32,
     late: Vec<Order>,
-    /// The version that the engine loads when its streams have ended.
-    next_version: Option<u64>,
+    /// The version that the engine loads when its streams have ended, and whether it has taken a wrong piece of it.
+    next_version: Option<(u64, bool)>,
     /// The orders begun since the engine's start.
     sequence: u64,
     born: u64,
@@ -280,6 +280,7 @@
         self.late_put = None;
         self.next_version = None;
         self.version = 0;
+        self.serves_bad = false;
         self.sequence = 0;
         self.born += 1;
     }
@@ -305,10 +306,10 @@
             self.apply_late_put();
         }
         let right = |n| self.staged.get(&n) == Some(&piece(order.version, n));
-        self.serves_bad = !(0..PIECES).all(right);
+        let is_bad = !(0..PIECES).all(right);
         self.bad_loads += u32::from(!(0..PIECES).all(|n| self.is_excused(order.version, n)));
         self.sequence += 1;
-        self.next_version = Some(order.version);
+        self.next_version = Some((order.version, is_bad));
         self.load_if_idle();
         plain_answer("202 Accepted", b"")
     }
@@ -318,8 +319,9 @@
         if self.streams.running() > 0 {
             return;
         }
-        if let Some(version) = self.next_version.take() {
+        if let Some((version, is_bad)) = self.next_version.take() {
             self.version = version;
+            self.serves_bad = is_bad;
             self.loaded.push(version);
         }
     }
--- a/tests/soak/fleet.rs
+++ b/tests/soak/fleet.rs
@@ -84,8 +84,8 @@
     origin_proxy: Proxy,
     /// The number of versions of the weights that are published in sequence at a time.
     version_count: u32,
-    /// Whether every second document allows a stream one attempt alone.
-    varies_attempts: bool,
+    /// The largest number of attempts of a stream; `None` if all documents declare the same.
+    most_attempts: Option<u64>,
     over: AtomicBool,
     /// The newest acknowledged version of the document.
     acknowledged: AtomicU64,
@@ -99,15 +99,25 @@
     /// Starts four entries, two engines for each plain service, and two model engines with agents.
     /// Weights are published as `version_count` versions in sequence.
     pub fn start(seed: u64, version_count: u32) -> Self {
-        Self::launch(seed, version_count, EVENT_PAUSE)
+        Self::launch(seed, version_count, EVENT_PAUSE, None)
     }
 
     /// Starts the same fleet with streams that run for more than a second.
     pub fn with_long_streams(seed: u64) -> Self {
-        Self::launch(seed, 1, LONG_EVENT_PAUSE)
+        Self::launch(seed, 1, LONG_EVENT_PAUSE, Some(2))
     }
 
-    fn launch(seed: u64, version_count: u32, event_pause: Duration) -> Self {
+    /// Starts the same fleet, whose documents allow one to five attempts in turn.
+    pub fn with_many_attempts(seed: u64) -> Self {
+        Self::launch(seed, 1, LONG_EVENT_PAUSE, Some(5))
+    }
+
+    fn launch(
+        seed: u64,
+        version_count: u32,
+        event_pause: Duration,
+        most_attempts: Option<u64>,
+    ) -> Self {
         let mut cluster = Cluster::start(VOTERS, ENTRIES - VOTERS);
         let origin_store = Origin::default();
         let origin_proxy = Proxy::start(origin_store.start().addr);
@@ -127,7 +137,7 @@
             origin_store,
             origin_proxy,
             version_count,
-            varies_attempts: event_pause == LONG_EVENT_PAUSE,
+            most_attempts,
             over: AtomicBool::new(false),
             acknowledged: AtomicU64::new(0),
             version: AtomicU64::new(seed % 7),
@@ -212,8 +222,8 @@
         let version = self.0.version.fetch_add(1, Ordering::SeqCst) + 1;
         let mut declared = document(version);
         declared["services"] = services(self.0.origin_proxy.addr);
-        if self.0.varies_attempts {
-            declared["routes"][2]["maxAttempts"] = json!(1 + version % 2);
+        if let Some(most) = self.0.most_attempts {
+            declared["routes"][2]["maxAttempts"] = json!(1 + version % most);
         }
         let body = declared.to_string();
         let fleet = self.clone();
@@ -365,6 +375,18 @@
         violation.into_iter().collect()
     }
 
+    /// Returns a violation if engines got requests while they served corrupt, missing or mixed pieces.
+    pub fn wrong_answers(&self) -> Vec<String> {
+        let wrong: u32 = self.models().map(|t| t.model.state().bad_answers).sum();
+        let violation = (wrong > 0).then(|| format!("{wrong} requests ran on wrong weights"));
+        violation.into_iter().collect()
+    }
+
+    /// Makes the origin send the next `count` lists with the same wrong digit.
+    pub fn spoil_lists(&self, count: u64) {
+        self.0.origin_store.spoil_lists(count);
+    }
+
     /// Returns the number of runs of a request, at all engines.
     pub fn runs(&self, attempt: &str) -> u32 {
         let targets = self.targets().iter();
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -28,6 +28,7 @@
 mod planned;
 mod proxy;
 mod replacements;
+mod rollouts;
 
 use std::thread;
 
@@ -54,6 +55,10 @@
 /// The seeds of replacements that CI runs.
 const REPLACEMENT_SEEDS: [u64; 2] = [1, 2];
 
+/// The seeds of rollouts that CI runs. In the first, an agent starts while its engine still finishes streams before it
+/// loads, by an order of the process before.
+const ROLLOUT_SEEDS: [u64; 2] = [1, 2];
+
 /// The number of seeds that run at a time; each runs eight processes.
 const PARALLEL_SEEDS: usize = 4;
 
@@ -196,6 +201,35 @@
     assert!(violations.is_empty(), "{}", violations.join("\n"));
 }
 
+/// Rolls weights out to engines in trouble, and returns the broken guarantees.
+fn run_rollouts(seed: u64) -> Vec<String> {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let fleet = Fleet::with_many_attempts(seed);
+    let _end = EndOnDrop(fleet.clone());
+    let callers = callers::start(&fleet, seed);
+    let rounds = rollouts::carry_out(&fleet, &mut rng);
+    fleet.end_faults();
+    let mut violations = callers.finish(&fleet);
+    violations.extend(fleet.wrong_answers());
+    if !violations.is_empty() {
+        println!("{}", fleet.describe());
+    }
+    println!("seed {seed}: {rounds:?}; {}", callers::summary(&fleet));
+    violations
+        .into_iter()
+        .map(|violation| format!("seed {seed}: {violation}"))
+        .collect()
+}
+
+/// Versions of the weights follow each other while an engine is slow to read its pieces, loses some of them or carries out
+/// writes late, the origin sends wrong lists, and agents are killed, stopped or frozen. No caller is answered from
+/// wrong weights, events come once and in order, and all engines get the newest version.
+#[test]
+fn no_caller_is_answered_from_wrong_weights() {
+    let violations = run_seeds(&seeds_or(&ROLLOUT_SEEDS), run_rollouts);
+    assert!(violations.is_empty(), "{}", violations.join("\n"));
+}
+
 /// Guards against staging a newer version over one that an engine may still get an order to load.
 #[test]
 fn an_ordered_version_is_not_overwritten() {
