Log the time limit that an engine is told, and answers begun too late

Whether a request began on replaced weights because its engine was told too much time, because a clock was read too late or because the entry took the engine for one of the newer version could not be told from logs: sends named neither the limit nor the time left to begin, an attempt that was given up named no reason, and a late answer left no trace.

Now sends and give-ups name them, and a late answer is logged and counted. No decision changes.

--- a/crates/filbertstack-gateway/src/request/attempt.rs
+++ b/crates/filbertstack-gateway/src/request/attempt.rs
@@ -67,6 +67,12 @@
 /// The time left until the deadline below which nothing is sent any more: no answer could arrive in it.
 const MIN_TIME_LEFT: Duration = Duration::from_millis(5);
 
+/// Why an attempt ends without an answer: the target holds an older version, which may no longer begin.
+const MAY_NOT_BEGIN: &str = "the weights may no longer begin";
+
+/// Why an attempt ends without an answer: its caller receives no event for so long that it is about to disconnect.
+const CALLER_LEAVES: &str = "the caller is about to leave";
+
 /// The head of a target's answer, or the error of the connection.
 type HeadResult = Result<Response<Incoming>, hyper::Error>;
 
@@ -299,7 +305,6 @@
             return Outcome::NotRun;
         }
         tries.attempts.count_sent();
-        log_sent(requests, call, chosen, tries);
         let onward = ForwardHeaders {
             time_left: call.time_left(),
             instance: instance_of(&chosen.id),
@@ -308,6 +313,7 @@
             resume_after: self.resume_after(),
             priority: call.urgency(),
         };
+        log_sent(requests, call, chosen, tries, onward.time_left);
         let mut reply = {
             let sending = std::pin::pin!(connected.connection.send(build_request(call, &onward)));
             self.await_head(chosen, tries, begin_by, sending).await
@@ -379,8 +385,11 @@
             let Some(begin_by) = begin_by else {
                 return Awaited::Head(sending.await);
             };
-            let reply = timeout_at(begin_by, sending).await;
-            return reply.map_or(Awaited::GivenUp, Awaited::Head);
+            let sent_at = Instant::now();
+            return match timeout_at(begin_by, sending).await {
+                Ok(reply) => Awaited::Head(reply),
+                Err(_) => self.give_up(chosen, sent_at, MAY_NOT_BEGIN),
+            };
         }
         let began = Instant::now();
         loop {
@@ -388,13 +397,11 @@
                 return Awaited::Head(reply);
             }
             let waited = began.elapsed();
-            let may_begin = begin_by.is_none_or(|until| Instant::now() < until);
-            if !may_begin || is_caller_leaving(call, self.last_bytes_at()) {
-                info!("target silent, given up", kv: {
-                    request = call.head.id(), target = instance_of(&chosen.id),
-                    waited_ms = waited.as_millis(), forsaken = true
-                });
-                return Awaited::GivenUp;
+            if begin_by.is_some_and(|until| Instant::now() >= until) {
+                return self.give_up(chosen, began, MAY_NOT_BEGIN);
+            }
+            if is_caller_leaving(call, self.last_bytes_at()) {
+                return self.give_up(chosen, began, CALLER_LEAVES);
             }
             let target_silent = waited >= call.route.goal && requests.targets.is_silent(&chosen.id);
             if !target_silent && waited < silence_limit(call) {
@@ -413,6 +420,17 @@
         }
     }
 
+    /// Logs and counts that an attempt which was sent at `sent_at` ends without an answer.
+    fn give_up(&self, chosen: &Chosen, sent_at: Instant, why: &'static str) -> Awaited {
+        let Self { requests, call, .. } = *self;
+        info!("target silent, given up", kv: {
+            request = call.head.id(), target = instance_of(&chosen.id),
+            waited_ms = sent_at.elapsed().as_millis(), forsaken = true, why = why
+        });
+        requests.metrics.entry.give_ups.add(why, 1);
+        Awaited::GivenUp
+    }
+
     /// Sends a request to another target while the first is silent. Returns `None` if the other does not answer it,
     /// so that the first alone is left.
     async fn race(
@@ -463,15 +481,25 @@
 
 /// Logs the target of an attempt and the data behind the choice. An age of -1 means that there was no load
 /// report; weights of 0 mean that any version may answer; a rank of -1 means that its service has no ranks.
-fn log_sent(requests: &Requests, call: &Call, chosen: &Chosen, tries: &Tries) {
+/// The time limit is the one that the target is told, and -1 means that it may begin at any time in it.
+fn log_sent(
+    requests: &Requests,
+    call: &Call,
+    chosen: &Chosen,
+    tries: &Tries,
+    time_limit: Duration,
+) {
     let age = chosen.report_age.and_then(|age| i64::try_from(age.0).ok());
+    let begin_within = chosen.time_limit.map(|left| left.as_millis());
+    let begin_within = begin_within.and_then(|left| i64::try_from(left).ok());
     info!("sent", kv: {
         request = call.head.id(), target = instance_of(&chosen.id), attempt = tries.attempts.sent(),
         waited_ms = call.arrived_at.elapsed().as_millis(), prompt = call.prompt(),
         predicted_ms = chosen.predicted_ms.round(),
         report_age_ms = age.unwrap_or(-1),
         configuration = requests.node.declared.version(), weights = chosen.version.unwrap_or(0),
-        rank = call.contender.as_ref().map_or(-1, |contender| i32::from(contender.rank.0))
+        rank = call.contender.as_ref().map_or(-1, |contender| i32::from(contender.rank.0)),
+        time_limit_ms = time_limit.as_millis(), begin_within_ms = begin_within.unwrap_or(-1)
     });
 }
 
--- a/crates/filbertstack-gateway/src/request/classify.rs
+++ b/crates/filbertstack-gateway/src/request/classify.rs
@@ -8,6 +8,7 @@
 use http::StatusCode;
 use hyper::body::Incoming;
 use spdlog::info;
+use spdlog::warn;
 
 use crate::request::Call;
 use crate::request::attempt::Outcome;
@@ -42,6 +43,9 @@
     if head.answers_attempt && !misdirected {
         record_notices(call, &guard, &head);
     }
+    if served && head.answers_attempt {
+        report_late_begin(call, &guard, &head);
+    }
     if head.answers_attempt && (head.not_run || misdirected) {
         guard.ended = AttemptEnd::TurnedAway;
         if misdirected {
@@ -70,6 +74,22 @@
     Outcome::Answer(response, guard)
 }
 
+/// Logs and counts an answer that began on a version of the weights that was no longer allowed to begin.
+fn report_late_begin(call: &Call, guard: &AttemptGuard, head: &ReplyHead) {
+    let targets = &guard.requests.targets;
+    let overdue = head.weights.and_then(|v| targets.overdue(&call.service, v));
+    let Some(late) = overdue else {
+        return;
+    };
+    warn!("answer begun on replaced weights after their bound", kv: {
+        request = call.head.id(), target = instance_of(&guard.id),
+        version = head.weights.unwrap_or(0), late_ms = late.0,
+        took_ms = guard.sent_at.elapsed().as_millis()
+    });
+    let metrics = &guard.requests.metrics;
+    metrics.entry.late_begins.add(&call.service, 1);
+}
+
 /// Records what the target wants from this entry, whether or not it answered the request.
 fn record_notices(call: &Call, guard: &AttemptGuard, head: &ReplyHead) {
     let targets = &guard.requests.targets;
--- a/crates/filbertstack-gateway/src/request/targets.rs
+++ b/crates/filbertstack-gateway/src/request/targets.rs
@@ -374,6 +374,16 @@
         ages.collect()
     }
 
+    /// Returns how long ago a version of the weights of `service` was allowed to begin for the last time; `None` if it
+    /// still is.
+    pub fn overdue(&self, service: &str, version: u64) -> Option<Millis> {
+        let catalogue = self.node.declared.catalogue();
+        let engine = catalogue.service(service)?.engine.as_ref()?;
+        let ages = self.ages(engine, self.node.clock.now());
+        let bound = Millis::from(self.node.settings.bounds.rollout);
+        rollout::overdue(ages.into_iter(), version, bound)
+    }
+
     /// Counts a request for `service` that arrives.
     pub fn count_arrival(&self, service: &Arc<str>) {
         let now = self.node.clock.now();
--- a/crates/filbertstack-policy/src/rollout.rs
+++ b/crates/filbertstack-policy/src/rollout.rs
@@ -127,6 +127,17 @@
     time_left.min()
 }
 
+/// Returns how long ago `version` was allowed to begin for the last time, given each version and how long ago it was
+/// named. Returns `None` if it still is.
+pub fn overdue(
+    named: impl Iterator<Item = (u64, Millis)>,
+    version: u64,
+    bound: Millis,
+) -> Option<Millis> {
+    let newer = named.filter(|(newer, since)| *newer > version && *since > bound);
+    newer.map(|(_, since)| since.since(bound)).max()
+}
+
 /// Returns how long after a version was named the engine of the agent `own` is ordered to load it.
 /// `agents` are those of all engines of the model, in the same order on every node.
 pub fn order_delay(own: &str, agents: &[Arc<str>], bound: Millis, timing: LoadTiming) -> Millis {
--- a/crates/filbertstack-policy/tests/rollout.rs
+++ b/crates/filbertstack-policy/tests/rollout.rs
@@ -10,6 +10,7 @@
 use filbertstack_policy::rollout::may_order;
 use filbertstack_policy::rollout::oldest_allowed;
 use filbertstack_policy::rollout::order_delay;
+use filbertstack_policy::rollout::overdue;
 use filbertstack_policy::rollout::record_version;
 use filbertstack_policy::rollout::resend_delay;
 use filbertstack_policy::rollout::version_to_stage;
@@ -317,3 +318,15 @@
     let late = max_wait([(2, late)].into_iter(), 1, bound);
     assert!(late > Some(Millis(1_500)), "most streams end in that time");
 }
+
+/// Guards against late answers that nobody is told of, and against a warning of answers that are in time.
+#[test]
+fn an_older_version_is_overdue_from_its_bound_on() {
+    let overdue = |version, since| {
+        let named = [(1, Millis(60_000)), (2, Millis(since)), (3, Millis(10))];
+        overdue(named.into_iter(), version, BOUND)
+    };
+    assert_eq!(overdue(1, BOUND.0), None);
+    assert_eq!(overdue(1, BOUND.0 + 70), Some(Millis(70)));
+    assert_eq!(overdue(2, BOUND.0 + 70), None);
+}
--- a/crates/filbertstack-telemetry/src/metrics/groups.rs
+++ b/crates/filbertstack-telemetry/src/metrics/groups.rs
@@ -22,6 +22,10 @@
     pub ranks: LabelledCounter,
     /// The requests that were not sent to the target that was chosen for them, by reason.
     pub denials: LabelledCounter,
+    /// The attempts that ended before an answer began, by reason.
+    pub give_ups: LabelledCounter,
+    /// The answers that began on a version of the weights after its bound, by service.
+    pub late_begins: LabelledCounter,
     /// The changes of targets' paces as this entry estimates them, by the new state.
     pub paces: LabelledCounter,
     /// The answers that ended before they were complete, by cause.
@@ -79,6 +83,18 @@
                 "Requests by rank and admission",
             ),
             denials: LabelledCounter::new(m, "entry_denials", "reason", "Sends denied"),
+            give_ups: LabelledCounter::new(
+                m,
+                "entry_give_ups",
+                "reason",
+                "Attempts that ended before an answer began",
+            ),
+            late_begins: LabelledCounter::new(
+                m,
+                "entry_late_begins",
+                "service",
+                "Answers that began on replaced weights after their bound",
+            ),
             paces: LabelledCounter::new(
                 m,
                 "entry_target_paces",
