--- a/tests/gateway/engine.rs
+++ b/tests/gateway/engine.rs
@@ -245,7 +245,7 @@
 }
 
 /// Returns the time that a request gives the engine.
-fn time_left(received: &Received) -> Duration {
+pub fn time_left(received: &Received) -> Duration {
     let left = received.header("x-filbertstack-deadline-ms").parse();
     Duration::from_millis(left.unwrap_or(60_000))
 }
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -1,6 +1,7 @@
 //! Runs entries and agents on loopback as real processes, with stand-ins for engines and for the origin of
 //! weights.
 
+mod begins;
 mod checks;
 mod cluster;
 mod cold;
