Test that a head which is cut short is no answer

Operators reported an engine that closes in the middle of its answer's head, and callers who get a success with an empty or short body. It does not happen here: heads are cut around each line's end and within each line, of answers with a length, in chunks and with neither, on routes of each kind, on new and on kept connections, and the agent's reader at every byte. Cut right after the head, an answer with neither length nor chunks is passed on with an empty body, as nothing marks its end but its connection (seen while a test cut two bytes too late: 200 and ""); event streams are known to be cut by their events.

--- a/crates/filbertstack-agent/tests/target.rs
+++ b/crates/filbertstack-agent/tests/target.rs
@@ -1,6 +1,7 @@
 //! Tests of how the agent classifies an engine's answers, and missing answers.
 
 use std::io::Read as _;
+use std::io::Write as _;
 use std::net::TcpListener;
 use std::path::Path;
 use std::thread;
@@ -8,6 +9,7 @@
 use filbertstack_agent::target::Target;
 use filbertstack_agent::target::TargetError;
 use filbertstack_core::Digest;
+use filbertstack_wire::messages::Dispatch;
 use filbertstack_wire::messages::Fence;
 
 fn send_load(url: &str) -> Result<(), TargetError> {
@@ -45,3 +47,43 @@
         "{outcome:?}"
     );
 }
+
+/// Returns whether a request gets an answer of which the engine sends `sent` and then closes.
+fn is_answered(sent: &[u8]) -> bool {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let url = format!("http://{}", listener.local_addr().unwrap());
+    let sent = sent.to_vec();
+    let engine = thread::spawn(move || {
+        let (mut stream, _) = listener.accept().unwrap();
+        let mut head = [0; 1024];
+        assert!(stream.read(&mut head).unwrap() > 0);
+        stream.write_all(&sent).unwrap();
+    });
+    let dispatch = Dispatch {
+        method: "GET".into(),
+        path: "/".into(),
+        timeout: 5_000,
+        ..Dispatch::default()
+    };
+    let answered = Target::new(&url).dispatch(&dispatch).is_ok();
+    engine.join().unwrap();
+    answered
+}
+
+// Guards against a caller who gets a success with an empty or short body: the engine closes its connection in
+// the middle of its answer's head.
+#[test]
+fn a_head_cut_short_is_no_answer() {
+    let framings = [
+        "Content-Length: 4\r\n",
+        "Transfer-Encoding: chunked\r\n",
+        "",
+    ];
+    for framing in framings {
+        let head = format!("HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n{framing}\r\n");
+        for cut in 1..head.len() {
+            assert!(!is_answered(&head.as_bytes()[..cut]), "{framing:?}, {cut}");
+        }
+        assert!(is_answered(head.as_bytes()), "{framing:?}, whole");
+    }
+}
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -13,6 +13,7 @@
 mod engine;
 mod evacuations;
 mod fleet;
+mod heads;
 mod limits;
 mod model;
 mod notices;
