Test the bound of a resumed stream and of two versions named in a row

Two more ways by which a request may begin late: it resumes a stream that another engine has broken off, or a second version is named right after the first, whose bound still counts.

--- a/tests/gateway/begins.rs
+++ b/tests/gateway/begins.rs
@@ -47,15 +47,21 @@
 /// Frozen entries freeze this long after the naming, and wake as long after the bound.
 const FREEZE_AT: Duration = Duration::from_secs(5);
 
+/// A stream that is broken off lacks this many bytes: all after its first event.
+const REST: usize = 59;
+
 /// The requests that engines have begun, with their attempt's id, and when.
 type Begun = Arc<Mutex<Vec<(String, Instant)>>>;
 
+/// The id of a caller's attempt, and the status and the body that it got.
+type Answered = (String, u16, String);
+
 /// What the callers of a run received, by the id of their attempt, and what the engines did.
 struct Run {
     /// The time after which nothing may begin.
     ends: Instant,
     begun: Vec<(String, Instant)>,
-    answers: Vec<(String, u16, String)>,
+    answers: Vec<Answered>,
     logged: String,
 }
 
@@ -106,13 +112,18 @@
 
 /// Returns an engine's behaviour that keeps each request for `hold` in a queue, begins it if its time limit has not
 /// passed, and does not notice a close.
-fn queueing(hold: Duration, begun: &Begun) -> Behaviour {
+fn queueing(scene: Scene, begun: &Begun) -> Behaviour {
+    let hold = scene.hold;
+    let breaks = scene.event == Event::Breaks;
     let begun = begun.clone();
     Box::new(move |received: &Received| {
         let id = received.header("x-filbertstack-attempt-id").to_owned();
         if id.starts_with("probe") {
             return stream(received, EVENTS, 0);
         }
+        if breaks && received.header("last-event-id").is_empty() {
+            return stream(received, EVENTS, if id.ends_with('0') { REST } else { 0 });
+        }
         let expires = Instant::now() + time_left(received);
         thread::sleep(hold);
         if Instant::now() >= expires {
@@ -139,8 +150,20 @@
     pause: Duration,
     /// Further headers of the callers.
     headers: &'static str,
-    /// Whether the entries are frozen from [`FREEZE_AT`] until after the bound.
-    freezes: bool,
+    /// What happens besides.
+    event: Event,
+}
+
+/// What happens besides the naming of a version.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Event {
+    Nothing,
+    /// The entries are frozen from [`FREEZE_AT`] until after the bound.
+    Freeze,
+    /// Engines begin at once, and break one of ten streams off, so that others resume it from their queues.
+    Breaks,
+    /// A second version is named right after the first.
+    SecondNaming,
 }
 
 /// Engines queue requests of unknown length for 2.5 s.
@@ -150,7 +173,7 @@
     hold: Duration::from_millis(2_500),
     pause: Duration::ZERO,
     headers: "",
-    freezes: false,
+    event: Event::Nothing,
 };
 
 /// Names a version whose pieces never arrive, so that all engines stay at the one before it, and calls them until
@@ -168,7 +191,7 @@
     }
     fleet.cluster.put_document(&[0], &declared);
     for _ in 0..3 {
-        fleet.add_behaving(scene.pause, queueing(scene.hold, &begun));
+        fleet.add_behaving(scene.pause, queueing(scene, &begun));
     }
     fleet.name_version(1);
     fleet.await_version(1);
@@ -176,8 +199,11 @@
     fleet.origin.refuse_lists(u64::MAX);
     fleet.name_version(2);
     let ends = Instant::now() + BOUND;
-    let callers = call_evenly(&fleet, ends, scene.headers);
-    if scene.freezes {
+    if scene.event == Event::SecondNaming {
+        fleet.name_version(3);
+    }
+    let callers = call_evenly(&fleet, ends, scene);
+    if scene.event == Event::Freeze {
         freeze_entries(&fleet, ends);
     }
     wait_until("all callers have left", || {
@@ -211,11 +237,7 @@
 }
 
 /// Starts callers at all entries, evenly until `ends`.
-fn call_evenly(
-    fleet: &Fleet,
-    ends: Instant,
-    headers: &'static str,
-) -> Vec<JoinHandle<(String, u16, String)>> {
+fn call_evenly(fleet: &Fleet, ends: Instant, scene: Scene) -> Vec<JoinHandle<Answered>> {
     let first = ends.checked_sub(BOUND).expect("after the start") + FIRST_CALL;
     let gap = ends.saturating_duration_since(first) / CALLS;
     let callers = (0..CALLS).map(|n| {
@@ -224,7 +246,14 @@
         thread::spawn(move || {
             thread::sleep(at.saturating_duration_since(Instant::now()));
             let id = format!("c{n}");
-            let answer = exchange(&front, &get("/stream/", &id, headers));
+            // Requests with one path that are broken off count as one that crashes engines.
+            let own = if scene.event == Event::Breaks {
+                &id
+            } else {
+                ""
+            };
+            let request = get(&format!("/stream/{own}"), &id, scene.headers);
+            let answer = exchange(&front, &request);
             let (status, body) = answer.map_or((0, String::new()), |a| (a.status, a.body));
             (id, status, body)
         })
@@ -280,12 +309,34 @@
     let scene = Scene {
         hold: Duration::from_millis(3_500),
         headers: SHORT_TOKENS,
-        freezes: true,
+        event: Event::Freeze,
         ..QUEUE
     };
     call_until_bound(scene).assert_none_late();
 }
 
+/// Guards against the same for streams that are resumed at another engine.
+#[test]
+fn a_resumed_stream_does_not_begin_after_the_bound() {
+    let scene = Scene {
+        attempts: 2,
+        event: Event::Breaks,
+        ..QUEUE
+    };
+    call_until_bound(scene).assert_none_late();
+}
+
+/// Guards against the same where a second version is named right after the first, whose bound still counts.
+#[test]
+fn a_second_naming_does_not_extend_the_bound_of_the_first() {
+    let scene = Scene {
+        headers: SHORT_TOKENS,
+        event: Event::SecondNaming,
+        ..QUEUE
+    };
+    call_until_bound(scene).assert_in_time();
+}
+
 /// Guards against a stream that begins in time and is cut by the limit on its begin: its engine ends work at the time
 /// limit that it is given.
 #[test]
