Keep streams from engines that would cut them while none can go on

A request counts as one that may move only if a target of its service has the newest weights, so that it must be expected to end in half of the time otherwise. Without an estimate the greatest number of tokens counts, and a request of unknown length goes to no engine of an older version in the second half of the bound.

--- a/crates/filbertstack-gateway/src/request/mod.rs
+++ b/crates/filbertstack-gateway/src/request/mod.rs
@@ -247,7 +247,7 @@
         let lasted = tries.begun_at.map_or(Duration::ZERO, |at| at.elapsed());
         Work {
             time_left: Millis::from(self.time_left()),
-            answer: expected.map(|expected| most.map_or(expected, |most| most.min(expected))),
+            answer: [expected, most].into_iter().flatten().min(),
             lasted: Millis::from(lasted),
             movable: self.may_repeat() && !tries.attempts.is_last(self.route.attempts),
         }
--- a/crates/filbertstack-policy/src/begin.rs
+++ b/crates/filbertstack-policy/src/begin.rs
@@ -47,7 +47,8 @@
 pub struct Work {
     /// The time left until the deadline of the request.
     pub time_left: Millis,
-    /// The number of tokens that its caller expects in the answer; `None` if it names none.
+    /// The number of tokens that its caller expects in the answer, or the most that it takes; `None` if it names none.
+    /// The length of such an answer is unknown, and it is not expected to end in time.
     pub answer: Option<u32>,
     /// For how long the answer has lasted at other targets.
     pub lasted: Millis,
--- a/crates/filbertstack-policy/src/dispatch.rs
+++ b/crates/filbertstack-policy/src/dispatch.rs
@@ -213,6 +213,7 @@
         let demand = demand.map_or(0.0, Rate::per_ms_at_last);
         let demand = claim.map_or(demand, |claim| claim.demand);
         let free_slots = self.free_slots(now, wanted, limit, cut_off);
+        let work = self.movable_work(wanted.work, wanted.service);
         let mut lowest = f64::INFINITY;
         let mut yields = false;
         let mut rest_end = None;
@@ -244,7 +245,7 @@
                 }
                 Some(_) => continue,
             }
-            if target.grant(now, prompt, wanted.work).is_none() {
+            if target.grant(now, prompt, work).is_none() {
                 continue;
             }
             if !cut_off && target.is_silent(now) {
@@ -505,9 +506,28 @@
     /// `None` if it may not begin the request, or is not known any more.
     pub fn grant(&self, now: Millis, id: &str, prompt: u32, work: Work) -> Option<Grant> {
         let target = self.targets.get(id)?;
+        let work = self.movable_work(work, &target.spec.service);
         target.grant(now, f64::from(prompt), work)
     }
 
+    /// Returns `work` as one that can't move if no target of the service has the newest weights: those that a limit
+    /// ends would end with it.
+    fn movable_work(&self, work: Work, service: &str) -> Work {
+        let continues = |target: &Target| {
+            let TargetSpec {
+                service: served,
+                accepts_work,
+                replaced,
+                ..
+            } = &target.spec;
+            **served == *service && *accepts_work && replaced.is_none()
+        };
+        Work {
+            movable: work.movable && self.targets.values().any(continues),
+            ..work
+        }
+    }
+
     /// Records that a target asks this entry for rest.
     pub fn record_rest(&mut self, now: Millis, id: &TargetId, rest: Millis) {
         self.notices.record_rest(now, id, rest);
--- a/crates/filbertstack-policy/tests/dispatch.rs
+++ b/crates/filbertstack-policy/tests/dispatch.rs
@@ -8,11 +8,14 @@
 use batch::EIGHT_SLOTS;
 use batch::TWELVE_SLOTS;
 use filbertstack_core::Millis;
+use filbertstack_policy::begin::Replaced;
+use filbertstack_policy::begin::Work;
 use filbertstack_policy::dispatch::AttemptEnd;
 use filbertstack_policy::dispatch::ChooseError;
 use filbertstack_policy::dispatch::Dispatcher;
 use filbertstack_policy::dispatch::Load;
 use filbertstack_policy::dispatch::Sharers;
+use filbertstack_policy::dispatch::TargetRequest;
 use filbertstack_policy::dispatch::TargetSpec;
 use rand::SeedableRng as _;
 use rand_chacha::ChaCha8Rng;
@@ -527,3 +530,43 @@
         "{received:?} against {heedless:?}"
     );
 }
+
+/// Returns the shortest time until its bound at which a target with replaced weights still gets a request that may
+/// move, if another target with the newest weights is known or not.
+fn shortest_time_left(has_newest: bool) -> Option<u64> {
+    let work = Work {
+        time_left: Millis(50_000),
+        answer: Some(60),
+        movable: true,
+        ..Work::default()
+    };
+    (0..4_000).find(|left| {
+        let mut entry = Dispatcher::new(ChaCha8Rng::seed_from_u64(1));
+        let replaced = Replaced {
+            begin_by: Millis(*left),
+            bound: Millis(8_000),
+        };
+        let older = TargetSpec {
+            replaced: Some(replaced),
+            ..spec(0, true)
+        };
+        let newest = has_newest.then(|| spec(1, true));
+        entry.set_targets(std::iter::once(older).chain(newest).collect());
+        let wanted = TargetRequest {
+            service: "llm",
+            goal: Millis(1_000),
+            tried: &["e1".into()],
+            work,
+            ..TargetRequest::default()
+        };
+        entry.choose(Millis::ZERO, &wanted).is_ok()
+    })
+}
+
+/// Guards against streams that a target of an older version ends at its limit while no other can continue them, as the
+/// newer version has arrived nowhere.
+#[test]
+fn what_no_target_could_continue_needs_more_time_until_the_bound() {
+    let (with, without) = (shortest_time_left(true), shortest_time_left(false));
+    assert!(with.is_some() && with < without, "{with:?}, {without:?}");
+}
