Tell a target the time that is left when a request is sent once more

A request that is sent again on a new connection, as the target had closed the pooled one, was told the time of its first send, up to 0.4 s too much. It is computed anew, as the time until the bound is. Found by reading; the difference is below what callers notice, and no test shows it.

--- a/crates/filbertstack-gateway/src/request/attempt.rs
+++ b/crates/filbertstack-gateway/src/request/attempt.rs
@@ -12,6 +12,7 @@
 use filbertstack_platform::request::strip_hop_headers;
 use filbertstack_policy::attempts::Attempts;
 use filbertstack_policy::begin::Grant;
+use filbertstack_policy::begin::Work;
 use filbertstack_policy::dispatch::AttemptEnd;
 use filbertstack_policy::dispatch::ChooseError;
 use filbertstack_policy::dispatch::TargetId;
@@ -308,7 +309,11 @@
         let mut reply = self.exchange(&mut connected, chosen, tries, grant).await;
         let broken = matches!(reply, Awaited::Head(Err(_)));
         if broken && connected.was_closed() && connected.replace(requests, call, chosen).await {
-            // Time has passed since the first send.
+            // Time has passed since the first send, and the attempt is counted already.
+            let work = Work {
+                time_left: Millis::from(call.time_left()),
+                ..work
+            };
             let grant = requests.targets.grant(chosen, call.prompt(), work);
             if let Some(grant) = grant
                 && permit::may_send_to(requests, call, chosen, Way::Resend)
