Log and count bytes that are no event of a stream

The operator's record of wrong bytes in streams does not tell how the answers were framed, and no log line of an entry would: it passes on whatever ends with a blank line. The first line passed on that is none is logged with the framing of the answer and whether the stream may be resumed, and counted (entry_stream_faults). Nothing else changes.

--- a/crates/filbertstack-core/src/serving.rs
+++ b/crates/filbertstack-core/src/serving.rs
@@ -88,6 +88,8 @@
     pub prefix: Arc<str>,
     /// Whether requests may be repeated.
     pub repeat: Repeat,
+    /// Whether its answers are streams of events, each with an id that increases.
+    pub streams: bool,
     /// The time within which a request must have its complete answer.
     pub timeout: Duration,
     /// The time within which an answer, or the first event of a stream, is most useful to the caller.
--- a/crates/filbertstack-gateway/src/request/relay.rs
+++ b/crates/filbertstack-gateway/src/request/relay.rs
@@ -17,12 +17,14 @@
 
 use bytes::Bytes;
 use filbertstack_core::Millis;
+use filbertstack_platform::event::EventLine;
 use filbertstack_policy::dispatch::AttemptEnd;
 use filbertstack_policy::takeover::min_silence;
 use http_body::Body as _;
 use http_body::Frame;
 use hyper::body::Incoming;
 use spdlog::info;
+use spdlog::warn;
 use tokio::time::Instant;
 use tokio::time::Sleep;
 use tokio::time::sleep_until;
@@ -93,6 +95,8 @@
     tail: Option<EventTail>,
     /// The gaps between the target's events; `None` where paces are not estimated.
     gaps: Option<EventGaps>,
+    /// Whether bytes that are no event were passed on.
+    faulty: bool,
     deadline: Pin<Box<Sleep>>,
     /// The time at which the last bytes arrived.
     last_bytes_at: Instant,
@@ -136,6 +140,7 @@
             events: resumable.then(|| EventBuffer::after(call.head.last_event)),
             tail: (framing == Framing::Events).then(EventTail::default),
             gaps,
+            faulty: false,
             requests,
             source: Source::Target(body, guard),
             tries,
@@ -267,6 +272,7 @@
         if data.is_empty() {
             return Progress::Again;
         }
+        self.watch_lines(&data);
         self.passed_bytes += data.len() as u64;
         Progress::Ready(Some(Ok(Frame::data(data))))
     }
@@ -327,6 +333,24 @@
         }
     }
 
+    /// Logs and counts the first bytes passed on that are no line of an event.
+    fn watch_lines(&mut self, data: &[u8]) {
+        if self.faulty || !self.call.route.streams {
+            return;
+        }
+        let mut lines = data.split(|byte| *byte == b'\n');
+        let wrong = lines.find(|line| !line.is_empty() && EventLine::read(line).is_none());
+        let (Some(wrong), Source::Target(_, guard)) = (wrong, &self.source) else {
+            return;
+        };
+        self.faulty = true;
+        warn!("bytes that are no event passed on", kv: {
+            request = self.call.head.id(), target = instance_of(guard.target()), bytes = wrong.len(),
+            ends_with_connection = guard.ends_with_connection(), resumable = self.events.is_some()
+        });
+        self.requests.metrics.entry.faults.add("no event", 1);
+    }
+
     fn record_crash(&mut self) {
         if let Source::Target(_, guard) = &mut self.source {
             guard.lose();
--- a/crates/filbertstack-policy/tests/rank.rs
+++ b/crates/filbertstack-policy/tests/rank.rs
@@ -490,6 +490,7 @@
         repeat: Repeat::Resumable,
         timeout: std::time::Duration::from_secs(6),
         goal: std::time::Duration::from_millis(400),
+        streams: false,
         pause: None,
         priority,
         weighted_services: vec![WeightedService {
--- a/crates/filbertstack-telemetry/src/metrics/groups.rs
+++ b/crates/filbertstack-telemetry/src/metrics/groups.rs
@@ -28,6 +28,8 @@
     pub late_begins: LabelledCounter,
     /// The changes of targets' paces as this entry estimates them, by the new state.
     pub paces: LabelledCounter,
+    /// The streams in which a target sent what is no event of them, by reason.
+    pub faults: LabelledCounter,
     /// The answers that ended before they were complete, by cause.
     pub cuts: LabelledCounter,
     /// The attempts after the first, by reason.
@@ -95,6 +97,12 @@
                 "service",
                 "Answers that began on replaced weights after their bound",
             ),
+            faults: LabelledCounter::new(
+                m,
+                "entry_stream_faults",
+                "reason",
+                "Streams in which a target sent what is no event of them",
+            ),
             paces: LabelledCounter::new(
                 m,
                 "entry_target_paces",
