Reproduce bytes of no event that reach the caller of a stream

An engine sends wrong bytes after the third or after the last event of a stream: text, events with an empty, a negative or an unreadable id, without an id or with one that its caller has, blank lines, bytes without a line's end, a second answer. The stream ends with its connection, has a chunk for each event, or chunks of 7 bytes; it may be resumed or not. Another engine gives the right rest.

--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -26,3 +26,4 @@
 mod seeds;
 mod slow;
 mod weights;
+mod wrong_bytes;
