Pass on no bytes of a stream that are no event

What callers saw: an event with an empty id behind one with an id, in a stream that ended as a whole one.

Cause: whatever ended with a blank line was an event, and streams that may not be resumed were passed on unread. What a target sends was trusted where only its framing was checked, while the protocol lets a faulty engine send bytes that are no answer at any place, and an answer that ends with its connection has no other end. An id was compared with the last one for the first event of a resumed stream alone.

Change: EventBuffer checks each line when it arrives and each event before it is passed on, for all routes that stream. It needs an id greater than the last, and has lines of events only (platform::event). Behind the first other byte nothing of the target is passed on. Where the stream may be resumed another target goes on after the last sound event, within attempts and budget as after any loss, and one that has nothing left to send shows that the stream is whole. Else the answer is cut, after the server has written the events before.

Ruled out: a second answer on a kept connection (it would come before the first event), events of two engines joined (they have ids).

Blank lines and comments between events are left out: the test of a comment in events.rs asked that it is passed on, which gives a caller that counts blank lines an event without an id; it now asks that the comment is not passed on and the stream goes on.

--- a/crates/filbertstack-gateway/src/request/attempt.rs
+++ b/crates/filbertstack-gateway/src/request/attempt.rs
@@ -554,8 +554,12 @@
         Framing::Plain
     } else if call.route.repeat == Repeat::Resumable {
         Framing::Resumable
-    } else if guard.ends_with_connection && is_event_stream(&head.headers) {
+    } else if !is_event_stream(&head.headers) {
+        Framing::Plain
+    } else if call.route.streams {
         Framing::Events
+    } else if guard.ends_with_connection {
+        Framing::EventEnd
     } else {
         Framing::Plain
     };
--- a/crates/filbertstack-gateway/src/request/events.rs
+++ b/crates/filbertstack-gateway/src/request/events.rs
@@ -1,20 +1,19 @@
-//! Splitting of a stream into whole events, and the id of the last one, as needed to resume the stream.
+//! Splitting of a stream into whole events, which are checked before they are passed on, and the id of the last one,
+//! as needed to resume the stream.
 
 use std::time::Duration;
 
 use bytes::Buf as _;
 use bytes::Bytes;
 use bytes::BytesMut;
+use filbertstack_platform::event::EventLine;
 use tokio::time::Instant;
 
 /// The bytes that end an event.
 const EVENT_END: &[u8] = b"\n\n";
 
-/// The start of the line that holds the id of an event.
-const ID_FIELD: &[u8] = b"id:";
-
-/// The longest event, in bytes, that is buffered until it is whole. A longer one is passed on in parts,
-/// and a stream that breaks off within it can't be resumed cleanly.
+/// The longest event, in bytes, that is buffered until it is whole. A longer one is passed on in parts, and a stream that
+/// breaks off within it can't be resumed.
 const MAX_EVENT: usize = 256 << 10;
 
 /// The time within which everything that arrived together is read, if the caller does not hold the relay back. It
@@ -22,93 +21,188 @@
 const SAME_ARRIVAL: Duration = Duration::from_millis(10);
 
 /// Passes on the whole events of a stream and buffers the beginning of the next one.
+///
+/// A target in trouble may send anything within its answer, and what a caller has received can't be taken back. Each
+/// event is therefore checked before it is passed on: it has the lines of an event, and an id greater than the last.
+/// Nothing that follows bytes which are no event is passed on.
 #[derive(Debug, Default)]
 pub struct EventBuffer {
+    /// What has arrived of the next event.
     partial: BytesMut,
+    /// The length of the lines in `partial` that are checked.
+    checked: usize,
+    /// Whether `partial` begins within a line whose start was passed on.
+    within_line: bool,
+    next: NextEvent,
     last_id: Option<u64>,
-    /// Whether the next event is the first of a target that resumes the stream.
-    resumes: bool,
+    fault: Option<Fault>,
 }
 
-/// A target that was to resume a stream has sent an event that its caller already has.
+/// What is known of an event that has not ended.
+#[derive(Clone, Copy, Debug, Default)]
+struct NextEvent {
+    id: Option<u64>,
+    /// Whether it has a line other than comments.
+    has_fields: bool,
+    /// Whether its caller has a part of it.
+    begun: bool,
+}
+
+/// Why nothing more is passed on of what a target sends.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Restarted;
+pub enum Fault {
+    /// It has sent an event that its caller has, or one that precedes it.
+    Repeated,
+    /// It has sent bytes that are no event.
+    NoEvent,
+}
+
+impl Fault {
+    /// Returns its name in logs and metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Repeated => "the target sent an event that its caller has",
+            Self::NoEvent => "the target sent bytes that are no event",
+        }
+    }
+}
 
 impl EventBuffer {
     /// Creates the buffer of a stream whose caller already has the events up to the id `last_id`.
     pub fn after(last_id: Option<u64>) -> Self {
         Self {
-            partial: BytesMut::new(),
             last_id,
-            resumes: false,
+            ..Self::default()
         }
     }
 
-    /// Records that the next bytes are those of a target that is to resume the stream after its last event.
-    pub fn expect_resumed(&mut self) {
-        self.resumes = true;
+    /// Adds bytes of the stream and returns the events that are whole now. [`fault`](Self::fault) tells whether other
+    /// bytes follow them; nothing more is returned then.
+    pub fn push(&mut self, data: &[u8]) -> Bytes {
+        let mut events = BytesMut::new();
+        if self.fault.is_none() {
+            self.partial.extend_from_slice(data);
+            self.fault = self.take_events(&mut events).err();
+        }
+        events.freeze()
     }
 
-    /// Adds bytes of the stream and returns the events that are whole now.
-    ///
-    /// # Errors
-    /// [`Restarted`] if they are those of a target that does not resume the stream; nothing more may be passed on
-    /// of it.
-    pub fn push(&mut self, data: Bytes) -> Result<Bytes, Restarted> {
-        if self.partial.is_empty() && data.ends_with(EVENT_END) {
-            self.note_ids(&data)?;
-            return Ok(data);
-        }
-        self.partial.extend_from_slice(&data);
-        let Some(end) = find_last_end(&self.partial) else {
-            if self.partial.len() > MAX_EVENT {
-                return Ok(self.partial.split().freeze());
-            }
-            return Ok(Bytes::new());
-        };
-        let whole = self.partial.split_to(end).freeze();
-        self.note_ids(&whole)?;
-        Ok(whole)
-    }
-
-    /// Records the id of the last event in `whole`. An engine that resumes a stream begins after the event that it
-    /// was told; one that does not know the id begins with the first.
-    fn note_ids(&mut self, whole: &[u8]) -> Result<(), Restarted> {
-        if self.resumes {
-            let first = event_ids(whole).next();
-            if first.is_some_and(|first| self.last_id.is_some_and(|last| first <= last)) {
-                return Err(Restarted);
+    /// Moves the whole events to `events`, and the beginning of one that is too long to be buffered.
+    fn take_events(&mut self, events: &mut BytesMut) -> Result<(), Fault> {
+        while let Some(end) = self.find_line_end() {
+            if let Some(event) = self.take_line(end)? {
+                events.unsplit(event);
             }
-            self.resumes = first.is_none();
         }
-        if let Some(last) = event_ids(whole).next_back() {
-            self.last_id = Some(last);
+        let rest = &self.partial[self.checked..];
+        if !self.within_line && rest != b"\r" && !EventLine::may_begin_with(rest) {
+            return Err(Fault::NoEvent);
+        }
+        if self.partial.len() > MAX_EVENT {
+            events.unsplit(self.take_part()?);
         }
         Ok(())
     }
 
+    /// Returns the position after the next line that is not checked.
+    fn find_line_end(&self) -> Option<usize> {
+        let rest = self.partial.get(self.checked..)?;
+        let at = rest.iter().position(|byte| *byte == b'\n')?;
+        Some(self.checked + at + 1)
+    }
+
+    /// Checks the line that ends at `end`. Returns the event that ends with it.
+    fn take_line(&mut self, end: usize) -> Result<Option<BytesMut>, Fault> {
+        let line = trim_line_end(&self.partial[self.checked..end]);
+        let is_rest = std::mem::take(&mut self.within_line);
+        if is_rest || !line.is_empty() {
+            if !is_rest {
+                self.next.add_line(line, self.last_id)?;
+            }
+            self.checked = end;
+            return Ok(None);
+        }
+        let event = self.partial.split_to(end);
+        self.checked = 0;
+        let ended = std::mem::take(&mut self.next);
+        // Blank lines and comments alone are no event, and callers need none of them.
+        if !ended.has_fields {
+            return Ok(None);
+        }
+        self.last_id = Some(ended.id.ok_or(Fault::NoEvent)?);
+        Ok(Some(event))
+    }
+
+    /// Takes the beginning of an event that is too long, up to a line that is not known to belong to it.
+    fn take_part(&mut self) -> Result<BytesMut, Fault> {
+        let rest = &self.partial[self.checked..];
+        let belongs = matches!(
+            EventLine::read(rest),
+            Some(EventLine::Field | EventLine::Comment)
+        );
+        let within_line = self.within_line || belongs;
+        let end = if within_line {
+            self.partial.len()
+        } else {
+            self.checked
+        };
+        if self.next.id.is_none() || end == 0 {
+            return Err(Fault::NoEvent);
+        }
+        self.within_line = within_line;
+        self.next.begun = true;
+        self.checked = 0;
+        Ok(self.partial.split_to(end))
+    }
+
+    /// Returns why nothing more of the target is passed on; `None` if all that it has sent is sound.
+    pub fn fault(&self) -> Option<Fault> {
+        self.fault
+    }
+
     /// Returns the id of the last event that was passed on.
     pub fn last_id(&self) -> Option<u64> {
         self.last_id
     }
 
-    /// Returns whether a part of an event is buffered.
+    /// Returns whether a part of an event has arrived, and not the rest.
     pub fn has_partial(&self) -> bool {
-        !self.partial.is_empty()
+        self.next.begun || !self.partial.is_empty()
+    }
+
+    /// Returns whether another target may continue the stream: its caller has whole events only.
+    pub fn can_resume(&self) -> bool {
+        !self.next.begun
     }
 
-    /// Discards the buffered part of an event, whose rest will not arrive.
+    /// Discards what has arrived after the last whole event, and is not followed by its rest.
     pub fn drop_partial(&mut self) {
-        self.partial.clear();
+        *self = Self::after(self.last_id);
     }
 }
 
-/// Returns the ids of whole events.
-fn event_ids(whole: &[u8]) -> impl DoubleEndedIterator<Item = u64> {
-    let ids = whole
-        .split(|byte| *byte == b'\n')
-        .filter_map(|line| line.strip_prefix(ID_FIELD));
-    ids.filter_map(|id| std::str::from_utf8(id).ok()?.trim().parse().ok())
+impl NextEvent {
+    /// Adds a line of the event, which follows the one with the id `last_id`.
+    fn add_line(&mut self, line: &[u8], last_id: Option<u64>) -> Result<(), Fault> {
+        match EventLine::read(line).ok_or(Fault::NoEvent)? {
+            EventLine::Comment => return Ok(()),
+            EventLine::Weights(_) if self.has_fields => return Err(Fault::NoEvent),
+            EventLine::Id(_) if self.id.is_some() => return Err(Fault::NoEvent),
+            EventLine::Id(id) if last_id.is_some_and(|last| id <= last) => {
+                return Err(Fault::Repeated);
+            }
+            EventLine::Id(id) => self.id = Some(id),
+            EventLine::Weights(_) | EventLine::Field => {}
+        }
+        self.has_fields = true;
+        Ok(())
+    }
+}
+
+/// Returns a line without its end.
+fn trim_line_end(line: &[u8]) -> &[u8] {
+    let line = line.strip_suffix(b"\n").unwrap_or(line);
+    line.strip_suffix(b"\r").unwrap_or(line)
 }
 
 /// Tells whether a stream that is passed on as it arrives is inside an event.
@@ -222,11 +316,3 @@
         events
     }
 }
-
-/// Returns the position after the last whole event.
-fn find_last_end(bytes: &[u8]) -> Option<usize> {
-    let at = bytes
-        .windows(EVENT_END.len())
-        .rposition(|pair| pair == EVENT_END)?;
-    Some(at + EVENT_END.len())
-}
--- a/crates/filbertstack-gateway/src/request/relay.rs
+++ b/crates/filbertstack-gateway/src/request/relay.rs
@@ -1,9 +1,9 @@
 //! Passing on of an answer from a target to the caller.
 //!
-//! Bytes are passed on as they arrive. A stream that may be resumed is passed on in whole events: if its
-//! target is lost, another target continues after the last event that the caller has, and the caller must
-//! not have received a part of the following event before. A target that is silent, or is to load other
-//! weights, keeps its stream until another has taken it over.
+//! Bytes are passed on as they arrive, and streams in whole events, which are checked. If the target of a stream that
+//! may be resumed is lost or sends what is no event, another target continues after the last event that the caller has,
+//! and the caller must not have received a part of the following event before. A target that is silent, or is to load
+//! other weights, keeps its stream until another has taken it over.
 
 mod moves;
 
@@ -17,14 +17,12 @@
 
 use bytes::Bytes;
 use filbertstack_core::Millis;
-use filbertstack_platform::event::EventLine;
 use filbertstack_policy::dispatch::AttemptEnd;
 use filbertstack_policy::takeover::min_silence;
 use http_body::Body as _;
 use http_body::Frame;
 use hyper::body::Incoming;
 use spdlog::info;
-use spdlog::warn;
 use tokio::time::Instant;
 use tokio::time::Sleep;
 use tokio::time::sleep_until;
@@ -39,7 +37,7 @@
 use crate::request::events::EventBuffer;
 use crate::request::events::EventGaps;
 use crate::request::events::EventTail;
-use crate::request::events::Restarted;
+use crate::request::events::Fault;
 use crate::request::guard::AttemptGuard;
 use crate::request::resume::NotResumed;
 use crate::request::resume::ResumeFuture;
@@ -48,9 +46,6 @@
 use crate::request::takeover::Takeover;
 use crate::request::targets::instance_of;
 
-/// The reason why a target that resumes a stream is given up if it sends events that the caller has.
-pub const RESTARTED: &str = "the target began the stream anew";
-
 /// The pause of a route that declares none.
 const DEFAULT_PAUSE: Duration = Duration::from_millis(300);
 
@@ -63,8 +58,10 @@
     /// By its length, its chunks or the end of its connection.
     Plain,
     /// By the end of its connection after a whole event.
+    EventEnd,
+    /// In one of these ways after a whole event. Its events are checked.
     Events,
-    /// In one of these ways after a whole event. Another target may resume it.
+    /// As that of [`Events`](Self::Events). Another target may resume it.
     Resumable,
 }
 
@@ -91,12 +88,15 @@
     requests: Rc<Requests>,
     source: Source,
     tries: Tries,
+    /// The events; `None` if they are not checked.
     events: Option<EventBuffer>,
+    /// Whether another target may resume the stream.
+    resumable: bool,
+    /// Whether the server could write the events before a fault.
+    flushed: bool,
     tail: Option<EventTail>,
     /// The gaps between the target's events; `None` where paces are not estimated.
     gaps: Option<EventGaps>,
-    /// Whether bytes that are no event were passed on.
-    faulty: bool,
     deadline: Pin<Box<Sleep>>,
     /// The time at which the last bytes arrived.
     last_bytes_at: Instant,
@@ -136,11 +136,17 @@
                 last_bytes_at + Duration::from(min_silence(pause(&call))),
             ))
         });
+        let events = match framing {
+            Framing::Plain | Framing::EventEnd => None,
+            Framing::Events => Some(EventBuffer::after(None)),
+            Framing::Resumable => Some(EventBuffer::after(call.head.last_event)),
+        };
         Self {
-            events: resumable.then(|| EventBuffer::after(call.head.last_event)),
-            tail: (framing == Framing::Events).then(EventTail::default),
+            events,
+            resumable,
+            flushed: false,
+            tail: (framing == Framing::EventEnd).then(EventTail::default),
             gaps,
-            faulty: false,
             requests,
             source: Source::Target(body, guard),
             tries,
@@ -164,6 +170,12 @@
         }
         loop {
             let taken_over = self.poll_takeover(cx);
+            let is_faulty = self.fault().is_some();
+            // The server writes what it has before it polls again, and nothing once the answer is cut.
+            if is_faulty && !self.resumable && !std::mem::replace(&mut self.flushed, true) {
+                cx.waker().wake_by_ref();
+                return Poll::Pending;
+            }
             let step = match &mut self.source {
                 _ if taken_over.is_some() => taken_over.unwrap_or(Progress::Again),
                 Source::Ended => return Poll::Ready(None),
@@ -171,6 +183,7 @@
                     let resumed = std::task::ready!(resuming.as_mut().poll(cx));
                     self.handle_resumed(resumed)
                 }
+                Source::Target(..) if is_faulty => self.handle_fault(),
                 Source::Target(..) if !self.released.is_empty() => self.pass_released(),
                 Source::Target(..) if self.has_ended => self.handle_end(),
                 Source::Target(body, _) => match Pin::new(body).poll_frame(cx) {
@@ -260,19 +273,16 @@
     /// Passes on the next bytes that the target has sent.
     fn pass_released(&mut self) -> Progress {
         let data = self.released.pop_front().unwrap_or_default();
-        let Ok(data) = self.filter_events(data) else {
-            self.released.clear();
-            self.has_ended = false;
-            return self.handle_loss(RESTARTED);
-        };
-        if self.released.is_empty() {
-            self.finish_if_whole();
+        let data = self.filter_events(data);
+        if self.fault().is_none() {
+            if self.released.is_empty() {
+                self.finish_if_whole();
+            }
+            self.take_over_if_due();
         }
-        self.take_over_if_due();
         if data.is_empty() {
             return Progress::Again;
         }
-        self.watch_lines(&data);
         self.passed_bytes += data.len() as u64;
         Progress::Ready(Some(Ok(Frame::data(data))))
     }
@@ -318,37 +328,30 @@
         }
     }
 
-    /// Returns the bytes to pass on: whole events if the stream may be resumed, or else all of `data`.
-    ///
-    /// # Errors
-    /// [`Restarted`] if the target does not resume the stream.
-    fn filter_events(&mut self, data: Bytes) -> Result<Bytes, Restarted> {
+    /// Returns the bytes to pass on: whole events if they are checked, or else all of `data`.
+    fn filter_events(&mut self, data: Bytes) -> Bytes {
         if let Some(tail) = &mut self.tail {
             tail.note(&data);
         }
         self.reset_silence_check();
         match &mut self.events {
-            Some(events) => events.push(data),
-            None => Ok(data),
+            Some(events) => events.push(&data),
+            None => data,
         }
     }
 
-    /// Logs and counts the first bytes passed on that are no line of an event.
-    fn watch_lines(&mut self, data: &[u8]) {
-        if self.faulty || !self.call.route.streams {
-            return;
-        }
-        let mut lines = data.split(|byte| *byte == b'\n');
-        let wrong = lines.find(|line| !line.is_empty() && EventLine::read(line).is_none());
-        let (Some(wrong), Source::Target(_, guard)) = (wrong, &self.source) else {
-            return;
-        };
-        self.faulty = true;
-        warn!("bytes that are no event passed on", kv: {
-            request = self.call.head.id(), target = instance_of(guard.target()), bytes = wrong.len(),
-            ends_with_connection = guard.ends_with_connection(), resumable = self.events.is_some()
-        });
-        self.requests.metrics.entry.faults.add("no event", 1);
+    /// Returns why nothing more of the target may be passed on.
+    fn fault(&self) -> Option<Fault> {
+        self.events.as_ref().and_then(EventBuffer::fault)
+    }
+
+    /// Gives up a target that has sent what is no event, once the events before it are passed on.
+    fn handle_fault(&mut self) -> Progress {
+        let why = self.fault().map_or("", Fault::name);
+        self.requests.metrics.entry.faults.add(why, 1);
+        self.released.clear();
+        self.has_ended = false;
+        self.handle_loss(why)
     }
 
     fn record_crash(&mut self) {
@@ -363,7 +366,7 @@
         if let Source::Target(body, mut guard) = source {
             info!("answer broke off", kv: {
                 request = self.call.head.id(), target = instance_of(guard.target()), why = why,
-                resumable = self.events.is_some(), digest = self.call.digest(),
+                resumable = self.resumable, digest = self.call.digest(),
                 parts = self.call.head.shared_parts.join(",")
             });
             guard.fail();
@@ -372,7 +375,9 @@
         if let Some(takeover) = self.takeover.take() {
             return self.go_on_with(takeover.into_remaining());
         }
-        let Some(events) = &mut self.events else {
+        let resumable = self.resumable;
+        let events = self.events.as_mut();
+        let Some(events) = events.filter(|events| resumable && events.can_resume()) else {
             return Progress::Ready(Some(Err(self.cut(Cut::TargetLost(why)))));
         };
         events.drop_partial();
@@ -416,9 +421,6 @@
             after = self.events.as_ref().and_then(EventBuffer::last_id).unwrap_or(0)
         });
         guard.ended = AttemptEnd::CallerLeft;
-        if let Some(events) = &mut self.events {
-            events.expect_resumed();
-        }
         self.tries = tries;
         self.source = Source::Target(body, guard);
         self.gaps = self.gaps.take().map(|_| EventGaps::default());
--- a/crates/filbertstack-gateway/src/request/relay/moves.rs
+++ b/crates/filbertstack-gateway/src/request/relay/moves.rs
@@ -48,8 +48,7 @@
     pub(super) fn take_over_if_due(&mut self) {
         let now = Instant::now();
         let passes_all = self.released.is_empty() && !self.has_ended;
-        if self.events.is_none() || self.takeover.is_some() || !passes_all || now < self.next_check
-        {
+        if !self.resumable || self.takeover.is_some() || !passes_all || now < self.next_check {
             return;
         }
         let Some(reason) = self.observe().as_ref().and_then(find_reason) else {
--- a/crates/filbertstack-gateway/src/request/takeover.rs
+++ b/crates/filbertstack-gateway/src/request/takeover.rs
@@ -18,7 +18,6 @@
 use crate::request::attempt::Resume;
 use crate::request::attempt::Tries;
 use crate::request::events::EventBuffer;
-use crate::request::relay::RESTARTED;
 use crate::request::resume::NotResumed;
 use crate::request::resume::ResumeFuture;
 use crate::request::resume::Resumed;
@@ -130,8 +129,7 @@
                     }
                     Poll::Ready(Err(failed)) => return Polled::Failed(failed, self.held),
                     Poll::Ready(Ok(resumed)) => {
-                        let mut events = EventBuffer::after(self.resume.after);
-                        events.expect_resumed();
+                        let events = EventBuffer::after(self.resume.after);
                         self.next = Next::Answering(Box::new(resumed), events);
                     }
                 },
@@ -143,15 +141,8 @@
                         }
                         Poll::Ready(Some(Ok(frame))) => {
                             resumed.guard.record_bytes();
-                            let Ok(first) = events.push(frame.into_data().unwrap_or_default())
-                            else {
-                                resumed.guard.fail();
-                                let failed = NotResumed {
-                                    why: RESTARTED,
-                                    tries: resumed.tries,
-                                };
-                                return Polled::Failed(failed, self.held);
-                            };
+                            let data = frame.into_data().unwrap_or_default();
+                            let first = events.push(&data);
                             if !first.is_empty() {
                                 return Polled::Began(Began {
                                     reason: self.reason,
@@ -160,6 +151,13 @@
                                     first,
                                 });
                             }
+                            if let Some(fault) = events.fault() {
+                                let why = fault.name();
+                                self.requests.metrics.entry.faults.add(why, 1);
+                                resumed.guard.fail();
+                                let tries = resumed.tries;
+                                return Polled::Failed(NotResumed { why, tries }, self.held);
+                            }
                             self.next = Next::Answering(resumed, events);
                         }
                         Poll::Ready(ended) => {
--- a/crates/filbertstack-gateway/tests/events.rs
+++ b/crates/filbertstack-gateway/tests/events.rs
@@ -6,24 +6,39 @@
 use filbertstack_gateway::request::events::EventBuffer;
 use filbertstack_gateway::request::events::EventGaps;
 use filbertstack_gateway::request::events::EventTail;
-use filbertstack_gateway::request::events::Restarted;
+use filbertstack_gateway::request::events::Fault;
 use proptest::prelude::*;
 use tokio::time::Instant;
 
+/// Bytes that are no event of any stream.
+const WRONG: &[&str] = &[
+    "upstream connect error\n\n",
+    "id: \ndata: a\n\n",
+    "id: +9\ndata: a\n\n",
+    "id: 9 \ndata: a\n\n",
+    "id: 99999999999999999999\ndata: a\n\n",
+    "id: 98\nid: 99\ndata: a\n\n",
+    "data: a\n\n",
+    "event: end\n\n",
+    "x-filbertstack-weight-versions: 2\n\n",
+    "id: 99\nx-filbertstack-weight-versions: 2\n\n",
+    "x-filbertstack-weight-versions: \nid: 99\n\n",
+    "id: 9",
+    "\u{0}",
+    "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok",
+    "{\"id\": 9}",
+];
+
 /// A target breaks off in the middle of an event. The part must not have been passed on to the caller, or
 /// the events that another target sends would be joined to it.
 #[test]
 fn only_whole_events_are_passed_on() {
     let mut events = EventBuffer::after(None);
-    let out = events
-        .push(Bytes::from_static(b"id: 1\ndata: a\n\nid: 2\nda"))
-        .expect("in order");
+    let out = events.push(b"id: 1\ndata: a\n\nid: 2\nda");
     assert_eq!(&out[..], b"id: 1\ndata: a\n\n");
     assert_eq!((events.last_id(), events.has_partial()), (Some(1), true));
     events.drop_partial();
-    let out = events
-        .push(Bytes::from_static(b"id: 2\ndata: b\n\n"))
-        .expect("in order");
+    let out = events.push(b"id: 2\ndata: b\n\n");
     assert_eq!(&out[..], b"id: 2\ndata: b\n\n");
     assert_eq!((events.last_id(), events.has_partial()), (Some(2), false));
 }
@@ -37,16 +52,45 @@
 #[test]
 fn a_target_that_begins_a_resumed_stream_anew_is_noticed() {
     let event = |id: u64| Bytes::from(format!("id: {id}\ndata: a\n\n"));
-    let mut events = EventBuffer::after(Some(12));
-    events.expect_resumed();
-    assert_eq!(
-        events.push(Bytes::from_static(b": a comment\n\n")),
-        Ok(Bytes::from_static(b": a comment\n\n"))
-    );
-    assert_eq!(events.push(event(1)), Err(Restarted));
-    assert_eq!(events.push(event(12)), Err(Restarted));
-    assert_eq!(events.push(event(13)), Ok(event(13)));
-    assert_eq!(events.last_id(), Some(13));
+    for repeated in [1, 12] {
+        let mut events = EventBuffer::after(Some(12));
+        assert_eq!(events.push(b": a comment\n\n"), Bytes::new());
+        assert_eq!(events.fault(), None);
+        assert_eq!(events.push(&event(repeated)), Bytes::new());
+        assert_eq!(events.fault(), Some(Fault::Repeated));
+        assert_eq!(events.push(&event(13)), Bytes::new(), "nothing more");
+        assert_eq!(events.last_id(), Some(12));
+        events.drop_partial();
+        assert_eq!(events.push(&event(13)), event(13), "of the next target");
+        assert_eq!((events.last_id(), events.fault()), (Some(13), None));
+    }
+}
+
+/// Guards against a caller who gets a part of an event twice: one that is too long to be buffered is passed on in parts,
+/// and no other target may send it again.
+#[test]
+fn a_stream_is_not_resumed_within_an_event_that_is_passed_on_in_parts() {
+    let text = "x".repeat(300 << 10);
+    let mut events = EventBuffer::after(None);
+    let begun = events.push(format!("id: 1\ndata: {text}").as_bytes());
+    assert_eq!(begun.len(), text.len() + 12);
+    assert!(events.has_partial() && !events.can_resume());
+    assert_eq!(events.push(b"\n"), Bytes::new());
+    assert_eq!(&events.push(b"data: b\n\n")[..], b"\ndata: b\n\n");
+    assert!(!events.has_partial() && events.can_resume());
+    assert_eq!((events.last_id(), events.fault()), (Some(1), None));
+}
+
+/// Guards against bytes without an end that fill the memory of an entry, or reach the caller.
+#[test]
+fn bytes_without_end_are_no_event() {
+    for start in ["id: 1", "data: ", "HTTP/1.1 200 OK", "id: 1\nid"] {
+        let mut events = EventBuffer::after(None);
+        for part in [start, &"0".repeat(300 << 10)] {
+            assert_eq!(events.push(part.as_bytes()), Bytes::new(), "{start}");
+        }
+        assert_eq!(events.fault(), Some(Fault::NoEvent), "{start}");
+    }
 }
 
 /// Guards against a stream that ends inside an event and is taken for complete.
@@ -81,13 +125,33 @@
         let mut rest = Bytes::from(whole.clone());
         for cut in cuts {
             let part = rest.split_to(cut.min(rest.len()));
-            out.extend_from_slice(&events.push(part).expect("in order"));
+            out.extend_from_slice(&events.push(&part));
             prop_assert!(out.is_empty() || out.ends_with(b"\n\n"));
         }
-        out.extend_from_slice(&events.push(rest).expect("in order"));
+        out.extend_from_slice(&events.push(&rest));
         prop_assert_eq!(out, whole.into_bytes());
         prop_assert_eq!(events.last_id(), Some(30));
         prop_assert!(!events.has_partial());
+        prop_assert_eq!(events.fault(), None);
+    }
+
+    /// Guards against wrong bytes that reach a caller, wherever they stand and however bytes are split.
+    #[test]
+    fn nothing_is_passed_on_behind_bytes_that_are_no_event(
+        sound in 0_u64..8,
+        wrong in prop::sample::select(WRONG),
+        line_end in prop::sample::select(vec!["\n", "\r\n"]),
+        part in 1_usize..40,
+    ) {
+        let event = |n: u64| format!("id: {n}{line_end}data: piece {n}{line_end}{line_end}");
+        let before: String = (1..=sound).map(event).collect();
+        let sent = format!("{before}{wrong}{}", event(sound + 1));
+        let mut events = EventBuffer::after(None);
+        let parts = sent.as_bytes().chunks(part);
+        let out: Vec<u8> = parts.flat_map(|part| events.push(part)).collect();
+        prop_assert_eq!(String::from_utf8(out).expect("text"), before);
+        prop_assert_eq!(events.fault(), Some(Fault::NoEvent));
+        prop_assert_eq!(events.last_id(), (sound > 0).then_some(sound));
     }
 }
 
