Write the events before a fault also where a stream can't go on

A target that sends wrong bytes on the last attempt of a stream that may be resumed cut the answer in the poll after the last sound events, before the server had written them. The server polls once more in between now, for each kind of stream. A stream within an event that is passed on in parts is not taken over, as its caller would get that part twice.

--- a/crates/filbertstack-gateway/src/request/relay.rs
+++ b/crates/filbertstack-gateway/src/request/relay.rs
@@ -92,8 +92,8 @@
     events: Option<EventBuffer>,
     /// Whether another target may resume the stream.
     resumable: bool,
-    /// Whether the server could write the events before a fault.
-    flushed: bool,
+    /// Whether the server may not have written what was passed on last.
+    unflushed: bool,
     tail: Option<EventTail>,
     /// The gaps between the target's events; `None` where paces are not estimated.
     gaps: Option<EventGaps>,
@@ -144,7 +144,7 @@
         Self {
             events,
             resumable,
-            flushed: false,
+            unflushed: false,
             tail: (framing == Framing::EventEnd).then(EventTail::default),
             gaps,
             requests,
@@ -172,7 +172,7 @@
             let taken_over = self.poll_takeover(cx);
             let is_faulty = self.fault().is_some();
             // The server writes what it has before it polls again, and nothing once the answer is cut.
-            if is_faulty && !self.resumable && !std::mem::replace(&mut self.flushed, true) {
+            if is_faulty && std::mem::take(&mut self.unflushed) {
                 cx.waker().wake_by_ref();
                 return Poll::Pending;
             }
@@ -283,6 +283,7 @@
         if data.is_empty() {
             return Progress::Again;
         }
+        self.unflushed = true;
         self.passed_bytes += data.len() as u64;
         Progress::Ready(Some(Ok(Frame::data(data))))
     }
@@ -340,6 +341,12 @@
         }
     }
 
+    /// Returns whether another target could continue the stream now.
+    fn can_resume(&self) -> bool {
+        let events = self.events.as_ref();
+        self.resumable && events.is_some_and(EventBuffer::can_resume)
+    }
+
     /// Returns why nothing more of the target may be passed on.
     fn fault(&self) -> Option<Fault> {
         self.events.as_ref().and_then(EventBuffer::fault)
@@ -375,9 +382,8 @@
         if let Some(takeover) = self.takeover.take() {
             return self.go_on_with(takeover.into_remaining());
         }
-        let resumable = self.resumable;
-        let events = self.events.as_mut();
-        let Some(events) = events.filter(|events| resumable && events.can_resume()) else {
+        let resumable = self.can_resume();
+        let Some(events) = self.events.as_mut().filter(|_| resumable) else {
             return Progress::Ready(Some(Err(self.cut(Cut::TargetLost(why)))));
         };
         events.drop_partial();
--- a/crates/filbertstack-gateway/src/request/relay/moves.rs
+++ b/crates/filbertstack-gateway/src/request/relay/moves.rs
@@ -48,7 +48,7 @@
     pub(super) fn take_over_if_due(&mut self) {
         let now = Instant::now();
         let passes_all = self.released.is_empty() && !self.has_ended;
-        if !self.resumable || self.takeover.is_some() || !passes_all || now < self.next_check {
+        if !self.can_resume() || self.takeover.is_some() || !passes_all || now < self.next_check {
             return;
         }
         let Some(reason) = self.observe().as_ref().and_then(find_reason) else {
@@ -135,6 +135,7 @@
         }
         self.events = Some(events);
         self.adopt(*resumed);
+        self.unflushed = true;
         self.passed_bytes += first.len() as u64;
         Progress::Ready(Some(Ok(Frame::data(first))))
     }
