Let silent owners of a list the time that they get for a piece

Cause, by the trace of `list_from_others`: a node that is not the primary owner asks the owners of the list and asked the origin in the same round if none of them had answered "not yet". Two things made none answer so. An entry that had not heard of the version yet answered that it no longer keeps it (`NotKept`, meant for old versions), which counted as no answer: whoever hears of a version first asks the origin at once. And an owner that took longer than 1.1 s, or was left out as slow for 2 s after that, counted as silent, though silent owners of a piece have 1.0 s (backup owner) or 3.5 s (others) before another node asks for it. The waits count from the start of the fetch at the asking node.

Ruled out: a slow origin (the owner answers "not yet" after 0.7 s as long as it asks), an origin that failed (it makes the waits longer).

An entry says "not kept" only of versions that are not newer than all that it has heard of, and the decision moved into the policy: `may_ask_for_list`, with a table of when each role may ask. The bound of the test of one list is unchanged.

--- a/crates/filbertstack-gateway/src/weights/cache.rs
+++ b/crates/filbertstack-gateway/src/weights/cache.rs
@@ -264,10 +264,21 @@
         weights::missing_piece()
     }
 
+    /// Returns whether a version is newer than all that were named to this entry: what names it may be on its way.
+    fn is_ahead(&self, weights: &WeightsVersion) -> bool {
+        let named = self.node.declared.weight_versions(&weights.model);
+        named.iter().all(|named| named.version < weights.version)
+    }
+
     /// Returns the list of pieces of a version, if the entry has it or receives it within `wait`.
     async fn manifest(&self, named: &Weights, wait: Duration) -> Reply {
-        let Some(set) = self.piece_set(&weights::from_wire(named)) else {
-            return Reply::NotKept(Empty {});
+        let named = weights::from_wire(named);
+        let Some(set) = self.piece_set(&named) else {
+            return if self.is_ahead(&named) {
+                weights::manifest_reply(None)
+            } else {
+                Reply::NotKept(Empty {})
+            };
         };
         let list = timeout(wait, set.await_list()).await;
         weights::manifest_reply(list.ok().flatten())
--- a/crates/filbertstack-gateway/src/weights/fetch.rs
+++ b/crates/filbertstack-gateway/src/weights/fetch.rs
@@ -364,15 +364,19 @@
         }
     }
 
-    /// Returns whether this node may ask the origin now for what it began to fetch at `began`.
+    /// Returns whether this node may ask the origin now for a piece that it began to fetch at `began`.
     fn may_ask_origin(&self, role: PieceRole, owner_answers: bool, began: Instant) -> bool {
+        may_ask_origin(self.origin_case(role, owner_answers, began))
+    }
+
+    fn origin_case(&self, role: PieceRole, owner_answers: bool, began: Instant) -> OriginCase {
         let failed_at = self.origin_failed_at.get();
-        may_ask_origin(OriginCase {
+        OriginCase {
             role,
             owner_answers,
             elapsed: Millis::from(began.elapsed()),
             since_failure: failed_at.map(|at| Millis::from(at.elapsed())),
-        })
+        }
     }
 
     async fn piece_from_origin(&self, number: u32) -> Option<Bytes> {
--- a/crates/filbertstack-gateway/src/weights/fetch/list.rs
+++ b/crates/filbertstack-gateway/src/weights/fetch/list.rs
@@ -10,7 +10,9 @@
 use filbertstack_platform::engine::PieceList;
 use filbertstack_platform::engine::ask_manifest;
 use filbertstack_platform::engine::read_manifest;
+use filbertstack_policy::pieces::OwnersAnswer;
 use filbertstack_policy::pieces::PieceRole;
+use filbertstack_policy::pieces::may_ask_for_list;
 use prost::Message as _;
 use spdlog::info;
 use tokio::time::sleep;
@@ -48,7 +50,9 @@
     Known(PieceList),
     /// The node does not have the list yet.
     NotYet,
-    /// The node will not have the list, or did not answer in time.
+    /// The node no longer keeps the version.
+    NotKept,
+    /// The node did not answer in time.
     Unavailable,
 }
 
@@ -115,22 +119,27 @@
         loop {
             let layout = self.new_layout(1);
             let plan = layout.plan(0);
-            let mut answered = false;
+            let mut owners = OwnersAnswer::Silent;
             for id in plan
                 .first
                 .iter()
                 .chain(&plan.likely_holders)
                 .chain(&plan.fallback)
             {
+                let is_owner = plan.likely_holders.contains(id);
                 match self.list_from_peer(id).await {
                     ListAnswer::Known(list) => return list,
-                    ListAnswer::NotYet => answered |= plan.likely_holders.contains(id),
-                    ListAnswer::Unavailable => {}
+                    ListAnswer::NotYet if is_owner => owners = OwnersAnswer::NotYet,
+                    ListAnswer::NotKept if is_owner && owners == OwnersAnswer::Silent => {
+                        owners = OwnersAnswer::NotKept;
+                    }
+                    _ => {}
                 }
             }
             let role = layout.role(0);
+            let case = self.origin_case(role, owners != OwnersAnswer::Silent, began);
             if role != PieceRole::Primary
-                && self.may_ask_origin(role, answered, began)
+                && may_ask_for_list(owners, case)
                 && let Some(list) = self.list_from_origin().await
             {
                 return self.keep(list).await;
@@ -202,7 +211,7 @@
                 digests: weights::split_digests(&manifest.digests),
             }),
             Err(LinkError::Failed(_)) => ListAnswer::NotYet,
-            Ok(_) => ListAnswer::Unavailable,
+            Ok(_) => ListAnswer::NotKept,
             Err(_) => {
                 self.mark_slow(id);
                 ListAnswer::Unavailable
@@ -234,8 +243,10 @@
         match read {
             Ok(list) if list.weights == self.weights && !list.digests.is_empty() => Some(list),
             Ok(list) => {
-                info!("list of pieces is empty or of another version",
-                    kv: { version = self.weights.version, came = list.weights.version });
+                info!("list of pieces is empty or of another version", kv: {
+                    version = self.weights.version, came = list.weights.version,
+                    pieces = list.digests.len()
+                });
                 None
             }
             Err(error) => {
--- a/crates/filbertstack-policy/src/pieces.rs
+++ b/crates/filbertstack-policy/src/pieces.rs
@@ -378,6 +378,31 @@
     }
 }
 
+/// What the owners of a list of pieces answered together.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum OwnersAnswer {
+    /// None of them answered.
+    Silent,
+    /// They no longer keep the version.
+    NotKept,
+    /// One of them will have the list.
+    NotYet,
+}
+
+/// Returns whether a node other than the primary owner may ask the origin for the list of a version's pieces.
+///
+/// *Load pattern*: a version is named on a busy machine. An entry hears of it before the owners of its list do, or they
+/// take longer to answer than it waits. If it asked the origin at once, all entries would, and the agents after them.
+/// Silent owners get the time that they get for a piece.
+pub fn may_ask_for_list(answer: OwnersAnswer, case: OriginCase) -> bool {
+    match (answer, case.role) {
+        (OwnersAnswer::NotKept, _) | (_, PieceRole::Primary) => true,
+        (OwnersAnswer::NotYet, _) => may_ask_origin(case),
+        (OwnersAnswer::Silent, PieceRole::Backup) => case.elapsed >= BACKUP_ORIGIN_AFTER,
+        (OwnersAnswer::Silent, PieceRole::Reader) => case.elapsed >= READER_ORIGIN_AFTER,
+    }
+}
+
 /// The lead over a newer version that an older one needs to be finished first: about half of the time
 /// in which a copy passes the origin's link, which is 1.3 to 2.1 s.
 const MIN_HEAD_START: Millis = Millis(1_000);
--- a/crates/filbertstack-policy/tests/pieces.rs
+++ b/crates/filbertstack-policy/tests/pieces.rs
@@ -6,10 +6,12 @@
 use filbertstack_core::Millis;
 use filbertstack_policy::pieces::OriginCase;
 use filbertstack_policy::pieces::OwnerMap;
+use filbertstack_policy::pieces::OwnersAnswer;
 use filbertstack_policy::pieces::Peer;
 use filbertstack_policy::pieces::PieceRole;
 use filbertstack_policy::pieces::Window;
 use filbertstack_policy::pieces::Yields;
+use filbertstack_policy::pieces::may_ask_for_list;
 use filbertstack_policy::pieces::may_ask_origin;
 use filbertstack_policy::pieces::origin_silence;
 use filbertstack_policy::pieces::which_yields;
@@ -380,6 +382,32 @@
     assert!(asked(PieceRole::Primary, 0, true), "its own piece");
 }
 
+/// Guards against lists that every entry asks the origin for on a busy machine, as its first questions got no answer in
+/// time. Only where the owners no longer keep the version does each node ask.
+#[test]
+fn silent_owners_of_a_list_get_the_time_that_they_get_for_a_piece() {
+    let asks_from = |answer, role| {
+        let asked = (0..100).map(|tenths| Millis(tenths * 100));
+        let case = |elapsed| OriginCase {
+            role,
+            owner_answers: answer != OwnersAnswer::Silent,
+            elapsed,
+            since_failure: None,
+        };
+        let mut asked = asked.filter(|elapsed| may_ask_for_list(answer, case(*elapsed)));
+        asked.next().map(|from| from.0)
+    };
+    for (answer, backup, reader) in [
+        (OwnersAnswer::Silent, Some(1_000), Some(3_500)),
+        (OwnersAnswer::NotYet, Some(3_500), None),
+        (OwnersAnswer::NotKept, Some(0), Some(0)),
+    ] {
+        assert_eq!(asks_from(answer, PieceRole::Backup), backup, "{answer:?}");
+        assert_eq!(asks_from(answer, PieceRole::Reader), reader, "{answer:?}");
+        assert_eq!(asks_from(answer, PieceRole::Primary), Some(0));
+    }
+}
+
 /// Guards against backup owners that all ask the origin at the moment it returns, as no owner has made
 /// progress while it failed.
 #[test]
--- a/tests/gateway/cluster.rs
+++ b/tests/gateway/cluster.rs
@@ -351,6 +351,12 @@
         exchange(&self.control_addr(n), &request)
     }
 
+    /// Returns the address at which an entry takes links.
+    pub fn link_addr(&self, n: usize) -> SocketAddr {
+        let addr = format!("{}:7700", self.ips[n]);
+        addr.parse().expect("an address")
+    }
+
     /// Returns the address at which operators reach an entry.
     pub fn control_addr(&self, n: usize) -> String {
         format!("{}:8000", self.ips[n])
--- a/tests/gateway/weights.rs
+++ b/tests/gateway/weights.rs
@@ -1,5 +1,20 @@
 //! Tests the distribution of new weights from the origin over the entries to the engines.
 
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use tokio::runtime::Builder;
+use tokio::task::LocalSet;
+
+use filbertstack_gateway::link::Dialer;
+use filbertstack_gateway::link::LinkError;
+use filbertstack_gateway::link::messages::Question;
+use filbertstack_gateway::link::messages::Reply;
+use filbertstack_gateway::weights::to_wire;
+use filbertstack_platform::engine::WeightsVersion;
+
+use crate::cluster::Cluster;
+use crate::cluster::document;
 use crate::cluster::wait_until;
 use crate::fleet::Fleet;
 use crate::model::PIECES;
@@ -39,6 +54,27 @@
     assert!(fleet.origin.lists(2) <= 4, "{}", fleet.origin.lists(2));
 }
 
+/// Asks an entry for the list of a version's pieces.
+fn ask_list(addr: SocketAddr, version: u64) -> Result<Reply, LinkError> {
+    let model = "m".into();
+    let question = Question::Manifest(to_wire(&WeightsVersion { model, version }));
+    let runtime = Builder::new_current_thread().enable_all().build();
+    LocalSet::new().block_on(&runtime.expect("a runtime"), async {
+        let dialer = Dialer::default();
+        dialer.ask(addr, question, Duration::from_secs(5)).await
+    })
+}
+
+/// Guards against nodes that hear of a version before the owners of its list and ask the origin each by itself, as the
+/// owners say that they no longer keep it.
+#[test]
+fn an_entry_that_has_not_heard_of_a_version_will_have_its_list() {
+    let cluster = Cluster::start(1, 0);
+    cluster.put_document(&[0], &document(1));
+    let reply = ask_list(cluster.link_addr(0), 2);
+    assert!(matches!(reply, Err(LinkError::Failed(_))), "{reply:?}");
+}
+
 /// Guards against an origin that is back for seconds before anyone asks it: its list's primary owner asked
 /// the other nodes in between, all of which waited for the primary owner.
 #[test]
