--- a/crates/filbertstack-gateway/src/request/classify.rs
+++ b/crates/filbertstack-gateway/src/request/classify.rs
@@ -19,6 +19,13 @@
 /// Within this time the registry learns what is at its address.
 const MISDIRECTED_EXCLUSION: Millis = Millis(400);
 
+/// The statuses of refusals, which need not name the attempt: a target may send them before it has read the request.
+const REFUSALS: [StatusCode; 3] = [
+    StatusCode::BAD_REQUEST,
+    StatusCode::TOO_MANY_REQUESTS,
+    StatusCode::SERVICE_UNAVAILABLE,
+];
+
 /// Decides from the head of an answer what the outcome of the attempt is.
 pub fn classify_answer(
     call: &Call,
@@ -35,18 +42,20 @@
     // a request that the target served.
     let misdirected = status == StatusCode::MISDIRECTED_REQUEST;
     let served = head.sealed && status.is_success();
-    if head.answers_attempt && !misdirected && (served || head.rate_limit.is_some()) {
+    let refused = misdirected || head.not_run && REFUSALS.contains(&status);
+    let is_ours = head.answers_attempt || head.unnamed && refused;
+    if is_ours && !misdirected && (served || head.rate_limit.is_some()) {
         let node = &guard.requests.node;
         let sent_at = node.clock.now() - Millis::from(guard.sent_at.elapsed());
         node.record_limit(&instance_of(&guard.id).into(), head.rate_limit, sent_at);
     }
-    if head.answers_attempt && !misdirected {
+    if is_ours && !misdirected {
         record_notices(call, &guard, &head);
     }
-    if served && head.answers_attempt {
+    if served && is_ours {
         report_late_begin(call, &guard, &head);
     }
-    if head.answers_attempt && (head.not_run || misdirected) {
+    if is_ours && (head.not_run || misdirected) {
         guard.ended = AttemptEnd::TurnedAway;
         if misdirected {
             let targets = &guard.requests.targets;
@@ -56,10 +65,10 @@
     }
     // An answer without the target's seal, to another request, or with an encoding that was not asked for
     // is not an answer to this request.
-    if !head.answers_attempt || !head.sealed || head.encoded {
+    if !is_ours || !head.sealed || head.encoded {
         info!("answer rejected", kv: {
             request = call.head.id(), target = instance_of(&guard.id), status = status.as_u16(),
-            ours = head.answers_attempt, sealed = head.sealed, encoded = head.encoded
+            ours = is_ours, sealed = head.sealed, encoded = head.encoded
         });
         guard.fail();
         return Outcome::Unknown;
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -25,5 +25,6 @@
 mod resumes;
 mod seeds;
 mod slow;
+mod trusted_bytes;
 mod weights;
 mod wrong_bytes;
