Pass on no 408, 429 or 503 that does not say that its request has not run

Callers take these statuses for the promise that the request has not run and never will. An engine's own answer with its seal and the id, but without X-Filbertstack-Not-Executed, was passed on unchanged, though the engine has not said so and the request may have run.

The caller gets 502 now, and a request that may be repeated goes to another engine first. The engine is not counted as failing: it has answered.

--- a/crates/filbertstack-gateway/src/request/classify.rs
+++ b/crates/filbertstack-gateway/src/request/classify.rs
@@ -26,6 +26,13 @@
     StatusCode::SERVICE_UNAVAILABLE,
 ];
 
+/// The statuses that promise a caller that its request has not run.
+const PROMISES: [StatusCode; 3] = [
+    StatusCode::REQUEST_TIMEOUT,
+    StatusCode::TOO_MANY_REQUESTS,
+    StatusCode::SERVICE_UNAVAILABLE,
+];
+
 /// Decides from the head of an answer what the outcome of the attempt is.
 pub fn classify_answer(
     call: &Call,
@@ -73,6 +80,14 @@
         guard.fail();
         return Outcome::Unknown;
     }
+    // To the caller these statuses are a promise, which the target has not given.
+    if PROMISES.contains(&status) {
+        info!("refusal does not say that the request has not run", kv: {
+            request = call.head.id(), target = instance_of(&guard.id), status = status.as_u16()
+        });
+        guard.ended = AttemptEnd::Refused;
+        return Outcome::Unknown;
+    }
     if status.is_server_error() {
         guard.ended = AttemptEnd::Refused;
         let repeats = call.route.repeat == Repeat::Idempotent;
--- a/tests/gateway/trusted_bytes.rs
+++ b/tests/gateway/trusted_bytes.rs
@@ -16,6 +16,9 @@
 use crate::engine::Received;
 use crate::engine::answer;
 
+/// The statuses that promise a caller that its request has not run, and that an engine may send without saying so.
+const PROMISES: [u16; 3] = [408, 429, 503];
+
 /// How long an engine may stay out of use after it has sent wrong bytes.
 const BACK_WITHIN: Duration = Duration::from_secs(8);
 
@@ -53,7 +56,7 @@
 };
 
 /// The plays, on a route whose requests may use a connection that is kept.
-const TROUBLES: [Trouble; 15] = [
+const TROUBLES: [Trouble; 16] = [
     Trouble {
         name: "late, of another request",
         before: OTHER,
@@ -110,6 +113,13 @@
                  X-Filbertstack-Attempt-Id: {id}\r\nServer-Leaving: 1\r\nServer-Limit: 0\r\n\r\n",
         ..SOUND
     },
+    Trouble {
+        name: "refusal without its headers",
+        answer: "HTTP/1.1 503 Service Unavailable\r\nX-Filbertstack-Attempt-Id: {id}\r\n\
+                 X-Filbertstack-Response-Seal: s\r\nContent-Length: 0\r\n\r\n",
+        statuses: &[502],
+        ..SOUND
+    },
     Trouble {
         name: "two lengths",
         answer: "HTTP/1.1 200 OK\r\nX-Filbertstack-Attempt-Id: {id}\r\nX-Filbertstack-Response-Seal: s\r\n\
@@ -222,8 +232,8 @@
     assert!(faults.is_empty(), "{}", faults.join("\n"));
 }
 
-/// Guards against a request that may run only once, and whose engine sends an answer that names no request: its
-/// caller must not get it.
+/// Guards against a request that may run only once, and whose engine sends an answer that names no request or a
+/// refusal that does not say that it has not run: its caller must not be told so, nor get it.
 #[test]
 fn an_answer_that_names_no_request_is_no_answer_to_one_that_runs_once() {
     let engine = Engine::start(Box::new(|received: &Received| {
@@ -241,14 +251,15 @@
     }));
     let cluster = Cluster::start(1, 0);
     cluster.put_document(&[0], &document(1));
-    let ids = ["200-none", "404-none", "500-none", "503-none"];
+    let ids = PROMISES.map(|status| format!("{status}-own")).into_iter();
+    let ids = ids.chain(["200-none", "404-none", "500-none", "503-none"].map(str::to_owned));
     let mut faults = Vec::new();
     for (born, id) in (1..).zip(ids) {
         wait_until("the target is registered", || {
             cluster.announce_start(0, "i-1", "once", engine.addr, born) == Some(200)
         });
         cluster.await_service(0, "/once/");
-        let got = cluster.call(0, &get(&format!("/once/{born}"), id, ""));
+        let got = cluster.call(0, &get(&format!("/once/{born}"), &id, ""));
         if got.status != 502 {
             faults.push(format!("{id}: {}", got.status));
         }
