Reject an answer with a length and chunks

Callers got a part of the body as a whole answer: the client reads the chunks, the header with the length was passed on, and the server cut the body at it.

Two lengths that differ were refused by the client before.

--- a/crates/filbertstack-gateway/src/request/classify.rs
+++ b/crates/filbertstack-gateway/src/request/classify.rs
@@ -70,12 +70,12 @@
         }
         return Outcome::NotRun;
     }
-    // An answer without the target's seal, to another request, or with an encoding that was not asked for
-    // is not an answer to this request.
-    if !is_ours || !head.sealed || head.encoded {
+    // An answer without the target's seal, to another request, with an encoding that was not asked for or with two
+    // ends is not an answer to this request.
+    if !is_ours || !head.sealed || head.encoded || head.framed_twice {
         info!("answer rejected", kv: {
             request = call.head.id(), target = instance_of(&guard.id), status = status.as_u16(),
-            ours = is_ours, sealed = head.sealed, encoded = head.encoded
+            ours = is_ours, sealed = head.sealed, encoded = head.encoded, framed_twice = head.framed_twice
         });
         guard.fail();
         return Outcome::Unknown;
--- a/tests/gateway/trusted_bytes.rs
+++ b/tests/gateway/trusted_bytes.rs
@@ -56,7 +56,7 @@
 };
 
 /// The plays, on a route whose requests may use a connection that is kept.
-const TROUBLES: [Trouble; 16] = [
+const TROUBLES: [Trouble; 17] = [
     Trouble {
         name: "late, of another request",
         before: OTHER,
@@ -127,6 +127,13 @@
         statuses: &[502],
         ..SOUND
     },
+    Trouble {
+        name: "length and chunks",
+        answer: "HTTP/1.1 200 OK\r\nX-Filbertstack-Attempt-Id: {id}\r\nX-Filbertstack-Response-Seal: s\r\n\
+                 Content-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nown\r\n0\r\n\r\n",
+        statuses: &[200, 502],
+        ..SOUND
+    },
     Trouble {
         name: "no content with a body",
         answer: "HTTP/1.1 204 No Content\r\nConnection: keep-alive\r\nX-Filbertstack-Attempt-Id: {id}\r\n\
