Bound the time for which an idle connection is kept

An engine that names a Keep-Alive timeout of seconds ended the task that passes on its answer: the time at which the connection is dropped overflowed. The caller got no answer.

Connections are kept for 300 s at most. Looked through for the same: the deadlines of callers and the rests of engines are milliseconds, which do not overflow, and are bounded.

--- a/crates/filbertstack-gateway/src/request/pool.rs
+++ b/crates/filbertstack-gateway/src/request/pool.rs
@@ -13,6 +13,9 @@
 /// without notice, and a request sent on a closed one is lost. Few targets close them sooner than this.
 const DEFAULT_KEEP: Duration = Duration::from_secs(4);
 
+/// How long an idle connection is kept at most, whatever its target names: much longer than targets keep one.
+const MAX_KEEP: Duration = Duration::from_secs(300);
+
 /// How long before the target's own limit an idle connection is discarded, so that a request still
 /// reaches the target in time.
 const KEEP_MARGIN: Duration = Duration::from_millis(500);
@@ -44,6 +47,7 @@
     /// Keeps a connection for as long as its target allows, or for the default time if it names no limit.
     pub fn put(&self, addr: SocketAddr, connection: Connection, allowed: Option<Duration>) {
         let keep = allowed.map_or(DEFAULT_KEEP, |allowed| allowed.saturating_sub(KEEP_MARGIN));
+        let keep = keep.min(MAX_KEEP);
         let mut idle = self.idle.borrow_mut();
         let connections = idle.entry(addr).or_default();
         if connections.len() < MAX_IDLE && !keep.is_zero() {
--- a/tests/gateway/trusted_bytes.rs
+++ b/tests/gateway/trusted_bytes.rs
@@ -56,7 +56,7 @@
 };
 
 /// The plays, on a route whose requests may use a connection that is kept.
-const TROUBLES: [Trouble; 17] = [
+const TROUBLES: [Trouble; 18] = [
     Trouble {
         name: "late, of another request",
         before: OTHER,
@@ -158,6 +158,13 @@
                  X-Filbertstack-Not-Executed: 1\r\nServer-Leaving: 1\r\nServer-Limit: 0\r\n\r\n",
         ..SOUND
     },
+    Trouble {
+        name: "a connection that is kept forever",
+        answer: "HTTP/1.1 200 OK\r\nConnection: keep-alive\r\nX-Filbertstack-Attempt-Id: {id}\r\n\
+                 X-Filbertstack-Response-Seal: s\r\nKeep-Alive: timeout=18446744073709551615\r\n\
+                 Content-Length: 3\r\n\r\nown",
+        ..SOUND
+    },
     Trouble {
         name: "head with a body",
         method: "HEAD",
