--- a/tests/gateway/trusted_bytes.rs
+++ b/tests/gateway/trusted_bytes.rs
@@ -6,6 +6,9 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use serde_json::Value;
+use serde_json::json;
+
 use crate::cluster::Answer;
 use crate::cluster::Cluster;
 use crate::cluster::document;
@@ -306,3 +309,39 @@
         assert_eq!(got.status, 502, "{id}");
     }
 }
+
+/// Guards against a heartbeat of a foreign writer that takes the address or the name of an engine from it.
+#[test]
+fn heartbeats_of_foreign_writers_hide_no_engine() {
+    let engine = Engine::start(Box::new(|received| answer(received, "200 OK", "ok")));
+    let cluster = Cluster::start(1, 0);
+    cluster.put_document(&[0], &document(1));
+    cluster.register(0, "i-1", "safe", engine.addr);
+    cluster.await_service(0, "/safe/");
+    let foreign = |id: &str, change: &dyn Fn(&mut Value)| {
+        let mut body = json!({
+            "service": "safe", "address": engine.addr.to_string(), "zone": "z0", "slots": 4,
+            "state": "ready", "sequence": 2, "born": 2, "models": []
+        });
+        change(&mut body);
+        let answer = cluster.control(0, "PUT", &format!("/instances/{id}"), &body.to_string());
+        (id.to_owned(), answer.map(|answer| answer.status))
+    };
+    let answers = [
+        foreign("j-2", &|b| b["born"] = json!(u64::MAX)),
+        foreign("i-1", &|b| b["sequence"] = json!(u64::MAX)),
+        foreign("i-1", &|b| b["state"] = json!("gone")),
+        foreign("j-3", &|b| b["zone"] = json!("z".repeat(1 << 20))),
+    ];
+    let expected = [Some(400); 4];
+    assert_eq!(
+        answers.clone().map(|(_, status)| status),
+        expected,
+        "{answers:?}"
+    );
+    for n in 0..20 {
+        let got = cluster.call(0, &get("/safe/", &format!("a{n}"), ""));
+        assert_eq!(got.status, 200, "request {n}: {}", got.body);
+        sleep(Duration::from_millis(20));
+    }
+}
