Let a target of no declared service hide no other

Callers were refused (503 "no target can serve it in time") while an engine was sound: a heartbeat of another writer named its address with a service that is not declared and a later start. Of two targets at one address the one that started last counts, as addresses are assigned again.

Where the service is declared later, the newer target counts from then on.

--- a/crates/filbertstack-gateway/src/request/registered.rs
+++ b/crates/filbertstack-gateway/src/request/registered.rs
@@ -93,8 +93,13 @@
 }
 
 /// Returns the registered targets. Of two at one address it returns the one that started last: the other
-/// must have ended, as its address was assigned again.
-pub(super) fn latest(rows: &[RegistryRow]) -> impl Iterator<Item = Registered<'_>> {
+/// must have ended, as its address was assigned again. A target of no declared service has no requests to take from
+/// another.
+pub(super) fn latest(
+    rows: &[RegistryRow],
+    is_declared: impl Fn(&str) -> bool,
+) -> Vec<Registered<'_>> {
+    let rank = |row: &TargetRow, stamp: Stamp| (is_declared(&row.service), stamp.born);
     let mut by_addr: BTreeMap<SocketAddr, Registered<'_>> = BTreeMap::new();
     for (instance, kind, stamp) in rows {
         let Kind::Target(row) = &**kind else {
@@ -104,7 +109,7 @@
             continue;
         };
         let known = by_addr.get(&addr);
-        if known.is_none_or(|other| other.stamp.born < stamp.born) {
+        if known.is_none_or(|other| rank(other.row, other.stamp) < rank(row, *stamp)) {
             let registered = Registered {
                 instance,
                 stamp: *stamp,
@@ -114,7 +119,7 @@
             by_addr.insert(addr, registered);
         }
     }
-    by_addr.into_values()
+    by_addr.into_values().collect()
 }
 
 /// Separates the id of an instance, a part of a path, which does not hold this character, from its start.
--- a/crates/filbertstack-gateway/src/request/targets.rs
+++ b/crates/filbertstack-gateway/src/request/targets.rs
@@ -121,7 +121,7 @@
                 _ => None,
             })
             .collect();
-        let latest: Vec<_> = latest(&rows).collect();
+        let latest = self.latest(&rows);
         let active = latest.iter().filter(|r| !self.is_evacuated(r.row));
         let active: Vec<_> = active.copied().collect();
         let beside = self.beside(&rows, &latest);
@@ -180,6 +180,12 @@
         *self.engines.borrow_mut() = engines;
     }
 
+    /// Returns the registered targets, one at each address.
+    fn latest<'a>(&self, rows: &'a [RegistryRow]) -> Vec<Registered<'a>> {
+        let catalogue = self.node.declared.catalogue();
+        latest(rows, |service| catalogue.service(service).is_some())
+    }
+
     /// Refreshes the targets at once if other zones are evacuated since the last refresh. An entry that starts knows
     /// targets before it knows the declared state, and routes requests as soon as it knows that.
     fn follow_zones(&self) {
@@ -284,7 +290,7 @@
     /// Returns the zones of all registered targets.
     pub fn zones(&self) -> BTreeMap<TargetId, Arc<str>> {
         let rows = self.node.registry.present();
-        let zones = latest(&rows).map(|registered| {
+        let zones = self.latest(&rows).into_iter().map(|registered| {
             let id = start_id(registered.instance, registered.stamp);
             (id, registered.row.zone.as_str().into())
         });
--- a/tests/gateway/trusted_bytes.rs
+++ b/tests/gateway/trusted_bytes.rs
@@ -328,12 +328,13 @@
         (id.to_owned(), answer.map(|answer| answer.status))
     };
     let answers = [
+        foreign("j-1", &|b| b["service"] = json!("nowhere")),
         foreign("j-2", &|b| b["born"] = json!(u64::MAX)),
         foreign("i-1", &|b| b["sequence"] = json!(u64::MAX)),
         foreign("i-1", &|b| b["state"] = json!("gone")),
         foreign("j-3", &|b| b["zone"] = json!("z".repeat(1 << 20))),
     ];
-    let expected = [Some(400); 4];
+    let expected = [Some(200), Some(400), Some(400), Some(400), Some(400)];
     assert_eq!(
         answers.clone().map(|(_, status)| status),
         expected,
