Use no list of pieces with another count than declared

An origin that sends the same incomplete list twice had it believed, kept by the voters and used by all nodes: engines were ordered to load with half of the pieces.

The number of pieces that the document declares for the model decides now; where it declares none, any list with a piece is taken. The test sends each wrong list twice: of another model or version, with a digest or all of them unreadable, without pieces, with half or twice as many, longer than is read, cut, and bytes that are no JSON. All but the counts were refused before, without a test.

--- a/crates/filbertstack-gateway/src/control/declared.rs
+++ b/crates/filbertstack-gateway/src/control/declared.rs
@@ -14,6 +14,7 @@
 use filbertstack_control::document::ZoneState;
 use filbertstack_core::Millis;
 use filbertstack_core::serving::Catalogue;
+use filbertstack_core::serving::EngineModel;
 use filbertstack_platform::catalogue;
 use filbertstack_policy::rollout::NamedVersion;
 use filbertstack_policy::rollout::record_version;
@@ -111,15 +112,18 @@
     pub fn copy_time(&self, model: &str) -> Option<Millis> {
         let catalogue = self.catalogue();
         let origin = catalogue.services().find_map(|service| service.origin)?;
-        let engines = catalogue
-            .services()
-            .filter_map(|service| service.engine.as_ref());
-        let mut engines = engines.filter(|engine| engine.models.iter().any(|m| &**m == model));
-        let engine = engines.next()?;
+        let engine = find_engine(&catalogue, model)?;
         let bytes = u64::from(engine.pieces) * u64::from(engine.piece_bytes);
         origin.transfer_time(bytes).map(Millis::from)
     }
 
+    /// Returns the number of pieces in one version of a model's weights, if it is declared.
+    pub fn pieces(&self, model: &str) -> Option<u32> {
+        let catalogue = self.catalogue();
+        let pieces = find_engine(&catalogue, model)?.pieces;
+        (pieces > 0).then_some(pieces)
+    }
+
     /// Returns the model that the engines of `service` serve.
     pub fn model(&self, service: &str) -> Option<Arc<str>> {
         let models = self.models.borrow();
@@ -314,3 +318,12 @@
     });
     models.collect()
 }
+
+/// Returns how the engines that serve a model work.
+fn find_engine<'a>(catalogue: &'a Catalogue, model: &str) -> Option<&'a EngineModel> {
+    let engines = catalogue
+        .services()
+        .filter_map(|service| service.engine.as_ref());
+    let mut engines = engines.filter(|engine| engine.models.iter().any(|m| &**m == model));
+    engines.next()
+}
--- a/crates/filbertstack-gateway/src/weights/fetch/list.rs
+++ b/crates/filbertstack-gateway/src/weights/fetch/list.rs
@@ -241,9 +241,9 @@
             .map_err(|e| e.to_string())
             .and_then(|body| read_manifest(&body).map_err(|e| e.to_string()));
         match read {
-            Ok(list) if list.weights == self.weights && !list.digests.is_empty() => Some(list),
+            Ok(list) if list.weights == self.weights && self.has_all_pieces(&list) => Some(list),
             Ok(list) => {
-                info!("list of pieces is empty or of another version", kv: {
+                info!("list of pieces is incomplete or of other weights", kv: {
                     version = self.weights.version, came = list.weights.version,
                     pieces = list.digests.len()
                 });
@@ -256,4 +256,11 @@
             }
         }
     }
+
+    /// Returns whether a list has as many pieces as are declared, and at least one.
+    fn has_all_pieces(&self, list: &PieceList) -> bool {
+        let declared = self.node.declared.pieces(&self.weights.model);
+        let pieces = weights::piece_count(list);
+        pieces > 0 && declared.is_none_or(|declared| declared == pieces)
+    }
 }
--- a/tests/gateway/model.rs
+++ b/tests/gateway/model.rs
@@ -36,7 +36,8 @@
 }
 
 /// Returns an answer without a seal on a kept connection, as for the calls of agents.
-fn plain_answer(status: &str, body: &[u8]) -> Vec<u8> {
+/// Returns an answer without headers of the protocol.
+pub fn plain_answer(status: &str, body: &[u8]) -> Vec<u8> {
     let head = format!(
         "HTTP/1.1 {status}\r\nConnection: keep-alive\r\nContent-Length: {}\r\n\r\n",
         body.len()
@@ -424,6 +425,8 @@
     refusals: Arc<AtomicU64>,
     /// How many more lists it sends with one wrong digit.
     spoilt_lists: Arc<AtomicU64>,
+    /// The next answers to requests for a list, the last one first.
+    wrong_lists: Arc<Mutex<Vec<Vec<u8>>>>,
 }
 
 impl Origin {
@@ -448,6 +451,20 @@
         self.spoilt_lists.store(count, Ordering::SeqCst);
     }
 
+    /// Answers the next requests for a list with these bytes, each twice.
+    pub fn answer_lists(&self, answers: Vec<Vec<u8>>) {
+        let twice = answers
+            .into_iter()
+            .rev()
+            .flat_map(|bytes| [bytes.clone(), bytes]);
+        *self.wrong_lists.lock().expect("not poisoned") = twice.collect();
+    }
+
+    /// Returns how many of those answers are left.
+    pub fn wrong_lists_left(&self) -> usize {
+        self.wrong_lists.lock().expect("not poisoned").len()
+    }
+
     /// Returns how often each piece was sent, by version and number.
     pub fn sent(&self) -> BTreeMap<(u64, u32), u32> {
         self.sent.lock().expect("not poisoned").clone()
@@ -482,6 +499,9 @@
                 self.refusals.store(left - 1, Ordering::SeqCst);
                 return plain_answer("503 Service Unavailable", b"");
             }
+            if let Some(wrong) = self.wrong_lists.lock().expect("not poisoned").pop() {
+                return wrong;
+            }
             let mut lists = self.lists.lock().expect("not poisoned");
             *lists.entry(version).or_default() += 1;
             return plain_answer("200 OK", self.list(version).to_string().as_bytes());
@@ -493,7 +513,8 @@
     }
 }
 
-fn manifest(version: u64) -> Value {
+/// Returns the list of a version's pieces.
+pub fn manifest(version: u64) -> Value {
     let digest = |n| format!("{:x}", Sha256::digest(piece(version, n)));
     let digests: Vec<String> = (0..PIECES).map(digest).collect();
     json!({
--- a/tests/gateway/trusted_bytes.rs
+++ b/tests/gateway/trusted_bytes.rs
@@ -18,6 +18,10 @@
 use crate::engine::Engine;
 use crate::engine::Received;
 use crate::engine::answer;
+use crate::fleet::Fleet;
+use crate::model::PIECES;
+use crate::model::manifest;
+use crate::model::plain_answer;
 
 /// The statuses that promise a caller that its request has not run, and that an engine may send without saying so.
 const PROMISES: [u16; 3] = [408, 429, 503];
@@ -346,3 +350,41 @@
         sleep(Duration::from_millis(20));
     }
 }
+
+/// Guards against a list of pieces that the origin sends twice, and that is not the list of the version: engines would
+/// load with pieces missing.
+#[test]
+fn lists_that_are_not_those_of_a_version_are_not_used() {
+    let changed = |change: &dyn Fn(&mut Value)| {
+        let mut list = manifest(2);
+        change(&mut list);
+        plain_answer("200 OK", list.to_string().as_bytes())
+    };
+    let count = |list: &mut Value, count: u32| {
+        let digests = manifest(2)["digests"].as_array().expect("digests").clone();
+        let digests = digests.into_iter().cycle().take(count as usize);
+        list["digests"] = digests.collect();
+    };
+    let wrong = vec![
+        changed(&|list| list["model"] = json!("other")),
+        changed(&|list| list["version"] = json!(3)),
+        changed(&|list| list["digests"][3] = json!("4")),
+        changed(&|list| list["digests"] = json!("none")),
+        changed(&|list| count(list, 0)),
+        changed(&|list| count(list, PIECES / 2)),
+        changed(&|list| count(list, PIECES * 2)),
+        // More than is read of a list.
+        changed(&|list| count(list, 20_000)),
+        plain_answer("200 OK", b"{\"model\":\"m\",\"version\":2"),
+        plain_answer("200 OK", &[0xff; 600]),
+    ];
+    let fleet = Fleet::start(1);
+    wait_until("all entries know each other", || {
+        (0..3).all(|n| fleet.cluster.knows_all(n))
+    });
+    fleet.origin.answer_lists(wrong);
+    fleet.name_version(2);
+    fleet.await_version(2);
+    assert_eq!(fleet.bad_loads(), 0);
+    assert_eq!(fleet.origin.wrong_lists_left(), 0, "all were sent");
+}
