Log which version an entry takes an engine to have

A late begin has two possible causes that the log could not tell apart: the engine was of the older version and got too much time, or its entry took it for one of the newer version. Before the newest version binds, `weights` of `sent` is 0 for both. `held` names the version that the entry believes; with `version` of `answer begun on replaced weights after their bound` it decides.

--- a/crates/filbertstack-gateway/src/request/targets.rs
+++ b/crates/filbertstack-gateway/src/request/targets.rs
@@ -69,11 +69,14 @@
     zones_revision: Cell<u64>,
 }
 
-/// The address of a target and the version of the weights that its answers must come from.
+/// The address of a target and the versions of its weights.
 #[derive(Clone, Copy, Debug)]
 struct Endpoint {
     addr: SocketAddr,
+    /// The version that its answers must come from, if others may not answer.
     version: Option<u64>,
+    /// The version that it is known to hold; 0 if none.
+    held: u64,
     /// The time since which the target is known to load other weights.
     loading_since: Option<Millis>,
 }
@@ -89,6 +92,8 @@
     pub addr: SocketAddr,
     /// The version of the weights that it must serve, if older versions may no longer answer.
     pub version: Option<u64>,
+    /// The version of the weights that it is known to hold; 0 if none.
+    pub held: u64,
     /// The predicted time to the first event, in milliseconds.
     pub predicted_ms: f64,
     /// The age of the load report behind the prediction; `None` without a report.
@@ -356,6 +361,7 @@
         let endpoint = Endpoint {
             addr,
             version: (floor > 0).then_some(version),
+            held: version,
             loading_since: loading.then(|| self.loading_since(&offered.id).unwrap_or(now)),
         };
         (offered, endpoint)
@@ -437,6 +443,7 @@
             chosen_at: now,
             addr: endpoint.addr,
             version: endpoint.version,
+            held: endpoint.held,
             predicted_ms,
             report_age,
         })
