Reproduce late begins of long limits and of wrong versions

Callers whose time limit is long against the bound (20 s at 8 s) are begun on replaced weights after it.

The stand-in engine can now read a prompt after it has sent the head of the answer.

--- a/tests/gateway/begins.rs
+++ b/tests/gateway/begins.rs
@@ -3,6 +3,7 @@
 
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::OnceLock;
 use std::thread;
 use std::thread::JoinHandle;
 use std::time::Duration;
@@ -17,18 +18,17 @@
 use crate::endings::assert_whole;
 use crate::engine::Behaviour;
 use crate::engine::Received;
+use crate::engine::answer;
 use crate::engine::no_room;
 use crate::engine::stream;
 use crate::engine::time_left;
 use crate::fleet::Fleet;
+use crate::model::Model;
 use crate::model::services;
 
 /// An older version may begin requests for this long after a newer one is named: the entries' default.
 const BOUND: Duration = Duration::from_secs(8);
 
-/// Callers send requests from this time after the naming on.
-const FIRST_CALL: Duration = Duration::from_millis(2_500);
-
 /// The callers send this many requests, spread evenly until the bound.
 const CALLS: u32 = 110;
 
@@ -50,8 +50,18 @@
 /// A stream that is broken off lacks this many bytes: all after its first event.
 const REST: usize = 59;
 
-/// The requests that engines have begun, with their attempt's id, and when.
-type Begun = Arc<Mutex<Vec<(String, Instant)>>>;
+/// A request that an engine has begun.
+#[derive(Clone)]
+struct Begin {
+    /// The id of its attempt.
+    id: String,
+    at: Instant,
+    /// The version of the engine's weights.
+    version: u64,
+}
+
+/// The requests that engines have begun.
+type Begun = Arc<Mutex<Vec<Begin>>>;
 
 /// The id of a caller's attempt, and the status and the body that it got.
 type Answered = (String, u16, String);
@@ -60,7 +70,7 @@
 struct Run {
     /// The time after which nothing may begin.
     ends: Instant,
-    begun: Vec<(String, Instant)>,
+    begun: Vec<Begin>,
     answers: Vec<Answered>,
     logged: String,
 }
@@ -68,8 +78,9 @@
 impl Run {
     /// Returns how long after the bound requests began.
     fn late(&self) -> Vec<Duration> {
-        let begun = self.begun.iter().filter(|(id, _)| id.starts_with('c'));
-        let late = begun.filter_map(|(_, at)| at.checked_duration_since(self.ends));
+        let begun = self.begun.iter();
+        let old = begun.filter(|begin| begin.id.starts_with('c') && begin.version == 1);
+        let late = old.filter_map(|begin| begin.at.checked_duration_since(self.ends));
         late.filter(|late| !late.is_zero()).collect()
     }
 
@@ -90,10 +101,16 @@
             late.iter().max(),
             self.logged
         );
-        let asked = self.begun.iter().any(|(id, _)| id.starts_with('c'));
+        let asked = self.begun.iter().any(|begin| begin.id.starts_with('c'));
         assert!(asked, "nothing began\n{}", self.logged);
     }
 
+    /// Returns whether a caller's request was sent to an engine.
+    fn has_sent(&self) -> bool {
+        let is_sent = |line: &str| line.contains("\"sent\"") && line.contains("\"request\":\"c");
+        self.logged.lines().any(is_sent)
+    }
+
     /// Returns the number of callers that got an answer from an engine.
     fn served(&self) -> usize {
         let answers = self.answers.iter();
@@ -110,14 +127,19 @@
     }
 }
 
-/// Returns an engine's behaviour that keeps each request for `hold` in a queue, begins it if its time limit has not
-/// passed, and does not notice a close.
-fn queueing(scene: Scene, begun: &Begun) -> Behaviour {
+/// Returns an engine's behaviour that keeps each request for the scene's time, begins it if its time limit has not
+/// passed, and does not notice a close. `model` is the engine's.
+fn queueing(scene: Scene, begun: &Begun, model: Arc<OnceLock<Model>>) -> Behaviour {
     let hold = scene.hold;
     let breaks = scene.event == Event::Breaks;
     let begun = begun.clone();
     Box::new(move |received: &Received| {
         let id = received.header("x-filbertstack-attempt-id").to_owned();
+        let version = model.get().map_or(1, |model| model.state().version);
+        let expected = received.header("x-filbertstack-expect-version");
+        if !expected.is_empty() && expected != version.to_string() {
+            return answer(received, "421 Misdirected Request", "");
+        }
         if id.starts_with("probe") {
             return stream(received, EVENTS, 0);
         }
@@ -129,23 +151,30 @@
         if Instant::now() >= expires {
             return no_room(received);
         }
-        begun
-            .lock()
-            .expect("not poisoned")
-            .push((id, Instant::now()));
+        if scene.reading.is_zero() {
+            let at = Instant::now();
+            let mut all = begun.lock().expect("not poisoned");
+            all.push(Begin { id, at, version });
+        }
         stream(received, EVENTS, 0)
     })
 }
 
 /// What a run varies.
-#[derive(Clone, Copy)]
+#[derive(Clone, Copy, Debug)]
 struct Scene {
     /// How many engines one request may be sent to.
     attempts: u32,
     /// Whether a stream may be resumed; else a request may run once.
     resumable: bool,
+    /// Callers send requests from this time after the naming on.
+    first: Duration,
     /// How long an engine keeps a request before it begins it.
     hold: Duration,
+    /// How long an engine reads a prompt, after the head of its answer and before the first event.
+    reading: Duration,
+    /// The time limit of the route.
+    limit: Duration,
     /// How long an engine takes for an event.
     pause: Duration,
     /// Further headers of the callers.
@@ -155,7 +184,7 @@
 }
 
 /// What happens besides the naming of a version.
-#[derive(Clone, Copy, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Event {
     Nothing,
     /// The entries are frozen from [`FREEZE_AT`] until after the bound.
@@ -164,18 +193,31 @@
     Breaks,
     /// A second version is named right after the first.
     SecondNaming,
+    /// The one engine has loaded the version when its agent freezes, and starts again with the older one.
+    StartsOlder,
 }
 
 /// Engines queue requests of unknown length for 2.5 s.
 const QUEUE: Scene = Scene {
     attempts: 1,
     resumable: true,
+    first: Duration::from_millis(2_500),
     hold: Duration::from_millis(2_500),
+    reading: Duration::ZERO,
+    limit: Duration::from_secs(5),
     pause: Duration::ZERO,
     headers: "",
     event: Event::Nothing,
 };
 
+/// Engines queue requests for longer than half of the bound, and requests have more time than the bound lasts.
+const LONG: Scene = Scene {
+    first: Duration::from_millis(1_400),
+    hold: Duration::from_secs(6),
+    limit: Duration::from_secs(20),
+    ..QUEUE
+};
+
 /// Names a version whose pieces never arrive, so that all engines stay at the one before it, and calls them until
 /// after its bound.
 fn call_until_bound(scene: Scene) -> Run {
@@ -185,23 +227,35 @@
     declared["services"] = services(fleet.origin.start().addr);
     let route = &mut declared["routes"][2];
     route["maxAttempts"] = json!(scene.attempts);
+    route["timeoutMs"] = json!(scene.limit.as_millis());
     route["resumable"] = json!(scene.resumable);
     if !scene.resumable {
         route["kind"] = json!("non_idempotent");
     }
     fleet.cluster.put_document(&[0], &declared);
-    for _ in 0..3 {
-        fleet.add_behaving(scene.pause, queueing(scene, &begun));
+    let starts_older = scene.event == Event::StartsOlder;
+    for n in 0..if starts_older { 1 } else { 3 } {
+        let own = Arc::new(OnceLock::new());
+        fleet.add_behaving(scene.pause, queueing(scene, &begun, own.clone()));
+        let _ = own.set(fleet.models[n].clone());
     }
     fleet.name_version(1);
     fleet.await_version(1);
     fleet.await_all_serving();
-    fleet.origin.refuse_lists(u64::MAX);
+    if !starts_older {
+        fleet.origin.refuse_lists(u64::MAX);
+    }
+    for model in &fleet.models {
+        model.state().streams.read_for(scene.reading);
+    }
     fleet.name_version(2);
     let ends = Instant::now() + BOUND;
     if scene.event == Event::SecondNaming {
         fleet.name_version(3);
     }
+    if starts_older {
+        start_older(&fleet);
+    }
     let callers = call_evenly(&fleet, ends, scene);
     if scene.event == Event::Freeze {
         freeze_entries(&fleet, ends);
@@ -211,10 +265,16 @@
         callers.iter().all(JoinHandle::is_finished)
     });
     // What an engine still keeps begins by then, or never.
-    thread::sleep((ends + scene.hold).saturating_duration_since(Instant::now()));
+    let kept = ends + scene.hold + scene.reading;
+    thread::sleep(kept.saturating_duration_since(Instant::now()));
     let answers = callers.into_iter().map(|c| c.join().expect("it ends"));
     let answers = answers.collect();
-    let begun = begun.lock().expect("not poisoned").clone();
+    let mut begun = begun.lock().expect("not poisoned").clone();
+    for model in &fleet.models {
+        let version = 1;
+        let read = model.state().streams.read();
+        begun.extend(read.into_iter().map(|(id, at)| Begin { id, at, version }));
+    }
     let logged = (0..3).map(|n| fleet.cluster.logged(n)).collect();
     Run {
         ends,
@@ -224,6 +284,41 @@
     }
 }
 
+/// Waits until the engine serves the new version, freezes its agent, and gives the engine the older version.
+fn start_older(fleet: &Fleet) {
+    fleet.await_version(2);
+    // The agent announces a load before it, so that an entry which serves again knows the new version.
+    wait_until("the engine serves again", || {
+        fleet.announce_all();
+        let front = |n| fleet.cluster.front_addr(n);
+        let served = |n| exchange(&front(n), &get("/stream/", &format!("probe-{n}"), ""));
+        (0..3).all(|n| served(n).is_some_and(|a| a.status == 200))
+    });
+    fleet.cluster.signal(fleet.agents[0], "STOP");
+    fleet.models[0].state().version = 1;
+}
+
+/// Plays each scene and asserts that nothing began after the bound.
+fn assert_all_in_time(scenes: impl Iterator<Item = Scene>) {
+    let runs = scenes.map(|scene| thread::spawn(move || (scene, call_until_bound(scene))));
+    let runs: Vec<_> = runs.collect();
+    let runs = runs.into_iter().map(|run| run.join().expect("it ends"));
+    let counts = runs.map(|(scene, run)| {
+        assert!(
+            run.has_sent(),
+            "nothing was sent in {scene:?}\n{}",
+            run.logged
+        );
+        let late = run.late();
+        (late.len(), run.begun.len(), late.into_iter().max(), scene)
+    });
+    let counts: Vec<_> = counts.collect();
+    assert!(
+        counts.iter().all(|(late, ..)| *late == 0),
+        "late, of all that began: {counts:#?}"
+    );
+}
+
 /// Freezes all entries from [`FREEZE_AT`] until the bound and the longest queue have passed.
 fn freeze_entries(fleet: &Fleet, ends: Instant) {
     let freeze_at = ends.checked_sub(BOUND).expect("after the start") + FREEZE_AT;
@@ -238,7 +333,7 @@
 
 /// Starts callers at all entries, evenly until `ends`.
 fn call_evenly(fleet: &Fleet, ends: Instant, scene: Scene) -> Vec<JoinHandle<Answered>> {
-    let first = ends.checked_sub(BOUND).expect("after the start") + FIRST_CALL;
+    let first = ends.checked_sub(BOUND).expect("after the start") + scene.first;
     let gap = ends.saturating_duration_since(first) / CALLS;
     let callers = (0..CALLS).map(|n| {
         let front = fleet.cluster.front_addr((n % 3) as usize);
@@ -253,6 +348,8 @@
                 ""
             };
             let request = get(&format!("/stream/{own}"), &id, scene.headers);
+            let limit = format!("Deadline-Ms: {}", scene.limit.as_millis());
+            let request = request.replace("Deadline-Ms: 5000", &limit);
             let answer = exchange(&front, &request);
             let (status, body) = answer.map_or((0, String::new()), |a| (a.status, a.body));
             (id, status, body)
@@ -372,3 +469,44 @@
     let refused = "lost with several targets";
     assert!(!run.logged.contains(refused), "{}", run.logged);
 }
+
+/// Guards against a request that begins after the bound because it was sent in the first half of it with all its time:
+/// engines keep it for longer than half of the bound, in a queue or while they read its prompt.
+#[test]
+fn long_limits_do_not_outlast_the_bound() {
+    let read = Scene {
+        hold: Duration::ZERO,
+        reading: LONG.hold,
+        ..LONG
+    };
+    let scenes = [1, 2, 3]
+        .into_iter()
+        .flat_map(|attempts| [LONG, read].map(|scene| Scene { attempts, ..scene }));
+    assert_all_in_time(scenes);
+}
+
+/// Guards against the same for requests that may run once, and for streams that are resumed.
+#[test]
+fn long_limits_of_other_routes_do_not_outlast_the_bound() {
+    let once = Scene {
+        resumable: false,
+        headers: SHORT_TOKENS,
+        ..LONG
+    };
+    let resumed = Scene {
+        attempts: 3,
+        event: Event::Breaks,
+        ..LONG
+    };
+    assert_all_in_time([once, resumed].into_iter());
+}
+
+/// Guards against an engine that holds an older version than its entry believes, and gets no bound for that.
+#[test]
+fn long_limits_do_not_follow_from_a_wrong_version() {
+    let event = Event::StartsOlder;
+    let run = call_until_bound(Scene { event, ..LONG });
+    let (late, all) = (run.late(), run.begun.len());
+    assert!(late.is_empty(), "{late:?} late of {all}\n{}", run.logged);
+    assert!(run.logged.contains("\"status\":421"), "{}", run.logged);
+}
--- a/tests/gateway/engine.rs
+++ b/tests/gateway/engine.rs
@@ -11,6 +11,7 @@
 use std::sync::Mutex;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU32;
+use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::Duration;
@@ -58,9 +59,28 @@
 pub struct Streams {
     running: AtomicU32,
     breaks: AtomicU32,
+    /// How long a prompt is read: the milliseconds between the head of a stream and its first event.
+    reading: AtomicU64,
+    /// The streams whose prompts were read, by the id of their attempt, and when.
+    read: Mutex<Vec<(String, Instant)>>,
 }
 
 impl Streams {
+    /// Reads each prompt for `span` after the head of its stream was sent.
+    pub fn read_for(&self, span: Duration) {
+        let millis = u64::try_from(span.as_millis()).expect("seconds");
+        self.reading.store(millis, Ordering::SeqCst);
+    }
+
+    /// Returns the streams whose prompts were read, by the id of their attempt, and when.
+    pub fn read(&self) -> Vec<(String, Instant)> {
+        self.read.lock().expect("not poisoned").clone()
+    }
+
+    fn reading(&self) -> Duration {
+        Duration::from_millis(self.reading.load(Ordering::SeqCst))
+    }
+
     /// Returns the number of running streams.
     pub fn running(&self) -> u32 {
         self.running.load(Ordering::SeqCst)
@@ -199,6 +219,7 @@
             return;
         }
         let time_left = time_left(&received);
+        let id = received.header("x-filbertstack-attempt-id").to_owned();
         let answer = behaviour(&received);
         let crashes = (state.crashes)(&received);
         recorded.lock().expect("not poisoned").push(received);
@@ -207,6 +228,7 @@
         }
         // The caller leaves in some tests, so that a failure to send is expected.
         let paced = Paced {
+            id: &id,
             pause,
             deadline: Instant::now() + time_left,
             streams: &state.streams,
@@ -252,6 +274,7 @@
 
 /// `Paced` tells how an engine sends streams.
 struct Paced<'a> {
+    id: &'a str,
     pause: Duration,
     /// The engine stops work then.
     deadline: Instant,
@@ -260,7 +283,8 @@
 
 fn send_answer(stream: &mut TcpStream, answer: &[u8], paced: &Paced<'_>) -> io::Result<()> {
     let is_stream = answer.windows(8).any(|text| text == b"\ndata: p");
-    if paced.pause.is_zero() || !is_stream {
+    let whole = paced.pause.is_zero() && paced.streams.reading().is_zero();
+    if whole || !is_stream {
         return stream.write_all(answer);
     }
     let running = &paced.streams.running;
@@ -272,9 +296,19 @@
 
 fn send_paced(stream: &mut TcpStream, answer: &[u8], paced: &Paced<'_>) -> io::Result<()> {
     let breaks = paced.streams.breaks();
+    let mut reading = Some(paced.streams.reading()).filter(|span| !span.is_zero());
     for event in answer.split_inclusive(|byte| *byte == b'\r') {
+        let is_event = event.windows(3).any(|text| text == b"id:");
+        if is_event && let Some(reading) = reading.take() {
+            thread::sleep(reading);
+            if Instant::now() >= paced.deadline {
+                return Err(io::ErrorKind::ConnectionAborted.into());
+            }
+            let mut read = paced.streams.read.lock().expect("not poisoned");
+            read.push((paced.id.to_owned(), Instant::now()));
+        }
         stream.write_all(event)?;
-        if event.windows(3).any(|text| text == b"id:") {
+        if is_event {
             thread::sleep(paced.pause);
         }
         if paced.streams.breaks() != breaks || Instant::now() >= paced.deadline {
