Tell no engine of an older version more than the time until its bound

The time of the request was told as nobody but engines of the older version could serve then, and as no queue was believed to last for half of the bound. The second is not so where limits are long, and a close ends nothing at an engine that does not notice it.

The limit is now the time until the bound, always. What must be served just after the naming is decided by what comes before the limit ends: engines with the newest weights. A request that another engine may continue is sent whatever it takes, also while none has the newest weights yet; one that can't move, if it is expected to end in time, by the published mean if its caller names no length. A request whose time ends before the bound, and the second half of the bound, are as before.

--- a/crates/filbertstack-gateway/src/request/mod.rs
+++ b/crates/filbertstack-gateway/src/request/mod.rs
@@ -250,6 +250,7 @@
             answer: [expected, most].into_iter().flatten().min(),
             lasted: Millis::from(lasted),
             movable: self.may_repeat() && !tries.attempts.is_last(self.route.attempts),
+            successor: false,
         }
     }
 
--- a/crates/filbertstack-policy/src/begin.rs
+++ b/crates/filbertstack-policy/src/begin.rs
@@ -8,11 +8,11 @@
 //! the bound, it refuses what it has not begun by then, and cuts the streams that it has begun, as there is one limit
 //! for both.
 //!
-//! A target is therefore told no more than the time until the bound, and gets only what is expected to end within it.
-//! What lasts longer than expected is cut by its target at the limit, and another continues it; a request that no other
-//! could continue must be expected to end in half of the time. That would leave nobody to serve long requests just after
-//! the naming, when all targets are of the older version and the bound is so far away that no queue lasts until then:
-//! targets are told all the time of the request in those seconds.
+//! A target is therefore never told more than the time until the bound. What has not ended by then is cut by its target,
+//! and another continues it, so that a target gets only what is expected to end in time, and in half of the time if no
+//! other could continue it. That would leave nobody to serve long requests just after the naming, when all targets are of
+//! the older version. The bound is far away then, and targets with the newest weights will be there before it: what
+//! another target may continue is sent whatever it takes, and the rest if it is expected to end before the bound.
 //!
 //! Decisions depend only on what is passed in. They use no clock, network or thread.
 
@@ -20,10 +20,9 @@
 
 use crate::units::millis_f64;
 
-/// The part of the bound that must be left for a target to be told more time than is left. No request is kept in a queue
-/// for half of it and still served: callers of streams disconnect after two seconds without an event. The first engine
-/// that loads has by then ended or moved away the streams that it runs; with a larger part they could move to no other.
-const UNLIMITED_PART: f64 = 0.5;
+/// The part of the bound that must be left for targets with the newest weights to be there before it ends. The first
+/// loads have ended by then, and the last order follows in the next quarter.
+const EARLY_PART: f64 = 0.5;
 
 /// How much longer than expected a request may take that no other target can continue. Callers' estimates are right in
 /// the median, and 19 of 20 answers take no more than twice as long.
@@ -48,12 +47,14 @@
     /// The time left until the deadline of the request.
     pub time_left: Millis,
     /// The number of tokens that its caller expects in the answer, or the most that it takes; `None` if it names none.
-    /// The length of such an answer is unknown, and it is not expected to end in time.
+    /// The length of such an answer is unknown: early it is expected to be the mean, and later not to end in time.
     pub answer: Option<u32>,
     /// For how long the answer has lasted at other targets.
     pub lasted: Millis,
     /// Whether another target may run the request again or continue it.
     pub movable: bool,
+    /// Whether a target with the newest weights is there to do so.
+    pub successor: bool,
 }
 
 /// The time that a target is given.
@@ -84,16 +85,16 @@
     if work.time_left <= left {
         return Some(whole);
     }
-    if millis_f64(left) >= millis_f64(replaced.bound) * UNLIMITED_PART {
-        return Some(Grant {
-            begin_within: Some(left),
-            ..whole
-        });
-    }
+    let early = millis_f64(left) >= millis_f64(replaced.bound) * EARLY_PART;
+    let margin = if early || (work.movable && work.successor) {
+        1.0
+    } else {
+        LAST_MARGIN
+    };
     // An answer that has lasted for long is expected to last as long again.
     let expected = expected_ms.max(millis_f64(work.lasted));
-    let margin = if work.movable { 1.0 } else { LAST_MARGIN };
-    (expected * margin < millis_f64(left)).then_some(Grant {
+    let ends = (early || work.answer.is_some()) && expected * margin < millis_f64(left);
+    (ends || (early && work.movable)).then_some(Grant {
         limit: left,
         begin_within: Some(left + REFUSAL_TIME),
     })
--- a/crates/filbertstack-policy/src/dispatch.rs
+++ b/crates/filbertstack-policy/src/dispatch.rs
@@ -213,7 +213,7 @@
         let demand = demand.map_or(0.0, Rate::per_ms_at_last);
         let demand = claim.map_or(demand, |claim| claim.demand);
         let free_slots = self.free_slots(now, wanted, limit, cut_off);
-        let work = self.movable_work(wanted.work, wanted.service);
+        let work = self.complete(wanted.work, wanted.service);
         let mut lowest = f64::INFINITY;
         let mut yields = false;
         let mut rest_end = None;
@@ -506,13 +506,13 @@
     /// `None` if it may not begin the request, or is not known any more.
     pub fn grant(&self, now: Millis, id: &str, prompt: u32, work: Work) -> Option<Grant> {
         let target = self.targets.get(id)?;
-        let work = self.movable_work(work, &target.spec.service);
+        let work = self.complete(work, &target.spec.service);
         target.grant(now, f64::from(prompt), work)
     }
 
-    /// Returns `work` as one that can't move if no target of the service has the newest weights: those that a limit
-    /// ends would end with it.
-    fn movable_work(&self, work: Work, service: &str) -> Work {
+    /// Returns `work` with whether a target of the service has the newest weights: without one, those that a limit ends
+    /// would end with it.
+    fn complete(&self, work: Work, service: &str) -> Work {
         let continues = |target: &Target| {
             let TargetSpec {
                 service: served,
@@ -523,7 +523,7 @@
             **served == *service && *accepts_work && replaced.is_none()
         };
         Work {
-            movable: work.movable && self.targets.values().any(continues),
+            successor: work.movable && self.targets.values().any(continues),
             ..work
         }
     }
--- a/crates/filbertstack-policy/src/dispatch/target.rs
+++ b/crates/filbertstack-policy/src/dispatch/target.rs
@@ -516,9 +516,10 @@
     /// Returns the time that the target gets now for a request with a prompt of `prompt` tokens; `None` if it may not
     /// begin the request.
     pub(super) fn grant(&self, now: Millis, prompt: f64, work: Work) -> Option<Grant> {
-        let engine = self.spec.engine.as_deref().zip(work.answer);
-        let writing = engine.map_or(f64::INFINITY, |(engine, answer)| {
-            let passes = f64::from(answer) / f64::from(engine.stride.max(1));
+        let engine = self.spec.engine.as_deref();
+        let writing = engine.map_or(f64::INFINITY, |engine| {
+            let answer = work.answer.map_or(engine.answer, f64::from);
+            let passes = answer / f64::from(engine.stride.max(1));
             passes * mean_pass_ms(engine, self.batch(now)) * self.slowness(now)
         });
         let expected = self.predict(now, prompt) + writing;
