Name the version that an engine must have from its naming on

Now a request names the version that its engine is taken to have if that or an older one was named: exactly then an engine with an older version has an earlier bound than the one believed. Resends, resumes and takeovers are sent by the same code with the same version.

--- a/crates/filbertstack-gateway/src/request/targets.rs
+++ b/crates/filbertstack-gateway/src/request/targets.rs
@@ -73,7 +73,7 @@
 #[derive(Clone, Copy, Debug)]
 struct Endpoint {
     addr: SocketAddr,
-    /// The version that its answers must come from, if others may not answer.
+    /// The version that its answers must come from, if it was named or an older one was.
     version: Option<u64>,
     /// The version that it is known to hold; 0 if none.
     held: u64,
@@ -90,7 +90,7 @@
     pub chosen_at: Millis,
     /// The address where it serves.
     pub addr: SocketAddr,
-    /// The version of the weights that it must serve, if older versions may no longer answer.
+    /// The version of the weights that it must serve; `None` if any may answer.
     pub version: Option<u64>,
     /// The version of the weights that it is known to hold; 0 if none.
     pub held: u64,
@@ -337,6 +337,7 @@
         let ages = ages.unwrap_or_default();
         let bound = Millis::from(self.node.settings.bounds.rollout);
         let floor = rollout::oldest_allowed(ages.iter().copied(), bound);
+        let expected = rollout::version_to_expect(ages.iter().map(|(named, _)| *named), version);
         let begin_within = rollout::begin_within(ages.into_iter(), version, bound);
         // An agent that ends while its engine loads, or may have loaded wrong pieces, has not checked them.
         let id = start_id(instance, registered.stamp);
@@ -360,7 +361,7 @@
         };
         let endpoint = Endpoint {
             addr,
-            version: (floor > 0).then_some(version),
+            version: expected,
             held: version,
             loading_since: loading.then(|| self.loading_since(&offered.id).unwrap_or(now)),
         };
--- a/crates/filbertstack-policy/src/rollout.rs
+++ b/crates/filbertstack-policy/src/rollout.rs
@@ -103,6 +103,16 @@
         .unwrap_or(0)
 }
 
+/// Returns the version that a request must name to a target which is taken to hold `version`, given the versions that were
+/// named; `None` if any version may answer.
+///
+/// *Load pattern*: a target starts again with older weights, or its agent is cut off before it can tell of other ones. The
+/// target would get all the time that the newer version has, and begin on the older one after its bound. It turns the
+/// request away if a version is named that it does not hold. A version below all that were named has no other bound.
+pub fn version_to_expect(mut named: impl Iterator<Item = u64>, version: u64) -> Option<u64> {
+    named.any(|named| named <= version).then_some(version)
+}
+
 /// The margin between the time by which a request must have begun at an engine and the time after which an older version
 /// must not begin to answer. It covers the transfer to the engine over a link with a queue, as an engine counts its time
 /// limit from the arrival, and the time until each node knows of a version that was acknowledged.
--- a/crates/filbertstack-policy/tests/rollout.rs
+++ b/crates/filbertstack-policy/tests/rollout.rs
@@ -13,6 +13,7 @@
 use filbertstack_policy::rollout::overdue;
 use filbertstack_policy::rollout::record_version;
 use filbertstack_policy::rollout::resend_delay;
+use filbertstack_policy::rollout::version_to_expect;
 use filbertstack_policy::rollout::version_to_stage;
 use filbertstack_policy::takeover::Observed;
 use filbertstack_policy::takeover::find_reason;
@@ -330,3 +331,18 @@
     assert_eq!(overdue(1, BOUND.0 + 70), Some(Millis(70)));
     assert_eq!(overdue(2, BOUND.0 + 70), None);
 }
+
+/// Guards against a target that is taken for one of a newer version and gets all its time, though it holds an older one.
+#[test]
+fn a_request_names_the_version_whose_bound_it_gets() {
+    let expected = |named: &[u64], held| version_to_expect(named.iter().copied(), held);
+    for (named, held, wanted) in [
+        (&[][..], 1, None),
+        (&[2], 1, None),
+        (&[2], 2, Some(2)),
+        (&[1, 2], 1, Some(1)),
+        (&[2], 3, Some(3)),
+    ] {
+        assert_eq!(expected(named, held), wanted, "{named:?}, {held}");
+    }
+}
