Cut no last attempt that began before the bound

What can't move and is not expected to end by the limit keeps all its time in the first half of the bound, but goes only to an engine that begins it at once by all that is known: a fresh report with a free place and nothing waiting. Elsewhere it is refused. Weighed: refusing it everywhere, which leaves an engine that is to load with its streams until they end, and its callers without an engine.

--- a/crates/filbertstack-policy/src/begin.rs
+++ b/crates/filbertstack-policy/src/begin.rs
@@ -8,11 +8,12 @@
 //! the bound, it refuses what it has not begun by then, and cuts the streams that it has begun, as there is one limit
 //! for both.
 //!
-//! A target is therefore never told more than the time until the bound. What has not ended by then is cut by its target,
-//! and another continues it, so that a target gets only what is expected to end in time, and in half of the time if no
-//! other could continue it. That would leave nobody to serve long requests just after the naming, when all targets are of
-//! the older version. The bound is far away then, and targets with the newest weights will be there before it: what
-//! another target may continue is sent whatever it takes, and the rest if it is expected to end before the bound.
+//! A target is therefore told no more than the time until the bound. What has not ended by then is cut by its target, and
+//! another continues it, so that a target gets only what is expected to end in time, and in half of the time if no other
+//! could continue it. That would leave nobody to serve long requests just after the naming, when all targets are of the
+//! older version. The bound is far away then, and targets with the newest weights will be there before it: what another
+//! target may continue is sent whatever it takes. What no other may continue, and is not expected to end in time, keeps
+//! all its time, as it would be cut else. It goes only to a target that begins it at once, by all that is known of it.
 //!
 //! Decisions depend only on what is passed in. They use no clock, network or thread.
 
@@ -20,8 +21,7 @@
 
 use crate::units::millis_f64;
 
-/// The part of the bound that must be left for targets with the newest weights to be there before it ends. The first
-/// loads have ended by then, and the last order follows in the next quarter.
+/// The part of the bound that must be left for targets with the newest weights to be there before it ends.
 const EARLY_PART: f64 = 0.5;
 
 /// How much longer than expected a request may take that no other target can continue. Callers' estimates are right in
@@ -47,7 +47,7 @@
     /// The time left until the deadline of the request.
     pub time_left: Millis,
     /// The number of tokens that its caller expects in the answer, or the most that it takes; `None` if it names none.
-    /// The length of such an answer is unknown: early it is expected to be the mean, and later not to end in time.
+    /// The length of such an answer is unknown, and it is not expected to end in time.
     pub answer: Option<u32>,
     /// For how long the answer has lasted at other targets.
     pub lasted: Millis,
@@ -57,6 +57,15 @@
     pub successor: bool,
 }
 
+/// What is expected of a request at a target.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Expected {
+    /// The milliseconds until its answer is complete.
+    pub ms: f64,
+    /// Whether it begins at once: the target has free places and keeps nothing in a queue, by its last report.
+    pub at_once: bool,
+}
+
 /// The time that a target is given.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Grant {
@@ -66,13 +75,12 @@
     pub begin_within: Option<Millis>,
 }
 
-/// Returns the time that a target gets now for a request that is expected to take `expected_ms` milliseconds there.
-/// Returns `None` if the request may not be sent there.
+/// Returns the time that a target gets now for a request; `None` if the request may not be sent there.
 pub fn grant(
     now: Millis,
     replaced: Option<Replaced>,
     work: Work,
-    expected_ms: f64,
+    expected: Expected,
 ) -> Option<Grant> {
     let whole = Grant {
         limit: work.time_left,
@@ -92,10 +100,15 @@
         LAST_MARGIN
     };
     // An answer that has lasted for long is expected to last as long again.
-    let expected = expected_ms.max(millis_f64(work.lasted));
-    let ends = (early || work.answer.is_some()) && expected * margin < millis_f64(left);
-    (ends || (early && work.movable)).then_some(Grant {
-        limit: left,
-        begin_within: Some(left + REFUSAL_TIME),
+    let expected_ms = expected.ms.max(millis_f64(work.lasted));
+    if expected_ms * margin < millis_f64(left) || (early && work.movable) {
+        return Some(Grant {
+            limit: left,
+            begin_within: Some(left + REFUSAL_TIME),
+        });
+    }
+    (early && expected.at_once).then_some(Grant {
+        begin_within: Some(left),
+        ..whole
     })
 }
--- a/crates/filbertstack-policy/src/dispatch/target.rs
+++ b/crates/filbertstack-policy/src/dispatch/target.rs
@@ -18,6 +18,7 @@
 use super::pace::Pace;
 use super::pace::USUAL_BELOW;
 use crate::begin;
+use crate::begin::Expected;
 use crate::begin::Grant;
 use crate::begin::Replaced;
 use crate::begin::Work;
@@ -516,16 +517,24 @@
     /// Returns the time that the target gets now for a request with a prompt of `prompt` tokens; `None` if it may not
     /// begin the request.
     pub(super) fn grant(&self, now: Millis, prompt: f64, work: Work) -> Option<Grant> {
-        let engine = self.spec.engine.as_deref();
-        let writing = engine.map_or(f64::INFINITY, |engine| {
-            let answer = work.answer.map_or(engine.answer, f64::from);
-            let passes = answer / f64::from(engine.stride.max(1));
+        let engine = self.spec.engine.as_deref().zip(work.answer);
+        let writing = engine.map_or(f64::INFINITY, |(engine, answer)| {
+            let passes = f64::from(answer) / f64::from(engine.stride.max(1));
             passes * mean_pass_ms(engine, self.batch(now)) * self.slowness(now)
         });
-        let expected = self.predict(now, prompt) + writing;
+        let expected = Expected {
+            ms: self.predict(now, prompt) + writing,
+            at_once: self.begins_at_once(now),
+        };
         begin::grant(now, self.spec.replaced, work, expected)
     }
 
+    /// Returns whether the target begins a request at once: it has a free place and no queue, by its last report.
+    fn begins_at_once(&self, now: Millis) -> bool {
+        let queue = self.fresh_load(now).map(|(_, load)| load.waiting);
+        queue == Some(0) && self.occupancy(now) < self.slots()
+    }
+
     /// Returns the factor by which the target may be slower than [`Self::predict`] assumes. It orders the targets
     /// that are in time, and excludes none.
     pub(super) fn suspected(&self, now: Millis) -> f64 {
