Test that a process which left returns only with a new start

A later statement of the same start would restore a process that has said that it leaves, and requests would be sent to one that ends. With the comparison of starts taken out of `Registry::apply`, the tests of `registry.rs` passed: those of removals hold by the stamp of `Registry::remove` alone.

No code is changed.

--- a/crates/filbertstack-policy/tests/registry.rs
+++ b/crates/filbertstack-policy/tests/registry.rs
@@ -115,3 +115,13 @@
     assert_eq!(registry.present().count(), 1);
     assert_eq!(registry.expire(Millis(5_101), timeout).len(), 1);
 }
+
+/// Guards against a process that has said that it leaves and is restored by a later statement of the same start.
+#[test]
+fn a_process_that_left_returns_only_with_a_new_start() {
+    let mut registry = Registry::default();
+    registry.apply(&id("i"), stamp(1, 4), "a", true, Millis(0));
+    let later = registry.apply(&id("i"), stamp(1, 5), "a", false, Millis(1));
+    assert_eq!(later, Applied::Stale);
+    assert_eq!(registry.present().count(), 0);
+}
