Test that a removal supersedes later statements at other nodes

A removed process stays known at a node that has heard a later statement of it, unless the row of the removal has the highest stamp.

No code is changed.

--- a/crates/filbertstack-policy/tests/registry.rs
+++ b/crates/filbertstack-policy/tests/registry.rs
@@ -125,3 +125,20 @@
     assert_eq!(later, Applied::Stale);
     assert_eq!(registry.present().count(), 0);
 }
+
+/// Guards against a removed process that stays known at a node which has heard a later statement of it.
+#[test]
+fn a_removal_supersedes_all_statements_of_its_start() {
+    let mut first = Registry::default();
+    first.apply(&id("i"), stamp(1, 1), "a", false, Millis(0));
+    first.remove("i", Millis(1));
+    let mut second = Registry::default();
+    second.apply(&id("i"), stamp(1, 9), "a", false, Millis(0));
+    for (id, value, stamp, gone) in first.all() {
+        assert_eq!(
+            second.apply(id, stamp, *value, gone, Millis(2)),
+            Applied::Changed
+        );
+    }
+    assert_eq!(second.present().count(), 0);
+}
