Test for how long a removed process stays known

A removed process that is forgotten at once is restored by the next late statement.

No code is changed.

--- a/crates/filbertstack-policy/tests/registry.rs
+++ b/crates/filbertstack-policy/tests/registry.rs
@@ -4,6 +4,7 @@
 
 use filbertstack_core::Millis;
 use filbertstack_policy::registry::Applied;
+use filbertstack_policy::registry::REMOVED_TTL;
 use filbertstack_policy::registry::Registry;
 use filbertstack_policy::registry::Stamp;
 use filbertstack_policy::registry::UNLISTED_TTL;
@@ -142,3 +143,19 @@
     }
     assert_eq!(second.present().count(), 0);
 }
+
+/// Guards against a late statement that restores a removed process, and against removed ones that are kept for ever.
+#[test]
+fn a_removed_process_is_known_for_a_minute() {
+    let mut registry = Registry::default();
+    registry.apply(&id("i"), stamp(1, 1), "a", false, Millis(0));
+    registry.remove("i", Millis(0));
+    registry.prune(REMOVED_TTL - Millis(1));
+    assert!(registry.get("i").is_some());
+    registry.prune(REMOVED_TTL);
+    assert!(registry.get("i").is_none());
+    assert!(
+        REMOVED_TTL >= Millis::secs(60),
+        "links hold statements back for seconds"
+    );
+}
