Test that a second listing does not extend the time of unlisted processes

A node that changes its source again and again would keep processes that no source lists.

No code is changed.

--- a/crates/filbertstack-policy/tests/registry.rs
+++ b/crates/filbertstack-policy/tests/registry.rs
@@ -159,3 +159,14 @@
         "links hold statements back for seconds"
     );
 }
+
+/// Guards against a process that no source lists and that is kept, as the node changes its source again and again.
+#[test]
+fn a_second_listing_does_not_extend_the_time_of_an_unlisted_process() {
+    let mut registry = Registry::default();
+    registry.apply(&id("i"), stamp(1, 1), "a", false, Millis(0));
+    for listing in 1..5 {
+        registry.begin_listing(Millis::secs(listing));
+    }
+    assert!(registry.prune(Millis::secs(1) + UNLISTED_TTL + Millis(1)));
+}
