Test that a new start with the same statement is a change

Followers receive only rows that changed. With the comparison of starts taken out of what counts as the same in `Registry::apply`, the tests of `registry.rs` passed, and nobody would be told of a restart.

No code is changed.

--- a/crates/filbertstack-policy/tests/registry.rs
+++ b/crates/filbertstack-policy/tests/registry.rs
@@ -170,3 +170,12 @@
     }
     assert!(registry.prune(Millis::secs(1) + UNLISTED_TTL + Millis(1)));
 }
+
+/// Guards against a restart that nobody is told of, as the process states the same as before.
+#[test]
+fn a_new_start_is_a_change() {
+    let mut registry = Registry::default();
+    registry.apply(&id("i"), stamp(1, 9), "a", false, Millis(0));
+    let again = registry.apply(&id("i"), stamp(2, 1), "a", false, Millis(1));
+    assert_eq!(again, Applied::Changed);
+}
