Test that repeats are not saved up without bound

Entries would save up the repeats of hours without a failure and send all of them at the first one. With the cap taken out of `RepeatBudget::earn`, the tests of `repeats.rs` passed: the one of the whole budget spends each repeat at once.

No code is changed.

--- a/crates/filbertstack-policy/tests/repeats.rs
+++ b/crates/filbertstack-policy/tests/repeats.rs
@@ -48,3 +48,31 @@
     while repeats.spend(&a) {}
     assert!(repeats.spend(&b));
 }
+
+/// Returns how many repeats `count` budgets allow together, each of which has counted `earned` requests.
+fn spend_all(mut budgets: Vec<RepeatBudget>, earned: u32) -> u32 {
+    let service: Arc<str> = "llm".into();
+    let mut repeats = 0;
+    for budget in &mut budgets {
+        for _ in 0..earned {
+            budget.earn(&service);
+        }
+        while budget.spend(&service) {
+            repeats += 1;
+        }
+    }
+    repeats
+}
+
+/// Guards against entries that save up the repeats of hours without a failure and send them all at the first one.
+#[test]
+fn repeats_are_not_saved_up_beyond_the_fixed_allowance() {
+    for entries in [1, 11, 46] {
+        let budgets = (0..entries).map(|_| RepeatBudget::new(ALLOWANCE, entries));
+        let repeats = spend_all(budgets.collect(), 10_000);
+        assert!(
+            f64::from(repeats) <= ALLOWANCE.fixed,
+            "{entries} entries: {repeats}"
+        );
+    }
+}
