Test that entries which learn of others share the budget of repeats

Each entry starts with the whole budget and shares it once it knows the others. With `set_entries` left out, the tests of `repeats.rs` passed, and eleven entries would send eleven times the fixed allowance.

No code is changed.

--- a/crates/filbertstack-policy/tests/repeats.rs
+++ b/crates/filbertstack-policy/tests/repeats.rs
@@ -76,3 +76,15 @@
         );
     }
 }
+
+/// Guards against entries that each use the whole budget, as they go on with the number of entries at their start.
+#[test]
+fn entries_that_learn_of_others_share_the_allowance() {
+    let budgets = (0..11).map(|_| {
+        let mut budget = RepeatBudget::new(ALLOWANCE, 1);
+        budget.set_entries(11);
+        budget
+    });
+    let repeats = spend_all(budgets.collect(), 0);
+    assert!(f64::from(repeats) <= ALLOWANCE.fixed, "{repeats}");
+}
