Test that entries which are not known yet leave the budget of repeats kept

The part of the budget that is used leaves room for entries that do not know of each other yet.

No code is changed.

--- a/crates/filbertstack-policy/tests/repeats.rs
+++ b/crates/filbertstack-policy/tests/repeats.rs
@@ -88,3 +88,16 @@
     let repeats = spend_all(budgets.collect(), 0);
     assert!(f64::from(repeats) <= ALLOWANCE.fixed, "{repeats}");
 }
+
+/// Guards against a budget that is exceeded while a third of the entries are not known to the others.
+#[test]
+fn entries_that_are_not_known_yet_leave_the_allowance_kept() {
+    for (entries, known) in [(11, 7), (46, 31)] {
+        let budgets = (0..entries).map(|_| RepeatBudget::new(ALLOWANCE, known));
+        let repeats = spend_all(budgets.collect(), 0);
+        assert!(
+            f64::from(repeats) <= ALLOWANCE.fixed,
+            "{entries} entries: {repeats}"
+        );
+    }
+}
