Test that a service without repeats is known as such

A takeover and a second attempt ask whether a repeat is left before they choose a target. With `RepeatBudget::may_spend` always true, the tests of `repeats.rs` passed.

No code is changed.

--- a/crates/filbertstack-policy/tests/repeats.rs
+++ b/crates/filbertstack-policy/tests/repeats.rs
@@ -46,6 +46,7 @@
     let (a, b): (Arc<str>, Arc<str>) = ("a".into(), "b".into());
     let mut repeats = RepeatBudget::new(ALLOWANCE, 110);
     while repeats.spend(&a) {}
+    assert!(!repeats.may_spend(&a) && repeats.may_spend(&b));
     assert!(repeats.spend(&b));
 }
 
