Test that a limit of nothing is tried now and then

A target that names a limit of 0 would never be asked again, so that no answer shows that the limit has ended. With the lowest limit taken out of `quota::share`, the tests of `quota.rs` passed.

No code is changed.

--- a/crates/filbertstack-policy/tests/quota.rs
+++ b/crates/filbertstack-policy/tests/quota.rs
@@ -111,6 +111,17 @@
     assert!(quota::share("unknown", "target", &senders, 1.0) <= 0.0);
 }
 
+/// Guards against a target that names a limit of nothing and is never asked again, so that its end stays unknown.
+#[test]
+fn a_limit_of_nothing_is_tried_now_and_then() {
+    let names = names(11);
+    let senders = senders(&names, 3);
+    let shares = senders.iter();
+    let shares = shares.map(|s| quota::share(s.name, "target", &senders, 0.0));
+    let per_s: f64 = shares.sum();
+    assert!((0.1..0.5).contains(&per_s), "{per_s} requests a second");
+}
+
 /// Guards against callers that wait for a target which would serve them soon, or are told that there is
 /// none.
 #[test]
