--- a/crates/filbertstack-policy/tests/quota.rs
+++ b/crates/filbertstack-policy/tests/quota.rs
@@ -186,6 +186,17 @@
     assert_eq!(limits.limit("i-1"), None);
 }
 
+/// Guards against requests beyond an entry's share that are never made up for.
+#[test]
+fn what_was_sent_beyond_the_share_is_made_up_for() {
+    let mut quota = Quota::new(Millis::ZERO, 1.0);
+    for _ in 0..3 {
+        quota.take(Millis::secs(1));
+    }
+    let first = (1..10).find(|s| quota.may_send(Millis::secs(*s)));
+    assert_eq!(first, Some(4));
+}
+
 /// Guards against a restarted process that reports a limit which has ended since.
 #[test]
 fn an_old_report_does_not_restore_a_limit() {
