--- a/crates/filbertstack-policy/tests/quota.rs
+++ b/crates/filbertstack-policy/tests/quota.rs
@@ -197,6 +197,23 @@
     assert_eq!(first, Some(4));
 }
 
+/// Guards against a limit that an older report ends: of two reports with the same count the lower limit holds.
+#[test]
+fn of_two_reports_the_lower_limit_holds() {
+    let report = |per_s| LimitReport {
+        target: target(),
+        per_s,
+        version: 1,
+    };
+    for order in [[Some(2.0), None], [None, Some(2.0)]] {
+        let mut limits = Limits::default();
+        for per_s in order {
+            limits.merge(Millis(1), &report(per_s));
+        }
+        assert_eq!(limits.limit("i-1"), Some(2.0), "{order:?}");
+    }
+}
+
 /// Guards against a restarted process that reports a limit which has ended since.
 #[test]
 fn an_old_report_does_not_restore_a_limit() {
