--- a/crates/filbertstack-policy/tests/rollout.rs
+++ b/crates/filbertstack-policy/tests/rollout.rs
@@ -320,6 +320,23 @@
     assert!(late > Some(Millis(1_500)), "most streams end in that time");
 }
 
+/// Guards against a naming that extends the time of an older version beyond the bound of an earlier one.
+#[test]
+fn the_first_newer_version_ends_the_time_to_begin() {
+    for first in (0..10_000).step_by(500) {
+        let first = (2, Millis(first));
+        let alone = begin_within([first].into_iter(), 1, BOUND);
+        for later in (0..first.1.0).step_by(500) {
+            let named = [first, (3, Millis(later)), (4, Millis(0))];
+            assert_eq!(
+                begin_within(named.into_iter(), 1, BOUND),
+                alone,
+                "{named:?}"
+            );
+        }
+    }
+}
+
 /// Guards against late answers that nobody is told of, and against a warning of answers that are in time.
 #[test]
 fn an_older_version_is_overdue_from_its_bound_on() {
