Test that no engine loads before entries know

An engine that begins to load at once turns away what entries sent meanwhile. With no wait in `may_order`, the tests of `rollout.rs` passed: they bound the wait from above alone.

No code is changed.

--- a/crates/filbertstack-policy/tests/rollout.rs
+++ b/crates/filbertstack-policy/tests/rollout.rs
@@ -228,6 +228,13 @@
     assert_eq!(outage(&answers), (1_500, 1));
 }
 
+/// Guards against requests that are turned away, as they reach an engine that began to load before all entries knew.
+/// A voter collects rows for 40 ms, and a second one passes on those of another.
+#[test]
+fn no_engine_loads_before_entries_know() {
+    assert!((0..80).all(|ms| !may_order(Millis(ms))));
+}
+
 #[test]
 fn an_idle_engine_loads_as_soon_as_entries_know() {
     let (out, moved) = outage(&[]);
