Test that an overdue version counts from the first newer one

The log and the metric of late answers would tell less than the time by which they are late.

No code is changed.

--- a/crates/filbertstack-policy/tests/rollout.rs
+++ b/crates/filbertstack-policy/tests/rollout.rs
@@ -354,6 +354,13 @@
     assert_eq!(overdue(1, BOUND.0), None);
     assert_eq!(overdue(1, BOUND.0 + 70), Some(Millis(70)));
     assert_eq!(overdue(2, BOUND.0 + 70), None);
+    let named = [(2, BOUND + Millis(70)), (3, BOUND + Millis(20))];
+    let late = filbertstack_policy::rollout::overdue(named.into_iter(), 1, BOUND);
+    assert_eq!(
+        late,
+        Some(Millis(70)),
+        "from the bound of the first newer one"
+    );
 }
 
 /// Guards against a target that is taken for one of a newer version and gets all its time, though it holds an older one.
