--- /dev/null
+++ b/crates/filbertstack-policy/tests/crash_bounds.rs
@@ -0,0 +1,36 @@
+//! Tests of the times and limits by which a lost target counts for what it ran.
+
+use filbertstack_core::ContentDigest;
+use filbertstack_core::Millis;
+use filbertstack_policy::crashes::CRASH_LIMIT;
+use filbertstack_policy::crashes::Crashes;
+use filbertstack_policy::crashes::Suspect;
+use filbertstack_policy::dispatch::TargetId;
+
+const LOST_AT: Millis = Millis::secs(10);
+
+fn part(id: &str) -> Suspect {
+    Suspect::Part(ContentDigest::of_part(id))
+}
+
+fn target(n: usize) -> TargetId {
+    format!("i-{n}").into()
+}
+
+/// Records that `targets` were lost under `suspect` at `at`.
+fn lose(crashes: &mut Crashes, at: Millis, suspect: Suspect, targets: std::ops::Range<usize>) {
+    for n in targets {
+        crashes.record_loss(at, &[suspect], &target(n));
+    }
+}
+
+/// Guards against a part that crashes targets and is sent again, as an answer that ended before clears it.
+#[test]
+fn an_answer_clears_no_later_loss() {
+    let suspect = part("crashing");
+    let mut crashes = Crashes::default();
+    crashes.record_unconfirmed(LOST_AT - Millis(200), &[suspect], &target(9));
+    lose(&mut crashes, LOST_AT, suspect, 0..CRASH_LIMIT);
+    crashes.update(LOST_AT + Millis(500));
+    assert_eq!(crashes.count(&suspect), CRASH_LIMIT);
+}
