Test that an earlier loss of its target does not cut an answer

With the comparison of times taken out of `Crashes::was_lost`, the tests of `crashes.rs` passed: an answer that its connection ended would count as cut since its target was lost once before.

No code is changed.

--- a/crates/filbertstack-policy/tests/crash_bounds.rs
+++ b/crates/filbertstack-policy/tests/crash_bounds.rs
@@ -24,6 +24,12 @@
     }
 }
 
+fn lost(suspect: Suspect, targets: usize) -> Crashes {
+    let mut crashes = Crashes::default();
+    lose(&mut crashes, LOST_AT, suspect, 0..targets);
+    crashes
+}
+
 /// Guards against a part that crashes targets and is sent again, as an answer that ended before clears it.
 #[test]
 fn an_answer_clears_no_later_loss() {
@@ -34,3 +40,15 @@
     crashes.update(LOST_AT + Millis(500));
     assert_eq!(crashes.count(&suspect), CRASH_LIMIT);
 }
+
+/// Guards against an answer that counts as cut, since its target was lost once before.
+#[test]
+fn an_earlier_loss_of_its_target_does_not_cut_an_answer() {
+    let (suspect, other) = (part("cleared"), part("other"));
+    let mut crashes = lost(suspect, CRASH_LIMIT);
+    crashes.record_loss(LOST_AT, &[other], &target(9));
+    let ended = LOST_AT + Millis::secs(30);
+    crashes.record_unconfirmed(ended, &[suspect], &target(9));
+    crashes.update(ended + Millis::secs(1));
+    assert!(!crashes.is_blamed(&suspect));
+}
