Test that bytes of its target do not end a probe

With the question for probes taken out of `Crashes::record_life`, the tests of single observations in `crashes.rs` passed (its replays were not run with this change): a second probe would follow while the first runs.

No code is changed.

--- a/crates/filbertstack-policy/tests/crash_bounds.rs
+++ b/crates/filbertstack-policy/tests/crash_bounds.rs
@@ -4,6 +4,7 @@
 use filbertstack_core::Millis;
 use filbertstack_policy::crashes::CRASH_LIMIT;
 use filbertstack_policy::crashes::Crashes;
+use filbertstack_policy::crashes::PROBE_PAUSES;
 use filbertstack_policy::crashes::Suspect;
 use filbertstack_policy::dispatch::TargetId;
 
@@ -52,3 +53,14 @@
     crashes.update(ended + Millis::secs(1));
     assert!(!crashes.is_blamed(&suspect));
 }
+
+/// Guards against a second probe while the first runs, as bytes of other answers come from its target.
+#[test]
+fn bytes_of_its_target_do_not_end_a_probe() {
+    let suspect = part("crashing");
+    let mut crashes = lost(suspect, CRASH_LIMIT);
+    let probed_at = LOST_AT + PROBE_PAUSES[0];
+    assert!(crashes.record_probe(probed_at, &[suspect], &target(9)));
+    crashes.record_life(probed_at + Millis::secs(2), &target(9));
+    assert_eq!(crashes.count(&suspect), CRASH_LIMIT + 1);
+}
