--- a/crates/filbertstack-policy/tests/crash_bounds.rs
+++ b/crates/filbertstack-policy/tests/crash_bounds.rs
@@ -64,3 +64,12 @@
     crashes.record_life(probed_at + Millis::secs(2), &target(9));
     assert_eq!(crashes.count(&suspect), CRASH_LIMIT + 1);
 }
+
+/// Guards against a probe that is sent to a target which was lost under it, whose loss would not count again.
+#[test]
+fn a_probe_goes_to_a_target_that_was_not_lost() {
+    let suspect = part("crashing");
+    let mut crashes = lost(suspect, CRASH_LIMIT);
+    let probed_at = LOST_AT + PROBE_PAUSES[0];
+    assert!(!crashes.record_probe(probed_at, &[suspect], &target(0)));
+}
