--- a/crates/filbertstack-policy/tests/crash_bounds.rs
+++ b/crates/filbertstack-policy/tests/crash_bounds.rs
@@ -3,6 +3,7 @@
 use filbertstack_core::ContentDigest;
 use filbertstack_core::Millis;
 use filbertstack_policy::crashes::CRASH_LIMIT;
+use filbertstack_policy::crashes::CrashReport;
 use filbertstack_policy::crashes::Crashes;
 use filbertstack_policy::crashes::PROBE_PAUSES;
 use filbertstack_policy::crashes::Suspect;
@@ -73,3 +74,25 @@
     let probed_at = LOST_AT + PROBE_PAUSES[0];
     assert!(!crashes.record_probe(probed_at, &[suspect], &target(0)));
 }
+
+/// Guards against a refuted loss that counts again by the report of an entry which does not know better.
+#[test]
+fn a_late_report_does_not_restore_a_refuted_loss() {
+    let suspect = Suspect::Request(ContentDigest::of_request("sound", None, b""));
+    let mut crashes = lost(suspect, 1);
+    let alive_at = LOST_AT + Millis::secs(1);
+    crashes.record_life(alive_at, &target(0));
+    for delay in [0, 5, 50] {
+        let now = alive_at + Millis::secs(delay);
+        crashes.update(now);
+        let report = CrashReport {
+            suspect,
+            target: target(0),
+            at: LOST_AT,
+            probe: false,
+            refuted: false,
+        };
+        crashes.merge(now, &report);
+        assert_eq!(crashes.count(&suspect), 0, "after {delay} s");
+    }
+}
