--- a/crates/filbertstack-policy/tests/crash_bounds.rs
+++ b/crates/filbertstack-policy/tests/crash_bounds.rs
@@ -5,6 +5,7 @@
 use filbertstack_policy::crashes::CRASH_LIMIT;
 use filbertstack_policy::crashes::CrashReport;
 use filbertstack_policy::crashes::Crashes;
+use filbertstack_policy::crashes::LOSS_TTL;
 use filbertstack_policy::crashes::PROBE_PAUSES;
 use filbertstack_policy::crashes::Suspect;
 use filbertstack_policy::dispatch::TargetId;
@@ -96,3 +97,15 @@
         assert_eq!(crashes.count(&suspect), 0, "after {delay} s");
     }
 }
+
+/// Guards against a request that crashes targets again a while later, and against one that is refused for ever.
+#[test]
+fn losses_count_for_a_day() {
+    let suspect = part("crashing");
+    let mut crashes = lost(suspect, CRASH_LIMIT);
+    crashes.update(LOST_AT + LOSS_TTL - Millis(1));
+    assert!(crashes.is_blamed(&suspect));
+    crashes.update(LOST_AT + LOSS_TTL);
+    assert!(!crashes.is_blamed(&suspect));
+    assert_eq!(LOSS_TTL, Millis::secs(86_400));
+}
