--- a/crates/filbertstack-policy/tests/crash_bounds.rs
+++ b/crates/filbertstack-policy/tests/crash_bounds.rs
@@ -109,3 +109,18 @@
     assert!(!crashes.is_blamed(&suspect));
     assert_eq!(LOSS_TTL, Millis::secs(86_400));
 }
+
+/// Guards against a part that is refused for two targets of its own and one that another part has crashed.
+#[test]
+fn a_target_that_another_part_crashed_does_not_complete_the_limit() {
+    let (crashing, beside) = (part("crashing"), part("beside"));
+    let mut crashes = lost(beside, CRASH_LIMIT);
+    lose(
+        &mut crashes,
+        LOST_AT,
+        crashing,
+        CRASH_LIMIT - 1..2 * CRASH_LIMIT,
+    );
+    assert!(crashes.is_blamed(&crashing));
+    assert!(!crashes.is_blamed(&beside));
+}
