--- a/crates/filbertstack-policy/tests/crash_bounds.rs
+++ b/crates/filbertstack-policy/tests/crash_bounds.rs
@@ -124,3 +124,15 @@
     assert!(crashes.is_blamed(&crashing));
     assert!(!crashes.is_blamed(&beside));
 }
+
+/// Guards against records without bound: of requests that are made up, and of targets lost under one.
+#[test]
+fn the_records_of_losses_are_bounded() {
+    let mut crashes = Crashes::default();
+    for n in 0..10_000 {
+        crashes.record_loss(LOST_AT, &[part(&n.to_string())], &target(n % 8));
+    }
+    crashes.update(LOST_AT + Millis::secs(1));
+    assert!(crashes.reports_since(Millis::ZERO).len() <= 4_096);
+    assert!(lost(part("popular"), 1_000).count(&part("popular")) <= 16);
+}
