Test when a surplus voter of an odd group is removed

A voter that is frozen for seconds would be removed from a group that gains nothing by it.

No code is changed.

--- a/crates/filbertstack-gateway/tests/membership.rs
+++ b/crates/filbertstack-gateway/tests/membership.rs
@@ -246,3 +246,14 @@
     let step = next_change(LEADER, &current, &[newcomer(9, 3)], no_silence);
     assert_eq!(step, Some(Change::Remove(NodeId(8))));
 }
+
+/// Guards against the removal of a voter that is frozen for seconds from a group that gains nothing by it, and against
+/// a lost one that stays a member.
+#[test]
+fn a_surplus_voter_of_an_odd_group_is_removed_after_nine_seconds() {
+    let odd = group(&[(1, 1), (2, 2), (3, 3), (4, 4), (5, 5)]);
+    let silent = |ms: u64| move |m: &Member| silent_for(if m.node == 3 { ms } else { 0 });
+    let next = |ms: u64| next_change(LEADER, &odd, &[], silent(ms));
+    assert_eq!(next(8_999), None);
+    assert_eq!(next(9_000), Some(Change::Remove(NodeId(3))));
+}
