Test that no surplus voter is removed in an outage of several

A removal while another voter is silent lowers the number of losses that the group tolerates.

No code is changed.

--- a/crates/filbertstack-gateway/tests/membership.rs
+++ b/crates/filbertstack-gateway/tests/membership.rs
@@ -257,3 +257,15 @@
     assert_eq!(next(8_999), None);
     assert_eq!(next(9_000), Some(Change::Remove(NodeId(3))));
 }
+
+/// Guards against the removal of a voter in an outage of several, after which the group tolerates fewer losses.
+#[test]
+fn no_surplus_voter_is_removed_while_another_is_silent() {
+    let odd = group(&[(1, 1), (2, 2), (3, 3), (4, 4), (5, 5)]);
+    let silent = |m: &Member| match m.node {
+        3 => silent_for(60_000),
+        4 => silent_for(2_000),
+        _ => Contact::default(),
+    };
+    assert_eq!(next_change(LEADER, &odd, &[], silent), None);
+}
