Test that a learner which stays silent is removed

A learner that is lost for good keeps other nodes out, as one change is made at a time. Without its removal in `Group::change_learner`, the tests of `membership.rs` passed.

No code is changed.

--- a/crates/filbertstack-gateway/tests/membership.rs
+++ b/crates/filbertstack-gateway/tests/membership.rs
@@ -269,3 +269,14 @@
     };
     assert_eq!(next_change(LEADER, &odd, &[], silent), None);
 }
+
+/// Guards against a learner that is lost for good and keeps all other nodes out of the group.
+#[test]
+fn a_learner_that_stays_silent_is_removed() {
+    let mut current = group(&[(1, 1), (2, 2), (3, 3)]);
+    current.learners.push(member(9, 4));
+    let silent = |ms: u64| move |m: &Member| silent_for(if m.node == 9 { ms } else { 0 });
+    let next = |ms: u64| next_change(LEADER, &current, &[], silent(ms));
+    assert_eq!(next(1_999), None);
+    assert_eq!(next(2_000), Some(Change::Remove(NodeId(9))));
+}
