Test that a forming group removes no silent voter

While a group forms, each voter that it has had counts. With the question for it taken out of `Group::admit`, the tests of `membership.rs` passed.

No code is changed.

--- a/crates/filbertstack-gateway/tests/membership.rs
+++ b/crates/filbertstack-gateway/tests/membership.rs
@@ -280,3 +280,13 @@
     assert_eq!(next(1_999), None);
     assert_eq!(next(2_000), Some(Change::Remove(NodeId(9))));
 }
+
+/// Guards against a group that forms and removes a voter which is silent, as each counts that it has had.
+#[test]
+fn a_forming_group_removes_no_silent_voter() {
+    let mut current = group(&[(1, 1), (2, 2), (3, 3)]);
+    current.forming = 5;
+    let silent = |m: &Member| silent_for(if m.node == 3 { 3_000 } else { 0 });
+    let step = next_change(LEADER, &current, &[newcomer(9, 4)], silent);
+    assert_eq!(step, Some(Change::AddLearner(member(9, 4))));
+}
