--- a/crates/filbertstack-gateway/tests/membership.rs
+++ b/crates/filbertstack-gateway/tests/membership.rs
@@ -290,3 +290,14 @@
     let step = next_change(LEADER, &current, &[newcomer(9, 4)], silent);
     assert_eq!(step, Some(Change::AddLearner(member(9, 4))));
 }
+
+/// Guards against a group that never forms, as one of its voters is in doubt.
+#[test]
+fn a_forming_group_promotes_beside_a_voter_in_doubt() {
+    let mut current = group(&[(1, 1), (2, 2), (3, 3)]);
+    current.forming = 5;
+    current.learners.push(member(9, 4));
+    let silent = |m: &Member| silent_for(if m.node == 3 { 600 } else { 0 });
+    let step = next_change(LEADER, &current, &[], silent);
+    assert_eq!(step, Some(Change::Promote(NodeId(9))));
+}
