--- a/crates/filbertstack-gateway/tests/lag.rs
+++ b/crates/filbertstack-gateway/tests/lag.rs
@@ -39,3 +39,12 @@
     lag.observe(Millis(1_200), 9, 9);
     assert!(!lag.is_behind(Millis(5_000), 9));
 }
+
+/// Guards against followers that leave a voter for each document which reaches it a moment after another voter.
+#[test]
+fn a_voter_is_behind_after_the_time_in_which_followers_leave_a_silent_one() {
+    let mut lag = Lag::default();
+    lag.observe(Millis(0), 1, 2);
+    assert!(!lag.is_behind(Millis(700), 1));
+    assert!(lag.is_behind(Millis(701), 1));
+}
