Pass no length on with a stream whose events are checked

A stream with a length was passed on with that length: where another target continued it after wrong bytes, the caller's answer ended within an event and looked complete (69 of 69 bytes, up to `id: 4`), and where a comment was left out, the caller got nothing at all, as the server found the body too short. The server sends such streams in chunks now. The content type is compared without case.

--- a/crates/filbertstack-gateway/src/request/attempt.rs
+++ b/crates/filbertstack-gateway/src/request/attempt.rs
@@ -565,13 +565,20 @@
     } else {
         Framing::Plain
     };
+    // Comments between events are left out, and another target may continue a stream: its length is not that of the
+    // first target's answer.
+    if matches!(framing, Framing::Events | Framing::Resumable) {
+        head.headers.remove(header::CONTENT_LENGTH);
+    }
     let relay = Relay::new(call.clone(), body, guard, tries, framing);
     Response::from_parts(head, AnswerBody::Relayed(Box::new(relay)))
 }
 
 fn is_event_stream(headers: &HeaderMap) -> bool {
     let kind = headers.get(header::CONTENT_TYPE);
-    kind.is_some_and(|kind| kind.as_bytes().starts_with(b"text/event-stream"))
+    let name = b"text/event-stream";
+    let start = kind.and_then(|kind| kind.as_bytes().get(..name.len()));
+    start.is_some_and(|start| start.eq_ignore_ascii_case(name))
 }
 
 /// Creates the error of an answer that breaks off. The connection to the caller then closes in a way that
