Resume no stream behind an event that came too early

An engine sent an event from far ahead and then the next one. The later one was taken for a repeated event, the stream was resumed after the early one, and the other engine had nothing left to send: the caller lacked events of an answer that ended as whole. An id between the last two that were passed on shows that events were skipped: the answer is cut then.

--- a/crates/filbertstack-gateway/src/request/events.rs
+++ b/crates/filbertstack-gateway/src/request/events.rs
@@ -34,10 +34,17 @@
     /// Whether `partial` begins within a line whose start was passed on.
     within_line: bool,
     next: NextEvent,
-    last_id: Option<u64>,
+    passed: PassedIds,
     fault: Option<Fault>,
 }
 
+/// The ids of the last two events that were passed on.
+#[derive(Clone, Copy, Debug, Default)]
+struct PassedIds {
+    previous: Option<u64>,
+    last: Option<u64>,
+}
+
 /// What is known of an event that has not ended.
 #[derive(Clone, Copy, Debug, Default)]
 struct NextEvent {
@@ -53,6 +60,8 @@
 pub enum Fault {
     /// It has sent an event that its caller has, or one that precedes it.
     Repeated,
+    /// It has sent an event that belongs before one which its caller has. The caller may lack others, too.
+    Skipped,
     /// It has sent bytes that are no event.
     NoEvent,
 }
@@ -62,6 +71,7 @@
     pub fn name(self) -> &'static str {
         match self {
             Self::Repeated => "the target sent an event that its caller has",
+            Self::Skipped => "the target sent events out of order",
             Self::NoEvent => "the target sent bytes that are no event",
         }
     }
@@ -70,8 +80,12 @@
 impl EventBuffer {
     /// Creates the buffer of a stream whose caller already has the events up to the id `last_id`.
     pub fn after(last_id: Option<u64>) -> Self {
+        let passed = PassedIds {
+            previous: None,
+            last: last_id,
+        };
         Self {
-            last_id,
+            passed,
             ..Self::default()
         }
     }
@@ -117,7 +131,7 @@
         let is_rest = std::mem::take(&mut self.within_line);
         if is_rest || !line.is_empty() {
             if !is_rest {
-                self.next.add_line(line, self.last_id)?;
+                self.next.add_line(line, self.passed)?;
             }
             self.checked = end;
             return Ok(None);
@@ -129,7 +143,8 @@
         if !ended.has_fields {
             return Ok(None);
         }
-        self.last_id = Some(ended.id.ok_or(Fault::NoEvent)?);
+        let id = ended.id.ok_or(Fault::NoEvent)?;
+        self.passed.previous = self.passed.last.replace(id);
         Ok(Some(event))
     }
 
@@ -162,7 +177,7 @@
 
     /// Returns the id of the last event that was passed on.
     pub fn last_id(&self) -> Option<u64> {
-        self.last_id
+        self.passed.last
     }
 
     /// Returns whether a part of an event has arrived, and not the rest.
@@ -170,28 +185,32 @@
         self.next.begun || !self.partial.is_empty()
     }
 
-    /// Returns whether another target may continue the stream: its caller has whole events only.
+    /// Returns whether another target may continue the stream after the last event: its caller has all events up to it,
+    /// and no part of the next.
     pub fn can_resume(&self) -> bool {
-        !self.next.begun
+        !self.next.begun && self.fault != Some(Fault::Skipped)
     }
 
     /// Discards what has arrived after the last whole event, and is not followed by its rest.
     pub fn drop_partial(&mut self) {
-        *self = Self::after(self.last_id);
+        *self = Self {
+            passed: self.passed,
+            ..Self::default()
+        };
     }
 }
 
 impl NextEvent {
-    /// Adds a line of the event, which follows the one with the id `last_id`.
-    fn add_line(&mut self, line: &[u8], last_id: Option<u64>) -> Result<(), Fault> {
+    /// Adds a line of the event, which follows those that were passed on.
+    fn add_line(&mut self, line: &[u8], passed: PassedIds) -> Result<(), Fault> {
         match EventLine::read(line).ok_or(Fault::NoEvent)? {
             EventLine::Comment => return Ok(()),
             EventLine::Weights(_) if self.has_fields => return Err(Fault::NoEvent),
             EventLine::Id(_) if self.id.is_some() => return Err(Fault::NoEvent),
-            EventLine::Id(id) if last_id.is_some_and(|last| id <= last) => {
-                return Err(Fault::Repeated);
+            EventLine::Id(id) => {
+                passed.check(id)?;
+                self.id = Some(id);
             }
-            EventLine::Id(id) => self.id = Some(id),
             EventLine::Weights(_) | EventLine::Field => {}
         }
         self.has_fields = true;
@@ -199,6 +218,18 @@
     }
 }
 
+impl PassedIds {
+    /// Checks the id of the event that follows.
+    fn check(self, id: u64) -> Result<(), Fault> {
+        match (self.previous, self.last) {
+            (_, Some(last)) if id > last => Ok(()),
+            (Some(previous), Some(last)) if id > previous && id < last => Err(Fault::Skipped),
+            (_, Some(_)) => Err(Fault::Repeated),
+            (_, None) => Ok(()),
+        }
+    }
+}
+
 /// Returns a line without its end.
 fn trim_line_end(line: &[u8]) -> &[u8] {
     let line = line.strip_suffix(b"\n").unwrap_or(line);
--- a/crates/filbertstack-gateway/tests/events.rs
+++ b/crates/filbertstack-gateway/tests/events.rs
@@ -66,6 +66,24 @@
     }
 }
 
+/// Guards against a stream that another target continues although its caller lacks events: its target has sent one from
+/// far ahead, and then the next.
+#[test]
+fn an_event_that_was_skipped_can_not_be_resumed() {
+    let event = |id: u64| Bytes::from(format!("id: {id}\ndata: a\n\n"));
+    for (id, fault) in [
+        (9, Fault::Repeated),
+        (3, Fault::Repeated),
+        (4, Fault::Skipped),
+    ] {
+        let mut events = EventBuffer::after(Some(3));
+        assert_eq!(events.push(&event(9)), event(9));
+        assert_eq!(events.push(&event(id)), Bytes::new());
+        assert_eq!(events.fault(), Some(fault), "{id}");
+        assert_eq!(events.can_resume(), fault == Fault::Repeated, "{id}");
+    }
+}
+
 /// Guards against a caller who gets a part of an event twice: one that is too long to be buffered is passed on in parts,
 /// and no other target may send it again.
 #[test]
