Take only what reaches the caller for an answer's progress and end

Found by a review of the mend, each played there with real processes or read in the code: - Bytes at the end that could begin an event counted as a crash where the target had ended its answer properly: after three of them requests with the same path were refused. Only where the connection is all that ends the answer is it one. - A target that resumes a stream and ends with its connection before its first event made the stream whole; as for a first target, nothing shows that it was not cut. It counts as a loss, as takeovers have it. - Blank lines and comments counted as progress, so that a stream without events was never taken over. What is passed on counts, and the first bytes for the estimate of paces as well. - A target that takes a stream over was accepted with a fault behind its first event. - A loss within a long event went on with a takeover that was under way, and its caller got that event's start twice. - The events before an end that cuts the answer were not written, as before a fault.

In the tests, an engine without framing sends what resumes a stream in chunks now, as an empty answer that ends with its connection no longer shows that nothing is left.

--- a/crates/filbertstack-gateway/src/request/relay.rs
+++ b/crates/filbertstack-gateway/src/request/relay.rs
@@ -94,6 +94,8 @@
     resumable: bool,
     /// Whether the server may not have written what was passed on last.
     unflushed: bool,
+    /// Whether bytes of the present target were passed on.
+    has_events: bool,
     tail: Option<EventTail>,
     /// The gaps between the target's events; `None` where paces are not estimated.
     gaps: Option<EventGaps>,
@@ -145,6 +147,7 @@
             events,
             resumable,
             unflushed: false,
+            has_events: false,
             tail: (framing == Framing::EventEnd).then(EventTail::default),
             gaps,
             requests,
@@ -171,8 +174,9 @@
         loop {
             let taken_over = self.poll_takeover(cx);
             let is_faulty = self.fault().is_some();
+            let ends = self.has_ended && self.released.is_empty();
             // The server writes what it has before it polls again, and nothing once the answer is cut.
-            if is_faulty && std::mem::take(&mut self.unflushed) {
+            if (is_faulty || ends && self.is_cut()) && std::mem::take(&mut self.unflushed) {
                 cx.waker().wake_by_ref();
                 return Poll::Pending;
             }
@@ -236,12 +240,8 @@
                 let Ok(data) = frame.into_data() else {
                     return Progress::Again;
                 };
-                self.last_bytes_at = Instant::now();
-                if let Source::Target(_, guard) = &mut self.source {
-                    guard.record_bytes();
-                }
                 if let Some(gaps) = &mut self.gaps {
-                    gaps.note(self.last_bytes_at, &data);
+                    gaps.note(Instant::now(), &data);
                 }
                 self.handle_data(data)
             }
@@ -263,6 +263,7 @@
             && takeover.holds_back()
         {
             takeover.hold(data);
+            self.note_life();
             return Progress::Again;
         }
         self.keep_first();
@@ -283,16 +284,34 @@
         if data.is_empty() {
             return Progress::Again;
         }
+        self.note_life();
+        self.note_passed(&data);
+        Progress::Ready(Some(Ok(Frame::data(data))))
+    }
+
+    /// Records that the target is alive: it sends what its caller waits for.
+    fn note_life(&mut self) {
+        self.last_bytes_at = Instant::now();
+        self.reset_silence_check();
+        if let Source::Target(_, guard) = &mut self.source {
+            guard.record_bytes();
+        }
+    }
+
+    fn note_passed(&mut self, data: &Bytes) {
+        self.has_events = true;
         self.unflushed = true;
         self.passed_bytes += data.len() as u64;
-        Progress::Ready(Some(Ok(Frame::data(data))))
     }
 
     /// Handles the end of the target's answer, once all of it is passed on.
     fn handle_end(&mut self) -> Progress {
         self.has_ended = false;
         if self.is_cut() {
-            self.record_crash();
+            // A target that ends its answer properly has not crashed.
+            if self.ends_with_connection() {
+                self.record_crash();
+            }
             return self.handle_loss("the target ended before its answer was complete");
         }
         if let Source::Target(_, guard) = &mut self.source {
@@ -302,14 +321,16 @@
         Progress::Ready(None)
     }
 
+    /// Returns whether nothing but the end of the target's connection marks the end of its answer.
+    fn ends_with_connection(&self) -> bool {
+        matches!(&self.source, Source::Target(_, guard) if guard.ends_with_connection())
+    }
+
     /// Returns whether the answer has ended before it is complete, although its connection ended well: inside an
-    /// event or, where nothing else marks its end, before its first one.
+    /// event or, where nothing else marks its end, before the target's first one.
     fn is_cut(&self) -> bool {
-        let Source::Target(_, guard) = &self.source else {
-            return false;
-        };
         if let Some(events) = &self.events {
-            let is_empty = events.last_id().is_none() && guard.ends_with_connection();
+            let is_empty = !self.has_events && self.ends_with_connection();
             return events.has_partial() || is_empty;
         }
         self.tail.as_ref().is_some_and(|tail| !tail.is_whole())
@@ -334,7 +355,6 @@
         if let Some(tail) = &mut self.tail {
             tail.note(&data);
         }
-        self.reset_silence_check();
         match &mut self.events {
             Some(events) => events.push(&data),
             None => data,
@@ -379,15 +399,17 @@
             guard.fail();
             drop((body, guard));
         }
+        if !self.can_resume() {
+            return Progress::Ready(Some(Err(self.cut(Cut::TargetLost(why)))));
+        }
         if let Some(takeover) = self.takeover.take() {
             return self.go_on_with(takeover.into_remaining());
         }
-        let resumable = self.can_resume();
-        let Some(events) = self.events.as_mut().filter(|_| resumable) else {
-            return Progress::Ready(Some(Err(self.cut(Cut::TargetLost(why)))));
-        };
-        events.drop_partial();
-        if self.whole_after.is_some() && self.whole_after == events.last_id() {
+        let last_id = self.events.as_mut().and_then(|events| {
+            events.drop_partial();
+            events.last_id()
+        });
+        if self.whole_after.is_some() && self.whole_after == last_id {
             return Progress::Ready(None);
         }
         let resuming = resume(
@@ -432,6 +454,7 @@
         self.gaps = self.gaps.take().map(|_| EventGaps::default());
         self.last_bytes_at = Instant::now();
         self.has_ended = false;
+        self.has_events = false;
         self.reset_silence_check();
     }
 
--- a/crates/filbertstack-gateway/src/request/relay/moves.rs
+++ b/crates/filbertstack-gateway/src/request/relay/moves.rs
@@ -135,8 +135,7 @@
         }
         self.events = Some(events);
         self.adopt(*resumed);
-        self.unflushed = true;
-        self.passed_bytes += first.len() as u64;
+        self.note_passed(&first);
         Progress::Ready(Some(Ok(Frame::data(first))))
     }
 
--- a/crates/filbertstack-gateway/src/request/takeover.rs
+++ b/crates/filbertstack-gateway/src/request/takeover.rs
@@ -143,6 +143,13 @@
                             resumed.guard.record_bytes();
                             let data = frame.into_data().unwrap_or_default();
                             let first = events.push(&data);
+                            if let Some(fault) = events.fault() {
+                                let why = fault.name();
+                                self.requests.metrics.entry.faults.add(why, 1);
+                                resumed.guard.fail();
+                                let tries = resumed.tries;
+                                return Polled::Failed(NotResumed { why, tries }, self.held);
+                            }
                             if !first.is_empty() {
                                 return Polled::Began(Began {
                                     reason: self.reason,
@@ -151,13 +158,6 @@
                                     first,
                                 });
                             }
-                            if let Some(fault) = events.fault() {
-                                let why = fault.name();
-                                self.requests.metrics.entry.faults.add(why, 1);
-                                resumed.guard.fail();
-                                let tries = resumed.tries;
-                                return Polled::Failed(NotResumed { why, tries }, self.held);
-                            }
                             self.next = Next::Answering(resumed, events);
                         }
                         Poll::Ready(ended) => {
--- a/tests/gateway/wrong_bytes.rs
+++ b/tests/gateway/wrong_bytes.rs
@@ -40,8 +40,10 @@
 /// How an answer is framed.
 #[derive(Clone, Copy, Debug)]
 enum Framing {
-    /// It ends with its connection.
+    /// It ends with its connection. One that resumes a stream has chunks, as an empty one would not show its end.
     None,
+    /// With a length.
+    Length,
     /// In a chunk for each event.
     Events,
     /// In chunks of 7 bytes.
@@ -85,23 +87,27 @@
             pieces.push(trouble.bytes.into());
         }
     }
+    framed(received, framing, &pieces)
+}
+
+/// Returns an answer with these bytes.
+fn framed(received: &Received, framing: Framing, pieces: &[String]) -> Vec<u8> {
+    let id = received.header("x-filbertstack-attempt-id");
+    let resumes = !received.header("last-event-id").is_empty();
     let body = pieces.concat();
+    let head = format!(
+        "HTTP/1.1 200 OK\r\nX-Filbertstack-Attempt-Id: {id}\r\n\
+         X-Filbertstack-Response-Seal: sealed\r\nContent-Type: text/event-stream\r\n"
+    );
     let chunks: Vec<&[u8]> = match framing {
-        Framing::None => Vec::new(),
-        Framing::Events => pieces.iter().map(String::as_bytes).collect(),
+        Framing::None if !resumes => return format!("{head}\r\n{body}").into_bytes(),
+        Framing::Length => {
+            return format!("{head}Content-Length: {}\r\n\r\n{body}", body.len()).into_bytes();
+        }
+        Framing::None | Framing::Events => pieces.iter().map(String::as_bytes).collect(),
         Framing::Parts => body.as_bytes().chunks(7).collect(),
     };
-    let mut bytes = format!(
-        "HTTP/1.1 200 OK\r\nX-Filbertstack-Attempt-Id: {id}\r\n\
-         X-Filbertstack-Response-Seal: sealed\r\nContent-Type: text/event-stream\r\n"
-    )
-    .into_bytes();
-    if matches!(framing, Framing::None) {
-        bytes.extend_from_slice(b"\r\n");
-        bytes.extend_from_slice(body.as_bytes());
-        return bytes;
-    }
-    bytes.extend_from_slice(b"Transfer-Encoding: chunked\r\n\r\n");
+    let mut bytes = format!("{head}Transfer-Encoding: chunked\r\n\r\n").into_bytes();
     for chunk in chunks {
         bytes.extend_from_slice(format!("{:x}\r\n", chunk.len()).as_bytes());
         bytes.extend_from_slice(chunk);
@@ -219,6 +225,12 @@
     assert_sound(Framing::None);
 }
 
+/// Guards against the same in a stream with a length, which is not that of what its caller gets.
+#[test]
+fn wrong_bytes_of_an_engine_are_no_event_of_a_stream_with_a_length() {
+    assert_sound(Framing::Length);
+}
+
 /// Guards against the same in a stream with a chunk for each event.
 #[test]
 fn wrong_bytes_of_an_engine_are_no_event_of_a_stream_in_chunks() {
@@ -230,3 +242,91 @@
 fn wrong_bytes_of_an_engine_are_no_event_of_a_stream_in_small_chunks() {
     assert_sound(Framing::Parts);
 }
+
+/// Starts two engines with the same behaviour, and an entry.
+fn start_both(behaviour: fn(&Received) -> Vec<u8>) -> (Cluster, [Engine; 2]) {
+    let engines = [0, 1].map(|_| Engine::start(Box::new(behaviour)));
+    let cluster = Cluster::start(1, 0);
+    cluster.put_document(&[0], &declared());
+    (cluster, engines)
+}
+
+/// Guards against a sound stream that is cut: comments and blank lines between its events are left out, and its length
+/// with them.
+#[test]
+fn a_stream_with_comments_ends_whole() {
+    for framing in [Framing::Length, Framing::None, Framing::Events] {
+        let (cluster, engines) = match framing {
+            Framing::Length => start_both(|received| with_comment(received, Framing::Length)),
+            Framing::None => start_both(|received| with_comment(received, Framing::None)),
+            _ => start_both(|received| with_comment(received, Framing::Events)),
+        };
+        for (born, route) in (1..).zip(ROUTES) {
+            start_again(&cluster, &engines, route, born);
+            let got = cluster.call(0, &get(&format!("/{route}/"), "a1", ""));
+            let got = decode(&got.body);
+            let due: String = (1..=EVENTS).map(event).collect();
+            assert!(
+                got.ended,
+                "{route} {framing:?}: {}\n{}",
+                got.body,
+                cluster.logged(0)
+            );
+            assert_eq!(got.body, due, "{route} {framing:?}");
+        }
+    }
+}
+
+fn with_comment(received: &Received, framing: Framing) -> Vec<u8> {
+    let mut pieces: Vec<String> = (1..=EVENTS).map(event).collect();
+    pieces.insert(2, ": keep-alive\n\n".into());
+    pieces.insert(4, "\n".into());
+    framed(received, framing, &pieces)
+}
+
+/// Guards against a stream that ends as whole although its caller lacks events: an engine sends one from far ahead, and
+/// another has nothing to send after that.
+#[test]
+fn a_stream_with_events_out_of_order_does_not_end_whole() {
+    let (cluster, engines) = start_both(|received| {
+        let after: u64 = received.header("last-event-id").parse().unwrap_or(0);
+        let mut pieces: Vec<String> = (after + 1..=EVENTS).map(event).collect();
+        if after == 0
+            && !received
+                .header("x-filbertstack-attempt-id")
+                .starts_with("probe")
+        {
+            pieces.insert(2, event(9));
+        }
+        framed(received, Framing::Events, &pieces)
+    });
+    for (born, route) in (1..).zip(ROUTES) {
+        start_again(&cluster, &engines, route, born);
+        let got = cluster.call(0, &get(&format!("/{route}/a1"), "a1", ""));
+        let got = decode(&got.body);
+        let due = [event(1), event(2), event(9)].concat();
+        assert_eq!((got.body, got.ended), (due, false), "{route}");
+    }
+}
+
+/// Guards against a sound request that is refused as one which crashes engines: they send the beginning of an event
+/// behind the last one, and end their answers properly.
+#[test]
+fn wrong_bytes_at_the_end_do_not_count_as_a_crash() {
+    let (cluster, engines) = start_both(|received| {
+        let mut pieces: Vec<String> = (1..=EVENTS).map(event).collect();
+        if !received
+            .header("x-filbertstack-attempt-id")
+            .starts_with("probe")
+        {
+            pieces.push("id: 9".into());
+        }
+        framed(received, Framing::Events, &pieces)
+    });
+    for born in 2..8 {
+        start_again(&cluster, &engines, "live", born);
+        let got = cluster.call(0, &get("/live/same", &format!("a{born}"), ""));
+        assert_eq!(got.status, 200, "{}", got.body);
+        assert!(!decode(&got.body).ended, "the last event is not known");
+    }
+}
