Count no request against its own free place

At an engine with one free place, a last attempt that is not expected to end by the bound was chosen, its connection opened, and then refused, as it counted as sent by then: callers of such requests were refused, and streams did not move away from an engine that is to load.

The place is now decided without the request itself when it counts as sent.

--- a/crates/filbertstack-policy/src/dispatch.rs
+++ b/crates/filbertstack-policy/src/dispatch.rs
@@ -245,7 +245,7 @@
                 }
                 Some(_) => continue,
             }
-            if target.grant(now, prompt, work).is_none() {
+            if target.grant(now, prompt, work, 0.0).is_none() {
                 continue;
             }
             if !cut_off && target.is_silent(now) {
@@ -502,12 +502,12 @@
         cold.or(other.filter(|other| !matches!(other, Obstacle::Cold(_))))
     }
 
-    /// Returns the time that a target gets now for a request with a prompt of `prompt` tokens that was chosen for it;
+    /// Returns the time that a target gets now for a request with a prompt of `prompt` tokens that counts as sent to it;
     /// `None` if it may not begin the request, or is not known any more.
     pub fn grant(&self, now: Millis, id: &str, prompt: u32, work: Work) -> Option<Grant> {
         let target = self.targets.get(id)?;
         let work = self.complete(work, &target.spec.service);
-        target.grant(now, f64::from(prompt), work)
+        target.grant(now, f64::from(prompt), work, 1.0)
     }
 
     /// Returns `work` with whether a target of the service has the newest weights: without one, those that a limit ends
--- a/crates/filbertstack-policy/src/dispatch/target.rs
+++ b/crates/filbertstack-policy/src/dispatch/target.rs
@@ -515,8 +515,14 @@
     }
 
     /// Returns the time that the target gets now for a request with a prompt of `prompt` tokens; `None` if it may not
-    /// begin the request.
-    pub(super) fn grant(&self, now: Millis, prompt: f64, work: Work) -> Option<Grant> {
+    /// begin the request. `counted` is 1 if the request counts as sent already, or else 0.
+    pub(super) fn grant(
+        &self,
+        now: Millis,
+        prompt: f64,
+        work: Work,
+        counted: f64,
+    ) -> Option<Grant> {
         let engine = self.spec.engine.as_deref().zip(work.answer);
         let writing = engine.map_or(f64::INFINITY, |(engine, answer)| {
             let passes = f64::from(answer) / f64::from(engine.stride.max(1));
@@ -524,15 +530,15 @@
         });
         let expected = Expected {
             ms: self.predict(now, prompt) + writing,
-            at_once: self.begins_at_once(now),
+            at_once: self.begins_at_once(now, counted),
         };
         begin::grant(now, self.spec.replaced, work, expected)
     }
 
     /// Returns whether the target begins a request at once: it has a free place and no queue, by its last report.
-    fn begins_at_once(&self, now: Millis) -> bool {
+    fn begins_at_once(&self, now: Millis, counted: f64) -> bool {
         let queue = self.fresh_load(now).map(|(_, load)| load.waiting);
-        queue == Some(0) && self.occupancy(now) < self.slots()
+        queue == Some(0) && self.occupancy(now) - counted < self.slots()
     }
 
     /// Returns the factor by which the target may be slower than [`Self::predict`] assumes. It orders the targets
--- a/crates/filbertstack-policy/tests/dispatch.rs
+++ b/crates/filbertstack-policy/tests/dispatch.rs
@@ -570,3 +570,45 @@
     let (with, without) = (shortest_time_left(true), shortest_time_left(false));
     assert!(with.is_some() && with < without, "{with:?}, {without:?}");
 }
+
+/// Guards against a request that is chosen for the last free place of a target and refused when it is written, as it
+/// counts as sent by then: a connection is opened in vain.
+#[test]
+fn a_request_does_not_take_the_last_place_from_itself() {
+    let replaced = Replaced {
+        begin_by: Millis(8_000),
+        bound: Millis(8_000),
+    };
+    let older = TargetSpec {
+        replaced: Some(replaced),
+        ..spec(0, true)
+    };
+    let work = Work {
+        time_left: Millis(50_000),
+        ..Work::default()
+    };
+    let wanted = TargetRequest {
+        service: "llm",
+        goal: Millis(1_000),
+        work,
+        ..TargetRequest::default()
+    };
+    for (others, is_free) in [(older.slots - 1, true), (older.slots, false)] {
+        let mut entry = Dispatcher::new(ChaCha8Rng::seed_from_u64(1));
+        entry.set_targets(vec![older.clone()]);
+        let load = Load {
+            running: others,
+            waiting: 0,
+            pace: 1.0,
+        };
+        entry.record_load(Millis::ZERO, &older.id, load);
+        let chosen = entry.choose(Millis::ZERO, &wanted);
+        assert_eq!(chosen.is_ok(), is_free, "{others} others");
+        entry.count_sent(Millis::ZERO, &older.id, 0);
+        let granted = entry.grant(Millis::ZERO, &older.id, 0, work);
+        assert_eq!(granted.is_some(), is_free, "{others} others");
+        entry.count_resent(Millis::ZERO, &older.id);
+        let granted = entry.grant(Millis::ZERO, &older.id, 0, work);
+        assert_eq!(granted.is_some(), is_free, "{others} others, sent again");
+    }
+}
