Test that a request gets no more time than its route allows

A caller that allows more than the route would have an engine work on beyond the route's time limit. With the limit of the route taken out of `Requests::handle`, `endings::a_request_out_of_time_is_told_so` passed: its caller allows less than the route.

No code is changed.

--- a/tests/gateway/endings.rs
+++ b/tests/gateway/endings.rs
@@ -19,6 +19,7 @@
 use crate::engine::no_room;
 use crate::engine::stream;
 use crate::engine::stream_until_close;
+use crate::engine::time_left;
 use crate::fleet::Fleet;
 use crate::model::services;
 
@@ -362,6 +363,20 @@
     }
 }
 
+/// Guards against an engine that works on beyond the time limit of the route, as its caller allows more.
+#[test]
+fn a_request_gets_no_more_time_than_its_route_allows() {
+    let engine = Engine::start(Box::new(|received| answer(received, "200 OK", "ok")));
+    let cluster = Cluster::start(1, 0);
+    cluster.put_document(&[0], &document(1));
+    cluster.register(0, "i-1", "safe", engine.addr);
+    cluster.await_service(0, "/safe/");
+    let patient = get("/safe/", "a1", "").replace("Deadline-Ms: 5000", "Deadline-Ms: 60000");
+    assert_eq!(cluster.call(0, &patient).status, 200);
+    let received = engine.received().pop().expect("it was asked");
+    assert!(time_left(&received) <= Duration::from_secs(5));
+}
+
 /// Guards against an entry whose own time limit cuts the connection of a caller that pauses its reading.
 #[test]
 fn a_caller_that_pauses_its_reading_gets_the_rest() {
