Test that an engine which serves a request does not rest

A rest counts only where the engine turned the request away. With rests taken from every answer in `classify::record_notices`, the tests of `notices` passed, and an engine that names a time in an answer with which it serves would be left alone for so long.

No code is changed.

--- a/tests/gateway/notices.rs
+++ b/tests/gateway/notices.rs
@@ -125,6 +125,24 @@
     assert_eq!(leaving.received().len(), 1, "nothing since it said so");
 }
 
+/// Guards against an engine that is left alone since it names a time in an answer with which it served a request.
+#[test]
+fn an_engine_that_serves_does_not_rest() {
+    let engine = Engine::start(Box::new(|received: &Received| {
+        let served = String::from_utf8(leaves(received)).expect("text");
+        let rest = format!("Retry-After: {LONG_REST}");
+        served.replace("Server-Leaving: 1", &rest).into_bytes()
+    }));
+    let cluster = Cluster::start(1, 0);
+    cluster.put_document(&[0], &document(1));
+    cluster.register(0, "i-1", "safe", engine.addr);
+    cluster.await_service(0, "/safe/");
+    for n in 0..3 {
+        let got = cluster.call(0, &get("/safe/", &format!("a{n}"), ""));
+        assert_eq!(got.status, 200, "{}", got.head);
+    }
+}
+
 /// Starts an engine whose first answer is `notice`. Later ones serve.
 fn start_changing(notice: fn(&Received) -> Vec<u8>) -> Engine {
     let noticed = AtomicBool::new(false);
