--- a/crates/filbertstack-gateway/src/request/relay.rs
+++ b/crates/filbertstack-gateway/src/request/relay.rs
@@ -90,8 +90,7 @@
     tries: Tries,
     /// The events; `None` if they are not checked.
     events: Option<EventBuffer>,
-    /// Whether another target may resume the stream.
-    resumable: bool,
+    framing: Framing,
     /// Whether the server may not have written what was passed on last.
     unflushed: bool,
     /// Whether bytes of the present target were passed on.
@@ -145,7 +144,7 @@
         };
         Self {
             events,
-            resumable,
+            framing,
             unflushed: false,
             has_events: false,
             tail: (framing == Framing::EventEnd).then(EventTail::default),
@@ -364,7 +363,7 @@
     /// Returns whether another target could continue the stream now.
     fn can_resume(&self) -> bool {
         let events = self.events.as_ref();
-        self.resumable && events.is_some_and(EventBuffer::can_resume)
+        self.framing == Framing::Resumable && events.is_some_and(EventBuffer::can_resume)
     }
 
     /// Returns why nothing more of the target may be passed on.
@@ -393,7 +392,7 @@
         if let Source::Target(body, mut guard) = source {
             info!("answer broke off", kv: {
                 request = self.call.head.id(), target = instance_of(guard.target()), why = why,
-                resumable = self.resumable, digest = self.call.digest(),
+                resumable = self.framing == Framing::Resumable, digest = self.call.digest(),
                 parts = self.call.head.shared_parts.join(",")
             });
             guard.fail();
