Resume a stream only if its caller can't lack events

Of two events from far ahead, or of one that came first, the next event still counted as a repeated one, and the stream was resumed behind them and ended whole. An id that goes back is that of a repeated event if the target has sent all ids from one up to the last, or nothing yet; otherwise the caller may lack events, and the answer is cut. A part that holds comments alone is none of an event.

--- a/crates/filbertstack-gateway/src/request/events.rs
+++ b/crates/filbertstack-gateway/src/request/events.rs
@@ -38,11 +38,23 @@
     fault: Option<Fault>,
 }
 
-/// The ids of the last two events that were passed on.
+/// The ids of the events that were passed on.
 #[derive(Clone, Copy, Debug, Default)]
 struct PassedIds {
-    previous: Option<u64>,
     last: Option<u64>,
+    run: Run,
+}
+
+/// What is known of the events that the present target has sent.
+#[derive(Clone, Copy, Debug, Default)]
+enum Run {
+    /// It has sent none.
+    #[default]
+    Empty,
+    /// It has sent all from this id to the last one.
+    From(u64),
+    /// It has left ids out, as engines may. Events may be missing.
+    WithGaps,
 }
 
 /// What is known of an event that has not ended.
@@ -58,9 +70,9 @@
 /// Why nothing more is passed on of what a target sends.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Fault {
-    /// It has sent an event that its caller has, or one that precedes it.
+    /// It has sent an event again, or begins the stream anew.
     Repeated,
-    /// It has sent an event that belongs before one which its caller has. The caller may lack others, too.
+    /// It has sent an event that belongs before the last one, and its caller may lack it.
     Skipped,
     /// It has sent bytes that are no event.
     NoEvent,
@@ -80,12 +92,11 @@
 impl EventBuffer {
     /// Creates the buffer of a stream whose caller already has the events up to the id `last_id`.
     pub fn after(last_id: Option<u64>) -> Self {
-        let passed = PassedIds {
-            previous: None,
-            last: last_id,
-        };
         Self {
-            passed,
+            passed: PassedIds {
+                last: last_id,
+                run: Run::Empty,
+            },
             ..Self::default()
         }
     }
@@ -144,7 +155,7 @@
             return Ok(None);
         }
         let id = ended.id.ok_or(Fault::NoEvent)?;
-        self.passed.previous = self.passed.last.replace(id);
+        self.passed.note(id);
         Ok(Some(event))
     }
 
@@ -182,7 +193,7 @@
 
     /// Returns whether a part of an event has arrived, and not the rest.
     pub fn has_partial(&self) -> bool {
-        self.next.begun || !self.partial.is_empty()
+        self.next.begun || self.next.has_fields || self.checked < self.partial.len()
     }
 
     /// Returns whether another target may continue the stream after the last event: its caller has all events up to it,
@@ -193,10 +204,7 @@
 
     /// Discards what has arrived after the last whole event, and is not followed by its rest.
     pub fn drop_partial(&mut self) {
-        *self = Self {
-            passed: self.passed,
-            ..Self::default()
-        };
+        *self = Self::after(self.passed.last);
     }
 }
 
@@ -221,13 +229,26 @@
 impl PassedIds {
     /// Checks the id of the event that follows.
     fn check(self, id: u64) -> Result<(), Fault> {
-        match (self.previous, self.last) {
-            (_, Some(last)) if id > last => Ok(()),
-            (Some(previous), Some(last)) if id > previous && id < last => Err(Fault::Skipped),
-            (_, Some(_)) => Err(Fault::Repeated),
-            (_, None) => Ok(()),
+        if self.last.is_none_or(|last| id > last) {
+            return Ok(());
+        }
+        match self.run {
+            Run::Empty => Err(Fault::Repeated),
+            Run::From(first) if id >= first => Err(Fault::Repeated),
+            Run::From(_) | Run::WithGaps => Err(Fault::Skipped),
         }
     }
+
+    /// Notes the id of an event that is passed on.
+    fn note(&mut self, id: u64) {
+        let follows = self.last.is_none_or(|last| id - 1 == last);
+        self.run = match self.run {
+            Run::Empty if follows => Run::From(id),
+            Run::From(first) if follows => Run::From(first),
+            Run::Empty | Run::From(_) | Run::WithGaps => Run::WithGaps,
+        };
+        self.last = Some(id);
+    }
 }
 
 /// Returns a line without its end.
--- a/crates/filbertstack-gateway/tests/events.rs
+++ b/crates/filbertstack-gateway/tests/events.rs
@@ -66,21 +66,31 @@
     }
 }
 
-/// Guards against a stream that another target continues although its caller lacks events: its target has sent one from
-/// far ahead, and then the next.
+/// Guards against a stream that another target continues although its caller lacks events: its target has sent some
+/// from far ahead, and then the next.
 #[test]
-fn an_event_that_was_skipped_can_not_be_resumed() {
+fn a_stream_with_skipped_events_can_not_be_resumed() {
     let event = |id: u64| Bytes::from(format!("id: {id}\ndata: a\n\n"));
-    for (id, fault) in [
-        (9, Fault::Repeated),
-        (3, Fault::Repeated),
-        (4, Fault::Skipped),
+    let (again, skipped) = (Fault::Repeated, Fault::Skipped);
+    for (after, sent, next, fault) in [
+        (None, &[1, 2, 3][..], 2, again),
+        (None, &[0, 1], 0, again),
+        (Some(3), &[], 1, again),
+        (Some(3), &[4, 5], 5, again),
+        (Some(3), &[9], 4, skipped),
+        (Some(3), &[9], 9, skipped),
+        (Some(3), &[9], 3, skipped),
+        (None, &[9], 1, skipped),
+        (None, &[1, 2, 9, 10], 3, skipped),
+        (None, &[1, 9], 1, skipped),
     ] {
-        let mut events = EventBuffer::after(Some(3));
-        assert_eq!(events.push(&event(9)), event(9));
-        assert_eq!(events.push(&event(id)), Bytes::new());
-        assert_eq!(events.fault(), Some(fault), "{id}");
-        assert_eq!(events.can_resume(), fault == Fault::Repeated, "{id}");
+        let mut events = EventBuffer::after(after);
+        for id in sent {
+            assert_eq!(events.push(&event(*id)), event(*id), "{sent:?}");
+        }
+        assert_eq!(events.push(&event(next)), Bytes::new(), "{sent:?} {next}");
+        assert_eq!(events.fault(), Some(fault), "{sent:?} {next}");
+        assert_eq!(events.can_resume(), fault == again, "{sent:?} {next}");
     }
 }
 
