Keep a takeover until the first target sends an event

Bytes that pass nothing on, such as comments or parts of an event, let the target go that was asked to take over, used an attempt up, and the next takeover began after 0.15 s. The end of a cut answer, and wrong bytes, let it go as well, so that a stream was cut that the other target could have continued. What is passed on lets it go now, or an end that is whole. What the first target had sent is dropped when the other gives the answer. A target that takes over counts as alive with its first event.

An answer without framing that ends before its first event, where the caller has events, is a failure of the target and no crash.

A takeover beside comments has no test yet.

--- a/crates/filbertstack-gateway/src/request/relay.rs
+++ b/crates/filbertstack-gateway/src/request/relay.rs
@@ -250,7 +250,9 @@
             }
             None => {
                 self.has_ended = true;
-                self.keep_first();
+                if self.takeover.as_ref().is_some_and(Takeover::has_held) {
+                    self.keep_first();
+                }
                 Progress::Again
             }
         }
@@ -258,14 +260,16 @@
 
     /// Handles bytes from the target, which are held back while another is to continue without them.
     fn handle_data(&mut self, data: Bytes) -> Progress {
-        if let Some(takeover) = &mut self.takeover
-            && takeover.holds_back()
-        {
-            takeover.hold(data);
-            self.note_life();
-            return Progress::Again;
+        if let Some(takeover) = &mut self.takeover {
+            if takeover.holds_back() {
+                takeover.hold(data);
+                self.note_life();
+                return Progress::Again;
+            }
+            if takeover.has_held() {
+                self.keep_first();
+            }
         }
-        self.keep_first();
         self.released.push_back(data);
         Progress::Again
     }
@@ -274,6 +278,10 @@
     fn pass_released(&mut self) -> Progress {
         let data = self.released.pop_front().unwrap_or_default();
         let data = self.filter_events(data);
+        // What is no event does not show that the target goes on with the stream.
+        if !data.is_empty() {
+            self.keep_first();
+        }
         if self.fault().is_none() {
             if self.released.is_empty() {
                 self.finish_if_whole();
@@ -307,12 +315,14 @@
     fn handle_end(&mut self) -> Progress {
         self.has_ended = false;
         if self.is_cut() {
-            // A target that ends its answer properly has not crashed.
-            if self.ends_with_connection() {
+            // A target that ends its answer properly has not crashed, and one with nothing left to send may not have.
+            let has_last = self.events.as_ref().is_some_and(|e| e.last_id().is_some());
+            if self.ends_with_connection() && (self.has_events || !has_last) {
                 self.record_crash();
             }
             return self.handle_loss("the target ended before its answer was complete");
         }
+        self.keep_first();
         if let Source::Target(_, guard) = &mut self.source {
             guard.finish();
         }
@@ -453,6 +463,7 @@
         self.gaps = self.gaps.take().map(|_| EventGaps::default());
         self.last_bytes_at = Instant::now();
         self.has_ended = false;
+        self.released.clear();
         self.has_events = false;
         self.reset_silence_check();
     }
--- a/crates/filbertstack-gateway/src/request/relay/moves.rs
+++ b/crates/filbertstack-gateway/src/request/relay/moves.rs
@@ -144,7 +144,8 @@
         let Some(takeover) = self.takeover.take() else {
             return;
         };
-        let (held, tries) = takeover.cancel();
+        let (mut held, tries) = takeover.cancel();
+        held.append(&mut self.released);
         self.released = held;
         match tries {
             Some(tries) => self.tries = tries,
--- a/crates/filbertstack-gateway/src/request/takeover.rs
+++ b/crates/filbertstack-gateway/src/request/takeover.rs
@@ -108,6 +108,11 @@
         self.held.push_back(data);
     }
 
+    /// Returns whether bytes of the first target were held back.
+    pub fn has_held(&self) -> bool {
+        !self.held.is_empty()
+    }
+
     /// Lets the other target go. Returns what was held back, and the attempts if the other target had begun to
     /// answer.
     pub fn cancel(self) -> (VecDeque<Bytes>, Option<Tries>) {
@@ -140,7 +145,6 @@
                             return Polled::Pending(self);
                         }
                         Poll::Ready(Some(Ok(frame))) => {
-                            resumed.guard.record_bytes();
                             let data = frame.into_data().unwrap_or_default();
                             let first = events.push(&data);
                             if let Some(fault) = events.fault() {
@@ -151,6 +155,7 @@
                                 return Polled::Failed(NotResumed { why, tries }, self.held);
                             }
                             if !first.is_empty() {
+                                resumed.guard.record_bytes();
                                 return Polled::Began(Began {
                                     reason: self.reason,
                                     resumed,
--- a/tests/gateway/wrong_bytes.rs
+++ b/tests/gateway/wrong_bytes.rs
@@ -330,3 +330,31 @@
         assert!(!decode(&got.body).ended, "the last event is not known");
     }
 }
+
+/// Guards against a stream that ends as whole because an engine was cut right after its head: an answer without events
+/// whose end is that of its connection does not show that nothing is left.
+#[test]
+fn an_empty_answer_without_framing_does_not_end_a_stream() {
+    let (cluster, engines) = start_both(|received| {
+        let mut pieces: Vec<String> = (1..=EVENTS).map(event).collect();
+        if received
+            .header("x-filbertstack-attempt-id")
+            .starts_with("probe")
+        {
+            return framed(received, Framing::Events, &pieces);
+        }
+        if received.header("last-event-id").is_empty() {
+            pieces.truncate(3);
+            pieces.push("oops\n\n".into());
+            return framed(received, Framing::Events, &pieces);
+        }
+        let empty = String::from_utf8(framed(received, Framing::Events, &[])).expect("text");
+        let head = empty.replace("Transfer-Encoding: chunked\r\n\r\n0\r\n", "");
+        head.into_bytes()
+    });
+    start_again(&cluster, &engines, "stream", 1);
+    let got = cluster.call(0, &get("/stream/a1", "a1", ""));
+    let got = decode(&got.body);
+    let due: String = (1..=3).map(event).collect();
+    assert_eq!((got.body, got.ended), (due, false), "{}", cluster.logged(0));
+}
