--- a/crates/filbertstack-policy/src/dispatch.rs
+++ b/crates/filbertstack-policy/src/dispatch.rs
@@ -245,7 +245,7 @@
                 }
                 Some(_) => continue,
             }
-            if target.grant(now, prompt, work, 0.0).is_none() {
+            if target.grant(now, prompt, work, 0).is_none() {
                 continue;
             }
             if !cut_off && target.is_silent(now) {
@@ -507,7 +507,7 @@
     pub fn grant(&self, now: Millis, id: &str, prompt: u32, work: Work) -> Option<Grant> {
         let target = self.targets.get(id)?;
         let work = self.complete(work, &target.spec.service);
-        target.grant(now, f64::from(prompt), work, 1.0)
+        target.grant(now, f64::from(prompt), work, 1)
     }
 
     /// Returns `work` with whether a target of the service has the newest weights: without one, those that a limit ends
--- a/crates/filbertstack-policy/src/dispatch/target.rs
+++ b/crates/filbertstack-policy/src/dispatch/target.rs
@@ -521,7 +521,7 @@
         now: Millis,
         prompt: f64,
         work: Work,
-        counted: f64,
+        counted: u32,
     ) -> Option<Grant> {
         let engine = self.spec.engine.as_deref().zip(work.answer);
         let writing = engine.map_or(f64::INFINITY, |(engine, answer)| {
@@ -536,9 +536,13 @@
     }
 
     /// Returns whether the target begins a request at once: it has a free place and no queue, by its last report.
-    fn begins_at_once(&self, now: Millis, counted: f64) -> bool {
-        let queue = self.fresh_load(now).map(|(_, load)| load.waiting);
-        queue == Some(0) && self.occupancy(now) - counted < self.slots()
+    fn begins_at_once(&self, now: Millis, counted: u32) -> bool {
+        let Some((_, load)) = self.fresh_load(now) else {
+            return false;
+        };
+        let own = self.in_flight.saturating_sub(counted);
+        let present = load.running + self.unreported().saturating_sub(counted);
+        load.waiting == 0 && f64::from(own.max(present)) < self.slots()
     }
 
     /// Returns the factor by which the target may be slower than [`Self::predict`] assumes. It orders the targets
