--- a/crates/filbertstack-gateway/src/weights/fetch/list.rs
+++ b/crates/filbertstack-gateway/src/weights/fetch/list.rs
@@ -190,7 +190,7 @@
         match self.node.piece_list(wire).await {
             Ok(list) => list
                 .map(|list| weights::decode_list(&list))
-                .filter(|list| list.weights == self.weights),
+                .filter(|list| list.weights == self.weights && self.has_all_pieces(list)),
             Err(error) => {
                 info!("voters did not return a list of pieces",
                     kv: { version = self.weights.version, error = error.to_string() });
@@ -205,11 +205,19 @@
         };
         let question = Question::Manifest(weights::to_wire(&self.weights));
         match self.node.dialer.ask(addr, question, HAS_TIMEOUT).await {
-            Ok(Reply::Manifest(manifest)) => ListAnswer::Known(PieceList {
-                weights: self.weights.clone(),
-                bytes: manifest.bytes,
-                digests: weights::split_digests(&manifest.digests),
-            }),
+            Ok(Reply::Manifest(manifest)) => {
+                let list = PieceList {
+                    weights: self.weights.clone(),
+                    bytes: manifest.bytes,
+                    digests: weights::split_digests(&manifest.digests),
+                };
+                // An earlier release keeps a list with another count than declared.
+                if self.has_all_pieces(&list) {
+                    ListAnswer::Known(list)
+                } else {
+                    ListAnswer::Unavailable
+                }
+            }
             Err(LinkError::Failed(_)) => ListAnswer::NotYet,
             Ok(_) => ListAnswer::NotKept,
             Err(_) => {
