--- a/crates/filbertstack-gateway/src/request/events.rs
+++ b/crates/filbertstack-gateway/src/request/events.rs
@@ -213,13 +213,13 @@
     fn add_line(&mut self, line: &[u8], passed: PassedIds) -> Result<(), Fault> {
         match EventLine::read(line).ok_or(Fault::NoEvent)? {
             EventLine::Comment => return Ok(()),
-            EventLine::Weights(_) if self.has_fields => return Err(Fault::NoEvent),
+            EventLine::Weights if self.has_fields => return Err(Fault::NoEvent),
             EventLine::Id(_) if self.id.is_some() => return Err(Fault::NoEvent),
             EventLine::Id(id) => {
                 passed.check(id)?;
                 self.id = Some(id);
             }
-            EventLine::Weights(_) | EventLine::Field => {}
+            EventLine::Weights | EventLine::Field => {}
         }
         self.has_fields = true;
         Ok(())
--- a/crates/filbertstack-gateway/src/request/relay.rs
+++ b/crates/filbertstack-gateway/src/request/relay.rs
@@ -94,7 +94,7 @@
     /// Whether the server may not have written what was passed on last.
     unflushed: bool,
     /// Whether bytes of the present target were passed on.
-    has_events: bool,
+    has_passed: bool,
     tail: Option<EventTail>,
     /// The gaps between the target's events; `None` where paces are not estimated.
     gaps: Option<EventGaps>,
@@ -146,7 +146,7 @@
             events,
             framing,
             unflushed: false,
-            has_events: false,
+            has_passed: false,
             tail: (framing == Framing::EventEnd).then(EventTail::default),
             gaps,
             requests,
@@ -171,14 +171,12 @@
             return Poll::Ready(Some(Err(self.cut(Cut::OutOfTime))));
         }
         loop {
-            let taken_over = self.poll_takeover(cx);
-            let is_faulty = self.fault().is_some();
-            let ends = self.has_ended && self.released.is_empty();
-            // The server writes what it has before it polls again, and nothing once the answer is cut.
-            if (is_faulty || ends && self.is_cut()) && std::mem::take(&mut self.unflushed) {
+            if self.must_flush() {
                 cx.waker().wake_by_ref();
                 return Poll::Pending;
             }
+            let taken_over = self.poll_takeover(cx);
+            let is_faulty = self.fault().is_some();
             let step = match &mut self.source {
                 _ if taken_over.is_some() => taken_over.unwrap_or(Progress::Again),
                 Source::Ended => return Poll::Ready(None),
@@ -203,6 +201,14 @@
         }
     }
 
+    /// Returns whether the server may still have to write what was passed on, before the answer is cut: it writes what
+    /// it has before it polls again, and nothing once the answer is cut.
+    fn must_flush(&mut self) -> bool {
+        let ends = self.has_ended && self.released.is_empty();
+        let may_be_cut = self.fault().is_some() || ends && self.is_cut();
+        may_be_cut && std::mem::take(&mut self.unflushed)
+    }
+
     /// Ends the answer before it is complete.
     fn cut(&mut self, cut: Cut) -> io::Error {
         self.source = Source::Ended;
@@ -306,7 +312,7 @@
     }
 
     fn note_passed(&mut self, data: &Bytes) {
-        self.has_events = true;
+        self.has_passed = true;
         self.unflushed = true;
         self.passed_bytes += data.len() as u64;
     }
@@ -317,7 +323,7 @@
         if self.is_cut() {
             // A target that ends its answer properly has not crashed, and one with nothing left to send may not have.
             let has_last = self.events.as_ref().is_some_and(|e| e.last_id().is_some());
-            if self.ends_with_connection() && (self.has_events || !has_last) {
+            if self.ends_with_connection() && (self.has_passed || !has_last) {
                 self.record_crash();
             }
             return self.handle_loss("the target ended before its answer was complete");
@@ -339,7 +345,7 @@
     /// event or, where nothing else marks its end, before the target's first one.
     fn is_cut(&self) -> bool {
         if let Some(events) = &self.events {
-            let is_empty = !self.has_events && self.ends_with_connection();
+            let is_empty = !self.has_passed && self.ends_with_connection();
             return events.has_partial() || is_empty;
         }
         self.tail.as_ref().is_some_and(|tail| !tail.is_whole())
@@ -464,7 +470,7 @@
         self.last_bytes_at = Instant::now();
         self.has_ended = false;
         self.released.clear();
-        self.has_events = false;
+        self.has_passed = false;
         self.reset_silence_check();
     }
 
--- a/crates/filbertstack-policy/src/dispatch.rs
+++ b/crates/filbertstack-policy/src/dispatch.rs
@@ -213,7 +213,7 @@
         let demand = demand.map_or(0.0, Rate::per_ms_at_last);
         let demand = claim.map_or(demand, |claim| claim.demand);
         let free_slots = self.free_slots(now, wanted, limit, cut_off);
-        let work = self.complete(wanted.work, wanted.service);
+        let work = self.with_successor(wanted.work, wanted.service);
         let mut lowest = f64::INFINITY;
         let mut yields = false;
         let mut rest_end = None;
@@ -506,13 +506,13 @@
     /// `None` if it may not begin the request, or is not known any more.
     pub fn grant(&self, now: Millis, id: &str, prompt: u32, work: Work) -> Option<Grant> {
         let target = self.targets.get(id)?;
-        let work = self.complete(work, &target.spec.service);
+        let work = self.with_successor(work, &target.spec.service);
         target.grant(now, f64::from(prompt), work, 1)
     }
 
     /// Returns `work` with whether a target of the service has the newest weights: without one, those that a limit ends
     /// would end with it.
-    fn complete(&self, work: Work, service: &str) -> Work {
+    fn with_successor(&self, work: Work, service: &str) -> Work {
         let continues = |target: &Target| {
             let TargetSpec {
                 service: served,
