--- a/crates/filbertstack-gateway/src/request/attempt.rs
+++ b/crates/filbertstack-gateway/src/request/attempt.rs
@@ -513,7 +513,7 @@
 /// Logs the target of an attempt and the data behind the choice. An age of -1 means that there was no load
 /// report; weights of 0 mean that any version may answer; a rank of -1 means that its service has no ranks.
 /// The version held is the one that the target is known to have. The time limit is the one that the target is told.
-/// The time to begin is -1 if the target may begin within all of it.
+/// The time to begin is -1 if the target may begin within all of it, and the silence if the target was never heard.
 fn log_sent(requests: &Requests, call: &Call, chosen: &Chosen, tries: &Tries, grant: Grant) {
     let number = |n: Millis| i64::try_from(n.0).unwrap_or(i64::MAX);
     info!("sent", kv: {
@@ -524,7 +524,8 @@
         configuration = requests.node.declared.version(), weights = chosen.version.unwrap_or(0),
         held = chosen.held,
         rank = call.contender.as_ref().map_or(-1, |contender| i32::from(contender.rank.0)),
-        time_limit_ms = grant.limit.0, begin_within_ms = grant.begin_within.map_or(-1, number)
+        time_limit_ms = grant.limit.0, begin_within_ms = grant.begin_within.map_or(-1, number),
+        silent_ms = requests.targets.silence(&chosen.id).map_or(-1, number)
     });
 }
 
--- a/crates/filbertstack-gateway/src/request/guard.rs
+++ b/crates/filbertstack-gateway/src/request/guard.rs
@@ -42,6 +42,8 @@
     notified_at: Instant,
     /// The time to the first bytes of the answer's body; `None` until they arrive.
     first_bytes: Option<Duration>,
+    /// The time limit that the target was told.
+    pub(super) limit: Millis,
     /// When the target ends its work, if that is before the deadline of the request.
     expires_at: Option<Instant>,
     /// The status of the target's answer; 0 until it arrives.
@@ -66,6 +68,7 @@
             sent_at: now,
             notified_at: now,
             first_bytes: None,
+            limit: Millis::ZERO,
             expires_at: None,
             status: 0,
             ended: AttemptEnd::CallerLeft,
@@ -134,6 +137,7 @@
 
     /// Records the time that the target gets from now on.
     pub fn set_limit(&mut self, grant: Grant, work: Work) {
+        self.limit = grant.limit;
         let is_shorter = grant.limit < work.time_left;
         self.expires_at = is_shorter.then(|| Instant::now() + grant.limit.into());
     }
--- a/crates/filbertstack-gateway/src/request/targets.rs
+++ b/crates/filbertstack-gateway/src/request/targets.rs
@@ -495,6 +495,12 @@
         }
     }
 
+    /// Returns how long a target has not been heard; `None` if it never was.
+    pub fn silence(&self, id: &str) -> Option<Millis> {
+        let now = self.node.clock.now();
+        self.dispatcher.borrow().silence(now, id)
+    }
+
     /// Records that bytes of an answer arrived from a target.
     pub fn record_bytes(&self, id: &str) {
         let now = self.node.clock.now();
--- a/crates/filbertstack-policy/src/dispatch.rs
+++ b/crates/filbertstack-policy/src/dispatch.rs
@@ -416,6 +416,11 @@
         )
     }
 
+    /// Returns how long `id` has sent neither a report nor bytes of an answer; `None` if it never did.
+    pub fn silence(&self, now: Millis, id: &str) -> Option<Millis> {
+        self.targets.get(id)?.silence(now)
+    }
+
     /// Returns the best of a few targets sampled at random.
     fn sample_best(&mut self, mut candidates: Vec<(f64, TargetId)>) -> Option<(f64, TargetId)> {
         let mut best: Option<(f64, TargetId)> = None;
--- a/crates/filbertstack-policy/src/dispatch/target.rs
+++ b/crates/filbertstack-policy/src/dispatch/target.rs
@@ -365,6 +365,11 @@
             .map(|(at, _)| now.since(at) + REPORT_LAG)
     }
 
+    /// Returns how long the target has not been heard; `None` if it never was.
+    pub(super) fn silence(&self, now: Millis) -> Option<Millis> {
+        (self.last_heard > Millis::ZERO).then(|| now.since(self.last_heard))
+    }
+
     /// Returns whether the target reported before but is no longer heard.
     pub(super) fn is_silent(&self, now: Millis) -> bool {
         self.load.is_some() && now.since(self.last_heard) > SILENT_AFTER
