End connections whose bytes come to nothing

Here no byte was kept, but the processor was not bounded: what yields nothing was read as fast as it came, until the time limit of the request. An engine that sent interim answers without end got 268 MB read from it (the cap of the test) and was served nothing else; a chunk size of zeros, blank lines and comments in streams behave alike, and so do callers, engines that are called by their agent, and origins.

Each connection of the event loop now counts the bytes since its last message began, less its content with up to eight bytes of framing each. More than 256 KiB from a target, engine or origin, or 64 KiB beside the head from a caller, ends it. A target that sends such bytes has failed and not crashed. Streams end after 64 KiB of blank lines and comments between two events; a long line that comes in small parts is no longer searched from its beginning with each; what is held back of a target while another takes over ends at 256 KiB (it was bounded by a second alone).

--- a/crates/filbertstack-gateway/src/client.rs
+++ b/crates/filbertstack-gateway/src/client.rs
@@ -12,7 +12,6 @@
 use http::Response;
 use http_body_util::BodyExt as _;
 use http_body_util::Limited;
-use hyper::body::Incoming;
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
 use socket2::SockRef;
@@ -27,10 +26,16 @@
 pub use self::body::Release;
 pub use self::body::RequestBody;
 use crate::link::set_socket_options;
+use crate::meter::Meter;
+use crate::meter::Metered;
+use crate::meter::Received;
 
 /// The largest head of an answer, in bytes.
 const MAX_HEAD_BYTES: usize = 32 << 10;
 
+/// How many bytes of an answer may come without content: several heads, and the framing of a small answer.
+const MAX_EMPTY_BYTES: usize = 256 << 10;
+
 /// The reason why a call has no answer.
 #[derive(Debug, Error)]
 pub enum CallFailure {
@@ -67,6 +72,7 @@
 #[derive(Debug)]
 pub struct Connection {
     sender: http1::SendRequest<RequestBody>,
+    meter: Meter,
     task: AbortHandle,
 }
 
@@ -93,15 +99,17 @@
         if let Err(error) = SockRef::from(&stream).set_linger(Some(Duration::ZERO)) {
             return Err(failed(error));
         }
+        let meter = Meter::new(MAX_EMPTY_BYTES);
         let handshake_result = http1::Builder::new()
             .max_buf_size(MAX_HEAD_BYTES)
-            .handshake(TokioIo::new(stream))
+            .handshake(TokioIo::new(Metered::new(stream, meter.clone())))
             .await;
         let (sender, connection) = handshake_result.map_err(|e| failed(io::Error::other(e)))?;
         // The user of the connection sees how it ends.
         let task = spawn_local(async move { drop(connection.await) });
         Ok(Self {
             sender,
+            meter,
             task: task.abort_handle(),
         })
     }
@@ -123,8 +131,10 @@
     pub async fn send(
         &mut self,
         request: Request<RequestBody>,
-    ) -> Result<Response<Incoming>, hyper::Error> {
-        self.sender.send_request(request).await
+    ) -> Result<Response<Received>, hyper::Error> {
+        self.meter.restart();
+        let answer = self.sender.send_request(request).await?;
+        Ok(answer.map(|body| Received::new(body, self.meter.clone())))
     }
 }
 
--- a/crates/filbertstack-gateway/src/control/api.rs
+++ b/crates/filbertstack-gateway/src/control/api.rs
@@ -30,7 +30,6 @@
 use http_body_util::BodyExt as _;
 use http_body_util::Full;
 use http_body_util::Limited;
-use hyper::body::Incoming;
 use prost::Message as _;
 use spdlog::info;
 
@@ -40,6 +39,7 @@
 use crate::link::messages::Kind;
 use crate::link::messages::Row;
 use crate::link::messages::TargetRow;
+use crate::meter::Received;
 use crate::request::answer::AnswerBody;
 
 /// The most bytes of a body that are read. A document may have 4 MiB; the extra bytes let one that is
@@ -68,7 +68,7 @@
         Self { node }
     }
 
-    async fn handle(&self, request: Request<Incoming>) -> Result<Bytes, CallFailure> {
+    async fn handle(&self, request: Request<Received>) -> Result<Bytes, CallFailure> {
         let (head, body) = request.into_parts();
         let body = if has_body(head.uri.path()) {
             read_body(body).await?
@@ -207,7 +207,7 @@
     }
 }
 
-async fn read_body(body: Incoming) -> Result<Bytes, CallFailure> {
+async fn read_body(body: Received) -> Result<Bytes, CallFailure> {
     let body = Limited::new(body, MAX_BODY_BYTES).collect();
     let body = tokio::time::timeout(BODY_TIMEOUT, body).await;
     let body =
@@ -258,7 +258,7 @@
 impl Service for ControlApi {
     type Body = AnswerBody;
 
-    async fn answer(self: Rc<Self>, request: Request<Incoming>) -> Response<AnswerBody> {
+    async fn answer(self: Rc<Self>, request: Request<Received>) -> Response<AnswerBody> {
         let (method, path) = (request.method().clone(), request.uri().path().to_owned());
         match self.handle(request).await {
             Ok(body) => json_response(StatusCode::OK, body),
--- a/crates/filbertstack-gateway/src/entry/directory.rs
+++ b/crates/filbertstack-gateway/src/entry/directory.rs
@@ -16,7 +16,6 @@
 use http::Request;
 use http::Response;
 use http::StatusCode;
-use hyper::body::Incoming;
 use tokio::sync::watch;
 
 use crate::control::api::json_response;
@@ -24,6 +23,7 @@
 use crate::entry::server::Service;
 use crate::link::messages::Kind;
 use crate::link::messages::decode_addr;
+use crate::meter::Received;
 use crate::request::answer::AnswerBody;
 
 /// How long callers keep an answer. They may use a lost entry for that long, and each caller asks
@@ -100,7 +100,7 @@
 impl Service for Directory {
     type Body = AnswerBody;
 
-    async fn answer(self: Rc<Self>, request: Request<Incoming>) -> Response<AnswerBody> {
+    async fn answer(self: Rc<Self>, request: Request<Received>) -> Response<AnswerBody> {
         let (method, uri) = (request.method(), request.uri());
         let empty = Bytes::from_static(b"{}");
         if is_readiness_check(method, uri.path()) {
--- a/crates/filbertstack-gateway/src/entry/server.rs
+++ b/crates/filbertstack-gateway/src/entry/server.rs
@@ -26,12 +26,18 @@
 use crate::ACCEPT_PAUSE;
 use crate::BACKLOG;
 use crate::link::set_ack_timeout;
+use crate::meter::Meter;
+use crate::meter::Metered;
+use crate::meter::Received;
 
 /// How long a caller may leave bytes unread or unacknowledged before its connection is closed. A caller may pause
 /// its reading for seconds, and the system counts that like a partition; without a limit, callers behind a
 /// partition would use up the descriptors.
 const CALLER_TIMEOUT: Duration = Duration::from_secs(20);
 
+/// How many bytes of a request may come without content beside its head: the framing of a small body.
+const MAX_EMPTY_BYTES: usize = 64 << 10;
+
 /// The address of the caller that sent a request, among the extensions of the request.
 #[derive(Clone, Copy, Debug)]
 pub struct Caller(pub SocketAddr);
@@ -44,7 +50,7 @@
     /// Answers one request. The server drops the future when the caller disconnects.
     fn answer(
         self: Rc<Self>,
-        request: Request<Incoming>,
+        request: Request<Received>,
     ) -> impl Future<Output = Response<Self::Body>>;
 
     /// Returns the limit for the head of a request, in bytes.
@@ -127,6 +133,7 @@
     active: ActiveConnections,
 ) {
     let guard = OnceCell::new();
+    let meter = Meter::new(service.head_limit() + MAX_EMPTY_BYTES);
     set_ack_timeout(&stream, CALLER_TIMEOUT);
     let mut builder = http1::Builder::new();
     builder
@@ -139,13 +146,16 @@
     if stopping {
         builder.keep_alive(false);
     }
-    let answer = service_fn(|mut request| {
+    let metered = Metered::new(stream, meter.clone());
+    let answer = service_fn(|mut request: Request<Incoming>| {
         let service = service.clone();
         guard.get_or_init(|| active.track());
         request.extensions_mut().insert(Caller(caller));
+        meter.restart();
+        let request = request.map(|body| Received::new(body, meter.clone()));
         async move { Ok::<_, Infallible>(service.answer(request).await) }
     });
-    let connection = builder.serve_connection(TokioIo::new(stream), answer);
+    let connection = builder.serve_connection(TokioIo::new(metered), answer);
     let mut connection = std::pin::pin!(connection);
     if stopping {
         log_end(caller, connection.await);
--- a/crates/filbertstack-gateway/src/lib.rs
+++ b/crates/filbertstack-gateway/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod weights;
 
 mod client;
+mod meter;
 
 use std::time::Duration;
 
--- a/crates/filbertstack-gateway/src/metrics.rs
+++ b/crates/filbertstack-gateway/src/metrics.rs
@@ -13,7 +13,6 @@
 use http::StatusCode;
 use http::header;
 use http_body_util::Full;
-use hyper::body::Incoming;
 use tokio::sync::watch;
 use tokio::task::spawn_local;
 
@@ -21,6 +20,7 @@
 use crate::entry::server;
 use crate::entry::server::ActiveConnections;
 use crate::entry::server::Service;
+use crate::meter::Received;
 use crate::request::answer::AnswerBody;
 
 /// The path that serves the metrics.
@@ -62,7 +62,7 @@
 impl Service for MetricsService {
     type Body = AnswerBody;
 
-    async fn answer(self: Rc<Self>, request: Request<Incoming>) -> Response<AnswerBody> {
+    async fn answer(self: Rc<Self>, request: Request<Received>) -> Response<AnswerBody> {
         let found = self.text(request.uri().path());
         let is_found = found.is_some();
         let (text, kind) = found.unwrap_or((String::new(), CONTENT_TYPE));
--- a/crates/filbertstack-gateway/src/request/attempt.rs
+++ b/crates/filbertstack-gateway/src/request/attempt.rs
@@ -5,7 +5,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use filbertstack_core::Millis;
 use filbertstack_core::serving::Repeat;
 use filbertstack_platform::request::ForwardHeaders;
@@ -24,12 +23,13 @@
 use http::Request;
 use http::Response;
 use http::header;
-use hyper::body::Incoming;
 use spdlog::info;
 use tokio::time::Instant;
 use tokio::time::timeout_at;
 
 use crate::client::RequestBody;
+use crate::meter::Received;
+use crate::meter::is_invalid;
 use crate::request::Call;
 use crate::request::Requests;
 use crate::request::answer::AnswerBody;
@@ -83,18 +83,18 @@
 const NOT_READ: &str = "the target does not show that it reads";
 
 /// The head of a target's answer, or the error of the connection.
-pub type HeadResult = Result<Response<Incoming>, hyper::Error>;
+pub type HeadResult = Result<Response<Received>, hyper::Error>;
 
 /// The outcome of one attempt.
 pub enum Outcome {
     /// The target gave an answer to return to the caller.
-    Answer(Response<Incoming>, AttemptGuard),
+    Answer(Response<Received>, AttemptGuard),
     /// The request certainly did not run.
     NotRun,
     /// The request may have run.
     Unknown,
     /// The request ran and failed at the target; another target may be asked.
-    Failed(Response<Incoming>, AttemptGuard),
+    Failed(Response<Received>, AttemptGuard),
 }
 
 impl Outcome {
@@ -365,7 +365,7 @@
                     parts = call.head.shared_parts.join(",")
                 });
                 // A target that sends invalid answers has not crashed.
-                if error.is_parse() {
+                if is_invalid(&error) {
                     guard.fail();
                 } else {
                     guard.lose();
@@ -613,7 +613,7 @@
 /// Returns an answer to the caller, whose body is passed on as it arrives.
 fn relay(
     call: &Rc<Call>,
-    response: Response<Incoming>,
+    response: Response<Received>,
     guard: AttemptGuard,
     tries: Tries,
 ) -> Response<AnswerBody> {
--- a/crates/filbertstack-gateway/src/request/classify.rs
+++ b/crates/filbertstack-gateway/src/request/classify.rs
@@ -6,10 +6,10 @@
 use filbertstack_policy::dispatch::AttemptEnd;
 use http::Response;
 use http::StatusCode;
-use hyper::body::Incoming;
 use spdlog::info;
 use spdlog::warn;
 
+use crate::meter::Received;
 use crate::request::Call;
 use crate::request::attempt::Outcome;
 use crate::request::guard::AttemptGuard;
@@ -36,7 +36,7 @@
 /// Decides from the head of an answer what the outcome of the attempt is.
 pub fn classify_answer(
     call: &Call,
-    response: Response<Incoming>,
+    response: Response<Received>,
     mut guard: AttemptGuard,
 ) -> Outcome {
     let status = response.status();
--- a/crates/filbertstack-gateway/src/request/events.rs
+++ b/crates/filbertstack-gateway/src/request/events.rs
@@ -16,6 +16,9 @@
 /// breaks off within it can't be resumed.
 const MAX_EVENT: usize = 256 << 10;
 
+/// How many bytes of blank lines and comments may come between two events. Engines send some tens to keep a connection open.
+const MAX_IDLE: usize = 64 << 10;
+
 /// The time within which everything that arrived together is read, if the caller does not hold the relay back. It
 /// is a quarter of the shortest passes, so that it changes no gap by much.
 const SAME_ARRIVAL: Duration = Duration::from_millis(10);
@@ -31,6 +34,10 @@
     partial: BytesMut,
     /// The length of the lines in `partial` that are checked.
     checked: usize,
+    /// The length of the bytes in `partial` that hold no end of a line.
+    searched: usize,
+    /// The length of the blank lines and comments since the last event.
+    idle: usize,
     /// Whether `partial` begins within a line whose start was passed on.
     within_line: bool,
     next: NextEvent,
@@ -130,10 +137,13 @@
     }
 
     /// Returns the position after the next line that is not checked.
-    fn find_line_end(&self) -> Option<usize> {
-        let rest = self.partial.get(self.checked..)?;
-        let at = rest.iter().position(|byte| *byte == b'\n')?;
-        Some(self.checked + at + 1)
+    fn find_line_end(&mut self) -> Option<usize> {
+        // A long line that comes in small parts would be searched from its beginning with each.
+        let from = self.checked.max(self.searched);
+        let rest = self.partial.get(from..)?;
+        let at = rest.iter().position(|byte| *byte == b'\n');
+        self.searched = at.map_or(self.partial.len(), |at| from + at + 1);
+        at.map(|_| self.searched)
     }
 
     /// Checks the line that ends at `end`. Returns the event that ends with it.
@@ -149,11 +159,19 @@
         }
         let event = self.partial.split_to(end);
         self.checked = 0;
+        self.searched = 0;
         let ended = std::mem::take(&mut self.next);
         // Blank lines and comments alone are no event, and callers need none of them.
         if !ended.has_fields {
-            return Ok(None);
+            self.idle += event.len();
+            let endless = self.idle > MAX_IDLE;
+            return if endless {
+                Err(Fault::NoEvent)
+            } else {
+                Ok(None)
+            };
         }
+        self.idle = 0;
         let id = ended.id.ok_or(Fault::NoEvent)?;
         self.passed.note(id);
         Ok(Some(event))
@@ -178,6 +196,7 @@
         self.within_line = within_line;
         self.next.begun = true;
         self.checked = 0;
+        self.searched = 0;
         Ok(self.partial.split_to(end))
     }
 
--- a/crates/filbertstack-gateway/src/request/mod.rs
+++ b/crates/filbertstack-gateway/src/request/mod.rs
@@ -62,7 +62,6 @@
 use http_body_util::Full;
 use http_body_util::LengthLimitError;
 use http_body_util::Limited;
-use hyper::body::Incoming;
 use rand::RngExt as _;
 use rand::SeedableRng as _;
 use rand_chacha::ChaCha8Rng;
@@ -72,6 +71,7 @@
 use crate::control::node::Node;
 use crate::entry::server::Caller;
 use crate::entry::server::Service;
+use crate::meter::Received;
 use crate::request::answer::AnswerBody;
 use crate::request::answer::Refusal;
 use crate::request::attempt::Tries;
@@ -368,7 +368,7 @@
 
     async fn handle(
         self: &Rc<Self>,
-        request: Request<Incoming>,
+        request: Request<Received>,
         head: CallHead,
     ) -> Result<Response<AnswerBody>, Refusal> {
         let arrived_at = Instant::now();
@@ -512,7 +512,7 @@
 /// Reads the whole body before the first attempt. An attempt can then be repeated, and a target that
 /// answers before it has read a long body still receives the rest of that body, and nothing else, on its
 /// connection.
-async fn read_body(body: Incoming, limit: usize, deadline: Instant) -> Result<Bytes, Refusal> {
+async fn read_body(body: Received, limit: usize, deadline: Instant) -> Result<Bytes, Refusal> {
     let read = timeout_at(deadline, Limited::new(body, limit).collect()).await;
     let read = read.map_err(|_| Refusal::own(StatusCode::REQUEST_TIMEOUT, "the body is late"))?;
     read.map(http_body_util::Collected::to_bytes)
@@ -530,7 +530,7 @@
 impl Service for Requests {
     type Body = AnswerBody;
 
-    async fn answer(self: Rc<Self>, request: Request<Incoming>) -> Response<AnswerBody> {
+    async fn answer(self: Rc<Self>, request: Request<Received>) -> Response<AnswerBody> {
         let head = CallHead::read(request.headers());
         let (attempt, id) = (head.attempt.clone(), head.id().to_owned());
         let prompt = head.tokens.map_or(0, |(prompt, _)| prompt);
--- a/crates/filbertstack-gateway/src/request/relay.rs
+++ b/crates/filbertstack-gateway/src/request/relay.rs
@@ -21,12 +21,13 @@
 use filbertstack_policy::takeover::min_silence;
 use http_body::Body as _;
 use http_body::Frame;
-use hyper::body::Incoming;
 use spdlog::info;
 use tokio::time::Instant;
 use tokio::time::Sleep;
 use tokio::time::sleep_until;
 
+use crate::meter::Received;
+use crate::meter::is_invalid;
 use crate::request::Call;
 use crate::request::Requests;
 use crate::request::attempt::Tries;
@@ -67,7 +68,7 @@
 
 enum Source {
     /// A target is answering.
-    Target(Incoming, AttemptGuard),
+    Target(Received, Box<AttemptGuard>),
     /// The target was lost, and another one is being asked to resume the stream.
     Resuming(ResumeFuture),
     /// Nothing more arrives: the answer is complete, or was cut.
@@ -121,7 +122,7 @@
     /// Creates the body that passes on `body` from the target of `guard`.
     pub fn new(
         call: Rc<Call>,
-        body: Incoming,
+        body: Received,
         guard: AttemptGuard,
         mut tries: Tries,
         framing: Framing,
@@ -150,7 +151,7 @@
             tail: (framing == Framing::EventEnd).then(EventTail::default),
             gaps,
             requests,
-            source: Source::Target(body, guard),
+            source: Source::Target(body, Box::new(guard)),
             tries,
             deadline,
             last_bytes_at,
@@ -250,8 +251,11 @@
                 }
                 self.handle_data(data)
             }
-            Some(Err(_)) => {
-                self.record_crash();
+            Some(Err(error)) => {
+                // A target that sends invalid bytes has not crashed.
+                if !is_invalid(&error) {
+                    self.record_crash();
+                }
                 self.handle_loss("the target broke off")
             }
             None => {
@@ -465,7 +469,7 @@
         });
         guard.ended = AttemptEnd::CallerLeft;
         self.tries = tries;
-        self.source = Source::Target(body, guard);
+        self.source = Source::Target(body, Box::new(guard));
         self.gaps = self.gaps.take().map(|_| EventGaps::default());
         self.last_bytes_at = Instant::now();
         self.has_ended = false;
--- a/crates/filbertstack-gateway/src/request/resume.rs
+++ b/crates/filbertstack-gateway/src/request/resume.rs
@@ -5,10 +5,10 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use hyper::body::Incoming;
 use tokio::time::Instant;
 use tokio::time::sleep;
 
+use crate::meter::Received;
 use crate::request::Call;
 use crate::request::Requests;
 use crate::request::attempt::Outcome;
@@ -42,7 +42,7 @@
 /// A target that continues the stream.
 pub struct Resumed {
     /// The rest of the stream.
-    pub body: Incoming,
+    pub body: Received,
     /// The attempt at the target.
     pub guard: AttemptGuard,
     /// The attempts so far.
--- a/crates/filbertstack-gateway/src/request/takeover.rs
+++ b/crates/filbertstack-gateway/src/request/takeover.rs
@@ -24,6 +24,9 @@
 use crate::request::resume::resume;
 use crate::request::resume::take_over;
 
+/// How many bytes of the first target are held back at most: many more than its events of a second have.
+const MAX_HELD: usize = 256 << 10;
+
 /// The other target.
 enum Next {
     /// It has not begun to answer.
@@ -100,7 +103,8 @@
     /// Returns whether bytes of the first target are held back.
     pub fn holds_back(&self) -> bool {
         let elapsed = self.requests.node.clock.now().since(self.began);
-        is_held_back(self.reason, elapsed)
+        let held: usize = self.held.iter().map(Bytes::len).sum();
+        held < MAX_HELD && is_held_back(self.reason, elapsed)
     }
 
     /// Holds back bytes of the first target.
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -10,6 +10,7 @@
 mod crashing_parts;
 mod demand;
 mod endings;
+mod endless;
 mod engine;
 mod evacuations;
 mod fleet;
