Refuse what a leaving entry may cut off, and answer what waits at its end

Here late ones were refused, but requests of the first 2.8 s were taken whatever their limit was, and any request that was still waiting at the end of the process was closed without a word; its caller could not know whether it had run.

A leaving entry now refuses a request that may run once as soon as its limit may outlast the entry, also when the stop came while its body or a target was awaited. 0.2 s before the end each request without an answer gets one: 503 if no target may have run it, or else 502. The rule moves to `policy::leaving`.

--- a/crates/filbertstack-gateway/src/entry/mod.rs
+++ b/crates/filbertstack-gateway/src/entry/mod.rs
@@ -325,6 +325,7 @@
     });
     loop {
         let spent = started.elapsed();
+        requests.answer_before_end();
         let all_answered = requests.in_flight() == 0 && active.count() == 0;
         let idle = all_answered && hand_over_task.is_finished();
         let done = idle && spent >= MIN_LEAVE_TIME.min(grace);
--- a/crates/filbertstack-gateway/src/lib.rs
+++ b/crates/filbertstack-gateway/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod control;
 pub mod entry;
 pub mod link;
+pub mod meter;
 pub mod metrics;
 pub mod reload;
 pub mod request;
@@ -19,7 +20,6 @@
 pub mod weights;
 
 mod client;
-mod meter;
 
 use std::time::Duration;
 
--- a/crates/filbertstack-gateway/src/request/answer.rs
+++ b/crates/filbertstack-gateway/src/request/answer.rs
@@ -62,6 +62,10 @@
     }
 }
 
+/// The time after which a caller may retry that a leaving entry refused: almost at once, as other entries
+/// accept requests.
+const RETRY_ELSEWHERE: Duration = Duration::from_millis(50);
+
 /// An answer that the entry gives in place of a target's.
 #[derive(Debug)]
 pub struct Refusal {
@@ -96,6 +100,11 @@
         }
     }
 
+    /// Refuses a request that another entry should serve, as this one is told to stop.
+    pub fn leaving() -> Self {
+        Self::busy("this entry is leaving", RETRY_ELSEWHERE)
+    }
+
     /// Answers a request of which it is unknown whether it ran.
     pub fn unknown(why: &'static str) -> Self {
         Self::own(StatusCode::BAD_GATEWAY, why)
--- a/crates/filbertstack-gateway/src/request/attempt.rs
+++ b/crates/filbertstack-gateway/src/request/attempt.rs
@@ -136,7 +136,10 @@
         } else {
             choose(requests, call, &tries)
         };
-        let chosen = match chosen {
+        let leaves = (!call.may_run.get())
+            .then(|| requests.leaves_before(call.deadline, &call.route))
+            .flatten();
+        let chosen = match leaves.map_or(chosen, Err) {
             Ok(chosen) => chosen,
             Err(refusal) => {
                 return match failed {
@@ -153,7 +156,7 @@
                 return Ok(relay(call, response, guard, tries));
             }
             Outcome::Failed(response, guard) => failed = Some((response, guard)),
-            Outcome::NotRun => {}
+            Outcome::NotRun => call.may_run.set(unknown || failed.is_some()),
             Outcome::Unknown if call.may_repeat() => unknown = true,
             Outcome::Unknown => {
                 return Err(Refusal::unknown("the answer was lost; it may have run"));
@@ -315,6 +318,7 @@
         let work = call.work(tries);
         tries.attempts.count_sent();
         log_sent(requests, call, chosen, tries, grant);
+        call.may_run.set(true);
         guard.set_limit(grant, work);
         let mut reply = self.exchange(&mut connected, chosen, tries, grant).await;
         let broken = matches!(reply, Awaited::Head(Err(_)));
--- a/crates/filbertstack-gateway/src/request/mod.rs
+++ b/crates/filbertstack-gateway/src/request/mod.rs
@@ -43,6 +43,7 @@
 use filbertstack_policy::begin::Work;
 use filbertstack_policy::crashes::Suspect;
 use filbertstack_policy::dispatch::Dispatcher;
+use filbertstack_policy::leaving::Leaving;
 use filbertstack_policy::rank::Contender;
 use filbertstack_policy::rank::Rank;
 use filbertstack_policy::rank::RankOrders;
@@ -65,6 +66,7 @@
 use rand::RngExt as _;
 use rand::SeedableRng as _;
 use rand_chacha::ChaCha8Rng;
+use tokio::sync::watch;
 use tokio::time::Instant;
 use tokio::time::timeout_at;
 
@@ -92,15 +94,6 @@
 const GAP_GOALS: u32 = 4;
 const GAP_PAUSES: u32 = 8;
 
-/// How long a leaving entry accepts requests that may outlast it. The directory has named other entries
-/// for two seconds by then, and the end of the process would cut off later requests if their engine is
-/// slow.
-const ACCEPT_TIME: Duration = Duration::from_millis(2_800);
-
-/// The time after which a caller may retry that a leaving entry refused: almost at once, as other entries
-/// accept requests.
-const RETRY_ELSEWHERE: Duration = Duration::from_millis(50);
-
 /// The lowest rank that targets tell apart.
 const LOWEST_RANK: u8 = 8;
 
@@ -132,9 +125,10 @@
     ranks: RefCell<(u64, Rc<RankOrders>)>,
     /// The number of requests that wait for a service to become available.
     waiting: Rc<Cell<usize>>,
-    /// The time from which a leaving entry refuses requests that may outlast it, and the time at which it
-    /// ends.
-    leaving: Cell<Option<(Instant, Instant)>>,
+    /// The stop of the process, once it was told to.
+    leaving: Cell<Option<Leaving>>,
+    /// Whether the process ends so soon that requests without an answer get one from this entry.
+    ending: watch::Sender<bool>,
     stopped: Cell<bool>,
     metrics: Rc<Metrics>,
 }
@@ -174,6 +168,8 @@
     suspects: OnceCell<Vec<Suspect>>,
     /// Where it may be served.
     residency: CallResidency,
+    /// Whether it was sent to a target that has not said that it did not run it.
+    may_run: Cell<bool>,
 }
 
 /// Counts one request until it is dropped.
@@ -284,6 +280,7 @@
             ranks: RefCell::default(),
             waiting: Rc::default(),
             leaving: Cell::new(None),
+            ending: watch::channel(false).0,
             stopped: Cell::new(false),
             metrics,
             node,
@@ -331,14 +328,38 @@
 
     /// Records that the process ends within `grace`.
     pub fn leave(&self, grace: Duration) {
-        let now = Instant::now();
-        self.leaving.set(Some((now + ACCEPT_TIME, now + grace)));
+        let now = self.node.clock.now();
+        self.leaving.set(Some(Leaving::new(now, grace.into())));
+    }
+
+    /// Returns the refusal of a request with this deadline that was sent to no target, if the process may end before
+    /// it.
+    fn leaves_before(&self, deadline: Instant, route: &Route) -> Option<Refusal> {
+        let leaving = self.leaving.get()?;
+        let time_left = deadline.saturating_duration_since(Instant::now());
+        let may_repeat = route.repeat != Repeat::Once;
+        let now = self.node.clock.now();
+        leaving
+            .refuses(now, time_left.into(), may_repeat)
+            .then(Refusal::leaving)
+    }
+
+    /// Gives requests that wait for an answer one of this entry if the process ends soon.
+    pub fn answer_before_end(&self) {
+        let now = self.node.clock.now();
+        if self.leaving.get().is_some_and(|l| now >= l.answers_by()) {
+            self.ending.send_replace(true);
+        }
     }
 
-    /// Returns whether the process refuses a request with this deadline, as it may end before it.
-    fn ends_before(&self, deadline: Instant) -> bool {
-        let leaving = self.leaving.get();
-        leaving.is_some_and(|(refuse_from, ends)| Instant::now() >= refuse_from && deadline > ends)
+    /// Waits for `work` until the process ends; `None` if it does before.
+    async fn until_end<T>(&self, work: impl Future<Output = T>) -> Option<T> {
+        let mut ending = self.ending.subscribe();
+        tokio::select! {
+            biased;
+            Ok(_) = ending.wait_for(|ending| *ending) => None,
+            done = work => Some(done),
+        }
     }
 
     /// Records that the process ends now, so that answers in progress are cut.
@@ -375,7 +396,10 @@
         let in_flight = InFlight::new(&self.in_flight);
         let waited = !self.node.declared.is_loaded();
         if waited {
-            waiting::wait_declared(self, arrived_at, head.timeout).await?;
+            let declared = waiting::wait_declared(self, arrived_at, head.timeout);
+            self.until_end(declared)
+                .await
+                .ok_or_else(Refusal::leaving)??;
         }
         let catalogue = self.node.declared.catalogue();
         let version = self.node.declared.version();
@@ -386,11 +410,12 @@
         let contender = self.contender(&catalogue, &route, &service, holder.as_deref(), &head);
         let timeout = head.timeout.unwrap_or(NO_TIMEOUT).min(route.timeout);
         let deadline = arrived_at + timeout;
-        if self.ends_before(deadline) {
-            return Err(Refusal::busy("this entry is leaving", RETRY_ELSEWHERE));
+        if let Some(refusal) = self.leaves_before(deadline, &route) {
+            return Err(refusal);
         }
         let caller = parts.extensions.get::<Caller>().map(|caller| caller.0);
-        let body = read_body(body, catalogue.limits().body, deadline).await?;
+        let body = read_body(body, catalogue.limits().body, deadline);
+        let body = self.until_end(body).await.ok_or_else(Refusal::leaving)??;
         self.repeats.borrow_mut().earn(&service);
         let residency = CallResidency::new(version, &route, holder.as_deref());
         let call = Rc::new(Call {
@@ -410,9 +435,14 @@
             in_flight,
             suspects: OnceCell::new(),
             residency,
+            may_run: Cell::new(false),
         });
-        let answer = timeout_at(deadline, attempt::run(self, &call)).await;
-        let answer = answer.unwrap_or(Err(Refusal::late()));
+        let answer = timeout_at(deadline, attempt::run(self, &call));
+        let answer = match self.until_end(answer).await {
+            Some(answer) => answer.unwrap_or(Err(Refusal::late())),
+            None if call.may_run.get() => Err(Refusal::unknown("this entry ends; it may have run")),
+            None => Err(Refusal::leaving()),
+        };
         answer.map_err(|refusal| call.name_rule(&self.node, refusal))
     }
 
--- a/crates/filbertstack-gateway/tests/server.rs
+++ b/crates/filbertstack-gateway/tests/server.rs
@@ -12,12 +12,12 @@
 use filbertstack_gateway::entry::server;
 use filbertstack_gateway::entry::server::ActiveConnections;
 use filbertstack_gateway::entry::server::Service;
+use filbertstack_gateway::meter::Received;
 use http::Request;
 use http::Response;
 use http_body_util::BodyExt;
 use http_body_util::Full;
 use http_body_util::combinators::MapErr;
-use hyper::body::Incoming;
 use tokio::sync::oneshot;
 use tokio::sync::watch;
 use tokio::task::LocalSet;
@@ -35,7 +35,7 @@
 impl Service for LongAnswer {
     type Body = MapErr<Full<Bytes>, fn(std::convert::Infallible) -> io::Error>;
 
-    async fn answer(self: Rc<Self>, _: Request<Incoming>) -> Response<Self::Body> {
+    async fn answer(self: Rc<Self>, _: Request<Received>) -> Response<Self::Body> {
         let never: fn(std::convert::Infallible) -> io::Error = |never| match never {};
         Response::new(Full::from(vec![b'x'; BODY_BYTES]).map_err(never))
     }
--- a/crates/filbertstack-policy/src/lib.rs
+++ b/crates/filbertstack-policy/src/lib.rs
@@ -37,6 +37,7 @@
 pub mod gossip;
 pub mod handover;
 pub mod inherited;
+pub mod leaving;
 pub mod limit;
 pub mod notices;
 pub mod outlier;
