End an agent's call to an engine whose trailers have no end

The agent beside an engine of the older product read the trailers of an answer as fast as they came, until the time limit of the call: 268 MB (the cap of the test) of a report and of an answer that is passed on. Nothing was kept. The bytes that a call receives without content are counted now, and over 1 MiB ends its connection.

Callers of the older entry are bounded already: the guard limits head, body and time.

--- a/crates/filbertstack-agent/src/target.rs
+++ b/crates/filbertstack-agent/src/target.rs
@@ -15,6 +15,12 @@
 use ureq::Body;
 use ureq::http::Request;
 use ureq::http::Response;
+use ureq::unversioned::resolver::DefaultResolver;
+use ureq::unversioned::transport::Connector as _;
+use ureq::unversioned::transport::DefaultConnector;
+
+use crate::metered;
+use crate::metered::MeteredConnector;
 
 /// How long an order to the target or a query of its state may take.
 const ORDER_TIMEOUT: Duration = Duration::from_secs(5);
@@ -94,8 +100,9 @@
             .http_status_as_error(false)
             .max_redirects(0)
             .timeout_connect(Some(CONNECT_TIMEOUT))
-            .build()
-            .new_agent();
+            .build();
+        let connector = DefaultConnector::default().chain(MeteredConnector);
+        let client = Agent::with_parts(client, connector, DefaultResolver::default());
         Self {
             url: url.into(),
             client,
@@ -133,6 +140,7 @@
         let call = self.client.post(format!("{}{path}", self.url));
         let call = call.config().timeout_global(Some(ORDER_TIMEOUT)).build();
         let call = call.header("content-type", "application/json");
+        metered::restart();
         let response = call
             .send(order.to_string().as_bytes())
             .map_err(|error| classify_error(&error))?;
@@ -149,6 +157,7 @@
     pub fn report(&self) -> Result<Report, TargetError> {
         let call = self.client.get(format!("{}/admin/state", self.url));
         let call = call.config().timeout_global(Some(ORDER_TIMEOUT)).build();
+        metered::restart();
         let mut response = call.call().map_err(|error| unreached_error(&error))?;
         let text = response.body_mut().read_to_string();
         let text = text.map_err(|error| TargetError::Broken(error.to_string()))?;
@@ -176,6 +185,7 @@
             .configure_request(request)
             .timeout_global(Some(timeout))
             .build();
+        metered::restart();
         self.client
             .run(request)
             .map_err(|error| classify_error(&error))
@@ -234,6 +244,7 @@
     /// # Errors
     /// Returns [`TargetError::Broken`] if the answer was cut off.
     pub fn read(&mut self, buffer: &mut [u8]) -> Result<usize, TargetError> {
+        metered::restart();
         let read = self.reader.read(buffer);
         let n = read.map_err(|error| TargetError::Broken(error.to_string()))?;
         if n == 0 && self.is_event_stream && !self.has_end_mark() {
