Answer what waits at the end of an older entry's stop

The older entry closed the connections of requests that were still in progress when its stop timeout ran out, so that their callers could not know whether they had run. It now ends their wait 0.5 s before that: those that a target may have run get 504 with the outcome "unknown", others are refused as not run. A request that may run once is refused from the signal on if its limit ends after that moment.

--- a/crates/filbertstack-entry/src/process.rs
+++ b/crates/filbertstack-entry/src/process.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::net::TcpListener;
 use std::sync::Arc;
+use std::sync::OnceLock;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::AtomicUsize;
@@ -56,6 +57,9 @@
 /// The interval at which the entry checks whether the routing table must be rebuilt.
 const REFRESH_INTERVAL: Duration = Duration::from_millis(100);
 
+/// The time before the end of a stop in which answers are written to callers.
+const ANSWER_TIME: Duration = Duration::from_millis(500);
+
 /// The interval at which [`Entry::stop`] checks whether it may go on.
 const STOP_POLL: Duration = Duration::from_millis(20);
 
@@ -180,6 +184,8 @@
     pub fn stop(self) -> bool {
         let inner = &self.inner;
         let deadline = Instant::now() + Duration::from(inner.settings.stop_timeout);
+        let ends = deadline.checked_sub(ANSWER_TIME).unwrap_or(deadline);
+        inner.calls.ends.get_or_init(|| ends);
         let departure = inner.membership.announce_leaving();
         while !departure.is_over(inner.membership.now()) && Instant::now() < deadline {
             thread::sleep(STOP_POLL);
@@ -244,6 +250,7 @@
             leases: leases.clone(),
             telemetry: telemetry.clone(),
             max_body: settings.max_body,
+            ends: OnceLock::new(),
             attempts: AtomicU64::new(rng.next_u64() >> 1),
         };
         let operators = Operators {
--- a/crates/filbertstack-entry/src/request.rs
+++ b/crates/filbertstack-entry/src/request.rs
@@ -1,6 +1,7 @@
 //! The handling of a caller's request, from its arrival to the end of its answer.
 
 use std::sync::Arc;
+use std::sync::OnceLock;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -39,6 +40,7 @@
 use crate::http::OUTCOME_HEADER;
 use crate::http::Refusal;
 use crate::lease::Leases;
+use crate::process::leaving_refusal;
 use crate::prompt::Prompt;
 use crate::run::ActiveRequest;
 use crate::run::RequestEnd;
@@ -74,6 +76,8 @@
     pub telemetry: Arc<Telemetry>,
     /// The largest body of a request, in bytes.
     pub max_body: usize,
+    /// When requests without an answer get one from this entry, once it was told to stop.
+    pub ends: OnceLock<Instant>,
     /// The number of the next attempt. It begins at a random number, so that no two processes use the
     /// same numbers.
     pub attempts: AtomicU64,
@@ -166,6 +170,11 @@
             ..Dispatch::default()
         };
         let deadline = arrived + Duration::from(timeout);
+        // The end of the process would cut it off, and its caller could not know whether it ran.
+        let outlasts = self.ends.get().is_some_and(|ends| deadline > *ends);
+        if outlasts && !chosen.idempotent {
+            return Err(leaving_refusal());
+        }
         Ok(RoutedRequest {
             org,
             chosen,
--- a/crates/filbertstack-entry/src/run.rs
+++ b/crates/filbertstack-entry/src/run.rs
@@ -153,7 +153,7 @@
             }
             let event = match self.ticket.events.recv_timeout(CALLER_POLL_INTERVAL) {
                 Ok(event) => event,
-                Err(RecvTimeoutError::Timeout) if Instant::now() < self.routed.deadline => continue,
+                Err(RecvTimeoutError::Timeout) if Instant::now() < self.answers_by() => continue,
                 Err(_) => return self.time_out(),
             };
             let step = match event {
@@ -183,6 +183,13 @@
         }
     }
 
+    /// Returns when the caller gets an answer of this entry if no target has given one.
+    fn answers_by(&self) -> Instant {
+        let deadline = self.routed.deadline;
+        let ends = self.handler.ends.get();
+        ends.map_or(deadline, |ends| deadline.min(*ends))
+    }
+
     /// Starts an attempt at a target.
     fn send(&mut self, key: AttemptKey, target: TargetKey) -> Step {
         if !self.race.add(key) {
--- a/tests/system/stops.rs
+++ b/tests/system/stops.rs
@@ -37,6 +37,7 @@
 use crate::support::System;
 use crate::support::TEST_TIMEOUT;
 use crate::support::post;
+use crate::support::try_post;
 
 // A streamed answer that began before the entry was stopped arrives whole; the process then exits by
 // itself with code 0. The entry gets SIGTERM at the first token of the answer.
@@ -132,6 +133,30 @@
     assert!(lines.contains(line), "{lines}");
 }
 
+// A request that outlasts the stop of its entry is answered shortly before the end, as one that may have run.
+// Without that answer its caller would see a closed connection.
+#[test]
+fn a_request_that_outlasts_the_stop_has_an_answer() {
+    let mut served = ServedModel::start(1);
+    let addr = served.system.entries[0].http;
+    served.entries[0].signal("TERM");
+    served.entries[0].wait();
+    let settings = &served.system.entries[0].settings;
+    let text = fs::read_to_string(settings).expect("readable");
+    let text = text.replace("stop-timeout = 20s", "stop-timeout = 8s");
+    fs::write(settings, text).expect("written");
+    served.entries[0] = served.system.start_entry(0);
+    wait_served(addr);
+    let long = json!({ "model": "draft-model", "prompt": "long", "max_tokens": 2_000 });
+    let caller = std::thread::spawn(move || {
+        try_post(addr, "/v1/completions", &[], &long.to_string()).map(|answer| answer.status)
+    });
+    std::thread::sleep(Duration::from_millis(500));
+    served.entries[0].signal("TERM");
+    assert_eq!(caller.join().expect("it ends"), Ok(504));
+    served.entries[0].wait();
+}
+
 /// Waits until a request gets an answer.
 fn wait_served(entry: SocketAddr) {
     let body = json!({ "model": "draft-model", "prompt": "hi", "max_tokens": 1 }).to_string();
