Wait for the interim answer although a call to the target fails

A target that serves as many connections as it may resets further ones, and may read the request all the same. The request was given up at the first failed call, 0.06 s after its head. An entry that stood still itself while a call was answered no longer takes the late answer for a sign.

Found by reading; the tests of late reads pass as before.

--- a/crates/filbertstack-gateway/src/request/handover.rs
+++ b/crates/filbertstack-gateway/src/request/handover.rs
@@ -17,6 +17,7 @@
 use tokio::sync::Notify;
 use tokio::time::Instant;
 use tokio::time::sleep;
+use tokio::time::sleep_until;
 use tokio::time::timeout_at;
 
 use crate::client;
@@ -88,13 +89,18 @@
         let call_after: Duration = self.handover.call_after.into();
         let called = async {
             sleep(call_after).await;
-            answers_call(self.addr, self.give_up_at).await
+            if answers_call(self.addr, self.give_up_at).await {
+                return Waited::Reads(Sign::Call);
+            }
+            // A target without a connection to spare may still send the interim answer.
+            sleep_until(self.give_up_at).await;
+            Waited::Silent
         };
         let waited = tokio::select! {
             biased;
             reply = &mut sending => Waited::Head(reply),
             () = self.interim.notified() => Waited::Reads(Sign::Interim),
-            answers = called => if answers { Waited::Reads(Sign::Call) } else { Waited::Silent },
+            waited = called => waited,
         };
         match &waited {
             Waited::Head(Ok(answer)) if self.refuses(answer.status()) => Waited::Unexpected,
@@ -120,5 +126,7 @@
     let max_wait = until.saturating_duration_since(Instant::now());
     let call = client::call(addr, ask_report(), MAX_REPORT, max_wait);
     let answered = timeout_at(until, call).await;
-    matches!(answered, Ok(Ok(_) | Err(CallFailure::Status(_))))
+    let answers = matches!(answered, Ok(Ok(_) | Err(CallFailure::Status(_))));
+    // This entry may have stood still itself meanwhile.
+    answers && Instant::now() < until
 }
