Test events in small parts, and blank lines and comments without end

The limit on what is dropped between two events had a test of processes alone, and the search for the end of a line from where it stopped had none.

--- a/crates/filbertstack-gateway/tests/events.rs
+++ b/crates/filbertstack-gateway/tests/events.rs
@@ -121,6 +121,49 @@
     }
 }
 
+/// Guards against an engine that keeps an entry busy with what is dropped.
+#[test]
+fn blank_lines_and_comments_without_end_are_no_event() {
+    for idle in ["\n", "\r\n", ": ping\n\n"] {
+        let mut events = EventBuffer::after(None);
+        let received = (0..).take_while(|_| {
+            let passed = events.push(idle.as_bytes());
+            passed.is_empty() && events.fault().is_none()
+        });
+        let received = received.count() * idle.len();
+        assert!(
+            (32 << 10..128 << 10).contains(&received),
+            "{idle:?}: {received}"
+        );
+        assert_eq!(events.fault(), Some(Fault::NoEvent));
+    }
+}
+
+/// Guards against a stream that is given up although its engine only keeps the connection open between events.
+#[test]
+fn comments_between_events_do_not_add_up() {
+    let mut events = EventBuffer::after(None);
+    for id in 1..=200 {
+        let text = format!("{}id: {id}\ndata: a\n\n", ": ping\n\n".repeat(100));
+        assert_eq!(
+            &events.push(text.as_bytes())[..],
+            format!("id: {id}\ndata: a\n\n").as_bytes()
+        );
+    }
+    assert_eq!(events.fault(), None);
+}
+
+/// Guards against a search for the end of a line that starts at the wrong place after a part of it.
+#[test]
+fn events_in_parts_of_a_byte_are_passed_on_whole() {
+    let text = "id: 1\ndata: a\n\n: ping\n\nid: 2\r\ndata: b\r\n\r\nid: 3\ndata: c\n\n";
+    let mut events = EventBuffer::after(None);
+    let passed = text.bytes().map(|byte| events.push(&[byte]));
+    let passed: Vec<Bytes> = passed.filter(|event| !event.is_empty()).collect();
+    assert_eq!(passed.concat(), text.replace(": ping\n\n", "").as_bytes());
+    assert_eq!((passed.len(), events.fault()), (3, None));
+}
+
 /// Guards against a stream that ends inside an event and is taken for complete.
 #[test]
 fn a_stream_is_whole_after_an_event_only() {
