Keep the bodies of messages once, and short where they say a failure

Cause: not load. Alone it grew by 22,676 KiB in one form, the body of a refusal (9,416 to 32,092 KiB). It was read up to 4 MiB, although nobody reads it, and kept in the parts in which it came, each of which keeps a larger buffer alive.

A body is now copied as it comes, also that of a caller, operator or heartbeat, and one of a failure has 64 KiB at most. A valid body without end joins the forms of engines and origins. The bound of the test stays.

--- a/crates/filbertstack-gateway/src/client.rs
+++ b/crates/filbertstack-gateway/src/client.rs
@@ -36,6 +36,9 @@
 /// How many bytes of an answer may come without content: several heads, and the framing of a small answer.
 const MAX_EMPTY_BYTES: usize = 256 << 10;
 
+/// The longest body of an answer with a status of failure, in bytes. Nobody reads it.
+const MAX_FAILURE_BYTES: usize = 64 << 10;
+
 /// The reason why a call has no answer.
 #[derive(Debug, Error)]
 pub enum CallFailure {
@@ -222,15 +225,17 @@
 ) -> Result<Reply, CallFailure> {
     let answer = connection.send(to_request(addr, outgoing)).await?;
     let status = answer.status();
-    let body = Limited::new(answer.into_body(), max_body).collect().await;
+    let limit = if status.is_success() {
+        max_body
+    } else {
+        max_body.min(MAX_FAILURE_BYTES)
+    };
+    let body = answer.into_body().read_whole(limit).await;
     let body = body.map_err(|e| CallFailure::Body(e.to_string()))?;
     if !status.is_success() {
         return Err(CallFailure::Status(status));
     }
-    Ok(Reply {
-        status,
-        body: body.to_bytes(),
-    })
+    Ok(Reply { status, body })
 }
 
 fn to_request(addr: SocketAddr, outgoing: OutgoingCall) -> Request<RequestBody> {
--- a/crates/filbertstack-gateway/src/control/api.rs
+++ b/crates/filbertstack-gateway/src/control/api.rs
@@ -27,9 +27,7 @@
 use http::Response;
 use http::StatusCode;
 use http::header;
-use http_body_util::BodyExt as _;
 use http_body_util::Full;
-use http_body_util::Limited;
 use prost::Message as _;
 use spdlog::info;
 
@@ -208,12 +206,10 @@
 }
 
 async fn read_body(body: Received) -> Result<Bytes, CallFailure> {
-    let body = Limited::new(body, MAX_BODY_BYTES).collect();
-    let body = tokio::time::timeout(BODY_TIMEOUT, body).await;
+    let body = tokio::time::timeout(BODY_TIMEOUT, body.read_whole(MAX_BODY_BYTES)).await;
     let body =
         body.map_err(|_| CallFailure(StatusCode::REQUEST_TIMEOUT, "the body is late".into()))?;
-    let body = body.map_err(|e| CallFailure(StatusCode::BAD_REQUEST, e.to_string()))?;
-    Ok(body.to_bytes())
+    body.map_err(|e| CallFailure(StatusCode::BAD_REQUEST, e.to_string()))
 }
 
 fn target_row(heartbeat: &Heartbeat) -> Row {
--- a/crates/filbertstack-gateway/src/meter.rs
+++ b/crates/filbertstack-gateway/src/meter.rs
@@ -4,6 +4,7 @@
 //! a chunk. None of it is kept, but reading it takes the processor from all other requests of the process, as long as the
 //! far end sends and the request lasts.
 
+use std::error::Error;
 use std::io;
 use std::pin::Pin;
 use std::sync::Arc;
@@ -15,9 +16,12 @@
 
 use bytes::Buf as _;
 use bytes::Bytes;
+use bytes::BytesMut;
 use http_body::Body;
 use http_body::Frame;
 use http_body::SizeHint;
+use http_body_util::BodyExt as _;
+use http_body_util::Limited;
 use hyper::body::Incoming;
 use tokio::io::AsyncRead;
 use tokio::io::AsyncWrite;
@@ -70,7 +74,7 @@
 
 /// Returns whether a connection failed because its far end sent what is no message, and not because it was lost.
 pub fn is_invalid(error: &hyper::Error) -> bool {
-    let source = std::error::Error::source(error);
+    let source = Error::source(error);
     let kind = source.and_then(|source| Some(source.downcast_ref::<io::Error>()?.kind()));
     let invalid = [io::ErrorKind::InvalidData, io::ErrorKind::InvalidInput];
     error.is_parse() || kind.is_some_and(|kind| invalid.contains(&kind))
@@ -147,6 +151,24 @@
     }
 }
 
+impl Received {
+    /// Reads the whole body, of at most `limit` bytes. It is copied: the parts in which it arrives keep buffers alive that
+    /// have several times its length.
+    ///
+    /// # Errors
+    /// [`LengthLimitError`](http_body_util::LengthLimitError) if it is longer, or the error of the connection.
+    pub async fn read_whole(self, limit: usize) -> Result<Bytes, Box<dyn Error + Send + Sync>> {
+        let mut body = Limited::new(self, limit);
+        let mut whole = BytesMut::new();
+        while let Some(frame) = body.frame().await {
+            if let Ok(data) = frame?.into_data() {
+                whole.extend_from_slice(&data);
+            }
+        }
+        Ok(whole.freeze())
+    }
+}
+
 impl Body for Received {
     type Data = Bytes;
     type Error = hyper::Error;
--- a/crates/filbertstack-gateway/src/request/mod.rs
+++ b/crates/filbertstack-gateway/src/request/mod.rs
@@ -59,10 +59,8 @@
 use http::StatusCode;
 use http::Uri;
 use http::header;
-use http_body_util::BodyExt as _;
 use http_body_util::Full;
 use http_body_util::LengthLimitError;
-use http_body_util::Limited;
 use rand::RngExt as _;
 use rand::SeedableRng as _;
 use rand_chacha::ChaCha8Rng;
@@ -543,18 +541,17 @@
 /// answers before it has read a long body still receives the rest of that body, and nothing else, on its
 /// connection.
 async fn read_body(body: Received, limit: usize, deadline: Instant) -> Result<Bytes, Refusal> {
-    let read = timeout_at(deadline, Limited::new(body, limit).collect()).await;
+    let read = timeout_at(deadline, body.read_whole(limit)).await;
     let read = read.map_err(|_| Refusal::own(StatusCode::REQUEST_TIMEOUT, "the body is late"))?;
-    read.map(http_body_util::Collected::to_bytes)
-        .map_err(|error| {
-            let too_long = error.is::<LengthLimitError>();
-            let status = if too_long {
-                StatusCode::PAYLOAD_TOO_LARGE
-            } else {
-                StatusCode::BAD_REQUEST
-            };
-            Refusal::own(status, "the body is too long or broke off")
-        })
+    read.map_err(|error| {
+        let too_long = error.is::<LengthLimitError>();
+        let status = if too_long {
+            StatusCode::PAYLOAD_TOO_LARGE
+        } else {
+            StatusCode::BAD_REQUEST
+        };
+        Refusal::own(status, "the body is too long or broke off")
+    })
 }
 
 impl Service for Requests {
--- a/tests/gateway/endless.rs
+++ b/tests/gateway/endless.rs
@@ -110,6 +110,9 @@
     ),
 ];
 
+/// What an engine or origin sends as an answer to a call. The caller of a request reads it as long as it likes.
+const BODY: Form = form("a body", true, "\r\n", "x");
+
 /// What engines send within a stream of events.
 const STREAM_FORMS: [Form; 4] = [
     form("blank lines in a stream", true, EVENTS, "\r\n"),
@@ -336,7 +339,7 @@
     let agent = cluster.start_agent("stream", endless.addr);
     endless.assert_closed_early("the first call");
     let before = peak_memory(&cluster, agent);
-    for form in FORMS {
+    for form in FORMS.into_iter().chain([BODY]) {
         endless.set_form(form);
         endless.assert_closed_early(form.name);
     }
@@ -360,7 +363,7 @@
     endless.assert_closed_early("the first call");
     let before = peak_memory(cluster, 0);
     let bystander = Bystander::start(cluster.front_addr(0));
-    for form in FORMS {
+    for form in FORMS.into_iter().chain([BODY]) {
         endless.set_form(form);
         cluster.register(0, "i-sound", "once", sound.addr);
         endless.assert_closed_early(form.name);
