Ask once whether a request that was sent to no target comes too late

Read as a newcomer: the check in the loop of attempts was a chain of options, and the tests of stops named functions by their paths.

--- a/crates/filbertstack-gateway/src/request/attempt.rs
+++ b/crates/filbertstack-gateway/src/request/attempt.rs
@@ -136,9 +136,8 @@
         } else {
             choose(requests, call, &tries)
         };
-        let leaves = (!call.may_run.get())
-            .then(|| requests.leaves_before(call.deadline, &call.route))
-            .flatten();
+        // The process may have been told to stop while the request waited for a target.
+        let leaves = requests.leaves_before_sent(call);
         let chosen = match leaves.map_or(chosen, Err) {
             Ok(chosen) => chosen,
             Err(refusal) => {
--- a/crates/filbertstack-gateway/src/request/mod.rs
+++ b/crates/filbertstack-gateway/src/request/mod.rs
@@ -342,6 +342,14 @@
             .then(Refusal::leaving)
     }
 
+    /// Returns the refusal of a request that no target may have run, if the process may end before its deadline.
+    fn leaves_before_sent(&self, call: &Call) -> Option<Refusal> {
+        if call.may_run.get() {
+            return None;
+        }
+        self.leaves_before(call.deadline, &call.route)
+    }
+
     /// Gives requests that wait for an answer one of this entry if the process ends soon.
     pub fn answer_before_end(&self) {
         let now = self.node.clock.now();
--- a/tests/gateway/stops.rs
+++ b/tests/gateway/stops.rs
@@ -13,8 +13,10 @@
 use crate::cluster::Answer;
 use crate::cluster::Cluster;
 use crate::cluster::document;
+use crate::cluster::exchange;
 use crate::cluster::get;
 use crate::cluster::post;
+use crate::cluster::wait_until;
 use crate::engine::Engine;
 use crate::engine::answer;
 
@@ -138,9 +140,9 @@
     }));
     cluster.register(0, "i-0", scene.route, engine.addr);
     let probe = format!("/{}/", scene.route);
-    crate::cluster::wait_until("the route is served", || {
+    wait_until("the route is served", || {
         let request = get(&probe, "await-0", "");
-        let answer = crate::cluster::exchange(&cluster.front_addr(0), &request);
+        let answer = exchange(&cluster.front_addr(0), &request);
         answer.is_some_and(|a| a.status == 200)
     });
     let signal_at = Instant::now() + scene.before;
