End a fetch of weights whose trailers have no end

A server that sends trailers without end kept a download and a processor for ever; the least rate is checked between reads of content alone.

The counter moves to filbertstack-weights, and its client is that of fetches, too. The new test failed before with trailers (read on to its cap of 64 MiB); four other forms ended before and still do.

--- a/crates/filbertstack-agent/src/lib.rs
+++ b/crates/filbertstack-agent/src/lib.rs
@@ -9,7 +9,6 @@
 pub mod copying;
 pub mod gate;
 pub mod mesh;
-mod metered;
 pub mod pacing;
 pub mod process;
 pub mod reconciler;
--- a/crates/filbertstack-agent/src/target.rs
+++ b/crates/filbertstack-agent/src/target.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use filbertstack_core::Digest;
+use filbertstack_weights::metered;
 use filbertstack_wire::messages::Dispatch;
 use filbertstack_wire::messages::Fence;
 use filbertstack_wire::messages::Header;
@@ -15,12 +16,6 @@
 use ureq::Body;
 use ureq::http::Request;
 use ureq::http::Response;
-use ureq::unversioned::resolver::DefaultResolver;
-use ureq::unversioned::transport::Connector as _;
-use ureq::unversioned::transport::DefaultConnector;
-
-use crate::metered;
-use crate::metered::MeteredConnector;
 
 /// How long an order to the target or a query of its state may take.
 const ORDER_TIMEOUT: Duration = Duration::from_secs(5);
@@ -101,11 +96,9 @@
             .max_redirects(0)
             .timeout_connect(Some(CONNECT_TIMEOUT))
             .build();
-        let connector = DefaultConnector::default().chain(MeteredConnector);
-        let client = Agent::with_parts(client, connector, DefaultResolver::default());
         Self {
             url: url.into(),
-            client,
+            client: metered::agent(client),
         }
     }
 
--- a/crates/filbertstack-weights/src/fetch/http.rs
+++ b/crates/filbertstack-weights/src/fetch/http.rs
@@ -29,6 +29,7 @@
 use crate::manifest::MAX_MANIFEST_SIZE;
 use crate::manifest::Manifest;
 use crate::manifest::ManifestError;
+use crate::metered;
 
 /// The optional response header that names the version of the file.
 const VERSION_HEADER: HeaderName = HeaderName::from_static("x-weights-version");
@@ -176,13 +177,12 @@
             .timeout_connect(idle)
             .timeout_recv_response(idle)
             .timeout_per_read(idle)
-            .build()
-            .new_agent();
+            .build();
         let base = base.trim_end_matches('/').to_owned();
         Self {
             base,
             config,
-            agent,
+            agent: metered::agent(agent),
         }
     }
 
@@ -203,6 +203,7 @@
         if let Some(range) = range {
             request = request.header(header::RANGE, range);
         }
+        metered::restart();
         request
             .call()
             .map_err(|error| self.transport_error(url, 0, 0, error))
@@ -238,6 +239,7 @@
         let mut window = ProgressWindow::new(self.config);
         loop {
             let got = bytes.len() as u64;
+            metered::restart();
             let count = match reader.read(&mut buffer) {
                 Ok(0) => return Ok(bytes),
                 Ok(count) => count,
--- a/crates/filbertstack-weights/src/lib.rs
+++ b/crates/filbertstack-weights/src/lib.rs
@@ -31,6 +31,7 @@
 pub mod copy;
 pub mod fetch;
 pub mod manifest;
+pub mod metered;
 pub mod store;
 pub mod version;
 
--- a/crates/filbertstack-agent/src/metered.rs
+++ b/crates/filbertstack-weights/src/metered.rs
@@ -1,16 +1,20 @@
-//! Bounds the bytes that an engine sends and that come to nothing.
+//! Bounds the bytes that an engine or a server of weights sends and that come to nothing.
 //!
 //! The HTTP library keeps none of the trailers of an answer, but reads them as fast as they come, until the time limit of the
-//! call. Its calls read on the thread that makes them, so that each thread counts what it has received since the last
-//! content.
+//! call, and for ever where only single reads have one. Its calls read on the thread that makes them, so that each thread
+//! counts what it has received since the last content.
 
 use std::cell::Cell;
 use std::io;
 
+use ureq::Agent;
 use ureq::Error;
+use ureq::config::Config;
+use ureq::unversioned::resolver::DefaultResolver;
 use ureq::unversioned::transport::Buffers;
 use ureq::unversioned::transport::ConnectionDetails;
 use ureq::unversioned::transport::Connector;
+use ureq::unversioned::transport::DefaultConnector;
 use ureq::unversioned::transport::NextTimeout;
 use ureq::unversioned::transport::Transport;
 
@@ -36,9 +40,16 @@
     Err(Error::Io(io::Error::new(io::ErrorKind::InvalidData, why)))
 }
 
+/// Creates a client whose connections end when too many bytes come without content. Its user calls [`restart`] before each
+/// call and each read of a body.
+pub fn agent(config: Config) -> Agent {
+    let connector = DefaultConnector::default().chain(MeteredConnector);
+    Agent::with_parts(config, connector, DefaultResolver::default())
+}
+
 /// Makes connections whose received bytes are counted.
 #[derive(Debug)]
-pub struct MeteredConnector;
+struct MeteredConnector;
 
 impl<In: Transport> Connector<In> for MeteredConnector {
     type Out = Metered<In>;
@@ -54,7 +65,7 @@
 
 /// A connection whose received bytes are counted.
 #[derive(Debug)]
-pub struct Metered<T>(T);
+struct Metered<T>(T);
 
 impl<T: Transport> Transport for Metered<T> {
     fn buffers(&mut self) -> &mut dyn Buffers {
--- a/crates/filbertstack-weights/tests/http.rs
+++ b/crates/filbertstack-weights/tests/http.rs
@@ -3,8 +3,13 @@
 mod support;
 
 use std::fs;
+use std::io::Read as _;
+use std::io::Write as _;
+use std::net::TcpListener;
+use std::thread;
 use std::time::Duration;
 
+use filbertstack_core::Digest;
 use filbertstack_weights::Manifest;
 use filbertstack_weights::Store;
 use filbertstack_weights::fetch::Fault;
@@ -19,6 +24,9 @@
 use support::origin::Origin;
 use support::sample;
 
+/// A server that sends without end ends by itself after so many bytes.
+const ENDLESS_CAP: usize = 64 << 20;
+
 const SHORT_TIMEOUTS: HttpConfig = HttpConfig {
     idle_timeout: Duration::from_millis(300),
     window: Duration::from_millis(100),
@@ -124,3 +132,38 @@
             .is_err()
     );
 }
+
+/// Guards against a fetch that never ends and keeps a processor: the server sends what is no content without end, and each
+/// read of the connection gets bytes in time.
+#[test]
+fn an_answer_without_end_is_given_up() {
+    let head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    let forms = [
+        (format!("{head}2\r\nok\r\n0\r\n"), "A: b\r\n"),
+        (head.to_owned(), "0"),
+        (String::new(), "HTTP/1.1 100 Continue\r\n\r\n"),
+        ("HTTP/1.1 200 OK\r\n".to_owned(), "A: b\r\n"),
+        ("HTTP/1.1 200 OK\r\n\r\n".to_owned(), "x"),
+    ];
+    for (first, then) in forms {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let addr = listener.local_addr().unwrap();
+        let server = thread::spawn(move || {
+            let (mut stream, _) = listener.accept().unwrap();
+            let _ = stream.read(&mut [0; 4096]);
+            let mut sent = stream.write(first.as_bytes()).unwrap();
+            let bytes = then.repeat(8 << 10);
+            while sent < ENDLESS_CAP {
+                let Ok(n) = stream.write(bytes.as_bytes()) else {
+                    break;
+                };
+                sent += n;
+            }
+            sent
+        });
+        let source = HttpSource::new(&format!("http://{addr}"), HttpConfig::default());
+        let fetched = source.fetch_manifest("file", Digest::of(b"root"));
+        assert!(fetched.is_err(), "{then:?}");
+        assert!(server.join().unwrap() < ENDLESS_CAP, "{then:?} was read on");
+    }
+}
