--- a/review/standins-2/tests/main.rs
+++ b/review/standins-2/tests/main.rs
@@ -52,6 +52,7 @@
     record.add(format!("case {case}, trouble {trouble}"));
     let result = match case {
         "poison" => poison::run(&record, trouble, Beside::SlowReaders),
+        "late" => poison::run(&record, trouble, Beside::SoundRequestsInTime),
         "unframed" => poison::run(&record, trouble, Beside::SoundRequests),
         "first-start" => first_start::run(&record, trouble),
         "departure" => departure::run(&record, trouble),
--- a/review/standins-2/tests/poison.rs
+++ b/review/standins-2/tests/poison.rs
@@ -1,5 +1,5 @@
-//! A request that crashes its server comes back, while other clients read their answers slowly, or where the answers
-//! end with their connections.
+//! A request that crashes its server comes back: while other clients read their answers slowly, where the answers end
+//! with their connections, or where the server crashes after the time of the request.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -32,10 +32,10 @@
 const READ_PAUSE: Duration = Duration::from_millis(100);
 
 /// The time between two repeats of the request that crashes servers.
-const REPEAT_PAUSE: Duration = Duration::from_secs(2);
+const REPEAT_PAUSE: Duration = Duration::from_millis(2_500);
 
 /// How often it comes.
-const REPEATS: u32 = 20;
+const REPEATS: u32 = 18;
 
 /// The pause between two sound requests where no client reads slowly.
 const SOUND_PAUSE: Duration = Duration::from_secs(1);
@@ -48,6 +48,7 @@
 const CONFIG: &str = r#"{"version":3,"routes":[
 {"name":"files","host":"a.example","pathPrefix":"/files/","kind":"idempotent","timeoutMs":10000,"goalMs":1000,"priority":1,"service":"assets","maxAttempts":2},
 {"name":"unframed","host":"a.example","pathPrefix":"/unframed/","kind":"non_idempotent","timeoutMs":1000,"goalMs":100,"priority":1,"service":"assets","maxAttempts":1},
+{"name":"late","host":"a.example","pathPrefix":"/late/","kind":"non_idempotent","timeoutMs":1000,"goalMs":100,"priority":1,"service":"assets","maxAttempts":1},
 {"name":"orders","host":"a.example","pathPrefix":"/orders/","kind":"non_idempotent","timeoutMs":1000,"goalMs":100,"priority":1,"service":"assets","maxAttempts":1}],
 "services":[{"name":"assets","healthPath":"/health","maxConns":130}],
 "limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000}}"#;
@@ -59,6 +60,8 @@
     SlowReaders,
     /// Clients send sound requests. Its own answer and theirs end with their connections.
     SoundRequests,
+    /// Clients send sound requests. Servers crash 1.5 s after they began the request, and its client waits for 1 s.
+    SoundRequestsInTime,
 }
 
 impl Beside {
@@ -69,6 +72,7 @@
             // With `FRAMED=1`, the answers have a length.
             Self::SoundRequests if std::env::var("FRAMED").is_ok_and(|v| v == "1") => "/orders/7",
             Self::SoundRequests => "/unframed/7",
+            Self::SoundRequestsInTime => "/late/7",
         }
     }
 }
@@ -109,7 +113,9 @@
     let ended = Arc::new(AtomicBool::new(false));
     match beside {
         Beside::SlowReaders => start_readers(record, fronts, &ended),
-        Beside::SoundRequests => start_sound(record, fronts, path, &ended),
+        Beside::SoundRequests | Beside::SoundRequestsInTime => {
+            start_sound(record, fronts, path, &ended);
+        }
     }
     sleep(STABILITY);
     let body: &[u8] = if trouble { CRASH } else { b"sound" };
--- a/review/standins-2/tests/server.rs
+++ b/review/standins-2/tests/server.rs
@@ -38,7 +38,7 @@
 const DRAIN: Duration = Duration::from_millis(2_300);
 
 /// The length of a file.
-pub const FILE_BYTES: usize = 400 << 10;
+pub const FILE_BYTES: usize = 768 << 10;
 
 /// The paths of files begin like this.
 pub const FILES: &str = "/files/";
@@ -46,7 +46,11 @@
 /// The answers at paths that begin like this have neither a length nor chunks, and end with their connection.
 pub const UNFRAMED: &str = "/unframed/";
 
-/// What such an answer begins with.
+/// A request that crashes servers does so this long after it began, at paths that begin like this.
+pub const LATE: &str = "/late/";
+const LATE_CRASH: Duration = Duration::from_millis(1_500);
+
+/// What an answer without a length begins with.
 const BEGIN: &[u8] = b"the first line of the answer\n";
 
 /// The body of a request that crashes servers.
@@ -199,6 +203,10 @@
                 stream.write_all(BEGIN)?;
             }
             if body == CRASH {
+                if path.starts_with(LATE) {
+                    print(&format!("begins {attempt} {path}"));
+                    sleep(LATE_CRASH);
+                }
                 print(&format!("crash {attempt} {path}"));
                 loop {
                     sleep(HEARTBEAT);
