Review case 6: a part that crashes servers, behind 70 others

Cause: the first 64 parts of a prompt are recorded when its server is lost (MAX_PARTS, platform/src/request.rs). A part behind them is no suspect, and its requests are never refused. A row of docs/open-findings.md knows it by reading, so that the case is "from: entry".

Change: review/6, and its program in review/standins-2. The product is unchanged.

--- a/review/standins-2/tests/main.rs
+++ b/review/standins-2/tests/main.rs
@@ -10,6 +10,7 @@
 mod heads;
 mod http;
 mod memory;
+mod parts;
 mod poison;
 mod record;
 mod server;
@@ -52,6 +53,7 @@
     record.add(format!("case {case}, trouble {trouble}"));
     let result = match case {
         "poison" => poison::run(&record, trouble, Beside::SlowReaders),
+        "parts" => parts::run(&record, trouble),
         "late" => poison::run(&record, trouble, Beside::SoundRequestsInTime),
         "unframed" => poison::run(&record, trouble, Beside::SoundRequests),
         "first-start" => first_start::run(&record, trouble),
--- a/review/standins-2/tests/server.rs
+++ b/review/standins-2/tests/server.rs
@@ -56,6 +56,12 @@
 /// The body of a request that crashes servers.
 pub const CRASH: &[u8] = b"crash";
 
+/// The answers at paths that begin like this are streams of events, in chunks.
+pub const STREAMS: &str = "/chat/";
+
+/// The part of prompts that crashes servers.
+pub const CRASHING_PART: &str = "dead";
+
 struct Server {
     addr: SocketAddr,
     id: String,
@@ -170,6 +176,14 @@
         std::process::exit(0);
     }
 
+    /// Says that a request crashes this server, and does nothing more until it is killed.
+    fn crash(&self, attempt: &str, path: &str) -> ! {
+        print(&format!("crash {attempt} {path}"));
+        loop {
+            sleep(HEARTBEAT);
+        }
+    }
+
     fn serve(&self, stream: TcpStream) {
         // The connection ends with the first error.
         let _ = self.answer_all(stream);
@@ -202,15 +216,27 @@
                 )?;
                 stream.write_all(BEGIN)?;
             }
+            if path.starts_with(STREAMS) {
+                write!(
+                    stream,
+                    "HTTP/1.1 200 OK\r\nX-Filbertstack-Attempt-Id: {attempt}\r\n\
+                     X-Filbertstack-Response-Seal: {seal}\r\nContent-Type: text/event-stream\r\n\
+                     Transfer-Encoding: chunked\r\n\r\n"
+                )?;
+                if has_crashing_part(&head) {
+                    self.crash(attempt, path);
+                }
+                print(&format!("run {attempt} {path}"));
+                let event = "id: 1\ndata: done\n\n";
+                write!(stream, "{:x}\r\n{event}\r\n0\r\n\r\n", event.len())?;
+                continue;
+            }
             if body == CRASH {
                 if path.starts_with(LATE) {
                     print(&format!("begins {attempt} {path}"));
                     sleep(LATE_CRASH);
                 }
-                print(&format!("crash {attempt} {path}"));
-                loop {
-                    sleep(HEARTBEAT);
-                }
+                self.crash(attempt, path);
             }
             print(&format!("run {attempt} {path}"));
             if unframed {
@@ -234,6 +260,15 @@
     }
 }
 
+/// Returns whether the prompt of a request holds the part that crashes servers. The last part never does.
+fn has_crashing_part(head: &Head) -> bool {
+    let parts = head.get("x-filbertstack-prompt-prefix").unwrap_or("");
+    let ids = parts.split(',').filter_map(|part| part.split(':').next());
+    let ids: Vec<&str> = ids.collect();
+    let shared = ids.len().saturating_sub(1);
+    ids[..shared].contains(&CRASHING_PART)
+}
+
 /// Returns the address for later heartbeats that an answer names.
 fn heartbeat_address(answer: &[u8]) -> Option<SocketAddr> {
     let text = std::str::from_utf8(answer).ok()?;
